--- /dev/null
+++ b/src/burdockspan/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/thrift/peer.thrift
@@ -0,0 +1,77 @@
+// Messages between entry VMs. Datagrams carry one Datagram in the compact
+// protocol; the Peer service runs over framed TCP.
+
+namespace py burdockspan.gen.peer
+
+const i16 PROTOCOL_VERSION = 1
+
+enum MemberState {
+  ALIVE = 1,
+  SUSPECT = 2,
+  DEAD = 3,
+  LEFT = 4,
+}
+
+struct MemberUpdate {
+  1: required string vm,
+  2: required string address,
+  3: required string availability_zone,
+  4: required i64 incarnation,
+  5: required MemberState state,
+  6: optional string region,
+}
+
+struct EndpointReport {
+  1: required string endpoint,
+  2: required string boot,
+  3: required bool leaving,
+  4: required i32 pieces,
+  5: required i32 free_pieces,
+  6: required i32 running,
+  7: required i32 waiting,
+  8: required i32 age_ms,
+}
+
+struct Strike {
+  1: required binary fingerprint,
+  2: required string endpoint,
+  3: required string boot,
+  4: required i32 remaining_s,
+}
+
+enum DatagramKind {
+  PING = 1,
+  ACK = 2,
+  PING_REQUEST = 3,
+}
+
+struct Datagram {
+  1: required i16 protocol_version,
+  2: required DatagramKind kind,
+  3: required i64 sequence,
+  4: required MemberUpdate sender,
+  5: optional string target,
+  6: optional string target_address,
+  7: required i64 configuration_generation,
+  8: required i64 vm_list_version,
+  9: optional list<MemberUpdate> updates,
+  10: optional list<EndpointReport> reports,
+  11: optional list<Strike> strikes,
+  12: optional i64 strikes_digest,
+}
+
+struct Snapshot {
+  1: required i64 configuration_generation,
+  2: optional binary configuration,
+  3: required i64 vm_list_version,
+  4: optional binary vm_list,
+  5: optional list<MemberUpdate> members,
+  6: optional list<Strike> strikes,
+}
+
+service Peer {
+  // Returns what the caller does not have yet; omits what it has.
+  Snapshot fetch(1: i64 configuration_generation, 2: i64 vm_list_version),
+  // Offers a configuration; returns the generation held afterwards.
+  i64 offer(1: i64 configuration_generation, 2: binary configuration),
+}
