--- /dev/null
+++ b/tests/requests/test_lifecycle.py
@@ -0,0 +1,200 @@
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burdockspan.requests import lifecycle, outcome
+from burdockspan.requests.lifecycle import RequestRow, State
+from burdockspan.values.endpoint import Endpoint, Pool
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Event, Failure, FailureKind, Placement
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from burdockspan.values.submission import CallKind, Priority, Submission
+
+_DEADLINE_S = 100.0
+_REFUSAL = Refusal(503, Execution.NOT_RUN, Reason.OVERLOADED, "full")
+_STARTS = (Event.PREFILL_SENT, Event.DISPATCHED)
+_NOT_STARTED = (
+    FailureKind.FULL,
+    FailureKind.LEAVING,
+    FailureKind.NOT_CONNECTED,
+    FailureKind.REFUSED,
+)
+
+
+def _make_row(kind: CallKind, idempotent: bool = True) -> RequestRow:
+    submission = Submission(
+        request_id="r",
+        client="c",
+        kind=kind,
+        target="t",
+        path="/",
+        priority=Priority.URGENT,
+        arrived_s=0.0,
+        deadline_s=_DEADLINE_S,
+        idempotent=idempotent,
+    )
+    return RequestRow(submission)
+
+
+def _make_placement(sequence: int) -> Placement:
+    return Placement(
+        "r",
+        AttemptId("vm", 1, sequence),
+        pieces=1,
+        prefill=Endpoint("p", "127.0.0.1:1", "s", Pool.PREFILL, "z"),
+        decode=Endpoint("d", "127.0.0.1:2", "s", Pool.DECODE, "z"),
+    )
+
+
+_CHANGES = st.one_of(
+    st.just(("place", None)),
+    st.tuples(st.just("event"), st.sampled_from(list(Event))),
+    st.tuples(st.just("fail"), st.sampled_from(list(FailureKind))),
+    st.just(("refuse", None)),
+    st.just(("cancel", None)),
+    st.tuples(st.just("late"), st.sampled_from(list(Event))),
+)
+
+
+class LifecycleTest(unittest.TestCase):
+    @settings(max_examples=400)
+    @given(
+        kind=st.sampled_from(list(CallKind)),
+        changes=st.lists(_CHANGES, max_size=12),
+    )
+    def test_lifecycle_refusals_are_truthful(
+        self, kind: CallKind, changes: list
+    ) -> None:
+        """Guards against `not_run` for a call whose bytes may have run."""
+        row = _make_row(kind)
+        may_have_run = False
+        sequence = 0
+        for name, value in changes:
+            before = row
+            if name == "place":
+                sequence += 1
+                result = lifecycle.place(row, _make_placement(sequence))
+            elif name == "event":
+                current = row.attempt or AttemptId("vm", 1, 0)
+                result = lifecycle.progress(row, current, value, 0.0)
+            elif name == "late":
+                stale = AttemptId("vm", 1, sequence + 100)
+                result = lifecycle.progress(row, stale, value, 0.0)
+                self.assertTrue(result.is_err())
+            elif name == "fail":
+                current = row.attempt or AttemptId("vm", 1, 0)
+                result = lifecycle.fail(row, current, Failure(value, "d"))
+                started = before.reached not in (None, Event.RESERVED)
+                refused = before.reached in _STARTS and value in _NOT_STARTED
+                if result.is_ok() and started and not refused:
+                    may_have_run = True
+            elif name == "refuse":
+                result = lifecycle.refuse(row, _REFUSAL)
+            else:
+                result = lifecycle.cancel(row)
+            if result.is_err():
+                continue
+            self.assertNotIn(before.state, lifecycle.TERMINAL_STATES)
+            row = result.ok_value.row
+            if row.state in lifecycle.TERMINAL_STATES:
+                running = before.attempt is not None
+                started = before.reached not in (None, Event.RESERVED)
+                may_have_run = may_have_run or (running and started)
+                said_not_run = row.execution is Execution.NOT_RUN
+                self.assertEqual(said_not_run, not may_have_run)
+
+    def test_lifecycle_drops_events_of_another_attempt(self) -> None:
+        """Guards against an answer to an earlier attempt being relayed."""
+        row = (
+            lifecycle.place(_make_row(CallKind.COMPLETION), _make_placement(1))
+            .unwrap()
+            .row
+        )
+        failed = (
+            lifecycle.fail(
+                row, AttemptId("vm", 1, 1), Failure(FailureKind.FULL, "d")
+            )
+            .unwrap()
+            .row
+        )
+        again = lifecycle.place(failed, _make_placement(2)).unwrap().row
+        late = lifecycle.progress(
+            again, AttemptId("vm", 1, 1), Event.RESERVED, 0.0
+        )
+        self.assertEqual(late.err(), lifecycle.InvalidTransition.NOT_CURRENT)
+
+    def test_lifecycle_starts_nothing_after_the_deadline(self) -> None:
+        """Guards against a paused process that starts work late."""
+        row = (
+            lifecycle.place(_make_row(CallKind.SERVICE), _make_placement(1))
+            .unwrap()
+            .row
+        )
+        late = lifecycle.progress(
+            row, AttemptId("vm", 1, 1), Event.DISPATCHED, _DEADLINE_S
+        )
+        self.assertEqual(late.err(), lifecycle.InvalidTransition.DEADLINE)
+
+    def test_lifecycle_frees_both_engines_of_a_cancelled_request(
+        self,
+    ) -> None:
+        """Guards against memory held for a caller that is gone."""
+        row = (
+            lifecycle.place(_make_row(CallKind.COMPLETION), _make_placement(1))
+            .unwrap()
+            .row
+        )
+        step = lifecycle.cancel(row).unwrap()
+        self.assertEqual({r.endpoint for r in step.releases}, {"p", "d"})
+        self.assertEqual(step.aborted, AttemptId("vm", 1, 1))
+
+    def test_lifecycle_never_repeats_a_started_non_idempotent_call(
+        self,
+    ) -> None:
+        """Guards against a second run after a lost answer."""
+        row = (
+            lifecycle.place(
+                _make_row(CallKind.SERVICE, idempotent=False),
+                _make_placement(1),
+            )
+            .unwrap()
+            .row
+        )
+        sent = (
+            lifecycle.progress(
+                row, AttemptId("vm", 1, 1), Event.DISPATCHED, 0.0
+            )
+            .unwrap()
+            .row
+        )
+        for kind in FailureKind:
+            with self.subTest(kind=kind):
+                ran = outcome.execution_after(sent.reached, kind)
+                allowed = lifecycle.may_retry(sent, Failure(kind, "s"), 3)
+                self.assertEqual(allowed, ran is Execution.NOT_RUN)
+
+    def test_lifecycle_reaches_done_by_the_whole_path(self) -> None:
+        row = (
+            lifecycle.place(_make_row(CallKind.COMPLETION), _make_placement(1))
+            .unwrap()
+            .row
+        )
+        for event in (
+            Event.RESERVED,
+            Event.PREFILL_SENT,
+            Event.PREFILLED,
+            Event.TRANSFERRED,
+            Event.DECODE_SENT,
+            Event.FIRST_BYTE,
+        ):
+            row = (
+                lifecycle.progress(row, AttemptId("vm", 1, 1), event, 0.0)
+                .unwrap()
+                .row
+            )
+        step = lifecycle.finish(row, Execution.RAN, 200).unwrap()
+        self.assertEqual(step.row.state, State.DONE)
+        self.assertEqual(step.releases, ())
