--- /dev/null
+++ b/src/burdockspan/placement/transfer.py
@@ -0,0 +1,64 @@
+"""Transfers of KV caches over links of limited rate."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from burdockspan.configuration.document import Service
+
+
+@dataclasses.dataclass(frozen=True)
+class Link:
+    """Bytes queued on the link of one prefill engine.
+
+    Attributes:
+      backlog_bytes: bytes not yet sent at `updated_s`.
+      updated_s: time of the last change, monotonic seconds.
+    """
+
+    backlog_bytes: float = 0.0
+    updated_s: float = 0.0
+
+
+def backlog_bytes(link: Link, service: Service, now_s: float) -> float:
+    """Returns what is left of the backlog at `now_s`."""
+    sent = max(0.0, now_s - link.updated_s) * service.link_bytes_per_s
+    return max(0.0, link.backlog_bytes - sent)
+
+
+def schedule(
+    link: Link, prompt_tokens: int, service: Service, now_s: float
+) -> Link:
+    """Returns the link after one more transfer has been queued on it."""
+    left = backlog_bytes(link, service, now_s)
+    return Link(left + prompt_tokens * service.kv_bytes_per_token, now_s)
+
+
+def estimate_s(
+    prompt_tokens: int, service: Service, link_backlog_bytes: float
+) -> float:
+    """Returns the seconds until a KV cache queued now has arrived."""
+    size = prompt_tokens * service.kv_bytes_per_token
+    return (link_backlog_bytes + size) / service.link_bytes_per_s
+
+
+def arrives_in_life(
+    prompt_tokens: int,
+    service: Service,
+    link_backlog_bytes: float,
+    distance_ms: float,
+) -> bool:
+    """Tells whether a KV cache arrives before it expires.
+
+    Args:
+      prompt_tokens: tokens of the prompt.
+      service: speeds of the engines.
+      link_backlog_bytes: bytes ahead of it on the link.
+      distance_ms: one-way delay between the two engines; the import costs a
+        request and its answer.
+    """
+    arrival_s = estimate_s(prompt_tokens, service, link_backlog_bytes)
+    return arrival_s + 2 * distance_ms / 1000 < service.cache_life_s
+
+
+__all__ = ["Link", "arrives_in_life", "backlog_bytes", "estimate_s", "schedule"]
--- /dev/null
+++ b/src/burdockspan/resilience/breaker.py
@@ -0,0 +1,153 @@
+"""Circuit breaker of one endpoint."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import statistics
+from collections.abc import Iterable
+
+_FAILURES_TO_OPEN = 3
+_OPEN_S = 1.0
+_LONGEST_OPEN_S = 30.0
+# A probe that was lost without an answer must not keep the breaker shut off.
+_PROBE_TIMEOUT_S = 10.0
+_SAMPLES_TO_JUDGE = 10
+_SLOWNESS_FACTOR = 3.0
+_LATENCY_WEIGHT = 0.2
+
+
+class Phase(enum.Enum):
+    """Whether calls are let through."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+@dataclasses.dataclass(frozen=True)
+class BreakerState:
+    """State of one endpoint's breaker.
+
+    Attributes:
+      phase: closed, open, or half-open with one probe in progress.
+      failures: failures in a row.
+      latency_s: moving average of the latency of successful calls.
+      samples: successful calls in the average since the breaker closed.
+      changed_s: start of the phase, monotonic seconds.
+      open_s: length of the present or next open phase.
+    """
+
+    phase: Phase = Phase.CLOSED
+    failures: int = 0
+    latency_s: float = 0.0
+    samples: int = 0
+    changed_s: float = 0.0
+    open_s: float = _OPEN_S
+
+
+def allows(state: BreakerState, now_s: float) -> bool:
+    """Tells whether a call may be sent; an open breaker asks for a probe."""
+    elapsed_s = now_s - state.changed_s
+    if state.phase is Phase.OPEN:
+        return elapsed_s >= state.open_s
+    if state.phase is Phase.HALF_OPEN:
+        return elapsed_s >= _PROBE_TIMEOUT_S
+    return True
+
+
+def begin(state: BreakerState, now_s: float) -> BreakerState:
+    """Returns the state after a call that was allowed has been sent."""
+    if state.phase is Phase.CLOSED:
+        return state
+    return dataclasses.replace(state, phase=Phase.HALF_OPEN, changed_s=now_s)
+
+
+def record(
+    state: BreakerState,
+    success: bool,
+    latency_s: float,
+    now_s: float,
+    peer_latency_s: float | None = None,
+) -> BreakerState:
+    """Returns the state after a call has ended.
+
+    Args:
+      state: state before.
+      success: whether the endpoint did its part of the call.
+      latency_s: time to its answer, of calls of comparable size.
+      now_s: monotonic seconds.
+      peer_latency_s: median latency of the pool's other endpoints.
+    """
+    if not success:
+        return _record_failure(state, now_s)
+    if state.phase is Phase.OPEN:
+        # The call was sent before the breaker opened and proves little.
+        return state
+    if state.phase is Phase.HALF_OPEN:
+        return _record_probe(state, latency_s, now_s, peer_latency_s)
+    first = state.samples == 0
+    weight = 1.0 if first else _LATENCY_WEIGHT
+    average = state.latency_s + weight * (latency_s - state.latency_s)
+    samples = state.samples + 1
+    closed = dataclasses.replace(
+        state, failures=0, latency_s=average, samples=samples
+    )
+    if samples >= _SAMPLES_TO_JUDGE and _is_slow(average, peer_latency_s):
+        return _open(closed, now_s)
+    return closed
+
+
+def median_latency_s(peers: Iterable[BreakerState]) -> float | None:
+    """Returns the median latency of peers with enough samples, or None."""
+    known = [
+        peer.latency_s for peer in peers if peer.samples >= _SAMPLES_TO_JUDGE
+    ]
+    return statistics.median(known) if known else None
+
+
+def _record_failure(state: BreakerState, now_s: float) -> BreakerState:
+    failed = dataclasses.replace(state, failures=state.failures + 1)
+    if state.phase is Phase.OPEN:
+        return failed
+    if state.phase is Phase.HALF_OPEN:
+        return _open(failed, now_s)
+    if failed.failures >= _FAILURES_TO_OPEN:
+        return _open(failed, now_s)
+    return failed
+
+
+def _record_probe(
+    state: BreakerState,
+    latency_s: float,
+    now_s: float,
+    peer_latency_s: float | None,
+) -> BreakerState:
+    if _is_slow(latency_s, peer_latency_s):
+        return _open(state, now_s)
+    return BreakerState(latency_s=latency_s, samples=1, changed_s=now_s)
+
+
+def _open(state: BreakerState, now_s: float) -> BreakerState:
+    repeated = state.phase is Phase.HALF_OPEN
+    open_s = min(_LONGEST_OPEN_S, state.open_s * 2) if repeated else _OPEN_S
+    return dataclasses.replace(
+        state, phase=Phase.OPEN, changed_s=now_s, open_s=open_s, samples=0
+    )
+
+
+def _is_slow(latency_s: float, peer_latency_s: float | None) -> bool:
+    return (
+        peer_latency_s is not None
+        and latency_s > _SLOWNESS_FACTOR * peer_latency_s
+    )
+
+
+__all__ = [
+    "BreakerState",
+    "Phase",
+    "allows",
+    "begin",
+    "median_latency_s",
+    "record",
+]
--- /dev/null
+++ b/src/burdockspan/resilience/retries.py
@@ -0,0 +1,60 @@
+"""Retry budget of one node."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from result import Err, Ok, Result
+
+
+@dataclasses.dataclass(frozen=True)
+class Budget:
+    """Retries that may still be made.
+
+    Attributes:
+      tokens: retries left, at most `burst`.
+      ratio: retries earned by each accepted call.
+      burst: most retries that can be saved up.
+      last_spent_s: time of the newest retry, monotonic seconds.
+    """
+
+    tokens: float
+    ratio: float
+    burst: float
+    last_spent_s: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True)
+class Exhausted:
+    """No retry is left.
+
+    Attributes:
+      idle_s: time since the newest retry.
+    """
+
+    idle_s: float
+
+
+def make_budget(ratio: float, burst: float) -> Budget:
+    """Returns a full budget."""
+    return Budget(burst, ratio, burst)
+
+
+def earn(budget: Budget) -> Budget:
+    """Returns the budget after one more call has been accepted."""
+    tokens = min(budget.burst, budget.tokens + budget.ratio)
+    return dataclasses.replace(budget, tokens=tokens)
+
+
+def spend(budget: Budget, now_s: float) -> Result[Budget, Exhausted]:
+    """Takes one retry from the budget."""
+    if budget.tokens < 1.0:
+        return Err(Exhausted(now_s - budget.last_spent_s))
+    return Ok(
+        dataclasses.replace(
+            budget, tokens=budget.tokens - 1.0, last_spent_s=now_s
+        )
+    )
+
+
+__all__ = ["Budget", "Exhausted", "earn", "make_budget", "spend"]
--- /dev/null
+++ b/tests/placement/test_choices.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+import collections
+import unittest
+
+from burdockspan.placement.decode import choose_decode
+from burdockspan.placement.prefill import choose_prefill
+from burdockspan.placement.sampling import sample_two
+from burdockspan.placement.service import choose_service
+from burdockspan.values.endpoint import EndpointView, Pool
+from tests.support.views import make_draw, make_view
+
+
+def _name(view: EndpointView | None) -> str | None:
+    return view.endpoint.name if view else None
+
+
+class ChoicesTest(unittest.TestCase):
+    def test_sampling_draws_each_pair_equally(self) -> None:
+        # A biased draw would send the whole fleet to the same endpoints.
+        draw = make_draw()
+        counts = collections.Counter(
+            frozenset(sample_two("abcd", draw)) for _ in range(6000)
+        )
+        self.assertEqual(len(counts), 6)
+        self.assertTrue(all(850 < n < 1150 for n in counts.values()))
+
+    def test_decode_prefers_free_memory_then_distance(self) -> None:
+        views = [
+            make_view("full", Pool.DECODE, free_pieces=1),
+            make_view("free", Pool.DECODE, free_pieces=9),
+        ]
+        self.assertEqual(_name(choose_decode(views, 1, make_draw())), "free")
+        views = [
+            make_view("far", Pool.DECODE, free_pieces=9, distance_ms=1.5),
+            make_view("near", Pool.DECODE, free_pieces=9),
+        ]
+        self.assertEqual(_name(choose_decode(views, 1, make_draw())), "near")
+
+    def test_decode_refuses_unusable_and_full(self) -> None:
+        views = [
+            make_view("open", Pool.DECODE, free_pieces=9, usable=False),
+            make_view("full", Pool.DECODE, free_pieces=1),
+        ]
+        self.assertIsNone(choose_decode(views, 2, make_draw()))
+
+    def test_prefill_affinity_ends_where_the_queue_costs_more(self) -> None:
+        others = [make_view(str(n), Pool.PREFILL) for n in range(8)]
+        for waiting, chosen in ((1500, True), (2500, False)):
+            holder = make_view(
+                "holder",
+                Pool.PREFILL,
+                cached_tokens=2000,
+                waiting_tokens=waiting,
+            )
+            choice = choose_prefill([*others, holder], 3000, make_draw())
+            self.assertEqual(_name(choice) == "holder", chosen)
+
+    def test_prefill_without_usable_engine_is_none(self) -> None:
+        views = [make_view("p", Pool.PREFILL, usable=False)]
+        self.assertIsNone(choose_prefill(views, 10, make_draw()))
+
+    def test_service_honours_concurrency(self) -> None:
+        # Sending more calls than a replica takes would queue inside it, out
+        # of reach of the classes.
+        full = make_view("full", Pool.SERVICE, running=3, waiting=1)
+        self.assertIsNone(choose_service([full], make_draw()))
+        idle = make_view("idle", Pool.SERVICE, running=1)
+        self.assertEqual(
+            _name(choose_service([full, idle], make_draw())), "idle"
+        )
--- /dev/null
+++ b/tests/placement/test_prefix.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import unittest
+
+from burdockspan.placement.prefix import (
+    BLOCK_TOKENS,
+    CacheEvent,
+    block_hashes,
+    cached_tokens,
+    make_prefix_index,
+)
+
+
+class PrefixTest(unittest.TestCase):
+    def test_hashes_chain_over_the_text_before(self) -> None:
+        # Without chaining, equal blocks after different prefixes would match.
+        first = block_hashes("a" * 256 + "c" * 256)
+        second = block_hashes("b" * 256 + "c" * 256)
+        self.assertEqual(len(first), 2)
+        self.assertNotEqual(first[1], second[1])
+        self.assertEqual(first, block_hashes("a" * 256 + "c" * 256 + "tail"))
+        self.assertEqual(block_hashes("\ud800" * 10), ())
+
+    def test_cached_tokens_end_at_the_first_missing_block(self) -> None:
+        index = make_prefix_index()
+        index.apply("p1", "b", [CacheEvent(1, True, (1, 2, 4))])
+        self.assertEqual(
+            cached_tokens(index, "p1", (1, 2, 3, 4)), 2 * BLOCK_TOKENS
+        )
+        index.apply("p1", "b", [CacheEvent(2, False, (1,))])
+        self.assertEqual(cached_tokens(index, "p1", (1, 2)), 0)
+
+    def test_gap_and_new_boot_forget_the_endpoint(self) -> None:
+        # An eviction inside a gap, or a restart, empties the cache unseen.
+        for boot, sequence in (("b", 3), ("c", 1)):
+            index = make_prefix_index()
+            index.apply("p1", "b", [CacheEvent(1, True, (1,))])
+            index.apply("p1", boot, [CacheEvent(sequence, True, (2,))])
+            self.assertFalse(index.holds("p1", 1))
+            self.assertTrue(index.holds("p1", 2))
+
+    def test_repeated_events_are_ignored(self) -> None:
+        index = make_prefix_index()
+        stored = CacheEvent(1, True, (1,))
+        index.apply("p1", "b", [stored, CacheEvent(2, False, (1,))])
+        index.apply("p1", "b", [stored])
+        self.assertFalse(index.holds("p1", 1))
+
+    def test_index_is_bounded_and_drops_the_least_recently_used(self) -> None:
+        index = make_prefix_index(blocks_limit=3)
+        index.expect("p1", (1, 2))
+        index.expect("p2", (3,))
+        index.expect("p1", (1,))
+        index.expect("p2", (4,))
+        self.assertEqual(len(index), 3)
+        self.assertFalse(index.holds("p1", 2))
+        self.assertTrue(index.holds("p1", 1))
--- /dev/null
+++ b/tests/support/views.py
@@ -0,0 +1,22 @@
+"""Views of endpoints for placement tests."""
+
+from __future__ import annotations
+
+import random
+
+from burdockspan.placement.sampling import Draw
+from burdockspan.values.endpoint import Endpoint, EndpointView, Pool
+
+
+def make_view(name: str, pool: Pool, **view: object) -> EndpointView:
+    """Returns a view of an endpoint with 20 pieces and 4 calls at a time."""
+    endpoint = Endpoint(name, "127.0.0.1:1", "s", pool, "z", 20, 4)
+    return EndpointView(endpoint, **view)  # type: ignore[arg-type]
+
+
+def make_draw(seed: int = 1) -> Draw:
+    """Returns a seeded source of uniform floats."""
+    return random.Random(seed).random
+
+
+__all__ = ["make_draw", "make_view"]
