Read settings and add the command line's root

Cause: an entry process needs validated settings and a command to start. Change: load_settings reports every problem of a strict YAML file with file, field, value and what is allowed. The click group imports a subcommand only when it is asked for. Subcommands: entry, validate, version, completion.

--- /dev/null
+++ b/src/burdockspan/cli/root.py
@@ -0,0 +1,23 @@
+"""The root of the command line."""
+
+from __future__ import annotations
+
+from burdockspan.cli.exits import EXIT_CODES_HELP
+from burdockspan.cli.group import LazyGroup
+
+_HELP = f"""Router between callers and endpoints, and its operator commands.
+
+Run `burdockspan COMMAND --help` for a command's options.
+
+{EXIT_CODES_HELP}"""
+
+_MODULES = {
+    "completion": "burdockspan.cli.completion:completion",
+    "entry": "burdockspan.cli.entry:entry",
+    "validate": "burdockspan.cli.validate:validate",
+    "version": "burdockspan.cli.version:version",
+}
+
+root = LazyGroup("burdockspan", _HELP, _MODULES)
+
+__all__ = ["root"]
--- /dev/null
+++ b/src/burdockspan/configuration/fields.py
@@ -0,0 +1,130 @@
+"""Readers of single fields that collect every problem of a file."""
+
+from __future__ import annotations
+
+import dataclasses
+import difflib
+from collections.abc import Callable, Iterable, Mapping
+from typing import TypeVar
+
+from result import Err, Result
+
+from burdockspan.configuration.problem import Problem, show_value
+
+T = TypeVar("T")
+
+Convert = Callable[[object], Result[T, str]]
+"""Returns the converted value, or a text that says what is allowed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Section:
+    """A mapping being read.
+
+    Attributes:
+      file: file for messages.
+      path: path of the mapping in the file; empty for the root.
+      values: the mapping.
+      problems: problems found so far, shared by all sections of a file.
+    """
+
+    file: str
+    path: str
+    values: Mapping[str, object]
+    problems: list[Problem]
+
+
+def report(section: Section, key: str, value: object, allowed: str) -> None:
+    """Adds a problem with a field of the section; None means missing."""
+    shown = "" if value is None else show_value(value)
+    field = field_path(section, key)
+    section.problems.append(Problem(section.file, field, shown, allowed))
+
+
+def field_path(section: Section, key: str) -> str:
+    """Returns the path of a field from the root of the file."""
+    if not section.path or not key:
+        return section.path or key
+    return f"{section.path}.{key}"
+
+
+def check_keys(section: Section, known: Iterable[str]) -> None:
+    """Reports unknown keys, each with the known key that is most similar."""
+    names = sorted(known)
+    for key, value in section.values.items():
+        if key in names:
+            continue
+        similar = difflib.get_close_matches(str(key), names, n=1)
+        hint = f" Did you mean {similar[0]!r}?" if similar else ""
+        allowed = f"unknown key.{hint} Allowed keys: {', '.join(names)}"
+        report(section, str(key), value, allowed)
+
+
+def take(section: Section, key: str, convert: Convert[T], default: T) -> T:
+    """Returns an optional field, or its default when absent or wrong."""
+    value = section.values.get(key)
+    if value is None:
+        return default
+    converted = convert(value)
+    if isinstance(converted, Err):
+        report(section, key, value, converted.err_value)
+        return default
+    return converted.ok_value
+
+
+def take_required(
+    section: Section, key: str, convert: Convert[T], filler: T
+) -> T:
+    """Returns a required field; reports it and returns filler when absent."""
+    if section.values.get(key) is None:
+        converted = convert(None)
+        rule = converted.err_value if isinstance(converted, Err) else ""
+        report(section, key, None, f"must be filled in: {rule}")
+        return filler
+    return take(section, key, convert, filler)
+
+
+def take_section(section: Section, key: str) -> Section:
+    """Returns a nested mapping; empty when absent or not a mapping."""
+    value = section.values.get(key)
+    path = field_path(section, key)
+    if value is not None and not isinstance(value, dict):
+        report(section, key, value, "must be a mapping of keys to values")
+    values = value if isinstance(value, dict) else {}
+    return Section(section.file, path, values, section.problems)
+
+
+def take_sections(
+    section: Section, key: str, least: int = 0
+) -> tuple[Section, ...]:
+    """Returns the mappings of a list field."""
+    value = section.values.get(key)
+    if value is None:
+        value = []
+        if least:
+            allowed = f"must be filled in: a list of at least {least}"
+            report(section, key, None, allowed)
+    elif not isinstance(value, list) or len(value) < least:
+        report(section, key, value, f"must be a list of at least {least}")
+    found: list[Section] = []
+    for index, item in enumerate(value if isinstance(value, list) else ()):
+        path = f"{field_path(section, key)}[{index}]"
+        nested = Section(section.file, path, {}, section.problems)
+        if isinstance(item, dict):
+            found.append(dataclasses.replace(nested, values=item))
+        else:
+            report(nested, "", item, "must be a mapping of keys to values")
+    return tuple(found)
+
+
+__all__ = [
+    "Convert",
+    "Section",
+    "check_keys",
+    "field_path",
+    "report",
+    "take",
+    "take_required",
+    "take_section",
+    "take_sections",
+]
--- a/src/burdockspan/settings.py
+++ b/src/burdockspan/settings.py
@@ -1,9 +1,29 @@
-"""Data classes of an entry process's settings."""
+"""Settings of an entry process and their reading from YAML."""
 
 from __future__ import annotations
 
 import dataclasses
 
+from result import Err, Ok, Result
+
+from burdockspan.configuration import converters, strict_yaml
+from burdockspan.configuration.fields import (
+    Section,
+    check_keys,
+    report,
+    take,
+    take_required,
+)
+from burdockspan.configuration.problem import Problem
+
+_NAME = converters.text(
+    r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}",
+    "a name of up to 63 letters, digits, '-' and '_'",
+)
+_LISTENING = converters.address(unspecified=True)
+_REACHABLE = converters.address(unspecified=False)
+_THREADS_LIMIT = 4096
+
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
@@ -38,4 +58,70 @@
     threads: int = 420
 
 
-__all__ = ["Settings"]
+def load_settings(path: str) -> Result[Settings, tuple[Problem, ...]]:
+    """Reads and validates a settings file.
+
+    Args:
+      path: YAML file of at most 1 MB without aliases or duplicate keys.
+
+    Returns:
+      The settings, or every problem found, each with its file and field.
+    """
+    text = strict_yaml.read_file(path)
+    if isinstance(text, Err):
+        return text
+    values = strict_yaml.read_mapping(text.ok_value, path)
+    if isinstance(values, Err):
+        return values
+    section = Section(path, "", values.ok_value, [])
+    check_keys(section, (field.name for field in dataclasses.fields(Settings)))
+    settings = _take_settings(section)
+    _check_addresses(section, settings)
+    if section.problems:
+        return Err(tuple(section.problems))
+    return Ok(settings)
+
+
+def _take_settings(section: Section) -> Settings:
+    def optional(value: object) -> Result[str | None, str]:
+        return _REACHABLE(value)
+
+    def optional_url(value: object) -> Result[str | None, str]:
+        return converters.url(value)
+
+    return Settings(
+        vm=take_required(section, "vm", _NAME, ""),
+        availability_zone=take_required(
+            section, "availability_zone", _NAME, ""
+        ),
+        region=take_required(section, "region", _NAME, ""),
+        caller_address=take_required(section, "caller_address", _LISTENING, ""),
+        admin_address=take_required(section, "admin_address", _LISTENING, ""),
+        peer_address=take_required(section, "peer_address", _REACHABLE, ""),
+        platform_url=take_required(section, "platform_url", converters.url, ""),
+        peers=take(section, "peers", converters.list_of(_REACHABLE), ()),
+        statsd_address=take(section, "statsd_address", optional, None),
+        traces_url=take(section, "traces_url", optional_url, None),
+        trace_ratio=take(
+            section, "trace_ratio", converters.share, Settings.trace_ratio
+        ),
+        threads=take(
+            section,
+            "threads",
+            converters.count(1, _THREADS_LIMIT),
+            Settings.threads,
+        ),
+    )
+
+
+def _check_addresses(section: Section, settings: Settings) -> None:
+    taken: dict[str, str] = {}
+    for key in ("caller_address", "admin_address", "peer_address"):
+        value = getattr(settings, key)
+        if value and value in taken:
+            allowed = f"an address other than that of {taken[value]}"
+            report(section, key, value, allowed)
+        taken.setdefault(value, key)
+
+
+__all__ = ["Settings", "load_settings"]
