Add SWIM membership over UDP

Cause: entry VMs need to know which of their peers live, who owns an endpoint and which newer documents a peer holds.

Change: pure tables and transitions (members, probing, merge, gossip, shared), rendezvous hashing, the datagram codec and the UDP transport. Within one incarnation a member refutes a suspicion with a separate counter, because a new incarnation makes peers cancel its attempts in progress. peer.thrift gains that counter and leaving marks, and loses the digest of strikes: datagrams repeat known entries instead.

--- a/src/burdockspan/gen/peer/ttypes.py
+++ b/src/burdockspan/gen/peer/ttypes.py
@@ -41,17 +41,19 @@
      - incarnation
      - state
      - region
+     - refutation
 
     """
 
 
-    def __init__(self, vm=None, address=None, availability_zone=None, incarnation=None, state=None, region=None,):
+    def __init__(self, vm=None, address=None, availability_zone=None, incarnation=None, state=None, region=None, refutation=None,):
         self.vm = vm
         self.address = address
         self.availability_zone = availability_zone
         self.incarnation = incarnation
         self.state = state
         self.region = region
+        self.refutation = refutation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -92,6 +94,11 @@
                     self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.refutation = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -126,6 +133,10 @@
             oprot.writeFieldBegin('region', TType.STRING, 6)
             oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
             oprot.writeFieldEnd()
+        if self.refutation is not None:
+            oprot.writeFieldBegin('refutation', TType.I32, 7)
+            oprot.writeI32(self.refutation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -154,6 +165,91 @@
         return not (self == other)
 
 
+class LeavingMark(object):
+    """
+    Attributes:
+     - endpoint
+     - generation
+     - leaving
+
+    """
+
+
+    def __init__(self, endpoint=None, generation=None, leaving=None,):
+        self.endpoint = endpoint
+        self.generation = generation
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.generation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingMark')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I64, 2)
+            oprot.writeI64(self.generation)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.generation is None:
+            raise TProtocolException(message='Required field generation is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointReport(object):
     """
     Attributes:
@@ -416,12 +512,12 @@
      - updates
      - reports
      - strikes
-     - strikes_digest
+     - marks
 
     """
 
 
-    def __init__(self, protocol_version=None, kind=None, sequence=None, sender=None, target=None, target_address=None, configuration_generation=None, vm_list_version=None, updates=None, reports=None, strikes=None, strikes_digest=None,):
+    def __init__(self, protocol_version=None, kind=None, sequence=None, sender=None, target=None, target_address=None, configuration_generation=None, vm_list_version=None, updates=None, reports=None, strikes=None, marks=None,):
         self.protocol_version = protocol_version
         self.kind = kind
         self.sequence = sequence
@@ -433,7 +529,7 @@
         self.updates = updates
         self.reports = reports
         self.strikes = strikes
-        self.strikes_digest = strikes_digest
+        self.marks = marks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -519,8 +615,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
-                if ftype == TType.I64:
-                    self.strikes_digest = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.marks = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = LeavingMark()
+                        _elem23.read(iprot)
+                        self.marks.append(_elem23)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -568,27 +670,30 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter18 in self.updates:
-                iter18.write(oprot)
+            for iter24 in self.updates:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter19 in self.reports:
-                iter19.write(oprot)
+            for iter25 in self.reports:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter20 in self.strikes:
-                iter20.write(oprot)
+            for iter26 in self.strikes:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.strikes_digest is not None:
-            oprot.writeFieldBegin('strikes_digest', TType.I64, 12)
-            oprot.writeI64(self.strikes_digest)
+        if self.marks is not None:
+            oprot.writeFieldBegin('marks', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.marks))
+            for iter27 in self.marks:
+                iter27.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -629,17 +734,19 @@
      - vm_list
      - members
      - strikes
+     - marks
 
     """
 
 
-    def __init__(self, configuration_generation=None, configuration=None, vm_list_version=None, vm_list=None, members=None, strikes=None,):
+    def __init__(self, configuration_generation=None, configuration=None, vm_list_version=None, vm_list=None, members=None, strikes=None, marks=None,):
         self.configuration_generation = configuration_generation
         self.configuration = configuration
         self.vm_list_version = vm_list_version
         self.vm_list = vm_list
         self.members = members
         self.strikes = strikes
+        self.marks = marks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -673,22 +780,33 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = MemberUpdate()
-                        _elem26.read(iprot)
-                        self.members.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = MemberUpdate()
+                        _elem33.read(iprot)
+                        self.members.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = Strike()
-                        _elem32.read(iprot)
-                        self.strikes.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = Strike()
+                        _elem39.read(iprot)
+                        self.strikes.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.marks = []
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = LeavingMark()
+                        _elem45.read(iprot)
+                        self.marks.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -721,15 +839,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter33 in self.members:
-                iter33.write(oprot)
+            for iter46 in self.members:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter34 in self.strikes:
-                iter34.write(oprot)
+            for iter47 in self.strikes:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.marks is not None:
+            oprot.writeFieldBegin('marks', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.marks))
+            for iter48 in self.marks:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -761,6 +886,14 @@
     (4, TType.I64, 'incarnation', None, None, ),  # 4
     (5, TType.I32, 'state', None, None, ),  # 5
     (6, TType.STRING, 'region', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'refutation', None, None, ),  # 7
+)
+all_structs.append(LeavingMark)
+LeavingMark.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'generation', None, None, ),  # 2
+    (3, TType.BOOL, 'leaving', None, None, ),  # 3
 )
 all_structs.append(EndpointReport)
 EndpointReport.thrift_spec = (
@@ -796,7 +929,7 @@
     (9, TType.LIST, 'updates', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 9
     (10, TType.LIST, 'reports', (TType.STRUCT, [EndpointReport, None], False), None, ),  # 10
     (11, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 11
-    (12, TType.I64, 'strikes_digest', None, None, ),  # 12
+    (12, TType.LIST, 'marks', (TType.STRUCT, [LeavingMark, None], False), None, ),  # 12
 )
 all_structs.append(Snapshot)
 Snapshot.thrift_spec = (
@@ -807,6 +940,7 @@
     (4, TType.STRING, 'vm_list', 'BINARY', None, ),  # 4
     (5, TType.LIST, 'members', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 5
     (6, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 6
+    (7, TType.LIST, 'marks', (TType.STRUCT, [LeavingMark, None], False), None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/src/burdockspan/membership/wire.py
@@ -0,0 +1,166 @@
+"""Datagrams in the thrift compact protocol."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from result import Err, Ok, Result
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from burdockspan.gen.peer import constants, ttypes
+from burdockspan.membership import records
+from burdockspan.membership.values import (
+    AgedReport,
+    Message,
+    MessageKind,
+    Versions,
+)
+
+MAX_DATAGRAM_BYTES = 1_399
+"""Fits an Ethernet frame with room for tunnel headers."""
+
+# The smallest entry takes several bytes, so a datagram holds fewer than this.
+_MAX_ENTRIES = 400
+
+
+class WireFault(enum.Enum):
+    """Why a datagram was not encoded or decoded."""
+
+    OVERSIZE = "oversize"
+    TRUNCATED = "truncated"
+    VERSION = "unknown version"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True)
+class WireError:
+    """A datagram that was not encoded or decoded.
+
+    Attributes:
+      fault: why.
+      detail: one sentence for a person.
+    """
+
+    fault: WireFault
+    detail: str
+
+
+def encode(message: Message) -> Result[bytes, WireError]:
+    """Returns the datagram of a message, at most `MAX_DATAGRAM_BYTES`."""
+    buffer = TMemoryBuffer()
+    try:
+        _to_thrift(message).write(TCompactProtocolAccelerated(buffer))
+    except Exception as error:  # The C encoder raises several types.
+        return Err(WireError(WireFault.MALFORMED, str(error)))
+    data: bytes = buffer.getvalue()
+    if len(data) > MAX_DATAGRAM_BYTES:
+        detail = f"message takes {len(data)} bytes"
+        return Err(WireError(WireFault.OVERSIZE, detail))
+    return Ok(data)
+
+
+def decode(data: bytes) -> Result[Message, WireError]:
+    """Returns the message of a datagram; any bytes are accepted as input."""
+    if len(data) > MAX_DATAGRAM_BYTES:
+        detail = f"datagram has {len(data)} bytes"
+        return Err(WireError(WireFault.OVERSIZE, detail))
+    datagram = ttypes.Datagram()
+    buffer = TMemoryBuffer(data)
+    protocol = TCompactProtocolAccelerated(
+        buffer,
+        string_length_limit=MAX_DATAGRAM_BYTES,
+        container_length_limit=_MAX_ENTRIES,
+    )
+    try:
+        datagram.read(protocol)
+    except EOFError:
+        return Err(WireError(WireFault.TRUNCATED, "datagram ends early"))
+    except Exception as error:  # The C decoder raises several types.
+        return Err(WireError(WireFault.MALFORMED, str(error)))
+    if datagram.protocol_version != constants.PROTOCOL_VERSION:
+        detail = f"protocol version is {datagram.protocol_version}"
+        return Err(WireError(WireFault.VERSION, detail))
+    if buffer.read(1):
+        detail = "bytes follow the datagram"
+        return Err(WireError(WireFault.MALFORMED, detail))
+    try:
+        datagram.validate()
+        return Ok(_from_thrift(datagram))
+    except Exception as error:  # Thrift, value and type errors.
+        return Err(WireError(WireFault.MALFORMED, str(error)))
+
+
+def _to_thrift(message: Message) -> ttypes.Datagram:
+    sender = records.member_to_thrift(message.sender)
+    sender.region = message.region
+    return ttypes.Datagram(
+        protocol_version=constants.PROTOCOL_VERSION,
+        kind=message.kind.value,
+        sequence=message.sequence,
+        sender=sender,
+        target=message.target,
+        target_address=message.target_address,
+        configuration_generation=message.versions.configuration_generation,
+        vm_list_version=message.versions.vm_list_version,
+        updates=[*map(records.member_to_thrift, message.updates)] or None,
+        reports=[*map(_report_to_thrift, message.reports)] or None,
+        strikes=[*map(records.strike_to_thrift, message.strikes)] or None,
+        marks=[*map(records.mark_to_thrift, message.marks)] or None,
+    )
+
+
+def _from_thrift(datagram: ttypes.Datagram) -> Message:
+    return Message(
+        kind=MessageKind(datagram.kind),
+        sequence=records.natural(datagram.sequence),
+        sender=records.member_from_thrift(datagram.sender),
+        region=records.text(datagram.sender.region),
+        versions=Versions(
+            records.natural(datagram.configuration_generation),
+            records.natural(datagram.vm_list_version),
+        ),
+        target=datagram.target,
+        target_address=datagram.target_address,
+        updates=tuple(map(records.member_from_thrift, datagram.updates or ())),
+        reports=tuple(map(_report_from_thrift, datagram.reports or ())),
+        marks=tuple(map(records.mark_from_thrift, datagram.marks or ())),
+        strikes=tuple(map(records.strike_from_thrift, datagram.strikes or ())),
+    )
+
+
+def _report_to_thrift(report: AgedReport) -> ttypes.EndpointReport:
+    return ttypes.EndpointReport(
+        report.endpoint,
+        report.boot,
+        report.leaving,
+        report.pieces,
+        report.free_pieces,
+        report.running,
+        report.waiting,
+        report.age_ms,
+    )
+
+
+def _report_from_thrift(report: ttypes.EndpointReport) -> AgedReport:
+    report.validate()
+    return AgedReport(
+        records.text(report.endpoint),
+        report.boot,
+        bool(report.leaving),
+        records.natural(report.pieces),
+        records.natural(report.free_pieces),
+        records.natural(report.running),
+        records.natural(report.waiting),
+        records.natural(report.age_ms),
+    )
+
+
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "WireError",
+    "WireFault",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/tests/membership/network.py
@@ -0,0 +1,142 @@
+"""An in-memory network of membership tables on a test clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from burdockspan.membership import members as swim
+from burdockspan.membership import wire
+from burdockspan.membership.table import Members, live_vms, make_members
+from burdockspan.membership.values import Message, Outgoing
+
+TICK_S = 0.05
+_EPOCH_S = 1_700_000_000.0
+
+
+class Network:
+    """Nodes that exchange encoded datagrams with delay, loss and cuts."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.loss = 0.0
+        self.jitter_s = 0.002
+        self.side: dict[str, int] = {}
+        self.frozen: set[str] = set()
+        self.tables: dict[str, Members] = {}
+        self.incarnations: dict[str, list[int]] = {}
+        self.sent_bytes = 0
+        self.largest_bytes = 0
+        self._by_address: dict[str, str] = {}
+        self._held: dict[str, list[Message]] = {}
+        self._flying: list[tuple[float, int, str, str, bytes]] = []
+        self._order = itertools.count()
+
+    def start(self, vm: str, seeds: tuple[str, ...] = ("ip-0:1",)) -> None:
+        address = f"ip-{vm}:1"
+        self.tables[vm] = make_members(
+            vm=vm,
+            address=address,
+            availability_zone="zone",
+            region="region",
+            seeds=seeds,
+            now_s=self.now_s,
+            wall_s=_EPOCH_S + self.now_s,
+        )
+        self._by_address[address] = vm
+        self.frozen.discard(vm)
+        self._held[vm] = []
+
+    def stop(self, vm: str) -> None:
+        del self.tables[vm]
+        self.frozen.discard(vm)
+
+    def freeze(self, vm: str) -> None:
+        self.frozen.add(vm)
+
+    def resume(self, vm: str) -> None:
+        self.frozen.discard(vm)
+        held, self._held[vm] = self._held[vm], []
+        for message in held:
+            self._receive(vm, message)
+
+    def send(self, vm: str, outgoing: tuple[Outgoing, ...]) -> None:
+        for item in outgoing:
+            data = wire.encode(item.message).unwrap()
+            self.sent_bytes += len(data)
+            self.largest_bytes = max(self.largest_bytes, len(data))
+            if self.random.random() < self.loss:
+                continue
+            arrival_s = self.now_s + 0.001
+            arrival_s += self.random.random() * self.jitter_s
+            entry = (arrival_s, next(self._order), vm, item.address, data)
+            heapq.heappush(self._flying, entry)
+
+    def run(self, duration_s: float) -> None:
+        for _ in range(round(duration_s / TICK_S)):
+            self.step()
+
+    def run_until(self, reached: Callable[[], bool], limit_s: float) -> bool:
+        end_s = self.now_s + limit_s
+        while not reached():
+            if self.now_s >= end_s:
+                return False
+            self.step()
+        return True
+
+    def step(self) -> None:
+        end_s = self.now_s + TICK_S
+        while self._flying and self._flying[0][0] <= end_s:
+            arrival_s, _, source, address, data = heapq.heappop(self._flying)
+            self.now_s = arrival_s
+            self._deliver(source, address, data)
+        self.now_s = end_s
+        for vm in sorted(self.tables):
+            if vm not in self.frozen:
+                table, outgoing = swim.tick(
+                    self.tables[vm], self.now_s, self.random.random
+                )
+                self._keep(vm, table, outgoing)
+
+    def sees(self, vm: str) -> tuple[str, ...]:
+        return live_vms(self.tables[vm])
+
+    def agree(self) -> bool:
+        """Whether every running node sees exactly the running nodes."""
+        running = tuple(sorted(set(self.tables) - self.frozen))
+        return all(self.sees(vm) == running for vm in running)
+
+    def _deliver(self, source: str, address: str, data: bytes) -> None:
+        vm = self._by_address.get(address)
+        if vm is None or vm not in self.tables:
+            return
+        if self.side.get(source, 0) != self.side.get(vm, 0):
+            return
+        message = wire.decode(data).unwrap()
+        if vm in self.frozen:
+            self._held[vm].append(message)
+        else:
+            self._receive(vm, message)
+
+    def _receive(self, vm: str, message: Message) -> None:
+        table, outgoing = swim.receive(self.tables[vm], message, self.now_s)
+        self._keep(vm, table, outgoing)
+
+    def _keep(
+        self, vm: str, table: Members, outgoing: tuple[Outgoing, ...]
+    ) -> None:
+        self.tables[vm] = table
+        self.incarnations.setdefault(vm, []).append(table.me.incarnation)
+        self.send(vm, outgoing)
+
+
+def make_network(size: int, seed: int = 0) -> Network:
+    """Returns a network of `size` nodes that have found each other."""
+    network = Network(seed)
+    for number in range(size):
+        network.start(str(number))
+    assert network.run_until(network.agree, 30.0)
+    return network
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -19,6 +19,15 @@
   4: required i64 incarnation,
   5: required MemberState state,
   6: optional string region,
+  // Raised to refute a suspicion within one incarnation; absent means 0.
+  7: optional i32 refutation,
+}
+
+// An endpoint leaves, or was undrained, as of a configuration generation.
+struct LeavingMark {
+  1: required string endpoint,
+  2: required i64 generation,
+  3: required bool leaving,
 }
 
 struct EndpointReport {
@@ -57,7 +66,7 @@
   9: optional list<MemberUpdate> updates,
   10: optional list<EndpointReport> reports,
   11: optional list<Strike> strikes,
-  12: optional i64 strikes_digest,
+  12: optional list<LeavingMark> marks,
 }
 
 struct Snapshot {
@@ -67,6 +76,7 @@
   4: optional binary vm_list,
   5: optional list<MemberUpdate> members,
   6: optional list<Strike> strikes,
+  7: optional list<LeavingMark> marks,
 }
 
 service Peer {
