Add stand-ins for platform, engines, service and collector

Cause: client libraries, claims and the HTTP layer need outside systems to run against, with faults that can be switched on and off.

Tokens are a hash of the prompt and the index, so a test can tell whose answer it received.

Conclusion: other packages can start using the stand-ins.

--- /dev/null
+++ b/standins/collector.py
@@ -0,0 +1,144 @@
+"""Stand-in for a statsd and OpenTelemetry collector.
+
+Accepts statsd datagrams on the UDP port of the same number as its HTTP port
+and OTLP traces by `POST /v1/traces`. `GET /metrics` and `GET /traces` return
+what was received as JSON.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gzip
+import json
+import socket
+import threading
+from typing import Any
+
+from standins.faults import Faults
+from standins.server import Answer, Exchange, json_answer, serve
+
+_DATAGRAM_BYTES = 65_536
+
+
+class Collector:
+    """Received counters, gauges, timers and spans."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: dict[str, float] = {}
+        self._gauges: dict[str, float] = {}
+        self._timers: dict[str, list[float]] = {}
+        self._spans: list[dict[str, Any]] = []
+
+    def receive(self, datagram: bytes) -> None:
+        """Adds the metrics of one statsd datagram; skips malformed lines."""
+        for line in datagram.decode(errors="replace").splitlines():
+            name, _, rest = line.partition(":")
+            parts = rest.split("|")
+            try:
+                value = float(parts[0])
+            except ValueError:
+                continue
+            if len(parts) < 2:
+                continue
+            with self._lock:
+                self._add(name, value, parts)
+
+    def _add(self, name: str, value: float, parts: list[str]) -> None:
+        if parts[1] == "c":
+            rate = float(parts[2][1:]) if len(parts) > 2 else 1.0
+            self._counters[name] = self._counters.get(name, 0.0) + value / rate
+        elif parts[1] == "g":
+            relative = parts[0][0] in "+-"
+            base = self._gauges.get(name, 0.0) if relative else 0.0
+            self._gauges[name] = base + value
+        elif parts[1] in ("ms", "h"):
+            self._timers.setdefault(name, []).append(value)
+
+    def answer(self, exchange: Exchange) -> Answer | None:
+        """Answers one call."""
+        if exchange.path == "/metrics":
+            with self._lock:
+                return json_answer(200, self._metrics())
+        if exchange.path == "/traces":
+            with self._lock:
+                return json_answer(200, {"spans": self._spans})
+        if exchange.path == "/v1/traces" and exchange.method == "POST":
+            spans = _decode_spans(exchange)
+            with self._lock:
+                self._spans.extend(spans)
+            return Answer(200, b"", "application/x-protobuf")
+        return json_answer(404, {})
+
+    def _metrics(self) -> dict[str, Any]:
+        return {
+            "counters": self._counters,
+            "gauges": self._gauges,
+            "timers": self._timers,
+        }
+
+
+def _decode_spans(exchange: Exchange) -> list[dict[str, Any]]:
+    body = exchange.body
+    if exchange.headers.get("content-encoding") == "gzip":
+        body = gzip.decompress(body)
+    if "json" in exchange.headers.get("content-type", ""):
+        data = json.loads(body)
+    else:
+        from google.protobuf import json_format
+        from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
+
+        message = trace_service_pb2.ExportTraceServiceRequest()
+        message.ParseFromString(body)
+        _hexadecimal_ids(message)
+        data = json_format.MessageToDict(message)
+    return [
+        {**span, "resource": resource.get("resource", {})}
+        for resource in data.get("resourceSpans", ())
+        for scope in resource.get("scopeSpans", ())
+        for span in scope.get("spans", ())
+    ]
+
+
+def _hexadecimal_ids(message: Any) -> None:
+    # MessageToDict prints bytes in base64; base64 of these bytes is the
+    # hexadecimal identity that OTLP/JSON and traceparent use.
+    import base64
+
+    for resource in message.resource_spans:
+        for scope in resource.scope_spans:
+            for span in scope.spans:
+                for field in ("trace_id", "span_id", "parent_span_id"):
+                    text = getattr(span, field).hex()
+                    setattr(span, field, base64.b64decode(text))
+
+
+def _receive_datagrams(collector: Collector, port: int) -> None:
+    receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    receiver.bind(("127.0.0.1", port))
+
+    def run() -> None:
+        while True:
+            collector.receive(receiver.recv(_DATAGRAM_BYTES))
+
+    threading.Thread(target=run, daemon=True).start()
+
+
+def main() -> None:
+    """Runs the stand-in until it is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    collector = Collector()
+    serve(
+        options.port,
+        collector.answer,
+        Faults(options.seed),
+        frozenset({"/metrics", "/traces"}),
+        lambda port: _receive_datagrams(collector, port),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,244 @@
+"""Stand-in for the platform: objects, watch, VM list and weights.
+
+Faults beside the shared ones: `down` (true closes connections, "error" answers
+503), `cut_off` (list of VM names whose calls hang and are not applied),
+`vm_list_lag_s`. `PUT /control/vms {"vms": [...]}` sets the VM list,
+`PUT /control/weights/<model>/<version>` stores weights.
+"""
+
+from __future__ import annotations
+
+import argparse
+import base64
+import collections
+import json
+import threading
+import time
+from typing import Any
+
+from standins.faults import Faults
+from standins.server import Answer, Exchange, json_answer, serve
+
+_VALUE_LIMIT_BYTES = 1_000_000
+_VMS = ("vms", "list")
+
+
+class Store:
+    """Versioned objects; deleted ones stay as tombstones for watches."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition(threading.RLock())
+        self.version = 0
+        self._objects: dict[tuple[str, str], tuple[int, Any]] = {}
+
+    def get(self, kind: str, name: str) -> tuple[int, Any] | None:
+        """Returns version and value, None when absent."""
+        with self.changed:
+            entry = self._objects.get((kind, name))
+        return entry if entry and entry[1] is not None else None
+
+    def write(
+        self, kind: str, name: str, value: Any, match: str, none_match: str
+    ) -> int | None:
+        """Writes under the conditions; None when they do not hold."""
+        with self.changed:
+            current = self.get(kind, name)
+            if none_match == "*" and current is not None:
+                return None
+            if match and (current is None or str(current[0]) != match):
+                return None
+            self.version += 1
+            self._objects[(kind, name)] = (self.version, value)
+            self.changed.notify_all()
+            return self.version
+
+    def events(self, kinds: list[str], after: int) -> list[dict[str, Any]]:
+        """Returns the newest state of objects written after a version."""
+        with self.changed:
+            found = [
+                {"kind": kind, "name": name, "version": version, "value": value}
+                for (kind, name), (version, value) in self._objects.items()
+                if kind in kinds and version > after
+            ]
+        return sorted(found, key=lambda event: event["version"])
+
+    def matching(self, kind: str, prefix: str) -> list[dict[str, Any]]:
+        """Returns the objects of a kind whose name has a prefix."""
+        return [
+            {key: event[key] for key in ("name", "version", "value")}
+            for event in self.events([kind], 0)
+            if event["value"] is not None and event["name"].startswith(prefix)
+        ]
+
+    def wait(self, kinds: list[str], after: int, timeout_s: float) -> None:
+        """Blocks until there is an event or the time has passed."""
+        end_s = time.monotonic() + timeout_s
+        with self.changed:
+            while not self.events(kinds, after):
+                left_s = end_s - time.monotonic()
+                if left_s <= 0:
+                    return
+                self.changed.wait(left_s)
+
+
+class Platform:
+    """The HTTP interface over a store."""
+
+    def __init__(
+        self, faults: Faults, reads_per_s: int, writes_per_s: int
+    ) -> None:
+        self.faults = faults
+        self.store = Store()
+        self.weights: dict[str, Any] = {}
+        self.limits = {"read": reads_per_s, "write": writes_per_s}
+        self._lock = threading.Lock()
+        self._calls: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._per_s: collections.Counter[tuple[int, str]] = (
+            collections.Counter()
+        )
+
+    def answer(self, exchange: Exchange) -> Answer | None:
+        """Answers one call."""
+        if exchange.path == "/calls":
+            return json_answer(200, self._count_json())
+        if exchange.path.startswith("/control/"):
+            return self._control(exchange)
+        caller = exchange.headers.get("burdockspan-vm", "")
+        parts = exchange.path.strip("/").split("/", 2)
+        admitted = self._count(_kind_of(exchange.method, parts), caller)
+        down = self.faults.get("down")
+        if down:
+            return json_answer(503, {}) if down == "error" else None
+        if caller in (self.faults.get("cut_off") or ()):
+            self.faults.hold_while(
+                lambda: (
+                    caller in (self.faults.get("cut_off") or ())
+                    and not exchange.gone()
+                )
+            )
+            return None
+        if not admitted:
+            return Answer(429, b"{}", headers=(("Retry-After", "1"),))
+        return self._route(exchange, parts)
+
+    def _route(self, exchange: Exchange, parts: list[str]) -> Answer:
+        if parts[0] == "objects" and len(parts) == 3:
+            return self._object(exchange, parts[1], parts[2])
+        if parts[0] == "objects" and len(parts) == 2:
+            prefix = exchange.query.get("prefix", "")
+            objects = self.store.matching(parts[1], prefix)
+            return json_answer(200, {"objects": objects})
+        if parts[0] == "watch":
+            return self._watch(exchange)
+        if parts[0] == "vms":
+            found = self.store.get(*_VMS) or (0, {"vms": []})
+            return json_answer(200, {"version": found[0], **found[1]})
+        if parts[0] == "weights" and len(parts) == 3:
+            held = self.weights.get("/".join(parts[1:]))
+            return json_answer(200 if held else 404, held or {})
+        return json_answer(404, {})
+
+    def _object(self, exchange: Exchange, kind: str, name: str) -> Answer:
+        if exchange.method == "GET":
+            found = self.store.get(kind, name)
+            if found is None:
+                return json_answer(404, {})
+            return json_answer(200, {"version": found[0], "value": found[1]})
+        if len(exchange.body) > _VALUE_LIMIT_BYTES:
+            return json_answer(413, {})
+        deleting = exchange.method == "DELETE"
+        if deleting and self.store.get(kind, name) is None:
+            return json_answer(404, {})
+        value = None if deleting else json.loads(exchange.body)
+        match = exchange.headers.get("if-match", "")
+        none_match = exchange.headers.get("if-none-match", "")
+        version = self.store.write(kind, name, value, match, none_match)
+        if version is None:
+            return json_answer(412, {})
+        return json_answer(200, {"version": version, "value": value})
+
+    def _watch(self, exchange: Exchange) -> Answer:
+        kinds = exchange.query.get("kinds", "").split(",")
+        after = int(exchange.query.get("after", "0"))
+        self.store.wait(
+            kinds, after, float(exchange.query.get("timeout_s", "0"))
+        )
+        with self.store.changed:
+            events = self.store.events(kinds, after)
+            version = self.store.version
+        return json_answer(200, {"version": version, "events": events})
+
+    def _control(self, exchange: Exchange) -> Answer:
+        parts = exchange.path.split("/")
+        if parts[2] == "weights":
+            data = base64.b64encode(exchange.body).decode()
+            self.weights["/".join(parts[3:])] = {"bytes": data}
+            return json_answer(200, {})
+        value = exchange.json()
+        lag_s = self.faults.seconds("vm_list_lag_s")
+        if lag_s:
+            timer = threading.Timer(
+                lag_s, self.store.write, (*_VMS, value, "", "")
+            )
+            timer.daemon = True
+            timer.start()
+        else:
+            self.store.write(*_VMS, value, "", "")
+        return json_answer(200, {})
+
+    def _count(self, kind: str, caller: str) -> bool:
+        budget = "write" if kind in ("put", "delete") else "read"
+        second = int(time.monotonic())
+        with self._lock:
+            self._calls[(kind, caller)] += 1
+            self._per_s[(second, budget)] += 1
+            limit = self.limits[budget]
+            return not limit or self._per_s[(second, budget)] <= limit
+
+    def _count_json(self) -> dict[str, Any]:
+        by_kind: collections.Counter[str] = collections.Counter()
+        by_caller: dict[str, dict[str, int]] = {}
+        with self._lock:
+            for (kind, caller), count in self._calls.items():
+                by_kind[kind] += count
+                by_caller.setdefault(caller, {})[kind] = count
+            peaks = {
+                budget: max(
+                    (n for (_, b), n in self._per_s.items() if b == budget),
+                    default=0,
+                )
+                for budget in self.limits
+            }
+        return {
+            "total": sum(by_kind.values()),
+            "by_kind": by_kind,
+            "by_caller": by_caller,
+            "peak_per_s": peaks,
+        }
+
+
+def _kind_of(method: str, parts: list[str]) -> str:
+    if parts[0] != "objects":
+        return parts[0]
+    if method == "GET":
+        return "get" if len(parts) == 3 else "list"
+    return method.lower()
+
+
+def main() -> None:
+    """Runs the stand-in until it is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--reads-per-s", type=int, default=0)
+    parser.add_argument("--writes-per-s", type=int, default=0)
+    options = parser.parse_args()
+    faults = Faults(options.seed)
+    platform = Platform(faults, options.reads_per_s, options.writes_per_s)
+    serve(options.port, platform.answer, faults, frozenset({"/calls"}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,139 @@
+"""Stand-in for a replica of a plain service.
+
+`POST /control/...` aside, any path is served. A non-GET call runs the action
+and counts it by idempotency key and attempt; `GET /runs` returns the counts.
+`GET /status/<key>` tells whether the action of a key ran, `POST /orders` takes
+an operator order. Faults beside the shared ones: `leaving`, `full`,
+`refuse_fencing`, `load_lag_s`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import hashlib
+import threading
+from typing import Any
+
+from standins.faults import Faults
+from standins.load import LoadHistory, Orders, make_boot
+from standins.server import Answer, Exchange, json_answer, serve
+
+
+class Service:
+    """The HTTP interface of one replica."""
+
+    def __init__(self, name: str, faults: Faults, checks: bool) -> None:
+        self.name = name
+        self.faults = faults
+        self.boot = make_boot()
+        self.checks = checks
+        self.orders = Orders(faults)
+        self._lock = threading.Lock()
+        self._running = 0
+        self._loads = LoadHistory(faults, self._load)
+        self._fencing: dict[str, int] = {}
+        self._runs: dict[str, list[str]] = {}
+        self._seen: list[dict[str, Any]] = []
+
+    def answer(self, exchange: Exchange) -> Answer | None:
+        """Answers one call."""
+        path = exchange.path
+        if path == "/runs":
+            with self._lock:
+                return json_answer(200, self._runs_json())
+        if path == "/seen":
+            with self._lock:
+                return json_answer(200, {"requests": self._seen})
+        if path == "/health":
+            return json_answer(200, {"boot": self.boot, "state": self._state()})
+        if path == "/load":
+            return json_answer(200, self._loads.report())
+        if path == "/orders":
+            return self.orders.answer(exchange.json())
+        if path.startswith("/status/"):
+            key = path.removeprefix("/status/")
+            with self._lock:
+                return json_answer(200, {"runs": len(self._runs.get(key, ()))})
+        return self._call(exchange)
+
+    def _call(self, exchange: Exchange) -> Answer:
+        for fault, status in (("full", 429), ("leaving", 503)):
+            if self.faults.get(fault):
+                body = {"outcome": "not_run", "reason": fault}
+                return json_answer(status, body)
+        key = exchange.headers.get("idempotency-key", "")
+        attempt = exchange.headers.get("burdockspan-attempt", "")
+        with self._lock:
+            if not self._accepts_fencing(key, exchange):
+                body = {"outcome": "not_run", "reason": "old_fencing"}
+                return json_answer(409, body)
+            self._running += 1
+            if exchange.method != "GET":
+                self._runs.setdefault(key, []).append(attempt)
+            self._record(exchange)
+        self._loads.sample()
+        digest = hashlib.sha256(exchange.body).hexdigest()
+        value = {"service": self.name, "path": exchange.path, "digest": digest}
+        with self._lock:
+            self._running -= 1
+        self._loads.sample()
+        return json_answer(200, {**value, "key": key})
+
+    def _accepts_fencing(self, key: str, exchange: Exchange) -> bool:
+        text = exchange.headers.get("burdockspan-fencing", "")
+        if self.faults.spend("refuse_fencing"):
+            return False
+        if not (self.checks and key and text):
+            return True
+        if int(text) < self._fencing.get(key, 0):
+            return False
+        self._fencing[key] = int(text)
+        return True
+
+    def _record(self, exchange: Exchange) -> None:
+        self._seen.append(
+            {
+                "method": exchange.method,
+                "path": exchange.path,
+                "query": exchange.query,
+                "headers": exchange.headers,
+                "body": exchange.body.decode(errors="replace"),
+            }
+        )
+
+    def _runs_json(self) -> dict[str, Any]:
+        return {
+            "by_key": {key: len(runs) for key, runs in self._runs.items()},
+            "attempts_by_key": self._runs,
+        }
+
+    def _state(self) -> str:
+        return "leaving" if self.faults.get("leaving") else "live"
+
+    def _load(self) -> dict[str, Any]:
+        return {
+            "boot": self.boot,
+            "state": self._state(),
+            "pieces": 0,
+            "free_pieces": 0,
+            "running": self._running,
+            "waiting": 0,
+        }
+
+
+def main() -> None:
+    """Runs the stand-in until it is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--checks-fencing", action="store_true")
+    options = parser.parse_args()
+    faults = Faults(options.seed)
+    service = Service(options.name, faults, options.checks_fencing)
+    control = frozenset({"/runs", "/seen"})
+    serve(options.port, service.answer, faults, control)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/tokens.py
@@ -0,0 +1,118 @@
+"""Deterministic tokens and OpenAI-shaped chunks of the engine stand-in."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+DEFAULT_MAX_TOKENS = 16
+BLOCK_CHARACTERS = 512
+_CHARACTERS_PER_TOKEN = 4
+
+
+def prompt_text(body: dict[str, Any]) -> str:
+    """Returns the prompt, or the messages as canonical JSON."""
+    prompt = body.get("prompt", body.get("messages", ""))
+    if isinstance(prompt, str):
+        return prompt
+    return json.dumps(prompt, sort_keys=True, separators=(",", ":"))
+
+
+def count_tokens(text: str) -> int:
+    """Returns the tokens of a text, at four characters each."""
+    return max(1, -(-len(text) // _CHARACTERS_PER_TOKEN))
+
+
+def wanted_tokens(body: dict[str, Any]) -> int:
+    """Returns how many tokens a body asks for."""
+    names = ("max_completion_tokens", "max_tokens")
+    values = [body[name] for name in names if isinstance(body.get(name), int)]
+    return max(1, values[0]) if values else DEFAULT_MAX_TOKENS
+
+
+def token(text: str, index: int) -> str:
+    """Returns the token at an index of the answer to a prompt."""
+    digest = hashlib.sha256(f"{index}|{text}".encode()).hexdigest()
+    return f"{digest[:6]} "
+
+
+def expected_text(body: dict[str, Any]) -> str:
+    """Returns the whole answer to a body, for tests to compare with."""
+    text = prompt_text(body)
+    return "".join(token(text, i) for i in range(wanted_tokens(body)))
+
+
+def block_hashes(text: str) -> list[int]:
+    """Returns the chained hashes of a prompt's whole leading blocks."""
+    hashes: list[int] = []
+    previous = b""
+    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
+        block = text[start : start + BLOCK_CHARACTERS].encode()
+        previous = hashlib.sha256(previous + block).digest()[:8]
+        hashes.append(int.from_bytes(previous, "big"))
+    return hashes
+
+
+def chunk_event(
+    chat: bool, attempt: str, body: dict[str, Any], index: int
+) -> bytes:
+    """Returns the server-sent event of one token."""
+    text = token(prompt_text(body), index)
+    last = index + 1 == wanted_tokens(body)
+    choice: dict[str, Any] = {
+        "index": 0,
+        "finish_reason": "length" if last else None,
+    }
+    if chat:
+        delta = {"content": text}
+        choice["delta"] = {"role": "assistant", **delta} if not index else delta
+    else:
+        choice |= {"text": text, "logprobs": None}
+    value = {
+        "id": f"cmpl-{attempt}",
+        "object": "chat.completion.chunk" if chat else "text_completion",
+        "created": 0,
+        "model": body.get("model", ""),
+        "choices": [choice],
+    }
+    return f"id: {index}\ndata: {json.dumps(value)}\n\n".encode()
+
+
+def whole_answer(
+    chat: bool, attempt: str, body: dict[str, Any]
+) -> dict[str, Any]:
+    """Returns the JSON answer to a call that is not streamed."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
+    text = expected_text(body)
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice |= {"text": text, "logprobs": None}
+    prompt_tokens = count_tokens(prompt_text(body))
+    return {
+        "id": f"cmpl-{attempt}",
+        "object": "chat.completion" if chat else "text_completion",
+        "created": 0,
+        "model": body.get("model", ""),
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": wanted_tokens(body),
+            "total_tokens": prompt_tokens + wanted_tokens(body),
+        },
+    }
+
+
+__all__ = [
+    "BLOCK_CHARACTERS",
+    "DEFAULT_MAX_TOKENS",
+    "block_hashes",
+    "chunk_event",
+    "count_tokens",
+    "expected_text",
+    "prompt_text",
+    "token",
+    "wanted_tokens",
+    "whole_answer",
+]
