--- /dev/null
+++ b/src/burdockspan/endpoints/engine.py
@@ -0,0 +1,283 @@
+"""Calls of the engine protocol."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib import parse
+
+from result import Err, Ok, Result
+
+from burdockspan.endpoints import answers
+from burdockspan.endpoints.answers import (
+    EngineAttempt,
+    Health,
+    Prefilled,
+    RawAnswer,
+)
+from burdockspan.endpoints.connections import (
+    Abort,
+    Call,
+    Connections,
+    Exchange,
+)
+from burdockspan.values.endpoint import Endpoint
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Failure, FailureKind
+
+ATTEMPT_HEADER = "Burdockspan-Attempt"
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+_CONTROL_TIMEOUT_S = 2.0
+_JSON = "application/json"
+
+
+@dataclasses.dataclass(frozen=True)
+class Link:
+    """How one attempt reaches one engine.
+
+    Attributes:
+      connections: connections of the process.
+      endpoint: the engine.
+      attempt: identity of the attempt.
+      abort: sockets of the attempt; None for calls that nobody aborts.
+      headers: headers sent with each call, such as `traceparent`.
+    """
+
+    connections: Connections
+    endpoint: Endpoint
+    attempt: AttemptId
+    abort: Abort | None = None
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Waits:
+    """Longest waits for an answer.
+
+    Attributes:
+      first_byte_s: for its head, in seconds.
+      silence_s: between two of its parts, in seconds.
+      keep_waiting: asked when its head is late; True waits once more.
+    """
+
+    first_byte_s: float
+    silence_s: float
+    keep_waiting: Callable[[], bool] = lambda: False
+
+
+def reserve(link: Link, pieces: int, timeout_s: float) -> Result[None, Failure]:
+    """Reserves decode memory; fails as FULL or LEAVING if refused."""
+    body = {"attempt": str(link.attempt), "pieces": pieces}
+    raw = _post(link, "/reservations", body, timeout_s)
+    return raw.and_then(lambda found: _expect_reserved(link, found))
+
+
+def prefill(
+    link: Link, path: str, body: dict[str, Any], timeout_s: float
+) -> Result[Prefilled, Failure]:
+    """Runs the prefill of a call."""
+    message = {"attempt": str(link.attempt), "path": path, "body": body}
+    raw = _post(link, "/prefill", message, timeout_s)
+    return raw.and_then(
+        lambda found: answers.parse_prefilled(
+            link.endpoint, link.attempt, found
+        )
+    )
+
+
+def import_cache(
+    link: Link, source: str, cache: str, timeout_s: float
+) -> Result[None, Failure]:
+    """Has a decode engine fetch a KV cache from `source`, an `ip:port`."""
+    message = {
+        "attempt": str(link.attempt),
+        "source": source,
+        "cache": cache,
+    }
+    raw = _post(link, "/imports", message, timeout_s)
+    return raw.and_then(lambda found: _expect_imported(link, found))
+
+
+def decode(
+    link: Link, path: str, body: bytes, waits: Waits
+) -> Result[Exchange, Failure]:
+    """Starts decoding; the exchange carries the engine's answer."""
+    sent = _make_headers(link)
+    sent[ATTEMPT_HEADER] = str(link.attempt)
+    call = Call(
+        link.endpoint,
+        "POST",
+        path,
+        body,
+        sent,
+        waits.first_byte_s,
+        waits.silence_s,
+        keep_waiting=waits.keep_waiting,
+    )
+    return _open(link, call)
+
+
+def resume(link: Link, after: int, waits: Waits) -> Result[Exchange, Failure]:
+    """Continues a stream after a token index, on a new connection."""
+    path = f"/attempts/{_quote(link.attempt)}/stream?after={after}"
+    call = Call(
+        link.endpoint,
+        "GET",
+        path,
+        None,
+        {ATTEMPT_HEADER: str(link.attempt)},
+        waits.first_byte_s,
+        waits.silence_s,
+        fresh=True,
+    )
+    return _open(link, call)
+
+
+def cancel(link: Link) -> Result[None, Failure]:
+    """Cancels an attempt and frees its memory, if the engine holds it."""
+    path = f"/attempts/{_quote(link.attempt)}"
+    call = Call(
+        link.endpoint,
+        "DELETE",
+        path,
+        first_byte_timeout_s=_CONTROL_TIMEOUT_S,
+        silence_s=_CONTROL_TIMEOUT_S,
+    )
+    return _fetch(link.connections, call, link.abort).and_then(
+        lambda raw: answers.expect_done(link.endpoint, link.attempt, raw, 200)
+    )
+
+
+def list_attempts(
+    connections: Connections, endpoint: Endpoint
+) -> Result[tuple[str, tuple[EngineAttempt, ...]], Failure]:
+    """Returns the engine's boot identity and the attempts it holds."""
+    return fetch_json(connections, endpoint, "/attempts").and_then(
+        lambda value: answers.parse_attempts(endpoint, value)
+    )
+
+
+def check_health(
+    connections: Connections,
+    endpoint: Endpoint,
+    timeout_s: float = _CONTROL_TIMEOUT_S,
+) -> Result[Health, Failure]:
+    """Asks for the health of an endpoint on a new connection."""
+    call = Call(
+        endpoint,
+        "GET",
+        "/health",
+        first_byte_timeout_s=timeout_s,
+        silence_s=timeout_s,
+        fresh=True,
+    )
+    return (
+        _fetch(connections, call, None)
+        .and_then(lambda raw: answers.expect_object(endpoint, raw, 200))
+        .and_then(lambda value: answers.parse_health(endpoint, value))
+    )
+
+
+def fetch_json(
+    connections: Connections, endpoint: Endpoint, path: str
+) -> Result[dict[str, Any], Failure]:
+    """Returns the JSON object at a path of an endpoint."""
+    call = Call(
+        endpoint,
+        "GET",
+        path,
+        first_byte_timeout_s=_CONTROL_TIMEOUT_S,
+        silence_s=_CONTROL_TIMEOUT_S,
+    )
+    return _fetch(connections, call, None).and_then(
+        lambda raw: answers.expect_object(endpoint, raw, 200)
+    )
+
+
+def _make_headers(link: Link) -> dict[str, str]:
+    return {**dict(link.headers), "Content-Type": _JSON}
+
+
+def _post(
+    link: Link, path: str, message: dict[str, Any], timeout_s: float
+) -> Result[RawAnswer, Failure]:
+    call = Call(
+        link.endpoint,
+        "POST",
+        path,
+        json.dumps(message).encode(),
+        _make_headers(link),
+        timeout_s,
+        timeout_s,
+    )
+    return _fetch(link.connections, call, link.abort)
+
+
+def _fetch(
+    connections: Connections, call: Call, abort: Abort | None
+) -> Result[RawAnswer, Failure]:
+    started = connections.start(call, abort)
+    if isinstance(started, Err):
+        return started
+    exchange = started.ok_value
+    return exchange.read(ANSWER_LIMIT_BYTES).map(
+        lambda body: RawAnswer(exchange.status, body)
+    )
+
+
+def _open(link: Link, call: Call) -> Result[Exchange, Failure]:
+    started = link.connections.start(call, link.abort)
+    if isinstance(started, Err):
+        return started
+    exchange = started.ok_value
+    if exchange.status != 200:
+        body = exchange.read(ANSWER_LIMIT_BYTES).unwrap_or(b"")
+        raw = RawAnswer(exchange.status, body)
+        return Err(answers.judge(call.endpoint, raw))
+    named = exchange.headers.get(ATTEMPT_HEADER, str(link.attempt))
+    if named != str(link.attempt):
+        exchange.close()
+        detail = f"answer of attempt {named}"
+        return Err(answers.make_shape_failure(call.endpoint, detail))
+    return Ok(exchange)
+
+
+def _expect_reserved(link: Link, raw: RawAnswer) -> Result[None, Failure]:
+    # A refused reservation holds no memory whatever its body says.
+    kinds = {409: FailureKind.FULL, 503: FailureKind.LEAVING}
+    kind = kinds.get(raw.status)
+    if kind is not None:
+        detail = f"reservation refused with {raw.status}"
+        return Err(Failure(kind, link.endpoint.name, detail))
+    return answers.expect_done(link.endpoint, link.attempt, raw, 201)
+
+
+def _expect_imported(link: Link, raw: RawAnswer) -> Result[None, Failure]:
+    if raw.status == 404:
+        kind = FailureKind.CACHE_EXPIRED
+        detail = "the KV cache has expired"
+        return Err(Failure(kind, link.endpoint.name, detail))
+    return answers.expect_done(link.endpoint, link.attempt, raw, 200)
+
+
+def _quote(attempt: AttemptId) -> str:
+    return parse.quote(str(attempt), safe=":")
+
+
+__all__ = [
+    "ANSWER_LIMIT_BYTES",
+    "ATTEMPT_HEADER",
+    "Link",
+    "Waits",
+    "cancel",
+    "check_health",
+    "decode",
+    "fetch_json",
+    "import_cache",
+    "list_attempts",
+    "prefill",
+    "reserve",
+    "resume",
+]
--- /dev/null
+++ b/src/burdockspan/endpoints/orders.py
@@ -0,0 +1,99 @@
+"""Orders to endpoints, guarded by fencing numbers."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+
+from result import Err, Ok, Result
+
+from burdockspan.endpoints import answers
+from burdockspan.endpoints.answers import RawAnswer
+from burdockspan.endpoints.connections import Call, Connections
+from burdockspan.endpoints.engine import ANSWER_LIMIT_BYTES
+from burdockspan.values.endpoint import Endpoint
+from burdockspan.values.placement import Failure
+
+_TIMEOUT_S = 5.0
+
+
+class OrderKind(enum.Enum):
+    """What an endpoint is ordered to do."""
+
+    LOAD_MODEL = "load_model"
+    SET_ROLE = "set_role"
+
+
+class OrderOutcome(enum.Enum):
+    """What became of an order."""
+
+    DONE = "done"
+    SUPERSEDED = "superseded"
+    UNSAFE = "unsafe"
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """One order.
+
+    Attributes:
+      kind: what to do.
+      fencing: number that grows with every decision about the endpoint, such
+        as the platform version of the decision.
+      arguments: further members of the JSON body.
+    """
+
+    kind: OrderKind
+    fencing: int
+    arguments: tuple[tuple[str, str], ...] = ()
+
+
+def is_safe(endpoint: Endpoint, order: Order) -> bool:
+    """Whether a late copy of an order can do no harm.
+
+    An endpoint that ignores fencing numbers applies a late order after a
+    newer one. Loading a model only adds to what it holds, so a late copy
+    costs memory but changes no decision; a late change of role undoes the
+    newer one and is not sent.
+    """
+    return endpoint.checks_fencing or order.kind is OrderKind.LOAD_MODEL
+
+
+def send_order(
+    connections: Connections, endpoint: Endpoint, order: Order
+) -> Result[OrderOutcome, Failure]:
+    """Sends an order on a new connection, if that is safe."""
+    if not is_safe(endpoint, order):
+        return Ok(OrderOutcome.UNSAFE)
+    message = {
+        **dict(order.arguments),
+        "kind": order.kind.value,
+        "fencing": order.fencing,
+    }
+    call = Call(
+        endpoint,
+        "POST",
+        "/orders",
+        json.dumps(message).encode(),
+        {"Content-Type": "application/json"},
+        _TIMEOUT_S,
+        _TIMEOUT_S,
+        fresh=True,
+    )
+    started = connections.start(call)
+    if isinstance(started, Err):
+        return started
+    exchange = started.ok_value
+    body = exchange.read(ANSWER_LIMIT_BYTES)
+    if isinstance(body, Err):
+        return body
+    if exchange.status == 409:
+        return Ok(OrderOutcome.SUPERSEDED)
+    if exchange.status != 200:
+        raw = RawAnswer(exchange.status, body.ok_value)
+        return Err(answers.judge(endpoint, raw))
+    return Ok(OrderOutcome.DONE)
+
+
+__all__ = ["Order", "OrderKind", "OrderOutcome", "is_safe", "send_order"]
--- /dev/null
+++ b/src/burdockspan/endpoints/reports.py
@@ -0,0 +1,156 @@
+"""Load reports and cache events of endpoints."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import Any
+
+from result import Err, Ok, Result
+
+from burdockspan.endpoints.answers import is_count, make_shape_failure
+from burdockspan.endpoints.connections import Connections
+from burdockspan.endpoints.engine import fetch_json
+from burdockspan.values.clock import Clock
+from burdockspan.values.endpoint import Endpoint, LoadReport
+from burdockspan.values.placement import Failure
+
+_COUNTS = ("pieces", "free_pieces", "running", "waiting")
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheEvent:
+    """A change of an engine's prefix cache.
+
+    Attributes:
+      number: position in the engine's sequence of events, from 1.
+      stored: True if the blocks were stored, False if they were evicted.
+      blocks: hashes of prefix blocks.
+    """
+
+    number: int
+    stored: bool
+    blocks: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheEvents:
+    """Cache events after a number.
+
+    Attributes:
+      boot: identity of the engine's process.
+      events: events in order.
+      next_after: number to ask for next.
+      gap: whether events are missing, or the engine restarted; the
+        receiver's index of this engine is then incomplete.
+    """
+
+    boot: str
+    events: tuple[CacheEvent, ...]
+    next_after: int
+    gap: bool
+
+
+def fetch_load(
+    connections: Connections, endpoint: Endpoint, clock: Clock
+) -> Result[LoadReport, Failure]:
+    """Asks an endpoint for its load."""
+    return fetch_json(connections, endpoint, "/load").and_then(
+        lambda value: parse_load(endpoint, value, clock())
+    )
+
+
+def fetch_cache_events(
+    connections: Connections, endpoint: Endpoint, boot: str, after: int
+) -> Result[CacheEvents, Failure]:
+    """Asks an engine for cache events after a number.
+
+    Args:
+      connections: connections of the process.
+      endpoint: the engine.
+      boot: boot identity of the last answer; empty for the first.
+      after: number of the last event seen; 0 for the first.
+    """
+    path = f"/cache_events?after={after}"
+    return fetch_json(connections, endpoint, path).and_then(
+        lambda value: parse_cache_events(endpoint, value, boot, after)
+    )
+
+
+def parse_load(
+    endpoint: Endpoint, value: dict[str, Any], now_s: float
+) -> Result[LoadReport, Failure]:
+    """Returns a load report measured `age_s` before `now_s`."""
+    boot, state = value.get("boot"), value.get("state")
+    age_s = value.get("age_s", 0.0)
+    counts = {name: value.get(name, 0) for name in _COUNTS}
+    if (
+        not isinstance(boot, str)
+        or state not in ("live", "leaving")
+        or not _is_age(age_s)
+        or not all(is_count(count) for count in counts.values())
+        or counts["free_pieces"] > counts["pieces"]
+    ):
+        return Err(make_shape_failure(endpoint, "load report is malformed"))
+    return Ok(
+        LoadReport(
+            endpoint=endpoint.name,
+            boot=boot,
+            leaving=state == "leaving",
+            measured_s=now_s - age_s,
+            **counts,
+        )
+    )
+
+
+def parse_cache_events(
+    endpoint: Endpoint, value: dict[str, Any], boot: str, after: int
+) -> Result[CacheEvents, Failure]:
+    """Returns the new events; older and repeated ones are dropped."""
+    now_boot, rows = value.get("boot"), value.get("events")
+    if not isinstance(now_boot, str) or not isinstance(rows, list):
+        return Err(make_shape_failure(endpoint, "cache events are malformed"))
+    restarted = bool(boot) and boot != now_boot
+    last = 0 if restarted else after
+    gap = restarted
+    events = []
+    for row in rows:
+        event = _parse_event(row)
+        if event is None:
+            return Err(make_shape_failure(endpoint, "cache event is malformed"))
+        if event.number <= last:
+            continue
+        gap = gap or event.number != last + 1
+        last = event.number
+        events.append(event)
+    return Ok(CacheEvents(now_boot, tuple(events), last, gap))
+
+
+def _parse_event(row: object) -> CacheEvent | None:
+    if not isinstance(row, dict) or not is_count(row.get("number")):
+        return None
+    kind, blocks = row.get("kind"), row.get("blocks")
+    if kind not in ("stored", "evicted") or not isinstance(blocks, list):
+        return None
+    if not all(is_count(block) for block in blocks):
+        return None
+    return CacheEvent(row["number"], kind == "stored", tuple(blocks))
+
+
+def _is_age(value: object) -> bool:
+    return (
+        isinstance(value, int | float)
+        and not isinstance(value, bool)
+        and math.isfinite(value)
+        and value >= 0
+    )
+
+
+__all__ = [
+    "CacheEvent",
+    "CacheEvents",
+    "fetch_cache_events",
+    "fetch_load",
+    "parse_cache_events",
+    "parse_load",
+]
--- /dev/null
+++ b/src/burdockspan/endpoints/service.py
@@ -0,0 +1,82 @@
+"""Calls of plain services."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from result import Err, Ok, Result
+
+from burdockspan.endpoints.answers import (
+    RawAnswer,
+    judge_refusal,
+    make_shape_failure,
+)
+from burdockspan.endpoints.connections import (
+    Abort,
+    Call,
+    Connections,
+    Exchange,
+)
+from burdockspan.endpoints.engine import ATTEMPT_HEADER
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Failure
+
+# A refusal is a short JSON body; a longer answer is an application's own.
+_REFUSAL_LIMIT_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceAnswer:
+    """An answer of a plain service whose body may still be arriving.
+
+    Attributes:
+      exchange: the open exchange; must be closed.
+      body: the body if it was read to look for a refusal, else None.
+    """
+
+    exchange: Exchange
+    body: bytes | None = None
+
+
+def call_service(
+    connections: Connections, call: Call, attempt: AttemptId, abort: Abort
+) -> Result[ServiceAnswer, Failure]:
+    """Calls a plain service.
+
+    Returns:
+      The answer, or the failure. `answers.may_have_run` tells whether the
+      service may have started the call.
+    """
+    headers = {**call.headers, ATTEMPT_HEADER: str(attempt)}
+    sent = dataclasses.replace(call, headers=headers)
+    started = connections.start(sent, abort)
+    if isinstance(started, Err):
+        return started
+    exchange = started.ok_value
+    named = exchange.headers.get(ATTEMPT_HEADER, str(attempt))
+    if named != str(attempt):
+        exchange.close()
+        detail = f"answer of attempt {named}"
+        return Err(make_shape_failure(call.endpoint, detail))
+    if exchange.status in (409, 429, 503):
+        return _read_refusal(call, exchange)
+    return Ok(ServiceAnswer(exchange))
+
+
+def _read_refusal(
+    call: Call, exchange: Exchange
+) -> Result[ServiceAnswer, Failure]:
+    length = exchange.headers.get("Content-Length", "")
+    if length.isdecimal() and int(length) > _REFUSAL_LIMIT_BYTES:
+        return Ok(ServiceAnswer(exchange))
+    body = exchange.read(_REFUSAL_LIMIT_BYTES)
+    if isinstance(body, Err):
+        return body
+    raw = RawAnswer(exchange.status, body.ok_value)
+    refused = judge_refusal(call.endpoint, raw)
+    if refused is not None:
+        return Err(refused)
+    return Ok(ServiceAnswer(exchange, body.ok_value))
+
+
+__all__ = ["ServiceAnswer", "call_service"]
--- /dev/null
+++ b/src/burdockspan/http/claiming.py
@@ -0,0 +1,139 @@
+"""Claims on the keys of non-idempotent calls, as a handler uses them."""
+
+from __future__ import annotations
+
+import hashlib
+
+from result import Err, Ok, Result
+
+from burdockspan.claims.record import (
+    Answer,
+    ClaimRecord,
+    ClaimState,
+    Held,
+    Replay,
+)
+from burdockspan.configuration.document import Client
+from burdockspan.http.parsing import Request, parse_key
+from burdockspan.http.ports import Claims, Ports
+from burdockspan.http.refusals import Reply
+from burdockspan.http.routes import Destination
+from burdockspan.values.refusal import Execution, Reason, Refusal
+
+STORED_LIMIT_BYTES = 65_536
+FENCING_HEADER = "Burdockspan-Fencing"
+KEY_HEADER = "Idempotency-Key"
+
+
+class Guard:
+    """A claim that is given up or settled exactly once.
+
+    Attributes:
+      held: the claim; None for an idempotent call, which needs none.
+    """
+
+    def __init__(self, claims: Claims, held: Held | None) -> None:
+        self._claims = claims
+        self._open = held is not None
+        self.held = held
+
+    def refuse(self, execution: Execution) -> None:
+        """Gives the claim up if nothing ran, else settles it as UNKNOWN."""
+        if not self._close():
+            return
+        assert self.held is not None
+        if execution is Execution.NOT_RUN:
+            self._claims.give_up(self.held)
+        else:
+            self._claims.settle(self.held, ClaimState.UNKNOWN, None)
+
+    def settle(self, answer: Answer) -> None:
+        """Settles the claim with the complete answer."""
+        if self._close():
+            assert self.held is not None
+            self._claims.settle(self.held, ClaimState.DONE, answer)
+
+    def _close(self) -> bool:
+        was_open, self._open = self._open, False
+        return was_open
+
+
+def make_answer(status: int, content_type: str, body: bytes) -> Answer:
+    """Returns an answer for a claim, without a body over the limit."""
+    stored = body if len(body) <= STORED_LIMIT_BYTES else None
+    return Answer(status, content_type, stored)
+
+
+def open_guard(
+    ports: Ports,
+    request: Request,
+    client: Client,
+    destination: Destination,
+    body: bytes,
+) -> Result[Guard, Refusal | Replay]:
+    """Claims the key of a non-idempotent call before it is submitted."""
+    parsed = parse_key(request)
+    if isinstance(parsed, Err):
+        return Err(parsed.err_value)
+    if destination.route.idempotent:
+        return Ok(Guard(ports.claims, None))
+    key = parsed.ok_value
+    if key is None:
+        return Err(
+            Refusal(
+                400,
+                Execution.NOT_RUN,
+                Reason.KEY_REQUIRED,
+                f"{request.method} {destination.path[:200]} must run at most "
+                f"once and needs an {KEY_HEADER}",
+                field=KEY_HEADER,
+            )
+        )
+    digest = make_digest(request.method, destination, body)
+    claimed = ports.claims.claim(
+        client.name, key, digest, ports.router.identify()
+    )
+    if isinstance(claimed, Err):
+        return Err(claimed.err_value)
+    return Ok(Guard(ports.claims, claimed.ok_value))
+
+
+def make_digest(method: str, destination: Destination, body: bytes) -> str:
+    """Returns the SHA-256 (hex) that tells one call from another.
+
+    It covers service, method and path, so that a key cannot replay the answer
+    of another route.
+    """
+    head = f"{method} {destination.service.name} {destination.url}\n"
+    return hashlib.sha256(head.encode() + body).hexdigest()
+
+
+def make_replay_reply(record: ClaimRecord) -> Reply | Refusal:
+    """Returns the stored answer, or the refusal if it was too large."""
+    if record.body is None:
+        return Refusal(
+            409,
+            Execution.RAN,
+            Reason.KEY_REUSED,
+            "the call with this key ran; its answer was too large to store",
+            field=KEY_HEADER,
+            limit=f"{STORED_LIMIT_BYTES} bytes",
+        )
+    headers = (
+        ("Content-Type", record.content_type or "application/octet-stream"),
+        ("Content-Length", str(len(record.body))),
+        ("Idempotency-Replayed", "true"),
+    )
+    return Reply(record.status, headers, [record.body])
+
+
+__all__ = [
+    "FENCING_HEADER",
+    "KEY_HEADER",
+    "STORED_LIMIT_BYTES",
+    "Guard",
+    "make_answer",
+    "make_digest",
+    "make_replay_reply",
+    "open_guard",
+]
--- /dev/null
+++ b/src/burdockspan/http/completions.py
@@ -0,0 +1,215 @@
+"""Completion calls, whole and streamed."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+
+from result import Err, Ok, Result
+
+from burdockspan.configuration.document import Client, Configuration
+from burdockspan.endpoints.answers import make_shape_failure, parse_object
+from burdockspan.endpoints.connections import EndpointError, Exchange
+from burdockspan.endpoints.engine import ANSWER_LIMIT_BYTES
+from burdockspan.http.attempts import (
+    Job,
+    Run,
+    Stopped,
+    make_stop_refusal,
+    replace_attempt,
+    run_attempt,
+)
+from burdockspan.http.parsing import (
+    Request,
+    make_fingerprint,
+    parse_terms,
+    read_body,
+)
+from burdockspan.http.ports import Ports
+from burdockspan.http.prompts import Prompt, parse_prompt
+from burdockspan.http.refusals import Reply, make_refusal_reply
+from burdockspan.http.relay import ClosingBody, Relay
+from burdockspan.http.sse import make_error_event
+from burdockspan.values.placement import Event, Failure
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from burdockspan.values.submission import CallKind, Priority, Submission
+
+# A caller that has gone is counted under the status that proxies use for it.
+_STATUS_CALLER_GONE = 499
+
+
+def complete(
+    ports: Ports,
+    request: Request,
+    configuration: Configuration,
+    client: Client,
+    traceparent: str | None,
+) -> Reply:
+    """Answers a completion call."""
+    made = _make_job(ports, request, configuration, client, traceparent)
+    if isinstance(made, Err):
+        return make_refusal_reply(made.err_value, request.request_id)
+    run = Run(made.ok_value)
+    try:
+        outcome = _run_until_answer(run)
+    except BaseException:
+        run.finish(run.execution, 500)
+        raise
+    if isinstance(outcome, Err):
+        refusal = outcome.err_value
+        run.finish(refusal.execution, refusal.status)
+        return make_refusal_reply(refusal, request.request_id)
+    return outcome.ok_value
+
+
+def _make_job(
+    ports: Ports,
+    request: Request,
+    configuration: Configuration,
+    client: Client,
+    traceparent: str | None,
+) -> Result[Job, Refusal]:
+    policy = configuration.policy
+    terms = parse_terms(request, policy, Priority.PATIENT)
+    if isinstance(terms, Err):
+        return terms
+    raw = read_body(request, policy)
+    if isinstance(raw, Err):
+        return raw
+    parsed = parse_prompt(request.path, raw.ok_value, configuration)
+    if isinstance(parsed, Err):
+        return parsed
+    prompt = parsed.ok_value
+    submission = Submission(
+        request_id=request.request_id,
+        client=client.name,
+        kind=CallKind.COMPLETION,
+        target=prompt.model.name,
+        path=request.path,
+        priority=terms.ok_value.priority,
+        arrived_s=request.arrived_s,
+        deadline_s=terms.ok_value.deadline_s,
+        prompt_tokens=prompt.prompt_tokens,
+        max_tokens=prompt.max_tokens,
+        prefix=ports.block_hashes(prompt.text),
+        fingerprint=_make_prompt_fingerprint(client, prompt),
+        streamed=prompt.streamed,
+    )
+    body = json.dumps(prompt.body).encode()
+    return Ok(
+        Job(ports, policy, request, submission, prompt, body, traceparent)
+    )
+
+
+def _make_prompt_fingerprint(client: Client, prompt: Prompt) -> str:
+    return make_fingerprint(client.name, prompt.model.name, prompt.body)
+
+
+def _run_until_answer(run: Run) -> Result[Reply, Refusal]:
+    """Runs attempts until there is something to send to the caller."""
+    job = run.job
+    placed = job.ports.router.submit(job.submission, job.request.caller_gone)
+    while True:
+        if isinstance(placed, Err):
+            return placed
+        outcome: Result[Reply, Failure | Stopped]
+        started = run_attempt(run, placed.ok_value)
+        if isinstance(started, Err):
+            outcome = started
+        elif job.prompt.streamed:
+            outcome = _begin_stream(run, started.ok_value)
+        else:
+            outcome = _read_whole(run, started.ok_value)
+        if isinstance(outcome, Ok):
+            return outcome
+        replaced = replace_attempt(run, outcome.err_value)
+        if isinstance(replaced, Refusal):
+            return Err(replaced)
+        placed = replaced
+
+
+def _read_whole(
+    run: Run, exchange: Exchange
+) -> Result[Reply, Failure | Stopped]:
+    body = exchange.read(ANSWER_LIMIT_BYTES)
+    if isinstance(body, Err):
+        return Err(Stopped() if run.abort.aborted else body.err_value)
+    value = parse_object(body.ok_value)
+    if value is None or not isinstance(value.get("choices"), list):
+        endpoint = exchange.call.endpoint
+        return Err(make_shape_failure(endpoint, "answer is no completion"))
+    if not run.record(Event.FIRST_BYTE):
+        return Err(Stopped())
+    headers = (
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body.ok_value))),
+    )
+    run.finish(Execution.RAN, 200)
+    return Ok(Reply(200, headers, [body.ok_value]))
+
+
+def _begin_stream(
+    run: Run, exchange: Exchange
+) -> Result[Reply, Failure | Stopped]:
+    endpoint = exchange.call.endpoint
+    media_type = exchange.headers.get("Content-Type", "")
+    if not media_type.startswith("text/event-stream"):
+        exchange.close()
+        return Err(make_shape_failure(endpoint, "answer is no event stream"))
+    relay = Relay(run, endpoint, exchange)
+    parts = relay.iterate()
+    try:
+        first = next(parts, b"")
+    except EndpointError as error:
+        relay.close()
+        return Err(Stopped() if run.abort.aborted else error.failure)
+    if not run.record(Event.FIRST_BYTE):
+        relay.close()
+        return Err(Stopped())
+    ended = _End()
+    headers = (
+        ("Content-Type", "text/event-stream; charset=utf-8"),
+        ("Cache-Control", "no-cache"),
+    )
+
+    def clean_up() -> None:
+        relay.close()
+        run.finish(Execution.RAN, ended.status)
+
+    body = ClosingBody(_stream(run, first, parts, ended), clean_up)
+    return Ok(Reply(200, headers, body))
+
+
+class _End:
+    """How a stream ended; a caller that goes leaves the initial value."""
+
+    def __init__(self) -> None:
+        self.status = _STATUS_CALLER_GONE
+
+
+def _stream(
+    run: Run, first: bytes, parts: Iterator[bytes], ended: _End
+) -> Iterator[bytes]:
+    yield first
+    try:
+        yield from parts
+        ended.status = 200
+    except EndpointError as error:
+        refusal = _make_stream_refusal(run, error.failure)
+        ended.status = refusal.status
+        run.job.ports.metrics.count("streams.failed", 1)
+        yield make_error_event(refusal, run.job.request.request_id)
+
+
+def _make_stream_refusal(run: Run, failure: Failure) -> Refusal:
+    if run.abort.aborted or run.past_deadline():
+        return make_stop_refusal(run)
+    return Refusal(
+        502,
+        Execution.RAN,
+        Reason.ENDPOINT_FAILED,
+        f"the stream broke off: {failure.kind.value} at {failure.endpoint}",
+    )
+
+
+__all__ = ["complete"]
--- /dev/null
+++ b/src/burdockspan/http/prompts.py
@@ -0,0 +1,206 @@
+"""Parsing of the bodies of completion calls."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import math
+from typing import Any
+
+from result import Err, Ok, Result
+
+from burdockspan.configuration.document import Configuration, Model, Service
+from burdockspan.http.parsing import parse_json_object
+from burdockspan.http.refusals import make_malformed
+from burdockspan.values.refusal import Execution, Reason, Refusal
+
+COMPLETIONS_PATH = "/v1/completions"
+CHAT_PATH = "/v1/chat/completions"
+
+# Sent on to the engine when the caller names no limit, so that the reserved
+# memory bounds what the engine generates.
+DEFAULT_MAX_TOKENS = 256
+_BYTES_PER_TOKEN = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Prompt:
+    """A parsed completion call.
+
+    Attributes:
+      body: body as sent to the engines.
+      service: service whose engines serve the model.
+      model: the model.
+      text: prompt text for prefix hashes.
+      prompt_tokens: estimated tokens, one for four bytes.
+      max_tokens: most tokens that may be generated.
+      streamed: whether the caller asked for server-sent events.
+    """
+
+    body: dict[str, Any]
+    service: Service
+    model: Model
+    text: str
+    prompt_tokens: int
+    max_tokens: int
+    streamed: bool
+
+
+def parse_prompt(
+    path: str, raw: bytes, configuration: Configuration
+) -> Result[Prompt, Refusal]:
+    """Parses and checks the body of a completion call."""
+    parsed = parse_json_object(raw)
+    if isinstance(parsed, Err):
+        return parsed
+    body = parsed.ok_value
+    found = _find_model(body, configuration)
+    if isinstance(found, Err):
+        return found
+    service, model = found.ok_value
+    field = "messages" if path == CHAT_PATH else "prompt"
+    problem = _check_fields(body, field)
+    if problem is not None:
+        return Err(problem)
+    max_field, max_tokens = _get_max_tokens(body)
+    text, tokens = _measure(body[field])
+    prompt = Prompt(
+        {**body, max_field: max_tokens},
+        service,
+        model,
+        text,
+        tokens,
+        max_tokens,
+        body.get("stream") is True,
+    )
+    return _check_size(prompt, field, max_field)
+
+
+def _find_model(
+    body: dict[str, Any], configuration: Configuration
+) -> Result[tuple[Service, Model], Refusal]:
+    name = body.get("model")
+    if name is None:
+        return Err(make_malformed("model", "model is missing"))
+    if not isinstance(name, str):
+        return Err(make_malformed("model", "model must be a string"))
+    for service in configuration.services:
+        for model in service.models:
+            if name == model.name:
+                return Ok((service, model))
+    return Err(
+        Refusal(
+            404,
+            Execution.NOT_RUN,
+            Reason.UNKNOWN_MODEL,
+            f"model {name[:200]!r} does not exist",
+            field="model",
+        )
+    )
+
+
+def _check_fields(body: dict[str, Any], field: str) -> Refusal | None:
+    if field not in body:
+        return make_malformed(field, f"{field} is missing")
+    value = body[field]
+    valid = _is_messages(value) if field == "messages" else _is_prompt(value)
+    if not valid:
+        kinds = "a list of messages with a role"
+        if field == "prompt":
+            kinds = "a string, a list of strings or a list of token numbers"
+        return make_malformed(field, f"{field} must be {kinds}")
+    if body.get("stream") not in (None, True, False):
+        return make_malformed("stream", "stream must be true or false")
+    for name in ("max_tokens", "max_completion_tokens"):
+        count = body.get(name)
+        if count is not None and not (_is_whole(count) and count >= 1):
+            return make_malformed(
+                name, f"{name} must be a whole number from 1", "at least 1"
+            )
+    if body.get("n") not in (None, 1):
+        return make_malformed("n", "n must be 1", "1")
+    if body.get("best_of") not in (None, 1):
+        return make_malformed("best_of", "best_of must be 1", "1")
+    return None
+
+
+def _get_max_tokens(body: dict[str, Any]) -> tuple[str, int]:
+    for name in ("max_completion_tokens", "max_tokens"):
+        if body.get(name) is not None:
+            return name, body[name]
+    return "max_tokens", DEFAULT_MAX_TOKENS
+
+
+def _measure(value: Any) -> tuple[str, int]:
+    if isinstance(value, str):
+        return value, math.ceil(len(value.encode()) / _BYTES_PER_TOKEN)
+    if value and all(_is_whole(item) for item in value):
+        return json.dumps(value), len(value)
+    text = json.dumps(value, ensure_ascii=False)
+    # A lone surrogate is valid in JSON but not in UTF-8.
+    size = len(text.encode(errors="surrogatepass"))
+    return text, math.ceil(size / _BYTES_PER_TOKEN)
+
+
+def _check_size(
+    prompt: Prompt, field: str, max_field: str
+) -> Result[Prompt, Refusal]:
+    service = prompt.service
+    limit = min(
+        service.pieces * service.piece_tokens, prompt.model.context_tokens
+    )
+    if prompt.prompt_tokens >= limit:
+        at_fault = field
+        detail = f"{field} has about {prompt.prompt_tokens} tokens"
+    elif prompt.prompt_tokens + prompt.max_tokens > limit:
+        at_fault = max_field
+        detail = (
+            f"{field} and {max_field} need about "
+            f"{prompt.prompt_tokens + prompt.max_tokens} tokens"
+        )
+    else:
+        return Ok(prompt)
+    return Err(
+        Refusal(
+            400,
+            Execution.NOT_RUN,
+            Reason.PROMPT_TOO_LARGE,
+            f"{detail}; an engine holds {limit} for prompt and answer",
+            field=at_fault,
+            limit=f"{limit} tokens",
+        )
+    )
+
+
+def _is_prompt(value: Any) -> bool:
+    if isinstance(value, str):
+        return True
+    if not isinstance(value, list) or not value:
+        return False
+    return all(isinstance(item, str) for item in value) or all(
+        _is_whole(item) for item in value
+    )
+
+
+def _is_messages(value: Any) -> bool:
+    return (
+        isinstance(value, list)
+        and bool(value)
+        and all(
+            isinstance(item, dict) and isinstance(item.get("role"), str)
+            for item in value
+        )
+    )
+
+
+def _is_whole(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+__all__ = [
+    "CHAT_PATH",
+    "COMPLETIONS_PATH",
+    "DEFAULT_MAX_TOKENS",
+    "Prompt",
+    "parse_prompt",
+]
--- /dev/null
+++ b/src/burdockspan/http/refusals.py
@@ -0,0 +1,127 @@
+"""Refusals as RFC 9457 problem documents that OpenAI clients understand."""
+
+from __future__ import annotations
+
+import dataclasses
+import http
+import json
+import math
+from collections.abc import Iterable
+from typing import Any
+
+from burdockspan.values.refusal import Execution, Reason, Refusal
+
+_TYPE_PREFIX = "urn:burdockspan:refusal:"
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """An answer to a caller.
+
+    Attributes:
+      status: HTTP status.
+      headers: headers without the request identity.
+      body: parts of the body; its `close`, if any, is called at the end.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: Iterable[bytes]
+
+
+def make_problem(refusal: Refusal, request_id: str) -> bytes:
+    """Returns the body of a refusal."""
+    value: dict[str, Any] = {
+        "type": _TYPE_PREFIX + refusal.reason.value,
+        "title": _make_title(refusal.status),
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "outcome": refusal.execution.value,
+        "reason": refusal.reason.value,
+        "request_id": request_id,
+        "error": {
+            "message": refusal.detail,
+            "type": _make_error_type(refusal.status),
+            "code": refusal.reason.value,
+            "param": refusal.field,
+        },
+    }
+    if refusal.field is not None:
+        value["field"] = refusal.field
+    if refusal.limit is not None:
+        value["limit"] = refusal.limit
+    return json.dumps(value).encode()
+
+
+def make_refusal_reply(refusal: Refusal, request_id: str) -> Reply:
+    """Returns the answer of a refusal."""
+    body = make_problem(refusal, request_id)
+    headers = [
+        ("Content-Type", "application/problem+json"),
+        ("Content-Length", str(len(body))),
+    ]
+    if refusal.retry_after_s is not None:
+        # Retry-After takes whole seconds; rounding up never invites a caller
+        # too early.
+        seconds = max(1, math.ceil(refusal.retry_after_s))
+        headers.append(("Retry-After", str(seconds)))
+    else:
+        # OpenAI clients repeat 409, 429 and 5xx on their own without this.
+        headers.append(("x-should-retry", "false"))
+    if refusal.status == 401:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    return Reply(refusal.status, tuple(headers), [body])
+
+
+def make_json_reply(status: int, value: object) -> Reply:
+    """Returns an answer of JSON values."""
+    body = json.dumps(value).encode()
+    headers = (
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    )
+    return Reply(status, headers, [body])
+
+
+def make_malformed(
+    field: str, detail: str, limit: str | None = None, status: int = 400
+) -> Refusal:
+    """Returns the refusal of malformed input, which did not run."""
+    return Refusal(
+        status,
+        Execution.NOT_RUN,
+        Reason.MALFORMED,
+        detail,
+        field=field,
+        limit=limit,
+    )
+
+
+def make_status_line(status: int) -> str:
+    """Returns status and phrase as WSGI wants them."""
+    return f"{status} {_make_title(status)}"
+
+
+def _make_title(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
+
+
+def _make_error_type(status: int) -> str:
+    if status == 401:
+        return "authentication_error"
+    if status == 429:
+        return "rate_limit_error"
+    return "invalid_request_error" if status < 500 else "server_error"
+
+
+__all__ = [
+    "Reply",
+    "make_json_reply",
+    "make_malformed",
+    "make_problem",
+    "make_refusal_reply",
+    "make_status_line",
+]
--- /dev/null
+++ b/src/burdockspan/http/relay.py
@@ -0,0 +1,142 @@
+"""Relay of a decode engine's stream, resumed after silence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from result import Err
+
+from burdockspan.endpoints import engine
+from burdockspan.endpoints.answers import make_shape_failure
+from burdockspan.endpoints.connections import EndpointError, Exchange
+from burdockspan.endpoints.engine import Waits
+from burdockspan.http.attempts import Run, make_link
+from burdockspan.http.sse import EventFilter, StreamError
+from burdockspan.values.endpoint import Endpoint
+from burdockspan.values.placement import Failure, FailureKind
+
+_RESUME_LIMIT_COUNT = 3
+# The end of the chunked body follows the last event at once; without it, the
+# connection is closed instead of kept.
+_DRAIN_S = 0.05
+_RESUMABLE = (FailureKind.SILENT, FailureKind.CONNECTION_LOST)
+
+
+class Relay:
+    """A stream from one decode engine, on one connection after another."""
+
+    def __init__(self, run: Run, endpoint: Endpoint, first: Exchange) -> None:
+        self._run = run
+        self._endpoint = endpoint
+        self._exchange = first
+        self._filter = EventFilter()
+        self._resumed_without_data = 0
+
+    def iterate(self) -> Iterator[bytes]:
+        """Yields whole events up to the end of the stream.
+
+        Raises:
+          EndpointError: the stream broke off and could not be resumed.
+        """
+        while True:
+            failure = None
+            try:
+                yield from self._pass_on()
+            except EndpointError as error:
+                failure = error.failure
+            except StreamError as error:
+                self.close()
+                raise EndpointError(
+                    make_shape_failure(self._endpoint, str(error))
+                ) from error
+            if self._filter.done:
+                self._drain()
+                return
+            self._resume(failure or self._make_truncated())
+
+    def close(self) -> None:
+        """Closes the connection, which is kept if the answer is complete."""
+        self._exchange.close()
+
+    def _pass_on(self) -> Iterator[bytes]:
+        feed = self._filter.feed
+        for part in self._exchange.iterate():
+            events = feed(part)
+            if events:
+                self._resumed_without_data = 0
+                yield events
+                if self._filter.done:
+                    return
+
+    def _drain(self) -> None:
+        self._exchange.limit_silence(_DRAIN_S)
+        try:
+            for _ in self._exchange.iterate():
+                pass
+        except EndpointError:
+            pass
+        self.close()
+
+    def _resume(self, failure: Failure) -> None:
+        self.close()
+        run = self._run
+        while True:
+            if (
+                failure.kind not in _RESUMABLE
+                or run.abort.aborted
+                or run.past_deadline()
+                or self._resumed_without_data >= _RESUME_LIMIT_COUNT
+            ):
+                raise EndpointError(failure)
+            self._resumed_without_data += 1
+            self._filter.restart()
+            run.job.ports.metrics.count("streams.resumed", 1)
+            silence_s = run.job.policy.stream_silence_s
+            resumed = engine.resume(
+                make_link(run, self._endpoint),
+                self._filter.last,
+                Waits(silence_s, silence_s),
+            )
+            if not isinstance(resumed, Err):
+                self._exchange = resumed.ok_value
+                address = self._endpoint.address
+                run.job.ports.connections.close_older(address)
+                return
+            failure = resumed.err_value
+
+    def _make_truncated(self) -> Failure:
+        return Failure(
+            FailureKind.CONNECTION_LOST,
+            self._endpoint.name,
+            "stream ended before its last event",
+        )
+
+
+class ClosingBody:
+    """A WSGI body that runs a function when the server is done with it.
+
+    A generator that was never started does not run its `finally` clause when
+    it is closed, so that the clean-up cannot be part of it.
+    """
+
+    def __init__(
+        self, parts: Iterator[bytes], clean_up: Callable[[], None]
+    ) -> None:
+        self._parts = parts
+        self._clean_up = clean_up
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._parts
+
+    def close(self) -> None:
+        """Closes the parts and cleans up; further calls have no effect."""
+        clean_up, self._clean_up = self._clean_up, lambda: None
+        try:
+            close = getattr(self._parts, "close", None)
+            if close is not None:
+                close()
+        finally:
+            clean_up()
+
+
+__all__ = ["ClosingBody", "Relay"]
--- /dev/null
+++ b/src/burdockspan/http/routes.py
@@ -0,0 +1,99 @@
+"""Choice of the route of a plain service call."""
+
+from __future__ import annotations
+
+import dataclasses
+from urllib import parse
+
+from result import Err, Ok, Result
+
+from burdockspan.configuration.document import Configuration, Route, Service
+from burdockspan.http.parsing import Request
+from burdockspan.http.refusals import make_malformed
+from burdockspan.values.refusal import Execution, Reason, Refusal
+
+SERVICES_PREFIX = "/services/"
+
+
+@dataclasses.dataclass(frozen=True)
+class Destination:
+    """Where a plain service call goes.
+
+    Attributes:
+      service: the service.
+      route: the route with the longest prefix of the path.
+      path: decoded path at the service, from `/`.
+      url: percent-encoded path and query.
+    """
+
+    service: Service
+    route: Route
+    path: str
+    url: str
+
+
+def find_destination(
+    request: Request, configuration: Configuration
+) -> Result[Destination, Refusal]:
+    """Returns the destination of a call under `/services/`."""
+    name, _, rest = request.path.removeprefix(SERVICES_PREFIX).partition("/")
+    service = next(
+        (
+            service
+            for service in configuration.services
+            if service.name == name and service.routes
+        ),
+        None,
+    )
+    if service is None:
+        detail = f"service {name[:200]!r} does not exist"
+        return Err(_make_unknown(Reason.UNKNOWN_SERVICE, detail))
+    path = "/" + rest
+    # A service that resolves these segments would act on another path than
+    # the one that its route was chosen for.
+    segments = path.split("/")[1:]
+    if any(part in (".", "..") for part in segments) or "//" in path:
+        detail = "path must not contain empty, '.' or '..' segments"
+        return Err(make_malformed("path", detail))
+    route = _find_route(service, path)
+    if route is None:
+        detail = f"service {name!r} has no route for {path[:200]!r}"
+        return Err(_make_unknown(Reason.UNKNOWN_PATH, detail))
+    if request.method not in route.methods:
+        return Err(make_method_refusal(request.method, route.methods))
+    url = parse.quote(path, safe="/:@!$&'()*+,;=~-._")
+    if request.query:
+        url += "?" + request.query
+    return Ok(Destination(service, route, path, url))
+
+
+def make_method_refusal(method: str, allowed: tuple[str, ...]) -> Refusal:
+    """Returns the refusal of a method that a path does not allow."""
+    names = ", ".join(allowed)
+    return Refusal(
+        405,
+        Execution.NOT_RUN,
+        Reason.METHOD_NOT_ALLOWED,
+        f"method {method} is not allowed here",
+        field="method",
+        limit=names,
+    )
+
+
+def _find_route(service: Service, path: str) -> Route | None:
+    matching = [
+        route for route in service.routes if path.startswith(route.prefix)
+    ]
+    return max(matching, key=lambda route: len(route.prefix), default=None)
+
+
+def _make_unknown(reason: Reason, detail: str) -> Refusal:
+    return Refusal(404, Execution.NOT_RUN, reason, detail, field="path")
+
+
+__all__ = [
+    "SERVICES_PREFIX",
+    "Destination",
+    "find_destination",
+    "make_method_refusal",
+]
--- /dev/null
+++ b/src/burdockspan/http/services.py
@@ -0,0 +1,319 @@
+"""Calls of plain services."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import dataclasses
+from collections.abc import Iterator
+
+from result import Err, Ok, Result
+
+from burdockspan.claims.record import Replay
+from burdockspan.configuration.document import Client, Configuration
+from burdockspan.endpoints.answers import may_have_run
+from burdockspan.endpoints.connections import Abort, Call, EndpointError
+from burdockspan.endpoints.service import ServiceAnswer, call_service
+from burdockspan.http.claiming import (
+    FENCING_HEADER,
+    STORED_LIMIT_BYTES,
+    Guard,
+    make_answer,
+    make_replay_reply,
+    open_guard,
+)
+from burdockspan.http.headers import make_answer_headers, make_service_headers
+from burdockspan.http.parsing import (
+    Request,
+    make_fingerprint,
+    parse_terms,
+    read_body,
+)
+from burdockspan.http.ports import Ports
+from burdockspan.http.refusals import Reply, make_refusal_reply
+from burdockspan.http.relay import ClosingBody
+from burdockspan.http.routes import Destination, find_destination
+from burdockspan.values.placement import Event, Failure, Placement
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from burdockspan.values.submission import CallKind, Submission
+
+_LEAST_WAIT_S = 0.01
+
+
+class AnswerBrokenError(OSError):
+    """Ends an answer whose rest is missing.
+
+    waitress closes the connection on an OSError without the final chunk, so
+    that the caller sees an incomplete body.
+    """
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceJob:
+    """A plain service call that is to be run."""
+
+    ports: Ports
+    request: Request
+    submission: Submission
+    destination: Destination
+    body: bytes
+    guard: Guard
+    traceparent: str | None
+
+
+def call_plain_service(
+    ports: Ports,
+    request: Request,
+    configuration: Configuration,
+    client: Client,
+    traceparent: str | None,
+) -> Reply:
+    """Answers a call under `/services/`."""
+    made = _make_job(ports, request, configuration, client, traceparent)
+    if isinstance(made, Err):
+        problem = made.err_value
+        if isinstance(problem, Replay):
+            ports.metrics.count("claims.replayed", 1)
+            replayed = make_replay_reply(problem.record)
+            if isinstance(replayed, Reply):
+                return replayed
+            problem = replayed
+        return make_refusal_reply(problem, request.request_id)
+    job = made.ok_value
+    try:
+        outcome = _dispatch(job)
+    except BaseException:
+        job.guard.refuse(Execution.UNKNOWN)
+        ports.router.finish(request.request_id, Execution.UNKNOWN, 500)
+        raise
+    if isinstance(outcome, Ok):
+        return outcome.ok_value
+    refusal = outcome.err_value
+    job.guard.refuse(refusal.execution)
+    ports.router.finish(request.request_id, refusal.execution, refusal.status)
+    return make_refusal_reply(refusal, request.request_id)
+
+
+def _make_job(
+    ports: Ports,
+    request: Request,
+    configuration: Configuration,
+    client: Client,
+    traceparent: str | None,
+) -> Result[ServiceJob, Refusal | Replay]:
+    found = find_destination(request, configuration)
+    if isinstance(found, Err):
+        return Err(found.err_value)
+    destination = found.ok_value
+    policy, route = configuration.policy, destination.route
+    terms = parse_terms(request, policy, route.priority)
+    if isinstance(terms, Err):
+        return Err(terms.err_value)
+    read = read_body(request, policy)
+    if isinstance(read, Err):
+        return Err(read.err_value)
+    body = read.ok_value
+    guarded = open_guard(ports, request, client, destination, body)
+    if isinstance(guarded, Err):
+        return guarded
+    name = destination.service.name
+    target = f"{request.method} {name} {destination.url}"
+    submission = Submission(
+        request_id=request.request_id,
+        client=client.name,
+        kind=CallKind.SERVICE,
+        target=name,
+        path=destination.url,
+        priority=terms.ok_value.priority,
+        arrived_s=request.arrived_s,
+        deadline_s=terms.ok_value.deadline_s,
+        fingerprint=make_fingerprint(
+            client.name, target, body.decode("latin-1")
+        ),
+        idempotent=route.idempotent,
+    )
+    return Ok(
+        ServiceJob(
+            ports,
+            request,
+            submission,
+            destination,
+            body,
+            guarded.ok_value,
+            traceparent,
+        )
+    )
+
+
+def _dispatch(job: ServiceJob) -> Result[Reply, Refusal]:
+    router = job.ports.router
+    placed = router.submit(job.submission, job.request.caller_gone)
+    execution = Execution.NOT_RUN
+    while True:
+        if isinstance(placed, Err):
+            refusal = placed.err_value
+            if refusal.execution is Execution.NOT_RUN:
+                refusal = dataclasses.replace(refusal, execution=execution)
+            return Err(refusal)
+        placement = placed.ok_value
+        abort = Abort()
+        router.attach(placement.attempt, abort.abort)
+        if not router.record(placement.attempt, Event.DISPATCHED):
+            return Err(_make_stop_refusal(job, execution))
+        outcome = _run_attempt(job, placement, abort)
+        if isinstance(outcome, Ok):
+            return outcome
+        failure = outcome.err_value
+        if isinstance(failure, Refusal):
+            return Err(failure)
+        if may_have_run(failure):
+            execution = Execution.UNKNOWN
+        if abort.aborted:
+            return Err(_make_stop_refusal(job, execution))
+        job.ports.metrics.count(f"attempts.failed.{failure.kind.value}", 1)
+        placed = router.replace(placement.attempt, failure)
+        if may_have_run(failure) and not job.submission.idempotent:
+            return Err(_make_unknown_refusal(failure))
+
+
+def _run_attempt(
+    job: ServiceJob, placement: Placement, abort: Abort
+) -> Result[Reply, Failure | Refusal]:
+    ports = job.ports
+    began_s = ports.clock()
+    assert placement.service is not None
+    with ports.traces.span(
+        "service", job.traceparent, {"endpoint": placement.service.name}
+    ) as onwards:
+        call = _make_call(job, placement, onwards)
+        started = call_service(
+            ports.connections, call, placement.attempt, abort
+        )
+    ports.metrics.time("hops.service", ports.clock() - began_s)
+    if isinstance(started, Err):
+        return started
+    return _begin_answer(job, placement, started.ok_value)
+
+
+def _make_call(
+    job: ServiceJob, placement: Placement, traceparent: str | None
+) -> Call:
+    route = job.destination.route
+    headers = make_service_headers(job.request.environ)
+    if job.guard.held is not None:
+        headers[FENCING_HEADER] = str(job.guard.held.version)
+    if traceparent is not None:
+        headers["traceparent"] = traceparent
+    left_s = job.submission.deadline_s - job.ports.clock()
+    wait_s = max(_LEAST_WAIT_S, min(route.timeout_s, left_s))
+    assert placement.service is not None
+    return Call(
+        placement.service,
+        job.request.method,
+        job.destination.url,
+        job.body or None,
+        headers,
+        wait_s,
+        wait_s,
+        fresh=not route.idempotent,
+    )
+
+
+def _begin_answer(
+    job: ServiceJob, placement: Placement, answer: ServiceAnswer
+) -> Result[Reply, Failure | Refusal]:
+    exchange = answer.exchange
+    parts = exchange.iterate() if answer.body is None else iter([answer.body])
+    try:
+        first = next(parts, b"")
+    except EndpointError as error:
+        exchange.close()
+        return Err(error.failure)
+    body = _relay(job, answer, first, parts)
+    if not job.ports.router.record(placement.attempt, Event.FIRST_BYTE):
+        # An answer that is no longer wanted still settles the claim.
+        with contextlib.suppress(AnswerBrokenError):
+            collections.deque(body, maxlen=0)
+        exchange.close()
+        return Err(_make_stop_refusal(job, Execution.RAN))
+    status = exchange.status
+
+    def clean_up() -> None:
+        exchange.close()
+        job.guard.refuse(Execution.UNKNOWN)
+        job.ports.router.finish(job.request.request_id, Execution.RAN, status)
+
+    headers = make_answer_headers(exchange.headers.items())
+    return Ok(Reply(status, headers, ClosingBody(body, clean_up)))
+
+
+def _relay(
+    job: ServiceJob,
+    answer: ServiceAnswer,
+    first: bytes,
+    parts: Iterator[bytes],
+) -> Iterator[bytes]:
+    if job.guard.held is None:
+        return _pass_on(first, parts)
+    return _pass_on_and_settle(job, answer, first, parts)
+
+
+def _pass_on(first: bytes, parts: Iterator[bytes]) -> Iterator[bytes]:
+    yield first
+    try:
+        yield from parts
+    except EndpointError as error:
+        raise AnswerBrokenError(str(error)) from error
+
+
+def _pass_on_and_settle(
+    job: ServiceJob,
+    answer: ServiceAnswer,
+    first: bytes,
+    parts: Iterator[bytes],
+) -> Iterator[bytes]:
+    # The last part is held back until the claim is settled, so that a caller
+    # that has the whole answer finds its outcome.
+    collected, last = bytearray(first), first
+    for part in _pass_on(b"", parts):
+        if not part:
+            continue
+        if len(collected) <= STORED_LIMIT_BYTES:
+            collected += part
+        yield last
+        last = part
+    exchange = answer.exchange
+    media_type = exchange.headers.get("Content-Type", "")
+    job.guard.settle(make_answer(exchange.status, media_type, bytes(collected)))
+    yield last
+
+
+def _make_unknown_refusal(failure: Failure) -> Refusal:
+    return Refusal(
+        502,
+        Execution.UNKNOWN,
+        Reason.ENDPOINT_FAILED,
+        f"the service did not answer: {failure.kind.value} at "
+        f"{failure.endpoint}; the call may have run",
+    )
+
+
+def _make_stop_refusal(job: ServiceJob, execution: Execution) -> Refusal:
+    if job.ports.clock() >= job.submission.deadline_s:
+        return Refusal(
+            504,
+            execution,
+            Reason.DEADLINE,
+            "the deadline passed before the answer was complete",
+            field="Burdockspan-Deadline",
+        )
+    return Refusal(
+        503,
+        execution,
+        Reason.CANCELLED,
+        "the request was cancelled or is no longer current",
+        retry_after_s=1.0,
+    )
+
+
+__all__ = ["AnswerBrokenError", "call_plain_service"]
--- /dev/null
+++ b/tests/http/test_completions.py
@@ -0,0 +1,212 @@
+from __future__ import annotations
+
+import json
+
+from burdockspan.values.placement import Event, FailureKind
+from burdockspan.values.refusal import Execution
+from tests.support.caller import ServedTest
+from tests.support.endpoint_fake import TOKENS, Handler, make_token
+
+_ALL_EVENTS = [
+    "reserved",
+    "prefill_sent",
+    "prefilled",
+    "transferred",
+    "decode_sent",
+    "first_byte",
+]
+_WHOLE_STREAM = b"".join(make_token(index) for index in range(TOKENS))
+_DONE = b"data: [DONE]\n\n"
+
+
+class WholeTest(ServedTest):
+    def test_whole_answer_reports_each_step_and_releases_memory(self) -> None:
+        answer = self.complete()
+        self.assertEqual(answer.status, 200, answer.body)
+        self.assertEqual(answer.problem()["choices"][0]["text"], "t0 t1 ")
+        self.assertEqual(self.router.events(), _ALL_EVENTS)
+        self.assertEqual(self.router.finished(), [(Execution.RAN, 200)])
+        self.assertEqual(self.router.released(), ["decode-1", "prefill-1"])
+
+    def test_body_without_max_tokens_is_bounded_for_the_engine(self) -> None:
+        # Guards the reservation: an engine must not generate more than the
+        # reserved memory holds.
+        self.complete(max_tokens=None)
+        body = json.loads(self.decode.received[-1].body)
+        assert self.router.submission is not None
+        self.assertEqual(body["max_tokens"], self.router.submission.max_tokens)
+
+    def test_malformed_answer_is_never_passed_on(self) -> None:
+        # Guards P3 against an answer of the wrong shape.
+        self.decode.scripts["POST /v1/"] = lambda one: one.send(200, [1])
+        answer = self.complete()
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(answer.problem()["outcome"], "unknown")
+        self.assertEqual(
+            self.router.log.count(("replace", FailureKind.ENDPOINT_ERROR)), 2
+        )
+
+    def test_truncated_answer_is_never_passed_on(self) -> None:
+        def truncate(one: Handler) -> None:
+            one.send(200, b'{"choices":[]}', {"Content-Length": "90"})
+            one.break_off()
+
+        self.decode.scripts["POST /v1/"] = truncate
+        self.assertEqual(self.complete().status, 502)
+
+    def test_answer_of_another_attempt_is_never_passed_on(self) -> None:
+        # Guards P3 against a late answer on a reused connection.
+        self.decode.scripts["POST /v1/"] = lambda one: one.send(
+            200, {"choices": []}, {"Burdockspan-Attempt": "other:1:1"}
+        )
+        self.assertEqual(self.complete().status, 502)
+
+    def test_full_engine_is_replaced_before_prefill(self) -> None:
+        self.decode.scripts["POST /reservations"] = lambda one: one.send(
+            409, {}
+        )
+        self.complete()
+        self.assertIn(("replace", FailureKind.FULL), self.router.log)
+        self.assertEqual(self.prefill.count("POST /prefill"), 0)
+
+    def test_stale_attempt_stops_before_the_next_step(self) -> None:
+        # Guards P1 and P2: a superseded attempt must not go on.
+        self.router.current = lambda event: event is not Event.TRANSFERRED
+        answer = self.complete()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.problem()["outcome"], "ran")
+        self.assertEqual(self.decode.count("POST /v1/"), 0)
+        self.assertEqual(self.router.released(), ["decode-1", "prefill-1"])
+
+    def test_stop_before_prefill_is_not_run(self) -> None:
+        self.router.current = lambda event: event is not Event.PREFILL_SENT
+        self.assertEqual(self.complete().problem()["outcome"], "not_run")
+        self.assertEqual(self.prefill.count("POST /prefill"), 0)
+
+    def test_expired_cache_is_replaced(self) -> None:
+        self.decode.scripts["POST /imports"] = lambda one: one.send(404, {})
+        self.complete()
+        self.assertIn(("replace", FailureKind.CACHE_EXPIRED), self.router.log)
+
+
+class StreamTest(ServedTest):
+    def test_stream_arrives_whole(self) -> None:
+        answer = self.complete(stream=True)
+        self.assertEqual(answer.body, _WHOLE_STREAM + _DONE)
+        self.wait_until(lambda: bool(self.router.finished()))
+        self.assertEqual(self.router.finished(), [(Execution.RAN, 200)])
+        self.assertEqual(self.router.released(), ["decode-1", "prefill-1"])
+
+    def test_silent_stream_resumes_without_repeats_or_gaps(self) -> None:
+        def fall_silent(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(0, 3)
+            one.server.closing.wait()
+
+        def resume(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(1, TOKENS)
+            one.end_stream()
+
+        self.decode.scripts["POST /v1/"] = fall_silent
+        self.decode.scripts["GET /attempts/"] = resume
+        answer = self.complete(stream=True)
+        self.assertEqual(answer.body, _WHOLE_STREAM + _DONE)
+        self.assertTrue(self.decode.received[-1].path.endswith("after=2"))
+
+    def test_truncated_stream_resumes(self) -> None:
+        # Guards P3: a clean end without the last event is not complete.
+        def end_early(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(0, 2)
+            one.wfile.write(b"0\r\n\r\n")
+
+        def resume(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(2, TOKENS)
+            one.end_stream()
+
+        self.decode.scripts["POST /v1/"] = end_early
+        self.decode.scripts["GET /attempts/"] = resume
+        answer = self.complete(stream=True)
+        self.assertEqual(answer.body, _WHOLE_STREAM + _DONE)
+
+    def test_lost_stream_ends_with_an_error_event(self) -> None:
+        def break_off(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(0, 2)
+            one.break_off()
+
+        self.decode.scripts["POST /v1/"] = break_off
+        answer = self.complete(stream=True)
+        self.assertNotIn(b"[DONE]", answer.body)
+        event, data = answer.body.split(b"\n\n")[-2].split(b"\n")
+        self.assertEqual(event, b"event: error")
+        problem = json.loads(data.removeprefix(b"data: "))
+        self.assertEqual(problem["outcome"], "ran")
+        self.wait_until(lambda: bool(self.router.finished()))
+        self.assertEqual(self.router.finished(), [(Execution.RAN, 502)])
+
+    def test_missing_token_is_never_hidden(self) -> None:
+        def skip(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(0, 1)
+            one.send_tokens(2, TOKENS)
+            one.end_stream()
+
+        self.decode.scripts["POST /v1/"] = skip
+        answer = self.complete(stream=True)
+        self.assertTrue(answer.body.startswith(make_token(0)))
+        self.assertIn(b"event: error", answer.body)
+        self.assertNotIn(make_token(2), answer.body)
+
+    def test_failure_before_the_first_byte_is_replaced(self) -> None:
+        tries: list[int] = []
+
+        def fail_once(one: Handler) -> None:
+            tries.append(1)
+            one.begin_stream()
+            if len(tries) == 1:
+                one.break_off()
+                return
+            one.send_tokens(0, TOKENS)
+            one.end_stream()
+
+        self.decode.scripts["POST /v1/"] = fail_once
+        answer = self.complete(stream=True)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, _WHOLE_STREAM + _DONE)
+
+    def test_caller_that_leaves_releases_the_attempt(self) -> None:
+        # Guards P1 for a caller that goes in the middle of a stream.
+        def endless(one: Handler) -> None:
+            one.begin_stream()
+            index = 0
+            while not one.server.closing.wait(0.005):
+                one.send_tokens(index, index + 1)
+                index += 1
+
+        self.decode.scripts["POST /v1/"] = endless
+        value = {"model": "m1", "prompt": "x", "stream": True}
+        connection, response = self.open("POST", "/v1/completions", value)
+        response.read(100)
+        response.close()
+        connection.close()
+        self.wait_until(lambda: bool(self.router.finished()))
+        self.assertEqual(self.router.finished(), [(Execution.RAN, 499)])
+        self.assertEqual(self.router.released(), ["decode-1", "prefill-1"])
+
+    def test_abort_from_another_thread_ends_a_silent_stream(self) -> None:
+        def fall_silent(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(0, 1)
+            one.server.closing.wait()
+
+        self.decode.scripts["POST /v1/"] = fall_silent
+        value = {"model": "m1", "prompt": "x", "stream": True}
+        _, response = self.open("POST", "/v1/completions", value)
+        response.read(10)
+        self.router.aborts[-1]()
+        self.assertIn(b"event: error", response.read())
+        self.wait_until(lambda: bool(self.router.finished()))
+        self.assertEqual(self.router.finished(), [(Execution.RAN, 503)])
--- /dev/null
+++ b/tests/support/endpoint_fake.py
@@ -0,0 +1,198 @@
+"""A small in-process endpoint whose answers a test scripts."""
+
+from __future__ import annotations
+
+import dataclasses
+import http.server
+import json
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from burdockspan.values.endpoint import Endpoint, Pool
+
+Script = Callable[["Handler"], None]
+TOKENS = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """One request that the endpoint received."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    client: tuple[str, int]
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Runs the script of a request; the longest matching prefix wins."""
+
+    protocol_version = "HTTP/1.1"
+    server: EndpointFake
+    body: bytes
+
+    def handle_one_request(self) -> None:
+        try:
+            super().handle_one_request()
+        except OSError:
+            self.close_connection = True
+
+    def dispatch(self) -> None:
+        length = int(self.headers.get("Content-Length") or 0)
+        self.body = self.rfile.read(length)
+        line = f"{self.command} {self.path}"
+        self.server.received.append(
+            Received(
+                self.command,
+                self.path,
+                dict(self.headers),
+                self.body,
+                self.client_address,
+            )
+        )
+        matching = [key for key in self.server.scripts if line.startswith(key)]
+        if not matching:
+            self.send(404, {"detail": "not scripted"})
+            return
+        self.server.scripts[max(matching, key=len)](self)
+
+    do_GET = do_POST = do_DELETE = do_PUT = dispatch  # noqa: N815
+
+    def send(
+        self, status: int, value: Any, headers: dict[str, str] | None = None
+    ) -> None:
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.send_response(status)
+        sent = {"Content-Type": "application/json", **(headers or {})}
+        sent.setdefault("Content-Length", str(len(body)))
+        for name, text in sent.items():
+            self.send_header(name, text)
+        self.end_headers()
+        self.wfile.write(body)
+
+    def begin_stream(self, media_type: str = "text/event-stream") -> None:
+        self.send_response(200)
+        self.send_header("Content-Type", media_type)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+
+    def send_part(self, part: bytes) -> None:
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(part), part))
+
+    def send_tokens(self, first: int, stop: int) -> None:
+        for index in range(first, stop):
+            self.send_part(make_token(index))
+
+    def end_stream(self) -> None:
+        self.send_part(b"data: [DONE]\n\n")
+        self.wfile.write(b"0\r\n\r\n")
+
+    def break_off(self) -> None:
+        self.close_connection = True
+
+    def log_message(self, format: str, *args: Any) -> None:
+        del format, args
+
+
+class EndpointFake(http.server.ThreadingHTTPServer):
+    """Listens on a free port of the loopback interface."""
+
+    daemon_threads = True
+
+    def __init__(self, name: str = "endpoint-1") -> None:
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.name = name
+        self.received: list[Received] = []
+        self.scripts: dict[str, Script] = {}
+        # Released when the test ends, so that silent handlers return.
+        self.closing = threading.Event()
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self) -> None:
+        self.serve_forever(poll_interval=0.01)
+
+    def stop(self) -> None:
+        self.closing.set()
+        self.shutdown()
+        self.server_close()
+
+    def count(self, line: str) -> int:
+        """Returns how many requests began with a method and path."""
+        return sum(
+            f"{one.method} {one.path}".startswith(line)
+            for one in list(self.received)
+        )
+
+    def as_endpoint(self, pool: Pool = Pool.SERVICE) -> Endpoint:
+        """Returns this endpoint as the product names it."""
+        port = self.server_address[1]
+        address = f"127.0.0.1:{port}"
+        return Endpoint(self.name, address, "lm", pool, "zone-a")
+
+
+def make_token(index: int) -> bytes:
+    """Returns the event of one token of a text completion."""
+    choice = {"index": 0, "text": f"t{index} ", "finish_reason": None}
+    value = {
+        "id": "c",
+        "object": "text_completion",
+        "created": 0,
+        "model": "m1",
+        "choices": [choice],
+    }
+    return f"id: {index}\ndata: {json.dumps(value)}\n\n".encode()
+
+
+def make_whole(text: str = "t0 t1 ") -> dict[str, Any]:
+    """Returns a whole text completion."""
+    choice = {"index": 0, "text": text, "finish_reason": "stop"}
+    return {
+        "id": "c",
+        "object": "text_completion",
+        "created": 0,
+        "model": "m1",
+        "choices": [choice],
+    }
+
+
+def script_engine(fake: EndpointFake) -> None:
+    """Makes an endpoint answer the engine protocol without faults."""
+    fake.scripts.update(
+        {
+            "POST /reservations": lambda one: one.send(201, {}),
+            "POST /prefill": lambda one: one.send(
+                200,
+                {"cache": "k1", "tokens": 3, "cached_tokens": 0, "life_s": 5},
+            ),
+            "POST /imports": lambda one: one.send(200, {}),
+            "POST /v1/": _decode,
+            "GET /health": lambda one: one.send(
+                200, {"boot": "b1", "state": "live"}
+            ),
+            "GET /attempts": lambda one: one.send(
+                200, {"boot": "b1", "attempts": []}
+            ),
+        }
+    )
+
+
+def _decode(one: Handler) -> None:
+    if json.loads(one.body).get("stream"):
+        one.begin_stream()
+        one.send_tokens(0, TOKENS)
+        one.end_stream()
+    else:
+        one.send(200, make_whole())
+
+
+__all__ = [
+    "TOKENS",
+    "EndpointFake",
+    "Handler",
+    "make_token",
+    "make_whole",
+    "script_engine",
+]
--- /dev/null
+++ b/tests/support/router_fake.py
@@ -0,0 +1,201 @@
+"""A router and claims that record what the HTTP layer asks of them."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from burdockspan.claims.record import (
+    ClaimRecord,
+    ClaimState,
+    Held,
+    Replay,
+)
+from burdockspan.configuration.document import (
+    Client,
+    Configuration,
+    Model,
+    Policy,
+    Route,
+    Service,
+)
+from burdockspan.http.ports import Claims
+from burdockspan.values.endpoint import Endpoint
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Event, Failure, Placement
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from burdockspan.values.router import Router
+from burdockspan.values.submission import CallKind, Submission
+
+TOKEN = "secret"
+
+
+class RouterFake:
+    """Places every call on the given endpoints, attempt after attempt."""
+
+    def __init__(self, policy: Policy | None = None) -> None:
+        self.prefill: Endpoint | None = None
+        self.decode: Endpoint | None = None
+        self.service: Endpoint | None = None
+        self.attempts_limit = 2
+        self.log: list[tuple[Any, ...]] = []
+        self.submission: Submission | None = None
+        self.refusal: Refusal | None = None
+        self.current: Callable[[Event], bool] = lambda event: True
+        self.aborts: list[Callable[[], None]] = []
+        self.configuration: Configuration | None = make_configuration(policy)
+        self.is_ready = True
+        self._sequence = itertools.count(1)
+
+    def make(self) -> Router:
+        return Router(
+            identify=self._identify,
+            submit=self._submit,
+            replace=self._replace,
+            record=self._record,
+            attach=lambda attempt, abort: self.aborts.append(abort),
+            finish=lambda *args: self.log.append(("finish", *args[1:])),
+            release=lambda attempt, name: self.log.append(("release", name)),
+            configuration=lambda: self.configuration,
+            ready=lambda: self.is_ready,
+            status=lambda: {"generation": 1},
+        )
+
+    def events(self) -> list[str]:
+        return [row[1].value for row in self.log if row[0] == "record"]
+
+    def finished(self) -> list[tuple[Execution, int]]:
+        return [row[1:] for row in self.log if row[0] == "finish"]
+
+    def released(self) -> list[str]:
+        return [row[1] for row in self.log if row[0] == "release"]
+
+    def _identify(self) -> AttemptId:
+        return AttemptId("entry-1", 1, next(self._sequence))
+
+    def _submit(
+        self, submission: Submission, gone: Callable[[], bool]
+    ) -> Result[Placement, Refusal]:
+        del gone
+        self.submission = submission
+        if self.refusal is not None:
+            return Err(self.refusal)
+        return Ok(self._place())
+
+    def _replace(
+        self, attempt: AttemptId, failure: Failure
+    ) -> Result[Placement, Refusal]:
+        del attempt
+        self.log.append(("replace", failure.kind))
+        tried = sum(row[0] == "replace" for row in self.log) + 1
+        if tried > self.attempts_limit:
+            return Err(
+                Refusal(
+                    502,
+                    Execution.UNKNOWN,
+                    Reason.ENDPOINT_FAILED,
+                    "no attempt is left",
+                )
+            )
+        return Ok(self._place())
+
+    def _place(self) -> Placement:
+        assert self.submission is not None
+        attempt = self._identify()
+        if self.submission.kind is CallKind.SERVICE:
+            return Placement("r", attempt, service=self.service)
+        return Placement("r", attempt, 1, self.prefill, self.decode)
+
+    def _record(self, attempt: AttemptId, event: Event) -> bool:
+        del attempt
+        self.log.append(("record", event))
+        return self.current(event)
+
+
+class ClaimsFake:
+    """Claims in memory."""
+
+    def __init__(self) -> None:
+        self.by_key: dict[tuple[str, str], ClaimRecord] = {}
+        self.unreachable = False
+
+    def make(self) -> Claims:
+        return Claims(self._claim, self._give_up, self._settle, self._look_up)
+
+    def state(self, key: str) -> ClaimState:
+        return self.by_key["alice", key].state
+
+    def _claim(
+        self, client: str, key: str, digest: str, holder: AttemptId
+    ) -> Result[Held, Refusal | Replay]:
+        found = self.by_key.get((client, key))
+        if found is None or found.state is ClaimState.GIVEN_UP:
+            record = ClaimRecord(digest, holder, ClaimState.HELD)
+            self.by_key[client, key] = record
+            return Ok(Held(client, key, 7, record))
+        if found.body_digest != digest:
+            return Err(
+                Refusal(
+                    422,
+                    Execution.NOT_RUN,
+                    Reason.KEY_REUSED,
+                    "key was used with another body",
+                    field="Idempotency-Key",
+                )
+            )
+        if found.state is ClaimState.DONE:
+            return Err(Replay(found))
+        return Err(
+            Refusal(
+                409, Execution.UNKNOWN, Reason.KEY_IN_PROGRESS, "in progress"
+            )
+        )
+
+    def _give_up(self, held: Held) -> None:
+        self._settle(held, ClaimState.GIVEN_UP, None)
+
+    def _settle(self, held: Held, state: ClaimState, answer: Any) -> None:
+        self.by_key[held.client, held.key] = ClaimRecord(
+            held.record.body_digest,
+            held.record.holder,
+            state,
+            answer.status if answer else 0,
+            answer.content_type if answer else "",
+            answer.body if answer else None,
+        )
+
+    def _look_up(
+        self, client: str, key: str
+    ) -> Result[ClaimRecord | None, str]:
+        if self.unreachable:
+            return Err("unavailable")
+        return Ok(self.by_key.get((client, key)))
+
+
+def make_configuration(policy: Policy | None = None) -> Configuration:
+    """Returns a configuration with one model and one plain service."""
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    engines = Service(
+        "lm", models=(Model("m1", 8000),), pieces=2, piece_tokens=1000
+    )
+    booking = Service(
+        "app",
+        routes=(
+            Route("/", ("GET",), True),
+            Route("/book", ("POST",), False, timeout_s=5.0),
+        ),
+    )
+    return Configuration(
+        1,
+        "atlas",
+        clients=(Client("alice", digest, 100, 100),),
+        services=(engines, booking),
+        policy=policy or Policy(),
+    )
+
+
+__all__ = ["TOKEN", "ClaimsFake", "RouterFake", "make_configuration"]
