--- /dev/null
+++ b/src/burdockspan/configuration/maintenance.py
@@ -0,0 +1,86 @@
+"""Edits of a configuration: drains and planned stops."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from result import Err, Ok, Result
+
+from burdockspan.configuration.acceptance import Edit
+from burdockspan.configuration.document import (
+    Configuration,
+    Drain,
+    PlannedStop,
+)
+
+
+def make_drain(vms: Iterable[str], by: str, at_s: float) -> Edit:
+    """Returns an edit that drains VMs; those already drained are kept."""
+    names = tuple(dict.fromkeys(vms))
+
+    def change(held: Configuration) -> Result[Configuration, str]:
+        drained = {drain.vm for drain in held.drains}
+        added = tuple(Drain(vm, by, at_s) for vm in names if vm not in drained)
+        drains = sorted(held.drains + added, key=lambda drain: drain.vm)
+        return Ok(dataclasses.replace(held, drains=tuple(drains)))
+
+    return change
+
+
+def make_undrain(vms: Iterable[str]) -> Edit:
+    """Returns an edit that lets VMs take work again.
+
+    It fails for a VM that is not drained, which is mostly a mistyped name.
+    """
+    names = tuple(dict.fromkeys(vms))
+
+    def change(held: Configuration) -> Result[Configuration, str]:
+        drained = {drain.vm for drain in held.drains}
+        missing = [vm for vm in names if vm not in drained]
+        if missing:
+            known = ", ".join(sorted(drained)) or "none"
+            return Err(f"Not drained: {', '.join(missing)}. Drained: {known}.")
+        drains = tuple(d for d in held.drains if d.vm not in names)
+        return Ok(dataclasses.replace(held, drains=drains))
+
+    return change
+
+
+def make_schedule(stop: PlannedStop) -> Edit:
+    """Returns an edit that schedules a stop; repeating it changes nothing.
+
+    It fails when the VM has another planned stop.
+    """
+
+    def change(held: Configuration) -> Result[Configuration, str]:
+        for other in held.stops:
+            if other == stop:
+                return Ok(held)
+            if other.vm == stop.vm or other.stop_id == stop.stop_id:
+                return Err(
+                    f"{other.vm} has planned stop {other.stop_id} by "
+                    f"{other.by}; cancel it first."
+                )
+        stops = sorted(
+            (*held.stops, stop), key=lambda item: (item.at_s, item.stop_id)
+        )
+        return Ok(dataclasses.replace(held, stops=tuple(stops)))
+
+    return change
+
+
+def make_cancel(stop_id: str) -> Edit:
+    """Returns an edit that cancels a planned stop."""
+
+    def change(held: Configuration) -> Result[Configuration, str]:
+        stops = tuple(s for s in held.stops if s.stop_id != stop_id)
+        if len(stops) == len(held.stops):
+            known = ", ".join(s.stop_id for s in held.stops) or "none"
+            return Err(f"No planned stop {stop_id}. Planned stops: {known}.")
+        return Ok(dataclasses.replace(held, stops=stops))
+
+    return change
+
+
+__all__ = ["make_cancel", "make_drain", "make_schedule", "make_undrain"]
