Add the questionnaire, generation and difference

Cause: teams describe their services in answers, not in configuration. Change: a commented template with blanks, a reader that reports every problem with file, field, value and what is allowed, cross checks (delays of a region, memory against context, transfer time against cache lifetime, urgency and repetition of each route), generation with an origin for each value, and the difference of two documents. An action listed as never repeating gets a non-idempotent route of its own. Conclusion: answers in any order give the same document.

--- /dev/null
+++ b/src/burdockspan/configuration/answers.py
@@ -0,0 +1,252 @@
+"""Data classes of a filled-in questionnaire.
+
+`given` holds the keys that the team answered; the other values are defaults.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from burdockspan.configuration.document import Model, Policy
+from burdockspan.values.submission import Priority
+
+Given = frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Zone:
+    """An availability zone.
+
+    Attributes:
+      name: unique name.
+      region: region of the zone.
+    """
+
+    name: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Delay:
+    """One-way delay between two zones, in milliseconds.
+
+    Attributes:
+      zone: one zone.
+      other: another zone.
+      one_way_ms: delay, the same in both directions.
+    """
+
+    zone: str
+    other: str
+    one_way_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ClientAnswers:
+    """A client account.
+
+    Attributes:
+      name: unique name.
+      key_sha256: SHA-256 (hex) of its bearer token.
+      requests_per_s: sustained rate over all entry VMs.
+      burst: calls that may exceed the rate at once.
+      given: keys that were answered.
+    """
+
+    name: str
+    key_sha256: str
+    requests_per_s: float
+    burst: int
+    given: Given
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelAnswers:
+    """A model of a model service.
+
+    Attributes:
+      model: the model as it enters the configuration.
+      weights_bytes: size of its weights in a replica's memory.
+      given: keys that were answered.
+    """
+
+    model: Model
+    weights_bytes: float
+    given: Given
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelServiceAnswers:
+    """A service of prefill and decode engines.
+
+    Attributes:
+      name: unique name.
+      models: models that each engine serves.
+      replica_memory_bytes: accelerator memory of one decode replica.
+      kv_bytes_per_token: size of the KV cache of one token.
+      piece_tokens: tokens of one piece of decode memory.
+      prefill_tokens_per_s: speed of one prefill replica.
+      concurrency: most prefills at a time on one replica.
+      decode_tokens_per_s: speed of a decode replica for one caller.
+      cache_life_s: how long a prefill's KV cache survives.
+      link_bytes_per_s: rate of a KV transfer link.
+      checks_fencing: whether endpoints refuse an old fencing number.
+      given: keys that were answered.
+    """
+
+    name: str
+    models: tuple[ModelAnswers, ...]
+    replica_memory_bytes: float
+    kv_bytes_per_token: int
+    piece_tokens: int
+    prefill_tokens_per_s: float
+    concurrency: int
+    decode_tokens_per_s: float
+    cache_life_s: float
+    link_bytes_per_s: float
+    checks_fencing: bool
+    given: Given
+
+    @property
+    def pieces(self) -> int:
+        """Decode memory of one replica, in pieces.
+
+        A tenth of the memory is left to the engine's own work space.
+        """
+        weights = sum(model.weights_bytes for model in self.models)
+        free = self.replica_memory_bytes * 0.9 - weights
+        return max(
+            0, int(free // (self.piece_tokens * self.kv_bytes_per_token))
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class RouteAnswers:
+    """A route of a plain service.
+
+    Attributes:
+      prefix: leading part of the path, from `/`.
+      methods: HTTP methods that the route allows.
+      timeout_s: longest time for an answer.
+      given: keys that were answered.
+    """
+
+    prefix: str
+    methods: tuple[str, ...]
+    timeout_s: float
+    given: Given
+
+
+@dataclasses.dataclass(frozen=True)
+class PlainServiceAnswers:
+    """A plain service.
+
+    Attributes:
+      name: unique name.
+      routes: its routes.
+      concurrency: most calls at a time on one replica.
+      checks_fencing: whether endpoints refuse an old fencing number.
+      given: keys that were answered.
+    """
+
+    name: str
+    routes: tuple[RouteAnswers, ...]
+    concurrency: int
+    checks_fencing: bool
+    given: Given
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What the team says about its actions.
+
+    Attributes:
+      urgent: `service` or `service/prefix` of urgent routes.
+      patient: `service` or `service/prefix` of patient routes.
+      never_repeat: `METHOD service/path` of actions that run at most once.
+      may_repeat: `METHOD service/path` of actions that may run again.
+    """
+
+    urgent: tuple[str, ...] = ()
+    patient: tuple[str, ...] = ()
+    never_repeat: tuple[str, ...] = ()
+    may_repeat: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Questionnaire:
+    """A valid questionnaire.
+
+    Attributes:
+      team: name of the team.
+      operators: people who may accept its configurations.
+      zones: availability zones.
+      delays: delays between zones.
+      clients: client accounts.
+      model_services: services of engines.
+      plain_services: plain services.
+      work: urgency and repetition of actions.
+      policy: limits and timeouts.
+      limits_given: keys of `limits` that were answered.
+    """
+
+    team: str
+    operators: tuple[str, ...]
+    zones: tuple[Zone, ...]
+    delays: tuple[Delay, ...]
+    clients: tuple[ClientAnswers, ...]
+    model_services: tuple[ModelServiceAnswers, ...]
+    plain_services: tuple[PlainServiceAnswers, ...]
+    work: Work
+    policy: Policy
+    limits_given: Given
+
+
+def split_action(action: str) -> tuple[str, str, str]:
+    """Returns method, service and path of `METHOD service/path`."""
+    method, _, place = action.partition(" ")
+    service, slash, path = place.partition("/")
+    return method, service, slash + path
+
+
+def covers(action: str, service: str, method: str, path: str) -> bool:
+    """Tells whether a listed action includes calls of a method under a path.
+
+    The match is by leading text, as for routes, so that a longer route cannot
+    take calls out of an action that must never repeat.
+    """
+    listed_method, listed_service, listed_path = split_action(action)
+    same = (listed_method, listed_service) == (method, service)
+    return same and path.startswith(listed_path)
+
+
+def find_priority(
+    work: Work, service: str, prefix: str
+) -> tuple[Priority, str] | None:
+    """Returns the priority of a route and the answer behind it, if any."""
+    lists = (
+        (Priority.URGENT, "work.urgent", work.urgent),
+        (Priority.PATIENT, "work.patient", work.patient),
+    )
+    for name in (f"{service}{prefix}", service):
+        for priority, answer, listed in lists:
+            if name in listed:
+                return priority, f"{answer}: {name}"
+    return None
+
+
+__all__ = [
+    "ClientAnswers",
+    "Delay",
+    "Given",
+    "ModelAnswers",
+    "ModelServiceAnswers",
+    "PlainServiceAnswers",
+    "Questionnaire",
+    "RouteAnswers",
+    "Work",
+    "Zone",
+    "covers",
+    "find_priority",
+    "split_action",
+]
--- a/src/burdockspan/configuration/converters.py
+++ b/src/burdockspan/configuration/converters.py
@@ -122,7 +122,8 @@
         number = float(match[1]) * units[match[2]]
         if not math.isfinite(number) or not low <= number <= high:
             return Err(allowed)
-        return Ok(number)
+        # The factors are not exact, so 0.3 s may not equal 300 ms otherwise.
+        return Ok(float(f"{number:.12g}"))
 
     return convert
 
--- a/src/burdockspan/configuration/fields.py
+++ b/src/burdockspan/configuration/fields.py
@@ -17,6 +17,11 @@
 """Returns the converted value, or a text that says what is allowed."""
 
 
+NO_TEXTS: tuple[str, ...] = ()
+
+_REQUIRED = "must be filled in"
+
+
 @dataclasses.dataclass(frozen=True)
 class Section:
     """A mapping being read.
@@ -79,7 +84,7 @@
     if section.values.get(key) is None:
         converted = convert(None)
         rule = converted.err_value if isinstance(converted, Err) else ""
-        report(section, key, None, f"must be filled in: {rule}")
+        report(section, key, None, f"{_REQUIRED}: {rule}")
         return filler
     return take(section, key, convert, filler)
 
@@ -102,10 +107,10 @@
     if value is None:
         value = []
         if least:
-            allowed = f"must be filled in: a list of at least {least}"
+            allowed = f"{_REQUIRED}: {_describe_list(least)}"
             report(section, key, None, allowed)
     elif not isinstance(value, list) or len(value) < least:
-        report(section, key, value, f"must be a list of at least {least}")
+        report(section, key, value, _describe_list(least))
     found: list[Section] = []
     for index, item in enumerate(value if isinstance(value, list) else ()):
         path = f"{field_path(section, key)}[{index}]"
@@ -117,7 +122,12 @@
     return tuple(found)
 
 
+def _describe_list(least: int) -> str:
+    return f"a list of {least} or more mappings of keys to values"
+
+
 __all__ = [
+    "NO_TEXTS",
     "Convert",
     "Section",
     "check_keys",
--- /dev/null
+++ b/src/burdockspan/configuration/questionnaire_services.py
@@ -0,0 +1,197 @@
+"""Reading of the services in a questionnaire."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from burdockspan.configuration.answers import (
+    Given,
+    ModelAnswers,
+    ModelServiceAnswers,
+    PlainServiceAnswers,
+    RouteAnswers,
+)
+from burdockspan.configuration.converters import (
+    BYTES,
+    BYTES_PER_S,
+    SECONDS,
+    TOKENS,
+    TOKENS_PER_S,
+    count,
+    flag,
+    list_of,
+    quantity,
+    text,
+)
+from burdockspan.configuration.document import Model, Route, Service
+from burdockspan.configuration.fields import (
+    NO_TEXTS,
+    Section,
+    check_keys,
+    take,
+    take_required,
+    take_sections,
+)
+
+NAME = text(
+    "[a-z0-9][a-z0-9-]{0,62}",
+    "a name of up to 63 lower-case letters, digits and '-'",
+)
+METHODS = ("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE")
+
+_MODEL_NAME = text(
+    "[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}",
+    "a model name of up to 127 letters, digits and '._:/-'",
+)
+_VERSION = text("[A-Za-z0-9._-]{1,63}", "a version in quotes, such as '1'")
+_METHOD = text("|".join(METHODS), f"one of {', '.join(METHODS)}")
+_CONCURRENCY = count(1, 10_000)
+_MODEL_KEYS = ("name", "context", "weights", "version", "adapters")
+_MODEL_SERVICE_KEYS = (
+    "name",
+    "models",
+    "replica_memory",
+    "kv_cache_per_token",
+    "piece",
+    "prefill_speed",
+    "prefill_concurrency",
+    "decode_speed",
+    "cache_lifetime",
+    "link_rate",
+    "endpoints_check_fencing",
+)
+_PLAIN_SERVICE_KEYS = (
+    "name",
+    "concurrency",
+    "endpoints_check_fencing",
+    "routes",
+)
+
+
+def given_keys(section: Section) -> Given:
+    """Returns the keys of a section that have an answer."""
+    return frozenset(k for k, v in section.values.items() if v is not None)
+
+
+def take_model_service(section: Section) -> ModelServiceAnswers:
+    """Reads a service of prefill and decode engines."""
+    check_keys(section, _MODEL_SERVICE_KEYS)
+    per_s = quantity(TOKENS_PER_S, "tokens/s", 1.0, 1e7)
+    per_token = quantity(BYTES, "kB", 1.0, 1e8)
+    piece = quantity(TOKENS, "tokens", 1.0, 1e6)
+    return ModelServiceAnswers(
+        name=take_required(section, "name", NAME, ""),
+        models=tuple(
+            _take_model(item)
+            for item in take_sections(section, "models", least=1)
+        ),
+        replica_memory_bytes=take_required(
+            section, "replica_memory", quantity(BYTES, "GB", 1e6, 1e14), 1.0
+        ),
+        kv_bytes_per_token=int(
+            take(
+                section,
+                "kv_cache_per_token",
+                per_token,
+                float(Service.kv_bytes_per_token),
+            )
+        ),
+        piece_tokens=int(
+            take(section, "piece", piece, float(Service.piece_tokens))
+        ),
+        prefill_tokens_per_s=take_required(
+            section, "prefill_speed", per_s, 1.0
+        ),
+        concurrency=take(
+            section, "prefill_concurrency", _CONCURRENCY, Service.concurrency
+        ),
+        decode_tokens_per_s=take_required(section, "decode_speed", per_s, 1.0),
+        cache_life_s=take_required(
+            section,
+            "cache_lifetime",
+            quantity(SECONDS, "s", 0.01, 600.0),
+            1.0,
+        ),
+        link_bytes_per_s=take_required(
+            section, "link_rate", quantity(BYTES_PER_S, "GB/s", 1e5, 1e13), 1.0
+        ),
+        checks_fencing=take_required(
+            section, "endpoints_check_fencing", flag, False
+        ),
+        given=given_keys(section),
+    )
+
+
+def take_plain_service(section: Section) -> PlainServiceAnswers:
+    """Reads a plain service."""
+    check_keys(section, _PLAIN_SERVICE_KEYS)
+    return PlainServiceAnswers(
+        name=take_required(section, "name", NAME, ""),
+        routes=tuple(
+            _take_route(item)
+            for item in take_sections(section, "routes", least=1)
+        ),
+        concurrency=take(
+            section, "concurrency", _CONCURRENCY, Service.concurrency
+        ),
+        checks_fencing=take_required(
+            section, "endpoints_check_fencing", flag, False
+        ),
+        given=given_keys(section),
+    )
+
+
+def _take_model(section: Section) -> ModelAnswers:
+    check_keys(section, _MODEL_KEYS)
+    context = quantity(TOKENS, "tokens", 1.0, 1e8)
+    model = Model(
+        name=take_required(section, "name", _MODEL_NAME, ""),
+        context_tokens=int(take_required(section, "context", context, 1.0)),
+        version=take(section, "version", _VERSION, Model.version),
+        adapters=take(section, "adapters", list_of(_MODEL_NAME), ()),
+    )
+    weights = quantity(BYTES, "GB", 0.0, 1e14)
+    return ModelAnswers(
+        model=model,
+        weights_bytes=take_required(section, "weights", weights, 0.0),
+        given=given_keys(section),
+    )
+
+
+def _take_route(section: Section) -> RouteAnswers:
+    check_keys(section, ("prefix", "methods", "timeout"))
+    timeout = quantity(SECONDS, "s", 0.1, 3600.0)
+    return RouteAnswers(
+        prefix=take_required(section, "prefix", _path, ""),
+        methods=take_required(section, "methods", _methods, NO_TEXTS),
+        timeout_s=take(section, "timeout", timeout, Route.timeout_s),
+        given=given_keys(section),
+    )
+
+
+def _methods(value: object) -> Result[tuple[str, ...], str]:
+    if value == []:
+        return Err(f"a list of at least one of {', '.join(METHODS)}")
+    return list_of(_METHOD)(value)
+
+
+def _path(value: object) -> Result[str, str]:
+    allowed = "a path from '/', of letters, digits and '._~-', without '//'"
+    if not isinstance(value, str) or not value.startswith("/"):
+        return Err(allowed)
+    parts = value[1:].split("/")
+    plain = text(r"[A-Za-z0-9._~-]+", allowed)
+    # Only the last part may be empty: `/` alone or a trailing slash.
+    body = parts if parts[-1] else parts[:-1]
+    if any(plain(p).is_err() or p in (".", "..") for p in body):
+        return Err(allowed)
+    return Ok(value)
+
+
+__all__ = [
+    "METHODS",
+    "NAME",
+    "given_keys",
+    "take_model_service",
+    "take_plain_service",
+]
--- /dev/null
+++ b/tests/configuration/test_generate.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burdockspan.configuration.answers import split_action
+from burdockspan.configuration.codec import (
+    dump_configuration,
+    load_configuration,
+)
+from burdockspan.configuration.difference import compare, render
+from burdockspan.configuration.document import Drain, Route, Service
+from burdockspan.configuration.generate import generate
+from burdockspan.configuration.paths import flatten
+from tests.support.questionnaires import (
+    make_values,
+    questionnaires,
+    read_values,
+)
+
+_CALLS = ("/", "/a", "/a/x", "/a/b", "/a/bx", "/a/b/c/y", "/ab", "/d", "/e")
+
+
+def shuffle(value: Any, random_: random.Random) -> Any:
+    if isinstance(value, dict):
+        items = [(k, shuffle(v, random_)) for k, v in value.items()]
+        random_.shuffle(items)
+        return dict(items)
+    if isinstance(value, list):
+        items = [shuffle(item, random_) for item in value]
+        random_.shuffle(items)
+        return items
+    return value
+
+
+def match(service: Service, method: str, path: str) -> Route | None:
+    fitting = [
+        route
+        for route in service.routes
+        if path.startswith(route.prefix) and method in route.methods
+    ]
+    return max(fitting, key=lambda route: len(route.prefix), default=None)
+
+
+class GenerateTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(questionnaires(), st.integers(0, 9))
+    def test_generate_is_deterministic_and_round_trips(
+        self, values: dict[str, Any], seed: int
+    ) -> None:
+        # Guards against documents that differ by the order of the answers.
+        document = generate(read_values(values))
+        shuffled = shuffle(values, random.Random(seed))
+        data = dump_configuration(document)
+        self.assertEqual(
+            data, dump_configuration(generate(read_values(shuffled)))
+        )
+        self.assertEqual(load_configuration(data).unwrap(), document)
+        self.assertEqual(
+            [origin.path for origin in document.origins],
+            sorted(flatten(document)),
+        )
+        self.assertTrue(all(origin.answer for origin in document.origins))
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(
+        questionnaires(),
+        st.sampled_from(("GET", "POST", "DELETE")),
+        st.sampled_from(_CALLS),
+    )
+    def test_generate_never_repeats_a_listed_action(
+        self, values: dict[str, Any], method: str, path: str
+    ) -> None:
+        # Guards against a longer or shorter route that lets a listed action
+        # run again, and against routes that take a call from another method.
+        service = generate(read_values(values)).services[0]
+        route = match(service, method, path)
+        for action in values["work"]["never_repeat"]:
+            listed_method, _, listed_path = split_action(action)
+            if method == listed_method and path.startswith(listed_path):
+                assert route is not None
+                self.assertFalse(route.idempotent)
+        declared = max(
+            (
+                r
+                for r in values["plain_services"][0]["routes"]
+                if path.startswith(r["prefix"])
+            ),
+            key=lambda r: len(r["prefix"]),
+            default=None,
+        )
+        if declared is not None and method in declared["methods"]:
+            self.assertIsNotNone(route)
+        keys = [(r.prefix, m) for r in service.routes for m in r.methods]
+        self.assertEqual(len(keys), len(set(keys)))
+
+    def test_generate_keeps_drains_and_counts_generations(self) -> None:
+        questionnaire = read_values(make_values())
+        first = dataclasses.replace(
+            generate(questionnaire), drains=(Drain("vm-1", "amal", 1.0),)
+        )
+        second = generate(questionnaire, first)
+        self.assertEqual(second.generation, 2)
+        self.assertEqual(second.drains, first.drains)
+        self.assertEqual(compare(first, second), ())
+        self.assertEqual(render(compare(first, second)), "no change")
+
+    def test_generate_derives_memory_and_speed(self) -> None:
+        document = generate(read_values(make_values()))
+        engines = document.services[1]
+        # (200 GB * 0.9 - 140 GB) / (4000 tokens * 160 kB) = 62.5
+        self.assertEqual(engines.pieces, 62)
+        self.assertEqual(engines.token_gap_s, 0.04)
+
+    def test_difference_names_the_answer_behind_each_change(self) -> None:
+        values = make_values()
+        old = generate(read_values(values))
+        values["limits"] = {"queue": 5}
+        values["clients"][0]["rate"] = "60 requests/s"
+        values["work"] = {
+            "patient": ["hajz-app"],
+            "may_repeat": ["POST hajz-app/bookings"],
+        }
+        new = generate(read_values(values), old)
+        changes = {change.path: change for change in compare(old, new)}
+        queue = changes["policy.queue_limit"]
+        self.assertEqual(
+            (queue.before, queue.after, queue.answer),
+            (1000, 5, "limits.queue"),
+        )
+        self.assertEqual(
+            changes["clients.booking-site.burst"].answer,
+            "clients.booking-site.rate",
+        )
+        text = render(changes.values())
+        self.assertIn("~ policy.queue_limit: 1000 -> 5  (limits.queue)", text)
+        self.assertIn("- services.hajz-app.routes./bookings.POST.", text)
+        self.assertIn("+ services.hajz-app.routes./bookings.GET,POST.", text)
+        self.assertNotIn("generation", text)
