--- a/src/burdockspan/http/relay.py
+++ b/src/burdockspan/http/relay.py
@@ -29,6 +29,9 @@
         self._run = run
         self._endpoint = endpoint
         self._exchange = first
+        # urllib3 closes a connection whose iterator is dropped early, so that
+        # one iterator serves up to the end of the body.
+        self._parts = first.iterate()
         self._filter = EventFilter()
         self._resumed_without_data = 0
 
@@ -60,7 +63,7 @@
 
     def _pass_on(self) -> Iterator[bytes]:
         feed = self._filter.feed
-        for part in self._exchange.iterate():
+        for part in self._parts:
             events = feed(part)
             if events:
                 self._resumed_without_data = 0
@@ -71,7 +74,7 @@
     def _drain(self) -> None:
         self._exchange.limit_silence(_DRAIN_S)
         try:
-            for _ in self._exchange.iterate():
+            for _ in self._parts:
                 pass
         except EndpointError:
             pass
@@ -99,6 +102,7 @@
             )
             if not isinstance(resumed, Err):
                 self._exchange = resumed.ok_value
+                self._parts = self._exchange.iterate()
                 address = self._endpoint.address
                 run.job.ports.connections.close_older(address)
                 return
--- a/src/burdockspan/http/server.py
+++ b/src/burdockspan/http/server.py
@@ -5,6 +5,7 @@
 import dataclasses
 import re
 import socket
+import threading
 from collections.abc import Callable
 from typing import Any
 
@@ -32,6 +33,7 @@
 _OUTPUT_LIMIT_BYTES = 4 * _MEBIBYTE
 _CONNECTION_LIMIT_COUNT = 20_000
 _HEADER_LIMIT_BYTES = 64 * 1024
+_POLL_S = 1.0
 _ADMIN_THREADS = 4
 _ADMIN_BODY_LIMIT_BYTES = 64 * 1024
 
@@ -125,21 +127,55 @@
     )
     made.adj.socket_options = CALLER_SOCKET_OPTIONS
     made.channel_class = _make_channel_class(body_limit)
+    loop = _Loop(made, sockets)
     return Server(
         address=f"{made.effective_host}:{made.effective_port}",
-        run=lambda: _run(made, sockets),
-        stop_accepting=lambda: made.trigger.pull_trigger(
+        run=loop.run,
+        stop_accepting=lambda: loop.ask(
             lambda: waitress.wasyncore.dispatcher.close(made)
         ),
-        stop=lambda: made.trigger.pull_trigger(
-            lambda: waitress.wasyncore.close_all(sockets)
-        ),
+        stop=loop.stop,
     )
 
 
-def _run(made: Any, sockets: dict[int, Any]) -> None:
-    waitress.wasyncore.loop(timeout=1, map=sockets, use_poll=True)
-    made.task_dispatcher.shutdown()
+class _Loop:
+    """The loop of a server.
+
+    waitress closes the descriptor that wakes its loop while worker threads
+    still write to it, by when the number may name another connection. Here it
+    is closed after the workers have ended.
+    """
+
+    def __init__(self, server: Any, sockets: dict[int, Any]) -> None:
+        self._server = server
+        self._sockets = sockets
+        self._lock = threading.Lock()
+        self._stopping = False
+        self._ended = False
+
+    def run(self) -> None:
+        """Serves until `stop` is called."""
+        while not self._stopping:
+            waitress.wasyncore.poll2(_POLL_S, self._sockets)
+        for one in list(self._sockets.values()):
+            if isinstance(one, waitress.channel.HTTPChannel):
+                one.handle_close()
+        waitress.wasyncore.dispatcher.close(self._server)
+        self._server.task_dispatcher.shutdown()
+        with self._lock:
+            self._ended = True
+            self._server.trigger.close()
+
+    def stop(self) -> None:
+        """Makes `run` return."""
+        self._stopping = True
+        self.ask(None)
+
+    def ask(self, thunk: Callable[[], None] | None) -> None:
+        """Has the loop call a function; without effect once it has ended."""
+        with self._lock:
+            if not self._ended:
+                self._server.trigger.pull_trigger(thunk)
 
 
 def _make_channel_class(body_limit: Callable[[], int]) -> type:
--- a/tests/support/caller.py
+++ b/tests/support/caller.py
@@ -57,7 +57,7 @@
         self.router.decode = self.decode.as_endpoint(Pool.DECODE)
         self.router.service = self.service.as_endpoint()
         self.claims = ClaimsFake()
-        self.connections = make_connections(time.monotonic, 1.0)
+        self.connections = make_connections(time.monotonic, lambda: 1.0)
         self.addCleanup(self.connections.close)
         ports = Ports(
             self.router.make(),
