Add the operator commands

Cause: operators need to change and look at a fleet without the source. Change: questionnaire template and check; config generate, diff, accept, show and status; drain and undrain; stop schedule, list and cancel; status; lookup. The exit code tells a lost race (3) from an unreachable platform (4).

--- /dev/null
+++ b/src/burdockspan/cli/asking.py
@@ -0,0 +1,63 @@
+"""HTTP questions to entry VMs."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import urllib3
+from result import Err, Ok, Result
+
+_CONNECT_TIMEOUT_S = 1.0
+_READ_TIMEOUT_S = 5.0
+_BODY_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """An HTTP answer.
+
+    Attributes:
+      status: HTTP status.
+      value: JSON value of the body, None if it is not JSON.
+      text: body as text.
+    """
+
+    status: int
+    value: Any
+    text: str
+
+
+def ask(
+    address: str, path: str, headers: Mapping[str, str] | None = None
+) -> Result[Answer, str]:
+    """Sends a GET request to an `ip:port`.
+
+    Returns:
+      The answer whatever its status, or why there is none.
+    """
+    timeout = urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=_READ_TIMEOUT_S)
+    with urllib3.PoolManager(timeout=timeout, retries=False) as pool:
+        try:
+            response = pool.request(
+                "GET",
+                f"http://{address}{path}",
+                headers=dict(headers or {}),
+                redirect=False,
+                preload_content=False,
+            )
+            data = response.read(_BODY_LIMIT_BYTES)
+            response.close()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return Err(f"{address}: not reachable: {error}")
+    text = data.decode("utf-8", "replace")
+    try:
+        value = json.loads(text)
+    except (ValueError, RecursionError):
+        value = None
+    return Ok(Answer(response.status, value, text))
+
+
+__all__ = ["Answer", "ask"]
--- /dev/null
+++ b/src/burdockspan/cli/documents.py
@@ -0,0 +1,84 @@
+"""Questionnaires and configurations that subcommands read and print."""
+
+from __future__ import annotations
+
+import datetime
+import json
+
+from result import Err, Result
+
+from burdockspan.cli import exits
+from burdockspan.configuration.answers import Questionnaire
+from burdockspan.configuration.codec import (
+    decode_configuration,
+    encode_configuration,
+)
+from burdockspan.configuration.commit import read_current
+from burdockspan.configuration.document import Configuration
+from burdockspan.configuration.port import ObjectStore
+from burdockspan.configuration.problem import Problem
+from burdockspan.configuration.questionnaire import read
+from burdockspan.configuration.strict_yaml import read_file
+
+
+def read_questionnaire(
+    path: str,
+) -> Result[Questionnaire, tuple[Problem, ...]]:
+    """Reads the questionnaire in a file."""
+    text = read_file(path)
+    if isinstance(text, Err):
+        return text
+    return read(text.ok_value, path)
+
+
+def require_questionnaire(path: str) -> Questionnaire:
+    """Reads a questionnaire, or ends the command with its problems."""
+    answers = read_questionnaire(path)
+    if isinstance(answers, Err):
+        exits.stop_for_problems(answers.err_value)
+    return answers.ok_value
+
+
+def require_configuration(path: str) -> Configuration:
+    """Reads a generated configuration, or ends the command."""
+    text = read_file(path)
+    if isinstance(text, Err):
+        exits.stop_for_problems(text.err_value)
+    try:
+        value = json.loads(text.ok_value)
+    except (ValueError, RecursionError) as error:
+        exits.stop(exits.BAD_INPUT, f"{path}: must be JSON: {error}")
+    decoded = decode_configuration(value)
+    if isinstance(decoded, Err):
+        exits.stop(exits.BAD_INPUT, f"{path}: {decoded.err_value}")
+    return decoded.ok_value
+
+
+def require_current(store: ObjectStore, as_json: bool) -> Configuration | None:
+    """Reads the configuration in force, or ends the command."""
+    found = read_current(store)
+    if isinstance(found, Err):
+        exits.stop_for_commit(found.err_value, as_json)
+    return found.ok_value.configuration
+
+
+def render_configuration(configuration: Configuration) -> str:
+    """Returns a document as indented JSON."""
+    value = encode_configuration(configuration)
+    return json.dumps(value, indent=2, sort_keys=True)
+
+
+def render_time(wall_s: float) -> str:
+    """Returns seconds since 1970 as ISO 8601 in UTC."""
+    moment = datetime.datetime.fromtimestamp(wall_s, datetime.UTC)
+    return moment.isoformat(timespec="seconds")
+
+
+__all__ = [
+    "read_questionnaire",
+    "render_configuration",
+    "render_time",
+    "require_configuration",
+    "require_current",
+    "require_questionnaire",
+]
--- a/src/burdockspan/cli/exits.py
+++ b/src/burdockspan/cli/exits.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterable
-from typing import NoReturn
+from typing import TYPE_CHECKING, NoReturn
 
 import click
 
+if TYPE_CHECKING:
+    from burdockspan.configuration.commit import CommitError
+
 OK = 0
 FAILED = 1
 BAD_INPUT = 2
@@ -19,9 +23,17 @@
   1  failed
   2  bad input
   3  another operator's change came first; nothing was written
-  4  the platform or an entry VM could not be reached
+  4  the platform or an entry VM could not be reached; the message says
+     whether a change may still have been applied
 """
 
+_CODES = {
+    "lost_race": LOST_RACE,
+    "unreachable": UNREACHABLE,
+    "uncertain": UNREACHABLE,
+    "invalid": BAD_INPUT,
+}
+
 
 def stop(code: int, *messages: object) -> NoReturn:
     """Prints messages to stderr and ends the command with an exit code."""
@@ -35,6 +47,20 @@
     stop(BAD_INPUT, *problems)
 
 
+def stop_for_commit(error: CommitError, as_json: bool) -> NoReturn:
+    """Prints why a change was not confirmed and ends with its code."""
+    failure = error.failure.value
+    if as_json:
+        value = {
+            "failure": failure,
+            "detail": error.detail,
+            "generation": error.generation,
+            "by": error.by,
+        }
+        click.echo(json.dumps({"error": value}, indent=2))
+    stop(_CODES[failure], f"{failure.replace('_', ' ')}: {error.detail}")
+
+
 __all__ = [
     "BAD_INPUT",
     "EXIT_CODES_HELP",
@@ -43,5 +69,6 @@
     "OK",
     "UNREACHABLE",
     "stop",
+    "stop_for_commit",
     "stop_for_problems",
 ]
--- a/src/burdockspan/cli/root.py
+++ b/src/burdockspan/cli/root.py
@@ -13,7 +13,14 @@
 
 _MODULES = {
     "completion": "burdockspan.cli.completion:completion",
+    "config": "burdockspan.cli.config:config",
+    "drain": "burdockspan.cli.drain:drain",
     "entry": "burdockspan.cli.entry:entry",
+    "lookup": "burdockspan.cli.lookup:lookup",
+    "questionnaire": "burdockspan.cli.questionnaire:questionnaire",
+    "status": "burdockspan.cli.status:status",
+    "stop": "burdockspan.cli.stop:stop",
+    "undrain": "burdockspan.cli.undrain:undrain",
     "validate": "burdockspan.cli.validate:validate",
     "version": "burdockspan.cli.version:version",
 }
--- a/tests/cli/test_root.py
+++ b/tests/cli/test_root.py
@@ -5,7 +5,9 @@
 import subprocess
 import sys
 import unittest
+from collections.abc import Iterator
 
+import click
 from click.testing import CliRunner
 
 from burdockspan.cli.root import root
@@ -13,6 +15,19 @@
 _HEAVY = ("yaml", "urllib3", "pykka", "thrift", "waitress", "opentelemetry")
 
 
+def list_commands(
+    command: click.Command, names: tuple[str, ...]
+) -> Iterator[tuple[str, ...]]:
+    if not isinstance(command, click.Group):
+        yield names
+        return
+    context = click.Context(command)
+    for name in command.list_commands(context):
+        nested = command.get_command(context, name)
+        assert nested is not None
+        yield from list_commands(nested, (*names, name))
+
+
 class RootTest(unittest.TestCase):
     def test_root_help_imports_no_heavy_library(self) -> None:
         # Guards against slow completion: all imports together take 2 s.
@@ -32,10 +47,15 @@
         self.assertTrue(run.stdout.endswith("[]\n"), run.stdout)
 
     def test_root_describes_every_subcommand(self) -> None:
-        for name in root.modules:
-            with self.subTest(name):
-                result = CliRunner().invoke(root, [name, "--help"])
+        # Guards against a subcommand that cannot be imported, or whose help
+        # does not say how it ends.
+        unended = ("completion", "version")
+        for names in list_commands(root, ()):
+            with self.subTest(names):
+                result = CliRunner().invoke(root, [*names, "--help"])
                 self.assertEqual(result.exit_code, 0, result.output)
+                if names[0] not in unended:
+                    self.assertIn("Exit codes:", result.output)
 
     def test_completion_prints_a_script_for_each_shell(self) -> None:
         for shell in ("bash", "zsh", "fish"):
--- /dev/null
+++ b/tests/cli/test_status.py
@@ -0,0 +1,110 @@
+from __future__ import annotations
+
+import http.server
+import json
+import threading
+import unittest
+from typing import Any
+
+from tests.support.objects import MemoryObjects
+from tests.support.operators import run_command, run_json
+
+_STATUS = {
+    "vm": "entry-1",
+    "availability_zone": "fes-a",
+    "configuration": {"generation": 7, "added_later": {}},
+    "ready": True,
+    "requests": {"queued": 2, "decoding": 5},
+    "endpoints": [
+        {"name": "decode-1", "pool": "decode", "free_pieces": 3, "new": [1]}
+    ],
+    "quarantine": [{"fingerprint": "ab12"}],
+    "added_later": [1, 2],
+}
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    answers: dict[str, Any]
+    seen: list[tuple[str, str]]
+
+    def do_GET(self) -> None:
+        self.seen.append((self.path, self.headers.get("Authorization", "")))
+        body = json.dumps(self.answers.get(self.path)).encode()
+        self.send_response(200 if self.path in self.answers else 404)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_arguments: Any) -> None:
+        """Keeps the test output free of access lines."""
+
+
+class EntryQuestionsTest(unittest.TestCase):
+    def serve(self, answers: dict[str, Any]) -> str:
+        self.seen: list[tuple[str, str]] = []
+        handler = type(
+            "Handler", (_Handler,), {"answers": answers, "seen": self.seen}
+        )
+        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+        thread.start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(thread.join)
+        self.addCleanup(server.shutdown)
+        return f"127.0.0.1:{server.server_port}"
+
+    def test_status_prints_a_fleet_and_ignores_unknown_fields(self) -> None:
+        address = self.serve({"/admin/status": _STATUS})
+        result = run_command(MemoryObjects(), "status", "--admin", address)
+        self.assertEqual(result.exit_code, 0, result.output)
+        lines = [line.split() for line in result.stdout.splitlines()]
+        row = ["entry-1", "fes-a", "7", "true", "decoding=5", "queued=2", "1"]
+        self.assertIn(row, lines)
+        self.assertIn(["ab12"], lines)
+        self.assertIn(
+            ["decode-1", "-", "decode", "-", "-", "3", "-", "-"], lines
+        )
+
+    def test_status_survives_fields_of_other_types(self) -> None:
+        # Guards against a command that breaks during an upgrade.
+        for value in (None, [], {}, 5, "text", [1, [2]], {"a": 1}):
+            with self.subTest(value):
+                status = dict.fromkeys(_STATUS, value)
+                address = self.serve({"/admin/status": status})
+                result = run_command(
+                    MemoryObjects(), "status", "--admin", address
+                )
+                self.assertEqual(result.exit_code, 0, result.output)
+
+    def test_status_prints_those_that_answer(self) -> None:
+        good = self.serve({"/admin/status": _STATUS})
+        bad = self.serve({"/admin/status": [1]})
+        arguments = ("status", "--admin", good, "--admin", bad)
+        value = run_json(MemoryObjects(), *arguments)
+        self.assertEqual(list(value["vms"]), [good])
+        self.assertEqual(list(value["unreachable"]), [bad])
+        result = run_command(MemoryObjects(), *arguments)
+        self.assertEqual(result.exit_code, 4)
+
+    def test_lookup_quotes_the_key_and_authenticates(self) -> None:
+        path = "/v1/outcomes/a%2Fb%20c"
+        address = self.serve({path: {"outcome": "ran"}})
+        arguments = ("lookup", "a/b c", "--entry", address)
+        result = run_command(MemoryObjects(), *arguments)
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertEqual(json.loads(result.stdout), {"outcome": "ran"})
+        self.assertEqual(self.seen, [(path, "Bearer token")])
+        absent = run_command(
+            MemoryObjects(), "lookup", "other", "--entry", address
+        )
+        self.assertEqual(absent.exit_code, 1)
+
+    def test_lookup_reports_an_entry_vm_that_refuses_connections(self) -> None:
+        server = http.server.HTTPServer(("127.0.0.1", 0), _Handler)
+        address = f"127.0.0.1:{server.server_port}"
+        server.server_close()
+        result = run_command(
+            MemoryObjects(), "lookup", "key", "--entry", address
+        )
+        self.assertEqual(result.exit_code, 4)
+        self.assertIn("not reachable", result.stderr)
