--- /dev/null
+++ b/scripts/build.py
@@ -0,0 +1,90 @@
+"""Builds the zipapp dist/burdockspan from this source tree.
+
+Usage: python3 scripts/build.py
+
+The project and its dependencies are installed into build/ with pip, compiled
+extension modules are left out, and the rest is packed with the standard
+zipapp module. Every dependency works without its extension modules.
+"""
+
+from __future__ import annotations
+
+import importlib.util
+import pathlib
+import shutil
+import subprocess
+import sys
+import venv
+import zipapp
+
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
+_BUILD = _ROOT / "build"
+_TARGET = _BUILD / "zipapp"
+_OUTPUT = _ROOT / "dist" / "burdockspan"
+_COMPILED = {".so", ".pyd", ".dylib"}
+_LEFT_OUT = ("bin", "include", "share")
+"""Scripts and headers, which a zipapp cannot use."""
+
+_CHECKED_IMPORTS = (
+    "burdockspan.configuration.questionnaire",
+    "opentelemetry.exporter.otlp.proto.http.trace_exporter",
+    "thrift.protocol.TCompactProtocol",
+)
+"""Modules whose packages have extension modules, which are left out."""
+
+
+def main() -> None:
+    """Builds the zipapp and checks that it runs."""
+    # setuptools would copy deleted modules from an earlier build.
+    shutil.rmtree(_BUILD, ignore_errors=True)
+    _BUILD.mkdir()
+    _install(_find_python())
+    removed = _remove_compiled(_TARGET)
+    _OUTPUT.parent.mkdir(exist_ok=True)
+    zipapp.create_archive(
+        _TARGET,
+        _OUTPUT,
+        interpreter="/usr/bin/env python3",
+        main="burdockspan.__main__:main",
+        compressed=True,
+    )
+    _check_output()
+    size_mb = _OUTPUT.stat().st_size / 1e6
+    name = _OUTPUT.relative_to(_ROOT)
+    print(f"{name}: {size_mb:.1f} MB, {removed} extension modules left out")
+
+
+def _find_python() -> str:
+    """Returns an interpreter with pip, made in build/ if there is none."""
+    if importlib.util.find_spec("pip"):
+        return sys.executable
+    venv.create(_BUILD / "venv", with_pip=True)
+    return str(_BUILD / "venv" / "bin" / "python")
+
+
+def _install(python: str) -> None:
+    command = [python, "-m", "pip", "install", "--quiet", "--no-compile"]
+    command += ["--disable-pip-version-check", "--target", str(_TARGET)]
+    subprocess.run([*command, str(_ROOT)], check=True)
+
+
+def _check_output() -> None:
+    # -S hides the packages installed beside this interpreter.
+    python = [sys.executable, "-S"]
+    imports = f"import sys; sys.path.insert(0, {str(_OUTPUT)!r})"
+    imports += f"; import {', '.join(_CHECKED_IMPORTS)}"
+    subprocess.run([*python, "-c", imports], check=True)
+    subprocess.run([*python, str(_OUTPUT), "version"], check=True)
+
+
+def _remove_compiled(directory: pathlib.Path) -> int:
+    for name in _LEFT_OUT:
+        shutil.rmtree(directory / name, ignore_errors=True)
+    compiled = [p for p in directory.rglob("*") if p.suffix in _COMPILED]
+    for path in compiled:
+        path.unlink()
+    return len(compiled)
+
+
+if __name__ == "__main__":
+    main()
