Add the platform client with call bounds and a merged watch

Cause: claims, configuration and the VM list are read and written through the platform's object API, which has outages and can lose the answer to a write that it has applied.

Change: every call has a time limit, names its VM, is counted and spends a local token bucket of which part is kept for claims. Reads are retried with a bounded backoff. A write is sent once; without an answer it is UNCERTAIN, and settle_write resolves it by reading back, and leaves it UNCERTAIN while it may still be applied late.

Conclusion: other packages can use make_platform_client and make_watch.

--- /dev/null
+++ b/src/burdockspan/platform/transport.py
@@ -0,0 +1,147 @@
+"""One HTTP exchange with the platform, within a time limit."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import threading
+from collections.abc import Callable
+
+import urllib3
+from result import Err, Ok, Result
+
+from burdockspan.values.clock import Clock
+
+VM_HEADER = "Burdockspan-VM"
+_CONNECT_TIMEOUT_S = 0.5
+# A connection that went silent while idle would cost one call its time limit.
+_IDLE_LIMIT_S = 5.0
+_CHUNK_BYTES = 65_536
+_ANSWER_LIMIT_BYTES = 256 * 1024 * 1024
+_CONNECTIONS = 16
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One HTTP request; `timeout_s` bounds the whole exchange."""
+
+    method: str
+    path: str
+    timeout_s: float
+    body: bytes | None = None
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+class Loss(enum.Enum):
+    """Why there is no whole answer."""
+
+    NOT_SENT = "not_sent"
+    NO_ANSWER = "no_answer"
+
+
+Transport = Callable[[Call], Result[Reply, Loss]]
+"""Performs one exchange; never repeats it."""
+
+
+class _Pool:
+    """A connection pool that is replaced after it has been idle."""
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._host, _, self._port = address.rpartition(":")
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._used_s = clock()
+        self._pool = self._make()
+
+    def get(self) -> urllib3.HTTPConnectionPool:
+        """Returns the pool to use now."""
+        now_s = self._clock()
+        with self._lock:
+            if now_s - self._used_s > _IDLE_LIMIT_S:
+                # Calls still running keep their connection; the old pool
+                # closes connections that are returned to it.
+                self._pool.close()
+                self._pool = self._make()
+            self._used_s = now_s
+            return self._pool
+
+    def _make(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            self._host, int(self._port), maxsize=_CONNECTIONS
+        )
+
+
+def make_transport(address: str, vm: str, clock: Clock) -> Transport:
+    """Returns a transport to `ip:port` that names this VM in each call."""
+    pool = _Pool(address, clock)
+
+    def exchange(call: Call) -> Result[Reply, Loss]:
+        end_s = clock() + call.timeout_s
+        try:
+            response = _send(pool.get(), vm, call)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.ClosedPoolError,
+        ):
+            return Err(Loss.NOT_SENT)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return Err(Loss.NO_ANSWER)
+        return _receive(response, lambda: clock() > end_s)
+
+    return exchange
+
+
+def _send(
+    pool: urllib3.HTTPConnectionPool, vm: str, call: Call
+) -> urllib3.BaseHTTPResponse:
+    return pool.urlopen(
+        call.method,
+        call.path,
+        body=call.body,
+        headers={VM_HEADER: vm, **dict(call.headers)},
+        retries=False,
+        redirect=False,
+        timeout=urllib3.Timeout(
+            connect=min(_CONNECT_TIMEOUT_S, call.timeout_s),
+            read=call.timeout_s,
+        ),
+        preload_content=False,
+    )
+
+
+def _receive(
+    response: urllib3.BaseHTTPResponse, expired: Callable[[], bool]
+) -> Result[Reply, Loss]:
+    chunks = []
+    size = 0
+    try:
+        for chunk in response.stream(_CHUNK_BYTES):
+            chunks.append(chunk)
+            size += len(chunk)
+            if expired() or size > _ANSWER_LIMIT_BYTES:
+                response.close()
+                return Err(Loss.NO_ANSWER)
+    except (urllib3.exceptions.HTTPError, OSError):
+        response.close()
+        return Err(Loss.NO_ANSWER)
+    response.release_conn()
+    return Ok(Reply(response.status, b"".join(chunks)))
+
+
+__all__ = [
+    "Call",
+    "Loss",
+    "Reply",
+    "Transport",
+    "VM_HEADER",
+    "make_transport",
+]
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,235 @@
+from __future__ import annotations
+
+import random
+import time
+import unittest
+
+from result import Err, Ok, Result
+
+from burdockspan.platform.calls import Budget, CallLimit, make_call_account
+from burdockspan.platform.client import (
+    CallTimes,
+    PlatformClient,
+    make_platform_client,
+)
+from burdockspan.platform.objects import PlatformError, Versioned
+from burdockspan.platform.retries import settle_write
+from burdockspan.platform.transport import Call, Loss, Reply, make_transport
+from burdockspan.platform.watch import make_watch
+from tests.support.processes import StandIn, running, wait_until
+
+_TIMES = CallTimes(call_s=0.3, read_s=2.0)
+_AMPLE = CallLimit(1e6, 1e6)
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = self.enterContext(running("platform"))
+        self.late_s = 0.0
+        self.client = self._make("vm-1")
+
+    def _make(
+        self, vm: str, limits: dict[Budget, CallLimit] | None = None
+    ) -> PlatformClient:
+        def clock() -> float:
+            return time.monotonic() + self.late_s
+
+        ample = dict.fromkeys(Budget, _AMPLE)
+        return make_platform_client(
+            make_transport(self.platform.address, vm, clock),
+            make_call_account(clock, limits or ample),
+            clock,
+            random.Random(1).random,
+            times=_TIMES,
+        )
+
+    def _counted(self, platform: StandIn, kind: str) -> int:
+        calls = platform.call("GET", "/calls").json()
+        return int(calls["by_caller"].get("vm-1", {}).get(kind, 0))
+
+    def test_client_writes_under_conditions_only(self) -> None:
+        """Guards against a lost update and a second creation."""
+        name = "a/b c?%"
+        first = self.client.create("k", name, {"n": 1}).unwrap()
+        again = self.client.create("k", name, {"n": 2})
+        self.assertIs(again.err(), PlatformError.CONFLICT)
+        second = self.client.update("k", name, {"n": 2}, first.version)
+        stale = self.client.update("k", name, {"n": 3}, first.version)
+        self.assertIs(stale.err(), PlatformError.CONFLICT)
+        self.assertEqual(self.client.get("k", name), second)
+        found = self.client.list_objects("k", "a/").unwrap()
+        self.assertEqual(found, (second.unwrap(),))
+        stale_delete = self.client.delete("k", name, first.version)
+        self.assertIs(stale_delete.err(), PlatformError.CONFLICT)
+        self.client.delete("k", name, second.unwrap().version).unwrap()
+        missing = self.client.get("k", name)
+        self.assertIs(missing.err(), PlatformError.NOT_FOUND)
+
+    def test_client_never_repeats_a_write_without_an_answer(self) -> None:
+        """Guards against an action applied twice by a retry."""
+        self.platform.fault(lose_answers=1)
+        lost = self.client.create("k", "n", 1)
+        self.assertIs(lost.err(), PlatformError.UNCERTAIN)
+        self.assertEqual(self._counted(self.platform, "put"), 1)
+        settled = settle_write(
+            lost, lambda: self.client.get("k", "n"), lambda v: v == 1, None
+        )
+        self.assertEqual(settled.unwrap().value, 1)
+
+    def test_client_bounds_the_time_of_calls_to_a_frozen_platform(self) -> None:
+        """Guards against threads that wait for a frozen platform."""
+        self.client.create("k", "old", 1).unwrap()
+        self.platform.fault(freeze=True)
+        started_s = time.monotonic()
+        write = self.client.create("k", "n", 1)
+        read = self.client.get("k", "old")
+        self.assertLess(time.monotonic() - started_s, 5.0)
+        self.assertIs(write.err(), PlatformError.UNCERTAIN)
+        self.assertIs(read.err(), PlatformError.UNAVAILABLE)
+        self.platform.fault(freeze=False)
+        wait_until(
+            lambda: self.client.get("k", "n").is_ok(),
+            "the write is applied late",
+        )
+
+    def test_client_retries_reads_within_a_bound(self) -> None:
+        """Guards against an endless retry and against none at all."""
+        self.platform.fault(down=True)
+        failed = self.client.get("k", "n")
+        self.assertIs(failed.err(), PlatformError.UNAVAILABLE)
+        self.assertEqual(self._counted(self.platform, "get"), 3)
+        self.platform.fault(down="error")
+        write = self.client.create("k", "n", 1)
+        self.assertIs(write.err(), PlatformError.UNCERTAIN)
+
+    def test_client_of_one_vm_can_be_cut_off(self) -> None:
+        """Guards against calls that do not name their VM."""
+        self.platform.fault(cut_off=["vm-1"])
+        cut = self.client.get("k", "n")
+        self.assertIs(cut.err(), PlatformError.UNAVAILABLE)
+        other = self._make("vm-2").get("k", "n")
+        self.assertIs(other.err(), PlatformError.NOT_FOUND)
+
+    def test_client_replaces_connections_that_were_idle(self) -> None:
+        """Guards against a connection that went silent while idle."""
+        self.client.create("k", "n", 1).unwrap()
+        self.platform.fault(silent_open=True)
+        self.late_s = 6.0
+        self.assertTrue(self.client.update("k", "n", 2, 1).is_ok())
+
+    def test_client_keeps_calls_back_for_claims(self) -> None:
+        """Guards against other work that uses up the calls of claims."""
+        limits = {
+            Budget.READ: _AMPLE,
+            Budget.WRITE: CallLimit(0.0, 2.0, claims_reserve=1.0),
+        }
+        client = self._make("vm-1", limits)
+        self.assertTrue(client.create("k", "a", 1).is_ok())
+        limited = client.create("k", "b", 1)
+        self.assertIs(limited.err(), PlatformError.LIMITED)
+        self.assertTrue(client.create("claims", "c", 1).is_ok())
+        self.assertEqual(client.counts().limited, 1)
+        self.assertEqual(client.counts().by_operation, {"create": 2})
+        self.assertEqual(self._counted(self.platform, "put"), 2)
+
+    def test_client_reads_vms_and_weights(self) -> None:
+        """Guards against a mismatch with the published formats."""
+        vm = {
+            "name": "e-1",
+            "availability_zone": "z",
+            "address": "127.0.0.1",
+            "port": 80,
+            "service": "s",
+            "pool": "service",
+            "state": "live",
+        }
+        self.platform.call("PUT", "/control/vms", {"vms": [vm]})
+        vms = self.client.list_vms().unwrap().vms
+        self.assertEqual(
+            [(v.name, v.address) for v in vms], [("e-1", "127.0.0.1:80")]
+        )
+        self.platform.call("PUT", "/control/weights/m/1", "w")
+        self.assertEqual(
+            self.client.get_weights("m", "1").unwrap().data, b'"w"'
+        )
+        missing = self.client.get_weights("m", "2")
+        self.assertIs(missing.err(), PlatformError.NOT_FOUND)
+
+    def test_watch_merges_kinds_and_survives_an_outage(self) -> None:
+        """Guards against changes missed while the platform was down."""
+        seen: list[tuple[str, str]] = []
+        watch = make_watch(
+            self.client.watch,
+            ("a", "b"),
+            lambda events: seen.extend((e.kind, e.name) for e in events),
+            random.Random(1).random,
+            poll_s=0.2,
+        )
+        watch.start()
+        self.addCleanup(watch.stop)
+        self.client.create("a", "1", 1).unwrap()
+        wait_until(lambda: seen == [("a", "1")], "the first event arrives")
+        self.platform.fault(down=True)
+        wait_until(lambda: watch.state().failures > 0, "the watch fails")
+        self.platform.fault(down=False)
+        self.client.create("b", "2", 1).unwrap()
+        self.client.create("c", "3", 1).unwrap()
+        wait_until(lambda: len(seen) > 1, "the second event arrives")
+        self.assertEqual(seen, [("a", "1"), ("b", "2")])
+
+
+class OutcomeTest(unittest.TestCase):
+    def test_client_outcomes_follow_the_answer(self) -> None:
+        """Guards against a write taken for refused that may be applied."""
+        cases: tuple[tuple[Result[Reply, Loss], str, str], ...] = (
+            (Err(Loss.NOT_SENT), "unavailable", "unavailable"),
+            (Err(Loss.NO_ANSWER), "uncertain", "unavailable"),
+            (Ok(Reply(500, b"")), "uncertain", "unavailable"),
+            (Ok(Reply(200, b"{")), "uncertain", "malformed"),
+            (Ok(Reply(200, b'{"version":true}')), "uncertain", "malformed"),
+            (Ok(Reply(429, b"")), "limited", "limited"),
+            (Ok(Reply(413, b"")), "malformed", "malformed"),
+        )
+        for reply, write, read in cases:
+            with self.subTest(reply):
+                client = _client_answering(reply)
+                self.assertEqual(
+                    client.create("k", "n", 1).unwrap_err().value, write
+                )
+                self.assertEqual(client.get("k", "n").unwrap_err().value, read)
+
+    def test_settle_write_decides_only_what_is_certain(self) -> None:
+        """Guards against calling a write failed that can still be applied."""
+        lost: Result[Versioned, PlatformError] = Err(PlatformError.UNCERTAIN)
+        missing: Result[Versioned, PlatformError] = Err(PlatformError.NOT_FOUND)
+        cases = (
+            (Ok(Versioned("n", 5, "ours")), 4, None),
+            (Ok(Versioned("n", 4, "old")), 4, PlatformError.UNCERTAIN),
+            (Ok(Versioned("n", 6, "other")), 4, PlatformError.CONFLICT),
+            (Ok(Versioned("n", 6, "other")), None, PlatformError.CONFLICT),
+            (missing, None, PlatformError.UNCERTAIN),
+            (missing, 4, PlatformError.CONFLICT),
+            (Err(PlatformError.UNAVAILABLE), 4, PlatformError.UNCERTAIN),
+        )
+        for found, base, expected in cases:
+            with self.subTest(found=found, base=base):
+                settled = settle_write(
+                    lost,
+                    lambda found=found: found,  # type: ignore[misc]
+                    lambda value: value == "ours",
+                    base,
+                )
+                self.assertIs(settled.err(), expected)
+
+
+def _client_answering(reply: Result[Reply, Loss]) -> PlatformClient:
+    def transport(call: Call) -> Result[Reply, Loss]:
+        return reply
+
+    return make_platform_client(
+        transport,
+        make_call_account(lambda: 0.0),
+        lambda: 0.0,
+        lambda: 0.5,
+        sleep=lambda seconds: None,
+    )
