Add claims: at most one dispatch for each idempotency key

Change: a claim is created if absent and never taken from its holder; only a claim that was given up is claimed again, by conditional update. Lost answers are resolved by reading back. Outcomes that could not be written are retried in the background in a bounded queue. A create that was refused as `unknown` and may land late is given up in the background as well, so that its key does not stay locked. A new reason tells that an answer was too large to store.

Tested: Hypothesis histories of up to four processes with lost, late and dropped writes, outages, pauses and deaths. The same property fails for a lease that is taken over after a timeout; that variant stays in tests/claims/test_protocol.py as the counterexample.

Conclusion: the protocol keeps the invariant in these histories.

--- /dev/null
+++ b/bench/simulated_platform.py
@@ -0,0 +1,110 @@
+"""Objects of a platform that fails in chosen ways, without a network."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from bench.interleaving import Choose
+from burdockspan.platform.calls import CallCounts
+from burdockspan.platform.client import PlatformClient
+from burdockspan.platform.objects import PlatformError, Versioned
+
+_FATES = ("done", "done", "done", "done", "lost", "late", "dropped", "unsent")
+_READ_FATES = ("done", "done", "done", "done", "done", "done", "down", "down")
+_OUTAGE_FATES = ("unsent", "dropped", "late")
+
+_Write = Callable[[], Result[Versioned, PlatformError]]
+
+
+class SimulatedPlatform:
+    """Versioned objects, writes in flight and outages.
+
+    A write can lose its answer after it was applied, be applied late, be
+    dropped, or not be sent. `pause` is called before and after each call takes
+    effect, so that its process can be stopped at either point.
+    """
+
+    def __init__(self, choose: Choose, pause: Callable[[], None]) -> None:
+        self._choose = choose
+        self._pause = pause
+        self._version = 0
+        self._objects: dict[tuple[str, str], Versioned] = {}
+        self.in_flight: list[_Write] = []
+        self.outage = False
+        self.history: list[Versioned] = []
+
+    def land(self, index: int) -> None:
+        """Applies a write that is in flight, if its condition still holds."""
+        self.in_flight.pop(index)()
+
+    def client(self) -> PlatformClient:
+        """Returns a client; only object calls by name work."""
+        return PlatformClient(
+            get=self._get,
+            create=lambda kind, name, value: self._write(
+                kind, name, value, None
+            ),
+            update=self._write,
+            delete=_unused,
+            list_objects=_unused,
+            watch=_unused,
+            list_vms=_unused,
+            get_weights=_unused,
+            counts=lambda: CallCounts({}, {}, 0, ()),
+        )
+
+    def _get(self, kind: str, name: str) -> Result[Versioned, PlatformError]:
+        self._pause()
+        fate = "down" if self.outage else _READ_FATES[self._choose(8)]
+        found = self._objects.get((kind, name))
+        self._pause()
+        if fate == "down":
+            return Err(PlatformError.UNAVAILABLE)
+        return Ok(found) if found else Err(PlatformError.NOT_FOUND)
+
+    def _write(
+        self, kind: str, name: str, value: Any, version: int | None
+    ) -> Result[Versioned, PlatformError]:
+        kept = copy.deepcopy(value)
+        self._pause()
+        if self.outage:
+            fate = _OUTAGE_FATES[self._choose(len(_OUTAGE_FATES))]
+        else:
+            fate = _FATES[self._choose(len(_FATES))]
+        outcome: Result[Versioned, PlatformError]
+        outcome = Err(PlatformError.UNCERTAIN)
+        if fate == "done":
+            outcome = self._apply((kind, name), kept, version)
+        elif fate == "lost":
+            self._apply((kind, name), kept, version)
+        elif fate == "late":
+            self.in_flight.append(
+                lambda: self._apply((kind, name), kept, version)
+            )
+        elif fate == "unsent":
+            outcome = Err(PlatformError.UNAVAILABLE)
+        self._pause()
+        return outcome
+
+    def _apply(
+        self, target: tuple[str, str], value: Any, version: int | None
+    ) -> Result[Versioned, PlatformError]:
+        current = self._objects.get(target)
+        if (current.version if current else None) != version:
+            return Err(PlatformError.CONFLICT)
+        self._version += 1
+        written = Versioned(target[1], self._version, value)
+        self._objects[target] = written
+        self.history.append(written)
+        return Ok(written)
+
+
+def _unused(*arguments: object) -> Any:
+    raise NotImplementedError
+
+
+__all__ = ["SimulatedPlatform"]
--- /dev/null
+++ b/src/burdockspan/claims/settlement.py
@@ -0,0 +1,180 @@
+"""Background retries of claim writes until they are written."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections.abc import Callable
+
+from result import Err, Result
+
+from burdockspan.platform.objects import PlatformError
+from burdockspan.platform.retries import Backoff, Draw, delay_s
+from burdockspan.values.clock import Clock
+
+SETTLEMENT_BACKOFF = Backoff(0.2, 5.0)
+SETTLEMENT_LIMIT = 10_000
+_IDLE_WAIT_S = 1.0
+# Eight tries per second, so that a long queue leaves most of the write bound
+# to new claims after an outage.
+_PASS_LIMIT = 4
+_PASS_INTERVAL_S = 0.5
+
+Write = Callable[[], Result[None, PlatformError]]
+"""Tries one write once; safe to repeat. CONFLICT ends the retries."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A write that is retried.
+
+    Attributes:
+      write: one try.
+      due_s: next try on the monotonic clock.
+      failures: tries that failed.
+      tries_limit: most tries; None to retry until written.
+    """
+
+    write: Write
+    due_s: float
+    failures: int = 0
+    tries_limit: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class SettlementCounts:
+    """Jobs of this process: waiting, written, and ended without a write."""
+
+    waiting: int = 0
+    written: int = 0
+    conflicts: int = 0
+    given_up: int = 0
+    dropped: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Settlement:
+    """A bounded queue of writes.
+
+    Attributes:
+      add: queues a write and its most tries; False when the queue is full.
+        The claim then stays held, which other calls read as `unknown`.
+      run_due: tries the writes that are due, at most four, and returns the
+        seconds until the next call; None when nothing waits.
+      start: starts the thread that calls `run_due`.
+      stop: ends the thread.
+      counts: returns the counts so far.
+    """
+
+    add: Callable[[Write, int | None], bool]
+    run_due: Callable[[], float | None]
+    start: Callable[[], None]
+    stop: Callable[[], None]
+    counts: Callable[[], SettlementCounts]
+
+
+class _Queue:
+    def __init__(self, clock: Clock, draw: Draw, limit: int) -> None:
+        self._clock = clock
+        self._draw = draw
+        self._limit = limit
+        self._lock = threading.Lock()
+        self._jobs: list[Job] = []
+        self._running = 0
+        self._counts = SettlementCounts()
+        self.added = threading.Event()
+
+    def add(self, write: Write, tries_limit: int | None) -> bool:
+        with self._lock:
+            if len(self._jobs) + self._running >= self._limit:
+                self._count("dropped")
+                return False
+            due_s = self._clock() + delay_s(SETTLEMENT_BACKOFF, 1, self._draw)
+            self._jobs.append(Job(write, due_s, 0, tries_limit))
+        self.added.set()
+        return True
+
+    def run_due(self) -> float | None:
+        now_s = self._clock()
+        with self._lock:
+            self._jobs.sort(key=lambda job: job.due_s)
+            due = [job for job in self._jobs if job.due_s <= now_s]
+            del due[_PASS_LIMIT:]
+            del self._jobs[: len(due)]
+            self._running += len(due)
+        for job in due:
+            self._finish(job, job.write())
+        with self._lock:
+            if not self._jobs:
+                return None
+            next_s = min(job.due_s for job in self._jobs) - self._clock()
+            return max(_PASS_INTERVAL_S, next_s)
+
+    def counts(self) -> SettlementCounts:
+        with self._lock:
+            waiting = len(self._jobs) + self._running
+            return dataclasses.replace(self._counts, waiting=waiting)
+
+    def _finish(self, job: Job, outcome: Result[None, PlatformError]) -> None:
+        with self._lock:
+            self._running -= 1
+            if not isinstance(outcome, Err):
+                self._count("written")
+                return
+            if outcome.err_value is PlatformError.CONFLICT:
+                self._count("conflicts")
+                return
+            failures = job.failures + 1
+            if job.tries_limit is not None and failures >= job.tries_limit:
+                self._count("given_up")
+                return
+            pause_s = delay_s(SETTLEMENT_BACKOFF, failures + 1, self._draw)
+            due_s = self._clock() + pause_s
+            self._jobs.append(
+                dataclasses.replace(job, due_s=due_s, failures=failures)
+            )
+
+    def _count(self, field: str) -> None:
+        value = getattr(self._counts, field) + 1
+        self._counts = dataclasses.replace(self._counts, **{field: value})
+
+
+def make_settlement(
+    clock: Clock, draw: Draw, limit: int = SETTLEMENT_LIMIT
+) -> Settlement:
+    """Returns an empty queue whose thread is not started.
+
+    Args:
+      clock: monotonic seconds.
+      draw: jitter of the backoff.
+      limit: most writes that wait.
+    """
+    queue = _Queue(clock, draw, limit)
+    stopping = threading.Event()
+
+    def run() -> None:
+        while not stopping.is_set():
+            queue.added.clear()
+            next_s = queue.run_due()
+            if next_s is None:
+                queue.added.wait(_IDLE_WAIT_S)
+            else:
+                stopping.wait(min(next_s, _IDLE_WAIT_S))
+
+    def stop() -> None:
+        stopping.set()
+        queue.added.set()
+
+    thread = threading.Thread(target=run, name="settlement", daemon=True)
+    return Settlement(
+        queue.add, queue.run_due, thread.start, stop, queue.counts
+    )
+
+
+__all__ = [
+    "SETTLEMENT_LIMIT",
+    "Settlement",
+    "SettlementCounts",
+    "Write",
+    "make_settlement",
+]
--- a/src/burdockspan/values/refusal.py
+++ b/src/burdockspan/values/refusal.py
@@ -30,6 +30,7 @@
     KEY_REUSED = "idempotency_key_reused"
     KEY_EXPIRED = "idempotency_key_expired"
     KEY_IN_PROGRESS = "idempotency_key_in_progress"
+    KEY_ANSWER_NOT_STORED = "idempotency_key_answer_not_stored"
     KEY_OUTCOME_UNKNOWN = "idempotency_key_outcome_unknown"
     CLIENT_LIMIT = "client_limit"
     OVERLOADED = "overloaded"
--- /dev/null
+++ b/tests/claims/test_protocol.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+import random
+import unittest
+from collections.abc import Callable
+
+import hypothesis
+from hypothesis import strategies
+from result import Ok
+
+from bench.claims_model import make_real_claims, run_history
+from burdockspan.claims import record
+from burdockspan.claims.record import ClaimRecord, ClaimState, Held
+from burdockspan.claims.settlement import Settlement
+from burdockspan.claims.store import ClaimOutcome, Claims
+from burdockspan.platform.client import PlatformClient
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.refusal import Reason
+
+_SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=300
+)
+_CHOICES = strategies.lists(
+    strategies.integers(0, 255), min_size=60, max_size=300
+)
+_LEASE_POLLS = 2
+
+
+def _chooser(choices: list[int]) -> Callable[[int], int]:
+    left = iter(choices)
+    return lambda count: next(left, 0) % count
+
+
+def make_lease_claims(client: PlatformClient, settlement: Settlement) -> Claims:
+    """Returns the rejected design: a held claim is taken over in the end.
+
+    A call that finds the claim held asks again, and takes it over once it was
+    held each time, as if a lease of its holder had expired.
+    """
+    real = make_real_claims(client, settlement)
+
+    def claim(
+        account: str, key: str, digest: str, holder: AttemptId
+    ) -> ClaimOutcome:
+        for _ in range(_LEASE_POLLS):
+            outcome = real.claim(account, key, digest, holder)
+            refusal = outcome.err()
+            if getattr(refusal, "reason", None) is not Reason.KEY_IN_PROGRESS:
+                return outcome
+        name = record.object_name(account, key)
+        found = client.get(record.CLAIMS_KIND, name)
+        if found.is_err():
+            return outcome
+        wanted = ClaimRecord(digest, holder, ClaimState.HELD)
+        value = record.encode_record(wanted)
+        version = found.unwrap().version
+        taken = client.update(record.CLAIMS_KIND, name, value, version)
+        if taken.is_err():
+            return outcome
+        return Ok(Held(account, key, taken.unwrap().version, wanted))
+
+    return Claims(claim, real.give_up, real.settle, real.look_up)
+
+
+class ProtocolTest(unittest.TestCase):
+    @_SETTINGS
+    @hypothesis.given(_CHOICES)
+    def test_protocol_dispatches_at_most_once_and_refuses_truthfully(
+        self, choices: list[int]
+    ) -> None:
+        """Guards against a second run of an action, and a false `not_run`."""
+        self.assertEqual(run_history(_chooser(choices)).violations, [])
+
+    def test_protocol_histories_reach_every_kind_of_end(self) -> None:
+        """Guards against a property that holds because nothing happens."""
+        records = [run_history(random.Random(n).randrange) for n in range(200)]
+        self.assertGreater(sum(len(r.dispatches) for r in records), 40)
+        self.assertGreater(sum(len(r.not_run) for r in records), 20)
+        after = [r for r in records if r.not_run and r.dispatches]
+        self.assertGreater(len(after), 0)
+
+    def test_protocol_property_fails_for_a_lease(self) -> None:
+        """Guards against a property too weak to reject an expiring lease."""
+        found = hypothesis.find(
+            _CHOICES,
+            lambda choices: bool(
+                run_history(_chooser(choices), make_lease_claims).violations
+            ),
+            settings=hypothesis.settings(
+                _SETTINGS,
+                max_examples=5000,
+                phases=[hypothesis.Phase.generate],
+            ),
+            random=random.Random(1),
+        )
+        lease = run_history(_chooser(found), make_lease_claims)
+        self.assertTrue(lease.violations)
+        self.assertEqual(run_history(_chooser(found)).violations, [])
