--- a/src/burdockspan/cli/store.py
+++ b/src/burdockspan/cli/store.py
@@ -29,9 +29,9 @@
     if given is not None:
         return given
 
-    from burdockspan.platform.client import make_platform_client
+    from burdockspan.platform.connection import connect_platform
 
-    client = make_platform_client(platform_url, f"operator-{operator}")
+    client = connect_platform(platform_url, f"operator-{operator}")
     return ObjectStore(
         get=lambda kind, name: _convert(client.get(kind, name)),
         create=lambda kind, name, value: _convert(
--- a/src/burdockspan/http/claiming.py
+++ b/src/burdockspan/http/claiming.py
@@ -13,14 +13,14 @@
     Held,
     Replay,
 )
+from burdockspan.claims.store import Claims
 from burdockspan.configuration.document import Client
 from burdockspan.http.parsing import Request, parse_key
-from burdockspan.http.ports import Claims, Ports
+from burdockspan.http.ports import Ports
 from burdockspan.http.refusals import Reply
 from burdockspan.http.routes import Destination
 from burdockspan.values.refusal import Execution, Reason, Refusal
 
-STORED_LIMIT_BYTES = 65_536
 FENCING_HEADER = "Burdockspan-Fencing"
 KEY_HEADER = "Idempotency-Key"
 
@@ -58,12 +58,6 @@
         return was_open
 
 
-def make_answer(status: int, content_type: str, body: bytes) -> Answer:
-    """Returns an answer for a claim, without a body over the limit."""
-    stored = body if len(body) <= STORED_LIMIT_BYTES else None
-    return Answer(status, content_type, stored)
-
-
 def open_guard(
     ports: Ports,
     request: Request,
@@ -108,17 +102,10 @@
     return hashlib.sha256(head.encode() + body).hexdigest()
 
 
-def make_replay_reply(record: ClaimRecord) -> Reply | Refusal:
-    """Returns the stored answer, or the refusal if it was too large."""
-    if record.body is None:
-        return Refusal(
-            409,
-            Execution.RAN,
-            Reason.KEY_REUSED,
-            "the call with this key ran; its answer was too large to store",
-            field=KEY_HEADER,
-            limit=f"{STORED_LIMIT_BYTES} bytes",
-        )
+def make_replay_reply(record: ClaimRecord) -> Reply:
+    """Returns the stored answer of a finished claim."""
+    assert record.status is not None
+    assert record.body is not None
     headers = (
         ("Content-Type", record.content_type or "application/octet-stream"),
         ("Content-Length", str(len(record.body))),
@@ -130,9 +117,7 @@
 __all__ = [
     "FENCING_HEADER",
     "KEY_HEADER",
-    "STORED_LIMIT_BYTES",
     "Guard",
-    "make_answer",
     "make_digest",
     "make_replay_reply",
     "open_guard",
--- a/src/burdockspan/http/services.py
+++ b/src/burdockspan/http/services.py
@@ -9,16 +9,14 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.claims.record import Replay
+from burdockspan.claims.record import ANSWER_LIMIT_BYTES, Answer, Replay
 from burdockspan.configuration.document import Client, Configuration
 from burdockspan.endpoints.answers import may_have_run
 from burdockspan.endpoints.connections import Abort, Call, EndpointError
 from burdockspan.endpoints.service import ServiceAnswer, call_service
 from burdockspan.http.claiming import (
     FENCING_HEADER,
-    STORED_LIMIT_BYTES,
     Guard,
-    make_answer,
     make_replay_reply,
     open_guard,
 )
@@ -74,10 +72,7 @@
         problem = made.err_value
         if isinstance(problem, Replay):
             ports.metrics.count("claims.replayed", 1)
-            replayed = make_replay_reply(problem.record)
-            if isinstance(replayed, Reply):
-                return replayed
-            problem = replayed
+            return make_replay_reply(problem.record)
         return make_refusal_reply(problem, request.request_id)
     job = made.ok_value
     try:
@@ -278,13 +273,13 @@
     for part in _pass_on(b"", parts):
         if not part:
             continue
-        if len(collected) <= STORED_LIMIT_BYTES:
+        if len(collected) <= ANSWER_LIMIT_BYTES:
             collected += part
         yield last
         last = part
     exchange = answer.exchange
     media_type = exchange.headers.get("Content-Type", "")
-    job.guard.settle(make_answer(exchange.status, media_type, bytes(collected)))
+    job.guard.settle(Answer(exchange.status, media_type, bytes(collected)))
     yield last
 
 
--- a/tests/support/router_fake.py
+++ b/tests/support/router_fake.py
@@ -15,6 +15,7 @@
     Held,
     Replay,
 )
+from burdockspan.claims.store import Claims
 from burdockspan.configuration.document import (
     Client,
     Configuration,
@@ -23,7 +24,7 @@
     Route,
     Service,
 )
-from burdockspan.http.ports import Claims
+from burdockspan.platform.objects import PlatformError
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import Event, Failure, Placement
@@ -155,24 +156,27 @@
             )
         )
 
-    def _give_up(self, held: Held) -> None:
-        self._settle(held, ClaimState.GIVEN_UP, None)
+    def _give_up(self, held: Held) -> Result[None, PlatformError]:
+        return self._settle(held, ClaimState.GIVEN_UP, None)
 
-    def _settle(self, held: Held, state: ClaimState, answer: Any) -> None:
+    def _settle(
+        self, held: Held, state: ClaimState, answer: Any
+    ) -> Result[None, PlatformError]:
         self.by_key[held.client, held.key] = ClaimRecord(
             held.record.body_digest,
             held.record.holder,
             state,
-            answer.status if answer else 0,
-            answer.content_type if answer else "",
+            answer.status if answer else None,
+            answer.content_type if answer else None,
             answer.body if answer else None,
         )
+        return Ok(None)
 
     def _look_up(
         self, client: str, key: str
-    ) -> Result[ClaimRecord | None, str]:
+    ) -> Result[ClaimRecord | None, PlatformError]:
         if self.unreachable:
-            return Err("unavailable")
+            return Err(PlatformError.UNAVAILABLE)
         return Ok(self.by_key.get((client, key)))
 
 
