Add the experiment that compares the placement options

Change: a discrete-event loop on a test clock runs the real decision functions for four entry VMs against fake engines; each variant sees the same calls.

--- /dev/null
+++ b/bench/choices.py
@@ -0,0 +1,91 @@
+"""Placement of one call by the options of a variant."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from bench.knowledge import Knowledge
+from bench.variants import Variant
+from bench.workload import SERVICE, Call
+from burdockspan.placement.decode import choose_decode
+from burdockspan.placement.prefill import choose_prefill
+from burdockspan.placement.sampling import Draw
+from burdockspan.placement.transfer import arrives_in_life
+from burdockspan.values.endpoint import EndpointView
+from burdockspan.values.submission import Priority
+
+
+class Chooser:
+    """Chooses endpoints for one entry VM; counts turns for round robin."""
+
+    def __init__(
+        self, variant: Variant, knowledge: Knowledge, draw: Draw
+    ) -> None:
+        self._variant = variant
+        self._knowledge = knowledge
+        self._draw = draw
+        self._turn = 0
+
+    def decode(
+        self, call: Call, headroom: float, excluded: Sequence[str] = ()
+    ) -> EndpointView | None:
+        """Returns a decode engine, None if no memory is expected."""
+        views = [
+            view
+            for view in self._knowledge.decode_views()
+            if view.endpoint.name not in excluded
+        ]
+        if self._variant.placement != "sampled":
+            return self._simple([view for view in views if view.usable])
+        free = sum(max(0, view.free_pieces) for view in views if view.usable)
+        if call.priority is Priority.PATIENT and free - call.pieces < headroom:
+            return None
+        if self._variant.sharing == "fresh":
+            fitting = [v for v in views if v.free_pieces >= call.pieces]
+            return max(fitting, key=lambda v: v.free_pieces, default=None)
+        return choose_decode(views, call.pieces, self._draw)
+
+    def prefill(
+        self, call: Call, slack_s: float = float("inf")
+    ) -> EndpointView | None:
+        """Returns a prefill engine, None if all have long queues."""
+        views = self._knowledge.prefill_views(call)
+        if self._variant.placement != "sampled":
+            return self._simple(views)
+        limit_s = self._variant.prefill_wait_s
+        if call.priority is Priority.URGENT:
+            limit_s *= 2
+        if self._variant.meets_target:
+            limit_s = min(limit_s, max(0.0, slack_s))
+        limit = limit_s * SERVICE.prefill_tokens_per_s
+        fitting = [
+            view
+            for view in views
+            if view.waiting_tokens <= limit
+            and not 0 < self._variant.prefill_slots <= view.running
+            and arrives_in_life(
+                call.prompt_tokens, SERVICE, 0.0, view.distance_ms
+            )
+        ]
+        if self._variant.prefix == "sticky":
+            best = max(views, key=lambda view: view.cached_tokens)
+            if best.cached_tokens > 0:
+                return best if best in fitting else None
+        if self._variant.sharing == "fresh":
+            return min(
+                fitting,
+                key=lambda v: v.waiting_tokens - v.cached_tokens,
+                default=None,
+            )
+        return choose_prefill(fitting, call.prompt_tokens, self._draw)
+
+    def _simple(self, views: list[EndpointView]) -> EndpointView | None:
+        if not views:
+            return None
+        if self._variant.placement == "least_outstanding":
+            return min(views, key=lambda view: view.running)
+        self._turn += 1
+        return views[self._turn % len(views)]
+
+
+__all__ = ["Chooser"]
--- /dev/null
+++ b/bench/experiment.py
@@ -0,0 +1,97 @@
+"""Compares the options of the decision functions on the same seeds.
+
+Run from the root of the repository:
+`PYTHONPATH=src python -m bench.experiment --help`.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import itertools
+import pathlib
+
+import click
+
+from bench import report
+from bench.figures import Figures, measure
+from bench.run import Setting, run
+from bench.variants import ALL, Variant
+from bench.workload import ATLAS, RIJKSBUREAU, Size
+
+_SIZES = (ATLAS, RIJKSBUREAU)
+_PROCESSES = 4
+
+
+def run_setting(setting: Setting) -> Figures:
+    """Runs one setting; a function of the module so that it can be pickled."""
+    return measure(run(setting), setting.duration_s)
+
+
+def run_all(
+    *,
+    sizes: tuple[Size, ...],
+    variants: tuple[Variant, ...],
+    loads: tuple[float, ...],
+    faults: tuple[bool, ...],
+    seeds: int,
+    duration_s: float,
+) -> tuple[report.Row, ...]:
+    """Returns one row per size, fault setting, load and variant."""
+    cells = list(itertools.product(sizes, faults, loads, variants))
+    settings = [
+        Setting(size, variant, load, fault, seed, duration_s)
+        for size, fault, load, variant in cells
+        for seed in range(1, seeds + 1)
+    ]
+    with concurrent.futures.ProcessPoolExecutor(_PROCESSES) as pool:
+        results = list(pool.map(run_setting, settings))
+    rows = []
+    for number, (size, fault, load, variant) in enumerate(cells):
+        part = results[number * seeds : (number + 1) * seeds]
+        total = sum(part[1:], start=part[0])
+        rows.append(report.Row(size.name, fault, load, variant, total))
+    return report.with_shares(tuple(rows))
+
+
+@click.command()
+@click.option("--size", "size_name", default="", help="Only this team.")
+@click.option("--loads", default="0.5,0.7,1.0,1.3,2.0", show_default=True)
+@click.option("--seeds", default=3, show_default=True)
+@click.option("--duration", default=60.0, show_default=True, help="Seconds.")
+@click.option("--faults", default="off,on", show_default=True)
+@click.option("--variants", default="", help="Parts of names, by comma.")
+@click.option("--out", default="", help="Directory for CSV, text and plot.")
+def main(
+    *,
+    size_name: str,
+    loads: str,
+    seeds: int,
+    duration: float,
+    faults: str,
+    variants: str,
+    out: str,
+) -> None:
+    """Prints a table; writes it with CSV and a plot if --out is given."""
+    parts = variants.split(",")
+    rows = run_all(
+        sizes=tuple(size for size in _SIZES if size_name in ("", size.name)),
+        variants=tuple(v for v in ALL if any(part in v.name for part in parts)),
+        loads=tuple(float(load) for load in loads.split(",")),
+        faults=tuple(word == "on" for word in faults.split(",")),
+        seeds=seeds,
+        duration_s=duration,
+    )
+    text = report.make_table(rows)
+    click.echo(text)
+    if out:
+        directory = pathlib.Path(out)
+        directory.mkdir(parents=True, exist_ok=True)
+        (directory / "experiment.txt").write_text(text + "\n")
+        report.write_csv(rows, directory / "experiment.csv")
+        report.write_plot(rows, directory / "experiment.svg")
+
+
+if __name__ == "__main__":
+    main()
+
+__all__ = ["main", "run_all", "run_setting"]
--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,221 @@
+"""Fake prefill and decode engines at the interfaces of the design page."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+from collections.abc import Callable
+
+from bench.loop import Loop
+from bench.workload import SERVICE, STEP_BASE_S, STEP_PER_CALL_S, Call
+from burdockspan.placement import transfer
+from burdockspan.placement.prefix import BLOCK_TOKENS, CacheEvent
+from burdockspan.values.endpoint import Endpoint, LoadReport
+
+_PREFIX_BLOCKS = 250
+_EVENT_GAP_SHARE = 0.01
+
+
+class DecodeEngine:
+    """Continuous batching; memory is held from reservation to the end."""
+
+    def __init__(self, loop: Loop, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.alive = True
+        self.held: dict[str, int] = {}
+        self._loop = loop
+        self._left: dict[str, int] = {}
+        self._on_token: dict[str, Callable[[bool], None]] = {}
+        self._stepping = False
+
+    @property
+    def free_pieces(self) -> int:
+        """Pieces not reserved."""
+        return self.endpoint.pieces - sum(self.held.values())
+
+    def reserve(self, attempt: str, pieces: int) -> bool:
+        """Answers 201 (True) or 409 (False)."""
+        if pieces > self.free_pieces:
+            return False
+        self.held[attempt] = pieces
+        return True
+
+    def start(
+        self, attempt: str, tokens: int, on_token: Callable[[bool], None]
+    ) -> None:
+        """Decodes a call; `on_token` gets True with the last token."""
+        if attempt not in self.held:
+            return
+        self._left[attempt] = tokens
+        self._on_token[attempt] = on_token
+        if not self._stepping:
+            self._stepping = True
+            self._schedule_step()
+
+    def release(self, attempt: str) -> None:
+        """Cancels an attempt and frees its memory."""
+        self.held.pop(attempt, None)
+        self._left.pop(attempt, None)
+        self._on_token.pop(attempt, None)
+
+    def kill(self) -> tuple[str, ...]:
+        """Ends the process; returns the attempts that it held."""
+        self.alive = False
+        lost = tuple(self.held)
+        for attempt in lost:
+            self.release(attempt)
+        return lost
+
+    def report(self) -> LoadReport:
+        """Returns the present load."""
+        return LoadReport(
+            self.endpoint.name,
+            "boot",
+            False,
+            self.endpoint.pieces,
+            self.free_pieces,
+            len(self._left),
+            0,
+            self._loop.now_s,
+        )
+
+    def _schedule_step(self) -> None:
+        self._loop.after(
+            STEP_BASE_S + STEP_PER_CALL_S * len(self._left), self._step
+        )
+
+    def _step(self) -> None:
+        for attempt in tuple(self._left):
+            self._left[attempt] -= 1
+            last = self._left[attempt] <= 0
+            on_token = self._on_token[attempt]
+            if last:
+                self.release(attempt)
+            on_token(last)
+        self._stepping = bool(self._left)
+        if self._stepping:
+            self._schedule_step()
+
+
+@dataclasses.dataclass(frozen=True)
+class Prefilled:
+    """A finished prefill."""
+
+    engine: PrefillEngine
+    made_s: float
+    computed_tokens: int
+
+
+class PrefillEngine:
+    """One prompt at a time, first in, first out, with a prefix cache."""
+
+    def __init__(
+        self, loop: Loop, endpoint: Endpoint, slots: int, seed: int
+    ) -> None:
+        self.endpoint = endpoint
+        self.slots = slots
+        self.link = transfer.Link()
+        self.computed_tokens = 0
+        self.events: list[CacheEvent] = []
+        self._loop = loop
+        self._rng = random.Random(f"{endpoint.name} {seed}")
+        self._queue: collections.deque[
+            tuple[Call, Callable[[Prefilled], None]]
+        ] = collections.deque()
+        self._cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._sequence = 0
+        self._busy_until_s = 0.0
+        self._busy = False
+
+    @property
+    def outstanding(self) -> int:
+        """Prefills queued or running."""
+        return len(self._queue) + self._busy
+
+    @property
+    def waiting_tokens(self) -> float:
+        """Exact tokens to compute before a new prompt starts."""
+        queued = sum(call.prompt_tokens for call, _ in self._queue)
+        running_s = max(0.0, self._busy_until_s - self._loop.now_s)
+        return queued + running_s * SERVICE.prefill_tokens_per_s
+
+    def cached_tokens(self, blocks: tuple[int, ...]) -> int:
+        """Returns the tokens of the prefix that are cached."""
+        count = 0
+        while count < len(blocks) and blocks[count] in self._cache:
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def submit(self, call: Call, on_done: Callable[[Prefilled], None]) -> bool:
+        """Queues a prefill; False (429) if the engine holds enough."""
+        if 0 < self.slots <= self.outstanding:
+            return False
+        self._queue.append((call, on_done))
+        if not self._busy:
+            self._start_next()
+        return True
+
+    def report(self) -> LoadReport:
+        """Returns the present load."""
+        waiting = len(self._queue)
+        return LoadReport(
+            self.endpoint.name,
+            "boot",
+            False,
+            0,
+            0,
+            int(self._busy),
+            waiting,
+            self._loop.now_s,
+        )
+
+    def transfer(self, call: Call) -> float:
+        """Queues a transfer on the link; returns the seconds it takes."""
+        now_s = self._loop.now_s
+        backlog = transfer.backlog_bytes(self.link, SERVICE, now_s)
+        self.link = transfer.schedule(
+            self.link, call.prompt_tokens, SERVICE, now_s
+        )
+        return transfer.estimate_s(call.prompt_tokens, SERVICE, backlog)
+
+    def _start_next(self) -> None:
+        call, on_done = self._queue.popleft()
+        computed = call.prompt_tokens - self.cached_tokens(call.blocks)
+        elapsed_s = computed / SERVICE.prefill_tokens_per_s
+        self._busy = True
+        self._busy_until_s = self._loop.now_s + elapsed_s
+        self._loop.after(
+            elapsed_s, lambda: self._finish(call, computed, on_done)
+        )
+
+    def _finish(
+        self, call: Call, computed: int, on_done: Callable[[Prefilled], None]
+    ) -> None:
+        self._busy = False
+        self.computed_tokens += computed
+        self._store(call.blocks)
+        if self._queue:
+            self._start_next()
+        on_done(Prefilled(self, self._loop.now_s, computed))
+
+    def _store(self, blocks: tuple[int, ...]) -> None:
+        for block in blocks:
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        self._publish(True, blocks)
+        evicted = []
+        while len(self._cache) > _PREFIX_BLOCKS:
+            evicted.append(self._cache.popitem(last=False)[0])
+        if evicted:
+            self._publish(False, tuple(evicted))
+
+    def _publish(self, stored: bool, blocks: tuple[int, ...]) -> None:
+        self._sequence += 1
+        if self._rng.random() >= _EVENT_GAP_SHARE:
+            self.events.append(CacheEvent(self._sequence, stored, blocks))
+
+
+__all__ = ["DecodeEngine", "PrefillEngine", "Prefilled"]
--- /dev/null
+++ b/bench/variants.py
@@ -0,0 +1,86 @@
+"""Options that the experiment compares."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Variant:
+    """One combination of options.
+
+    Attributes:
+      name: name in the tables.
+      sharing: optimistic, divided, owner (queue at the owner of one endpoint),
+        pool_owner (queue at one VM for the whole pool) or fresh (one queue and
+        exact views without delay; the bound).
+      reserve: before, after or during the prefill.
+      order: classes, fifo or strict.
+      prefix: affinity, ignored (load only) or sticky (the holder always).
+      placement: sampled, round_robin or least_outstanding.
+      admission: whether calls that cannot meet their deadline are refused.
+      headroom_s: urgent arrivals of this long find free memory, because
+        patient calls leave it free.
+      answers_carry_load: whether the answer to a reservation tells the free
+        memory of the engine.
+      prefill_slots: most calls that a prefill engine holds before it refuses
+        the next with 429; 0 for no limit.
+      meets_target: whether a prefill engine is chosen only if its queue lets
+        the first token meet its target.
+      prefill_wait_s: longest queue of a prefill engine that gets a patient
+        call; urgent calls accept twice as much.
+    """
+
+    name: str
+    sharing: str = "optimistic"
+    reserve: str = "before"
+    order: str = "classes"
+    prefix: str = "affinity"
+    placement: str = "sampled"
+    admission: bool = True
+    headroom_s: float = 0.0
+    answers_carry_load: bool = False
+    prefill_slots: int = 0
+    prefill_wait_s: float = 0.15
+    meets_target: bool = False
+
+
+CHOSEN = Variant("chosen")
+
+
+def _vary(name: str, **options: object) -> Variant:
+    return dataclasses.replace(CHOSEN, name=name, **options)  # type: ignore[arg-type]
+
+
+BOUNDS = (
+    _vary("bound, reserve before", sharing="fresh"),
+    _vary("bound, reserve during", sharing="fresh", reserve="during"),
+    _vary("bound, reserve after", sharing="fresh", reserve="after"),
+)
+BASELINES = tuple(
+    _vary(
+        name.replace("_", " "),
+        placement=name,
+        reserve="after",
+        order="fifo",
+        prefix="ignored",
+        admission=False,
+        headroom_s=0.0,
+        prefill_wait_s=float("inf"),
+    )
+    for name in ("round_robin", "least_outstanding")
+)
+CASES = (
+    _vary("4 divided budgets", sharing="divided"),
+    _vary("4 owner per endpoint", sharing="owner"),
+    _vary("4 owner per pool", sharing="pool_owner"),
+    _vary("5 reserve after", reserve="after"),
+    _vary("5 reserve during", reserve="during"),
+    _vary("6 first in, first out", order="fifo"),
+    _vary("6 strict priority", order="strict"),
+    _vary("7 prefix ignored", prefix="ignored"),
+    _vary("7 prefix sticky", prefix="sticky"),
+)
+ALL = (*BOUNDS, CHOSEN, *CASES, *BASELINES)
+
+__all__ = ["ALL", "BASELINES", "BOUNDS", "CASES", "CHOSEN", "Variant"]
--- /dev/null
+++ b/bench/workload.py
@@ -0,0 +1,124 @@
+"""Sizes of the two teams and seeded calls."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from burdockspan.configuration.document import Service
+from burdockspan.placement.memory import pieces_for
+from burdockspan.placement.prefix import BLOCK_TOKENS
+from burdockspan.values.submission import Priority
+
+FIRST_TOKEN_TARGET_S = 0.5
+# Decode engines of the bench take 30 ms for a step and 1 ms more for each
+# running call, so that a full engine stays below the target of 63 ms.
+STEP_BASE_S = 0.030
+STEP_PER_CALL_S = 0.001
+_FULL_STEP_S = 0.047
+_PREFIX_GROUPS = 60
+SERVICE = Service(
+    "qalam-models", prefill_tokens_per_s=20_000.0, token_gap_s=0.05
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """Zones of the VMs of one team, by index, and their distance."""
+
+    name: str
+    entries: tuple[int, ...]
+    prefill: tuple[int, ...]
+    decode: tuple[int, ...]
+    distance_ms: float
+
+
+ATLAS = Size("atlas", (0, 0, 1, 2), (0, 1, 2), (0, 1, 2, 0, 1, 2), 1.5)
+RIJKSBUREAU = Size("rijksbureau", (0, 0, 1, 2), (0, 1), (0, 1, 2), 0.5)
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One call of the workload; times in seconds of the test clock."""
+
+    call_id: str
+    entry: int
+    arrived_s: float
+    priority: Priority
+    prompt_tokens: int
+    max_tokens: int
+    output_tokens: int
+    blocks: tuple[int, ...]
+
+    @property
+    def pieces(self) -> int:
+        """Decode memory of the call."""
+        return pieces_for(
+            self.prompt_tokens, self.max_tokens, SERVICE.piece_tokens
+        )
+
+    @property
+    def deadline_s(self) -> float:
+        """End of a call that just keeps both latency targets."""
+        longest_s = self.max_tokens * SERVICE.token_gap_s
+        return self.arrived_s + FIRST_TOKEN_TARGET_S + longest_s
+
+
+def make_calls(
+    size: Size, load: float, seed: int, duration_s: float
+) -> tuple[Call, ...]:
+    """Returns Poisson arrivals at `load` times the capacity of `size`."""
+    rng = random.Random(f"{size.name} {load} {seed}")
+    rate = load * capacity_per_s(size)
+    calls: list[Call] = []
+    now_s = rng.expovariate(rate)
+    while now_s < duration_s:
+        calls.append(_make_call(rng, len(calls), len(size.entries), now_s))
+        now_s += rng.expovariate(rate)
+    return tuple(calls)
+
+
+def capacity_per_s(size: Size) -> float:
+    """Returns the calls per second that the tighter of the pools can do."""
+    rng = random.Random("capacity")
+    calls = [_make_call(rng, n, 1, 0.0) for n in range(4000)]
+    held = sum(call.pieces * call.output_tokens for call in calls)
+    decode = len(size.decode) * SERVICE.pieces / (held * _FULL_STEP_S)
+    prompts = sum(call.prompt_tokens for call in calls)
+    prefill = len(size.prefill) * SERVICE.prefill_tokens_per_s / prompts
+    return min(decode, prefill) * len(calls)
+
+
+def _make_call(
+    rng: random.Random, number: int, entries: int, now_s: float
+) -> Call:
+    urgent = rng.random() < 0.5
+    own_tokens = rng.randint(100, 800) if urgent else rng.randint(1000, 4000)
+    max_tokens = rng.randint(10, 40) if urgent else rng.randint(100, 300)
+    # Group numbers are drawn with a long tail, as system prompts are.
+    group = int(_PREFIX_GROUPS * rng.random() ** 3)
+    shared = 4 + group % 13
+    return Call(
+        call_id=f"{number:06d}",
+        entry=rng.randrange(entries),
+        arrived_s=now_s,
+        priority=Priority.URGENT if urgent else Priority.PATIENT,
+        prompt_tokens=own_tokens + shared * BLOCK_TOKENS,
+        max_tokens=max_tokens,
+        output_tokens=int(max_tokens * rng.uniform(0.5, 1.0)),
+        blocks=tuple(group * 1000 + index for index in range(shared)),
+    )
+
+
+__all__ = [
+    "ATLAS",
+    "Call",
+    "FIRST_TOKEN_TARGET_S",
+    "RIJKSBUREAU",
+    "SERVICE",
+    "STEP_BASE_S",
+    "STEP_PER_CALL_S",
+    "Size",
+    "capacity_per_s",
+    "make_calls",
+]
--- /dev/null
+++ b/src/burdockspan/admission/forecast.py
@@ -0,0 +1,102 @@
+"""Rates that a node observes, and the forecast made from them."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Mapping
+
+from burdockspan.admission.deadline import Forecast, wait_behind_s
+from burdockspan.admission.queue import Waiting
+from burdockspan.configuration.document import Service
+from burdockspan.values.submission import Priority
+
+_MEMORY_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Rate:
+    """Exponentially weighted rate of an amount.
+
+    Attributes:
+      per_s: amount per second at `updated_s`.
+      updated_s: time of the last observation, monotonic seconds.
+    """
+
+    per_s: float = 0.0
+    updated_s: float = 0.0
+
+
+def observe(rate: Rate, amount: float, now_s: float) -> Rate:
+    """Returns the rate after `amount` more has been seen."""
+    return Rate(current(rate, now_s) + amount / _MEMORY_S, now_s)
+
+
+def current(rate: Rate, now_s: float) -> float:
+    """Returns the rate per second at `now_s`; it decays without news."""
+    elapsed_s = max(0.0, now_s - rate.updated_s)
+    return rate.per_s * math.exp(-elapsed_s / _MEMORY_S)
+
+
+@dataclasses.dataclass(frozen=True)
+class Supply:
+    """Memory that one node can grant.
+
+    Attributes:
+      free_pieces: expected free memory for its calls.
+      released_per_s: pieces per second that its calls give back.
+      urgent_per_s: pieces per second that arriving urgent calls take.
+      overhead_s: network delays of one call.
+    """
+
+    free_pieces: int
+    released_per_s: float
+    urgent_per_s: float
+    overhead_s: float
+
+
+def make_forecast(
+    waiting: Mapping[str, Waiting],
+    service: Service,
+    supply: Supply,
+    patient_share: float,
+) -> Forecast:
+    """Returns the forecast of one service at this node.
+
+    Args:
+      waiting: calls that wait here.
+      service: speeds of the engines.
+      supply: memory that this node can grant.
+      patient_share: least share of grants for patient calls.
+    """
+    released_per_s = supply.released_per_s
+    urgent = _pieces(waiting, Priority.URGENT)
+    patient = _pieces(waiting, Priority.PATIENT)
+    left_per_s = max(
+        released_per_s * patient_share, released_per_s - supply.urgent_per_s
+    )
+    rates = Forecast(
+        pieces_per_s=released_per_s,
+        free_pieces=supply.free_pieces,
+        overhead_s=supply.overhead_s,
+        prefill_s_per_token=1.0 / service.prefill_tokens_per_s,
+        transfer_s_per_token=(
+            service.kv_bytes_per_token / service.link_bytes_per_s
+        ),
+        token_gap_s=service.token_gap_s,
+    )
+    patient_rates = dataclasses.replace(rates, pieces_per_s=left_per_s)
+    return dataclasses.replace(
+        rates,
+        urgent_wait_s=wait_behind_s(rates, urgent + 1),
+        patient_wait_s=wait_behind_s(patient_rates, urgent + patient + 1),
+    )
+
+
+def _pieces(waiting: Mapping[str, Waiting], priority: Priority) -> int:
+    return sum(
+        row.pieces for row in waiting.values() if row.priority is priority
+    )
+
+
+__all__ = ["Rate", "Supply", "current", "make_forecast", "observe"]
