--- a/bench/variants.py
+++ b/bench/variants.py
@@ -45,7 +45,7 @@
     meets_target: bool = False
 
 
-CHOSEN = Variant("chosen")
+CHOSEN = Variant("chosen", answers_carry_load=True)
 
 
 def _vary(name: str, **options: object) -> Variant:
