Refuse bad input by field and settle claims truthfully

Cause: bad input needs one clear refusal each, and an action whose service breaks off early was answered with a bare closed connection. Change: answers of actions are read up to the stored size before the caller's answer begins; repeated or conflicting single headers and invalid keys are refused by the server as problem documents; one byte is held back until the claim is settled.

--- a/src/burdockspan/http/claiming.py
+++ b/src/burdockspan/http/claiming.py
@@ -58,10 +58,11 @@
         return was_open
 
 
-def make_answer(status: int, content_type: str, body: bytes) -> Answer:
+def make_answer(status: int, content_type: str, body: bytes | None) -> Answer:
     """Returns an answer for a claim, without a body over the limit."""
-    stored = body if len(body) <= STORED_LIMIT_BYTES else None
-    return Answer(status, content_type, stored)
+    if body is not None and len(body) > STORED_LIMIT_BYTES:
+        body = None
+    return Answer(status, content_type, body)
 
 
 def open_guard(
--- a/src/burdockspan/http/server.py
+++ b/src/burdockspan/http/server.py
@@ -14,9 +14,10 @@
 import waitress.server
 import waitress.task
 import waitress.wasyncore
+from result import Err
 
 from burdockspan.http.application import REQUEST_ID_HEADER, WsgiApplication
-from burdockspan.http.parsing import make_too_large
+from burdockspan.http.parsing import check_key, make_too_large
 from burdockspan.http.refusals import (
     make_malformed,
     make_refusal_reply,
@@ -164,7 +165,8 @@
         self._server.task_dispatcher.shutdown()
         with self._lock:
             self._ended = True
-            self._server.trigger.close()
+            if not self._server.task_dispatcher.threads:
+                self._server.trigger.close()
 
     def stop(self) -> None:
         """Makes `run` return."""
@@ -218,9 +220,15 @@
 
 def _check_headers(header: bytes) -> None:
     for name in _SINGLE_HEADERS:
-        pattern = rb"(?im)^" + name.encode() + rb"[ \t]*:"
-        if len(re.findall(pattern, header)) > 1:
+        pattern = rb"(?im)^" + name.encode() + rb"[ \t]*:([^\r\n]*)"
+        values = re.findall(pattern, header)
+        if len(values) > 1:
             raise waitress.parser.ParsingError(f"{name} is repeated")
+        if values and name == "Idempotency-Key":
+            # waitress refuses control characters without naming the header.
+            checked = check_key(values[0].strip(b" \t").decode("latin-1"))
+            if isinstance(checked, Err):
+                raise waitress.parser.ParsingError(checked.err_value)
     length = re.search(rb"(?im)^content-length[ \t]*:", header)
     if length and re.search(rb"(?im)^transfer-encoding[ \t]*:", header):
         raise waitress.parser.ParsingError(
@@ -229,6 +237,8 @@
 
 
 def _judge(error: Any, body_limit_bytes: int) -> Refusal:
+    if isinstance(error.body, Refusal):
+        return error.body
     if error.code == 413:
         return make_too_large(body_limit_bytes)
     if error.code == 431:
--- a/src/burdockspan/http/services.py
+++ b/src/burdockspan/http/services.py
@@ -225,18 +225,17 @@
     exchange = answer.exchange
     parts = exchange.iterate() if answer.body is None else iter([answer.body])
     try:
-        first = next(parts, b"")
+        first = _read_first(job, parts)
     except EndpointError as error:
         exchange.close()
         return Err(error.failure)
-    body = _relay(job, answer, first, parts)
+    status, body = exchange.status, _relay(job, answer, first, parts)
     if not job.ports.router.record(placement.attempt, Event.FIRST_BYTE):
         # An answer that is no longer wanted still settles the claim.
         with contextlib.suppress(AnswerBrokenError):
             collections.deque(body, maxlen=0)
         exchange.close()
         return Err(_make_stop_refusal(job, Execution.RAN))
-    status = exchange.status
 
     def clean_up() -> None:
         exchange.close()
@@ -247,6 +246,23 @@
     return Ok(Reply(status, headers, ClosingBody(body, clean_up)))
 
 
+def _read_first(job: ServiceJob, parts: Iterator[bytes]) -> bytes:
+    """Reads what must have arrived before the caller's answer begins.
+
+    For an idempotent call this is the first part. The answer of an action is
+    read up to the size that its claim stores, so that a service which breaks
+    off before leads to a truthful refusal.
+    """
+    if job.guard.held is None:
+        return next(parts, b"")
+    collected = bytearray()
+    for part in parts:
+        collected += part
+        if len(collected) > STORED_LIMIT_BYTES:
+            break
+    return bytes(collected)
+
+
 def _relay(
     job: ServiceJob,
     answer: ServiceAnswer,
@@ -272,19 +288,20 @@
     first: bytes,
     parts: Iterator[bytes],
 ) -> Iterator[bytes]:
-    # The last part is held back until the claim is settled, so that a caller
+    # The last byte is held back until the claim is settled, so that a caller
     # that has the whole answer finds its outcome.
-    collected, last = bytearray(first), first
+    more = False
+    yield first[:-1]
+    last = first[-1:]
     for part in _pass_on(b"", parts):
-        if not part:
-            continue
-        if len(collected) <= STORED_LIMIT_BYTES:
-            collected += part
-        yield last
-        last = part
+        if part:
+            more = True
+            yield last + part[:-1]
+            last = part[-1:]
     exchange = answer.exchange
     media_type = exchange.headers.get("Content-Type", "")
-    job.guard.settle(make_answer(exchange.status, media_type, bytes(collected)))
+    stored = None if more else first
+    job.guard.settle(make_answer(exchange.status, media_type, stored))
     yield last
 
 
--- a/tests/http/test_completions.py
+++ b/tests/http/test_completions.py
@@ -101,7 +101,7 @@
         def fall_silent(one: Handler) -> None:
             one.begin_stream()
             one.send_tokens(0, 3)
-            one.server.closing.wait()
+            one.stall()
 
         def resume(one: Handler) -> None:
             one.begin_stream()
@@ -200,7 +200,7 @@
         def fall_silent(one: Handler) -> None:
             one.begin_stream()
             one.send_tokens(0, 1)
-            one.server.closing.wait()
+            one.stall()
 
         self.decode.scripts["POST /v1/"] = fall_silent
         value = {"model": "m1", "prompt": "x", "stream": True}
--- /dev/null
+++ b/tests/http/test_services.py
@@ -0,0 +1,186 @@
+from __future__ import annotations
+
+import http.client
+import json
+
+from burdockspan.claims.record import ClaimState
+from burdockspan.values.placement import Event, FailureKind
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from tests.support.caller import Answer, ServedTest
+from tests.support.endpoint_fake import Handler
+
+_BOOK = "/services/app/book"
+_UNKNOWN = {"state": "unknown", "outcome": "unknown"}
+
+
+class ServicesTest(ServedTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.service.scripts["GET /"] = lambda one: one.send(200, b"hello")
+        self.service.scripts["POST /book"] = lambda one: one.send(
+            201, {"booking": 1}
+        )
+
+    def book(self, key: str = "k1", body: object = "b") -> Answer:
+        return self.call("POST", _BOOK, body, {"Idempotency-Key": key})
+
+    def look_up(self, key: str = "k1") -> dict[str, object]:
+        return self.call("GET", f"/v1/outcomes/{key}").problem()
+
+    def test_idempotent_call_passes_answer_and_headers(self) -> None:
+        self.service.scripts["GET /x"] = lambda one: one.send(
+            203, b"hi", {"X-Kept": "1", "Keep-Alive": "2"}
+        )
+        headers = {"X-Sent": "3", "Burdockspan-Fencing": "9"}
+        answer = self.call("GET", "/services/app/x%20y?q=%2F", None, headers)
+        self.assertEqual((answer.status, answer.body), (203, b"hi"))
+        self.assertEqual(answer.headers["X-Kept"], "1")
+        self.assertNotIn("Keep-Alive", answer.headers)
+        received = self.service.received[-1]
+        self.assertEqual(received.path, "/x%20y?q=%2F")
+        self.assertEqual(received.headers["X-Sent"], "3")
+        # The caller's token and forged headers must not reach a service.
+        self.assertNotIn("Authorization", received.headers)
+        self.assertNotIn("Burdockspan-Fencing", received.headers)
+
+    def test_action_runs_once_and_is_replayed(self) -> None:
+        first, again = self.book(), self.book()
+        self.assertEqual((first.status, again.status), (201, 201))
+        self.assertEqual(first.body, again.body)
+        self.assertEqual(again.headers["Idempotency-Replayed"], "true")
+        self.assertEqual(self.service.count("POST /book"), 1)
+        sent = self.service.received[-1].headers
+        self.assertEqual(sent["Idempotency-Key"], "k1")
+        self.assertEqual(sent["Burdockspan-Fencing"], "7")
+        found = self.look_up()
+        self.assertEqual((found["state"], found["outcome"]), ("done", "ran"))
+
+    def test_same_key_with_another_body_is_refused(self) -> None:
+        self.book()
+        answer = self.book(body="other")
+        self.assertEqual(answer.status, 422)
+        problem = answer.problem()
+        self.assertEqual(problem["reason"], "idempotency_key_reused")
+        self.assertEqual(problem["field"], "Idempotency-Key")
+        self.assertEqual(problem["outcome"], "not_run")
+        self.assertEqual(self.service.count("POST /book"), 1)
+
+    def test_actions_never_share_a_connection(self) -> None:
+        self.book("k1")
+        self.book("k2")
+        ports = {one.client for one in self.service.received}
+        self.assertEqual(len(ports), 2)
+
+    def test_action_without_answer_is_unknown_and_never_repeated(self) -> None:
+        # Guards P5: the service may have acted before it broke off.
+        self.service.scripts["POST /book"] = lambda one: one.break_off()
+        answer = self.book()
+        self.assertEqual(answer.problem()["outcome"], "unknown")
+        self.assertEqual(self.service.count("POST /book"), 1)
+        self.assertEqual(self.claims.state("k1"), ClaimState.UNKNOWN)
+        self.assertEqual(self.look_up(), {"key": "k1", **_UNKNOWN})
+        self.assertEqual(self.router.finished(), [(Execution.UNKNOWN, 502)])
+
+    def test_action_refused_before_start_is_placed_again(self) -> None:
+        tries: list[int] = []
+
+        def refuse_once(one: Handler) -> None:
+            tries.append(1)
+            if len(tries) == 1:
+                one.send(503, {"outcome": "not_run"})
+            else:
+                one.send(201, {})
+
+        self.service.scripts["POST /book"] = refuse_once
+        self.assertEqual(self.book().status, 201)
+        self.assertIn(("replace", FailureKind.LEAVING), self.router.log)
+
+    def test_conflict_of_the_application_is_an_answer(self) -> None:
+        # A 409 without the outcome word belongs to the service.
+        self.service.scripts["POST /book"] = lambda one: one.send(
+            409, {"detail": "table is taken"}
+        )
+        self.assertEqual(self.book().status, 409)
+        self.assertEqual(self.claims.state("k1"), ClaimState.DONE)
+        self.assertNotIn("replace", [row[0] for row in self.router.log])
+
+    def test_refusal_after_claiming_gives_the_claim_up(self) -> None:
+        self.router.refusal = Refusal(
+            503, Execution.NOT_RUN, Reason.OVERLOADED, "full", 2.5
+        )
+        answer = self.book()
+        self.assertEqual(answer.problem()["outcome"], "not_run")
+        self.assertEqual(answer.headers["Retry-After"], "3")
+        self.assertEqual(self.claims.state("k1"), ClaimState.GIVEN_UP)
+        self.router.refusal = None
+        self.assertEqual(self.book().status, 201)
+
+    def test_stale_holder_never_dispatches(self) -> None:
+        # Guards P5 for a process that was paused after claiming.
+        self.router.current = lambda event: event is not Event.DISPATCHED
+        self.assertEqual(self.book().problem()["outcome"], "not_run")
+        self.assertEqual(self.service.count("POST /book"), 0)
+        self.assertEqual(self.claims.state("k1"), ClaimState.GIVEN_UP)
+
+    def test_answer_after_the_attempt_ended_still_settles(self) -> None:
+        self.router.current = lambda event: event is not Event.FIRST_BYTE
+        self.assertEqual(self.book().problem()["outcome"], "ran")
+        self.assertEqual(self.claims.state("k1"), ClaimState.DONE)
+
+    def test_answer_over_the_limit_is_not_stored(self) -> None:
+        self.service.scripts["POST /book"] = lambda one: one.send(
+            200, b"x" * 70_000
+        )
+        self.assertEqual(len(self.book().body), 70_000)
+        again = self.book()
+        self.assertEqual(again.status, 409)
+        self.assertEqual(again.problem()["outcome"], "ran")
+
+    def test_broken_answer_arrives_incomplete(self) -> None:
+        # Guards P3: a caller must see that the rest is missing.
+        def break_off(one: Handler) -> None:
+            one.begin_stream("text/plain")
+            one.send_part(b"x" * 70_000)
+            one.break_off()
+
+        self.service.scripts["GET /x"] = break_off
+        self.service.scripts["POST /book"] = break_off
+        for method, path in (("GET", "/services/app/x"), ("POST", _BOOK)):
+            headers = {"Idempotency-Key": "k9"} if method == "POST" else {}
+            with self.subTest(method=method):
+                _, response = self.open(method, path, None, headers)
+                with self.assertRaises(http.client.IncompleteRead):
+                    response.read()
+        self.wait_until(lambda: self.claims.state("k9") is ClaimState.UNKNOWN)
+
+    def test_short_answer_that_breaks_off_is_refused_as_unknown(self) -> None:
+        def break_off(one: Handler) -> None:
+            one.begin_stream("text/plain")
+            one.send_part(b"part")
+            one.break_off()
+
+        self.service.scripts["POST /book"] = break_off
+        self.assertEqual(self.book().problem()["outcome"], "unknown")
+        self.assertEqual(self.claims.state("k1"), ClaimState.UNKNOWN)
+
+    def test_answer_is_streamed_as_it_arrives(self) -> None:
+        def stream(one: Handler) -> None:
+            one.begin_stream("text/plain")
+            one.send_part(b"first")
+            one.stall()
+
+        self.service.scripts["GET /x"] = stream
+        _, response = self.open("GET", "/services/app/x")
+        self.assertEqual(response.read(5), b"first")
+        self.service.closing.set()
+
+    def test_lookup_without_claim_or_platform_is_unknown(self) -> None:
+        found = self.look_up("new")
+        self.assertEqual(
+            (found["state"], found["outcome"]), ("absent", "unknown")
+        )
+        self.claims.unreachable = True
+        answer = self.call("GET", "/v1/outcomes/k1")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(json.loads(answer.body)["outcome"], "unknown")
+        self.assertEqual(answer.headers["Retry-After"], "1")
--- a/tests/support/endpoint_fake.py
+++ b/tests/support/endpoint_fake.py
@@ -89,6 +89,11 @@
         self.send_part(b"data: [DONE]\n\n")
         self.wfile.write(b"0\r\n\r\n")
 
+    def stall(self) -> None:
+        """Sends nothing more until the test ends."""
+        self.server.closing.wait()
+        self.close_connection = True
+
     def break_off(self) -> None:
         self.close_connection = True
 
