--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -56,12 +56,16 @@
 
     def test_connection_with_stray_bytes_is_replaced(self) -> None:
         # Guards P3: bytes that follow an answer must not become the next.
+        read = threading.Event()
+
         def send_twice(one: Handler) -> None:
             one.send(200, b"ok")
+            read.wait(WAIT_S)
             one.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
 
         self.fake.scripts["GET /"] = send_twice
         self.fetch(self.call())
+        read.set()
         held = self.connections._idle_by_address
         (row,) = next(iter(held.values()))
         wait_until(self, lambda: not row.connection.is_connected)
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,218 @@
+from __future__ import annotations
+
+import http.client
+import io
+import json
+import socket
+import tempfile
+import threading
+import unittest
+from collections.abc import Callable, Iterator
+from typing import Any
+from unittest import mock
+
+from burdockspan.http.admin import make_admin_application
+from burdockspan.http.refusals import make_refusal_reply, make_status_line
+from burdockspan.http.server import (
+    CALLER_SOCKET_OPTIONS,
+    Server,
+    make_admin_server,
+    make_caller_server,
+)
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from tests.support.caller import WAIT_S, ServedTest, serve, wait_until
+from tests.support.router_fake import RouterFake
+
+_PART = b"x" * 65_536
+
+
+class ServerTest(unittest.TestCase):
+    def start(self, application: Callable[..., Any]) -> Server:
+        server = make_caller_server(
+            application, "127.0.0.1:0", 4, lambda: 8_000_000
+        )
+        serve(self, server)
+        return server
+
+    def connect(self, server: Server) -> socket.socket:
+        host, _, port = server.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), WAIT_S)
+        self.addCleanup(sock.close)
+        return sock
+
+    def test_handler_learns_that_its_caller_has_gone(self) -> None:
+        # Guards P1: waitress only notices while it reads on.
+        started, noticed = threading.Event(), threading.Event()
+
+        def application(environ: Any, start_response: Any) -> list[bytes]:
+            start_response("204 No Content", [])
+            started.set()
+            gone = environ["waitress.client_disconnected"]
+            wait_until(self, gone)
+            noticed.set()
+            return []
+
+        sock = self.connect(self.start(application))
+        sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        self.assertTrue(started.wait(WAIT_S))
+        sock.close()
+        self.assertTrue(noticed.wait(WAIT_S))
+
+    def test_slow_reader_is_bounded_and_kept(self) -> None:
+        produced: list[int] = []
+        total = 400
+
+        def application(_: Any, start_response: Any) -> Iterator[bytes]:
+            start_response("200 OK", [("Content-Type", "text/plain")])
+            for _ in range(total):
+                produced.append(1)
+                yield _PART
+
+        sock = self.connect(self.start(application))
+        sock.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        # The buffer holds 4 MiB and the sockets a few more.
+        wait_until(self, lambda: len(produced) >= 4 * 16)
+        self.assertLess(len(produced), total)
+        size = 0
+        while part := sock.recv(1 << 20):
+            size += len(part)
+        self.assertGreater(size, total * len(_PART))
+
+    def test_large_bodies_never_reach_a_file(self) -> None:
+        # VMs have no disks.
+        def application(environ: Any, start_response: Any) -> list[bytes]:
+            body = environ["wsgi.input"].read()
+            start_response("200 OK", [("Content-Length", str(len(body)))])
+            return [body]
+
+        server = self.start(application)
+        body = b"y" * 3_000_000
+        with mock.patch.object(tempfile, "TemporaryFile") as opened:
+            connection = http.client.HTTPConnection(
+                server.address, timeout=WAIT_S
+            )
+            connection.request("POST", "/", body)
+            self.assertEqual(connection.getresponse().read(), body)
+            connection.close()
+        opened.assert_not_called()
+
+    def test_caller_sockets_detect_silence(self) -> None:
+        # Guards the 20 s after which a silent caller counts as gone.
+        found: list[list[int]] = []
+        accept = socket.socket.accept
+
+        def record(sock: socket.socket) -> Any:
+            pair = accept(sock)
+            accepted.append(pair[0])
+            return pair
+
+        accepted: list[socket.socket] = []
+
+        def application(_: Any, start_response: Any) -> list[bytes]:
+            found.append(
+                [
+                    accepted[-1].getsockopt(level, name)
+                    for level, name, _ in CALLER_SOCKET_OPTIONS
+                ]
+            )
+            start_response("204 No Content", [])
+            return []
+
+        with mock.patch.object(socket.socket, "accept", record):
+            sock = self.connect(self.start(application))
+            sock.sendall(b"GET / HTTP/1.0\r\n\r\n")
+            while sock.recv(1000):
+                pass
+        wanted = [value for _, _, value in CALLER_SOCKET_OPTIONS]
+        self.assertEqual(found, [wanted])
+
+    def test_stop_accepting_lets_open_calls_end(self) -> None:
+        # Guards P7.
+        entered, proceed = threading.Event(), threading.Event()
+
+        def application(_: Any, start_response: Any) -> list[bytes]:
+            entered.set()
+            proceed.wait(WAIT_S)
+            start_response("200 OK", [("Content-Length", "4")])
+            return [b"done"]
+
+        server = self.start(application)
+        sock = self.connect(server)
+        sock.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        self.assertTrue(entered.wait(WAIT_S))
+        server.stop_accepting()
+        wait_until(self, lambda: not _accepts(server))
+        proceed.set()
+        text = b""
+        while part := sock.recv(1000):
+            text += part
+        self.assertTrue(text.endswith(b"done"))
+
+
+def _accepts(server: Server) -> bool:
+    host, _, port = server.address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), WAIT_S).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
+class AdminTest(unittest.TestCase):
+    def get(self, router: RouterFake, path: str) -> tuple[int, Any]:
+        server = make_admin_server(
+            make_admin_application(router.make()), "127.0.0.1:0"
+        )
+        serve(self, server)
+        connection = http.client.HTTPConnection(server.address, timeout=WAIT_S)
+        connection.request("GET", path)
+        response = connection.getresponse()
+        value = json.loads(response.read())
+        connection.close()
+        return response.status, value
+
+    def test_admin_port_shows_status_health_and_readiness(self) -> None:
+        router = RouterFake()
+        self.assertEqual(
+            self.get(router, "/admin/status"), (200, {"generation": 1})
+        )
+        self.assertEqual(self.get(router, "/admin/health")[0], 200)
+        self.assertEqual(self.get(router, "/admin/ready")[0], 200)
+        router.is_ready = False
+        self.assertEqual(self.get(router, "/admin/ready")[0], 503)
+        self.assertEqual(self.get(router, "/admin/health")[0], 200)
+        self.assertEqual(self.get(router, "/admin/other")[0], 404)
+
+
+class ApplicationTest(ServedTest):
+    def test_fault_in_the_router_is_a_truthful_refusal(self) -> None:
+        def fail(event: object) -> bool:
+            raise RuntimeError("broken")
+
+        self.router.current = fail
+        with mock.patch("burdockspan.http.application.log_fault"):
+            answer = self.complete()
+        self.assertEqual(answer.status, 500)
+        self.assertEqual(answer.problem()["outcome"], "unknown")
+        self.assertEqual(len(self.router.finished()), 1)
+        self.assertEqual(self.router.released(), ["decode-1"])
+
+    def test_refusal_of_the_node_is_passed_on_whole(self) -> None:
+        self.router.refusal = Refusal(
+            429, Execution.NOT_RUN, Reason.CLIENT_LIMIT, "too many", 1.2
+        )
+        answer = self.complete(stream=True)
+        problem = answer.problem()
+        self.assertEqual(answer.headers["Retry-After"], "2")
+        self.assertEqual(problem["error"]["type"], "rate_limit_error")
+        self.assertEqual(problem["reason"], "client_limit")
+        self.assertEqual(
+            problem["request_id"], answer.headers["Burdockspan-Request-Id"]
+        )
+        self.assertEqual(self.router.finished(), [(Execution.NOT_RUN, 429)])
+
+    def test_status_without_a_phrase_is_passed_on(self) -> None:
+        self.assertEqual(make_status_line(799), "799 Status")
+        refusal = Refusal(503, Execution.RAN, Reason.INTERNAL, "x")
+        body = b"".join(make_refusal_reply(refusal, "r").body)
+        self.assertEqual(json.load(io.BytesIO(body))["outcome"], "ran")
