Complete the stand-ins' faults and count wasted prefill

Attempts and shared types have modules of their own. The function may_prune and its test are removed, because nothing calls it: pruning needs a date in the claim, which the record does not have. execution_of(None) is `unknown`, because a call on its way may still claim an absent key.

--- a/src/burdockspan/claims/keys.py
+++ b/src/burdockspan/claims/keys.py
@@ -11,8 +11,6 @@
 
 KEY_LIMIT_CHARACTERS = 255
 FUTURE_LIMIT_S = 300.0
-# VM clocks differ; a claim is kept longer than its key is accepted anywhere.
-PRUNING_MARGIN_S = 3600.0
 _VISIBLE_ASCII = re.compile(rf"[\x21-\x7e]{{1,{KEY_LIMIT_CHARACTERS}}}")
 _UUID_V7 = re.compile(
     r"([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}",
@@ -48,19 +46,9 @@
     return Ok(None)
 
 
-def may_prune(key: str, wall_now_s: float, retention_s: float) -> bool:
-    """Returns whether no VM accepts the key any more."""
-    created_s = creation_time_s(key)
-    if created_s is None:
-        return False
-    return created_s < wall_now_s - retention_s - PRUNING_MARGIN_S
-
-
 __all__ = [
     "FUTURE_LIMIT_S",
     "KEY_LIMIT_CHARACTERS",
-    "PRUNING_MARGIN_S",
     "check_key",
     "creation_time_s",
-    "may_prune",
 ]
--- a/src/burdockspan/claims/record.py
+++ b/src/burdockspan/claims/record.py
@@ -113,8 +113,14 @@
     )
 
 
-def execution_of(record: ClaimRecord) -> Execution:
-    """Returns what a claim says of its call at the moment it was read."""
+def execution_of(record: ClaimRecord | None) -> Execution:
+    """Returns what a claim says of its call at the moment it was read.
+
+    No claim is `unknown`: a call that is on its way may still claim the key,
+    and the claim of an old key may have been pruned.
+    """
+    if record is None:
+        return Execution.UNKNOWN
     return {
         ClaimState.HELD: Execution.UNKNOWN,
         ClaimState.GIVEN_UP: Execution.NOT_RUN,
--- a/src/burdockspan/platform/exchange.py
+++ b/src/burdockspan/platform/exchange.py
@@ -36,7 +36,7 @@
     """
 
     call_s: float = 1.0
-    read_s: float = 1.5
+    read_s: float = 1.0
     watch_margin_s: float = 1.0
     weights_s: float = 60.0
 
--- a/standins/collector.py
+++ b/standins/collector.py
@@ -14,8 +14,9 @@
 import threading
 from typing import Any
 
+from standins.exchange import Answer, Exchange, json_answer
 from standins.faults import Faults
-from standins.server import Answer, Exchange, json_answer, serve
+from standins.server import serve
 
 _DATAGRAM_BYTES = 65_536
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,8 +16,9 @@
 import time
 from typing import Any
 
+from standins.exchange import Answer, Exchange, json_answer
 from standins.faults import Faults
-from standins.server import Answer, Exchange, json_answer, serve
+from standins.server import serve
 
 _VALUE_LIMIT_BYTES = 1_000_000
 _VMS = ("vms", "list")
--- a/standins/prefill.py
+++ b/standins/prefill.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import http.client
 import secrets
 import threading
 import time
@@ -12,6 +13,7 @@
 from standins import tokens
 
 _CACHE_BYTES_PER_TOKEN = 16
+_TRANSFER_TIMEOUT_S = 30.0
 _BLOCK_TOKENS = tokens.BLOCK_CHARACTERS // 4
 
 
@@ -36,7 +38,7 @@
         self._caches: dict[str, Cache] = {}
         self._blocks: set[int] = set()
         self._events: list[dict[str, Any]] = []
-        self.done_tokens = 0
+        self._tokens = {"done": 0, "cancelled": 0, "exported": 0}
 
     def run(
         self, attempt: str, body: dict[str, Any], current: Callable[[], bool]
@@ -47,10 +49,12 @@
         total = tokens.count_tokens(text)
         with self._turn:
             cached = min(total, self._cached_blocks(blocks) * _BLOCK_TOKENS)
-            if not _work((total - cached) / self._tokens_per_s, current):
+            worked_s = _work((total - cached) / self._tokens_per_s, current)
+            if not current():
+                self._count("cancelled", round(worked_s * self._tokens_per_s))
                 return None
+        self._count("done", total - cached)
         with self._lock:
-            self.done_tokens += total - cached
             self._remember(blocks)
             name = secrets.token_hex(8)
             expires_s = time.monotonic() + self._life_s
@@ -68,6 +72,7 @@
             cache = self._caches.get(name)
         if cache is None or cache.expires_s < time.monotonic():
             return None
+        self._count("exported", cache.tokens)
         return b"k" * (cache.tokens * _CACHE_BYTES_PER_TOKEN)
 
     def forget(self, attempt: str) -> None:
@@ -94,6 +99,18 @@
             newer = [e for e in self._events if e["sequence"] > after]
             return {"last": len(self._events), "events": newer}
 
+    def stats(self) -> dict[str, int]:
+        """Returns the tokens prefilled, cancelled and exported."""
+        with self._lock:
+            return {
+                f"prefill_{what}_tokens": count
+                for what, count in self._tokens.items()
+            }
+
+    def _count(self, what: str, count: int) -> None:
+        with self._lock:
+            self._tokens[what] += count
+
     def _cached_blocks(self, blocks: list[int]) -> int:
         with self._lock:
             count = 0
@@ -111,14 +128,29 @@
             )
 
 
-def _work(duration_s: float, current: Callable[[], bool]) -> bool:
-    end_s = time.monotonic() + duration_s
+def _work(duration_s: float, current: Callable[[], bool]) -> float:
+    """Works until done or cancelled; returns the seconds worked."""
+    started_s = time.monotonic()
     while current():
-        left_s = end_s - time.monotonic()
+        left_s = started_s + duration_s - time.monotonic()
         if left_s <= 0:
-            return True
+            return duration_s
         time.sleep(min(left_s, 0.02))
-    return False
+    return min(duration_s, time.monotonic() - started_s)
+
+
+def fetch_cache(source: str, cache: str) -> int:
+    """Reads a cache from the engine at `ip:port`; returns the status."""
+    connection = http.client.HTTPConnection(source, timeout=_TRANSFER_TIMEOUT_S)
+    try:
+        connection.request("GET", f"/caches/{cache}")
+        response = connection.getresponse()
+        response.read()
+        return response.status
+    except http.client.HTTPException as error:
+        raise OSError(str(error)) from error
+    finally:
+        connection.close()
 
 
-__all__ = ["Cache", "Prefiller"]
+__all__ = ["Cache", "Prefiller", "fetch_cache"]
--- a/tests/claims/test_store.py
+++ b/tests/claims/test_store.py
@@ -45,6 +45,8 @@
 
     def test_store_words_follow_the_state_of_the_claim(self) -> None:
         """Guards against untruthful words on repeats of a key."""
+        absent = self.claims.look_up("c", "k").unwrap()
+        self.assertIs(record.execution_of(absent), Execution.UNKNOWN)
         held = self._claim().unwrap()
         self._expect(409, Execution.UNKNOWN, retries=True)
         self._expect(422, Execution.NOT_RUN, retries=False, digest="b" * 64)
