--- a/scripts/build.py
+++ b/scripts/build.py
@@ -48,6 +48,8 @@
         main="burdockspan.__main__:main",
         compressed=True,
     )
+    # zipapp makes it executable for its owner only.
+    _OUTPUT.chmod(0o755)
     _check_output()
     size_mb = _OUTPUT.stat().st_size / 1e6
     name = _OUTPUT.relative_to(_ROOT)
