--- /dev/null
+++ b/src/burdockspan/platform/connection.py
@@ -0,0 +1,38 @@
+"""A client of the platform at a URL, with this process's clock."""
+
+from __future__ import annotations
+
+import random
+
+from burdockspan.placement.sampling import Draw
+from burdockspan.platform.calls import make_call_account
+from burdockspan.platform.client import PlatformClient, make_platform_client
+from burdockspan.platform.transport import make_transport
+from burdockspan.values.clock import Clock, make_monotonic_clock
+
+
+def connect_platform(
+    url: str,
+    caller: str,
+    clock: Clock | None = None,
+    draw: Draw | None = None,
+) -> PlatformClient:
+    """Returns a client; nothing is sent before its first call.
+
+    Args:
+      url: base URL, `http://ip:port`.
+      caller: name of this VM or operator, sent with each call.
+      clock: monotonic seconds; the process's clock by default.
+      draw: jitter of retries; unseeded by default.
+    """
+    now = clock or make_monotonic_clock()
+    address = url.removeprefix("http://").rstrip("/")
+    return make_platform_client(
+        make_transport(address, caller, now),
+        make_call_account(now),
+        now,
+        draw or random.Random().random,
+    )
+
+
+__all__ = ["connect_platform"]
