--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,228 @@
+"""Measures the cost of membership per node against the number of peers.
+
+Runs the real tables and the real codec on a test clock, all nodes in this
+process, with load reports from every endpoint each 250 ms. Prints bytes per
+second (with 28 bytes of UDP and IP headers per datagram), processor time per
+second and the age of load reports. Only the order of messages is simulated;
+socket calls are not part of the processor time.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import gc
+import heapq
+import itertools
+import random
+import time
+
+import click
+
+from burdockspan.membership import members as swim
+from burdockspan.membership import ownership, shared, wire
+from burdockspan.membership.merge import merge_members
+from burdockspan.membership.table import (
+    Members,
+    live_vms,
+    make_members,
+    share,
+)
+from burdockspan.membership.values import Outgoing
+from burdockspan.values.endpoint import LoadReport
+
+_TICK_S = 0.05
+_POLL_S = 0.25
+_DELAY_S = 0.0015
+_HEADER_BYTES = 28
+# 660 replicas behind 350 entry VMs.
+_ENDPOINTS_PER_VM = 660 / 350
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """Cost of one node at one number of peers.
+
+    Attributes:
+      nodes: number of nodes.
+      endpoints: number of endpoints.
+      sent_bytes_per_s: bytes sent, headers included.
+      largest_bytes: largest datagram without headers.
+      processor_ms_per_s: processor time of one node.
+      age_p50_s: median age of the reports held by all nodes.
+      age_p95_s: 95th percentile of that age.
+      missing: share of endpoints without a report.
+      dead_after_s: time from the stop of one node until the last of the others
+        had declared it dead.
+    """
+
+    nodes: int
+    endpoints: int
+    sent_bytes_per_s: float
+    largest_bytes: int
+    processor_ms_per_s: float
+    age_p50_s: float
+    age_p95_s: float
+    missing: float
+    dead_after_s: float
+
+
+class _Fleet:
+    """Tables of all nodes and the datagrams between them."""
+
+    def __init__(self, nodes: int, endpoints: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.datagrams = 0
+        self.sent_bytes = 0
+        self.largest_bytes = 0
+        self.processor_s = 0.0
+        self.order = itertools.count()
+        self.flying: list[tuple[float, int, str, bytes]] = []
+        self.tables = {
+            f"10.0.{number // 250}.{number % 250 + 1}:7000": _make_table(number)
+            for number in range(nodes)
+        }
+        everyone = [table.me for table in self.tables.values()]
+        for address, table in self.tables.items():
+            joined = merge_members(table, everyone, 0.0)
+            # Spreads the probes of the nodes over the probe interval.
+            start_s = self.random.random() * 0.2
+            self.tables[address] = dataclasses.replace(
+                joined, next_probe_s=start_s, member_sends={}
+            )
+        self.names = [f"endpoint-{number:04d}" for number in range(endpoints)]
+        vms = live_vms(next(iter(self.tables.values())))
+        by_vm = {table.vm: at for at, table in self.tables.items()}
+        self.owned: dict[str, list[str]] = {at: [] for at in self.tables}
+        for name in self.names:
+            owner = ownership.owner_of(name, vms)
+            assert owner is not None
+            self.owned[by_vm[owner]].append(name)
+
+    def run(self, duration_s: float) -> None:
+        """Advances the clock; counts bytes and processor time."""
+        for _ in range(round(duration_s / _TICK_S)):
+            self.step()
+
+    def step(self) -> None:
+        """Advances the clock by one tick."""
+        end_s = self.now_s + _TICK_S
+        began_s = time.process_time()
+        while self.flying and self.flying[0][0] <= end_s:
+            arrival_s, _, address, data = heapq.heappop(self.flying)
+            table = self.tables.get(address)
+            if table is not None:
+                message = wire.decode(data).unwrap()
+                table, outgoing = swim.receive(table, message, arrival_s)
+                self.tables[address] = table
+                self._send(outgoing, arrival_s)
+        polls = int(end_s / _POLL_S) > int(self.now_s / _POLL_S)
+        self.now_s = end_s
+        for address, held in self.tables.items():
+            table = held
+            if polls and self.owned[address]:
+                table = _poll(table, self.owned[address], end_s)
+            table, outgoing = swim.tick(table, end_s, self.random.random)
+            self.tables[address] = table
+            self._send(outgoing, end_s)
+        self.processor_s += time.process_time() - began_s
+
+    def _send(self, outgoing: tuple[Outgoing, ...], now_s: float) -> None:
+        for item in outgoing:
+            data = wire.encode(item.message).unwrap()
+            self.datagrams += 1
+            self.sent_bytes += len(data) + _HEADER_BYTES
+            self.largest_bytes = max(self.largest_bytes, len(data))
+            entry = (now_s + _DELAY_S, next(self.order), item.address, data)
+            heapq.heappush(self.flying, entry)
+
+
+def measure(nodes: int, endpoints: int, duration_s: float, seed: int) -> Cost:
+    """Returns the cost of one node among `nodes`, after a warm-up of 3 s."""
+    fleet = _Fleet(nodes, endpoints, seed)
+    fleet.run(3.0)
+    gc.collect()
+    fleet.sent_bytes = 0
+    fleet.processor_s = 0.0
+    fleet.run(duration_s)
+    sent_bytes, processor_s = fleet.sent_bytes, fleet.processor_s
+    ages = sorted(
+        fleet.now_s - report.measured_s
+        for table in fleet.tables.values()
+        for report in table.shared.reports.values()
+    )
+    wanted = nodes * len(fleet.names)
+    dead_after_s = _stop_one(fleet)
+    return Cost(
+        nodes,
+        len(fleet.names),
+        sent_bytes / nodes / duration_s,
+        fleet.largest_bytes,
+        processor_s / nodes / duration_s * 1000,
+        ages[len(ages) // 2],
+        ages[len(ages) * 95 // 100],
+        1 - len(ages) / wanted,
+        dead_after_s,
+    )
+
+
+def _stop_one(fleet: _Fleet) -> float:
+    address = sorted(fleet.tables)[-1]
+    vm = fleet.tables.pop(address).vm
+    since_s = fleet.now_s
+    while any(table.by_vm[vm].live for table in fleet.tables.values()):
+        fleet.step()
+    return fleet.now_s - since_s
+
+
+def _make_table(number: int) -> Members:
+    return make_members(
+        vm=f"entry-{number:03d}",
+        address=f"10.0.{number // 250}.{number % 250 + 1}:7000",
+        availability_zone=f"nl-west-{'abc'[number % 3]}",
+        region="nl-west",
+        seeds=(),
+        now_s=0.0,
+        wall_s=1_700_000_000.0,
+    )
+
+
+def _poll(table: Members, names: list[str], now_s: float) -> Members:
+    reports = [
+        LoadReport(name, "0123456789abcdef", False, 20, 7, 13, 2, now_s)
+        for name in names
+    ]
+    return share(table, shared.add_reports(table.shared, reports))
+
+
+@click.command(help="Cost of membership per node against the number of peers.")
+@click.option("--nodes", default="8,32,128,350", show_default=True)
+@click.option(
+    "--endpoints", type=int, help="Same number for all; default 660 per 350."
+)
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def main(nodes: str, endpoints: int | None, seconds: float, seed: int) -> None:
+    """Prints one line per number of nodes."""
+    click.echo(
+        "nodes endpoints sent_B/s sent+received_B/s largest_B cpu_ms/s"
+        " report_age_p50_s p95_s missing dead_after_s"
+    )
+    for size in map(int, nodes.split(",")):
+        count = endpoints or round(size * _ENDPOINTS_PER_VM)
+        cost = measure(size, count, seconds, seed)
+        click.echo(
+            f"{cost.nodes:5d} {cost.endpoints:9d}"
+            f" {cost.sent_bytes_per_s:8.0f}"
+            f" {2 * cost.sent_bytes_per_s:17.0f}"
+            f" {cost.largest_bytes:9d}"
+            f" {cost.processor_ms_per_s:8.2f}"
+            f" {cost.age_p50_s:16.2f}"
+            f" {cost.age_p95_s:5.2f}"
+            f" {cost.missing:7.3f}"
+            f" {cost.dead_after_s:12.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/burdockspan/membership/gossip.py
+++ b/src/burdockspan/membership/gossip.py
@@ -184,9 +184,10 @@
             continue
         room -= size
         picked.append(value)
-        after[key] += 1
-        if after[key] >= limit:
-            del after[key]
+        # Moves to the end, so that entries sent equally often take turns.
+        count = after.pop(key) + 1
+        if count < limit:
+            after[key] = count
     return tuple(picked), after
 
 
--- a/src/burdockspan/membership/probing.py
+++ b/src/burdockspan/membership/probing.py
@@ -194,6 +194,7 @@
 def _next_member(
     members: Members, now_s: float, draw: Draw
 ) -> tuple[Members, Member | None]:
+    members = _shuffle_new(members, draw)
     for _ in range(len(members.order) + 1):
         if members.position >= len(members.order):
             members = _start_round(members, now_s, draw)
@@ -207,6 +208,19 @@
     return members, None
 
 
+def _shuffle_new(members: Members, draw: Draw) -> Members:
+    # A fresh process learns of all members at once, from the same list as
+    # other fresh ones. Unshuffled, they would all probe the same member.
+    if members.shuffled == len(members.order):
+        return members
+    order = list(members.order)
+    for last in range(members.shuffled, len(order)):
+        first = min(members.position, last)
+        other = first + _index(draw, last + 1 - first)
+        order[last], order[other] = order[other], order[last]
+    return dataclasses.replace(members, order=tuple(order), shuffled=len(order))
+
+
 def _start_round(members: Members, now_s: float, draw: Draw) -> Members:
     old = {
         vm
@@ -228,6 +242,7 @@
         gone_s=gone_s,
         order=tuple(order),
         position=0,
+        shuffled=len(order),
         fill=0,
         shared=shared.prune(members.shared, now_s),
     )
--- a/src/burdockspan/membership/shared.py
+++ b/src/burdockspan/membership/shared.py
@@ -20,7 +20,8 @@
 STRIKE_LIFE_S = 600.0
 REPORT_LIFE_S = 10.0
 
-_HOP_S = 0.001
+# Zones are 1.5 ms apart; the rest is for queues on the way.
+_HOP_S = 0.003
 # A copy of a known report that took another path differs by milliseconds. It
 # is not news; polls are 250 ms apart.
 _NEWER_S = 0.1
@@ -159,8 +160,8 @@
 def place_report(report: AgedReport, now_s: float) -> LoadReport:
     """Returns a received report on this node's clock.
 
-    Each hop adds a millisecond, so that a node never takes its own report
-    back as a newer one.
+    The time on the way is unknown. An allowance is added for each hop, so
+    that a copy never looks newer than the measurement.
     """
     return LoadReport(
         report.endpoint,
--- a/src/burdockspan/membership/table.py
+++ b/src/burdockspan/membership/table.py
@@ -70,6 +70,8 @@
         higher incarnation; this process must not accept calls then.
       order: members in the random order in which they are probed.
       position: next index into `order` to probe.
+      shuffled: length of the part of `order` that is in random order; newer
+        members follow it until the next probe.
       fill: next index into `order` to fill datagrams with.
       member_sends: times sent, for beliefs that are still spread.
       suspects: end of each suspicion on the monotonic clock.
@@ -91,6 +93,7 @@
     superseded: bool = False
     order: tuple[str, ...] = ()
     position: int = 0
+    shuffled: int = 0
     fill: int = 0
     member_sends: Mapping[str, int] = dataclasses.field(default_factory=dict)
     suspects: Mapping[str, float] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/src/burdockspan/peering/server.py
@@ -0,0 +1,219 @@
+"""Server of the thrift `Peer` service over framed TCP."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from absl import logging
+from result import Err, Ok, Result
+from thrift.transport.TTransport import TTransportException
+
+from burdockspan.gen.peer import Peer, ttypes
+from burdockspan.membership.transport import parse_address
+from burdockspan.membership.values import Versions
+from burdockspan.peering import snapshot as snapshots
+from burdockspan.peering.channel import DeadlineSocket, make_protocol
+from burdockspan.peering.snapshot import Snapshot
+
+# The platform holds values of up to 1 MB; the rest is room for the frame.
+MAX_REQUEST_BYTES = 1024 * 1024 + 64 * 1024
+# Bounds memory at about 17 MB of requests; more callers wait in the backlog.
+MAX_CONNECTIONS = 16
+REQUEST_TIMEOUT_S = 2.0
+
+_BACKLOG = 128
+_CLOSE_TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerHandlers:
+    """What the server asks of the node; called from many threads.
+
+    Attributes:
+      fetch: takes the documents that the caller holds.
+      offer: takes a generation and its document as UTF-8 JSON; returns the
+        generation held afterwards.
+    """
+
+    fetch: Callable[[Versions], Snapshot]
+    offer: Callable[[int, bytes], int]
+
+
+@dataclasses.dataclass
+class ServerCounts:
+    """Counters, each changed under the lock of the server.
+
+    Attributes:
+      accepted: connections accepted.
+      failed: connections closed for a malformed, oversize or late request.
+      open: connections being served.
+    """
+
+    accepted: int = 0
+    failed: int = 0
+    open: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerServer:
+    """A running server.
+
+    Attributes:
+      address: `ip:port` that it listens on.
+      close: stops it and waits for its threads.
+      counts: counters, to be read only.
+    """
+
+    address: str
+    close: Callable[[], None]
+    counts: ServerCounts
+
+
+def make_peer_server(
+    address: str,
+    handlers: PeerHandlers,
+    request_timeout_s: float = REQUEST_TIMEOUT_S,
+) -> Result[PeerServer, str]:
+    """Listens and starts to serve.
+
+    Args:
+      address: `ip:port` to listen on; port 0 takes a free one.
+      handlers: functions of the node.
+      request_timeout_s: longest time for one request and its answer; a
+        connection that is idle for as long is closed.
+
+    Returns:
+      The server, or why the address could not be bound.
+    """
+    place = parse_address(address)
+    if place is None:
+        return Err(f"{address!r} is not ip:port")
+    try:
+        listener = socket.create_server(place, backlog=_BACKLOG)
+    except (OSError, OverflowError) as error:
+        return Err(f"cannot listen on TCP {address}: {error}")
+    state = _State(handlers, request_timeout_s)
+    acceptor = threading.Thread(
+        target=_accept_all,
+        args=(listener, state),
+        name="peer-acceptor",
+        daemon=True,
+    )
+    acceptor.start()
+
+    def close() -> None:
+        state.closing.set()
+        _shut_down(listener)
+        acceptor.join(_CLOSE_TIMEOUT_S)
+        listener.close()
+        with state.lock:
+            serving = dict(state.serving)
+        for thread, handle in serving.items():
+            _shut_down(handle)
+            thread.join(_CLOSE_TIMEOUT_S)
+
+    ip, port = listener.getsockname()[:2]
+    return Ok(PeerServer(f"{ip}:{port}", close, state.counts))
+
+
+class _State:
+    """What the threads of one server share."""
+
+    def __init__(self, handlers: PeerHandlers, timeout_s: float) -> None:
+        self.processor = Peer.Processor(_Handler(handlers))
+        self.timeout_s = timeout_s
+        self.counts = ServerCounts()
+        self.closing = threading.Event()
+        self.lock = threading.Lock()
+        self.slots = threading.BoundedSemaphore(MAX_CONNECTIONS)
+        self.serving: dict[threading.Thread, socket.socket] = {}
+
+
+class _Handler:
+    """Adapts the node's functions to the generated processor."""
+
+    def __init__(self, handlers: PeerHandlers) -> None:
+        self._handlers = handlers
+
+    def fetch(
+        self, configuration_generation: int, vm_list_version: int
+    ) -> ttypes.Snapshot:
+        """Returns the documents that the caller lacks."""
+        held = Versions(configuration_generation or 0, vm_list_version or 0)
+        return snapshots.to_thrift(self._handlers.fetch(held))
+
+    def offer(self, configuration_generation: int, configuration: bytes) -> int:
+        """Takes in a configuration; returns the generation then held."""
+        return self._handlers.offer(
+            configuration_generation or 0, configuration or b""
+        )
+
+
+def _accept_all(listener: socket.socket, state: _State) -> None:
+    while not state.closing.is_set():
+        if not state.slots.acquire(timeout=state.timeout_s):
+            continue
+        try:
+            handle, _ = listener.accept()
+        except OSError:
+            state.slots.release()
+            # Without descriptors, accept fails at once; waits instead of
+            # spinning until one is free.
+            state.closing.wait(0.1)
+            continue
+        thread = threading.Thread(
+            target=_serve,
+            args=(handle, state),
+            name="peer-connection",
+            daemon=True,
+        )
+        with state.lock:
+            state.counts.accepted += 1
+            state.counts.open += 1
+            state.serving[thread] = handle
+        thread.start()
+
+
+def _serve(handle: socket.socket, state: _State) -> None:
+    channel = DeadlineSocket(handle, time.monotonic() + state.timeout_s)
+    protocol = make_protocol(channel, MAX_REQUEST_BYTES)
+    failed = False
+    try:
+        while not state.closing.is_set():
+            channel.deadline_s = time.monotonic() + state.timeout_s
+            state.processor.process(protocol, protocol)
+    except TTransportException as error:
+        failed = error.type != TTransportException.END_OF_FILE
+    except Exception as error:  # The C decoder raises several types.
+        failed = True
+        logging.debug("peer request failed: %r", error)
+    finally:
+        with state.lock:
+            state.counts.failed += failed
+            state.counts.open -= 1
+            del state.serving[threading.current_thread()]
+        channel.close()
+        state.slots.release()
+
+
+def _shut_down(handle: socket.socket) -> None:
+    try:
+        handle.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # Already closed by the other side.
+        return
+
+
+__all__ = [
+    "MAX_CONNECTIONS",
+    "MAX_REQUEST_BYTES",
+    "PeerHandlers",
+    "PeerServer",
+    "REQUEST_TIMEOUT_S",
+    "ServerCounts",
+    "make_peer_server",
+]
--- /dev/null
+++ b/src/burdockspan/peering/snapshot.py
@@ -0,0 +1,142 @@
+"""What one entry VM gives to another over TCP."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from result import Err, Ok, Result
+
+from burdockspan.gen.peer import ttypes
+from burdockspan.membership import records, shared
+from burdockspan.membership.merge import merge_members
+from burdockspan.membership.table import Members
+from burdockspan.membership.values import (
+    LeavingMark,
+    Member,
+    Strike,
+    StrikeKey,
+    Versions,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """Answer to a fetch.
+
+    Attributes:
+      versions: newest documents that the answering VM holds.
+      configuration: document as UTF-8 JSON, None if the caller has it.
+      vm_list: VM list as UTF-8 JSON, None if the caller has it.
+      members: beliefs about members.
+      marks: leaving marks.
+      strikes: crash strikes.
+    """
+
+    versions: Versions
+    configuration: bytes | None = None
+    vm_list: bytes | None = None
+    members: tuple[Member, ...] = ()
+    marks: tuple[LeavingMark, ...] = ()
+    strikes: tuple[Strike, ...] = ()
+
+
+def make_snapshot(
+    members: Members,
+    configuration: bytes | None,
+    vm_list: bytes | None,
+    known: Versions,
+    now_s: float,
+) -> Snapshot:
+    """Returns what a caller lacks.
+
+    Args:
+      members: the table; its versions are those of the two documents.
+      configuration: newest configuration stored, as UTF-8 JSON.
+      vm_list: newest VM list, as UTF-8 JSON.
+      known: newest documents that the caller holds.
+      now_s: monotonic clock.
+    """
+    held = members.versions
+    strikes = (
+        shared.age_strike(key, expires_s, now_s)
+        for key, expires_s in members.shared.strikes.items()
+    )
+    return Snapshot(
+        held,
+        configuration
+        if held.configuration_generation > known.configuration_generation
+        else None,
+        vm_list if held.vm_list_version > known.vm_list_version else None,
+        tuple(members.by_vm.values()),
+        tuple(members.shared.marks.values()),
+        tuple(strike for strike in strikes if strike is not None),
+    )
+
+
+def merge_snapshot(
+    members: Members, snapshot: Snapshot, now_s: float
+) -> Members:
+    """Returns the table with a snapshot's members, marks and strikes.
+
+    The documents are left to `configuration.adoption`.
+    """
+    members = merge_members(members, snapshot.members, now_s)
+    held = shared.add_marks(members.shared, snapshot.marks)
+    strikes: Mapping[StrikeKey, float] = shared.place_strikes(
+        snapshot.strikes, now_s
+    )
+    held = shared.add_strikes(held, strikes, now_s)
+    return dataclasses.replace(members, shared=held)
+
+
+def is_behind(held: Versions, seen: Versions) -> bool:
+    """Returns whether a peer that was seen holds a newer document."""
+    return (
+        seen.configuration_generation > held.configuration_generation
+        or seen.vm_list_version > held.vm_list_version
+    )
+
+
+def to_thrift(snapshot: Snapshot) -> ttypes.Snapshot:
+    """Returns the thrift struct of a snapshot."""
+    return ttypes.Snapshot(
+        snapshot.versions.configuration_generation,
+        snapshot.configuration,
+        snapshot.versions.vm_list_version,
+        snapshot.vm_list,
+        [*map(records.member_to_thrift, snapshot.members)],
+        [*map(records.strike_to_thrift, snapshot.strikes)],
+        [*map(records.mark_to_thrift, snapshot.marks)],
+    )
+
+
+def from_thrift(struct: ttypes.Snapshot) -> Result[Snapshot, str]:
+    """Returns the snapshot of a thrift struct, or what is wrong with it."""
+    try:
+        struct.validate()
+        return Ok(
+            Snapshot(
+                Versions(
+                    records.natural(struct.configuration_generation),
+                    records.natural(struct.vm_list_version),
+                ),
+                struct.configuration,
+                struct.vm_list,
+                tuple(map(records.member_from_thrift, struct.members or ())),
+                tuple(map(records.mark_from_thrift, struct.marks or ())),
+                tuple(map(records.strike_from_thrift, struct.strikes or ())),
+            )
+        )
+    except Exception as error:  # Thrift, value and type errors.
+        return Err(f"malformed snapshot: {error}")
+
+
+__all__ = [
+    "Snapshot",
+    "from_thrift",
+    "is_behind",
+    "make_snapshot",
+    "merge_snapshot",
+    "to_thrift",
+]
--- /dev/null
+++ b/tests/configuration/test_adoption.py
@@ -0,0 +1,277 @@
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burdockspan.configuration import adoption
+from burdockspan.configuration.adoption import Adoption, Numbered, Start
+from burdockspan.configuration.codec import dump_configuration
+from burdockspan.configuration.document import Configuration
+from burdockspan.membership.table import hold_versions
+from burdockspan.membership.values import Message, Versions
+from burdockspan.peering.snapshot import is_behind
+from tests.membership.network import Network
+
+_VMS = ("0", "1", "2", "3")
+_SEEDS = tuple(f"ip-{vm}:1" for vm in _VMS)
+# P8: an accepted configuration takes effect everywhere within 6 s.
+_EVERYWHERE_S = 6.0
+
+_VM = st.sampled_from(_VMS)
+_EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("accept"), _VM),
+        st.tuples(st.just("stop"), _VM),
+        st.tuples(st.just("start"), _VM),
+        st.tuples(st.just("freeze"), _VM),
+        st.tuples(st.just("resume"), _VM),
+        st.tuples(st.just("cut"), st.integers(0, 15)),
+        st.tuples(st.just("loss"), st.sampled_from((0.0, 0.2))),
+        st.tuples(st.just("wait"), st.sampled_from((0.1, 0.5, 1.5))),
+    ),
+    max_size=14,
+)
+
+
+class AdoptionTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(_EVENTS, st.integers(0, 99))
+    def test_adoption_never_reverts_and_reaches_everyone(
+        self, events: list[tuple[str, object]], seed: int
+    ) -> None:
+        fleet = _Fleet(self, seed)
+        for name, value in events:
+            fleet.apply(name, value)
+            fleet.run(value if isinstance(value, float) else 0.1)
+        fleet.network.loss = 0.0
+        fleet.network.side = {}
+        for vm in sorted(fleet.network.frozen):
+            fleet.network.resume(vm)
+        if fleet.network.tables:
+            fleet.run_until_equal(_EVERYWHERE_S)
+
+    def test_adoption_survives_the_first_vm_while_the_platform_is_out(
+        self,
+    ) -> None:
+        # Its successor asks the peers; an older answer would be a reversion.
+        fleet = _Fleet(self, 1)
+        fleet.accept("0")
+        fleet.run(0.1)
+        self.assertEqual(fleet.active("0"), 2)
+        fleet.apply("stop", "0")
+        fleet.platform_up = False
+        fleet.apply("start", "0")
+        fleet.run(adoption.START_WAIT_S)
+        self.assertEqual(fleet.active("0"), 2)
+
+    def test_adoption_waits_for_a_peer_or_a_second(self) -> None:
+        held = adoption.store(Adoption(), _make(3), 10.0, from_peer=False)
+        self.assertIsNone(adoption.activate(held, 10.9, ["b"]).active)
+        self.assertEqual(adoption.offer_targets(held, "a", ["b"]), ("b",))
+        confirmed = adoption.confirm(held, 3)
+        self.assertEqual(
+            adoption.activate(confirmed, 10.1, ["b"]).active, _make(3)
+        )
+        self.assertEqual(adoption.offer_targets(confirmed, "a", ["b"]), ())
+        self.assertEqual(adoption.activate(held, 11.0, ["b"]).active, _make(3))
+        self.assertEqual(adoption.activate(held, 10.0, []).active, _make(3))
+        self.assertIsNone(
+            adoption.activate(adoption.confirm(held, 2), 10.1, ["b"]).active
+        )
+
+    def test_adoption_is_not_postponed_by_a_run_of_changes(self) -> None:
+        held = Adoption()
+        for generation in range(1, 12):
+            now_s = generation / 10
+            held = adoption.store(
+                held, _make(generation), now_s, from_peer=False
+            )
+            held = adoption.activate(held, now_s, ["b"])
+        self.assertEqual(adoption.generation_of(held.active), 11)
+
+    def test_adoption_confirms_by_a_peer_with_the_same_generation(self) -> None:
+        held = adoption.store(Adoption(), _make(3), 0.0, from_peer=False)
+        held = adoption.store(held, _make(3), 0.1, from_peer=True)
+        self.assertTrue(held.confirmed)
+
+    def test_adoption_offers_to_a_bounded_number_of_peers(self) -> None:
+        held = adoption.store(Adoption(), _make(3), 0.0, from_peer=False)
+        peers = [f"entry-{number}" for number in range(50)]
+        self.assertEqual(len(adoption.offer_targets(held, "a", peers)), 3)
+
+    def test_adoption_starts_with_the_highest_answer(self) -> None:
+        start, sources = adoption.ask(Start(0.0), ["b", "c", "platform"])
+        self.assertEqual(sources, ("b", "c", "platform"))
+        start, sources = adoption.ask(start, ["b", "d"])
+        self.assertEqual(sources, ("d",))
+        start = adoption.answer(start, "b", _make(4), from_peer=True)
+        self.assertIsNone(adoption.conclude(start, 1.9))
+        start = adoption.answer(start, "platform", _make(5), from_peer=False)
+        start = adoption.answer(start, "c", _make(3), from_peer=True)
+        start = adoption.answer(start, "d", None, from_peer=True)
+        held = adoption.conclude(start, 0.1)
+        assert held is not None
+        self.assertEqual(held.stored, _make(5))
+        self.assertFalse(held.confirmed)
+
+    def test_adoption_serves_nothing_before_a_configuration(self) -> None:
+        start, _ = adoption.ask(Start(0.0), ["b"])
+        start = adoption.answer(start, "b", None, from_peer=True)
+        self.assertIsNone(adoption.conclude(start, 3600.0))
+        start, sources = adoption.ask(adoption.retry(start, "b"), ["b"])
+        self.assertEqual(sources, ("b",))
+        start = adoption.answer(start, "b", _make(1), from_peer=True)
+        held = adoption.conclude(start, 3600.0)
+        assert held is not None
+        self.assertEqual(
+            adoption.activate(held, 3600.0, ["b"]).active, _make(1)
+        )
+
+    def test_adoption_takes_the_highest_vm_list(self) -> None:
+        held = adoption.newest(None, Numbered(3, "three"))
+        for offered in (Numbered(2, "two"), Numbered(3, "other")):
+            held = adoption.newest(held, offered)
+            self.assertEqual(held, Numbered(3, "three"))
+        self.assertEqual(adoption.newest(held, Numbered(4, "x")).value, "x")
+
+    def test_adoption_refuses_an_offer_with_another_generation(self) -> None:
+        # A document under a false generation would block the true one.
+        data = dump_configuration(_make(3))
+        self.assertEqual(adoption.read_offer(3, data).unwrap(), _make(3))
+        self.assertTrue(adoption.read_offer(4, data).is_err())
+        self.assertTrue(adoption.read_offer(3, b"noise").is_err())
+
+
+class _Fleet:
+    """Nodes that share configurations over an in-memory network."""
+
+    def __init__(self, case: unittest.TestCase, seed: int) -> None:
+        self.case = case
+        self.network = Network(seed)
+        self.network.heard = self._hear
+        self.platform_up = True
+        self.accepted = 1
+        self.held: dict[str, Adoption] = {}
+        self.starts: dict[str, Start] = {}
+        for vm in _VMS:
+            self.network.start(vm, _SEEDS)
+            self.held[vm] = Adoption(_make(1), _make(1))
+        self.run(2.0)
+
+    def apply(self, name: str, value: object) -> None:
+        network = self.network
+        vm = str(value)
+        if name == "accept" and vm in set(self.held) - network.frozen:
+            self.accept(vm)
+        elif name == "stop" and vm in network.tables:
+            network.stop(vm)
+            self.held.pop(vm, None)
+            self.starts.pop(vm, None)
+        elif name == "start" and vm not in network.tables:
+            network.start(vm, _SEEDS)
+            self.starts[vm] = Start(network.now_s)
+        elif name == "freeze" and vm in network.tables:
+            network.freeze(vm)
+        elif name == "resume" and vm in network.frozen:
+            network.resume(vm)
+        elif name == "cut":
+            assert isinstance(value, int)
+            network.side = {vm: value >> int(vm) & 1 for vm in _VMS}
+        elif name == "loss":
+            assert isinstance(value, float)
+            network.loss = value
+
+    def accept(self, vm: str) -> None:
+        self.accepted += 1
+        self._store(vm, _make(self.accepted), from_peer=False)
+        peers = set(self.network.sees(vm)) - {vm}
+        for peer in adoption.offer_targets(self.held[vm], vm, peers):
+            if peer in self.held and self.network.connected(vm, peer):
+                self._store(peer, _make(self.accepted), from_peer=True)
+                self.held[vm] = adoption.confirm(self.held[vm], self.accepted)
+
+    def active(self, vm: str) -> int:
+        held = self.held.get(vm, Adoption())
+        return adoption.generation_of(held.active)
+
+    def run(self, duration_s: float) -> None:
+        end_s = self.network.now_s + duration_s
+        while self.network.now_s < end_s:
+            self._step()
+
+    def run_until_equal(self, limit_s: float) -> None:
+        end_s = self.network.now_s + limit_s
+        while True:
+            actives = {vm: self.active(vm) for vm in self.network.tables}
+            # A generation is lost to the peers, not to the platform, if its
+            # only holder stopped while it was cut off.
+            stored = (held.stored for held in self.held.values())
+            highest = max(
+                map(adoption.generation_of, stored), default=self.accepted
+            )
+            if set(actives.values()) == {highest}:
+                return
+            self.case.assertLess(self.network.now_s, end_s, actives)
+            self._step()
+
+    def _step(self) -> None:
+        before = {vm: self.active(vm) for vm in self.held}
+        self.network.step()
+        for vm in sorted(set(self.network.tables) - self.network.frozen):
+            self._start(vm)
+            if vm in self.held:
+                self.held[vm] = adoption.activate(
+                    self.held[vm],
+                    self.network.now_s,
+                    set(self.network.sees(vm)) - {vm},
+                )
+        for vm, generation in before.items():
+            self.case.assertGreaterEqual(self.active(vm), generation)
+            stored = adoption.generation_of(self.held[vm].stored)
+            self.case.assertGreaterEqual(stored, self.active(vm))
+
+    def _start(self, vm: str) -> None:
+        if vm not in self.starts:
+            return
+        start, sources = adoption.ask(self.starts[vm], (*_VMS, "platform"))
+        for source in sources:
+            found = None
+            if source == "platform" and self.platform_up:
+                found = _make(self.accepted)
+            elif source in self.held and self.network.connected(vm, source):
+                found = self.held[source].stored
+            start = adoption.answer(
+                start, source, found, from_peer=source != "platform"
+            )
+            if found is None:
+                start = adoption.retry(start, source)
+        self.starts[vm] = start
+        held = adoption.conclude(start, self.network.now_s)
+        if held is not None:
+            del self.starts[vm]
+            self.held[vm] = held
+            self._store(vm, held.stored or _make(1), from_peer=False)
+
+    def _hear(self, vm: str, message: Message) -> None:
+        peer = message.sender.vm
+        versions = self.network.tables[vm].versions
+        if vm not in self.held or not is_behind(versions, message.versions):
+            return
+        stored = self.held[peer].stored if peer in self.held else None
+        if stored is not None and self.network.connected(vm, peer):
+            self._store(vm, stored, from_peer=True)
+
+    def _store(self, vm: str, offered: Configuration, from_peer: bool) -> None:
+        self.held[vm] = adoption.store(
+            self.held[vm], offered, self.network.now_s, from_peer=from_peer
+        )
+        generation = adoption.generation_of(self.held[vm].stored)
+        self.network.tables[vm] = hold_versions(
+            self.network.tables[vm], Versions(generation)
+        )
+
+
+def _make(generation: int) -> Configuration:
+    return Configuration(generation, "team")
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -28,8 +28,10 @@
         self.frozen: set[str] = set()
         self.tables: dict[str, Members] = {}
         self.incarnations: dict[str, list[int]] = {}
+        self.heard: Callable[[str, Message], None] = lambda vm, message: None
         self.sent_bytes = 0
         self.largest_bytes = 0
+        self.starts: dict[str, int] = {}
         self._by_address: dict[str, str] = {}
         self._held: dict[str, list[Message]] = {}
         self._flying: list[tuple[float, int, str, str, bytes]] = []
@@ -47,6 +49,10 @@
             wall_s=_EPOCH_S + self.now_s,
         )
         self._by_address[address] = vm
+        self.starts[vm] = self.starts.get(vm, 0) + 1
+        self.incarnations.setdefault(vm, []).append(
+            self.tables[vm].me.incarnation
+        )
         self.frozen.discard(vm)
         self._held[vm] = []
 
@@ -105,9 +111,22 @@
         return live_vms(self.tables[vm])
 
     def agree(self) -> bool:
-        """Whether every running node sees exactly the running nodes."""
+        """Whether each running node sees the running nodes as they are."""
         running = tuple(sorted(set(self.tables) - self.frozen))
-        return all(self.sees(vm) == running for vm in running)
+        return all(
+            self.sees(vm) == running
+            and all(
+                self.tables[vm].by_vm[other].incarnation
+                == self.tables[other].me.incarnation
+                for other in running
+            )
+            for vm in running
+        )
+
+    def connected(self, vm: str, other: str) -> bool:
+        """Whether messages between two running nodes are answered now."""
+        reachable = self.side.get(vm, 0) == self.side.get(other, 0)
+        return reachable and {vm, other} <= set(self.tables) - self.frozen
 
     def _deliver(self, source: str, address: str, data: bytes) -> None:
         vm = self._by_address.get(address)
@@ -122,6 +141,7 @@
             self._receive(vm, message)
 
     def _receive(self, vm: str, message: Message) -> None:
+        self.heard(vm, message)
         table, outgoing = swim.receive(self.tables[vm], message, self.now_s)
         self._keep(vm, table, outgoing)
 
--- /dev/null
+++ b/tests/membership/test_gossip.py
@@ -0,0 +1,164 @@
+from __future__ import annotations
+
+import unittest
+
+from burdockspan.membership import shared, wire
+from burdockspan.membership.gossip import TARGET_BYTES, compose
+from burdockspan.membership.merge import merge_members
+from burdockspan.membership.table import (
+    Members,
+    make_members,
+    send_limit,
+    share,
+)
+from burdockspan.membership.values import (
+    LeavingMark,
+    Member,
+    Message,
+    MessageKind,
+    StrikeKey,
+)
+from burdockspan.values.endpoint import LoadReport
+from tests.membership.network import Network, make_network
+
+
+class GossipTest(unittest.TestCase):
+    def test_gossip_bounds_a_datagram_and_leaves_room_for_each_kind(
+        self,
+    ) -> None:
+        # A zone that fails must not crowd out load reports and marks.
+        _, message = _compose(_make_full_table())
+        data = wire.encode(message).unwrap()
+        self.assertLessEqual(len(data), TARGET_BYTES)
+        self.assertGreater(len(data), TARGET_BYTES * 0.8)
+        self.assertTrue(message.updates)
+        self.assertTrue(message.reports)
+        self.assertTrue(message.marks)
+        self.assertTrue(message.strikes)
+
+    def test_gossip_sends_each_entry_a_bounded_number_of_times(self) -> None:
+        table = _make_full_table()
+        for _ in range(2000):
+            table, _ = _compose(table)
+        self.assertEqual(table.member_sends, {})
+        self.assertEqual(table.shared.mark_sends, {})
+        self.assertEqual(table.shared.report_sends, {})
+        self.assertEqual(table.shared.strike_sends, {})
+
+    def test_gossip_sends_every_entry_before_any_twice_over(self) -> None:
+        # Entries in the middle of a burst must not wait for the first to
+        # be sent to the limit.
+        table = _make_full_table()
+        sent: dict[str, int] = {}
+        while len(sent) < len(table.by_vm):
+            table, message = _compose(table)
+            repeated = {table.order[table.fill - n] for n in (1, 2, 3)}
+            for update in message.updates:
+                if update.vm not in repeated:
+                    sent[update.vm] = sent.get(update.vm, 0) + 1
+            self.assertLess(max(sent.values()), send_limit(table) / 2)
+
+    def test_gossip_repeats_known_members_without_news(self) -> None:
+        table = _make_full_table()
+        for _ in range(2000):
+            table, _ = _compose(table)
+        heard: set[str] = set()
+        for _ in range(100):
+            table, message = _compose(table)
+            heard |= {update.vm for update in message.updates}
+        self.assertEqual(heard, set(table.by_vm) - {table.vm})
+
+    def test_gossip_spreads_reports_marks_and_strikes(self) -> None:
+        network = make_network(12)
+        strike = StrikeKey("ab" * 32, "e", "boot")
+        _share_entries(network, strike)
+
+        def spread() -> bool:
+            held = [table.shared for table in network.tables.values()]
+            return all(
+                entries.reports.keys() == {"e"}
+                and entries.marks.keys() == {"e"}
+                and entries.strikes.keys() == {strike}
+                for entries in held
+            )
+
+        measured_s = network.now_s
+        # Quarantine counts on gossip within a second.
+        self.assertTrue(network.run_until(spread, 1.0))
+        for vm, table in network.tables.items():
+            report = table.shared.reports["e"]
+            if vm != "0":
+                # Each hop ages the report, so no copy looks newer than it is.
+                self.assertLess(report.measured_s, measured_s)
+            self.assertGreater(report.measured_s, measured_s - 0.1)
+
+    def test_gossip_lets_strikes_expire_everywhere(self) -> None:
+        # Nodes that hand a strike to each other must not keep it alive.
+        network = make_network(4)
+        strike = StrikeKey("ab" * 32, "e", "boot")
+        _share_entries(network, strike)
+        network.run(1.0)
+        expires_s = network.tables["0"].shared.strikes[strike]
+        for table in network.tables.values():
+            self.assertLessEqual(table.shared.strikes[strike], expires_s)
+        late_s = expires_s + 0.1
+        table = network.tables["3"]
+        pruned = shared.prune(table.shared, late_s)
+        _, message = compose(
+            network.tables["0"], MessageKind.PING, 1, late_s - 0.5
+        )
+        self.assertEqual(pruned.strikes, {})
+        self.assertEqual(message.strikes, ())
+
+    def test_gossip_keeps_a_mark_until_an_undrain(self) -> None:
+        held = shared.add_marks(shared.Shared(), [LeavingMark("e", 3, True)])
+        for late in (LeavingMark("e", 3, False), LeavingMark("e", 2, False)):
+            held = shared.add_marks(held, [late])
+            self.assertTrue(held.marks["e"].leaving)
+        held = shared.add_marks(held, [LeavingMark("e", 4, False)])
+        held = shared.add_marks(held, [LeavingMark("e", 3, True)])
+        self.assertFalse(held.marks["e"].leaving)
+
+
+def _compose(table: Members) -> tuple[Members, Message]:
+    return compose(table, MessageKind.PING, 1, 100.0, target="x")
+
+
+def _make_full_table() -> Members:
+    table = make_members(
+        vm="entry-a",
+        address="10.0.0.1:7000",
+        availability_zone="zone-a",
+        region="region",
+        seeds=(),
+        now_s=100.0,
+        wall_s=1.7e9,
+    )
+    names = [f"entry-{number}" for number in range(60)]
+    table = merge_members(
+        table,
+        [Member(name, "10.0.0.2:7000", "zone-a", 10**12) for name in names],
+        100.0,
+    )
+    held = shared.add_reports(
+        table.shared,
+        [LoadReport(n, "boot", False, 20, 9, 1, 0, 99.9) for n in names],
+    )
+    held = shared.add_marks(held, [LeavingMark(n, 7, True) for n in names])
+    held = shared.add_strikes(
+        held, {StrikeKey("ab" * 32, n, "boot"): 600.0 for n in names}, 100.0
+    )
+    return share(table, held)
+
+
+def _share_entries(network: Network, strike: StrikeKey) -> None:
+    now_s = network.now_s
+    held = shared.add_reports(
+        network.tables["0"].shared,
+        [LoadReport("e", "boot", False, 20, 9, 1, 0, now_s)],
+    )
+    held = shared.add_marks(held, [LeavingMark("e", 7, True)])
+    held = shared.add_strikes(
+        held, {strike: now_s + shared.STRIKE_LIFE_S}, now_s
+    )
+    network.tables["0"] = share(network.tables["0"], held)
--- /dev/null
+++ b/tests/membership/test_histories.py
@@ -0,0 +1,195 @@
+"""Random histories of joins, deaths, freezes, cuts and message loss."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burdockspan.membership import shared
+from burdockspan.membership.merge import merge_members
+from burdockspan.membership.table import Members, live_vms, make_members
+from burdockspan.membership.values import (
+    LeavingMark,
+    Member,
+    MemberState,
+    precedence,
+)
+from burdockspan.values.endpoint import LoadReport
+from tests.membership.network import Network
+
+_SIZE = 5
+_VMS = tuple(map(str, range(_SIZE)))
+_SEEDS = tuple(f"ip-{vm}:1" for vm in _VMS)
+# Two rounds of probes (2 * 5 * 0.2 s) until each node has probed the dead one,
+# 1.05 s of timeouts at 50 ms ticks, and a second to spread.
+_DEATH_BOUND_S = 4.1
+# One contact interval per member that has to be found again, and spread.
+_MERGE_BOUND_S = 8.0
+
+_VM = st.sampled_from(_VMS)
+_EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("stop"), _VM),
+        st.tuples(st.just("start"), _VM),
+        st.tuples(st.just("freeze"), _VM),
+        st.tuples(st.just("resume"), _VM),
+        st.tuples(st.just("cut"), st.integers(0, 2**_SIZE - 1)),
+        st.tuples(st.just("loss"), st.sampled_from((0.0, 0.1, 0.3, 0.6))),
+        st.tuples(st.just("wait"), st.sampled_from((0.3, 1.0, 2.5))),
+    ),
+    max_size=14,
+)
+_REPRODUCIBLE = settings(derandomize=True, deadline=None, max_examples=60)
+
+
+class HistoriesTest(unittest.TestCase):
+    @_REPRODUCIBLE
+    @given(_EVENTS, st.integers(0, 99))
+    def test_histories_end_in_agreement(
+        self, events: list[tuple[str, object]], seed: int
+    ) -> None:
+        # Guards against live members that stay dead somewhere, against a
+        # stale incarnation that wins, and against members never detected dead.
+        network = _make_network(seed)
+        watch = _Watch(self, network)
+        for name, value in events:
+            _apply(network, name, value)
+            watch.run(value if name == "wait" else 0.1)
+        network.loss = 0.0
+        network.side = {}
+        for vm in sorted(network.frozen):
+            network.resume(vm)
+        watch.run_until_agreement(_MERGE_BOUND_S)
+        if len(network.tables) > 1:
+            network.stop(min(network.tables))
+            watch.run_until_agreement(_DEATH_BOUND_S)
+
+    @_REPRODUCIBLE
+    @given(
+        st.lists(
+            st.builds(
+                Member,
+                st.sampled_from(("b", "c")),
+                st.sampled_from(("ip-1:1", "ip-2:1")),
+                st.just("zone"),
+                st.integers(1, 3),
+                st.sampled_from(MemberState),
+                st.integers(0, 2),
+            ),
+            max_size=12,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_histories_merge_in_any_order(
+        self, updates: list[Member], draw: random.Random
+    ) -> None:
+        # Datagrams are reordered and repeated; tables must not depend on it.
+        unique = {(m.vm, precedence(m)): m for m in updates}
+        ordered = list(unique.values())
+        table = merge_members(_make_table(), ordered, 0.0)
+        repeated = ordered * 2
+        draw.shuffle(repeated)
+        other = merge_members(_make_table(), repeated, 0.0)
+        self.assertEqual(table.by_vm, other.by_vm)
+        self.assertEqual(live_vms(table), live_vms(other))
+        self.assertEqual(set(table.suspects), set(other.suspects))
+
+    @_REPRODUCIBLE
+    @given(
+        st.lists(
+            st.tuples(st.integers(1, 4), st.booleans(), st.integers(0, 20)),
+            min_size=1,
+            max_size=10,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_histories_share_entries_in_any_order(
+        self, entries: list[tuple[int, bool, int]], draw: random.Random
+    ) -> None:
+        # A late report or an old mark must not displace a newer one.
+        held = shared.Shared()
+        draw.shuffle(entries)
+        for generation, leaving, second in entries:
+            report = LoadReport("e", "b", False, 1, 1, 0, 0, float(second))
+            held = shared.add_reports(held, [report])
+            mark = LeavingMark("e", generation, leaving)
+            held = shared.add_marks(held, [mark])
+        newest = max(second for _, _, second in entries)
+        self.assertEqual(held.reports["e"].measured_s, newest)
+        rank = max((generation, leaving) for generation, leaving, _ in entries)
+        self.assertEqual(held.marks["e"], LeavingMark("e", *rank))
+
+
+class _Watch:
+    """Runs a network and checks each step."""
+
+    def __init__(self, case: unittest.TestCase, network: Network) -> None:
+        self.case = case
+        self.network = network
+        self.highest: dict[tuple[str, int, str], tuple[int, ...]] = {}
+
+    def run(self, duration_s: object) -> None:
+        assert isinstance(duration_s, float)
+        end_s = self.network.now_s + duration_s
+        while self.network.now_s < end_s:
+            self.step()
+
+    def run_until_agreement(self, limit_s: float) -> None:
+        end_s = self.network.now_s + limit_s
+        while not self.network.agree():
+            sees = {vm: self.network.sees(vm) for vm in self.network.tables}
+            self.case.assertLess(self.network.now_s, end_s, sees)
+            self.step()
+
+    def step(self) -> None:
+        self.network.step()
+        for observer, table in self.network.tables.items():
+            self.case.assertFalse(table.superseded)
+            for vm, member in table.by_vm.items():
+                own = self.network.incarnations[vm]
+                self.case.assertLessEqual(member.incarnation, max(own))
+                key = (observer, self.network.starts[observer], vm)
+                rank = precedence(member)
+                self.case.assertGreaterEqual(rank, self.highest.get(key, ()))
+                self.highest[key] = rank
+
+
+def _make_network(seed: int) -> Network:
+    network = Network(seed)
+    network.jitter_s = 0.08
+    for vm in _VMS:
+        network.start(vm, _SEEDS)
+    network.run(2.0)
+    return network
+
+
+def _apply(network: Network, name: str, value: object) -> None:
+    if name == "cut":
+        assert isinstance(value, int)
+        network.side = {vm: value >> int(vm) & 1 for vm in _VMS}
+    elif name == "loss":
+        assert isinstance(value, float)
+        network.loss = value
+    elif name == "start" and value not in network.tables:
+        network.start(str(value), _SEEDS)
+    elif name == "stop" and value in network.tables:
+        network.stop(str(value))
+    elif name == "freeze" and value in network.tables:
+        network.freeze(str(value))
+    elif name == "resume" and value in network.frozen:
+        network.resume(str(value))
+
+
+def _make_table() -> Members:
+    return make_members(
+        vm="a",
+        address="ip-a:1",
+        availability_zone="zone",
+        region="region",
+        seeds=(),
+        now_s=0.0,
+        wall_s=1e9,
+    )
--- /dev/null
+++ b/tests/peering/test_peering.py
@@ -0,0 +1,193 @@
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+import time
+import unittest
+
+from burdockspan.membership import shared
+from burdockspan.membership.merge import merge_members
+from burdockspan.membership.table import (
+    Members,
+    hold_versions,
+    is_current,
+    make_members,
+    share,
+)
+from burdockspan.membership.values import (
+    LeavingMark,
+    Member,
+    MemberState,
+    StrikeKey,
+    Versions,
+)
+from burdockspan.peering.client import PeerFault, make_peer_client
+from burdockspan.peering.server import (
+    MAX_REQUEST_BYTES,
+    PeerHandlers,
+    PeerServer,
+    make_peer_server,
+)
+from burdockspan.peering.snapshot import (
+    Snapshot,
+    is_behind,
+    make_snapshot,
+    merge_snapshot,
+)
+
+_LIMIT_S = 20.0
+_STRIKE = StrikeKey("ab" * 32, "e", "boot")
+
+
+class PeeringTest(unittest.TestCase):
+    def test_peering_fetches_only_what_the_caller_lacks(self) -> None:
+        server = self._serve(_fetch_from_table)
+        client = make_peer_client(_LIMIT_S)
+        answer = client.fetch(server.address, Versions()).unwrap()
+        self.assertEqual(answer.configuration, b"document")
+        self.assertEqual(answer.vm_list, b"list")
+        held = Versions(5, 8)
+        answer = client.fetch(server.address, held).unwrap()
+        self.assertIsNone(answer.configuration)
+        self.assertEqual(answer.vm_list, b"list")
+        self.assertEqual(answer.versions, Versions(5, 9))
+        self.assertTrue(is_behind(held, answer.versions))
+        self.assertFalse(is_behind(Versions(6, 9), answer.versions))
+
+    def test_peering_brings_a_fresh_node_up_to_date(self) -> None:
+        # A fresh node must know deaths, marks and strikes at once: orphans
+        # are swept and requests judged by them.
+        server = self._serve(_fetch_from_table)
+        client = make_peer_client(_LIMIT_S)
+        answer = client.fetch(server.address, Versions()).unwrap()
+        table = merge_snapshot(_make_table("fresh"), answer, 0.0)
+        self.assertIs(is_current(table, "gone", 7), False)
+        self.assertIs(
+            is_current(table, "a", table.by_vm["a"].incarnation), True
+        )
+        self.assertTrue(table.shared.marks["e"].leaving)
+        self.assertIn(_STRIKE, table.shared.strikes)
+
+    def test_peering_offers_a_configuration(self) -> None:
+        offered = []
+
+        def offer(generation: int, data: bytes) -> int:
+            offered.append((generation, data))
+            return generation
+
+        server = self._serve(_fetch_from_table, offer)
+        client = make_peer_client(_LIMIT_S)
+        held = client.offer(server.address, 6, b"document").unwrap()
+        self.assertEqual(held, 6)
+        self.assertEqual(offered, [(6, b"document")])
+
+    def test_peering_reports_faults_as_values(self) -> None:
+        def fail(held: Versions) -> Snapshot:
+            raise RuntimeError("handler is broken")
+
+        client = make_peer_client(_LIMIT_S)
+        with self.assertLogs(level="ERROR"):
+            server = self._serve(fail)
+            answer = client.fetch(server.address, Versions())
+        self.assertIs(answer.unwrap_err().fault, PeerFault.PROTOCOL)
+        server.close()
+        for address in (server.address, "nowhere", "127.0.0.1:99999"):
+            answer = client.fetch(address, Versions())
+            self.assertIs(answer.unwrap_err().fault, PeerFault.UNREACHABLE)
+
+    def test_peering_gives_up_on_a_silent_peer(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            answer = make_peer_client(0.2).fetch(address, Versions())
+        self.assertIs(answer.unwrap_err().fault, PeerFault.TIMED_OUT)
+
+    def test_peering_refuses_an_answer_that_is_no_thrift(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as stranger:
+            address = f"127.0.0.1:{stranger.getsockname()[1]}"
+
+            def reply() -> None:
+                connection, _ = stranger.accept()
+                with connection:
+                    connection.sendall(struct.pack("!i", 5) + b"noise")
+                    connection.recv(1)
+
+            thread = threading.Thread(target=reply)
+            thread.start()
+            answer = make_peer_client(_LIMIT_S).fetch(address, Versions())
+            thread.join(_LIMIT_S)
+        self.assertIs(answer.unwrap_err().fault, PeerFault.PROTOCOL)
+
+    def test_peering_closes_malformed_oversize_and_slow_requests(self) -> None:
+        # Such a connection must not hold a thread or its memory.
+        server = self._serve(_fetch_from_table, timeout_s=0.2)
+        ip, port = server.address.split(":")
+        oversize = struct.pack("!i", MAX_REQUEST_BYTES + 1)
+        for data in (struct.pack("!i", 5) + b"noise", oversize, b"\0"):
+            with socket.create_connection((ip, int(port)), _LIMIT_S) as peer:
+                peer.sendall(data)
+                self.assertEqual(peer.recv(1), b"")
+        # The counters change just before the socket is closed.
+        self.assertEqual(server.counts.failed, 3)
+        self.assertEqual(server.counts.open, 0)
+        answer = make_peer_client(_LIMIT_S).fetch(server.address, Versions())
+        self.assertTrue(answer.is_ok())
+
+    def test_peering_serves_more_callers_than_threads(self) -> None:
+        server = self._serve(_fetch_from_table)
+        client = make_peer_client(_LIMIT_S)
+        answers = []
+
+        def fetch() -> None:
+            answers.append(client.fetch(server.address, Versions()))
+
+        threads = [threading.Thread(target=fetch) for _ in range(40)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(_LIMIT_S)
+        self.assertEqual([answer.is_ok() for answer in answers], [True] * 40)
+
+    def test_peering_closes_idle_connections_with_the_server(self) -> None:
+        server = self._serve(_fetch_from_table, timeout_s=600.0)
+        ip, port = server.address.split(":")
+        with socket.create_connection((ip, int(port)), _LIMIT_S) as peer:
+            end_s = time.monotonic() + _LIMIT_S
+            while not server.counts.open and time.monotonic() < end_s:
+                time.sleep(0.001)
+            server.close()
+            self.assertEqual(peer.recv(1), b"")
+        self.assertEqual(server.counts.open, 0)
+
+    def _serve(
+        self,
+        fetch: object,
+        offer: object = lambda generation, data: 0,
+        timeout_s: float = _LIMIT_S,
+    ) -> PeerServer:
+        handlers = PeerHandlers(fetch, offer)  # type: ignore[arg-type]
+        server = make_peer_server("127.0.0.1:0", handlers, timeout_s).unwrap()
+        self.addCleanup(server.close)
+        return server
+
+
+def _fetch_from_table(held: Versions) -> Snapshot:
+    table = _make_table("a")
+    dead = Member("gone", "127.0.0.1:9", "zone", 7, MemberState.DEAD)
+    table = merge_members(table, [dead], 0.0)
+    entries = shared.add_marks(table.shared, [LeavingMark("e", 5, True)])
+    entries = shared.add_strikes(entries, {_STRIKE: 600.0}, 0.0)
+    table = hold_versions(share(table, entries), Versions(5, 9))
+    return make_snapshot(table, b"document", b"list", held, 0.0)
+
+
+def _make_table(vm: str) -> Members:
+    return make_members(
+        vm=vm,
+        address=f"127.0.0.1:{len(vm)}",
+        availability_zone="zone",
+        region="region",
+        seeds=(),
+        now_s=0.0,
+        wall_s=1e9,
+    )
