Let the claims fake store answers as the product does

Cause: the fake kept answers over 64 KB, which the product drops, so the test of a large answer got a replay.

--- a/tests/support/router_fake.py
+++ b/tests/support/router_fake.py
@@ -15,6 +15,7 @@
     ClaimState,
     Held,
     Replay,
+    finished_record,
 )
 from burdockspan.claims.store import Claims
 from burdockspan.configuration.document import (
@@ -166,13 +167,8 @@
     def _settle(
         self, held: Held, state: ClaimState, answer: Any
     ) -> Result[None, PlatformError]:
-        self.by_key[held.client, held.key] = ClaimRecord(
-            held.record.body_digest,
-            held.record.holder,
-            state,
-            answer.status if answer else None,
-            answer.content_type if answer else None,
-            answer.body if answer else None,
+        self.by_key[held.client, held.key] = finished_record(
+            held.record, state, answer
         )
         return Ok(None)
 
