--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,199 @@
+"""Runs a zone on loopback and shows what burdockspan does with a few calls.
+
+Usage: python3 scripts/demo.py [--keep] [--skip-build]
+
+Builds dist/burdockspan, starts stand-ins for the platform, two prefill and two
+decode engines, a plain service and a collector, and four entry processes; puts
+the configuration of examples/atlas.yaml in force with the command line; then
+sends a streamed completion, a whole completion, and an order twice through
+different entry processes. Prints the answers and the trace of one request.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+from typing import Any
+
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
+sys.path.insert(0, str(_ROOT))
+
+from standins import zone  # noqa: E402
+from standins.zone import EndpointPlan, Fleet, FleetPlan, Process  # noqa: E402
+
+_BINARY = _ROOT / "dist" / "burdockspan"
+_QUESTIONNAIRE = _ROOT / "examples" / "atlas.yaml"
+_MODELS = "qalam-models"
+_ORDERS = "hajz-app"
+_ZONES = ("fes-a", "meknes-b", "tanger-c")
+_AUTHORIZATION = {"Authorization": "Bearer demo-token"}
+_TRACE_ID = "4bf92f3577b34da6a3ce929d0e0e4736"
+_TRACEPARENT = f"00-{_TRACE_ID}-00f067aa0ba902b7-01"
+_EXPORT_LIMIT_S = 20.0
+
+
+def main() -> int:
+    """Runs the demo; returns the exit code."""
+    parser = argparse.ArgumentParser(description="Runs a zone on loopback.")
+    parser.add_argument(
+        "--keep", action="store_true", help="leave it running until Ctrl-C"
+    )
+    parser.add_argument(
+        "--skip-build",
+        action="store_true",
+        help="use dist/burdockspan as it is",
+    )
+    options = parser.parse_args()
+    if not options.skip_build:
+        build = _ROOT / "scripts" / "build.py"
+        subprocess.run([sys.executable, str(build)], check=True)
+    with zone.run_fleet(_make_plan()) as fleet:
+        _accept_configuration(fleet.platform)
+        fleet.wait_ready()
+        _wait_usable(fleet)
+        _show_calls(fleet)
+        _show_trace(fleet)
+        if options.keep:
+            _keep(fleet)
+        _stop_entries(fleet)
+    print("\nall processes have stopped")
+    return 0
+
+
+def _make_plan() -> FleetPlan:
+    fast = ("--token-gap-ms", "20")
+    # The collector decodes OTLP with a package of the build.
+    packages = str(_ROOT / "build" / "zipapp")
+    return FleetPlan(
+        endpoints=(
+            EndpointPlan("prefill-1", _MODELS, "prefill", _ZONES[0]),
+            EndpointPlan("prefill-2", _MODELS, "prefill", _ZONES[1]),
+            EndpointPlan("decode-1", _MODELS, "decode", _ZONES[0], fast),
+            EndpointPlan("decode-2", _MODELS, "decode", _ZONES[1], fast),
+            EndpointPlan("hajz-1", _ORDERS, "service", _ZONES[2]),
+        ),
+        entry_zones={
+            "entry-1": _ZONES[0],
+            "entry-2": _ZONES[0],
+            "entry-3": _ZONES[1],
+            "entry-4": _ZONES[2],
+        },
+        command=(sys.executable, str(_BINARY)),
+        region="maghreb-north",
+        trace_ratio=0.01,
+        environment={**os.environ, "PYTHONPATH": packages},
+    )
+
+
+def _accept_configuration(platform: Process) -> None:
+    command = [
+        sys.executable,
+        str(_BINARY),
+        *("config", "accept", str(_QUESTIONNAIRE), "--base", "0"),
+        *("--operator", "amal", "--platform", f"http://{platform.address}"),
+    ]
+    done = subprocess.run(command, check=True, capture_output=True, text=True)
+    print("\n$ burdockspan config accept examples/atlas.yaml --base 0 ...")
+    print(done.stdout.splitlines()[0])
+
+
+def _wait_usable(fleet: Fleet) -> None:
+    def all_usable() -> bool:
+        for entry in fleet.entries:
+            status = zone.call(entry.admin, "GET", "/admin/status").json()
+            usable = [row for row in status["endpoints"] if row["usable"]]
+            if len(usable) < len(fleet.plan.endpoints):
+                return False
+        return True
+
+    zone.wait_until(all_usable, "all endpoints are usable")
+
+
+def _show_calls(fleet: Fleet) -> None:
+    first, second, third, fourth = fleet.entries
+    prompt = {"model": "qalam-large", "prompt": "A letter to the society"}
+    traced = {**_AUTHORIZATION, "traceparent": _TRACEPARENT}
+    streamed = first.call(
+        "POST",
+        "/v1/completions",
+        {**prompt, "max_tokens": 6, "stream": True},
+        traced,
+    )
+    print(f"\nstreamed completion through {first.name}: {streamed.status}")
+    print(streamed.body.decode().strip())
+    whole = second.call(
+        "POST", "/v1/completions", {**prompt, "max_tokens": 6}, _AUTHORIZATION
+    )
+    print(f"\nwhole completion through {second.name}: {whole.status}")
+    print(json.dumps(whole.json(), indent=1))
+    keyed = {**_AUTHORIZATION, "Idempotency-Key": "booking-2026-0001"}
+    for entry in (third, fourth):
+        order = entry.call(
+            "POST", "/services/hajz-app/bookings", {"hall": "Batha"}, keyed
+        )
+        replayed = order.headers.get("idempotency-replayed", "false")
+        print(
+            f"\norder through {entry.name}: {order.status}, "
+            f"replayed: {replayed}\n{order.body.decode()}"
+        )
+    runs = fleet.processes_by_name["hajz-1"].call("GET", "/runs").json()
+    print(f"\nruns at the service by key: {runs['by_key']}")
+    outcome = first.call(
+        "GET", "/v1/outcomes/booking-2026-0001", None, _AUTHORIZATION
+    ).json()
+    print(f"lookup through {first.name}: {outcome['outcome']}")
+
+
+def _show_trace(fleet: Fleet) -> None:
+    spans: list[dict[str, Any]] = []
+
+    def arrived() -> bool:
+        found = fleet.collector.call("GET", "/traces").json()["spans"]
+        spans[:] = [span for span in found if span["traceId"] == _TRACE_ID]
+        return any(span["name"] == "request" for span in spans)
+
+    zone.wait_until(arrived, "the trace has been exported", _EXPORT_LIMIT_S)
+    print("\ntrace of the streamed completion:")
+    began_ns = min(int(span["startTimeUnixNano"]) for span in spans)
+    for span in sorted(spans, key=lambda span: span["startTimeUnixNano"]):
+        start_ns = int(span["startTimeUnixNano"])
+        length_ms = (int(span["endTimeUnixNano"]) - start_ns) / 1e6
+        start_ms = (start_ns - began_ns) / 1e6
+        endpoint = _find_attribute(span, "endpoint")
+        name = span["name"]
+        print(f"  {start_ms:8.1f} ms  {length_ms:8.1f} ms  {name} {endpoint}")
+
+
+def _find_attribute(span: dict[str, Any], name: str) -> str:
+    for attribute in span.get("attributes", ()):
+        if attribute["key"] == name:
+            return str(attribute["value"].get("stringValue", ""))
+    return ""
+
+
+def _keep(fleet: Fleet) -> None:
+    print("\nrunning; Ctrl-C stops it")
+    print(f"  platform http://{fleet.platform.address}")
+    for entry in fleet.entries:
+        print(f"  {entry.name} http://{entry.address} admin {entry.admin}")
+    try:
+        signal.pause()
+    except KeyboardInterrupt:
+        print()
+
+
+def _stop_entries(fleet: Fleet) -> None:
+    for entry in fleet.entries:
+        entry.signal(signal.SIGTERM)
+    for entry in fleet.entries:
+        code = entry.popen.wait(timeout=30)
+        print(f"{entry.name} stopped with exit code {code}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
