Watch the silence of streams instead of timing each read

Change: streams use blocking sockets; one thread, running only while there are streams, shuts down those whose reader has waited too long. Time that a slow caller takes no longer counts as an endpoint's silence by construction.

--- a/src/burdockspan/endpoints/connections.py
+++ b/src/burdockspan/endpoints/connections.py
@@ -13,17 +13,18 @@
 
 from burdockspan.endpoints.exchange import (
     ERRORS,
-    Abort,
     Call,
     EndpointError,
     Exchange,
     Held,
+    Keeper,
     classify_error,
     discard,
     exchange_head,
     make_failure,
     make_not_connected,
 )
+from burdockspan.endpoints.sockets import Abort, SilenceWatch
 from burdockspan.values.clock import Clock
 from burdockspan.values.placement import Failure, FailureKind
 
@@ -55,6 +56,8 @@
         self._idle_by_address: dict[str, collections.deque[Held]] = {}
         self._oldest_by_address: dict[str, float] = {}
         self._swept_s = clock()
+        self._watch = SilenceWatch(clock)
+        self._keeper = Keeper(self.keep, self._watch, clock)
 
     def start(
         self, call: Call, abort: Abort | None = None
@@ -94,7 +97,7 @@
         except ERRORS as error:
             discard(held, abort)
             return Err(classify_error(call, error))
-        return Ok(Exchange(call, held, response, abort, self.keep))
+        return Ok(Exchange(call, held, response, abort, self._keeper))
 
     def keep(self, address: str, held: Held) -> None:
         """Keeps a connection for a later call."""
@@ -134,6 +137,7 @@
 
     def close(self) -> None:
         """Closes all idle connections."""
+        self._watch.close()
         with self._lock:
             addresses = list(self._idle_by_address)
         for address in addresses:
--- a/src/burdockspan/endpoints/engine.py
+++ b/src/burdockspan/endpoints/engine.py
@@ -59,11 +59,13 @@
     Attributes:
       first_byte_s: for its head, in seconds.
       silence_s: between two of its parts, in seconds.
+      streamed: whether it has many small parts.
       keep_waiting: asked when its head is late; True waits once more.
     """
 
     first_byte_s: float
     silence_s: float
+    streamed: bool = False
     keep_waiting: Callable[[], bool] = lambda: False
 
 
@@ -114,6 +116,7 @@
         sent,
         waits.first_byte_s,
         waits.silence_s,
+        streamed=waits.streamed,
         keep_waiting=waits.keep_waiting,
     )
     return _open(link, call)
@@ -131,6 +134,7 @@
         waits.first_byte_s,
         waits.silence_s,
         fresh=True,
+        streamed=True,
     )
     return _open(link, call)
 
--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import http.client
+import math
 import socket
-import threading
 from collections.abc import Callable, Iterator, Mapping
 
 import urllib3
@@ -14,6 +13,13 @@
 from urllib3.connection import HTTPConnection
 from urllib3.util.wait import wait_for_read
 
+from burdockspan.endpoints.sockets import (
+    Abort,
+    SilenceWatch,
+    Watched,
+    shut_down,
+)
+from burdockspan.values.clock import Clock
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.placement import Failure, FailureKind
 
@@ -40,6 +46,8 @@
       first_byte_timeout_s: longest wait for the head of the answer.
       silence_s: longest wait between two parts of the answer.
       fresh: whether a new connection must be used and not kept.
+      streamed: whether the answer has many small parts; its silence is then
+        watched instead of timed by the socket.
       keep_waiting: asked after each `first_byte_timeout_s` without an answer;
         True waits once more.
     """
@@ -52,35 +60,23 @@
     first_byte_timeout_s: float = 10.0
     silence_s: float = 10.0
     fresh: bool = False
+    streamed: bool = False
     keep_waiting: Callable[[], bool] = lambda: False
 
 
-class Abort:
-    """Sockets of one attempt, which another thread may shut down."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._sockets: set[socket.socket] = set()
-        self.aborted = False
-
-    def abort(self) -> None:
-        """Shuts down the open sockets and refuses new ones."""
-        with self._lock:
-            self.aborted = True
-            for sock in self._sockets:
-                shut_down(sock)
+@dataclasses.dataclass(frozen=True)
+class Keeper:
+    """What exchanges share.
 
-    def add(self, sock: socket.socket) -> None:
-        """Registers a socket; shuts it down if the attempt was aborted."""
-        with self._lock:
-            self._sockets.add(sock)
-            if self.aborted:
-                shut_down(sock)
+    Attributes:
+      keep: keeps the connection to an address for a later call.
+      watch: limits the silence of streams.
+      clock: monotonic clock, in seconds.
+    """
 
-    def remove(self, sock: socket.socket) -> None:
-        """Forgets a socket."""
-        with self._lock:
-            self._sockets.discard(sock)
+    keep: Callable[[str, Held], None]
+    watch: SilenceWatch
+    clock: Clock
 
 
 class Exchange:
@@ -92,9 +88,10 @@
         held: Held,
         response: urllib3.BaseHTTPResponse,
         abort: Abort | None,
-        keep: Callable[[str, Held], None],
+        keeper: Keeper,
     ) -> None:
-        self._keep = keep
+        self._keeper = keeper
+        self._watched = Watched(held.sock, call.silence_s)
         self._held = held
         self._abort = abort
         self._complete = False
@@ -110,21 +107,38 @@
         Raises:
           EndpointError: the answer broke off, or was silent for too long.
         """
-        response = self._response
+        parts = self._iterate_watched if self.call.streamed else self._iterate
         try:
-            if getattr(response, "chunked", False):
-                yield from response.stream(READ_BYTES, decode_content=False)
-            else:
-                while part := response.read1(READ_BYTES, decode_content=False):
-                    yield part
+            yield from parts()
         except ERRORS as error:
-            raise EndpointError(classify_error(self.call, error)) from error
+            failure = classify_error(self.call, error)
+            if self._watched.expired:
+                kind = FailureKind.SILENT
+                failure = dataclasses.replace(failure, kind=kind)
+            raise EndpointError(failure) from error
         self._complete = True
 
+    def _iterate(self) -> Iterator[bytes]:
+        response = self._response
+        if getattr(response, "chunked", False):
+            yield from response.stream(READ_BYTES, decode_content=False)
+            return
+        while part := response.read1(READ_BYTES, decode_content=False):
+            yield part
+
+    def _iterate_watched(self) -> Iterator[bytes]:
+        watched, clock = self._watched, self._keeper.clock
+        self._held.sock.settimeout(None)
+        self._keeper.watch.add(watched)
+        watched.waiting_since_s = clock()
+        for part in self._iterate():
+            watched.waiting_since_s = math.inf
+            yield part
+            watched.waiting_since_s = clock()
+
     def limit_silence(self, silence_s: float) -> None:
         """Changes the longest wait between two parts of the answer."""
-        with contextlib.suppress(OSError):
-            self._held.sock.settimeout(silence_s)
+        self._watched.limit_s = silence_s
 
     def read(self, limit_bytes: int) -> Result[bytes, Failure]:
         """Reads the whole body and closes the exchange."""
@@ -153,14 +167,20 @@
         if self._closed:
             return
         self._closed = True
+        self._keeper.watch.remove(self._watched)
         if self._abort is not None:
             self._abort.remove(self._held.sock)
-        if self._complete and not self.call.fresh:
-            self._keep(self.call.endpoint.address, self._held)
+        if self._reusable():
+            self._keeper.keep(self.call.endpoint.address, self._held)
         else:
             discard(self._held)
             self._response.close()
 
+    def _reusable(self) -> bool:
+        return (
+            self._complete and not self.call.fresh and not self._watched.expired
+        )
+
 
 class EndpointError(Exception):
     """Carries a failure out of an iteration over an answer."""
@@ -239,24 +259,16 @@
     held.connection.close()
 
 
-def shut_down(sock: socket.socket) -> None:
-    """Shuts a connection down in both directions."""
-    # Shutting down wakes a thread blocked in recv; closing does not.
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
-
-
 __all__ = [
     "ERRORS",
-    "Abort",
     "Call",
     "EndpointError",
     "Exchange",
     "Held",
+    "Keeper",
     "classify_error",
     "discard",
     "exchange_head",
     "make_failure",
     "make_not_connected",
-    "shut_down",
 ]
--- a/src/burdockspan/http/attempts.py
+++ b/src/burdockspan/http/attempts.py
@@ -262,7 +262,9 @@
         # The head of a whole answer arrives after the last token.
         keep_waiting = lambda: _is_running(run, endpoint)  # noqa: E731
         silence_s = job.policy.first_byte_timeout_s
-    waits = Waits(_first_byte_s(run), silence_s, keep_waiting)
+    waits = Waits(
+        _first_byte_s(run), silence_s, job.prompt.streamed, keep_waiting
+    )
     return _hop(
         run,
         "decode",
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -5,7 +5,8 @@
 import unittest
 
 from burdockspan.endpoints.connections import IDLE_LIMIT_S, Connections
-from burdockspan.endpoints.exchange import Abort, Call
+from burdockspan.endpoints.exchange import Call
+from burdockspan.endpoints.sockets import Abort
 from burdockspan.values.endpoint import Endpoint, Pool
 from burdockspan.values.placement import FailureKind
 from tests.support.caller import WAIT_S, wait_until
