Split the larger modules of endpoints and http

Change: run.py, service_answers.py, fetch.py and failures.py are split off; each refusal is counted by reason and outcome; lone surrogates in a prompt and queries that are not printable ASCII no longer fail inside the router. Conclusion: behaviour is otherwise unchanged.

--- a/src/burdockspan/endpoints/answers.py
+++ b/src/burdockspan/endpoints/answers.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.endpoints.connections import make_failure
+from burdockspan.endpoints.failures import make_failure
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.ids import AttemptId, parse_attempt_id
 from burdockspan.values.placement import Failure, FailureKind
--- a/src/burdockspan/endpoints/connections.py
+++ b/src/burdockspan/endpoints/connections.py
@@ -12,16 +12,16 @@
 from urllib3.connection import HTTPConnection
 
 from burdockspan.endpoints.exchange import (
-    ERRORS,
     Call,
-    EndpointError,
     Exchange,
     Held,
     Keeper,
-    classify_error,
     discard,
     exchange_head,
-    make_failure,
+)
+from burdockspan.endpoints.failures import (
+    ERRORS,
+    classify_error,
     make_not_connected,
 )
 from burdockspan.endpoints.sockets import Abort, SilenceWatch
@@ -91,12 +91,14 @@
             abort.add(held.sock)
             if abort.aborted:
                 discard(held, abort)
-                return Err(make_not_connected(call, "attempt was aborted"))
+                return Err(
+                    make_not_connected(call.endpoint, "attempt was aborted")
+                )
         try:
             response = exchange_head(call, held)
         except ERRORS as error:
             discard(held, abort)
-            return Err(classify_error(call, error))
+            return Err(classify_error(call.endpoint, str(call), error))
         return Ok(Exchange(call, held, response, abort, self._keeper))
 
     def keep(self, address: str, held: Held) -> None:
@@ -179,9 +181,9 @@
             connection.connect()
         except ERRORS as error:
             connection.close()
-            return Err(make_not_connected(call, str(error)))
+            return Err(make_not_connected(call.endpoint, str(error)))
         if connection.sock is None:
-            return Err(make_not_connected(call, "no socket"))
+            return Err(make_not_connected(call.endpoint, "no socket"))
         return Ok(Held(connection, connection.sock, opened_s))
 
 
@@ -203,13 +205,4 @@
     return since_s is not None and now_s - since_s > IDLE_LIMIT_S
 
 
-__all__ = [
-    "IDLE_LIMIT_S",
-    "Abort",
-    "Call",
-    "Connections",
-    "EndpointError",
-    "Exchange",
-    "make_connections",
-    "make_failure",
-]
+__all__ = ["IDLE_LIMIT_S", "Connections", "make_connections"]
--- a/src/burdockspan/endpoints/engine.py
+++ b/src/burdockspan/endpoints/engine.py
@@ -17,19 +17,20 @@
     Prefilled,
     RawAnswer,
 )
-from burdockspan.endpoints.connections import (
-    Abort,
-    Call,
-    Connections,
-    Exchange,
+from burdockspan.endpoints.connections import Connections
+from burdockspan.endpoints.exchange import Call, Exchange
+from burdockspan.endpoints.fetch import (
+    ANSWER_LIMIT_BYTES,
+    CONTROL_TIMEOUT_S,
+    fetch,
+    fetch_json,
 )
+from burdockspan.endpoints.sockets import Abort
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import Failure, FailureKind
 
 ATTEMPT_HEADER = "Burdockspan-Attempt"
-ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
-_CONTROL_TIMEOUT_S = 2.0
 _JSON = "application/json"
 
 
@@ -146,10 +147,10 @@
         link.endpoint,
         "DELETE",
         path,
-        first_byte_timeout_s=_CONTROL_TIMEOUT_S,
-        silence_s=_CONTROL_TIMEOUT_S,
+        first_byte_timeout_s=CONTROL_TIMEOUT_S,
+        silence_s=CONTROL_TIMEOUT_S,
     )
-    return _fetch(link.connections, call, link.abort).and_then(
+    return fetch(link.connections, call, link.abort).and_then(
         lambda raw: answers.expect_done(link.endpoint, link.attempt, raw, 200)
     )
 
@@ -166,7 +167,7 @@
 def check_health(
     connections: Connections,
     endpoint: Endpoint,
-    timeout_s: float = _CONTROL_TIMEOUT_S,
+    timeout_s: float = CONTROL_TIMEOUT_S,
 ) -> Result[Health, Failure]:
     """Asks for the health of an endpoint on a new connection."""
     call = Call(
@@ -178,28 +179,12 @@
         fresh=True,
     )
     return (
-        _fetch(connections, call, None)
+        fetch(connections, call, None)
         .and_then(lambda raw: answers.expect_object(endpoint, raw, 200))
         .and_then(lambda value: answers.parse_health(endpoint, value))
     )
 
 
-def fetch_json(
-    connections: Connections, endpoint: Endpoint, path: str
-) -> Result[dict[str, Any], Failure]:
-    """Returns the JSON object at a path of an endpoint."""
-    call = Call(
-        endpoint,
-        "GET",
-        path,
-        first_byte_timeout_s=_CONTROL_TIMEOUT_S,
-        silence_s=_CONTROL_TIMEOUT_S,
-    )
-    return _fetch(connections, call, None).and_then(
-        lambda raw: answers.expect_object(endpoint, raw, 200)
-    )
-
-
 def _make_headers(link: Link) -> dict[str, str]:
     return {**dict(link.headers), "Content-Type": _JSON}
 
@@ -216,19 +201,7 @@
         timeout_s,
         timeout_s,
     )
-    return _fetch(link.connections, call, link.abort)
-
-
-def _fetch(
-    connections: Connections, call: Call, abort: Abort | None
-) -> Result[RawAnswer, Failure]:
-    started = connections.start(call, abort)
-    if isinstance(started, Err):
-        return started
-    exchange = started.ok_value
-    return exchange.read(ANSWER_LIMIT_BYTES).map(
-        lambda body: RawAnswer(exchange.status, body)
-    )
+    return fetch(link.connections, call, link.abort)
 
 
 def _open(link: Link, call: Call) -> Result[Exchange, Failure]:
@@ -271,14 +244,12 @@
 
 
 __all__ = [
-    "ANSWER_LIMIT_BYTES",
     "ATTEMPT_HEADER",
     "Link",
     "Waits",
     "cancel",
     "check_health",
     "decode",
-    "fetch_json",
     "import_cache",
     "list_attempts",
     "prefill",
--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import http.client
 import math
 import socket
 from collections.abc import Callable, Iterator, Mapping
@@ -13,6 +12,12 @@
 from urllib3.connection import HTTPConnection
 from urllib3.util.wait import wait_for_read
 
+from burdockspan.endpoints.failures import (
+    ERRORS,
+    EndpointError,
+    classify_error,
+    make_failure,
+)
 from burdockspan.endpoints.sockets import (
     Abort,
     SilenceWatch,
@@ -25,13 +30,6 @@
 
 READ_BYTES = 65_536
 
-ERRORS = (
-    urllib3.exceptions.HTTPError,
-    http.client.HTTPException,
-    OSError,
-    ValueError,
-)
-
 
 @dataclasses.dataclass(frozen=True)
 class Call:
@@ -63,6 +61,9 @@
     streamed: bool = False
     keep_waiting: Callable[[], bool] = lambda: False
 
+    def __str__(self) -> str:
+        return f"{self.method} {self.path}"
+
 
 @dataclasses.dataclass(frozen=True)
 class Keeper:
@@ -111,7 +112,7 @@
         try:
             yield from parts()
         except ERRORS as error:
-            failure = classify_error(self.call, error)
+            failure = classify_error(self.call.endpoint, str(self.call), error)
             if self._watched.expired:
                 kind = FailureKind.SILENT
                 failure = dataclasses.replace(failure, kind=kind)
@@ -182,14 +183,6 @@
         )
 
 
-class EndpointError(Exception):
-    """Carries a failure out of an iteration over an answer."""
-
-    def __init__(self, failure: Failure) -> None:
-        super().__init__(failure.detail)
-        self.failure = failure
-
-
 @dataclasses.dataclass(frozen=True)
 class Held:
     """An open connection.
@@ -207,11 +200,6 @@
     idle_since_s: float | None = None
 
 
-def make_failure(endpoint: Endpoint, kind: FailureKind, detail: str) -> Failure:
-    """Returns a failure at an endpoint."""
-    return Failure(kind, endpoint.name, detail)
-
-
 def exchange_head(call: Call, held: Held) -> urllib3.BaseHTTPResponse:
     """Sends a call and returns its answer, whose body is unread.
 
@@ -236,21 +224,6 @@
     return response
 
 
-def classify_error(call: Call, error: Exception) -> Failure:
-    """Returns the failure of a call of which a byte may have been sent."""
-    silent = (TimeoutError, urllib3.exceptions.TimeoutError)
-    kind = FailureKind.CONNECTION_LOST
-    if isinstance(error, silent):
-        kind = FailureKind.SILENT
-    detail = f"{call.method} {call.path}: {type(error).__name__}: {error}"
-    return make_failure(call.endpoint, kind, detail)
-
-
-def make_not_connected(call: Call, detail: str) -> Failure:
-    """Returns the failure of a call of which no byte was sent."""
-    return make_failure(call.endpoint, FailureKind.NOT_CONNECTED, detail)
-
-
 def discard(held: Held, abort: Abort | None = None) -> None:
     """Closes a connection."""
     if abort is not None:
@@ -259,16 +232,4 @@
     held.connection.close()
 
 
-__all__ = [
-    "ERRORS",
-    "Call",
-    "EndpointError",
-    "Exchange",
-    "Held",
-    "Keeper",
-    "classify_error",
-    "discard",
-    "exchange_head",
-    "make_failure",
-    "make_not_connected",
-]
+__all__ = ["Call", "Exchange", "Held", "Keeper", "discard", "exchange_head"]
--- /dev/null
+++ b/src/burdockspan/endpoints/fetch.py
@@ -0,0 +1,55 @@
+"""Calls whose whole answer is read at once."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from result import Err, Result
+
+from burdockspan.endpoints import answers
+from burdockspan.endpoints.answers import RawAnswer
+from burdockspan.endpoints.connections import Connections
+from burdockspan.endpoints.exchange import Call
+from burdockspan.endpoints.sockets import Abort
+from burdockspan.values.endpoint import Endpoint
+from burdockspan.values.placement import Failure
+
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+CONTROL_TIMEOUT_S = 2.0
+
+
+def fetch(
+    connections: Connections, call: Call, abort: Abort | None
+) -> Result[RawAnswer, Failure]:
+    """Makes a call and returns its whole answer."""
+    started = connections.start(call, abort)
+    if isinstance(started, Err):
+        return started
+    exchange = started.ok_value
+    return exchange.read(ANSWER_LIMIT_BYTES).map(
+        lambda body: RawAnswer(exchange.status, body)
+    )
+
+
+def fetch_json(
+    connections: Connections, endpoint: Endpoint, path: str
+) -> Result[dict[str, Any], Failure]:
+    """Returns the JSON object at a path of an endpoint."""
+    call = Call(
+        endpoint,
+        "GET",
+        path,
+        first_byte_timeout_s=CONTROL_TIMEOUT_S,
+        silence_s=CONTROL_TIMEOUT_S,
+    )
+    return fetch(connections, call, None).and_then(
+        lambda raw: answers.expect_object(endpoint, raw, 200)
+    )
+
+
+__all__ = [
+    "ANSWER_LIMIT_BYTES",
+    "CONTROL_TIMEOUT_S",
+    "fetch",
+    "fetch_json",
+]
--- a/src/burdockspan/endpoints/orders.py
+++ b/src/burdockspan/endpoints/orders.py
@@ -10,8 +10,9 @@
 
 from burdockspan.endpoints import answers
 from burdockspan.endpoints.answers import RawAnswer
-from burdockspan.endpoints.connections import Call, Connections
-from burdockspan.endpoints.engine import ANSWER_LIMIT_BYTES
+from burdockspan.endpoints.connections import Connections
+from burdockspan.endpoints.exchange import Call
+from burdockspan.endpoints.fetch import ANSWER_LIMIT_BYTES
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.placement import Failure
 
--- a/src/burdockspan/endpoints/reports.py
+++ b/src/burdockspan/endpoints/reports.py
@@ -10,7 +10,7 @@
 
 from burdockspan.endpoints.answers import is_count, make_shape_failure
 from burdockspan.endpoints.connections import Connections
-from burdockspan.endpoints.engine import fetch_json
+from burdockspan.endpoints.fetch import fetch_json
 from burdockspan.values.clock import Clock
 from burdockspan.values.endpoint import Endpoint, LoadReport
 from burdockspan.values.placement import Failure
--- a/src/burdockspan/endpoints/service.py
+++ b/src/burdockspan/endpoints/service.py
@@ -11,13 +11,10 @@
     judge_refusal,
     make_shape_failure,
 )
-from burdockspan.endpoints.connections import (
-    Abort,
-    Call,
-    Connections,
-    Exchange,
-)
+from burdockspan.endpoints.connections import Connections
 from burdockspan.endpoints.engine import ATTEMPT_HEADER
+from burdockspan.endpoints.exchange import Call, Exchange
+from burdockspan.endpoints.sockets import Abort
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import Failure
 
--- a/src/burdockspan/http/application.py
+++ b/src/burdockspan/http/application.py
@@ -46,6 +46,10 @@
         reply = _answer_safely(ports, request)
         took_s = ports.clock() - request.arrived_s
         ports.metrics.count(f"answers.{reply.status}", 1)
+        if reply.refusal is not None:
+            reason = reply.refusal.reason.value
+            outcome = reply.refusal.execution.value
+            ports.metrics.count(f"refusals.{reason}.{outcome}", 1)
         ports.metrics.time("answers.head", took_s)
         headers = [*reply.headers, (REQUEST_ID_HEADER, request.request_id)]
         start_response(make_status_line(reply.status), headers)
@@ -71,9 +75,7 @@
 def _answer(ports: Ports, request: Request) -> Reply:
     admitted = _admit(ports, request)
     if isinstance(admitted, Err):
-        refusal = admitted.err_value
-        ports.metrics.count(f"refusals.{refusal.reason.value}", 1)
-        return make_refusal_reply(refusal, request.request_id)
+        return make_refusal_reply(admitted.err_value, request.request_id)
     configuration, client = admitted.ok_value
     parent = parse_traceparent(get_header(request, "traceparent"))
     attributes: dict[str, str | int | float | bool] = {
--- a/src/burdockspan/http/attempts.py
+++ b/src/burdockspan/http/attempts.py
@@ -8,14 +8,17 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.configuration.document import Policy
 from burdockspan.endpoints import engine
 from burdockspan.endpoints.answers import Prefilled, may_have_run
-from burdockspan.endpoints.connections import Abort, Exchange
 from burdockspan.endpoints.engine import Link, Waits
-from burdockspan.http.parsing import Request
-from burdockspan.http.ports import Ports
-from burdockspan.http.prompts import Prompt
+from burdockspan.endpoints.exchange import Exchange
+from burdockspan.http.run import (
+    LEAST_WAIT_S,
+    Run,
+    Stopped,
+    make_link,
+    make_stop_refusal,
+)
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.placement import (
     Event,
@@ -23,98 +26,9 @@
     FailureKind,
     Placement,
 )
-from burdockspan.values.refusal import Execution, Reason, Refusal
-from burdockspan.values.submission import Submission
+from burdockspan.values.refusal import Execution, Refusal
 
 _Value = TypeVar("_Value")
-_LEAST_WAIT_S = 0.01
-
-
-class Stopped:
-    """The attempt is not current, or its caller or deadline has gone."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Job:
-    """A model request that is to be run.
-
-    Attributes:
-      ports: collaborators.
-      policy: limits and timeouts.
-      request: the caller's request.
-      submission: the request as the node sees it.
-      prompt: the parsed body.
-      body: body for the decode engine.
-      traceparent: trace context to send onwards.
-    """
-
-    ports: Ports
-    policy: Policy
-    request: Request
-    submission: Submission
-    prompt: Prompt
-    body: bytes
-    traceparent: str | None = None
-
-
-class Run:
-    """State of a job while its handler runs.
-
-    Attributes:
-      job: the job.
-      execution: whether any attempt so far has run.
-      placement: current placement; None before the first.
-      abort: sockets of the current attempt.
-    """
-
-    def __init__(self, job: Job) -> None:
-        self.job = job
-        self.execution = Execution.NOT_RUN
-        self.placement: Placement | None = None
-        self.abort = Abort()
-        self._touched: set[str] = set()
-
-    def begin(self, placement: Placement) -> None:
-        """Starts another attempt."""
-        self.placement = placement
-        self.abort = Abort()
-        self.job.ports.router.attach(placement.attempt, self.abort.abort)
-
-    def touch(self, endpoint: Endpoint) -> None:
-        """Notes that the attempt may hold memory at an endpoint."""
-        self._touched.add(endpoint.name)
-
-    def untouch(self, endpoint: Endpoint) -> None:
-        """Notes that the attempt holds nothing at an endpoint."""
-        self._touched.discard(endpoint.name)
-
-    def release(self) -> None:
-        """Asks the node to free what the current attempt may hold."""
-        touched, self._touched = self._touched, set()
-        if self.placement is not None:
-            for name in sorted(touched):
-                self.job.ports.router.release(self.placement.attempt, name)
-
-    def record(self, event: Event) -> bool:
-        """Reports progress; False means that the attempt must stop."""
-        assert self.placement is not None
-        attempt = self.placement.attempt
-        return self.job.ports.router.record(attempt, event)
-
-    def remaining_s(self) -> float:
-        """Returns the seconds until the deadline, at least a little."""
-        left_s = self.job.submission.deadline_s - self.job.ports.clock()
-        return max(_LEAST_WAIT_S, left_s)
-
-    def past_deadline(self) -> bool:
-        """Whether the deadline has passed."""
-        return self.job.ports.clock() >= self.job.submission.deadline_s
-
-    def finish(self, execution: Execution, status: int) -> None:
-        """Releases everything and ends the request."""
-        self.release()
-        request_id = self.job.submission.request_id
-        self.job.ports.router.finish(request_id, execution, status)
 
 
 def replace_attempt(
@@ -150,40 +64,6 @@
     return _decode(run, placement.decode)
 
 
-def make_link(run: Run, endpoint: Endpoint) -> Link:
-    """Returns how the current attempt reaches an engine."""
-    assert run.placement is not None
-    headers: tuple[tuple[str, str], ...] = ()
-    if run.job.traceparent is not None:
-        headers = (("traceparent", run.job.traceparent),)
-    return Link(
-        run.job.ports.connections,
-        endpoint,
-        run.placement.attempt,
-        run.abort,
-        headers,
-    )
-
-
-def make_stop_refusal(run: Run) -> Refusal:
-    """Returns the refusal of a request that had to stop."""
-    if run.past_deadline():
-        return Refusal(
-            504,
-            run.execution,
-            Reason.DEADLINE,
-            "the deadline passed before the answer was complete",
-            field="Burdockspan-Deadline",
-        )
-    return Refusal(
-        503,
-        run.execution,
-        Reason.CANCELLED,
-        "the request was cancelled or is no longer current",
-        retry_after_s=1.0,
-    )
-
-
 def _reserve(
     run: Run, placement: Placement, endpoint: Endpoint
 ) -> Result[None, Failure | Stopped]:
@@ -232,7 +112,7 @@
     run: Run, endpoint: Endpoint, source: Endpoint, prefilled: Prefilled
 ) -> Result[None, Failure | Stopped]:
     # The transfer cannot succeed once the cache has expired.
-    wait_s = max(_LEAST_WAIT_S, min(prefilled.life_s, run.remaining_s()))
+    wait_s = max(LEAST_WAIT_S, min(prefilled.life_s, run.remaining_s()))
     outcome = _hop(
         run,
         "import",
@@ -335,13 +215,4 @@
     return min(run.job.policy.first_byte_timeout_s, run.remaining_s())
 
 
-__all__ = [
-    "Job",
-    "Run",
-    "Stopped",
-    "check_silence",
-    "make_link",
-    "make_stop_refusal",
-    "replace_attempt",
-    "run_attempt",
-]
+__all__ = ["check_silence", "replace_attempt", "run_attempt"]
--- a/src/burdockspan/http/completions.py
+++ b/src/burdockspan/http/completions.py
@@ -9,16 +9,10 @@
 
 from burdockspan.configuration.document import Client, Configuration
 from burdockspan.endpoints.answers import make_shape_failure, parse_object
-from burdockspan.endpoints.connections import EndpointError, Exchange
-from burdockspan.endpoints.engine import ANSWER_LIMIT_BYTES
-from burdockspan.http.attempts import (
-    Job,
-    Run,
-    Stopped,
-    make_stop_refusal,
-    replace_attempt,
-    run_attempt,
-)
+from burdockspan.endpoints.exchange import Exchange
+from burdockspan.endpoints.failures import EndpointError
+from burdockspan.endpoints.fetch import ANSWER_LIMIT_BYTES
+from burdockspan.http.attempts import replace_attempt, run_attempt
 from burdockspan.http.parsing import (
     Request,
     make_fingerprint,
@@ -29,6 +23,7 @@
 from burdockspan.http.prompts import Prompt, parse_prompt
 from burdockspan.http.refusals import Reply, make_refusal_reply
 from burdockspan.http.relay import ClosingBody, Relay
+from burdockspan.http.run import Job, Run, Stopped, make_stop_refusal
 from burdockspan.http.sse import make_error_event
 from burdockspan.values.placement import Event, Failure
 from burdockspan.values.refusal import Execution, Reason, Refusal
--- a/src/burdockspan/http/prompts.py
+++ b/src/burdockspan/http/prompts.py
@@ -132,14 +132,14 @@
 
 
 def _measure(value: Any) -> tuple[str, int]:
-    if isinstance(value, str):
-        return value, math.ceil(len(value.encode()) / _BYTES_PER_TOKEN)
-    if value and all(_is_whole(item) for item in value):
+    if isinstance(value, list) and all(_is_whole(item) for item in value):
         return json.dumps(value), len(value)
-    text = json.dumps(value, ensure_ascii=False)
-    # A lone surrogate is valid in JSON but not in UTF-8.
-    size = len(text.encode(errors="surrogatepass"))
-    return text, math.ceil(size / _BYTES_PER_TOKEN)
+    text = value
+    if not isinstance(value, str):
+        text = json.dumps(value, ensure_ascii=False)
+    # JSON may hold lone surrogates, which UTF-8 does not have.
+    encoded = text.encode(errors="replace")
+    return encoded.decode(), math.ceil(len(encoded) / _BYTES_PER_TOKEN)
 
 
 def _check_size(
--- a/src/burdockspan/http/refusals.py
+++ b/src/burdockspan/http/refusals.py
@@ -22,11 +22,13 @@
       status: HTTP status.
       headers: headers without the request identity.
       body: parts of the body; its `close`, if any, is called at the end.
+      refusal: the refusal that the answer carries, if it is one.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: Iterable[bytes]
+    refusal: Refusal | None = None
 
 
 def make_problem(refusal: Refusal, request_id: str) -> bytes:
@@ -70,7 +72,7 @@
         headers.append(("x-should-retry", "false"))
     if refusal.status == 401:
         headers.append(("WWW-Authenticate", "Bearer"))
-    return Reply(refusal.status, tuple(headers), [body])
+    return Reply(refusal.status, tuple(headers), [body], refusal)
 
 
 def make_json_reply(status: int, value: object) -> Reply:
@@ -97,6 +99,25 @@
     )
 
 
+def make_stopped(execution: Execution, past_deadline: bool) -> Refusal:
+    """Returns the refusal of a call that had to stop on its way."""
+    if past_deadline:
+        return Refusal(
+            504,
+            execution,
+            Reason.DEADLINE,
+            "the deadline passed before the answer was complete",
+            field="Burdockspan-Deadline",
+        )
+    return Refusal(
+        503,
+        execution,
+        Reason.CANCELLED,
+        "the request was cancelled or is no longer current",
+        retry_after_s=1.0,
+    )
+
+
 def make_status_line(status: int) -> str:
     """Returns status and phrase as WSGI wants them."""
     return f"{status} {_make_title(status)}"
@@ -124,4 +145,5 @@
     "make_problem",
     "make_refusal_reply",
     "make_status_line",
+    "make_stopped",
 ]
--- a/src/burdockspan/http/relay.py
+++ b/src/burdockspan/http/relay.py
@@ -8,9 +8,10 @@
 
 from burdockspan.endpoints import engine
 from burdockspan.endpoints.answers import make_shape_failure
-from burdockspan.endpoints.connections import EndpointError, Exchange
 from burdockspan.endpoints.engine import Waits
-from burdockspan.http.attempts import Run, make_link
+from burdockspan.endpoints.exchange import Exchange
+from burdockspan.endpoints.failures import EndpointError
+from burdockspan.http.run import Run, make_link
 from burdockspan.http.sse import EventFilter, StreamError
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.placement import Failure, FailureKind
--- a/src/burdockspan/http/routes.py
+++ b/src/burdockspan/http/routes.py
@@ -55,6 +55,11 @@
     if any(part in (".", "..") for part in segments) or "//" in path:
         detail = "path must not contain empty, '.' or '..' segments"
         return Err(make_malformed("path", detail))
+    if "\ufffd" in path:
+        return Err(make_malformed("path", "path is not UTF-8"))
+    if not (request.query.isascii() and request.query.isprintable()):
+        detail = "query must be printable ASCII, other characters escaped"
+        return Err(make_malformed("query", detail))
     route = _find_route(service, path)
     if route is None:
         detail = f"service {name!r} has no route for {path[:200]!r}"
--- a/src/burdockspan/http/services.py
+++ b/src/burdockspan/http/services.py
@@ -2,27 +2,22 @@
 
 from __future__ import annotations
 
-import collections
-import contextlib
 import dataclasses
-from collections.abc import Iterator
 
 from result import Err, Ok, Result
 
 from burdockspan.claims.record import Replay
 from burdockspan.configuration.document import Client, Configuration
 from burdockspan.endpoints.answers import may_have_run
-from burdockspan.endpoints.connections import Abort, Call, EndpointError
-from burdockspan.endpoints.service import ServiceAnswer, call_service
+from burdockspan.endpoints.exchange import Call
+from burdockspan.endpoints.service import call_service
+from burdockspan.endpoints.sockets import Abort
 from burdockspan.http.claiming import (
     FENCING_HEADER,
-    STORED_LIMIT_BYTES,
-    Guard,
-    make_answer,
     make_replay_reply,
     open_guard,
 )
-from burdockspan.http.headers import make_answer_headers, make_service_headers
+from burdockspan.http.headers import make_service_headers
 from burdockspan.http.parsing import (
     Request,
     make_fingerprint,
@@ -31,8 +26,12 @@
 )
 from burdockspan.http.ports import Ports
 from burdockspan.http.refusals import Reply, make_refusal_reply
-from burdockspan.http.relay import ClosingBody
-from burdockspan.http.routes import Destination, find_destination
+from burdockspan.http.routes import find_destination
+from burdockspan.http.service_answers import (
+    ServiceJob,
+    begin_answer,
+    make_job_stopped,
+)
 from burdockspan.values.placement import Event, Failure, Placement
 from burdockspan.values.refusal import Execution, Reason, Refusal
 from burdockspan.values.submission import CallKind, Submission
@@ -40,27 +39,6 @@
 _LEAST_WAIT_S = 0.01
 
 
-class AnswerBrokenError(OSError):
-    """Ends an answer whose rest is missing.
-
-    waitress closes the connection on an OSError without the final chunk, so
-    that the caller sees an incomplete body.
-    """
-
-
-@dataclasses.dataclass(frozen=True)
-class ServiceJob:
-    """A plain service call that is to be run."""
-
-    ports: Ports
-    request: Request
-    submission: Submission
-    destination: Destination
-    body: bytes
-    guard: Guard
-    traceparent: str | None
-
-
 def call_plain_service(
     ports: Ports,
     request: Request,
@@ -159,7 +137,7 @@
         abort = Abort()
         router.attach(placement.attempt, abort.abort)
         if not router.record(placement.attempt, Event.DISPATCHED):
-            return Err(_make_stop_refusal(job, execution))
+            return Err(make_job_stopped(job, execution))
         outcome = _run_attempt(job, placement, abort)
         if isinstance(outcome, Ok):
             return outcome
@@ -169,7 +147,7 @@
         if may_have_run(failure):
             execution = Execution.UNKNOWN
         if abort.aborted:
-            return Err(_make_stop_refusal(job, execution))
+            return Err(make_job_stopped(job, execution))
         job.ports.metrics.count(f"attempts.failed.{failure.kind.value}", 1)
         placed = router.replace(placement.attempt, failure)
         if may_have_run(failure) and not job.submission.idempotent:
@@ -192,7 +170,7 @@
     ports.metrics.time("hops.service", ports.clock() - began_s)
     if isinstance(started, Err):
         return started
-    return _begin_answer(job, placement, started.ok_value)
+    return begin_answer(job, placement, started.ok_value)
 
 
 def _make_call(
@@ -219,92 +197,6 @@
     )
 
 
-def _begin_answer(
-    job: ServiceJob, placement: Placement, answer: ServiceAnswer
-) -> Result[Reply, Failure | Refusal]:
-    exchange = answer.exchange
-    parts = exchange.iterate() if answer.body is None else iter([answer.body])
-    try:
-        first = _read_first(job, parts)
-    except EndpointError as error:
-        exchange.close()
-        return Err(error.failure)
-    status, body = exchange.status, _relay(job, answer, first, parts)
-    if not job.ports.router.record(placement.attempt, Event.FIRST_BYTE):
-        # An answer that is no longer wanted still settles the claim.
-        with contextlib.suppress(AnswerBrokenError):
-            collections.deque(body, maxlen=0)
-        exchange.close()
-        return Err(_make_stop_refusal(job, Execution.RAN))
-
-    def clean_up() -> None:
-        exchange.close()
-        job.guard.refuse(Execution.UNKNOWN)
-        job.ports.router.finish(job.request.request_id, Execution.RAN, status)
-
-    headers = make_answer_headers(exchange.headers.items())
-    return Ok(Reply(status, headers, ClosingBody(body, clean_up)))
-
-
-def _read_first(job: ServiceJob, parts: Iterator[bytes]) -> bytes:
-    """Reads what must have arrived before the caller's answer begins.
-
-    For an idempotent call this is the first part. The answer of an action is
-    read up to the size that its claim stores, so that a service which breaks
-    off before leads to a truthful refusal.
-    """
-    if job.guard.held is None:
-        return next(parts, b"")
-    collected = bytearray()
-    for part in parts:
-        collected += part
-        if len(collected) > STORED_LIMIT_BYTES:
-            break
-    return bytes(collected)
-
-
-def _relay(
-    job: ServiceJob,
-    answer: ServiceAnswer,
-    first: bytes,
-    parts: Iterator[bytes],
-) -> Iterator[bytes]:
-    if job.guard.held is None:
-        return _pass_on(first, parts)
-    return _pass_on_and_settle(job, answer, first, parts)
-
-
-def _pass_on(first: bytes, parts: Iterator[bytes]) -> Iterator[bytes]:
-    yield first
-    try:
-        yield from parts
-    except EndpointError as error:
-        raise AnswerBrokenError(str(error)) from error
-
-
-def _pass_on_and_settle(
-    job: ServiceJob,
-    answer: ServiceAnswer,
-    first: bytes,
-    parts: Iterator[bytes],
-) -> Iterator[bytes]:
-    # The last byte is held back until the claim is settled, so that a caller
-    # that has the whole answer finds its outcome.
-    more = False
-    yield first[:-1]
-    last = first[-1:]
-    for part in _pass_on(b"", parts):
-        if part:
-            more = True
-            yield last + part[:-1]
-            last = part[-1:]
-    exchange = answer.exchange
-    media_type = exchange.headers.get("Content-Type", "")
-    stored = None if more else first
-    job.guard.settle(make_answer(exchange.status, media_type, stored))
-    yield last
-
-
 def _make_unknown_refusal(failure: Failure) -> Refusal:
     return Refusal(
         502,
@@ -315,22 +207,4 @@
     )
 
 
-def _make_stop_refusal(job: ServiceJob, execution: Execution) -> Refusal:
-    if job.ports.clock() >= job.submission.deadline_s:
-        return Refusal(
-            504,
-            execution,
-            Reason.DEADLINE,
-            "the deadline passed before the answer was complete",
-            field="Burdockspan-Deadline",
-        )
-    return Refusal(
-        503,
-        execution,
-        Reason.CANCELLED,
-        "the request was cancelled or is no longer current",
-        retry_after_s=1.0,
-    )
-
-
-__all__ = ["AnswerBrokenError", "call_plain_service"]
+__all__ = ["call_plain_service"]
--- a/tests/endpoints/test_sockets.py
+++ b/tests/endpoints/test_sockets.py
@@ -5,7 +5,8 @@
 import unittest
 
 from burdockspan.endpoints.connections import make_connections
-from burdockspan.endpoints.exchange import Call, EndpointError
+from burdockspan.endpoints.exchange import Call
+from burdockspan.endpoints.failures import EndpointError
 from burdockspan.endpoints.sockets import SilenceWatch, Watched
 from burdockspan.values.placement import FailureKind
 from tests.support.caller import wait_until
