Test long whole answers, stalled transfers, HEAD and trace export

Cause: these paths had no tests, and the slow reader's test did not show that the buffer is bounded. Change: tests for them; a slow reader's buffer holds 2 MiB instead of 4.

--- a/src/burdockspan/http/server.py
+++ b/src/burdockspan/http/server.py
@@ -29,9 +29,9 @@
 _MEBIBYTE = 1024 * 1024
 # VMs have no disks: no buffer may spill to a temporary file.
 _OVERFLOW_BYTES = 1024 * _MEBIBYTE
-# Holds the longest answer of a slow reader, so that the engine finishes at
-# its own pace, and bounds what one caller can make the process hold.
-_OUTPUT_LIMIT_BYTES = 4 * _MEBIBYTE
+# Holds about 10,000 streamed tokens of a slow reader, so that the engine
+# finishes at its own pace, and bounds what one caller makes the process hold.
+_OUTPUT_LIMIT_BYTES = 2 * _MEBIBYTE
 _CONNECTION_LIMIT_COUNT = 20_000
 _HEADER_LIMIT_BYTES = 64 * 1024
 _POLL_S = 1.0
--- a/tests/http/test_completions.py
+++ b/tests/http/test_completions.py
@@ -1,11 +1,17 @@
 from __future__ import annotations
 
 import json
+import threading
 
 from burdockspan.values.placement import Event, FailureKind
 from burdockspan.values.refusal import Execution
-from tests.support.caller import ServedTest
-from tests.support.endpoint_fake import TOKENS, Handler, make_token
+from tests.support.caller import WAIT_S, ServedTest
+from tests.support.endpoint_fake import (
+    TOKENS,
+    Handler,
+    make_token,
+    make_whole,
+)
 
 _ALL_EVENTS = [
     "reserved",
@@ -83,6 +89,50 @@
         self.assertEqual(self.complete().problem()["outcome"], "not_run")
         self.assertEqual(self.prefill.count("POST /prefill"), 0)
 
+    def test_whole_answer_is_awaited_while_the_engine_lists_it(self) -> None:
+        # Guards long answers: their head comes after the last token, long
+        # after the first-byte timeout.
+        listed = threading.Event()
+
+        def list_attempts(one: Handler) -> None:
+            attempt = self.decode.received[-2].headers["Burdockspan-Attempt"]
+            rows = [{"attempt": attempt, "pieces": 1}]
+            one.send(200, {"boot": "b", "attempts": rows})
+            listed.set()
+
+        def answer_late(one: Handler) -> None:
+            listed.wait(WAIT_S)
+            one.send(200, make_whole("late"))
+
+        self.decode.scripts["GET /attempts"] = list_attempts
+        self.decode.scripts["POST /v1/"] = answer_late
+        answer = self.complete()
+        self.assertEqual(answer.problem()["choices"][0]["text"], "late")
+        self.assertNotIn("replace", [row[0] for row in self.router.log])
+
+    def test_silent_prefill_leads_to_a_health_check(self) -> None:
+        self.prefill.scripts["POST /prefill"] = lambda one: one.stall()
+        answer = self.complete()
+        self.assertEqual(answer.problem()["outcome"], "unknown")
+        self.assertIn(("replace", FailureKind.SILENT), self.router.log)
+        self.assertEqual(self.prefill.count("GET /health"), 2)
+        self.assertEqual(self.decode.count("POST /imports"), 0)
+
+    def test_stalled_transfer_ends_with_the_life_of_the_cache(self) -> None:
+        self.prefill.scripts["POST /prefill"] = lambda one: one.send(
+            200, {"cache": "k", "tokens": 1, "life_s": 0.05}
+        )
+        self.decode.scripts["POST /imports"] = lambda one: one.stall()
+        self.complete()
+        self.assertIn(("replace", FailureKind.TIMED_OUT), self.router.log)
+        self.assertEqual(self.router.released(), ["decode-1", "prefill-1"] * 2)
+
+    def test_prompt_with_a_lone_surrogate_is_served(self) -> None:
+        # JSON allows it, UTF-8 does not.
+        body = b'{"model": "m1", "prompt": "\\ud800"}'
+        answer = self.call("POST", "/v1/completions", body)
+        self.assertEqual(answer.status, 200)
+
     def test_expired_cache_is_replaced(self) -> None:
         self.decode.scripts["POST /imports"] = lambda one: one.send(404, {})
         self.complete()
@@ -147,6 +197,26 @@
         self.wait_until(lambda: bool(self.router.finished()))
         self.assertEqual(self.router.finished(), [(Execution.RAN, 502)])
 
+    def test_engine_that_cannot_resume_ends_the_stream(self) -> None:
+        # Guards against endless resumption at an engine that forgot the
+        # attempt.
+        def fall_silent(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(0, 1)
+            one.stall()
+
+        self.decode.scripts["POST /v1/"] = fall_silent
+        self.decode.scripts["GET /attempts/"] = lambda one: one.send(404, {})
+        answer = self.complete(stream=True)
+        self.assertIn(b"event: error", answer.body)
+        self.assertEqual(self.decode.count("GET /attempts/"), 1)
+
+    def test_connection_is_reused_after_a_stream(self) -> None:
+        for _ in range(2):
+            self.complete(stream=True)
+        ports = {one.client for one in self.decode.received}
+        self.assertEqual(len(ports), 1)
+
     def test_missing_token_is_never_hidden(self) -> None:
         def skip(one: Handler) -> None:
             one.begin_stream()
--- a/tests/http/test_inputs.py
+++ b/tests/http/test_inputs.py
@@ -165,6 +165,11 @@
                 answer = self.call("GET", "/services/app" + path)
                 self.check(answer, 400, "malformed", "path")
 
+    def test_query_with_control_characters_is_refused(self) -> None:
+        # The client library to the service refuses it only after the claim.
+        answer = self.send_raw(b"", b"GET /services/app/x?a=\x01")
+        self.check(answer, 400, "malformed", "query")
+
     def test_method_not_allowed_is_refused(self) -> None:
         answer = self.call("DELETE", "/services/app/x")
         self.check(answer, 405, "method_not_allowed", "method", "GET")
@@ -172,12 +177,14 @@
     def test_path_unknown_is_refused(self) -> None:
         self.check(self.call("GET", "/v2/x"), 404, "unknown_path", "path")
 
-    def send_raw(self, lines: bytes) -> Answer:
+    def send_raw(
+        self, lines: bytes, start: bytes = b"POST /v1/completions"
+    ) -> Answer:
         host, _, port = self.server.address.rpartition(":")
         token = AUTHORIZATION["Authorization"].encode()
         with socket.create_connection((host, int(port)), WAIT_S) as sock:
             sock.sendall(
-                b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                start + b" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
                 b"Authorization: " + token + b"\r\n" + lines + b"\r\n"
             )
             text = b""
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -59,24 +59,22 @@
         self.assertTrue(noticed.wait(WAIT_S))
 
     def test_slow_reader_is_bounded_and_kept(self) -> None:
-        produced: list[int] = []
-        total = 400
+        total, leads, read = 1000, [0], [0]
 
         def application(_: Any, start_response: Any) -> Iterator[bytes]:
             start_response("200 OK", [("Content-Type", "text/plain")])
-            for _ in range(total):
-                produced.append(1)
+            for count in range(total):
+                leads.append(count * len(_PART) - read[0])
                 yield _PART
 
         sock = self.connect(self.start(application))
         sock.sendall(b"GET / HTTP/1.0\r\n\r\n")
-        # The buffer holds 4 MiB and the sockets a few more.
-        wait_until(self, lambda: len(produced) >= 4 * 16)
-        self.assertLess(len(produced), total)
-        size = 0
+        wait_until(self, lambda: leads[-1] >= 2 * 1024 * 1024)
         while part := sock.recv(1 << 20):
-            size += len(part)
-        self.assertGreater(size, total * len(_PART))
+            read[0] += len(part)
+        self.assertGreater(read[0], total * len(_PART))
+        # 2 MiB in the process and what the sockets of both sides hold.
+        self.assertLess(max(leads), 32 * 1024 * 1024)
 
     def test_large_bodies_never_reach_a_file(self) -> None:
         # VMs have no disks.
--- a/tests/http/test_services.py
+++ b/tests/http/test_services.py
@@ -8,6 +8,7 @@
 from burdockspan.values.refusal import Execution, Reason, Refusal
 from tests.support.caller import Answer, ServedTest
 from tests.support.endpoint_fake import Handler
+from tests.support.router_fake import make_configuration
 
 _BOOK = "/services/app/book"
 _UNKNOWN = {"state": "unknown", "outcome": "unknown"}
@@ -55,6 +56,22 @@
         found = self.look_up()
         self.assertEqual((found["state"], found["outcome"]), ("done", "ran"))
 
+    def test_head_has_no_body_and_keeps_its_length(self) -> None:
+        self.router.configuration = make_configuration(methods=("HEAD",))
+        self.service.scripts["HEAD /x"] = lambda one: one.send(200, b"hello")
+        answer = self.call("HEAD", "/services/app/x")
+        self.assertEqual((answer.status, answer.body), (200, b""))
+        self.assertEqual(answer.headers["Content-Length"], "5")
+
+    def test_answer_without_a_body_is_passed_on(self) -> None:
+        def send_empty(one: Handler) -> None:
+            one.send_response(204)
+            one.end_headers()
+
+        self.service.scripts["GET /x"] = send_empty
+        answer = self.call("GET", "/services/app/x")
+        self.assertEqual((answer.status, answer.body), (204, b""))
+
     def test_same_key_with_another_body_is_refused(self) -> None:
         self.book()
         answer = self.book(body="other")
--- a/tests/observe/test_observe.py
+++ b/tests/observe/test_observe.py
@@ -14,8 +14,10 @@
 from burdockspan.observe.traces import (
     make_exporting_traces,
     make_no_traces,
+    make_traces,
     parse_traceparent,
 )
+from tests.support.endpoint_fake import EndpointFake
 
 _PARENT = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
 
@@ -68,6 +70,17 @@
         self.assertEqual(inner.split("-")[1], "a" * 32)
         self.assertEqual(parse_traceparent(inner), inner)
 
+    def test_spans_are_exported_over_http(self) -> None:
+        fake = EndpointFake()
+        self.addCleanup(fake.stop)
+        fake.scripts["POST /v1/traces"] = lambda one: one.send(200, b"")
+        address = fake.as_endpoint().address
+        traces = make_traces(f"http://{address}/v1/traces", 1.0, "entry-1")
+        with traces.span("prefill", None, {"endpoint": "p"}) as onwards:
+            self.assertIsNotNone(parse_traceparent(onwards))
+        traces.close()
+        self.assertEqual(fake.count("POST /v1/traces"), 1)
+
     def test_trace_context_passes_without_export(self) -> None:
         with make_no_traces().span("request", _PARENT, {}) as onwards:
             self.assertEqual(onwards, _PARENT)
--- a/tests/support/endpoint_fake.py
+++ b/tests/support/endpoint_fake.py
@@ -58,7 +58,7 @@
             return
         self.server.scripts[max(matching, key=len)](self)
 
-    do_GET = do_POST = do_DELETE = do_PUT = dispatch  # noqa: N815
+    do_GET = do_HEAD = do_POST = do_DELETE = do_PUT = dispatch  # noqa: N815
 
     def send(
         self, status: int, value: Any, headers: dict[str, str] | None = None
@@ -70,7 +70,8 @@
         for name, text in sent.items():
             self.send_header(name, text)
         self.end_headers()
-        self.wfile.write(body)
+        if self.command != "HEAD":
+            self.wfile.write(body)
 
     def begin_stream(self, media_type: str = "text/event-stream") -> None:
         self.send_response(200)
--- a/tests/support/router_fake.py
+++ b/tests/support/router_fake.py
@@ -176,7 +176,9 @@
         return Ok(self.by_key.get((client, key)))
 
 
-def make_configuration(policy: Policy | None = None) -> Configuration:
+def make_configuration(
+    policy: Policy | None = None, methods: tuple[str, ...] = ("GET",)
+) -> Configuration:
     """Returns a configuration with one model and one plain service."""
     digest = hashlib.sha256(TOKEN.encode()).hexdigest()
     engines = Service(
@@ -185,7 +187,7 @@
     booking = Service(
         "app",
         routes=(
-            Route("/", ("GET",), True),
+            Route("/", methods, True),
             Route("/book", ("POST",), False, timeout_s=5.0),
         ),
     )
