Choose the route of a call by prefix and then by method

Cause: generation gives an action that never repeats a route of its own beside the route for the other methods of its prefix. The router took the first route of the longest prefix, so a POST to such a prefix was refused with 405 although a route allows it. Change: among routes of the longest prefix, the one that allows the method is taken, and a 405 names the methods of all of them. The property test of generation now asks the router's own matcher instead of one in the test. An action with a trailing slash is rejected, because many services act alike on both paths.

--- /dev/null
+++ b/src/burdockspan/configuration/actions.py
@@ -0,0 +1,42 @@
+"""What a questionnaire says about the actions of plain services."""
+
+from __future__ import annotations
+
+from burdockspan.configuration.answers import Work
+from burdockspan.values.submission import Priority
+
+
+def split_action(action: str) -> tuple[str, str, str]:
+    """Returns method, service and path of `METHOD service/path`."""
+    method, _, place = action.partition(" ")
+    service, slash, path = place.partition("/")
+    return method, service, slash + path
+
+
+def covers(action: str, service: str, method: str, path: str) -> bool:
+    """Tells whether a listed action includes calls of a method under a path.
+
+    The match is by leading text, as for routes, so that a longer route cannot
+    take calls out of an action that must never repeat.
+    """
+    listed_method, listed_service, listed_path = split_action(action)
+    same = (listed_method, listed_service) == (method, service)
+    return same and path.startswith(listed_path)
+
+
+def find_priority(
+    work: Work, service: str, prefix: str
+) -> tuple[Priority, str] | None:
+    """Returns the priority of a route and the answer behind it, if any."""
+    lists = (
+        (Priority.URGENT, "work.urgent", work.urgent),
+        (Priority.PATIENT, "work.patient", work.patient),
+    )
+    for name in (f"{service}{prefix}", service):
+        for priority, answer, listed in lists:
+            if name in listed:
+                return priority, f"{answer}: {name}"
+    return None
+
+
+__all__ = ["covers", "find_priority", "split_action"]
--- a/src/burdockspan/configuration/questionnaire_checks.py
+++ b/src/burdockspan/configuration/questionnaire_checks.py
@@ -5,14 +5,16 @@
 import itertools
 from collections.abc import Iterable
 
+from burdockspan.configuration.actions import (
+    covers,
+    find_priority,
+    split_action,
+)
 from burdockspan.configuration.answers import (
     ModelServiceAnswers,
     PlainServiceAnswers,
     Questionnaire,
     RouteAnswers,
-    covers,
-    find_priority,
-    split_action,
 )
 from burdockspan.configuration.fields import Section, report
 
@@ -180,6 +182,9 @@
     routes = by_name[name].routes
     if "//" in path or {".", ".."} & set(path.split("/")):
         report(root, field, action, "a path without '//', '.' and '..'")
+    elif path != "/" and path.endswith("/"):
+        # Many services act alike on a path with and without it.
+        report(root, field, action, "a path without '/' at its end")
     elif not any(_concerns(route, method, path) for route in routes):
         prefixes = ", ".join(
             f"{'/'.join(route.methods)} {route.prefix}" for route in routes
--- a/src/burdockspan/configuration/routes.py
+++ b/src/burdockspan/configuration/routes.py
@@ -4,13 +4,15 @@
 
 import dataclasses
 
+from burdockspan.configuration.actions import (
+    covers,
+    find_priority,
+    split_action,
+)
 from burdockspan.configuration.answers import (
     PlainServiceAnswers,
     RouteAnswers,
     Work,
-    covers,
-    find_priority,
-    split_action,
 )
 from burdockspan.configuration.document import Route
 
--- a/src/burdockspan/http/routes.py
+++ b/src/burdockspan/http/routes.py
@@ -21,7 +21,8 @@
 
     Attributes:
       service: the service.
-      route: the route with the longest prefix of the path.
+      route: the route with the longest prefix of the path, and among those
+        the one that allows the method.
       path: decoded path at the service, from `/`.
       url: percent-encoded path and query.
     """
@@ -55,12 +56,18 @@
     if any(part in (".", "..") for part in segments) or "//" in path:
         detail = "path must not contain empty, '.' or '..' segments"
         return Err(make_malformed("path", detail))
-    route = _find_route(service, path)
+    route = _find_route(service, path, request.method)
     if route is None:
         detail = f"service {name!r} has no route for {path[:200]!r}"
         return Err(_make_unknown(Reason.UNKNOWN_PATH, detail))
     if request.method not in route.methods:
-        return Err(make_method_refusal(request.method, route.methods))
+        allowed = tuple(
+            method
+            for other in service.routes
+            if other.prefix == route.prefix
+            for method in other.methods
+        )
+        return Err(make_method_refusal(request.method, allowed))
     url = parse.quote(path, safe="/:@!$&'()*+,;=~-._")
     if request.query:
         url += "?" + request.query
@@ -80,11 +87,17 @@
     )
 
 
-def _find_route(service: Service, path: str) -> Route | None:
+def _find_route(service: Service, path: str, method: str) -> Route | None:
     matching = [
         route for route in service.routes if path.startswith(route.prefix)
     ]
-    return max(matching, key=lambda route: len(route.prefix), default=None)
+    # An action that never repeats has a route of its own beside the one for
+    # the other methods of its prefix.
+    return max(
+        matching,
+        key=lambda route: (len(route.prefix), method in route.methods),
+        default=None,
+    )
 
 
 def _make_unknown(reason: Reason, detail: str) -> Refusal:
--- a/tests/configuration/test_generate.py
+++ b/tests/configuration/test_generate.py
@@ -7,16 +7,24 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Ok
 
-from burdockspan.configuration.answers import split_action
+from burdockspan.configuration.actions import split_action
 from burdockspan.configuration.codec import (
     dump_configuration,
     load_configuration,
 )
 from burdockspan.configuration.difference import compare, render
-from burdockspan.configuration.document import Drain, Route, Service
+from burdockspan.configuration.document import (
+    Configuration,
+    Drain,
+    Route,
+    Service,
+)
 from burdockspan.configuration.generate import generate
 from burdockspan.configuration.paths import flatten
+from burdockspan.http.parsing import make_request
+from burdockspan.http.routes import find_destination
 from tests.support.questionnaires import (
     make_values,
     questionnaires,
@@ -39,12 +47,11 @@
 
 
 def match(service: Service, method: str, path: str) -> Route | None:
-    fitting = [
-        route
-        for route in service.routes
-        if path.startswith(route.prefix) and method in route.methods
-    ]
-    return max(fitting, key=lambda route: len(route.prefix), default=None)
+    url = f"/services/hajz-app{path}"
+    environ = {"REQUEST_METHOD": method, "PATH_INFO": url}
+    document = Configuration(1, "team", services=(service,))
+    found = find_destination(make_request(environ, "id", 0.0), document)
+    return found.ok_value.route if isinstance(found, Ok) else None
 
 
 class GenerateTest(unittest.TestCase):
--- a/tests/configuration/test_questionnaire.py
+++ b/tests/configuration/test_questionnaire.py
@@ -104,6 +104,13 @@
         lambda v: v["work"]["never_repeat"].append("DELETE hajz-app/bookings"),
         "GET/POST /bookings",
     ),
+    (
+        "work.never_repeat",
+        lambda v: v["work"]["never_repeat"].append(
+            "POST hajz-app/bookings/cancel/"
+        ),
+        "without '/' at its end",
+    ),
     (
         "work.may_repeat",
         lambda v: v["work"].update(may_repeat=["POST hajz-app/bookings"]),
