--- a/src/burdockspan/cli/lookup.py
+++ b/src/burdockspan/cli/lookup.py
@@ -31,8 +31,9 @@
     """Prints what is known of the calls made with idempotency key KEY.
 
     Keys belong to client accounts, so the account's token is needed. Prints
-    the answer's JSON: the call's outcome is not_run, ran or unknown. Ends
-    with 1 when the entry VM refuses or knows no such key.
+    {key, state, outcome, answer}: the outcome is not_run, ran or unknown, and
+    the state of a key without a claim is absent. Ends with 1 when the entry
+    VM refuses.
     """
     import json
     import os
--- a/src/burdockspan/cli/options.py
+++ b/src/burdockspan/cli/options.py
@@ -21,9 +21,9 @@
 
     from result import Err
 
-    from burdockspan.configuration.converters import url
+    from burdockspan.configuration.converters import base_url
 
-    converted = url(value)
+    converted = base_url(value)
     if isinstance(converted, Err):
         raise click.BadParameter(f"{value!r}: {converted.err_value}")
     return converted.ok_value
@@ -75,7 +75,7 @@
         envvar="BURDOCKSPAN_PLATFORM",
         show_envvar=True,
         callback=check_url,
-        help="Base URL of the platform, with a numeric IP address.",
+        help="Base URL of the platform, http://ip:port.",
     )(command)
 
 
--- a/src/burdockspan/configuration/commit.py
+++ b/src/burdockspan/configuration/commit.py
@@ -23,6 +23,9 @@
 LIMIT_BYTES = 1_000_000
 """The platform holds values of up to 1 MB."""
 
+_NOT_APPLIED = (StoreError.UNAVAILABLE, StoreError.LIMITED)
+"""Errors after which a write may simply be repeated."""
+
 _TRIES = 8
 _PAUSE_S = 0.05
 
@@ -86,6 +89,8 @@
             return _decode(found.ok_value.value, found.ok_value.version)
         if found.err_value is StoreError.NOT_FOUND:
             return Ok(Current(None, 0))
+        if found.err_value is StoreError.MALFORMED:
+            return Err(_describe_malformed(uncertain=False))
         if attempt + 1 < _TRIES:
             _back_off(attempt, pause)
     detail = "The platform could not be reached to read the configuration."
@@ -120,15 +125,16 @@
         error = _put(store, base, document)
         if error is None:
             return Ok(document)
-        if error is not StoreError.LIMITED:
-            refused = error in (StoreError.CONFLICT, StoreError.NOT_FOUND)
-            uncertain = uncertain or not refused
+        if error is StoreError.MALFORMED:
+            return Err(_describe_malformed(uncertain))
+        if error not in _NOT_APPLIED:
+            uncertain = uncertain or error is StoreError.UNCERTAIN
             found = read_current(store, pause)
             if isinstance(found, Ok):
                 verdict = _judge(found.ok_value, base, document, uncertain)
                 if verdict is not None:
                     return verdict
-            elif refused and not uncertain:
+            elif not uncertain:
                 return Err(_lost(document.generation, ""))
         _back_off(attempt, pause)
     return Err(_give_up(uncertain))
@@ -194,10 +200,18 @@
             "trying again."
         )
         return CommitError(CommitFailure.UNCERTAIN, detail)
-    detail = "The platform kept refusing the write; nothing was written."
+    detail = "The platform could not be reached; nothing was written."
     return CommitError(CommitFailure.UNREACHABLE, detail)
 
 
+def _describe_malformed(uncertain: bool) -> CommitError:
+    detail = "The platform rejected the call, or holds no configuration there."
+    if uncertain:
+        detail += " An earlier try of this change may still take effect."
+        return CommitError(CommitFailure.UNCERTAIN, detail)
+    return CommitError(CommitFailure.INVALID, detail)
+
+
 def _back_off(attempt: int, pause: Pause) -> None:
     # Jitter keeps operators who collided from colliding again.
     pause(_PAUSE_S * (attempt + 1) * random.uniform(0.5, 1.5))
--- a/src/burdockspan/configuration/converters.py
+++ b/src/burdockspan/configuration/converters.py
@@ -178,6 +178,16 @@
     return Ok(value.rstrip("/"))
 
 
+def base_url(value: object) -> Result[str, str]:
+    """Accepts `http://ip:port` with a numeric IP address."""
+    allowed = "http://ip:port with a numeric IP address, without a path"
+    if not isinstance(value, str) or not value.startswith("http://"):
+        return Err(allowed)
+    text_ = value.rstrip("/")
+    reachable = address(unspecified=False)(text_.removeprefix("http://"))
+    return Ok(text_) if isinstance(reachable, Ok) else Err(allowed)
+
+
 def list_of(convert_item: Convert[str]) -> Convert[tuple[str, ...]]:
     """Accepts a list of distinct texts that each convert."""
 
@@ -221,6 +231,7 @@
     "TOKENS",
     "TOKENS_PER_S",
     "address",
+    "base_url",
     "choice",
     "count",
     "flag",
--- a/src/burdockspan/configuration/port.py
+++ b/src/burdockspan/configuration/port.py
@@ -13,8 +13,12 @@
 class StoreError(enum.Enum):
     """Why a call to the object store gave no value.
 
-    After UNCERTAIN a write may or may not have been applied, and it may still
-    be applied later.
+    UNAVAILABLE: no usable answer to a read, or a write that was not sent.
+    CONFLICT: the condition of a write did not hold; it was not applied.
+    NOT_FOUND: there is no such object.
+    UNCERTAIN: a write may or may not have been applied, or may still be.
+    LIMITED: a rate bound kept the call back; it was not applied.
+    MALFORMED: the store rejected the call, or holds something else.
     """
 
     UNAVAILABLE = "unavailable"
@@ -22,6 +26,7 @@
     NOT_FOUND = "not_found"
     UNCERTAIN = "uncertain"
     LIMITED = "limited"
+    MALFORMED = "malformed"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/settings.py
+++ b/src/burdockspan/settings.py
@@ -98,7 +98,9 @@
         caller_address=take_required(section, "caller_address", _LISTENING, ""),
         admin_address=take_required(section, "admin_address", _LISTENING, ""),
         peer_address=take_required(section, "peer_address", _REACHABLE, ""),
-        platform_url=take_required(section, "platform_url", converters.url, ""),
+        platform_url=take_required(
+            section, "platform_url", converters.base_url, ""
+        ),
         peers=take(section, "peers", converters.list_of(_REACHABLE), ()),
         statsd_address=take(section, "statsd_address", optional, None),
         traces_url=take(section, "traces_url", optional_url, None),
--- /dev/null
+++ b/tests/cli/test_platform.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from click.testing import CliRunner, Result
+
+from burdockspan.cli.root import root
+from tests.support.processes import running
+from tests.support.questionnaires import fill_template
+
+
+class PlatformTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = self.enterContext(running("platform"))
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        team = pathlib.Path(directory) / "team.yaml"
+        team.write_text(fill_template())
+        self.accept = ("config", "accept", str(team), "--base", "0")
+
+    def run_command(self, *arguments: str) -> Result:
+        environment = {
+            "BURDOCKSPAN_PLATFORM": f"http://{self.platform.address}",
+            "BURDOCKSPAN_OPERATOR": "amal",
+        }
+        return CliRunner().invoke(root, arguments, env=environment)
+
+    def run_json(self, *arguments: str) -> object:
+        result = self.run_command(*arguments, "--json")
+        self.assertEqual(result.exit_code, 0, result.output)
+        return json.loads(result.stdout)
+
+    def test_changes_survive_lost_answers_over_http(self) -> None:
+        # Guards against a change that is applied twice, or reported as failed
+        # although it is in force, when the platform's answer is lost.
+        self.platform.fault(lose_answers=1)
+        accepted = self.run_command(*self.accept)
+        self.assertEqual(accepted.exit_code, 0, accepted.output)
+        self.platform.fault(lose_answers=1)
+        drained = self.run_json("drain", "vm-1")
+        self.assertEqual(drained, {"generation": 2, "drains": ["vm-1"]})
+        stored = self.platform.call("GET", "/objects/config/current").json()
+        self.assertEqual(stored["value"]["generation"], 2)
+        overtaken = self.run_command(*self.accept)
+        self.assertEqual(overtaken.exit_code, 3)
+
+    def test_changes_report_an_outage_over_http(self) -> None:
+        self.platform.fault(down="error")
+        result = self.run_command("drain", "vm-1")
+        self.assertEqual(result.exit_code, 4)
+        self.assertIn("unreachable", result.stderr)
