Warn of actions that become repeatable and of unknown VMs

Cause: an edited questionnaire could quietly let an action run more than once, and a drain of a mistyped name has no effect. Change: config diff and accept name each action that runs at most once now and may run more often afterwards. drain and stop schedule warn of names that the platform's VM list lacks; they are no error, because the list lags. Conclusion: both mistakes are visible before they do harm.

--- a/src/burdockspan/cli/config_diff.py
+++ b/src/burdockspan/cli/config_diff.py
@@ -40,8 +40,10 @@
 
     The first line names the generation in force, which `config accept` takes
     as --base. Each change names in brackets the answer behind it: `+` new
-    value, `-` value that goes, `~` changed value. With --json, prints
-    {"base": N, "changes": [{path, before, after, answer}]}.
+    value, `-` value that goes, `~` changed value. A warning names each action
+    that runs at most once now and may run more often afterwards. With --json,
+    prints {"base": N, "changes": [{path, before, after, answer}],
+    "now_repeatable": [ACTION]}.
     """
     import dataclasses
     import json
@@ -50,6 +52,7 @@
     from burdockspan.cli.store import open_store
     from burdockspan.configuration.difference import compare, render
     from burdockspan.configuration.generate import generate
+    from burdockspan.configuration.hazards import find_repeatable
 
     answers = documents.require_questionnaire(questionnaire)
     held: Configuration | None
@@ -59,15 +62,23 @@
         raise click.UsageError("Give --platform or --against.")
     else:
         held = documents.require_current(open_store(platform_url), as_json)
-    changes = compare(held, generate(answers, held))
+    document = generate(answers, held)
+    changes = compare(held, document)
+    repeatable = find_repeatable(held, document)
     base = held.generation if held else 0
     if as_json:
         values = [dataclasses.asdict(change) for change in changes]
-        click.echo(json.dumps({"base": base, "changes": values}, indent=2))
+        value = {
+            "base": base,
+            "changes": values,
+            "now_repeatable": repeatable,
+        }
+        click.echo(json.dumps(value, indent=2))
         return
     by = f", accepted by {held.accepted_by}" if held else ", none in force"
     click.echo(f"base generation {base}{by}")
     click.echo(render(changes))
+    documents.warn_of_repeats(repeatable)
 
 
 __all__ = ["diff"]
--- a/src/burdockspan/cli/documents.py
+++ b/src/burdockspan/cli/documents.py
@@ -4,7 +4,9 @@
 
 import datetime
 import json
+from collections.abc import Iterable
 
+import click
 from result import Err, Result
 
 from burdockspan.cli import exits
@@ -68,6 +70,12 @@
     return json.dumps(value, indent=2, sort_keys=True)
 
 
+def warn_of_repeats(actions: Iterable[str]) -> None:
+    """Prints the actions that a change lets run more than once."""
+    for action in actions:
+        click.echo(f"WARNING: {action} may run more than once", err=True)
+
+
 def render_time(wall_s: float) -> str:
     """Returns seconds since 1970 as ISO 8601 in UTC."""
     moment = datetime.datetime.fromtimestamp(wall_s, datetime.UTC)
@@ -81,4 +89,5 @@
     "require_configuration",
     "require_current",
     "require_questionnaire",
+    "warn_of_repeats",
 ]
--- a/src/burdockspan/cli/drain.py
+++ b/src/burdockspan/cli/drain.py
@@ -17,11 +17,13 @@
 ) -> None:
     """Lets endpoint or entry VMs take no new work until undrained.
 
-    Work in progress is finished. Watch it end with `burdockspan status`,
-    which also shows a mistyped name: nothing drains. Draining a drained VM
-    changes nothing. With --json, prints {"generation": N, "drains": [VM]}.
+    Work in progress is finished; watch it end with `burdockspan status`. A
+    name that the platform's VM list lacks is drained all the same, with a
+    warning. Draining a drained VM changes nothing. With --json, prints
+    {"generation": N, "drains": [VM]}.
     """
     from burdockspan.cli.changes import print_drains, run_edit
+    from burdockspan.cli.store import warn_of_unknown_vms
     from burdockspan.configuration.maintenance import make_drain
 
     held = run_edit(
@@ -31,6 +33,7 @@
         as_json,
     )
     print_drains(held, as_json)
+    warn_of_unknown_vms(platform_url, vms)
 
 
 __all__ = ["drain"]
--- a/src/burdockspan/cli/stop.py
+++ b/src/burdockspan/cli/stop.py
@@ -51,6 +51,7 @@
 
     from burdockspan.cli.changes import run_edit
     from burdockspan.cli.stops import parse_moment, print_stop
+    from burdockspan.cli.store import warn_of_unknown_vms
     from burdockspan.configuration.document import PlannedStop
     from burdockspan.configuration.maintenance import make_schedule
 
@@ -61,6 +62,7 @@
         platform_url, operator, lambda _now_s: make_schedule(planned), as_json
     )
     print_stop(held.generation, planned, as_json)
+    warn_of_unknown_vms(platform_url, (vm,))
 
 
 @stop.command(name="list", epilog=exits.EXIT_CODES_HELP)
--- a/src/burdockspan/cli/store.py
+++ b/src/burdockspan/cli/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
 import click
@@ -43,6 +44,29 @@
     )
 
 
+def warn_of_unknown_vms(platform_url: str, names: Iterable[str]) -> None:
+    """Prints a warning for each name that the platform's VM list lacks.
+
+    Nothing is printed when the list cannot be read. It may lag, so an unknown
+    name is no error.
+    """
+    from burdockspan.configuration.port import ObjectStore
+
+    if click.get_current_context().find_object(ObjectStore) is not None:
+        return
+
+    from burdockspan.platform.connection import connect_platform
+
+    found = connect_platform(platform_url, "operator-reader").list_vms().ok()
+    if found is None:
+        return
+    known = {vm.name for vm in found.vms}
+    for name in names:
+        if name not in known:
+            text = f"warning: no VM named {name!r} in the platform's VM list"
+            click.echo(text, err=True)
+
+
 def _convert(answer: Result[Any, Any]) -> Result[StoredObject, StoreError]:
     from result import Err, Ok
 
@@ -54,4 +78,4 @@
     return Ok(StoredObject(versioned.version, versioned.value))
 
 
-__all__ = ["open_store"]
+__all__ = ["open_store", "warn_of_unknown_vms"]
--- a/tests/cli/test_configuration.py
+++ b/tests/cli/test_configuration.py
@@ -92,6 +92,22 @@
         self.assertIn("amal, badr", result.stderr)
         self.assertEqual(self.objects.applied, [])
 
+    def test_config_diff_warns_of_actions_that_become_repeatable(self) -> None:
+        # Guards against losing at-most-once by an edit of the questionnaire.
+        self.run_ok("config", "accept", self.team, "--base", "0")
+        text = fill_template()
+        text = text.replace("never_repeat: [POST", "never_repeat: [GET")
+        text = text.replace(
+            "may_repeat: []", "may_repeat: [POST hajz-app/bookings]"
+        )
+        changed = self.write("changed.yaml", text)
+        result = self.run_ok("config", "diff", changed)
+        self.assertEqual(
+            result.stderr,
+            "WARNING: POST hajz-app/bookings may run more than once\n",
+        )
+        self.assertEqual(self.run_ok("config", "diff", self.team).stderr, "")
+
     def test_drain_survives_a_lost_answer(self) -> None:
         self.run_ok("config", "accept", self.team, "--base", "0")
         self.objects.faults = [Fault.APPLIED_ANSWER_LOST]
--- a/tests/cli/test_platform.py
+++ b/tests/cli/test_platform.py
@@ -46,6 +46,17 @@
         overtaken = self.run_command(*self.accept)
         self.assertEqual(overtaken.exit_code, 3)
 
+    def test_drain_warns_of_a_vm_that_is_not_listed(self) -> None:
+        vm = {"name": "vm-1", "availability_zone": "fes-a", "port": 80}
+        vm.update(address="127.0.0.1", service="hajz-app")
+        vm.update(pool="service", state="live")
+        self.platform.call("PUT", "/control/vms", {"vms": [vm]})
+        self.run_command(*self.accept)
+        result = self.run_command("drain", "vm-1", "vm-2")
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertNotIn("'vm-1'", result.stderr)
+        self.assertIn("no VM named 'vm-2'", result.stderr)
+
     def test_changes_report_an_outage_over_http(self) -> None:
         self.platform.fault(down="error")
         result = self.run_command("drain", "vm-1")
