--- a/src/burdockspan/cli/store.py
+++ b/src/burdockspan/cli/store.py
@@ -49,7 +49,10 @@
     from burdockspan.configuration.port import StoredObject, StoreError
 
     if isinstance(answer, Err):
-        return Err(StoreError[answer.err_value.name])
+        # A malformed answer is as useless as none.
+        name = answer.err_value.name
+        known = StoreError.__members__
+        return Err(known.get(name, StoreError.UNAVAILABLE))
     versioned = answer.ok_value
     return Ok(StoredObject(versioned.version, versioned.value))
 
--- a/src/burdockspan/endpoints/reports.py
+++ b/src/burdockspan/endpoints/reports.py
@@ -11,6 +11,7 @@
 from burdockspan.endpoints.answers import is_count, make_shape_failure
 from burdockspan.endpoints.connections import Connections
 from burdockspan.endpoints.engine import fetch_json
+from burdockspan.placement.prefix import CacheEvent
 from burdockspan.values.clock import Clock
 from burdockspan.values.endpoint import Endpoint, LoadReport
 from burdockspan.values.placement import Failure
@@ -18,21 +19,6 @@
 _COUNTS = ("pieces", "free_pieces", "running", "waiting")
 
 
-@dataclasses.dataclass(frozen=True)
-class CacheEvent:
-    """A change of an engine's prefix cache.
-
-    Attributes:
-      number: position in the engine's sequence of events, from 1.
-      stored: True if the blocks were stored, False if they were evicted.
-      blocks: hashes of prefix blocks.
-    """
-
-    number: int
-    stored: bool
-    blocks: tuple[int, ...]
-
-
 @dataclasses.dataclass(frozen=True)
 class CacheEvents:
     """Cache events after a number.
@@ -118,23 +104,23 @@
         event = _parse_event(row)
         if event is None:
             return Err(make_shape_failure(endpoint, "cache event is malformed"))
-        if event.number <= last:
+        if event.sequence <= last:
             continue
-        gap = gap or event.number != last + 1
-        last = event.number
+        gap = gap or event.sequence != last + 1
+        last = event.sequence
         events.append(event)
     return Ok(CacheEvents(now_boot, tuple(events), last, gap))
 
 
 def _parse_event(row: object) -> CacheEvent | None:
-    if not isinstance(row, dict) or not is_count(row.get("number")):
+    if not isinstance(row, dict) or not is_count(row.get("sequence")):
         return None
     kind, blocks = row.get("kind"), row.get("blocks")
     if kind not in ("stored", "evicted") or not isinstance(blocks, list):
         return None
     if not all(is_count(block) for block in blocks):
         return None
-    return CacheEvent(row["number"], kind == "stored", tuple(blocks))
+    return CacheEvent(row["sequence"], kind == "stored", tuple(blocks))
 
 
 def _is_age(value: object) -> bool:
@@ -147,7 +133,6 @@
 
 
 __all__ = [
-    "CacheEvent",
     "CacheEvents",
     "fetch_cache_events",
     "fetch_load",
--- a/src/burdockspan/http/admin.py
+++ b/src/burdockspan/http/admin.py
@@ -36,7 +36,7 @@
         return make_json_reply(200, {"state": "live"})
     if path == "/admin/ready":
         # The platform's load balancer sends callers where this is 200.
-        ready = router.ready()
+        ready = router.in_rotation()
         return make_json_reply(200 if ready else 503, {"ready": ready})
     if path == "/admin/status":
         return make_json_reply(200, router.status())
--- /dev/null
+++ b/src/burdockspan/node/actor.py
@@ -0,0 +1,145 @@
+"""The actor that owns the tables of a process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pykka
+
+from burdockspan.node import (
+    attempts,
+    documents,
+    gossip,
+    grants,
+    intake,
+    messages,
+    upkeep,
+)
+from burdockspan.node.context import Context
+from burdockspan.node.effects import Effects
+from burdockspan.node.tables import Tables
+
+Perform = Callable[[Effects], None]
+"""Carries out effects; must not block."""
+
+_Handler = Callable[[Tables, Any, Context], Effects]
+
+
+class Node(pykka.ThreadingActor):
+    """Runs one message or tick at a time against the tables."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self, tables: Tables, context: Context, perform: Perform
+    ) -> None:
+        super().__init__()
+        self._tables = tables
+        self._context = context
+        self._perform = perform
+
+    def on_receive(self, message: Any) -> Any:
+        """Handles a message of `messages`; returns what its sender asked."""
+        if isinstance(message, messages.Record):
+            allowed, effects = attempts.record(
+                self._tables, message, self._context
+            )
+            self._perform(effects)
+            return allowed
+        if isinstance(message, messages.ReadState):
+            return message.read(self._tables)
+        handler = _HANDLERS[type(message)]
+        self._perform(handler(self._tables, message, self._context))
+        return None
+
+
+def run_systems(
+    tables: Tables, message: messages.Tick, context: Context
+) -> Effects:
+    """Runs all systems over the tables once."""
+    return (
+        *gossip.tick(tables, context),
+        *documents.seek(tables, context),
+        *documents.activate(tables, context),
+        *documents.apply_stops(tables, context),
+        *_end_requests(tables, context),
+        *_run_queues(tables, context),
+        *upkeep.poll(tables, context),
+        *upkeep.list_attempts(tables, context),
+        *upkeep.fetch_cache_events(tables, context),
+        *upkeep.free_memory(tables, context),
+    )
+
+
+def _end_requests(tables: Tables, context: Context) -> Effects:
+    now_s = context.clock()
+    effects: Effects = ()
+    for request_id in attempts.find_gone_callers(tables):
+        effects += attempts.cancel(tables, request_id, now_s)
+    for request_id in attempts.find_overdue(tables, now_s):
+        effects += attempts.refuse_overdue(tables, request_id, now_s)
+    return effects
+
+
+def _run_queues(tables: Tables, context: Context) -> Effects:
+    if tables.catalog is None:
+        return ()
+    effects: Effects = ()
+    for service in tables.catalog.configuration.services:
+        effects += grants.shed(tables, service, context)
+        effects += grants.grant(tables, service, context)
+    return effects
+
+
+def _attach(
+    tables: Tables, message: messages.Attach, context: Context
+) -> Effects:
+    return attempts.attach(tables, message)
+
+
+def _finish(
+    tables: Tables, message: messages.Finish, context: Context
+) -> Effects:
+    effects = attempts.finish(tables, message, context.clock())
+    return (
+        *effects,
+        *_run_queues(tables, context),
+        *upkeep.free_memory(tables, context),
+    )
+
+
+def _leave(
+    tables: Tables, message: messages.Leave, context: Context
+) -> Effects:
+    return gossip.leave(tables, context)
+
+
+def _release(
+    tables: Tables, message: messages.ReleaseMemory, context: Context
+) -> Effects:
+    attempts.release(tables, message, context.clock())
+    return upkeep.free_memory(tables, context)
+
+
+_HANDLERS: dict[type, _Handler] = {
+    messages.Attach: _attach,
+    messages.AttemptsListed: upkeep.free_orphans,
+    messages.CacheEventsFetched: upkeep.take_cache_events,
+    messages.ConfigurationSeen: documents.see_configuration,
+    messages.ConfigurationStored: documents.note_stored,
+    messages.Finish: _finish,
+    messages.Leave: _leave,
+    messages.LoadPolled: gossip.take_poll,
+    messages.MemoryReleased: upkeep.note_released,
+    messages.PeerMessage: gossip.receive,
+    messages.ReleaseMemory: _release,
+    messages.Replace: intake.replace,
+    messages.SnapshotFetched: gossip.take_snapshot,
+    messages.Submit: intake.submit,
+    messages.Tick: run_systems,
+    messages.VmListSeen: documents.see_vm_list,
+}
+
+
+__all__ = ["Node", "Perform", "run_systems"]
--- /dev/null
+++ b/src/burdockspan/node/attempts.py
@@ -0,0 +1,324 @@
+"""Progress, failure and end of attempts in the node's tables."""
+
+from __future__ import annotations
+
+from result import Err
+
+from burdockspan.admission import forecast as forecasts
+from burdockspan.admission.forecast import Rate
+from burdockspan.node import fleet
+from burdockspan.node.context import Context
+from burdockspan.node.effects import Abort, Answer, Count, Effects, Measure
+from burdockspan.node.gossip import add_strike
+from burdockspan.node.messages import Attach, Finish, Record, ReleaseMemory
+from burdockspan.node.tables import ReleaseRow, Tables
+from burdockspan.requests import lifecycle, outcome
+from burdockspan.requests.lifecycle import (
+    InvalidTransition,
+    Release,
+    RequestRow,
+    State,
+    Step,
+)
+from burdockspan.resilience import breaker
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Event, Failure, FailureKind
+from burdockspan.values.refusal import Execution, Reason, Refusal
+
+# Kinds of failure that say something about the health of the endpoint.
+_UNHEALTHY = frozenset(
+    {
+        FailureKind.NOT_CONNECTED,
+        FailureKind.CONNECTION_LOST,
+        FailureKind.SILENT,
+        FailureKind.CRASHED,
+        FailureKind.ENDPOINT_ERROR,
+        FailureKind.TIMED_OUT,
+    }
+)
+
+
+def find_current(tables: Tables, attempt: AttemptId) -> RequestRow | None:
+    """Returns the request whose current attempt this is, None if ended."""
+    request_id = tables.request_id_by_attempt.get(attempt)
+    row = tables.requests_by_id.get(request_id) if request_id else None
+    if row is None or row.attempt != attempt:
+        return None
+    return None if row.state in lifecycle.TERMINAL_STATES else row
+
+
+def record(
+    tables: Tables, message: Record, context: Context
+) -> tuple[bool, Effects]:
+    """Records an event; returns whether the handler may go on."""
+    now_s = context.clock()
+    row = find_current(tables, message.attempt)
+    if row is None:
+        return False, (Count("stale_events"),)
+    request_id = row.submission.request_id
+    if _caller_gone(tables, request_id):
+        return False, cancel(tables, request_id, now_s)
+    result = lifecycle.progress(row, message.attempt, message.event, now_s)
+    if isinstance(result, Err):
+        if result.err_value is InvalidTransition.DEADLINE:
+            refusal = _refuse_deadline()
+            return False, refuse(tables, request_id, refusal, now_s)
+        return False, (Count("invalid_events"),)
+    tables.requests_by_id[request_id] = result.ok_value.row
+    return True, _note_event(tables, row, message.event, now_s)
+
+
+def attach(tables: Tables, message: Attach) -> Effects:
+    """Registers an abort function; runs it at once for an ended attempt."""
+    if find_current(tables, message.attempt) is None:
+        return (Abort(message.abort),)
+    tables.aborts_by_attempt[message.attempt] = message.abort
+    return ()
+
+
+def record_failure(
+    tables: Tables, row: RequestRow, failure: Failure, context: Context
+) -> Effects:
+    """Notes in the endpoint's row, breaker and strikes how it failed."""
+    now_s = context.clock()
+    endpoint = tables.endpoints_by_name.get(failure.endpoint)
+    effects: Effects = (Count(f"failures.{failure.kind.value}"),)
+    if endpoint is None:
+        return effects
+    boot = endpoint.boot
+    if failure.kind is FailureKind.FULL:
+        endpoint = fleet.mark_full(endpoint, now_s)
+    elif failure.kind is FailureKind.LEAVING:
+        endpoint = fleet.mark_leaving(endpoint)
+    elif failure.kind in _UNHEALTHY:
+        state = breaker.record(endpoint.breaker, False, 0.0, now_s)
+        endpoint = fleet.set_breaker(endpoint, state)
+    tables.endpoints_by_name[failure.endpoint] = endpoint
+    if outcome.is_suspected_crash(row.reached, failure.kind):
+        fingerprint = row.submission.fingerprint
+        add_strike(tables, fingerprint, failure.endpoint, boot, context)
+        effects += (Count("strikes"),)
+    return effects
+
+
+def fail(
+    tables: Tables, row: RequestRow, failure: Failure, now_s: float
+) -> Effects:
+    """Ends the current attempt; the request is queued again."""
+    if row.attempt is None:
+        return ()
+    step = lifecycle.fail(row, row.attempt, failure).unwrap()
+    return _apply(tables, row, step, now_s)
+
+
+def refuse(
+    tables: Tables, request_id: str, refusal: Refusal, now_s: float
+) -> Effects:
+    """Ends a request with a refusal and answers a waiting handler."""
+    row = tables.requests_by_id[request_id]
+    result = lifecycle.refuse(row, refusal)
+    if isinstance(result, Err):
+        return ()
+    step = result.ok_value
+    effects = _apply(tables, row, step, now_s)
+    effects += (Count(f"refused.{refusal.reason.value}"),)
+    reply = tables.replies_by_request.pop(request_id, None)
+    if reply is not None and step.row.refusal is not None:
+        effects += (Answer(reply, Err(step.row.refusal)),)
+    return effects
+
+
+def cancel(tables: Tables, request_id: str, now_s: float) -> Effects:
+    """Ends a request whose caller is gone."""
+    row = tables.requests_by_id[request_id]
+    result = lifecycle.cancel(row)
+    if isinstance(result, Err):
+        return ()
+    effects = _apply(tables, row, result.ok_value, now_s)
+    effects += (Count("cancelled"),)
+    reply = tables.replies_by_request.pop(request_id, None)
+    if reply is not None:
+        refusal = Refusal(
+            499,
+            result.ok_value.row.execution,
+            Reason.CANCELLED,
+            "The caller has gone.",
+        )
+        effects += (Answer(reply, Err(refusal)),)
+    return effects
+
+
+def finish(tables: Tables, message: Finish, now_s: float) -> Effects:
+    """Ends a request as the HTTP layer answered it, and forgets it."""
+    row = tables.requests_by_id.get(message.request_id)
+    if row is None:
+        return ()
+    result = lifecycle.finish(row, message.execution, message.status)
+    effects: Effects = ()
+    if not isinstance(result, Err):
+        effects = _apply(tables, row, result.ok_value, now_s)
+        ended = result.ok_value.row.state
+        effects += (
+            Count(ended.value),
+            Measure("request", now_s - row.submission.arrived_s),
+        )
+    forget(tables, message.request_id)
+    return effects
+
+
+def forget(tables: Tables, request_id: str) -> None:
+    """Drops an ended request from the tables."""
+    tables.requests_by_id.pop(request_id, None)
+    tables.replies_by_request.pop(request_id, None)
+    tables.caller_gone_by_request.pop(request_id, None)
+    gone = [
+        attempt
+        for attempt, owner in tables.request_id_by_attempt.items()
+        if owner == request_id
+    ]
+    for attempt in gone:
+        del tables.request_id_by_attempt[attempt]
+        tables.aborts_by_attempt.pop(attempt, None)
+
+
+def release(tables: Tables, message: ReleaseMemory, now_s: float) -> Effects:
+    """Queues the release of an attempt's memory at an endpoint."""
+    _queue_release(tables, Release(message.attempt, message.endpoint), now_s)
+    return ()
+
+
+def find_gone_callers(tables: Tables) -> tuple[str, ...]:
+    """Returns the running requests whose callers have gone."""
+    return tuple(
+        request_id
+        for request_id, row in tables.requests_by_id.items()
+        if row.state not in lifecycle.TERMINAL_STATES
+        and _caller_gone(tables, request_id)
+    )
+
+
+def find_overdue(tables: Tables, now_s: float) -> tuple[str, ...]:
+    """Returns the requests whose deadline passed before the first byte."""
+    return tuple(
+        request_id
+        for request_id, row in tables.requests_by_id.items()
+        if row.state not in lifecycle.TERMINAL_STATES
+        and row.state is not State.RELAYING
+        and now_s >= row.submission.deadline_s
+    )
+
+
+def refuse_overdue(tables: Tables, request_id: str, now_s: float) -> Effects:
+    """Ends a request whose deadline has passed."""
+    return refuse(tables, request_id, _refuse_deadline(), now_s)
+
+
+def _apply(
+    tables: Tables, before: RequestRow, step: Step, now_s: float
+) -> Effects:
+    request_id = before.submission.request_id
+    tables.requests_by_id[request_id] = step.row
+    for waiting in tables.waiting_by_service.values():
+        waiting.pop(request_id, None)
+    if before.placement is not None and before.attempt is not None:
+        _leave_endpoints(tables, before, now_s)
+    for entry in step.releases:
+        _queue_release(tables, entry, now_s)
+    if step.aborted is None:
+        return ()
+    abort = tables.aborts_by_attempt.pop(step.aborted, None)
+    return (Abort(abort),) if abort is not None else ()
+
+
+def _leave_endpoints(tables: Tables, row: RequestRow, now_s: float) -> None:
+    placement = row.placement
+    if placement is None:
+        return
+    for endpoint in (placement.prefill, placement.decode, placement.service):
+        held = endpoint and tables.endpoints_by_name.get(endpoint.name)
+        if held:
+            tables.endpoints_by_name[held.endpoint.name] = fleet.let_go(
+                held, placement.attempt, now_s
+            )
+    granted = placement.decode or placement.service
+    if granted is not None:
+        rate = tables.released_by_service.get(granted.service, Rate())
+        tables.released_by_service[granted.service] = forecasts.observe(
+            rate, max(1, placement.pieces), now_s
+        )
+
+
+def _queue_release(tables: Tables, entry: Release, now_s: float) -> None:
+    if entry.endpoint in tables.endpoints_by_name:
+        key = (entry.attempt, entry.endpoint)
+        tables.releases.setdefault(key, ReleaseRow(now_s, now_s))
+
+
+def _note_event(
+    tables: Tables, row: RequestRow, event: Event, now_s: float
+) -> Effects:
+    placement = row.placement
+    if placement is None or row.attempt is None:
+        return ()
+    if event is Event.RESERVED and placement.decode is not None:
+        _confirm(tables, placement.decode.name, row.attempt, now_s)
+    if event is Event.PREFILL_SENT and placement.prefill is not None:
+        _confirm(tables, placement.prefill.name, row.attempt, now_s)
+    if event is Event.TRANSFERRED and placement.prefill is not None:
+        prefill = tables.endpoints_by_name.get(placement.prefill.name)
+        if prefill is not None:
+            tables.endpoints_by_name[placement.prefill.name] = fleet.let_go(
+                prefill, row.attempt, now_s
+            )
+    if event is Event.DISPATCHED and placement.service is not None:
+        _confirm(tables, placement.service.name, row.attempt, now_s)
+    if event is not Event.FIRST_BYTE:
+        return ()
+    latency_s = now_s - row.submission.arrived_s
+    for endpoint in (placement.prefill, placement.decode, placement.service):
+        held = endpoint and tables.endpoints_by_name.get(endpoint.name)
+        if held:
+            state = breaker.record(held.breaker, True, latency_s, now_s)
+            tables.endpoints_by_name[held.endpoint.name] = fleet.set_breaker(
+                held, state
+            )
+    return (Measure("first_byte", latency_s),)
+
+
+def _confirm(
+    tables: Tables, endpoint: str, attempt: AttemptId, now_s: float
+) -> None:
+    row = tables.endpoints_by_name.get(endpoint)
+    if row is not None:
+        tables.endpoints_by_name[endpoint] = fleet.confirm(row, attempt, now_s)
+
+
+def _caller_gone(tables: Tables, request_id: str) -> bool:
+    gone = tables.caller_gone_by_request.get(request_id)
+    return gone is not None and gone()
+
+
+def _refuse_deadline() -> Refusal:
+    return Refusal(
+        504,
+        Execution.NOT_RUN,
+        Reason.DEADLINE,
+        "The deadline passed before an answer began.",
+    )
+
+
+__all__ = [
+    "attach",
+    "cancel",
+    "fail",
+    "find_current",
+    "find_gone_callers",
+    "find_overdue",
+    "finish",
+    "forget",
+    "record",
+    "record_failure",
+    "refuse",
+    "refuse_overdue",
+    "release",
+]
--- /dev/null
+++ b/src/burdockspan/node/catalog.py
@@ -0,0 +1,71 @@
+"""Lookups in a configuration, computed once for each generation."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from burdockspan.configuration.document import (
+    Client,
+    Configuration,
+    Model,
+    Service,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalog:
+    """A configuration with its entries by key.
+
+    Attributes:
+      configuration: the configuration in force.
+      services_by_name: services.
+      service_by_model: the service that serves each model.
+      models_by_name: models.
+      clients_by_name: client accounts.
+      delay_ms_by_zones: one-way delay of each ordered pair of zones.
+    """
+
+    configuration: Configuration
+    services_by_name: Mapping[str, Service]
+    service_by_model: Mapping[str, Service]
+    models_by_name: Mapping[str, Model]
+    clients_by_name: Mapping[str, Client]
+    delay_ms_by_zones: Mapping[tuple[str, str], float]
+
+
+def make_catalog(configuration: Configuration) -> Catalog:
+    """Returns the lookups of a configuration."""
+    delays: dict[tuple[str, str], float] = {}
+    for entry in configuration.distances:
+        delays[entry.zone, entry.other] = entry.one_way_ms
+        delays[entry.other, entry.zone] = entry.one_way_ms
+    services = configuration.services
+    return Catalog(
+        configuration=configuration,
+        services_by_name={service.name: service for service in services},
+        service_by_model={
+            model.name: service
+            for service in services
+            for model in service.models
+        },
+        models_by_name={
+            model.name: model
+            for service in services
+            for model in service.models
+        },
+        clients_by_name={
+            client.name: client for client in configuration.clients
+        },
+        delay_ms_by_zones=delays,
+    )
+
+
+def delay_ms(catalog: Catalog, zone: str, other: str) -> float:
+    """Returns the one-way delay between two zones, 0 within one."""
+    if zone == other:
+        return 0.0
+    return catalog.delay_ms_by_zones.get((zone, other), 0.0)
+
+
+__all__ = ["Catalog", "delay_ms", "make_catalog"]
--- /dev/null
+++ b/src/burdockspan/node/documents.py
@@ -0,0 +1,240 @@
+"""The configuration and the VM list in the node's tables."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from burdockspan.configuration import adoption as adoptions
+from burdockspan.configuration.adoption import Adoption
+from burdockspan.configuration.document import Configuration
+from burdockspan.membership import table
+from burdockspan.membership.values import Member, Versions
+from burdockspan.node import fleet
+from burdockspan.node.catalog import make_catalog
+from burdockspan.node.context import Context
+from burdockspan.node.effects import (
+    Count,
+    Effects,
+    Note,
+    OfferConfiguration,
+    PullDocuments,
+    ReadPlatform,
+)
+from burdockspan.node.messages import (
+    PLATFORM_SOURCE,
+    ConfigurationSeen,
+    ConfigurationStored,
+    VmListSeen,
+)
+from burdockspan.node.tables import Tables
+from burdockspan.platform.vms import make_fleet
+from burdockspan.resilience import retries
+
+_ASK_INTERVAL_S = 0.25
+_VM_LIST_ASK_INTERVAL_S = 1.0
+
+
+def seek(tables: Tables, context: Context) -> Effects:
+    """Asks peers and the platform until the first documents are held."""
+    start = tables.start
+    now_s = context.clock()
+    if start is None:
+        return _seek_vm_list(tables, now_s)
+    effects: Effects = ()
+    if now_s >= tables.next_ask_s:
+        tables.next_ask_s = now_s + _ASK_INTERVAL_S
+        peers = {member.address for member in _peers(tables)}
+        sources = {PLATFORM_SOURCE, *tables.members.seeds, *peers}
+        tables.start, fresh = adoptions.ask(start, sources)
+        effects = tuple(_ask(tables, source) for source in fresh)
+    return effects + _conclude(tables, now_s)
+
+
+def see_configuration(
+    tables: Tables, message: ConfigurationSeen, context: Context
+) -> Effects:
+    """Stores a newer configuration and offers it to peers of the zone."""
+    now_s = context.clock()
+    if tables.start is not None:
+        tables.start = adoptions.answer(
+            tables.start,
+            message.source,
+            message.configuration,
+            from_peer=message.from_peer,
+        )
+        if message.failed or message.configuration is None:
+            # An empty peer may learn of a configuration later.
+            tables.start = adoptions.retry(tables.start, message.source)
+        return _conclude(tables, now_s)
+    if message.configuration is None:
+        return ()
+    return _store(
+        tables,
+        adoptions.store(
+            tables.adoption,
+            message.configuration,
+            now_s,
+            from_peer=message.from_peer,
+        ),
+        context,
+    )
+
+
+def note_stored(
+    tables: Tables, message: ConfigurationStored, context: Context
+) -> Effects:
+    """Notes that a peer holds a generation."""
+    tables.adoption = adoptions.confirm(tables.adoption, message.generation)
+    return activate(tables, context)
+
+
+def see_vm_list(
+    tables: Tables, message: VmListSeen, context: Context
+) -> Effects:
+    """Takes over a newer VM list."""
+    if message.vm_list.version <= tables.vm_list.version:
+        return ()
+    tables.vm_list = message.vm_list
+    _hold_versions(tables)
+    return (Count("vm_lists"), *_rebuild_endpoints(tables, context))
+
+
+def activate(tables: Tables, context: Context) -> Effects:
+    """Puts the stored configuration in force once it may take effect."""
+    zone_peers = [member.vm for member in _zone_peers(tables)]
+    before = tables.adoption
+    tables.adoption = adoptions.activate(before, context.clock(), zone_peers)
+    active = tables.adoption.active
+    if active is None or active is before.active:
+        return ()
+    tables.catalog = make_catalog(active)
+    policy = active.policy
+    tables.retry_budget = dataclasses.replace(
+        retries.make_budget(policy.retry_ratio, policy.retry_burst),
+        tokens=min(tables.retry_budget.tokens, policy.retry_burst),
+    )
+    note = Note(
+        "configuration_active", (("generation", str(active.generation)),)
+    )
+    return (
+        Count("configurations"),
+        note,
+        *_rebuild_endpoints(tables, context),
+    )
+
+
+def apply_stops(tables: Tables, context: Context) -> Effects:
+    """Drains the endpoints and this VM when their planned stop has come."""
+    if tables.catalog is None:
+        return ()
+    drained = _drained_vms(tables.catalog.configuration, context)
+    if drained == tables.drained_vms:
+        return ()
+    return _rebuild_endpoints(tables, context)
+
+
+def _seek_vm_list(tables: Tables, now_s: float) -> Effects:
+    if tables.vm_list.version > 0 or now_s < tables.next_ask_s:
+        return ()
+    tables.next_ask_s = now_s + _VM_LIST_ASK_INTERVAL_S
+    return (ReadPlatform(),)
+
+
+def _ask(tables: Tables, source: str) -> PullDocuments | ReadPlatform:
+    if source == PLATFORM_SOURCE:
+        return ReadPlatform()
+    return PullDocuments(source, tables.members.versions)
+
+
+def _conclude(tables: Tables, now_s: float) -> Effects:
+    if tables.start is None:
+        return ()
+    concluded = adoptions.conclude(tables.start, now_s)
+    if concluded is None:
+        return ()
+    tables.start = None
+    tables.adoption = concluded
+    _hold_versions(tables)
+    return _offer(tables)
+
+
+def _store(tables: Tables, stored: Adoption, context: Context) -> Effects:
+    if stored is tables.adoption:
+        return ()
+    tables.adoption = stored
+    _hold_versions(tables)
+    return (*_offer(tables), *activate(tables, context))
+
+
+def _offer(tables: Tables) -> Effects:
+    stored = tables.adoption.stored
+    if stored is None:
+        return ()
+    peers_by_vm = {member.vm: member for member in _zone_peers(tables)}
+    targets = adoptions.offer_targets(
+        tables.adoption, tables.members.vm, peers_by_vm
+    )
+    return tuple(
+        OfferConfiguration(peers_by_vm[vm].address, stored) for vm in targets
+    )
+
+
+def _hold_versions(tables: Tables) -> None:
+    versions = Versions(
+        adoptions.generation_of(tables.adoption.stored), tables.vm_list.version
+    )
+    tables.members = table.hold_versions(tables.members, versions)
+
+
+def _rebuild_endpoints(tables: Tables, context: Context) -> Effects:
+    catalog = tables.catalog
+    if catalog is None:
+        return ()
+    listed = make_fleet(tables.vm_list, catalog.configuration)
+    drained = _drained_vms(catalog.configuration, context)
+    tables.drained_vms = drained
+    rows = fleet.replace_endpoints(
+        tables.endpoints_by_name, listed.endpoints.values()
+    )
+    gone = drained | listed.leaving
+    tables.endpoints_by_name = {
+        name: dataclasses.replace(row, drained=name in gone)
+        for name, row in rows.items()
+    }
+    was_draining = tables.draining
+    tables.draining = tables.members.vm in gone
+    if tables.draining == was_draining:
+        return ()
+    tables.draining_since_s = context.clock()
+    return (Note("draining", (("draining", str(tables.draining).lower()),)),)
+
+
+def _drained_vms(
+    configuration: Configuration, context: Context
+) -> frozenset[str]:
+    now_s = context.wall_clock()
+    drains = {drain.vm for drain in configuration.drains}
+    due = {stop.vm for stop in configuration.stops if stop.at_s <= now_s}
+    return frozenset(drains | due)
+
+
+def _peers(tables: Tables) -> tuple[Member, ...]:
+    live = table.live_members(tables.members)
+    return tuple(member for member in live if member.vm != tables.members.vm)
+
+
+def _zone_peers(tables: Tables) -> tuple[Member, ...]:
+    zone = tables.members.me.availability_zone
+    return tuple(
+        member for member in _peers(tables) if member.availability_zone == zone
+    )
+
+
+__all__ = [
+    "activate",
+    "apply_stops",
+    "note_stored",
+    "see_configuration",
+    "see_vm_list",
+    "seek",
+]
--- /dev/null
+++ b/src/burdockspan/node/fleet.py
@@ -0,0 +1,260 @@
+"""The node's table of endpoints."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from burdockspan.node.catalog import Catalog, delay_ms
+from burdockspan.placement import memory, prefix
+from burdockspan.placement.memory import Reservation
+from burdockspan.resilience import breaker
+from burdockspan.resilience.breaker import BreakerState
+from burdockspan.values.endpoint import (
+    Endpoint,
+    EndpointView,
+    LoadReport,
+    Pool,
+)
+from burdockspan.values.ids import AttemptId
+
+# With polls every 250 ms and gossip this leaves room for two lost polls, and
+# still stops new work to a leaving endpoint within 3 s.
+SILENCE_LIMIT_S = 2.0
+
+# Prompt tokens assumed for a call of another node that waits at an engine.
+_FOREIGN_PROMPT_TOKENS = 1000
+# A release is part of every report that is measured this long after it.
+_RELEASE_MEMORY_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointRow:
+    """One endpoint.
+
+    Attributes:
+      endpoint: the endpoint.
+      report: its newest load report.
+      breaker: its circuit breaker.
+      drained: whether the VM list, a drain or a planned stop removes it.
+      self_leaving: whether its process says that it takes no new work.
+      heard_s: when a newer report last arrived, monotonic seconds.
+      reservations: this node's, by attempt, until a report includes them.
+      prompt_tokens: tokens of this node's attempts that it prefills.
+      boot: identity of its process in the newest report.
+    """
+
+    endpoint: Endpoint
+    report: LoadReport | None = None
+    breaker: BreakerState = dataclasses.field(default_factory=BreakerState)
+    drained: bool = False
+    self_leaving: bool = False
+    heard_s: float = float("-inf")
+    reservations: Mapping[AttemptId, Reservation] = dataclasses.field(
+        default_factory=dict
+    )
+    prompt_tokens: Mapping[AttemptId, int] = dataclasses.field(
+        default_factory=dict
+    )
+    boot: str = ""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it takes no new work, from any source."""
+        return self.drained or self.self_leaving
+
+
+def replace_endpoints(
+    rows: Mapping[str, EndpointRow], endpoints: Iterable[Endpoint]
+) -> dict[str, EndpointRow]:
+    """Returns the table for a new list of endpoints; known ones keep state."""
+    replaced = {}
+    for endpoint in endpoints:
+        row = rows.get(endpoint.name)
+        if row is None or row.endpoint.address != endpoint.address:
+            row = EndpointRow(endpoint)
+        replaced[endpoint.name] = dataclasses.replace(row, endpoint=endpoint)
+    return replaced
+
+
+def accept_report(
+    row: EndpointRow, report: LoadReport, now_s: float
+) -> EndpointRow:
+    """Returns the row after a load report; older reports change nothing.
+
+    A new boot identity means that the process was replaced: it holds none of
+    the earlier reservations, and what is known of its leaving is void.
+    """
+    if row.report is not None and report.measured_s <= row.report.measured_s:
+        return row
+    restarted = bool(row.boot) and report.boot != row.boot
+    kept = {
+        attempt: held
+        for attempt, held in row.reservations.items()
+        if not restarted
+        and (
+            held.released_s is None
+            or report.measured_s - held.released_s < _RELEASE_MEMORY_S
+        )
+    }
+    leaving = row.self_leaving and not restarted
+    return dataclasses.replace(
+        row,
+        report=report,
+        boot=report.boot,
+        heard_s=now_s,
+        self_leaving=leaving or report.leaving,
+        reservations=kept,
+        breaker=BreakerState() if restarted else row.breaker,
+    )
+
+
+def mark_full(row: EndpointRow, now_s: float) -> EndpointRow:
+    """Returns the row after its engine refused a reservation as full."""
+    report = row.report
+    if report is None:
+        report = LoadReport(
+            row.endpoint.name, "", False, row.endpoint.pieces, 0, 0, 0, now_s
+        )
+    return dataclasses.replace(
+        row,
+        report=dataclasses.replace(report, free_pieces=0, measured_s=now_s),
+    )
+
+
+def mark_leaving(row: EndpointRow) -> EndpointRow:
+    """Returns the row of an endpoint that takes no new work."""
+    return dataclasses.replace(row, self_leaving=True)
+
+
+def set_breaker(row: EndpointRow, state: BreakerState) -> EndpointRow:
+    """Returns the row with another state of its circuit breaker."""
+    return dataclasses.replace(row, breaker=state)
+
+
+def free_room(row: EndpointRow) -> int:
+    """Returns the expected free pieces, or free calls of a plain service."""
+    if row.endpoint.pool is Pool.DECODE:
+        return memory.expected_free_pieces(
+            row.endpoint.pieces, row.report, row.reservations.values()
+        )
+    own = sum(held.released_s is None for held in row.reservations.values())
+    return max(0, row.endpoint.concurrency - own)
+
+
+def hold(
+    row: EndpointRow, attempt: AttemptId, pieces: int, prompt_tokens: int
+) -> EndpointRow:
+    """Returns the row after an attempt was placed there."""
+    reservations = dict(row.reservations)
+    tokens = dict(row.prompt_tokens)
+    if row.endpoint.pool is Pool.PREFILL:
+        tokens[attempt] = prompt_tokens
+    reservations[attempt] = Reservation(row.endpoint.name, pieces)
+    return dataclasses.replace(
+        row, reservations=reservations, prompt_tokens=tokens
+    )
+
+
+def confirm(row: EndpointRow, attempt: AttemptId, now_s: float) -> EndpointRow:
+    """Returns the row after the endpoint took an attempt in."""
+    held = row.reservations.get(attempt)
+    if held is None or held.confirmed_s is not None:
+        return row
+    confirmed = dataclasses.replace(held, confirmed_s=now_s)
+    return dataclasses.replace(
+        row, reservations={**row.reservations, attempt: confirmed}
+    )
+
+
+def let_go(row: EndpointRow, attempt: AttemptId, now_s: float) -> EndpointRow:
+    """Returns the row after an attempt has left the endpoint."""
+    tokens = {
+        key: count for key, count in row.prompt_tokens.items() if key != attempt
+    }
+    reservations = dict(row.reservations)
+    held = reservations.pop(attempt, None)
+    if held is not None and held.confirmed_s is not None:
+        reservations[attempt] = dataclasses.replace(held, released_s=now_s)
+    return dataclasses.replace(
+        row, reservations=reservations, prompt_tokens=tokens
+    )
+
+
+def view(
+    row: EndpointRow,
+    catalog: Catalog,
+    zone: str,
+    now_s: float,
+    index: prefix.PrefixIndex | None = None,
+    blocks: tuple[int, ...] = (),
+) -> EndpointView:
+    """Returns the endpoint as a placement decision sees it now.
+
+    Args:
+      row: the endpoint.
+      catalog: the configuration in force.
+      zone: availability zone of this VM.
+      now_s: monotonic time.
+      index: believed prefix caches, for a prefill engine.
+      blocks: block hashes of the prompt.
+    """
+    endpoint = row.endpoint
+    report = row.report
+    own = sum(held.released_s is None for held in row.reservations.values())
+    included = sum(
+        held.released_s is None
+        and report is not None
+        and held.confirmed_s is not None
+        and held.confirmed_s < report.measured_s
+        for held in row.reservations.values()
+    )
+    running = own if report is None else report.running + own - included
+    waiting = 0 if report is None else report.waiting
+    cached = 0
+    if index is not None and blocks:
+        cached = prefix.cached_tokens(index, endpoint.name, blocks)
+    return EndpointView(
+        endpoint=endpoint,
+        free_pieces=memory.expected_free_pieces(
+            endpoint.pieces, report, row.reservations.values()
+        ),
+        running=max(0, running),
+        waiting=waiting,
+        waiting_tokens=sum(row.prompt_tokens.values())
+        + max(0, running + waiting - own) * _FOREIGN_PROMPT_TOKENS,
+        report_age_s=float("inf")
+        if report is None
+        else now_s - report.measured_s,
+        distance_ms=delay_ms(catalog, zone, endpoint.availability_zone),
+        cached_tokens=cached,
+        usable=is_usable(row, now_s),
+    )
+
+
+def is_usable(row: EndpointRow, now_s: float) -> bool:
+    """Returns whether new work may be sent to an endpoint.
+
+    An endpoint that no node has heard from lately may be leaving or gone, and
+    the VM list that would say so lags. It gets no new work until it is heard
+    from again.
+    """
+    heard = now_s - row.heard_s <= SILENCE_LIMIT_S
+    return heard and not row.leaving and breaker.allows(row.breaker, now_s)
+
+
+__all__ = [
+    "SILENCE_LIMIT_S",
+    "EndpointRow",
+    "accept_report",
+    "confirm",
+    "free_room",
+    "hold",
+    "is_usable",
+    "let_go",
+    "mark_full",
+    "mark_leaving",
+    "replace_endpoints",
+    "set_breaker",
+    "view",
+]
--- /dev/null
+++ b/src/burdockspan/node/gossip.py
@@ -0,0 +1,200 @@
+"""Membership, shared load reports and strikes in the node's tables."""
+
+from __future__ import annotations
+
+from burdockspan.membership import members as swim
+from burdockspan.membership import shared, table
+from burdockspan.membership.values import Member, Outgoing, StrikeKey
+from burdockspan.node import fleet
+from burdockspan.node.context import Context
+from burdockspan.node.effects import (
+    Count,
+    Effects,
+    Note,
+    PullDocuments,
+    SendDatagram,
+)
+from burdockspan.node.messages import LoadPolled, PeerMessage, SnapshotFetched
+from burdockspan.node.tables import Tables
+from burdockspan.peering.snapshot import is_behind, merge_snapshot
+from burdockspan.resilience import breaker, quarantine
+from burdockspan.resilience.quarantine import Strikes, Verdict
+from burdockspan.values.endpoint import LoadReport
+
+_PRUNE_INTERVAL_S = 1.0
+# A peer that was just asked for its newer documents is not asked again while
+# the answer is under way.
+_PULL_INTERVAL_S = 0.3
+
+
+def receive(tables: Tables, message: PeerMessage, context: Context) -> Effects:
+    """Takes in a membership message."""
+    now_s = context.clock()
+    before = tables.members
+    tables.members, outgoing = swim.receive(before, message.message, now_s)
+    _take_reports(tables, before, now_s)
+    return (
+        *_send(outgoing),
+        *_note_changes(before, tables.members),
+        *_pull_newer(tables, message, now_s),
+    )
+
+
+def tick(tables: Tables, context: Context) -> Effects:
+    """Advances the membership protocol."""
+    now_s = context.clock()
+    before = tables.members
+    if now_s >= tables.next_prune_s:
+        tables.next_prune_s = now_s + _PRUNE_INTERVAL_S
+        held = shared.prune(before.shared, now_s)
+        tables.members = table.share(before, held)
+    tables.members, outgoing = swim.tick(tables.members, now_s, context.draw)
+    return (*_send(outgoing), *_note_changes(before, tables.members))
+
+
+def leave(tables: Tables, context: Context) -> Effects:
+    """Tells other members that this process stops."""
+    tables.members, outgoing = swim.leave(
+        tables.members, context.clock(), context.draw
+    )
+    return _send(outgoing)
+
+
+def take_poll(tables: Tables, message: LoadPolled, context: Context) -> Effects:
+    """Takes in the answer to a load poll and shares it."""
+    now_s = context.clock()
+    row = tables.endpoints_by_name.get(message.endpoint)
+    if row is None:
+        return ()
+    report = message.outcome.ok()
+    if report is None:
+        state = breaker.record(row.breaker, False, 0.0, now_s)
+        tables.endpoints_by_name[message.endpoint] = fleet.set_breaker(
+            row, state
+        )
+        return (Count("polls.failed"),)
+    accept(tables, report, now_s)
+    held = shared.add_reports(tables.members.shared, (report,))
+    tables.members = table.share(tables.members, held)
+    return ()
+
+
+def take_snapshot(
+    tables: Tables, message: SnapshotFetched, context: Context
+) -> Effects:
+    """Takes in the members and strikes that a peer sent over TCP."""
+    before = tables.members
+    tables.members = merge_snapshot(before, message.snapshot, context.clock())
+    return _note_changes(before, tables.members)
+
+
+def accept(tables: Tables, report: LoadReport, now_s: float) -> None:
+    """Takes a load report into the endpoint's row."""
+    row = tables.endpoints_by_name.get(report.endpoint)
+    if row is None:
+        return
+    taken = fleet.accept_report(row, report, now_s)
+    tables.endpoints_by_name[report.endpoint] = taken
+    if row.boot and taken.boot != row.boot:
+        tables.prefixes.forget(report.endpoint)
+
+
+def add_strike(
+    tables: Tables, fingerprint: str, endpoint: str, boot: str, context: Context
+) -> None:
+    """Notes that an endpoint crashed while a request ran there."""
+    now_s = context.clock()
+    catalog = tables.catalog
+    life_s = shared.STRIKE_LIFE_S
+    if catalog is not None:
+        life_s = catalog.configuration.policy.quarantine_s
+    strikes = {StrikeKey(fingerprint, endpoint, boot): now_s + life_s}
+    held = shared.add_strikes(tables.members.shared, strikes, now_s)
+    tables.members = table.share(tables.members, held)
+
+
+def judge_fingerprint(
+    tables: Tables, fingerprint: str, context: Context
+) -> Verdict:
+    """Returns how a request is treated after the crashes it was part of."""
+    crashes = {
+        (key.endpoint, key.boot): expires_s
+        for key, expires_s in tables.members.shared.strikes.items()
+        if key.fingerprint == fingerprint
+    }
+    if not crashes:
+        return Verdict.ALLOW
+    strikes = Strikes({fingerprint: crashes})
+    return quarantine.judge(strikes, fingerprint, context.clock())
+
+
+def count_live_entry_vms(tables: Tables) -> int:
+    """Returns the number of live entry VMs of the region, at least 1."""
+    return max(1, len(table.live_members(tables.members)))
+
+
+def is_dead(tables: Tables, vm: str, incarnation: int) -> bool:
+    """Returns whether a process is known to be dead or superseded."""
+    return table.is_current(tables.members, vm, incarnation) is False
+
+
+def _take_reports(tables: Tables, before: table.Members, now_s: float) -> None:
+    old = before.shared.reports
+    new = tables.members.shared.reports
+    if new is old:
+        return
+    for name, report in new.items():
+        if old.get(name) is not report:
+            accept(tables, report, now_s)
+
+
+def _pull_newer(tables: Tables, message: PeerMessage, now_s: float) -> Effects:
+    ours = tables.members.versions
+    newer = is_behind(ours, message.message.versions)
+    if not newer or now_s < tables.next_pull_s:
+        return ()
+    tables.next_pull_s = now_s + _PULL_INTERVAL_S
+    return (PullDocuments(message.message.sender.address, ours),)
+
+
+def _send(outgoing: tuple[Outgoing, ...]) -> Effects:
+    return tuple(SendDatagram(entry) for entry in outgoing)
+
+
+def _note_changes(before: table.Members, after: table.Members) -> Effects:
+    if before.by_vm is after.by_vm:
+        return ()
+    changed = [
+        member
+        for vm, member in after.by_vm.items()
+        if _state_of(before.by_vm.get(vm)) != _state_of(member)
+    ]
+    return tuple(
+        Note(
+            "member_state",
+            (
+                ("member", member.vm),
+                ("state", member.state.name.lower()),
+                ("incarnation", str(member.incarnation)),
+            ),
+        )
+        for member in changed
+    )
+
+
+def _state_of(member: Member | None) -> tuple[int, int] | None:
+    return (member.state, member.incarnation) if member is not None else None
+
+
+__all__ = [
+    "accept",
+    "add_strike",
+    "count_live_entry_vms",
+    "is_dead",
+    "judge_fingerprint",
+    "leave",
+    "receive",
+    "take_poll",
+    "take_snapshot",
+    "tick",
+]
--- /dev/null
+++ b/src/burdockspan/node/intake.py
@@ -0,0 +1,254 @@
+"""Admission of new calls, and of calls whose attempt failed."""
+
+from __future__ import annotations
+
+from result import Err, Result
+
+from burdockspan.admission import forecast as forecasts
+from burdockspan.admission import limits, queue
+from burdockspan.admission.forecast import Rate
+from burdockspan.configuration.document import Service
+from burdockspan.node import attempts, grants
+from burdockspan.node.catalog import Catalog
+from burdockspan.node.context import Context
+from burdockspan.node.effects import Answer, Count, Effects
+from burdockspan.node.gossip import count_live_entry_vms, judge_fingerprint
+from burdockspan.node.messages import Replace, Submit
+from burdockspan.node.readiness import is_accepting
+from burdockspan.node.tables import Tables
+from burdockspan.placement import memory
+from burdockspan.requests import lifecycle
+from burdockspan.requests.lifecycle import RequestRow, State
+from burdockspan.resilience import retries
+from burdockspan.resilience.quarantine import Verdict
+from burdockspan.values.placement import Failure, FailureKind
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from burdockspan.values.submission import CallKind, Priority, Submission
+
+_COME_BACK_S = 1.0
+_COPY_RUNNING_RETRY_S = 2.0
+
+
+def submit(tables: Tables, message: Submit, context: Context) -> Effects:
+    """Admits a call to the queue, or refuses it at once."""
+    submission = message.submission
+    now_s = context.clock()
+    admitted = _check(tables, submission, context, now_s)
+    if isinstance(admitted, Err):
+        refusal = admitted.err_value
+        return (
+            Count(f"refused.{refusal.reason.value}"),
+            Answer(message.reply, Err(refusal)),
+        )
+    service = admitted.ok_value
+    tables.retry_budget = retries.earn(tables.retry_budget)
+    tables.requests_by_id[submission.request_id] = RequestRow(submission)
+    tables.replies_by_request[submission.request_id] = message.reply
+    tables.caller_gone_by_request[submission.request_id] = message.caller_gone
+    enqueue(tables, service, submission, now_s)
+    return (Count("accepted"), *grants.grant(tables, service, context))
+
+
+def replace(tables: Tables, message: Replace, context: Context) -> Effects:
+    """Ends a failed attempt and queues its request again, or refuses it."""
+    now_s = context.clock()
+    row = attempts.find_current(tables, message.attempt)
+    if row is None:
+        refusal = _ended_refusal(tables, message)
+        return (Answer(message.reply, Err(refusal)),)
+    failure = message.failure
+    effects = attempts.record_failure(tables, row, failure, context)
+    request_id = row.submission.request_id
+    tables.replies_by_request[request_id] = message.reply
+    verdict = _judge_retry(tables, row, failure, context, now_s)
+    effects += attempts.fail(tables, row, failure, now_s)
+    if verdict is not None:
+        return effects + attempts.refuse(tables, request_id, verdict, now_s)
+    service = _find_service(tables, row.submission)
+    if service is None:
+        gone = _refuse(503, Reason.NO_ENDPOINT, "The service was removed.")
+        return effects + attempts.refuse(tables, request_id, gone, now_s)
+    enqueue(tables, service, row.submission, now_s)
+    return (*effects, *grants.grant(tables, service, context))
+
+
+def enqueue(
+    tables: Tables, service: Service, submission: Submission, now_s: float
+) -> None:
+    """Puts an admitted call into the queue of its service."""
+    pieces = needed_pieces(service, submission)
+    if submission.priority is Priority.URGENT:
+        rate = tables.urgent_by_service.get(service.name, Rate())
+        tables.urgent_by_service[service.name] = forecasts.observe(
+            rate, pieces, now_s
+        )
+    waiting = tables.waiting_by_service.setdefault(service.name, {})
+    forecast = grants.make_forecast(tables, service, now_s)
+    waiting[submission.request_id] = queue.make_waiting(
+        submission, pieces, forecast
+    )
+
+
+def needed_pieces(service: Service, submission: Submission) -> int:
+    """Returns the decode memory that a call needs, 1 for a service call."""
+    if submission.kind is CallKind.SERVICE:
+        return 1
+    return memory.pieces_for(
+        submission.prompt_tokens, submission.max_tokens, service.piece_tokens
+    )
+
+
+def _check(
+    tables: Tables, submission: Submission, context: Context, now_s: float
+) -> Result[Service, Refusal]:
+    catalog = tables.catalog
+    if catalog is None:
+        return Err(
+            _refuse(
+                503,
+                Reason.NO_CONFIGURATION,
+                "This entry VM holds no configuration yet.",
+            )
+        )
+    if not is_accepting(tables, context):
+        return Err(_refuse(503, Reason.STOPPING, "This entry VM is stopping."))
+    service = _find_service(tables, submission)
+    if service is None:
+        return Err(
+            _refuse(404, Reason.UNKNOWN_SERVICE, "No such service.", None)
+        )
+    for problem in (
+        _check_quarantine(tables, submission, context),
+        _check_client(tables, catalog, submission, now_s),
+        _check_endpoints(tables, service, now_s),
+    ):
+        if problem is not None:
+            return Err(problem)
+    forecast = grants.make_forecast(tables, service, now_s)
+    waiting = tables.waiting_by_service.get(service.name, {})
+    limit = catalog.configuration.policy.queue_limit
+    admitted = queue.admit(waiting, submission, forecast, now_s, limit)
+    return admitted.map(lambda _: service)
+
+
+def _check_quarantine(
+    tables: Tables, submission: Submission, context: Context
+) -> Refusal | None:
+    verdict = judge_fingerprint(tables, submission.fingerprint, context)
+    if verdict is Verdict.REFUSE:
+        detail = "The request has crashed two endpoints and is quarantined."
+        return _refuse(422, Reason.QUARANTINED, detail, None)
+    if verdict is Verdict.SINGLE and _is_running(tables, submission):
+        detail = (
+            "A copy of this request, which crashed an endpoint, is running."
+        )
+        return _refuse(503, Reason.QUARANTINED, detail, _COPY_RUNNING_RETRY_S)
+    return None
+
+
+def _is_running(tables: Tables, submission: Submission) -> bool:
+    return any(
+        row.submission.fingerprint == submission.fingerprint
+        and row.submission.request_id != submission.request_id
+        and row.state not in lifecycle.TERMINAL_STATES
+        for row in tables.requests_by_id.values()
+    )
+
+
+def _check_client(
+    tables: Tables, catalog: Catalog, submission: Submission, now_s: float
+) -> Refusal | None:
+    client = catalog.clients_by_name.get(submission.client)
+    if client is None:
+        return None
+    limit = limits.share_limit(client, count_live_entry_vms(tables))
+    bucket = tables.buckets_by_client.get(submission.client)
+    if bucket is None:
+        bucket = limits.make_bucket(limit, now_s)
+    spent = limits.spend(bucket, limit, now_s)
+    if isinstance(spent, Err):
+        return spent.err_value
+    tables.buckets_by_client[submission.client] = spent.ok_value
+    return None
+
+
+def _check_endpoints(
+    tables: Tables, service: Service, now_s: float
+) -> Refusal | None:
+    if grants.has_usable_endpoints(tables, service, now_s):
+        return None
+    detail = f"Service {service.name} has no endpoint that can be used now."
+    return _refuse(503, Reason.NO_ENDPOINT, detail)
+
+
+def _find_service(tables: Tables, submission: Submission) -> Service | None:
+    if tables.catalog is None:
+        return None
+    if submission.kind is CallKind.COMPLETION:
+        return tables.catalog.service_by_model.get(submission.target)
+    return tables.catalog.services_by_name.get(submission.target)
+
+
+def _judge_retry(
+    tables: Tables,
+    row: RequestRow,
+    failure: Failure,
+    context: Context,
+    now_s: float,
+) -> Refusal | None:
+    """Returns why a failed request may not run again, None if it may."""
+    catalog = tables.catalog
+    if catalog is None:
+        return _refuse(503, Reason.NO_CONFIGURATION, "No configuration.")
+    if now_s >= row.submission.deadline_s:
+        detail = f"The deadline passed: {failure.detail}"
+        return _refuse(504, Reason.DEADLINE, detail, None)
+    failed = _refuse(
+        502 if failure.kind is not FailureKind.TIMED_OUT else 504,
+        Reason.ENDPOINT_FAILED,
+        f"Endpoint {failure.endpoint}: {failure.detail or failure.kind.value}",
+    )
+    limit = catalog.configuration.policy.attempts_limit
+    if not lifecycle.may_retry(row, failure, limit):
+        return failed
+    fingerprint = row.submission.fingerprint
+    verdict = judge_fingerprint(tables, fingerprint, context)
+    if verdict is Verdict.REFUSE:
+        detail = "The request has crashed two endpoints and is quarantined."
+        return _refuse(422, Reason.QUARANTINED, detail, None)
+    if lifecycle.is_placement_miss(row, failure):
+        return None
+    spent = retries.spend(tables.retry_budget, now_s)
+    if isinstance(spent, Err):
+        return failed
+    tables.retry_budget = spent.ok_value
+    return None
+
+
+def _ended_refusal(tables: Tables, message: Replace) -> Refusal:
+    request_id = tables.request_id_by_attempt.get(message.attempt, "")
+    row = tables.requests_by_id.get(request_id)
+    if row is not None and row.refusal is not None:
+        return row.refusal
+    execution = Execution.UNKNOWN if row is None else row.execution
+    reason = Reason.INTERNAL
+    if row is not None and row.state is State.CANCELLED:
+        reason = Reason.CANCELLED
+    return Refusal(
+        499 if reason is Reason.CANCELLED else 500,
+        execution,
+        reason,
+        "The attempt has ended.",
+    )
+
+
+def _refuse(
+    status: int,
+    reason: Reason,
+    detail: str,
+    retry_after_s: float | None = _COME_BACK_S,
+) -> Refusal:
+    return Refusal(status, Execution.NOT_RUN, reason, detail, retry_after_s)
+
+
+__all__ = ["enqueue", "needed_pieces", "replace", "submit"]
--- a/src/burdockspan/node/messages.py
+++ b/src/burdockspan/node/messages.py
@@ -5,10 +5,15 @@
 import dataclasses
 from collections.abc import Callable
 from concurrent.futures import Future
+from typing import Any
 
 from result import Result
 
 from burdockspan.configuration.document import Configuration
+from burdockspan.endpoints.reports import CacheEvents
+from burdockspan.membership.values import Message
+from burdockspan.peering.snapshot import Snapshot
+from burdockspan.platform.vms import VmList
 from burdockspan.requests.sweep import HeldAttempt
 from burdockspan.values.endpoint import LoadReport
 from burdockspan.values.ids import AttemptId
@@ -16,6 +21,8 @@
 from burdockspan.values.refusal import Execution, Refusal
 from burdockspan.values.submission import Submission
 
+PLATFORM_SOURCE = "platform"
+
 PlacementReply = Future[Result[Placement, Refusal]]
 
 
@@ -93,6 +100,14 @@
     latency_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class CacheEventsFetched:
+    """Changes of a prefill engine's prefix cache."""
+
+    endpoint: str
+    events: CacheEvents
+
+
 @dataclasses.dataclass(frozen=True)
 class AttemptsListed:
     """The attempts that an engine holds memory for."""
@@ -102,74 +117,76 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class DatagramReceived:
-    """A datagram from another entry VM."""
+class PeerMessage:
+    """A membership message from another entry VM."""
 
-    data: bytes
+    message: Message
 
 
 @dataclasses.dataclass(frozen=True)
 class ConfigurationSeen:
-    """A configuration from the platform or a peer.
+    """An answer to the question for the newest configuration.
 
     Attributes:
-      configuration: the document.
-      source: `platform` or the peer's address, for logs.
+      source: `platform` or the peer's address.
+      configuration: the document; None if the source failed or holds nothing
+        newer.
+      failed: whether the source did not answer, so that it is asked again.
     """
 
-    configuration: Configuration
     source: str
+    configuration: Configuration | None
+    failed: bool = False
+
+    @property
+    def from_peer(self) -> bool:
+        """Whether a peer sent it, which then holds it already."""
+        return self.source != PLATFORM_SOURCE
 
 
 @dataclasses.dataclass(frozen=True)
 class ConfigurationStored:
-    """Tells that a peer has stored a configuration.
-
-    Attributes:
-      vm: the peer.
-      generation: the generation that it now holds.
-    """
+    """Tells which generation a peer holds."""
 
-    vm: str
     generation: int
 
 
 @dataclasses.dataclass(frozen=True)
 class VmListSeen:
-    """A VM list from the platform or a peer.
+    """A VM list from the platform or a peer."""
 
-    Attributes:
-      version: its version at the platform.
-      data: its JSON, for handing on to peers.
-      source: `platform` or the peer's address, for logs.
-    """
-
-    version: int
-    data: bytes
-    source: str
+    vm_list: VmList
 
 
 @dataclasses.dataclass(frozen=True)
-class SourceAsked:
-    """Tells that one source of configuration answered or failed."""
+class SnapshotFetched:
+    """The shared entries that a peer sent with its documents."""
 
-    source: str
+    snapshot: Snapshot
+
+
+@dataclasses.dataclass(frozen=True)
+class Leave:
+    """Asks the node to tell the other members that this process stops."""
 
 
 @dataclasses.dataclass(frozen=True)
 class ReadState:
     """Asks for a value computed from the tables on the node's thread."""
 
-    read: Callable[[object], object]
+    read: Callable[[Any], object]
 
 
 __all__ = [
+    "PLATFORM_SOURCE",
     "Attach",
     "AttemptsListed",
+    "CacheEventsFetched",
     "ConfigurationSeen",
     "ConfigurationStored",
-    "DatagramReceived",
+    "PeerMessage",
     "Finish",
+    "Leave",
     "LoadPolled",
     "MemoryReleased",
     "PlacementReply",
@@ -177,7 +194,7 @@
     "Record",
     "ReleaseMemory",
     "Replace",
-    "SourceAsked",
+    "SnapshotFetched",
     "Submit",
     "Tick",
     "VmListSeen",
--- /dev/null
+++ b/src/burdockspan/node/port.py
@@ -0,0 +1,117 @@
+"""The node as the HTTP layer and the peer server see it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import TypeVar, cast
+
+import pykka
+from result import Result
+
+from burdockspan.configuration import adoption
+from burdockspan.configuration.codec import dump_configuration
+from burdockspan.configuration.document import Configuration
+from burdockspan.membership.values import Versions
+from burdockspan.node import messages, status
+from burdockspan.node.context import Context
+from burdockspan.node.readiness import is_accepting
+from burdockspan.node.tables import Tables, make_attempt_id
+from burdockspan.peering.server import PeerHandlers
+from burdockspan.peering.snapshot import Snapshot, make_snapshot
+from burdockspan.platform.vm_codec import dump_vm_list
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Event, Failure, Placement
+from burdockspan.values.refusal import Execution, Refusal
+from burdockspan.values.router import Router
+from burdockspan.values.submission import Submission
+
+_T = TypeVar("_T")
+
+
+def make_router(node: pykka.ActorRef, context: Context) -> Router:
+    """Returns the functions of a node for the HTTP layer."""
+
+    def read(function: Callable[[Tables], _T]) -> _T:
+        return _read(node, function)
+
+    def submit(
+        submission: Submission, caller_gone: Callable[[], bool]
+    ) -> Result[Placement, Refusal]:
+        reply: messages.PlacementReply = Future()
+        node.tell(messages.Submit(submission, caller_gone, reply))
+        return reply.result()
+
+    def replace(
+        attempt: AttemptId, failure: Failure
+    ) -> Result[Placement, Refusal]:
+        reply: messages.PlacementReply = Future()
+        node.tell(messages.Replace(attempt, failure, reply))
+        return reply.result()
+
+    def record(attempt: AttemptId, event: Event) -> bool:
+        return bool(node.ask(messages.Record(attempt, event)))
+
+    def finish(request_id: str, execution: Execution, status: int) -> None:
+        node.tell(messages.Finish(request_id, execution, status))
+
+    return Router(
+        identify=lambda: read(make_attempt_id),
+        submit=submit,
+        replace=replace,
+        record=record,
+        attach=lambda attempt, abort: node.tell(
+            messages.Attach(attempt, abort)
+        ),
+        finish=finish,
+        release=lambda attempt, endpoint: node.tell(
+            messages.ReleaseMemory(attempt, endpoint)
+        ),
+        configuration=lambda: read(_active),
+        ready=lambda: read(lambda tables: is_accepting(tables, context)),
+        in_rotation=lambda: read(
+            lambda tables: is_accepting(tables, context) and not tables.draining
+        ),
+        status=lambda: read(lambda tables: status.make_status(tables, context)),
+    )
+
+
+def make_peer_handlers(node: pykka.ActorRef, context: Context) -> PeerHandlers:
+    """Returns the functions of a node for the peer server."""
+
+    def fetch(held: Versions) -> Snapshot:
+        def compose(tables: Tables) -> Snapshot:
+            stored = tables.adoption.stored
+            return make_snapshot(
+                tables.members,
+                None if stored is None else dump_configuration(stored),
+                dump_vm_list(tables.vm_list),
+                held,
+                context.clock(),
+            )
+
+        return _read(node, compose)
+
+    def offer(generation: int, data: bytes) -> int:
+        offered = adoption.read_offer(generation, data)
+        configuration = offered.ok()
+        if configuration is not None:
+            # Mailboxes are ordered, so the answer below includes the offer.
+            node.tell(messages.ConfigurationSeen("peer", configuration))
+        return _read(
+            node,
+            lambda tables: tables.members.versions.configuration_generation,
+        )
+
+    return PeerHandlers(fetch, offer)
+
+
+def _active(tables: Tables) -> Configuration | None:
+    return tables.adoption.active
+
+
+def _read(node: pykka.ActorRef, function: Callable[[Tables], _T]) -> _T:
+    return cast(_T, node.ask(messages.ReadState(function)))
+
+
+__all__ = ["make_peer_handlers", "make_router"]
--- /dev/null
+++ b/src/burdockspan/node/status.py
@@ -0,0 +1,101 @@
+"""The node's state as JSON values, for operators."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+
+from burdockspan.configuration.adoption import generation_of
+from burdockspan.node import fleet
+from burdockspan.node.context import Context
+from burdockspan.node.tables import Tables
+from burdockspan.requests import lifecycle
+
+
+def make_status(tables: Tables, context: Context) -> dict[str, Any]:
+    """Returns the state of this node and its view of its surroundings."""
+    me = tables.members.me
+    running = [
+        row
+        for row in tables.requests_by_id.values()
+        if row.state not in lifecycle.TERMINAL_STATES
+    ]
+    states = collections.Counter(row.state.value for row in running)
+    return {
+        "vm": me.vm,
+        "availability_zone": me.availability_zone,
+        "incarnation": me.incarnation,
+        "generation": generation_of(tables.adoption.active),
+        "stored_generation": generation_of(tables.adoption.stored),
+        "vm_list_version": tables.vm_list.version,
+        "draining": tables.draining,
+        "idle": not running and not tables.releases,
+        "superseded": tables.members.superseded,
+        "requests": dict(sorted(states.items())),
+        "waiting": {
+            service: len(rows)
+            for service, rows in tables.waiting_by_service.items()
+        },
+        "releases": len(tables.releases),
+        "members": [
+            {
+                "vm": member.vm,
+                "availability_zone": member.availability_zone,
+                "state": member.state.name.lower(),
+                "incarnation": member.incarnation,
+            }
+            for _, member in sorted(tables.members.by_vm.items())
+        ],
+        "endpoints": _endpoints(tables, context),
+        "quarantine": _quarantine(tables, context),
+        "stops": _stops(tables),
+    }
+
+
+def _endpoints(tables: Tables, context: Context) -> list[dict[str, Any]]:
+    now_s = context.clock()
+    return [
+        {
+            "vm": name,
+            "service": row.endpoint.service,
+            "pool": row.endpoint.pool.value,
+            "availability_zone": row.endpoint.availability_zone,
+            "usable": fleet.is_usable(row, now_s),
+            "leaving": row.leaving,
+            "breaker": row.breaker.phase.value,
+            "pieces": row.endpoint.pieces,
+            "free": fleet.free_room(row),
+            "running_here": sum(
+                held.released_s is None for held in row.reservations.values()
+            ),
+            "heard_s_ago": round(now_s - row.heard_s, 3)
+            if row.report is not None
+            else None,
+        }
+        for name, row in sorted(tables.endpoints_by_name.items())
+    ]
+
+
+def _quarantine(tables: Tables, context: Context) -> list[dict[str, Any]]:
+    now_s = context.clock()
+    return [
+        {
+            "fingerprint": key.fingerprint,
+            "endpoint": key.endpoint,
+            "boot": key.boot,
+            "remaining_s": round(max(0.0, expires_s - now_s), 1),
+        }
+        for key, expires_s in sorted(tables.members.shared.strikes.items())
+    ]
+
+
+def _stops(tables: Tables) -> list[dict[str, Any]]:
+    if tables.catalog is None:
+        return []
+    return [
+        {"stop_id": stop.stop_id, "vm": stop.vm, "at_s": stop.at_s}
+        for stop in tables.catalog.configuration.stops
+    ]
+
+
+__all__ = ["make_status"]
--- /dev/null
+++ b/src/burdockspan/node/tables.py
@@ -0,0 +1,86 @@
+"""All state of a node, in tables named by their key."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from burdockspan.admission.forecast import Rate
+from burdockspan.admission.limits import Bucket
+from burdockspan.admission.queue import Shares, Waiting
+from burdockspan.configuration.adoption import Adoption, Start
+from burdockspan.membership.table import Members
+from burdockspan.node.catalog import Catalog
+from burdockspan.node.fleet import EndpointRow
+from burdockspan.node.messages import PlacementReply
+from burdockspan.placement.prefix import PrefixIndex, make_prefix_index
+from burdockspan.placement.transfer import Link
+from burdockspan.platform.vms import VmList
+from burdockspan.requests.lifecycle import RequestRow
+from burdockspan.resilience.retries import Budget, make_budget
+from burdockspan.values.ids import AttemptId
+
+
+@dataclasses.dataclass(frozen=True)
+class ReleaseRow:
+    """Memory that an endpoint has not yet confirmed to be free.
+
+    Attributes:
+      started_s: when the release was first asked for, monotonic seconds.
+      next_s: when to ask next; infinite while a call is under way.
+      tries: calls made so far.
+    """
+
+    started_s: float
+    next_s: float
+    tries: int = 0
+
+
+class Tables:
+    """State of one node. Only the node's thread reads or writes it."""
+
+    def __init__(self, members: Members) -> None:
+        self.members = members
+        self.first_incarnation = members.me.incarnation
+        self.next_sequence = 1
+        self.stopping = False
+        self.draining = False
+        self.draining_since_s = 0.0
+        self.drained_vms: frozenset[str] = frozenset()
+        self.start: Start | None = Start(members.last_tick_s)
+        self.adoption = Adoption()
+        self.vm_list = VmList(0)
+        self.catalog: Catalog | None = None
+        self.requests_by_id: dict[str, RequestRow] = {}
+        self.request_id_by_attempt: dict[AttemptId, str] = {}
+        self.replies_by_request: dict[str, PlacementReply] = {}
+        self.caller_gone_by_request: dict[str, Callable[[], bool]] = {}
+        self.aborts_by_attempt: dict[AttemptId, Callable[[], None]] = {}
+        self.waiting_by_service: dict[str, dict[str, Waiting]] = {}
+        self.shares_by_service: dict[str, Shares] = {}
+        self.released_by_service: dict[str, Rate] = {}
+        self.urgent_by_service: dict[str, Rate] = {}
+        self.endpoints_by_name: dict[str, EndpointRow] = {}
+        self.links_by_endpoint: dict[str, Link] = {}
+        self.releases: dict[tuple[AttemptId, str], ReleaseRow] = {}
+        self.buckets_by_client: dict[str, Bucket] = {}
+        self.retry_budget: Budget = make_budget(0.1, 20.0)
+        self.prefixes: PrefixIndex = make_prefix_index()
+        self.cache_positions_by_endpoint: dict[str, tuple[str, int]] = {}
+        self.next_cache_poll_by_endpoint: dict[str, float] = {}
+        self.next_poll_by_endpoint: dict[str, float] = {}
+        self.next_sweep_by_endpoint: dict[str, float] = {}
+        self.next_prune_s = 0.0
+        self.next_pull_s = 0.0
+        self.next_ask_s = 0.0
+
+
+def make_attempt_id(tables: Tables) -> AttemptId:
+    """Returns a fresh attempt identity of this process."""
+    me = tables.members.me
+    attempt = AttemptId(me.vm, me.incarnation, tables.next_sequence)
+    tables.next_sequence += 1
+    return attempt
+
+
+__all__ = ["ReleaseRow", "Tables", "make_attempt_id"]
--- /dev/null
+++ b/src/burdockspan/node/upkeep.py
@@ -0,0 +1,196 @@
+"""Systems that poll endpoints, free memory and sweep orphaned attempts."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from result import Err
+
+from burdockspan.membership import ownership, table
+from burdockspan.node.context import Context
+from burdockspan.node.effects import (
+    Count,
+    Effects,
+    FetchCacheEvents,
+    FreeMemory,
+    ListAttempts,
+    PollLoad,
+)
+from burdockspan.node.fleet import EndpointRow
+from burdockspan.node.gossip import is_dead
+from burdockspan.node.messages import (
+    AttemptsListed,
+    CacheEventsFetched,
+    MemoryReleased,
+)
+from burdockspan.node.tables import ReleaseRow, Tables
+from burdockspan.requests import lifecycle, sweep
+from burdockspan.values.endpoint import Pool
+
+_POLL_INTERVAL_S = 0.25
+# An endpoint whose owner is silent is polled by whoever needs it.
+_ORPHAN_POLL_AGE_S = 0.75
+_SWEEP_INTERVAL_S = 0.5
+_CACHE_INTERVAL_S = 2.0
+_FIRST_RELEASE_RETRY_S = 0.1
+_LAST_RELEASE_RETRY_S = 1.0
+# An engine that has not answered for this long has been replaced.
+_RELEASE_LIFE_S = 120.0
+
+
+def poll(tables: Tables, context: Context) -> Effects:
+    """Polls the endpoints that this node owns, and those nobody polls."""
+    now_s = context.clock()
+    effects: Effects = ()
+    for name, row in tables.endpoints_by_name.items():
+        if now_s < tables.next_poll_by_endpoint.get(name, 0.0):
+            continue
+        silent = now_s - row.heard_s > _ORPHAN_POLL_AGE_S
+        if not silent and not _is_owner(tables, row):
+            continue
+        tables.next_poll_by_endpoint[name] = now_s + _POLL_INTERVAL_S
+        effects += (PollLoad(row.endpoint),)
+    return effects
+
+
+def list_attempts(tables: Tables, context: Context) -> Effects:
+    """Lists the attempts held by the engines that this node owns."""
+    now_s = context.clock()
+    effects: Effects = ()
+    for name, row in tables.endpoints_by_name.items():
+        if row.endpoint.pool is Pool.SERVICE:
+            continue
+        if now_s < tables.next_sweep_by_endpoint.get(name, 0.0):
+            continue
+        if not _is_owner(tables, row):
+            continue
+        tables.next_sweep_by_endpoint[name] = now_s + _SWEEP_INTERVAL_S
+        effects += (ListAttempts(row.endpoint),)
+    return effects
+
+
+def fetch_cache_events(tables: Tables, context: Context) -> Effects:
+    """Follows the prefix caches of the prefill engines of this zone.
+
+    Engines of other zones are chosen for their load alone, since an answer
+    from there would cost more than most prefixes save.
+    """
+    now_s = context.clock()
+    zone = context.settings.availability_zone
+    effects: Effects = ()
+    for name, row in tables.endpoints_by_name.items():
+        endpoint = row.endpoint
+        if endpoint.pool is not Pool.PREFILL or not row.boot:
+            continue
+        if endpoint.availability_zone != zone:
+            continue
+        if now_s < tables.next_cache_poll_by_endpoint.get(name, 0.0):
+            continue
+        tables.next_cache_poll_by_endpoint[name] = now_s + _CACHE_INTERVAL_S
+        boot, after = tables.cache_positions_by_endpoint.get(name, ("", 0))
+        effects += (FetchCacheEvents(endpoint, boot, after),)
+    return effects
+
+
+def take_cache_events(
+    tables: Tables, message: CacheEventsFetched, context: Context
+) -> Effects:
+    """Takes cache events into the index of prefixes."""
+    del context
+    found = message.events
+    if message.endpoint not in tables.endpoints_by_name:
+        return ()
+    tables.prefixes.apply(message.endpoint, found.boot, found.events)
+    tables.cache_positions_by_endpoint[message.endpoint] = (
+        found.boot,
+        found.next_after,
+    )
+    return (Count("cache_events.gaps"),) if found.gap else ()
+
+
+def free_orphans(
+    tables: Tables, message: AttemptsListed, context: Context
+) -> Effects:
+    """Queues the release of listed attempts that nobody uses."""
+    row = tables.endpoints_by_name.get(message.endpoint)
+    if row is None or isinstance(message.outcome, Err):
+        return ()
+    me = tables.members.me
+    orphans = sweep.find_orphans(
+        message.outcome.ok_value,
+        me.vm,
+        tables.first_incarnation,
+        _current_attempts(tables),
+        lambda vm, incarnation: is_dead(tables, vm, incarnation),
+    )
+    now_s = context.clock()
+    for attempt in orphans:
+        key = (attempt, message.endpoint)
+        tables.releases.setdefault(key, ReleaseRow(now_s, now_s))
+    return (Count("orphans", len(orphans)),) if orphans else ()
+
+
+def free_memory(tables: Tables, context: Context) -> Effects:
+    """Asks endpoints to free memory that they have not confirmed as free."""
+    now_s = context.clock()
+    effects: Effects = ()
+    for key, release in list(tables.releases.items()):
+        attempt, name = key
+        row = tables.endpoints_by_name.get(name)
+        if row is None or now_s - release.started_s > _RELEASE_LIFE_S:
+            del tables.releases[key]
+            continue
+        if now_s < release.next_s:
+            continue
+        tables.releases[key] = dataclasses.replace(
+            release, next_s=float("inf"), tries=release.tries + 1
+        )
+        effects += (FreeMemory(attempt, row.endpoint),)
+    return effects
+
+
+def note_released(
+    tables: Tables, message: MemoryReleased, context: Context
+) -> Effects:
+    """Drops a confirmed release, or plans the next try."""
+    key = (message.attempt, message.endpoint)
+    release = tables.releases.get(key)
+    if release is None:
+        return ()
+    if message.confirmed:
+        del tables.releases[key]
+        return (Count("released"),)
+    delay_s = min(
+        _LAST_RELEASE_RETRY_S, _FIRST_RELEASE_RETRY_S * 2**release.tries
+    )
+    tables.releases[key] = dataclasses.replace(
+        release, next_s=context.clock() + delay_s
+    )
+    return (Count("releases.retried"),)
+
+
+def _is_owner(tables: Tables, row: EndpointRow) -> bool:
+    members = tables.members
+    zone = row.endpoint.availability_zone
+    live = table.live_vms(members, zone) or table.live_vms(members)
+    return ownership.owner_of(row.endpoint.name, live) == members.vm
+
+
+def _current_attempts(tables: Tables) -> set:
+    return {
+        row.attempt
+        for row in tables.requests_by_id.values()
+        if row.attempt is not None
+        and row.state not in lifecycle.TERMINAL_STATES
+    }
+
+
+__all__ = [
+    "fetch_cache_events",
+    "free_memory",
+    "free_orphans",
+    "list_attempts",
+    "note_released",
+    "poll",
+    "take_cache_events",
+]
--- a/src/burdockspan/placement/prefix.py
+++ b/src/burdockspan/placement/prefix.py
@@ -7,7 +7,7 @@
 import hashlib
 from collections.abc import Iterable
 
-BLOCK_TOKENS = 64
+BLOCK_TOKENS = 128
 # English text has about four characters to a token.
 _BLOCK_CHARACTERS = 4 * BLOCK_TOKENS
 _HASH_BYTES = 8
@@ -30,17 +30,20 @@
 
 
 def block_hashes(prompt_text: str) -> tuple[int, ...]:
-    """Returns one hash per whole block; each covers all text before it."""
+    """Returns one hash per whole block; each covers all text before it.
+
+    Engines name blocks in their cache events by the same hash: the first 8
+    bytes, big-endian, of the SHA-256 of the previous hash and the block.
+    """
     hashes = []
     previous = b""
     for start in range(
         0, len(prompt_text) - _BLOCK_CHARACTERS + 1, _BLOCK_CHARACTERS
     ):
         block = prompt_text[start : start + _BLOCK_CHARACTERS]
-        previous = hashlib.blake2b(
-            previous + block.encode("utf-8", "surrogatepass"),
-            digest_size=_HASH_BYTES,
-        ).digest()
+        previous = hashlib.sha256(
+            previous + block.encode("utf-8", "surrogatepass")
+        ).digest()[:_HASH_BYTES]
         hashes.append(int.from_bytes(previous, "big"))
     return tuple(hashes)
 
--- a/src/burdockspan/requests/lifecycle.py
+++ b/src/burdockspan/requests/lifecycle.py
@@ -220,7 +220,8 @@
 ) -> Result[Step, InvalidTransition]:
     """Ends a request as the HTTP layer answered it.
 
-    A whole answer leaves no memory held; every other end frees it.
+    A whole answer leaves only the decode engine's memory to free, since the
+    prefill engine drops a KV cache at the end of its lifetime.
     """
     if row.state in TERMINAL_STATES:
         return Err(InvalidTransition.ENDED)
@@ -231,7 +232,9 @@
         execution=execution,
         status=status,
     )
-    releases = () if whole and status < 400 else _releases_of(row)
+    releases = _releases_of(row)
+    if whole and status < 400:
+        releases = releases[:1]
     return Ok(Step(ended, releases))
 
 
--- a/src/burdockspan/requests/outcome.py
+++ b/src/burdockspan/requests/outcome.py
@@ -43,9 +43,13 @@
 
 
 def is_suspected_crash(reached: Event | None, kind: FailureKind) -> bool:
-    """Returns whether the call may have crashed its endpoint."""
+    """Returns whether the call may have crashed its endpoint.
+
+    A lost connection alone is no crash, since a partition breaks connections
+    to endpoints that go on running.
+    """
     started = reached not in (None, Event.RESERVED)
-    return started and kind in _SUSPECTED_CRASH
+    return started and kind is FailureKind.CRASHED
 
 
 __all__ = ["combine", "execution_after", "is_suspected_crash"]
--- a/src/burdockspan/values/router.py
+++ b/src/burdockspan/values/router.py
@@ -38,6 +38,8 @@
       configuration: returns the configuration in force, None before the first.
       ready: whether new calls are accepted (configuration held, not stopping).
       status: returns the node's state as JSON values.
+      in_rotation: whether the load balancer should send callers here; False
+        some seconds before `ready`, so that it has time to notice a drain.
     """
 
     identify: Callable[[], AttemptId]
@@ -52,6 +54,7 @@
     configuration: Callable[[], Configuration | None]
     ready: Callable[[], bool]
     status: Callable[[], dict[str, Any]]
+    in_rotation: Callable[[], bool] = lambda: True
 
 
 __all__ = ["Router"]
--- /dev/null
+++ b/standins/zone.py
@@ -0,0 +1,395 @@
+"""Starts a fleet of stand-ins and entry processes on loopback.
+
+Used by the demo and by tests with real processes. Every process is ended when
+the fleet is closed.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+_ROOT = pathlib.Path(__file__).parents[1]
+_LIMIT_S = 30.0
+_POLL_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """An HTTP answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the body as JSON values."""
+        return json.loads(self.body)
+
+
+@dataclasses.dataclass(frozen=True)
+class Process:
+    """A started process.
+
+    Attributes:
+      name: name of its VM.
+      address: `ip:port` of its HTTP interface.
+      admin: `ip:port` of an entry process's admin interface.
+      popen: the process.
+      log: file with what it wrote to stderr.
+    """
+
+    name: str
+    address: str
+    popen: subprocess.Popen[bytes]
+    log: pathlib.Path
+    admin: str = ""
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        value: object = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 30.0,
+    ) -> Reply:
+        """Calls on a fresh connection; connection errors are raised."""
+        return call(self.address, method, path, value, headers, timeout_s)
+
+    def fault(self, **faults: object) -> None:
+        """Changes the faults of a stand-in."""
+        self.call("POST", "/faults", faults)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        self.popen.kill()
+        self.popen.wait()
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointPlan:
+    """One endpoint to start.
+
+    Attributes:
+      name: name of its VM.
+      service: service that it belongs to.
+      pool: prefill, decode or service.
+      zone: availability zone.
+      options: further command line options of the stand-in.
+    """
+
+    name: str
+    service: str
+    pool: str
+    zone: str
+    options: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetPlan:
+    """What to start.
+
+    Attributes:
+      endpoints: stand-ins of engines and plain services.
+      entry_zones: availability zone of each entry VM by its name.
+      command: command line that runs burdockspan.
+      seed: seed of all stand-ins.
+      region: region of all zones.
+      trace_ratio: share of requests whose traces are exported.
+      environment: environment variables of the stand-ins.
+    """
+
+    endpoints: tuple[EndpointPlan, ...]
+    entry_zones: Mapping[str, str]
+    command: tuple[str, ...] = (sys.executable, "-m", "burdockspan")
+    seed: int = 1
+    region: str = "region"
+    trace_ratio: float = 0.0
+    environment: Mapping[str, str] | None = None
+
+
+class Fleet:
+    """Running processes by name of their VM."""
+
+    def __init__(self, plan: FleetPlan, folder: pathlib.Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.processes_by_name: dict[str, Process] = {}
+        self.peer_addresses_by_name = {
+            name: f"127.0.0.1:{find_free_port()}" for name in plan.entry_zones
+        }
+
+    @property
+    def platform(self) -> Process:
+        """The platform stand-in."""
+        return self.processes_by_name["platform"]
+
+    @property
+    def collector(self) -> Process:
+        """The collector of metrics and traces."""
+        return self.processes_by_name["collector"]
+
+    @property
+    def entries(self) -> tuple[Process, ...]:
+        """The entry processes, in the order of the plan."""
+        return tuple(
+            self.processes_by_name[name] for name in self.plan.entry_zones
+        )
+
+    def start_standins(self) -> None:
+        """Starts platform, collector and endpoints, and sets the VM list."""
+        seed = ("--seed", str(self.plan.seed))
+        self._start_standin("platform", "platform", seed)
+        self._start_standin("collector", "collector", ())
+        for endpoint in self.plan.endpoints:
+            self.start_endpoint(endpoint)
+        self.set_vm_list()
+
+    def start_endpoint(self, endpoint: EndpointPlan) -> Process:
+        """Starts one endpoint; the VM list is not changed."""
+        seed = ("--seed", str(self.plan.seed))
+        if endpoint.pool == "service":
+            arguments = ("--name", endpoint.name, *seed, *endpoint.options)
+            return self._start_standin(endpoint.name, "service", arguments)
+        arguments = (
+            *("--pool", endpoint.pool, "--name", endpoint.name),
+            *seed,
+            *endpoint.options,
+        )
+        return self._start_standin(endpoint.name, "engine", arguments)
+
+    def set_vm_list(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Writes the running VMs to the platform's VM list."""
+        vms = [
+            self._list_vm(plan.name, plan.zone, plan.service, plan.pool)
+            for plan in self.plan.endpoints
+            if plan.name in self.processes_by_name
+        ]
+        for vm in vms:
+            vm["state"] = "leaving" if vm["name"] in leaving else "live"
+        self.platform.call("PUT", "/control/vms", {"vms": vms})
+
+    def start_entries(self) -> None:
+        """Starts the entry processes of the plan."""
+        for name in self.plan.entry_zones:
+            self.start_entry(name)
+
+    def start_entry(self, name: str) -> Process:
+        """Starts or replaces one entry process."""
+        caller, admin = (f"127.0.0.1:{find_free_port()}" for _ in range(2))
+        peers = [
+            address
+            for other, address in self.peer_addresses_by_name.items()
+            if other != name
+        ]
+        settings = {
+            "vm": name,
+            "availability_zone": self.plan.entry_zones[name],
+            "region": self.plan.region,
+            "caller_address": caller,
+            "admin_address": admin,
+            "peer_address": self.peer_addresses_by_name[name],
+            "peers": peers,
+            "platform_url": f"http://{self.platform.address}",
+            "statsd_address": self.collector.address,
+            "traces_url": f"http://{self.collector.address}/v1/traces"
+            if self.plan.trace_ratio
+            else None,
+            "trace_ratio": self.plan.trace_ratio,
+            "threads": 64,
+        }
+        path = self.folder / f"{name}.yaml"
+        # YAML is a superset of JSON.
+        kept = {key: value for key, value in settings.items() if value != []}
+        path.write_text(
+            json.dumps({k: v for k, v in kept.items() if v is not None})
+        )
+        log = self.folder / f"{name}.log"
+        command = [*self.plan.command, "entry", "--settings", str(path)]
+        with log.open("ab") as stream:
+            popen = subprocess.Popen(
+                command, cwd=_ROOT, stdout=stream, stderr=stream
+            )
+        process = Process(name, caller, popen, log, admin)
+        self.processes_by_name[name] = process
+        return process
+
+    def wait_ready(self) -> None:
+        """Waits until every entry process accepts calls."""
+        for entry in self.entries:
+            wait_until(
+                lambda entry=entry: is_ready(entry),
+                f"{entry.name} is ready; its log: {entry.log}",
+            )
+
+    def close(self) -> None:
+        """Ends all processes."""
+        processes = list(self.processes_by_name.values())
+        for process in processes:
+            with contextlib.suppress(ProcessLookupError):
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+        for process in processes:
+            process.popen.wait()
+
+    def _start_standin(
+        self, name: str, module: str, arguments: tuple[str, ...]
+    ) -> Process:
+        log = self.folder / f"{name}.log"
+        command = [sys.executable, "-m", f"standins.{module}", "--port", "0"]
+        with log.open("ab") as stream:
+            popen = subprocess.Popen(
+                [*command, *arguments],
+                cwd=_ROOT,
+                stdout=subprocess.PIPE,
+                stderr=stream,
+                env=self.plan.environment,
+            )
+        assert popen.stdout is not None
+        line = popen.stdout.readline().decode()
+        popen.stdout.close()
+        if not line.startswith("listening on "):
+            popen.kill()
+            raise RuntimeError(f"{name} did not start: {log.read_text()}")
+        process = Process(name, line.split()[-1], popen, log)
+        self.processes_by_name[name] = process
+        return process
+
+    def _list_vm(
+        self, name: str, zone: str, service: str, pool: str
+    ) -> dict[str, Any]:
+        ip, _, port = self.processes_by_name[name].address.rpartition(":")
+        return {
+            "name": name,
+            "availability_zone": zone,
+            "address": ip,
+            "port": int(port),
+            "service": service,
+            "pool": pool,
+            "state": "live",
+        }
+
+
+@contextlib.contextmanager
+def run_fleet(
+    plan: FleetPlan, configuration: dict[str, Any] | None = None
+) -> Iterator[Fleet]:
+    """Runs a fleet; waits until it is ready if a configuration is given.
+
+    Args:
+      plan: what to start.
+      configuration: document to accept as generation 1, as JSON values.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(plan, pathlib.Path(folder))
+        try:
+            fleet.start_standins()
+            if configuration is not None:
+                put_configuration(fleet.platform, configuration)
+            fleet.start_entries()
+            if configuration is not None:
+                fleet.wait_ready()
+            yield fleet
+        finally:
+            fleet.close()
+
+
+def put_configuration(platform: Process, document: dict[str, Any]) -> None:
+    """Writes a configuration to the platform, whatever it holds."""
+    found = platform.call("GET", "/objects/config/current")
+    headers = {"If-None-Match": "*"}
+    if found.status == 200:
+        headers = {"If-Match": str(found.json()["version"])}
+    written = platform.call("PUT", "/objects/config/current", document, headers)
+    if written.status not in (200, 201):
+        raise RuntimeError(f"configuration was not written: {written.status}")
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    value: object = None,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> Reply:
+    """Calls `ip:port` on a fresh connection; raises connection errors."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    sent = dict(headers or {})
+    body = value if isinstance(value, bytes) else None
+    if value is not None and body is None:
+        body = json.dumps(value).encode()
+        sent.setdefault("Content-Type", "application/json")
+    with contextlib.closing(connection):
+        connection.request(method, path, body, sent)
+        response = connection.getresponse()
+        names = {name.lower(): text for name, text in response.getheaders()}
+        return Reply(response.status, names, response.read())
+
+
+def is_ready(entry: Process) -> bool:
+    """Returns whether an entry process accepts calls."""
+    if entry.popen.poll() is not None:
+        raise RuntimeError(f"{entry.name} ended: {entry.log.read_text()}")
+    try:
+        return call(entry.admin, "GET", "/admin/ready").status == 200
+    except OSError:
+        return False
+
+
+def find_free_port() -> int:
+    """Returns a port that is free for TCP and UDP at this moment."""
+    while True:
+        with (
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind(("127.0.0.1", 0))
+            port: int = tcp.getsockname()[1]
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, limit_s: float = _LIMIT_S
+) -> float:
+    """Polls until a condition holds; returns the seconds it took."""
+    began_s = time.monotonic()
+    while not condition():
+        if time.monotonic() - began_s > limit_s:
+            raise AssertionError(f"not within {limit_s} s: {what}")
+        time.sleep(_POLL_S)
+    return time.monotonic() - began_s
+
+
+__all__ = [
+    "EndpointPlan",
+    "Fleet",
+    "FleetPlan",
+    "Process",
+    "Reply",
+    "call",
+    "find_free_port",
+    "is_ready",
+    "put_configuration",
+    "run_fleet",
+    "wait_until",
+]
--- a/tests/support/router_fake.py
+++ b/tests/support/router_fake.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from burdockspan.claims import refusals
 from burdockspan.claims.record import (
     ClaimRecord,
     ClaimState,
@@ -63,6 +64,7 @@
             release=lambda attempt, name: self.log.append(("release", name)),
             configuration=lambda: self.configuration,
             ready=lambda: self.is_ready,
+            in_rotation=lambda: self.is_ready,
             status=lambda: {"generation": 1},
         )
 
@@ -149,6 +151,8 @@
                 )
             )
         if found.state is ClaimState.DONE:
+            if found.body is None:
+                return Err(refusals.answer_not_stored())
             return Err(Replay(found))
         return Err(
             Refusal(
