--- a/src/burdockspan/claims/record.py
+++ b/src/burdockspan/claims/record.py
@@ -40,11 +40,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Answer:
-    """Answer of an endpoint to the claimed call."""
+    """Answer of an endpoint to the claimed call.
+
+    Attributes:
+      status: HTTP status.
+      content_type: media type.
+      body: whole body; None if it was too large to be kept.
+    """
 
     status: int
     content_type: str
-    body: bytes
+    body: bytes | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -103,18 +109,26 @@
     """Returns the record after the call; a large answer is left out."""
     if state is not ClaimState.DONE or answer is None:
         return dataclasses.replace(record, state=state)
-    fits = len(answer.body) <= ANSWER_LIMIT_BYTES
+    body = answer.body
+    if body is not None and len(body) > ANSWER_LIMIT_BYTES:
+        body = None
     return dataclasses.replace(
         record,
         state=state,
         status=answer.status,
-        content_type=answer.content_type if fits else None,
-        body=answer.body if fits else None,
+        content_type=None if body is None else answer.content_type,
+        body=body,
     )
 
 
-def execution_of(record: ClaimRecord) -> Execution:
-    """Returns what a claim says of its call at the moment it was read."""
+def execution_of(record: ClaimRecord | None) -> Execution:
+    """Returns what a claim says of its call at the moment it was read.
+
+    No claim is `unknown`: a call that is on its way may still claim the key,
+    and the claim of an old key may have been pruned.
+    """
+    if record is None:
+        return Execution.UNKNOWN
     return {
         ClaimState.HELD: Execution.UNKNOWN,
         ClaimState.GIVEN_UP: Execution.NOT_RUN,
