Show what entry processes report and test commands against one

Cause: the node is merged, and its status has other fields than the status command looked for. Change: the tables show the node's fields: members by zone and state, VMs with generation, draining and idle, endpoints with breaker, pieces and running calls, and strikes.

--- a/src/burdockspan/cli/fleet.py
+++ b/src/burdockspan/cli/fleet.py
@@ -17,16 +17,20 @@
 
 _PARALLEL_QUESTIONS = 32
 _ENDPOINT_COLUMNS = (
-    "name",
+    "vm",
     "service",
     "pool",
     "availability_zone",
-    "state",
-    "free_pieces",
-    "running",
-    "waiting",
+    "usable",
+    "leaving",
+    "breaker",
+    "pieces",
+    "free",
+    "running_here",
 )
-_VM_HEADER = ("vm", "zone", "generation", "ready", "requests", "quarantined")
+_VM_COLUMNS = ("vm", "availability_zone", "generation", "draining", "idle")
+_NAMES = ("vm", "name", "fingerprint")
+"""Fields that may name an object, the most usual one first."""
 
 
 def ask_fleet(
@@ -71,27 +75,34 @@
 
 
 def _render_zones(statuses: Iterable[Mapping[str, Any]]) -> str:
-    names: collections.Counter[str] = collections.Counter()
+    # Members include entry VMs that were not asked or did not answer. Each VM
+    # has its own view, so a member counts once for each state it is seen in.
+    seen: set[tuple[str, str, str]] = set()
     for status in statuses:
-        names[str(status.get("availability_zone", "-"))] += 1
-    rows = [(name, str(count)) for name, count in sorted(names.items())]
-    return _render_table(("zone", "entry VMs answering"), rows)
+        for name, member in _items(status.get("members")):
+            zone = _show(member.get("availability_zone"))
+            seen.add((zone, _show(member.get("state")), name))
+    counts = collections.Counter((zone, state) for zone, state, _ in seen)
+    rows = [(*key, str(count)) for key, count in sorted(counts.items())]
+    return _render_table(("zone", "state", "entry VMs"), rows)
 
 
 def _render_vms(answers: Mapping[str, Mapping[str, Any]]) -> str:
     rows = [
         (
-            str(status.get("vm", address)),
-            str(status.get("availability_zone", "-")),
-            str(_find_generation(status)),
-            _show(status.get("ready")),
+            *(_show(status.get(column)) for column in _VM_COLUMNS),
             _show_counts(status.get("requests")),
             str(len(_items(status.get("quarantine")))),
+            address,
         )
         for address, status in answers.items()
     ]
-    text = _render_table(_VM_HEADER, sorted(rows))
-    if len({row[2] for row in rows}) > 1:
+    header = (*_VM_COLUMNS, "requests", "strikes", "admin")
+    text = _render_table(header, sorted(rows))
+    if (
+        len({_show(status.get("generation")) for status in answers.values()})
+        > 1
+    ):
         text += "\nentry VMs hold different generations"
     return text
 
@@ -105,7 +116,7 @@
             by_name.setdefault(name, endpoint)
     rows = [
         tuple(
-            name if column == "name" else _show(endpoint.get(column))
+            name if column == "vm" else _show(endpoint.get(column))
             for column in _ENDPOINT_COLUMNS
         )
         for name, endpoint in sorted(by_name.items())
@@ -122,13 +133,6 @@
     return "\n".join(sorted(names)) or "none"
 
 
-def _find_generation(status: Mapping[str, Any]) -> Any:
-    nested = status.get("configuration")
-    if isinstance(nested, Mapping):
-        return nested.get("generation", "-")
-    return status.get("generation", "-")
-
-
 def _items(value: Any) -> list[tuple[str, Mapping[str, Any]]]:
     """Returns named objects, given as a mapping by name or as a list."""
     if isinstance(value, Mapping):
@@ -139,13 +143,18 @@
     if not isinstance(value, list):
         return []
     return [
-        (str(item.get("name", item.get("fingerprint", "-"))), item)
+        (_find_name(item), item)
         if isinstance(item, Mapping)
         else (str(item), {})
         for item in value
     ]
 
 
+def _find_name(item: Mapping[str, Any]) -> str:
+    found = (item[name] for name in _NAMES if name in item)
+    return str(next(found, "-"))
+
+
 def _show_counts(value: Any) -> str:
     if isinstance(value, Mapping):
         counts = (f"{k}={_show(v)}" for k, v in sorted(value.items()))
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -12,11 +12,16 @@
 _STATUS = {
     "vm": "entry-1",
     "availability_zone": "fes-a",
-    "configuration": {"generation": 7, "added_later": {}},
-    "ready": True,
+    "generation": 7,
+    "draining": False,
+    "idle": False,
     "requests": {"queued": 2, "decoding": 5},
+    "members": [
+        {"vm": "entry-1", "availability_zone": "fes-a", "state": "alive"},
+        {"vm": "entry-2", "availability_zone": "fes-a", "state": "dead"},
+    ],
     "endpoints": [
-        {"name": "decode-1", "pool": "decode", "free_pieces": 3, "new": [1]}
+        {"vm": "decode-1", "pool": "decode", "free": 3, "added_later": [1]}
     ],
     "quarantine": [{"fingerprint": "ab12"}],
     "added_later": [1, 2],
@@ -58,12 +63,12 @@
         result = run_command(MemoryObjects(), "status", "--admin", address)
         self.assertEqual(result.exit_code, 0, result.output)
         lines = [line.split() for line in result.stdout.splitlines()]
-        row = ["entry-1", "fes-a", "7", "true", "decoding=5", "queued=2", "1"]
-        self.assertIn(row, lines)
+        vm = ["entry-1", "fes-a", "7", "false", "false"]
+        self.assertIn([*vm, "decoding=5", "queued=2", "1", address], lines)
+        self.assertIn(["fes-a", "dead", "1"], lines)
         self.assertIn(["ab12"], lines)
-        self.assertIn(
-            ["decode-1", "-", "decode", "-", "-", "3", "-", "-"], lines
-        )
+        endpoint = ["decode-1", "-", "decode", *"-----", "3", "-"]
+        self.assertIn(endpoint, lines)
 
     def test_status_survives_fields_of_other_types(self) -> None:
         # Guards against a command that breaks during an upgrade.
