bench: Measure a reservation made while the prefill runs

Cause: memory that is reserved before prefill is idle until the KV cache has arrived, about 0.2 s of 5 s.

--- a/bench/attempts.py
+++ b/bench/attempts.py
@@ -98,7 +98,7 @@
     if not attempt.current or node.dead:
         return
     if attempt.decode is None:
-        view = node.chooser.decode(attempt.call, 0.0, attempt.refused_by)
+        view = node.chooser.decode(attempt.call, attempt.refused_by)
         if view is None:
             _no_memory(cluster, node, attempt)
             return
--- a/bench/choices.py
+++ b/bench/choices.py
@@ -27,7 +27,7 @@
         self._turn = 0
 
     def decode(
-        self, call: Call, headroom: float, excluded: Sequence[str] = ()
+        self, call: Call, excluded: Sequence[str] = ()
     ) -> EndpointView | None:
         """Returns a decode engine, None if no memory is expected."""
         views = [
@@ -37,9 +37,6 @@
         ]
         if self._variant.placement != "sampled":
             return self._simple([view for view in views if view.usable])
-        free = sum(max(0, view.free_pieces) for view in views if view.usable)
-        if call.priority is Priority.PATIENT and free - call.pieces < headroom:
-            return None
         if self._variant.sharing == "fresh":
             fitting = [v for v in views if v.free_pieces >= call.pieces]
             return max(fitting, key=lambda v: v.free_pieces, default=None)
--- a/bench/node.py
+++ b/bench/node.py
@@ -33,7 +33,6 @@
         self.dead = False
         self.retired = False
         self.successor: Callable[[Call], None] | None = None
-        self.live_nodes = len(cluster.size.entries)
         self.knowledge = Knowledge(cluster, entry)
         self.chooser = Chooser(
             cluster.variant, self.knowledge, cluster.rng.random
@@ -162,30 +161,43 @@
 
     def _start(self, call: Call, latest_prefill_s: float) -> bool:
         variant = self._cluster.variant
-        decode = self.chooser.decode(call, self._headroom())
-        if decode is None:
+        decode = self.chooser.decode(call)
+        if decode is None and variant.ahead is None:
             return False
         slack_s = latest_prefill_s - self._cluster.loop.now_s
         prefill = self.chooser.prefill(call, slack_s)
         if prefill is None:
             return False
+        wait_s = prefill.waiting_tokens / SERVICE.prefill_tokens_per_s
+        if variant.ahead is not None and not self._fits_ahead(call, wait_s):
+            return False
         attempt = Attempt(
             f"{self.entry}:1:{next(self._sequence)}",
             call,
             prefill.endpoint.name,
             latest_prefill_s,
-            decode.endpoint.name if variant.reserve == "before" else None,
+            decode.endpoint.name
+            if decode is not None and variant.reserve == "before"
+            else None,
         )
         self.attempts[attempt.attempt_id] = attempt
-        wait_s = prefill.waiting_tokens / SERVICE.prefill_tokens_per_s
         attempts.start(self._cluster, self, attempt, wait_s)
         return True
 
-    def _headroom(self) -> float:
-        per_s = forecasts.current(self._urgent, self._cluster.loop.now_s)
-        fresh = self._cluster.variant.sharing in ("fresh", "pool_owner")
-        nodes = 1 if fresh else self.live_nodes
-        return per_s * nodes * self._cluster.variant.headroom_s
+    def _fits_ahead(self, call: Call, wait_s: float) -> bool:
+        now_s = self._cluster.loop.now_s
+        views = self.knowledge.decode_views()
+        free = sum(max(0, view.free_pieces) for view in views if view.usable)
+        coming = sum(
+            attempt.call.pieces
+            for attempt in self.attempts.values()
+            if attempt.current and not attempt.reserved
+        )
+        prefill_s = call.prompt_tokens / SERVICE.prefill_tokens_per_s
+        per_s = forecasts.current(self._released, now_s)
+        expected = per_s * (wait_s + prefill_s)
+        ahead = self._cluster.variant.ahead or 0.0
+        return free - coming + ahead * expected >= call.pieces
 
     def _forecast(self) -> Forecast:
         now_s = self._cluster.loop.now_s
--- a/bench/run.py
+++ b/bench/run.py
@@ -133,8 +133,6 @@
                     budget = 0
             if budget is not None:
                 node.knowledge.budget_by_name[name] = budget
-    for node in live:
-        node.live_nodes = len(live)
 
 
 def _schedule_reports(cluster: Cluster, nodes: list[EntryNode]) -> None:
--- a/bench/variants.py
+++ b/bench/variants.py
@@ -19,10 +19,12 @@
       prefix: affinity, ignored (load only) or sticky (the holder always).
       placement: sampled, round_robin or least_outstanding.
       admission: whether calls that cannot meet their deadline are refused.
-      headroom_s: urgent arrivals of this long find free memory, because
-        patient calls leave it free.
       answers_carry_load: whether the answer to a reservation tells the free
         memory of the engine.
+      ahead: for a reservation after or during prefill, the share of the
+        releases expected until its end that calls may count on when they are
+        granted, less the calls already on the way; None to look only at the
+        memory that is free now.
       prefill_slots: most calls that a prefill engine holds before it refuses
         the next with 429; 0 for no limit.
       meets_target: whether a prefill engine is chosen only if its queue lets
@@ -38,8 +40,8 @@
     prefix: str = "affinity"
     placement: str = "sampled"
     admission: bool = True
-    headroom_s: float = 0.0
     answers_carry_load: bool = False
+    ahead: float | None = None
     prefill_slots: int = 0
     prefill_wait_s: float = 0.15
     meets_target: bool = False
@@ -71,7 +73,6 @@
         order="fifo",
         prefix="ignored",
         admission=False,
-        headroom_s=0.0,
         prefill_wait_s=float("inf"),
     )
     for name in ("round_robin", "least_outstanding")
@@ -82,6 +83,9 @@
     _vary("4 owner per endpoint", sharing="owner"),
     _vary("5 reserve after", reserve="after"),
     _vary("5 reserve during", reserve="during"),
+    _vary("5 during, counted", reserve="during", ahead=0.0),
+    _vary("5 during, half ahead", reserve="during", ahead=0.5),
+    _vary("6 plain fifo", order="fifo", admission=False),
     _vary("6 first in, first out", order="fifo"),
     _vary("6 strict priority", order="strict"),
     _vary("7 prefix ignored", prefix="ignored"),
