bench: Let the queue of a prefill engine grow to 0.25 s

Cause: with the check that a prefill queue fits the time left to start, the fixed limit of 0.15 s kept patient calls from engines that would have been in time.

--- a/bench/variants.py
+++ b/bench/variants.py
@@ -43,7 +43,7 @@
     answers_carry_load: bool = False
     ahead: float | None = None
     prefill_slots: int = 0
-    prefill_wait_s: float = 0.15
+    prefill_wait_s: float = 0.25
     meets_target: bool = False
 
 
