--- a/src/burdockspan/placement/prefill.py
+++ b/src/burdockspan/placement/prefill.py
@@ -10,6 +10,10 @@
 # Prompt tokens that an engine of 20,000 tokens/s computes in a millisecond.
 _TOKENS_PER_MS = 20.0
 
+# Measured in bench/: 0.15 s keeps calls from engines that would be in time.
+_LONGEST_QUEUE_S = 0.25
+_URGENT_FACTOR = 2.0
+
 
 def choose_prefill(
     views: Sequence[EndpointView], prompt_tokens: int, draw: Draw
@@ -40,6 +44,28 @@
     )
 
 
+def with_short_queue(
+    views: Sequence[EndpointView],
+    tokens_per_s: float,
+    slack_s: float,
+    urgent: bool,
+) -> tuple[EndpointView, ...]:
+    """Returns the engines whose queue a call can wait for.
+
+    A call behind a longer queue would hold decode memory and still miss its
+    first-token target, so it waits at the router, where its class counts.
+
+    Args:
+      views: prefill engines of the service.
+      tokens_per_s: speed of one prefill engine.
+      slack_s: time until the call's latest start.
+      urgent: whether the call is urgent.
+    """
+    limit_s = _LONGEST_QUEUE_S * (_URGENT_FACTOR if urgent else 1.0)
+    limit = min(limit_s, max(0.0, slack_s)) * tokens_per_s
+    return tuple(view for view in views if view.waiting_tokens <= limit)
+
+
 def remaining_tokens(view: EndpointView, prompt_tokens: int) -> float:
     """Returns the work until the prompt is done there, in prompt tokens."""
     uncached = max(0, prompt_tokens - view.cached_tokens)
@@ -50,4 +76,4 @@
     return view.cached_tokens, -view.waiting_tokens
 
 
-__all__ = ["choose_prefill", "remaining_tokens"]
+__all__ = ["choose_prefill", "remaining_tokens", "with_short_queue"]
--- /dev/null
+++ b/tests/admission/test_forecast.py
@@ -0,0 +1,35 @@
+from __future__ import annotations
+
+import unittest
+
+from burdockspan.admission.forecast import (
+    Rate,
+    Supply,
+    current,
+    make_forecast,
+    observe,
+)
+from burdockspan.admission.queue import Waiting
+from burdockspan.configuration.document import Service
+from burdockspan.values.submission import Priority
+
+
+class ForecastTest(unittest.TestCase):
+    def test_rate_follows_and_decays(self) -> None:
+        rate = Rate()
+        for step in range(600):
+            rate = observe(rate, 2.0, step * 0.1)
+        self.assertAlmostEqual(current(rate, 60.0), 20.0, delta=0.5)
+        self.assertLess(current(rate, 120.0), 0.01)
+
+    def test_patient_waits_behind_urgent_and_keeps_its_share(self) -> None:
+        waiting = {
+            "u": Waiting("u", Priority.URGENT, 3, 0.0, 9.0, 9.0),
+            "p": Waiting("p", Priority.PATIENT, 2, 0.0, 9.0, 9.0),
+        }
+        forecast = make_forecast(
+            waiting, Service("s"), Supply(0, 10.0, 20.0, 0.0), 0.1
+        )
+        self.assertAlmostEqual(forecast.urgent_wait_s, 0.4)
+        # Urgent arrivals take all releases but the guaranteed tenth.
+        self.assertAlmostEqual(forecast.patient_wait_s, 6.0)
--- a/tests/placement/test_choices.py
+++ b/tests/placement/test_choices.py
@@ -4,7 +4,7 @@
 import unittest
 
 from burdockspan.placement.decode import choose_decode
-from burdockspan.placement.prefill import choose_prefill
+from burdockspan.placement.prefill import choose_prefill, with_short_queue
 from burdockspan.placement.sampling import sample_two
 from burdockspan.placement.service import choose_service
 from burdockspan.values.endpoint import EndpointView, Pool
@@ -56,6 +56,18 @@
             choice = choose_prefill([*others, holder], 3000, make_draw())
             self.assertEqual(_name(choice) == "holder", chosen)
 
+    def test_prefill_queue_must_fit_the_time_left(self) -> None:
+        # A call behind a long queue holds decode memory and is late anyway.
+        view = make_view("p", Pool.PREFILL, waiting_tokens=6000)
+        for slack_s, urgent, fits in (
+            (1.0, False, False),
+            (1.0, True, True),
+            (0.2, True, False),
+            (-1.0, True, False),
+        ):
+            found = with_short_queue([view], 20_000.0, slack_s, urgent)
+            self.assertEqual(bool(found), fits)
+
     def test_prefill_without_usable_engine_is_none(self) -> None:
         views = [make_view("p", Pool.PREFILL, usable=False)]
         self.assertIsNone(choose_prefill(views, 10, make_draw()))
