--- a/bench/attempts.py
+++ b/bench/attempts.py
@@ -1,16 +1,14 @@
-"""One attempt of a call: reservation, prefill, transfer and decode."""
+"""Steps of an attempt: reservation, prefill, transfer and decode."""
 
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
-from typing import Protocol
 
-from bench.choices import Chooser
+from bench.attempt_state import Attempt, Owner, abandon, forget, later
 from bench.cluster import Cluster
 from bench.fakes import Prefilled
-from bench.knowledge import Knowledge, Sent
-from bench.workload import SERVICE, Call
+from bench.knowledge import Sent
+from bench.workload import SERVICE
 from burdockspan.placement.memory import Reservation
 from burdockspan.resilience import breaker
 from burdockspan.values.endpoint import LoadReport
@@ -21,41 +19,6 @@
 _RESERVE_MARGIN_S = 0.030
 
 
-class Owner(Protocol):
-    """The entry VM of an attempt."""
-
-    entry: int
-    dead: bool
-    knowledge: Knowledge
-    chooser: Chooser
-
-    def on_requeue(self, attempt: Attempt) -> None:
-        """Puts the call of a refused reservation back into the queue."""
-
-    def on_failed(self, attempt: Attempt) -> None:
-        """Handles an attempt that failed before its first token."""
-
-    def on_ended(self, attempt: Attempt) -> None:
-        """Handles the last token."""
-
-
-@dataclasses.dataclass
-class Attempt:
-    """State of one attempt."""
-
-    attempt_id: str
-    call: Call
-    prefill: str
-    latest_prefill_s: float
-    decode: str | None = None
-    reserved: bool = False
-    prefill_sent: bool = False
-    prefilled: Prefilled | None = None
-    streaming: bool = False
-    current: bool = True
-    refused_by: tuple[str, ...] = ()
-
-
 def start(
     cluster: Cluster, node: Owner, attempt: Attempt, prefill_wait_s: float
 ) -> None:
@@ -70,30 +33,6 @@
         cluster.loop.after(delay_s, lambda: _reserve(cluster, node, attempt))
 
 
-def abandon(cluster: Cluster, node: Owner, attempt: Attempt) -> None:
-    """Ends an attempt early; frees its memory and counts wasted prefill."""
-    attempt.current = False
-    if attempt.prefilled is not None:
-        cluster.tally.wasted_tokens += attempt.prefilled.computed_tokens
-    if attempt.decode is not None:
-        _release(cluster, node, attempt)
-
-
-def _later(
-    cluster: Cluster,
-    node: Owner,
-    attempt: Attempt,
-    delay_s: float,
-    action: Callable[[], None],
-) -> None:
-    # Answers for a dead entry VM or an ended attempt are dropped.
-    def run() -> None:
-        if attempt.current and not node.dead:
-            action()
-
-    cluster.loop.after(delay_s, run)
-
-
 def _reserve(cluster: Cluster, node: Owner, attempt: Attempt) -> None:
     if not attempt.current or node.dead:
         return
@@ -129,7 +68,7 @@
     def on_answer() -> None:
         _answer(cluster, node, attempt, granted, report)
 
-    _later(cluster, node, attempt, delay_s, on_answer)
+    later(cluster, node, attempt, delay_s, on_answer)
 
 
 def _answer(
@@ -180,7 +119,7 @@
         _fail(cluster, node, attempt)
         return
     attempt.refused_by = ()
-    _later(
+    later(
         cluster,
         node,
         attempt,
@@ -242,7 +181,7 @@
         abandon(cluster, node, attempt)
         node.on_requeue(attempt)
         return
-    _later(
+    later(
         cluster,
         node,
         attempt,
@@ -264,7 +203,7 @@
     if end_s - made.made_s > SERVICE.cache_life_s:
         _fail(cluster, node, attempt)
         return
-    _later(
+    later(
         cluster,
         node,
         attempt,
@@ -290,11 +229,11 @@
         outcome.last_token_s = seen_s
         if last:
             outcome.done = True
-            _later(cluster, node, attempt, delay_s, on_end)
+            later(cluster, node, attempt, delay_s, on_end)
 
     def on_end() -> None:
         attempt.current = False
-        _forget(node, attempt, cluster.loop.now_s)
+        forget(node, attempt, cluster.loop.now_s)
         node.on_ended(attempt)
 
     cluster.decode[name].start(
@@ -307,24 +246,4 @@
     node.on_failed(attempt)
 
 
-def _release(cluster: Cluster, node: Owner, attempt: Attempt) -> None:
-    name = attempt.decode
-    if name is None:
-        return
-    _forget(node, attempt, cluster.loop.now_s)
-    cluster.loop.after(
-        cluster.distance_s(node.entry, name),
-        lambda: cluster.decode[name].release(attempt.attempt_id),
-    )
-
-
-def _forget(node: Owner, attempt: Attempt, now_s: float) -> None:
-    if attempt.decode is None:
-        return
-    rows = node.knowledge.reservations[attempt.decode]
-    row = rows.get(attempt.attempt_id)
-    if row is not None:
-        rows[attempt.attempt_id] = dataclasses.replace(row, released_s=now_s)
-
-
-__all__ = ["Attempt", "Owner", "abandon", "start"]
+__all__ = ["start"]
--- a/bench/node.py
+++ b/bench/node.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from bench import attempts
-from bench.attempts import Attempt
+from bench.attempt_state import Attempt, abandon
 from bench.choices import Chooser
 from bench.cluster import Cluster
 from bench.knowledge import Knowledge
@@ -130,7 +130,7 @@
         for attempt_id in lost:
             attempt = self.attempts.get(attempt_id)
             if attempt is not None and attempt.current:
-                attempts.abandon(self._cluster, self, attempt)
+                abandon(self._cluster, self, attempt)
                 self.on_failed(attempt)
 
     def _tick(self) -> None:
--- a/bench/run.py
+++ b/bench/run.py
@@ -5,24 +5,18 @@
 import dataclasses
 import functools
 
-from bench import attempts
 from bench.cluster import Cluster, make_cluster
+from bench.faults import KILLED_ENTRY, OWNER_TIMEOUT_S, schedule_faults
 from bench.node import EntryNode
 from bench.variants import Variant
-from bench.workload import SERVICE, Call, Size, make_calls
+from bench.workload import Call, Size, make_calls
 from burdockspan.values.endpoint import LoadReport
 
 _REPORT_EVERY_S = 0.25
 _GOSSIP_DELAY_S = (0.05, 0.4)
 _EVENTS_EVERY_S = 0.5
 _EVENTS_DELAY_S = (0.1, 0.6)
-# Time until a dead entry VM is noticed and its attempts are cancelled.
-_DEATH_NOTICED_S = 1.2
-_SWEPT_S = 1.7
-_OWNER_TIMEOUT_S = 0.05
 _DRAIN_S = 40.0
-KILLED_ENTRY = 1
-KILLED_DECODE = "d1"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,7 +50,13 @@
     _schedule_reports(cluster, nodes)
     _schedule_events(cluster, nodes)
     if setting.faults:
-        _schedule_faults(cluster, nodes, gone, setting.duration_s)
+        schedule_faults(
+            cluster,
+            nodes,
+            gone,
+            setting.duration_s,
+            functools.partial(_set_budgets, cluster, nodes),
+        )
     cluster.loop.run(setting.duration_s + _DRAIN_S)
     return cluster
 
@@ -81,7 +81,7 @@
     if target.entry in gone:
         # The owner is dead but not yet known to be: the entry VM places the
         # call itself after a short wait.
-        target, delay_s = nodes[entry], _OWNER_TIMEOUT_S
+        target, delay_s = nodes[entry], OWNER_TIMEOUT_S
     cluster.loop.after(delay_s, lambda: target.submit(call))
 
 
@@ -171,100 +171,4 @@
     poll()
 
 
-def _schedule_faults(
-    cluster: Cluster,
-    nodes: list[EntryNode],
-    gone: set[int],
-    duration_s: float,
-) -> None:
-    cluster.loop.after(
-        0.5 * duration_s, lambda: _kill_entry(cluster, nodes, gone)
-    )
-    cluster.loop.after(0.6 * duration_s, lambda: _kill_decode(cluster, nodes))
-
-
-def _kill_entry(
-    cluster: Cluster, nodes: list[EntryNode], gone: set[int]
-) -> None:
-    gone.add(KILLED_ENTRY)
-    for node in nodes:
-        for attempt in list(node.attempts.values()):
-            owner = attempt.call.entry
-            if attempt.current and owner == KILLED_ENTRY:
-                _lose(cluster, node, attempt)
-        _drop_waiting(cluster, node)
-    if len(nodes) > 1:
-        _stop_node(cluster, nodes, nodes[KILLED_ENTRY])
-
-
-def _stop_node(
-    cluster: Cluster, nodes: list[EntryNode], node: EntryNode
-) -> None:
-    if cluster.variant.sharing in ("owner", "pool_owner"):
-        # Calls that it had placed for other entry VMs run there and go on;
-        # calls that waited in it are placed by their own entry VM.
-        def place_locally(call: Call) -> None:
-            cluster.loop.after(
-                _OWNER_TIMEOUT_S, lambda: nodes[call.entry].submit(call)
-            )
-
-        node.successor = place_locally
-        for call_id in list(node.waiting):
-            del node.waiting[call_id]
-            place_locally(node.calls[call_id])
-    else:
-        node.dead = True
-
-    def notice() -> None:
-        node.retired = True
-        _set_budgets(cluster, nodes)
-
-    cluster.loop.after(_DEATH_NOTICED_S, notice)
-
-
-def _drop_waiting(cluster: Cluster, node: EntryNode) -> None:
-    for call_id in list(node.waiting):
-        if node.calls[call_id].entry == KILLED_ENTRY:
-            del node.waiting[call_id]
-            cluster.outcome_by_id[call_id].lost = True
-
-
-def _lose(cluster: Cluster, node: EntryNode, attempt: attempts.Attempt) -> None:
-    attempt.current = False
-    cluster.outcome_by_id[attempt.call.call_id].lost = True
-    _hold(cluster, attempt)
-    made = attempt.prefilled
-    if made is not None:
-        cluster.tally.wasted_tokens += made.computed_tokens
-    name = attempt.decode
-    if name is not None:
-        cluster.loop.after(
-            _SWEPT_S,
-            lambda: cluster.decode[name].release(attempt.attempt_id),
-        )
-        rows = node.knowledge.reservations[name]
-        rows.pop(attempt.attempt_id, None)
-
-
-def _hold(cluster: Cluster, attempt: attempts.Attempt) -> None:
-    made = attempt.prefilled
-    if made is not None:
-        cluster.tally.held_tokens += made.computed_tokens
-    elif attempt.prefill_sent:
-        cluster.tally.held_tokens += attempt.call.prompt_tokens
-
-
-def _kill_decode(cluster: Cluster, nodes: list[EntryNode]) -> None:
-    lost = cluster.decode[KILLED_DECODE].kill()
-    for node in nodes:
-        for attempt_id in lost:
-            attempt = node.attempts.get(attempt_id)
-            if attempt is not None and attempt.current:
-                _hold(cluster, attempt)
-        distance_s = cluster.distance_s(node.entry, KILLED_DECODE)
-        cluster.loop.after(
-            distance_s, functools.partial(node.on_engine_lost, lost)
-        )
-
-
-__all__ = ["KILLED_DECODE", "KILLED_ENTRY", "SERVICE", "Setting", "run"]
+__all__ = ["Setting", "run"]
