Choose the two engines of a completion as a pair

A transfer that would arrive after the KV cache has expired wastes its prefill, so the choice of the prefill engine counts the link backlog and the distance to the chosen decode engine.

--- /dev/null
+++ b/tests/placement/test_pair.py
@@ -0,0 +1,46 @@
+from __future__ import annotations
+
+import unittest
+
+from burdockspan.admission.queue import Waiting
+from burdockspan.configuration.document import Service
+from burdockspan.placement.pair import Links, Pair, choose_pair
+from burdockspan.values.endpoint import Pool
+from burdockspan.values.submission import Priority
+from tests.support.views import make_draw, make_view
+
+_ROW = Waiting("r", Priority.PATIENT, 2, 0.0, 9.0, 5.0)
+_DECODE = make_view("d", Pool.DECODE, free_pieces=4)
+_PREFILL = [make_view(name, Pool.PREFILL) for name in ("p1", "p2")]
+
+
+def _choose(
+    links: Links, free_pieces: int = 4, now_s: float = 0.0
+) -> Pair | None:
+    decode = make_view("d", Pool.DECODE, free_pieces=free_pieces)
+    return choose_pair(
+        _ROW,
+        prompt_tokens=2000,
+        decode_views=[decode],
+        prefill_views=_PREFILL,
+        service=Service("s"),
+        links=links,
+        now_s=now_s,
+        draw=make_draw(),
+    )
+
+
+class PairTest(unittest.TestCase):
+    def test_pair_avoids_a_link_on_which_the_cache_would_expire(self) -> None:
+        # A cache that expires on the way wastes its prefill.
+        for busy, free in (("p1", "p2"), ("p2", "p1")):
+            pair = _choose(Links({busy: 8e9}, lambda a, b: 1.5))
+            assert pair is not None
+            self.assertEqual(pair.prefill.endpoint.name, free)
+            self.assertEqual(pair.decode, _DECODE)
+
+    def test_pair_waits_where_no_engine_will_do(self) -> None:
+        idle = Links({}, lambda a, b: 1.5)
+        self.assertIsNone(_choose(idle, free_pieces=1))
+        self.assertIsNone(_choose(Links({}, lambda a, b: 500.0)))
+        self.assertIsNotNone(_choose(idle, now_s=5.0))
