Count the link backlog in the choice of a prefill engine

Change: an engine is a candidate only if the backlog that the cache will find on its link, prefills ahead included, fits the time left and the cache's life.

--- a/bench/attempts.py
+++ b/bench/attempts.py
@@ -198,6 +198,7 @@
     pair_s = 2 * cluster.pair_distance_s(attempt.prefill, decode)
     order_s = cluster.distance_s(node.entry, decode)
     transfer_s = made.engine.transfer(attempt.call)
+    node.knowledge.schedule_transfer(attempt.prefill, attempt.call)
     total_s = order_s + pair_s + transfer_s
     end_s = cluster.loop.now_s + total_s
     if end_s - made.made_s > SERVICE.cache_life_s:
--- a/bench/choices.py
+++ b/bench/choices.py
@@ -58,9 +58,7 @@
                 call.priority is Priority.URGENT,
             )
             if not 0 < self._variant.prefill_slots <= view.running
-            and arrives_in_life(
-                call.prompt_tokens, SERVICE, 0.0, view.distance_ms
-            )
+            and self._arrives(view, call, slack_s)
         ]
         if self._variant.prefix == "sticky":
             best = max(views, key=lambda view: view.cached_tokens)
@@ -74,6 +72,14 @@
             )
         return choose_prefill(fitting, call.prompt_tokens, self._draw)
 
+    def _arrives(self, view: EndpointView, call: Call, slack_s: float) -> bool:
+        backlog = self._knowledge.backlog_bytes(view, call)
+        wait_s = view.waiting_tokens / SERVICE.prefill_tokens_per_s
+        wait_s += backlog / SERVICE.link_bytes_per_s
+        return wait_s <= max(0.0, slack_s) and arrives_in_life(
+            call.prompt_tokens, SERVICE, backlog, view.distance_ms
+        )
+
     def _simple(self, views: list[EndpointView]) -> EndpointView | None:
         if not views:
             return None
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -19,7 +19,7 @@
 from bench.workload import ATLAS, RIJKSBUREAU, Size
 
 _SIZES = (ATLAS, RIJKSBUREAU)
-_PROCESSES = 3
+_PROCESSES = 4
 
 
 def run_setting(setting: Setting) -> Figures:
--- a/bench/knowledge.py
+++ b/bench/knowledge.py
@@ -5,8 +5,8 @@
 import dataclasses
 
 from bench.cluster import Cluster
-from bench.workload import Call
-from burdockspan.placement import memory, prefix
+from bench.workload import SERVICE, Call
+from burdockspan.placement import memory, prefix, transfer
 from burdockspan.resilience import breaker
 from burdockspan.values.endpoint import EndpointView, LoadReport
 
@@ -41,6 +41,7 @@
         self.breaker_by_name = {
             name: breaker.BreakerState() for name in cluster.zone_by_name
         }
+        self.link_by_name = {name: transfer.Link() for name in cluster.prefill}
         self.index = prefix.make_prefix_index()
         self._cluster = cluster
         self._fresh = cluster.variant.sharing == "fresh"
@@ -99,6 +100,32 @@
             for name, engine in self._cluster.prefill.items()
         ]
 
+    def backlog_bytes(self, view: EndpointView, call: Call) -> float:
+        """Returns the backlog of an engine's link after the call's prefill."""
+        if not self._cluster.variant.links:
+            return 0.0
+        name = view.endpoint.name
+        link = self.link_by_name[name]
+        if self._fresh:
+            link = self._cluster.prefill[name].link
+        tokens = view.waiting_tokens + call.prompt_tokens
+        return transfer.expected_backlog_bytes(
+            link,
+            view.waiting_tokens,
+            tokens / SERVICE.prefill_tokens_per_s,
+            SERVICE,
+            self._cluster.loop.now_s,
+        )
+
+    def schedule_transfer(self, name: str, call: Call) -> None:
+        """Notes a transfer that this entry VM has ordered."""
+        self.link_by_name[name] = transfer.schedule(
+            self.link_by_name[name],
+            call.prompt_tokens,
+            SERVICE,
+            self._cluster.loop.now_s,
+        )
+
     def outstanding(self, name: str) -> int:
         """Returns this entry VM's own calls at the endpoint."""
         if name in self.sent:
--- a/bench/variants.py
+++ b/bench/variants.py
@@ -25,6 +25,8 @@
         releases expected until its end that calls may count on when they are
         granted, less the calls already on the way; None to look only at the
         memory that is free now.
+      links: whether the choice of a prefill engine counts the backlog of its
+        link, as far as this node's own transfers tell.
       prefill_slots: most calls that a prefill engine holds before it refuses
         the next with 429; 0 for no limit.
     """
@@ -38,6 +40,7 @@
     admission: bool = True
     answers_carry_load: bool = False
     ahead: float | None = None
+    links: bool = False
     prefill_slots: int = 0
 
 
@@ -45,6 +48,7 @@
     "chosen",
     sharing="pool_owner",
     answers_carry_load=True,
+    links=True,
 )
 
 
@@ -76,6 +80,7 @@
     _vary("5 reserve during", reserve="during"),
     _vary("5 during, counted", reserve="during", ahead=0.0),
     _vary("5 during, half ahead", reserve="during", ahead=0.5),
+    _vary("5 link backlog ignored", links=False),
     _vary("5 prefill refuses third", prefill_slots=2),
     _vary("6 plain fifo", order="fifo", admission=False),
     _vary("6 first in, first out", order="fifo"),
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import os
 import random
 
 from burdockspan.configuration.document import Service
@@ -17,8 +18,13 @@
 STEP_PER_CALL_S = 0.001
 _FULL_STEP_S = 0.047
 _PREFIX_GROUPS = 60
+# A lower rate than the default makes the links the tightest part.
+_LINK_BYTES_PER_S = float(os.environ.get("BENCH_LINK_BYTES_PER_S", "10e9"))
 SERVICE = Service(
-    "qalam-models", prefill_tokens_per_s=20_000.0, token_gap_s=0.05
+    "qalam-models",
+    prefill_tokens_per_s=20_000.0,
+    token_gap_s=0.05,
+    link_bytes_per_s=_LINK_BYTES_PER_S,
 )
 
 
--- a/src/burdockspan/placement/pair.py
+++ b/src/burdockspan/placement/pair.py
@@ -28,7 +28,8 @@
     """Transfer links between the engines of a service.
 
     Attributes:
-      backlog_bytes: bytes queued on the link, by name of the prefill engine.
+      backlog_bytes: bytes that the call's KV cache is expected to find on
+        the link (`transfer.expected_backlog_bytes`), by prefill engine.
       distance_ms: one-way delay between two engines.
     """
 
@@ -66,22 +67,23 @@
     decode = choose_decode(decode_views, row.pieces, draw)
     if decode is None:
         return None
+    slack_s = row.latest_start_s - now_s
     queued = with_short_queue(
         prefill_views,
         service.prefill_tokens_per_s,
-        row.latest_start_s - now_s,
+        slack_s,
         row.priority is Priority.URGENT,
     )
-    reachable = [
-        view
-        for view in queued
-        if arrives_in_life(
-            prompt_tokens,
-            service,
-            links.backlog_bytes.get(view.endpoint.name, 0.0),
-            links.distance_ms(view.endpoint, decode.endpoint),
-        )
-    ]
+    reachable = []
+    for view in queued:
+        backlog = links.backlog_bytes.get(view.endpoint.name, 0.0)
+        distance_ms = links.distance_ms(view.endpoint, decode.endpoint)
+        wait_s = view.waiting_tokens / service.prefill_tokens_per_s
+        wait_s += backlog / service.link_bytes_per_s
+        if wait_s <= max(0.0, slack_s) and arrives_in_life(
+            prompt_tokens, service, backlog, distance_ms
+        ):
+            reachable.append(view)
     prefill = choose_prefill(reachable, prompt_tokens, draw)
     return None if prefill is None else Pair(prefill, decode)
 
--- a/src/burdockspan/placement/transfer.py
+++ b/src/burdockspan/placement/transfer.py
@@ -26,6 +26,28 @@
     return max(0.0, link.backlog_bytes - sent)
 
 
+def expected_backlog_bytes(
+    link: Link,
+    prefilling_tokens: int,
+    wait_s: float,
+    service: Service,
+    now_s: float,
+) -> float:
+    """Returns the backlog that a KV cache finds when its prefill has ended.
+
+    Args:
+      link: link of the prefill engine.
+      prefilling_tokens: prompt tokens ahead in that engine, whose KV caches
+        go over the same link first.
+      wait_s: time until the prefill has ended.
+      service: speeds of the engines.
+      now_s: monotonic seconds.
+    """
+    ahead = prefilling_tokens * service.kv_bytes_per_token
+    left = backlog_bytes(link, service, now_s) + ahead
+    return max(0.0, left - wait_s * service.link_bytes_per_s)
+
+
 def schedule(
     link: Link, prompt_tokens: int, service: Service, now_s: float
 ) -> Link:
@@ -61,4 +83,11 @@
     return arrival_s + 2 * distance_ms / 1000 < service.cache_life_s
 
 
-__all__ = ["Link", "arrives_in_life", "backlog_bytes", "estimate_s", "schedule"]
+__all__ = [
+    "Link",
+    "arrives_in_life",
+    "backlog_bytes",
+    "estimate_s",
+    "expected_backlog_bytes",
+    "schedule",
+]
--- a/tests/placement/test_pair.py
+++ b/tests/placement/test_pair.py
@@ -39,6 +39,12 @@
             self.assertEqual(pair.prefill.endpoint.name, free)
             self.assertEqual(pair.decode, _DECODE)
 
+    def test_pair_counts_the_link_backlog_against_the_time_left(self) -> None:
+        # A call that waits on the link holds decode memory and comes late.
+        links = Links({"p1": 4e9, "p2": 4e9}, lambda a, b: 1.5)
+        self.assertIsNotNone(_choose(links, now_s=4.5))
+        self.assertIsNone(_choose(links, now_s=4.7))
+
     def test_pair_waits_where_no_engine_will_do(self) -> None:
         idle = Links({}, lambda a, b: 1.5)
         self.assertIsNone(_choose(idle, free_pieces=1))
--- a/tests/placement/test_transfer.py
+++ b/tests/placement/test_transfer.py
@@ -8,6 +8,7 @@
     arrives_in_life,
     backlog_bytes,
     estimate_s,
+    expected_backlog_bytes,
     schedule,
 )
 
@@ -22,6 +23,19 @@
         again = schedule(link, 1000, _SERVICE, 1.2)
         self.assertEqual(again, Link(4e8, 1.2))
 
+    def test_expected_backlog_counts_prefills_ahead(self) -> None:
+        # Links slower than prefill fill up with caches that are not made yet.
+        link = Link(2e8, 1.0)
+        for tokens, wait_s, left in (
+            (0, 0.0, 2e8),
+            (3000, 0.3, 2e8),
+            (0, 1, 0),
+        ):
+            self.assertEqual(
+                expected_backlog_bytes(link, tokens, wait_s, _SERVICE, 1.0),
+                left,
+            )
+
     def test_arrival_counts_backlog_and_distance(self) -> None:
         # A cache that expires on the way wastes its whole prefill.
         self.assertEqual(estimate_s(5000, _SERVICE, 2e8), 0.7)
