Count the wait for the next decode step in the service time

Cause: most late calls missed the first-token target by less than one step of the decode engine, which a call waits for before it joins the batch. Change: the service time of the forecast includes one token gap more.

--- a/src/burdockspan/admission/forecast.py
+++ b/src/burdockspan/admission/forecast.py
@@ -78,7 +78,8 @@
     rates = Forecast(
         pieces_per_s=released_per_s,
         free_pieces=supply.free_pieces,
-        overhead_s=supply.overhead_s,
+        # A call joins the batch at the engine's next step.
+        overhead_s=supply.overhead_s + service.token_gap_s,
         prefill_s_per_token=1.0 / service.prefill_tokens_per_s,
         transfer_s_per_token=(
             service.kv_bytes_per_token / service.link_bytes_per_s
