--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -33,7 +33,7 @@
     variants: tuple[Variant, ...],
     loads: tuple[float, ...],
     faults: tuple[bool, ...],
-    seeds: int,
+    seeds: range,
     duration_s: float,
 ) -> tuple[report.Row, ...]:
     """Returns one row per size, fault setting, load and variant."""
@@ -41,13 +41,13 @@
     settings = [
         Setting(size, variant, load, fault, seed, duration_s)
         for size, fault, load, variant in cells
-        for seed in range(1, seeds + 1)
+        for seed in seeds
     ]
     with concurrent.futures.ProcessPoolExecutor(_PROCESSES) as pool:
         results = list(pool.map(run_setting, settings))
     rows = []
     for number, (size, fault, load, variant) in enumerate(cells):
-        part = results[number * seeds : (number + 1) * seeds]
+        part = results[number * len(seeds) : (number + 1) * len(seeds)]
         total = sum(part[1:], start=part[0])
         rows.append(report.Row(size.name, fault, load, variant, total))
     return report.with_shares(tuple(rows))
@@ -57,6 +57,7 @@
 @click.option("--size", "size_name", default="", help="Only this team.")
 @click.option("--loads", default="0.5,0.7,1.0,1.3,2.0", show_default=True)
 @click.option("--seeds", default=3, show_default=True)
+@click.option("--first-seed", default=1, show_default=True)
 @click.option("--duration", default=60.0, show_default=True, help="Seconds.")
 @click.option("--faults", default="off,on", show_default=True)
 @click.option("--variants", default="", help="Parts of names, by comma.")
@@ -66,6 +67,7 @@
     size_name: str,
     loads: str,
     seeds: int,
+    first_seed: int,
     duration: float,
     faults: str,
     variants: str,
@@ -78,7 +80,7 @@
         variants=tuple(v for v in ALL if any(part in v.name for part in parts)),
         loads=tuple(float(load) for load in loads.split(",")),
         faults=tuple(word == "on" for word in faults.split(",")),
-        seeds=seeds,
+        seeds=range(first_seed, first_seed + seeds),
         duration_s=duration,
     )
     text = report.make_table(rows)
