--- a/bench/choices.py
+++ b/bench/choices.py
@@ -8,7 +8,7 @@
 from bench.variants import Variant
 from bench.workload import SERVICE, Call
 from burdockspan.placement.decode import choose_decode
-from burdockspan.placement.prefill import choose_prefill
+from burdockspan.placement.prefill import choose_prefill, with_short_queue
 from burdockspan.placement.sampling import Draw
 from burdockspan.placement.transfer import arrives_in_life
 from burdockspan.values.endpoint import EndpointView
@@ -27,7 +27,7 @@
         self._turn = 0
 
     def decode(
-        self, call: Call, headroom: float, excluded: Sequence[str] = ()
+        self, call: Call, excluded: Sequence[str] = ()
     ) -> EndpointView | None:
         """Returns a decode engine, None if no memory is expected."""
         views = [
@@ -37,9 +37,6 @@
         ]
         if self._variant.placement != "sampled":
             return self._simple([view for view in views if view.usable])
-        free = sum(max(0, view.free_pieces) for view in views if view.usable)
-        if call.priority is Priority.PATIENT and free - call.pieces < headroom:
-            return None
         if self._variant.sharing == "fresh":
             fitting = [v for v in views if v.free_pieces >= call.pieces]
             return max(fitting, key=lambda v: v.free_pieces, default=None)
@@ -52,20 +49,16 @@
         views = self._knowledge.prefill_views(call)
         if self._variant.placement != "sampled":
             return self._simple(views)
-        limit_s = self._variant.prefill_wait_s
-        if call.priority is Priority.URGENT:
-            limit_s *= 2
-        if self._variant.meets_target:
-            limit_s = min(limit_s, max(0.0, slack_s))
-        limit = limit_s * SERVICE.prefill_tokens_per_s
         fitting = [
             view
-            for view in views
-            if view.waiting_tokens <= limit
-            and not 0 < self._variant.prefill_slots <= view.running
-            and arrives_in_life(
-                call.prompt_tokens, SERVICE, 0.0, view.distance_ms
+            for view in with_short_queue(
+                views,
+                SERVICE.prefill_tokens_per_s,
+                slack_s,
+                call.priority is Priority.URGENT,
             )
+            if not 0 < self._variant.prefill_slots <= view.running
+            and self._arrives(view, call, slack_s)
         ]
         if self._variant.prefix == "sticky":
             best = max(views, key=lambda view: view.cached_tokens)
@@ -79,6 +72,14 @@
             )
         return choose_prefill(fitting, call.prompt_tokens, self._draw)
 
+    def _arrives(self, view: EndpointView, call: Call, slack_s: float) -> bool:
+        backlog = self._knowledge.backlog_bytes(view, call)
+        wait_s = view.waiting_tokens / SERVICE.prefill_tokens_per_s
+        wait_s += backlog / SERVICE.link_bytes_per_s
+        return wait_s <= max(0.0, slack_s) and arrives_in_life(
+            call.prompt_tokens, SERVICE, backlog, view.distance_ms
+        )
+
     def _simple(self, views: list[EndpointView]) -> EndpointView | None:
         if not views:
             return None
--- a/bench/variants.py
+++ b/bench/variants.py
@@ -19,16 +19,16 @@
       prefix: affinity, ignored (load only) or sticky (the holder always).
       placement: sampled, round_robin or least_outstanding.
       admission: whether calls that cannot meet their deadline are refused.
-      headroom_s: urgent arrivals of this long find free memory, because
-        patient calls leave it free.
       answers_carry_load: whether the answer to a reservation tells the free
         memory of the engine.
+      ahead: for a reservation after or during prefill, the share of the
+        releases expected until its end that calls may count on when they are
+        granted, less the calls already on the way; None to look only at the
+        memory that is free now.
+      links: whether the choice of a prefill engine counts the backlog of its
+        link, as far as this node's own transfers tell.
       prefill_slots: most calls that a prefill engine holds before it refuses
         the next with 429; 0 for no limit.
-      meets_target: whether a prefill engine is chosen only if its queue lets
-        the first token meet its target.
-      prefill_wait_s: longest queue of a prefill engine that gets a patient
-        call; urgent calls accept twice as much.
     """
 
     name: str
@@ -38,14 +38,18 @@
     prefix: str = "affinity"
     placement: str = "sampled"
     admission: bool = True
-    headroom_s: float = 0.0
     answers_carry_load: bool = False
+    ahead: float | None = None
+    links: bool = False
     prefill_slots: int = 0
-    prefill_wait_s: float = 0.15
-    meets_target: bool = False
 
 
-CHOSEN = Variant("chosen", answers_carry_load=True, meets_target=True)
+CHOSEN = Variant(
+    "chosen",
+    sharing="pool_owner",
+    answers_carry_load=True,
+    links=True,
+)
 
 
 def _vary(name: str, **options: object) -> Variant:
@@ -54,28 +58,31 @@
 
 BOUNDS = (
     _vary("bound, reserve before", sharing="fresh"),
-    _vary("bound, reserve during", sharing="fresh", reserve="during"),
     _vary("bound, reserve after", sharing="fresh", reserve="after"),
 )
 BASELINES = tuple(
     _vary(
         name.replace("_", " "),
         placement=name,
+        sharing="optimistic",
         reserve="after",
         order="fifo",
         prefix="ignored",
         admission=False,
-        headroom_s=0.0,
-        prefill_wait_s=float("inf"),
     )
     for name in ("round_robin", "least_outstanding")
 )
 CASES = (
+    _vary("4 optimistic", sharing="optimistic"),
     _vary("4 divided budgets", sharing="divided"),
     _vary("4 owner per endpoint", sharing="owner"),
-    _vary("4 owner per pool", sharing="pool_owner"),
     _vary("5 reserve after", reserve="after"),
     _vary("5 reserve during", reserve="during"),
+    _vary("5 during, counted", reserve="during", ahead=0.0),
+    _vary("5 during, half ahead", reserve="during", ahead=0.5),
+    _vary("5 link backlog ignored", links=False),
+    _vary("5 prefill refuses third", prefill_slots=2),
+    _vary("6 plain fifo", order="fifo", admission=False),
     _vary("6 first in, first out", order="fifo"),
     _vary("6 strict priority", order="strict"),
     _vary("7 prefix ignored", prefix="ignored"),
