Keep the ownership of endpoints between ticks

Cause: each tick ranked every endpoint over every live member to find what to poll, so control cost grew with endpoints times peers. Ruled out: gossip (0.6 ms/s) and the queues (empty in these runs). Change: the set of owned endpoints is kept until a member, the VM list or the configuration changes; upkeep runs on its own intervals; empty queues are skipped. bench/node_cost.py measures the systems on a test clock. Waiting calls and streams still cost a scan per tick.

--- /dev/null
+++ b/bench/node_cost.py
@@ -0,0 +1,246 @@
+"""Processor time and memory of a node's control work against its sizes.
+
+Usage: python -m bench.node_cost
+
+Runs the node's real systems on a test clock, with the effects dropped, and
+prints for each size the processor time per second of operation. The slope is
+the least-squares line through the rows of one table.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future
+
+from burdockspan.configuration.adoption import Adoption
+from burdockspan.configuration.codec import (
+    dump_configuration,
+    load_configuration,
+)
+from burdockspan.configuration.document import (
+    Client,
+    Configuration,
+    Model,
+    Service,
+)
+from burdockspan.membership import table
+from burdockspan.membership.table import make_members
+from burdockspan.membership.values import Member
+from burdockspan.node import actor, documents, fleet, intake, messages
+from burdockspan.node.catalog import make_catalog
+from burdockspan.node.context import Context
+from burdockspan.node.tables import Tables
+from burdockspan.platform.vms import Vm, VmList, VmRole
+from burdockspan.settings import Settings
+from burdockspan.values.endpoint import LoadReport, Pool
+from burdockspan.values.submission import CallKind, Priority, Submission
+
+_TICK_S = 0.05
+_RUN_S = 5.0
+_SEED = 1
+_SERVICE = "models"
+_MODEL = "m"
+
+
+@dataclasses.dataclass(frozen=True)
+class Sizes:
+    """Sizes of one run.
+
+    Attributes:
+      endpoints: engines in the table, a third of them prefill.
+      peers: live entry VMs of the zone.
+      waiting: calls that wait.
+      streams: calls that run.
+      clients: client accounts of the configuration.
+    """
+
+    endpoints: int = 12
+    peers: int = 4
+    waiting: int = 0
+    streams: int = 0
+    clients: int = 10
+
+
+class ManualClock:
+    """Monotonic seconds that the bench advances."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        """Returns the time."""
+        return self.now_s
+
+
+def main() -> None:
+    """Prints one table per size."""
+    _print_table("endpoints", (12, 24, 48, 96), _vary("endpoints"))
+    _print_table("peers", (4, 12, 25, 50), _vary("peers"))
+    _print_table("waiting", (0, 50, 200, 800), _vary("waiting"))
+    _print_table("streams", (0, 50, 100, 200), _vary("streams"))
+    _print_configuration((10, 110, 220, 440))
+
+
+def _vary(name: str) -> Callable[[int], Sizes]:
+    return lambda size: dataclasses.replace(Sizes(), **{name: size})
+
+
+def _print_table(
+    name: str, sizes: Sequence[int], make: Callable[[int], Sizes]
+) -> None:
+    print(f"\n{name}: processor ms per second, allocated KB")
+    costs = []
+    for size in sizes:
+        cost_ms, memory_kb = measure(make(size))
+        costs.append(cost_ms)
+        print(f"  {size:6d}  {cost_ms:8.2f} ms/s  {memory_kb:8.0f} KB")
+    print(f"  slope {_slope(sizes, costs) * 1000:.2f} us/s for each")
+
+
+def _print_configuration(sizes: Sequence[int]) -> None:
+    print("\nconfiguration: client accounts, bytes, processor ms to adopt")
+    costs = []
+    for size in sizes:
+        document = _make_configuration(size)
+        data = dump_configuration(document)
+        began_s = time.process_time()
+        make_catalog(load_configuration(data).unwrap())
+        cost_ms = (time.process_time() - began_s) * 1000
+        costs.append(cost_ms)
+        print(f"  {size:6d}  {len(data):8d} B  {cost_ms:8.2f} ms")
+    print(f"  slope {_slope(sizes, costs) * 1000:.2f} us for each")
+
+
+def measure(sizes: Sizes) -> tuple[float, float]:
+    """Returns processor ms per second of operation, and KB of the tables."""
+    tracemalloc.start()
+    clock = ManualClock()
+    context = Context(
+        _make_settings(), clock, lambda: 1.8e9, random.Random(_SEED).random
+    )
+    tables = _make_tables(sizes, context)
+    memory_kb = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    ticks = int(_RUN_S / _TICK_S)
+    spent_s = 0.0
+    for _ in range(ticks):
+        clock.now_s += _TICK_S
+        _refresh_reports(tables, clock.now_s)
+        began_s = time.process_time()
+        actor.run_systems(tables, messages.Tick(), context)
+        spent_s += time.process_time() - began_s
+    return spent_s / _RUN_S * 1000, memory_kb
+
+
+def _make_settings() -> Settings:
+    return Settings(
+        "entry-0",
+        "zone",
+        "region",
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        "127.0.0.1:3",
+        "http://127.0.0.1:4",
+    )
+
+
+def _make_configuration(clients: int) -> Configuration:
+    return Configuration(
+        1,
+        "bench",
+        clients=tuple(
+            Client(f"client-{number}", f"{number:064x}", 10.0, 10)
+            for number in range(clients)
+        ),
+        services=(Service(_SERVICE, models=(Model(_MODEL, 100_000),)),),
+    )
+
+
+def _make_tables(sizes: Sizes, context: Context) -> Tables:
+    now_s = context.clock()
+    members = make_members(
+        vm="entry-0",
+        address="127.0.0.1:3",
+        availability_zone="zone",
+        region="region",
+        seeds=(),
+        now_s=now_s,
+        wall_s=1.0,
+    )
+    peers = {
+        f"entry-{number}": Member(
+            f"entry-{number}", f"127.0.0.1:{number}", "zone", 1
+        )
+        for number in range(1, sizes.peers)
+    }
+    members = dataclasses.replace(members, by_vm={**members.by_vm, **peers})
+    tables = Tables(members)
+    tables.start = None
+    configuration = _make_configuration(sizes.clients)
+    tables.adoption = Adoption(configuration, configuration)
+    tables.catalog = make_catalog(configuration)
+    vms = tuple(_make_vm(number) for number in range(sizes.endpoints))
+    documents.see_vm_list(tables, messages.VmListSeen(VmList(1, vms)), context)
+    _refresh_reports(tables, now_s)
+    _submit(tables, sizes.streams, context, free=20)
+    _submit(tables, sizes.waiting, context, free=0)
+    return tables
+
+
+def _make_vm(number: int) -> Vm:
+    role = VmRole.PREFILL if number % 3 == 0 else VmRole.DECODE
+    address = f"127.0.0.1:{10_000 + number}"
+    return Vm(f"engine-{number}", "zone", address, _SERVICE, role, False)
+
+
+def _refresh_reports(tables: Tables, now_s: float, free: int = 0) -> None:
+    """Replaces members' and endpoints' news, as polls and acks would."""
+    for name, row in tables.endpoints_by_name.items():
+        pieces = 20 if row.endpoint.pool is Pool.DECODE else 0
+        report = LoadReport(name, "b", False, pieces, free, 0, 0, now_s)
+        tables.endpoints_by_name[name] = fleet.accept_report(row, report, now_s)
+    tables.members = dataclasses.replace(tables.members, probes={}, suspects={})
+    tables.members = table.hold_versions(
+        tables.members, tables.members.versions
+    )
+
+
+def _submit(tables: Tables, count: int, context: Context, free: int) -> None:
+    for number in range(count):
+        if free:
+            _refresh_reports(tables, context.clock(), free)
+        reply: messages.PlacementReply = Future()
+        submission = Submission(
+            f"{free}-{number}",
+            "client-0",
+            CallKind.COMPLETION,
+            _MODEL,
+            "/v1/completions",
+            Priority.PATIENT,
+            context.clock(),
+            context.clock() + 1e6,
+            prompt_tokens=1000,
+            max_tokens=100,
+        )
+        tables.buckets_by_client.clear()
+        intake.submit(
+            tables, messages.Submit(submission, lambda: False, reply), context
+        )
+
+
+def _slope(sizes: Sequence[int], costs: Sequence[float]) -> float:
+    mean_x = sum(sizes) / len(sizes)
+    mean_y = sum(costs) / len(costs)
+    above = sum(
+        (x - mean_x) * (y - mean_y) for x, y in zip(sizes, costs, strict=True)
+    )
+    return above / sum((x - mean_x) ** 2 for x in sizes)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -87,6 +87,8 @@
         return ()
     effects: Effects = ()
     for service in tables.catalog.configuration.services:
+        if not tables.waiting_by_service.get(service.name):
+            continue
         effects += grants.shed(tables, service, context)
         effects += grants.grant(tables, service, context)
     return effects
--- a/src/burdockspan/node/documents.py
+++ b/src/burdockspan/node/documents.py
@@ -32,6 +32,7 @@
 
 _ASK_INTERVAL_S = 0.25
 _VM_LIST_ASK_INTERVAL_S = 1.0
+_STOPS_INTERVAL_S = 0.25
 
 
 def seek(tables: Tables, context: Context) -> Effects:
@@ -125,8 +126,10 @@
 
 def apply_stops(tables: Tables, context: Context) -> Effects:
     """Drains the endpoints and this VM when their planned stop has come."""
-    if tables.catalog is None:
+    now_s = context.clock()
+    if tables.catalog is None or now_s < tables.next_stops_s:
         return ()
+    tables.next_stops_s = now_s + _STOPS_INTERVAL_S
     drained = _drained_vms(tables.catalog.configuration, context)
     if drained == tables.drained_vms:
         return ()
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -67,9 +67,12 @@
         self.retry_budget: Budget = make_budget(0.1, 20.0)
         self.prefixes: PrefixIndex = make_prefix_index()
         self.cache_positions_by_endpoint: dict[str, tuple[str, int]] = {}
-        self.next_cache_poll_by_endpoint: dict[str, float] = {}
-        self.next_poll_by_endpoint: dict[str, float] = {}
-        self.next_sweep_by_endpoint: dict[str, float] = {}
+        self.owned_endpoints: frozenset[str] = frozenset()
+        self.ownership_basis: tuple[object, ...] = (None, None, None)
+        self.next_cache_poll_s = 0.0
+        self.next_poll_s = 0.0
+        self.next_sweep_s = 0.0
+        self.next_stops_s = 0.0
         self.next_prune_s = 0.0
         self.next_pull_s = 0.0
         self.next_ask_s = 0.0
--- a/src/burdockspan/node/upkeep.py
+++ b/src/burdockspan/node/upkeep.py
@@ -16,7 +16,6 @@
     ListAttempts,
     PollLoad,
 )
-from burdockspan.node.fleet import EndpointRow
 from burdockspan.node.gossip import is_dead
 from burdockspan.node.messages import (
     AttemptsListed,
@@ -41,32 +40,29 @@
 def poll(tables: Tables, context: Context) -> Effects:
     """Polls the endpoints that this node owns, and those nobody polls."""
     now_s = context.clock()
-    effects: Effects = ()
-    for name, row in tables.endpoints_by_name.items():
-        if now_s < tables.next_poll_by_endpoint.get(name, 0.0):
-            continue
-        silent = now_s - row.heard_s > _ORPHAN_POLL_AGE_S
-        if not silent and not _is_owner(tables, row):
-            continue
-        tables.next_poll_by_endpoint[name] = now_s + _POLL_INTERVAL_S
-        effects += (PollLoad(row.endpoint),)
-    return effects
+    if now_s < tables.next_poll_s:
+        return ()
+    tables.next_poll_s = now_s + _POLL_INTERVAL_S
+    owned = _owned_endpoints(tables)
+    return tuple(
+        PollLoad(row.endpoint)
+        for name, row in tables.endpoints_by_name.items()
+        if name in owned or now_s - row.heard_s > _ORPHAN_POLL_AGE_S
+    )
 
 
 def list_attempts(tables: Tables, context: Context) -> Effects:
     """Lists the attempts held by the engines that this node owns."""
     now_s = context.clock()
-    effects: Effects = ()
-    for name, row in tables.endpoints_by_name.items():
-        if row.endpoint.pool is Pool.SERVICE:
-            continue
-        if now_s < tables.next_sweep_by_endpoint.get(name, 0.0):
-            continue
-        if not _is_owner(tables, row):
-            continue
-        tables.next_sweep_by_endpoint[name] = now_s + _SWEEP_INTERVAL_S
-        effects += (ListAttempts(row.endpoint),)
-    return effects
+    if now_s < tables.next_sweep_s:
+        return ()
+    tables.next_sweep_s = now_s + _SWEEP_INTERVAL_S
+    rows = (tables.endpoints_by_name[name] for name in _owned_endpoints(tables))
+    return tuple(
+        ListAttempts(row.endpoint)
+        for row in rows
+        if row.endpoint.pool is not Pool.SERVICE
+    )
 
 
 def fetch_cache_events(tables: Tables, context: Context) -> Effects:
@@ -77,19 +73,17 @@
     """
     now_s = context.clock()
     zone = context.settings.availability_zone
-    effects: Effects = ()
-    for name, row in tables.endpoints_by_name.items():
-        endpoint = row.endpoint
-        if endpoint.pool is not Pool.PREFILL or not row.boot:
-            continue
-        if endpoint.availability_zone != zone:
-            continue
-        if now_s < tables.next_cache_poll_by_endpoint.get(name, 0.0):
-            continue
-        tables.next_cache_poll_by_endpoint[name] = now_s + _CACHE_INTERVAL_S
-        boot, after = tables.cache_positions_by_endpoint.get(name, ("", 0))
-        effects += (FetchCacheEvents(endpoint, boot, after),)
-    return effects
+    if now_s < tables.next_cache_poll_s:
+        return ()
+    tables.next_cache_poll_s = now_s + _CACHE_INTERVAL_S
+    positions = tables.cache_positions_by_endpoint
+    return tuple(
+        FetchCacheEvents(row.endpoint, *positions.get(name, ("", 0)))
+        for name, row in tables.endpoints_by_name.items()
+        if row.endpoint.pool is Pool.PREFILL
+        and row.endpoint.availability_zone == zone
+        and row.boot
+    )
 
 
 def take_cache_events(
@@ -169,11 +163,34 @@
     return (Count("releases.retried"),)
 
 
-def _is_owner(tables: Tables, row: EndpointRow) -> bool:
+def _owned_endpoints(tables: Tables) -> frozenset[str]:
+    """Returns the endpoints that this node owns.
+
+    Ranking every endpoint over every member takes milliseconds, so the result
+    is kept until a member or the list of endpoints changes.
+    """
+    basis = (tables.members.by_vm, tables.vm_list, tables.catalog)
+    if any(
+        old is not new
+        for old, new in zip(tables.ownership_basis, basis, strict=True)
+    ):
+        tables.ownership_basis = basis
+        tables.owned_endpoints = _find_owned_endpoints(tables)
+    return tables.owned_endpoints
+
+
+def _find_owned_endpoints(tables: Tables) -> frozenset[str]:
     members = tables.members
-    zone = row.endpoint.availability_zone
-    live = table.live_vms(members, zone) or table.live_vms(members)
-    return ownership.owner_of(row.endpoint.name, live) == members.vm
+    everywhere = table.live_vms(members)
+    live_by_zone: dict[str, tuple[str, ...]] = {}
+    owned = set()
+    for name, row in tables.endpoints_by_name.items():
+        zone = row.endpoint.availability_zone
+        if zone not in live_by_zone:
+            live_by_zone[zone] = table.live_vms(members, zone) or everywhere
+        if ownership.owner_of(name, live_by_zone[zone]) == members.vm:
+            owned.add(name)
+    return frozenset(owned)
 
 
 def _current_attempts(tables: Tables) -> set:
