Scan for gone callers, deadlines and late calls five times a second

Cause: each tick of 50 ms scanned all requests and sorted all waiting calls. Change: these scans run every 0.2 s, which still leaves room for the 2 s within which the memory of a gone caller must be free.

--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -20,6 +20,11 @@
 from burdockspan.node.effects import Effects
 from burdockspan.node.tables import Tables
 
+# Scans of all requests. Memory of a caller that is gone must be free within
+# 2 s, and a refusal given at once; both leave room for these intervals.
+_END_INTERVAL_S = 0.2
+_SHED_INTERVAL_S = 0.2
+
 Perform = Callable[[Effects], None]
 """Carries out effects; must not block."""
 
@@ -74,6 +79,9 @@
 
 def _end_requests(tables: Tables, context: Context) -> Effects:
     now_s = context.clock()
+    if now_s < tables.next_end_s:
+        return ()
+    tables.next_end_s = now_s + _END_INTERVAL_S
     effects: Effects = ()
     for request_id in attempts.find_gone_callers(tables):
         effects += attempts.cancel(tables, request_id, now_s)
@@ -85,11 +93,16 @@
 def _run_queues(tables: Tables, context: Context) -> Effects:
     if tables.catalog is None:
         return ()
+    now_s = context.clock()
+    shedding = now_s >= tables.next_shed_s
+    if shedding:
+        tables.next_shed_s = now_s + _SHED_INTERVAL_S
     effects: Effects = ()
     for service in tables.catalog.configuration.services:
         if not tables.waiting_by_service.get(service.name):
             continue
-        effects += grants.shed(tables, service, context)
+        if shedding:
+            effects += grants.shed(tables, service, context)
         effects += grants.grant(tables, service, context)
     return effects
 
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -73,6 +73,8 @@
         self.next_poll_s = 0.0
         self.next_sweep_s = 0.0
         self.next_stops_s = 0.0
+        self.next_end_s = 0.0
+        self.next_shed_s = 0.0
         self.next_prune_s = 0.0
         self.next_pull_s = 0.0
         self.next_ask_s = 0.0
