--- a/tests/support/endpoint_fake.py
+++ b/tests/support/endpoint_fake.py
@@ -106,6 +106,7 @@
     """Listens on a free port of the loopback interface."""
 
     daemon_threads = True
+    request_queue_size = 128
 
     def __init__(self, name: str = "endpoint-1") -> None:
         super().__init__(("127.0.0.1", 0), Handler)
