Never refuse a completion as not run after its prefill

Cause: a refusal of the node that knows of no attempt could say not_run after this handler had sent a prefill (P4). Change: the handler replaces not_run by what it saw itself. Conclusion: not_run now needs both the node and the handler to agree.

--- a/src/burdockspan/http/completions.py
+++ b/src/burdockspan/http/completions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from collections.abc import Iterator
 
@@ -106,7 +107,7 @@
     placed = job.ports.router.submit(job.submission, job.request.caller_gone)
     while True:
         if isinstance(placed, Err):
-            return placed
+            return Err(_make_truthful(run, placed.err_value))
         outcome: Result[Reply, Failure | Stopped]
         started = run_attempt(run, placed.ok_value)
         if isinstance(started, Err):
@@ -123,6 +124,13 @@
         placed = replaced
 
 
+def _make_truthful(run: Run, refusal: Refusal) -> Refusal:
+    # What this handler saw outweighs a refusal that knows of no attempt.
+    if refusal.execution is Execution.NOT_RUN:
+        return dataclasses.replace(refusal, execution=run.execution)
+    return refusal
+
+
 def _read_whole(
     run: Run, exchange: Exchange
 ) -> Result[Reply, Failure | Stopped]:
--- a/tests/http/test_completions.py
+++ b/tests/http/test_completions.py
@@ -75,6 +75,12 @@
         self.assertIn(("replace", FailureKind.FULL), self.router.log)
         self.assertEqual(self.prefill.count("POST /prefill"), 0)
 
+    def test_prefill_that_ran_is_never_refused_as_not_run(self) -> None:
+        # Guards P4 against a node that no longer knows of the attempt.
+        self.router.last_execution = Execution.NOT_RUN
+        self.decode.scripts["POST /imports"] = lambda one: one.send(404, {})
+        self.assertEqual(self.complete().problem()["outcome"], "ran")
+
     def test_stale_attempt_stops_before_the_next_step(self) -> None:
         # Guards P1 and P2: a superseded attempt must not go on.
         self.router.current = lambda event: event is not Event.TRANSFERRED
--- a/tests/support/router_fake.py
+++ b/tests/support/router_fake.py
@@ -42,6 +42,7 @@
         self.decode: Endpoint | None = None
         self.service: Endpoint | None = None
         self.attempts_limit = 2
+        self.last_execution = Execution.UNKNOWN
         self.log: list[tuple[Any, ...]] = []
         self.submission: Submission | None = None
         self.refusal: Refusal | None = None
@@ -96,7 +97,7 @@
             return Err(
                 Refusal(
                     502,
-                    Execution.UNKNOWN,
+                    self.last_execution,
                     Reason.ENDPOINT_FAILED,
                     "no attempt is left",
                 )
