--- a/src/burdockspan/membership/gossip.py
+++ b/src/burdockspan/membership/gossip.py
@@ -81,6 +81,7 @@
         sizes.size_of_member,
         int(room * _MEMBERS_SHARE),
     )
+    updates = tuple(update for update in updates if update not in first)
     room -= sum(map(sizes.size_of_member, updates))
     filled, position = _fill(members, {update.vm for update in updates})
     room -= sum(map(sizes.size_of_member, filled))
--- a/src/burdockspan/membership/members.py
+++ b/src/burdockspan/membership/members.py
@@ -28,8 +28,8 @@
 )
 
 _TICK_S = 0.05
-# A tick this late is not jitter of the ticker.
-_LATE_S = 0.05
+# Ticks further apart are not jitter of the ticker.
+_LATE_TICK_S = 0.1
 _FAREWELLS = 5
 
 
@@ -146,17 +146,19 @@
 
 def _postpone(members: Members, now_s: float) -> Members:
     # The answers to probes may wait behind a late tick. Deadlines move by the
-    # delay, so that a slow node suspects nobody for its own slowness.
-    late_s = now_s - members.last_tick_s - _TICK_S
-    if late_s < _LATE_S:
+    # pause, so that a slow node suspects nobody for its own slowness; they
+    # still come nearer, so that it detects deaths even if all ticks are late.
+    gap_s = now_s - members.last_tick_s
+    if gap_s < _LATE_TICK_S:
         return members
+    pause_s = gap_s - _TICK_S / 2
     probes = {
         sequence: dataclasses.replace(
-            probe, deadline_s=probe.deadline_s + late_s
+            probe, deadline_s=probe.deadline_s + pause_s
         )
         for sequence, probe in members.probes.items()
     }
-    suspects = {vm: end_s + late_s for vm, end_s in members.suspects.items()}
+    suspects = {vm: end_s + pause_s for vm, end_s in members.suspects.items()}
     return dataclasses.replace(members, probes=probes, suspects=suspects)
 
 
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -25,6 +25,7 @@
         self.loss = 0.0
         self.jitter_s = 0.002
         self.side: dict[str, int] = {}
+        self.blocked: set[frozenset[str]] = set()
         self.frozen: set[str] = set()
         self.tables: dict[str, Members] = {}
         self.incarnations: dict[str, list[int]] = {}
@@ -134,6 +135,8 @@
             return
         if self.side.get(source, 0) != self.side.get(vm, 0):
             return
+        if frozenset((source, vm)) in self.blocked:
+            return
         message = wire.decode(data).unwrap()
         if vm in self.frozen:
             self._held[vm].append(message)
@@ -160,3 +163,16 @@
         network.start(str(number))
     assert network.run_until(network.agree, 30.0)
     return network
+
+
+def make_table(vm: str = "a") -> Members:
+    """Returns the table of a node that knows nobody, at 0 s."""
+    return make_members(
+        vm=vm,
+        address=f"ip-{vm}:1",
+        availability_zone="zone",
+        region="region",
+        seeds=(),
+        now_s=0.0,
+        wall_s=1e9,
+    )
--- /dev/null
+++ b/tests/membership/test_probing.py
@@ -0,0 +1,156 @@
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+
+from burdockspan.membership import members as swim
+from burdockspan.membership import shared
+from burdockspan.membership.gossip import compose
+from burdockspan.membership.merge import merge_members
+from burdockspan.membership.table import (
+    DEATH_S,
+    GONE_RETENTION_S,
+    Members,
+    share,
+)
+from burdockspan.membership.values import (
+    Member,
+    MemberState,
+    Message,
+    MessageKind,
+    Outgoing,
+    StrikeKey,
+)
+from burdockspan.values.endpoint import LoadReport
+from tests.membership.network import make_network, make_table
+
+_PEERS = tuple(Member(vm, f"ip-{vm}:1", "zone", 5) for vm in "bcdef")
+
+
+class ProbingTest(unittest.TestCase):
+    def test_probing_asks_helpers_and_then_suspects(self) -> None:
+        table, outgoing = _tick(_make_joined(), 0.0)
+        (ping,) = outgoing
+        self.assertEqual(ping.message.kind, MessageKind.PING)
+        for now_s in (0.05, 0.1):
+            table, outgoing = _tick(table, now_s)
+            self.assertEqual(outgoing, ())
+        table, outgoing = _tick(table, 0.15)
+        # A direct ping again, and requests to three others.
+        self.assertEqual(outgoing[0].address, ping.address)
+        helpers = {item.address for item in outgoing[1:]}
+        self.assertEqual(len(helpers), 3)
+        self.assertNotIn(ping.address, helpers)
+        for now_s in (0.2, 0.25, 0.3, 0.35, 0.4):
+            table, outgoing = _tick(table, now_s)
+        self.assertEqual(list(table.suspects), [ping.message.target])
+        # The suspect is told first, so that it can refute in time.
+        told = next(i for i in outgoing if i.address == ping.address)
+        self.assertIs(told.message.updates[0].state, MemberState.SUSPECT)
+
+    def test_probing_keeps_members_behind_one_broken_link(self) -> None:
+        # Two nodes that cannot reach each other must not split the region.
+        network = make_network(4)
+        before = {vm: table.me for vm, table in network.tables.items()}
+        network.blocked = {frozenset(("1", "2"))}
+        network.run(20.0)
+        after = {vm: table.me for vm, table in network.tables.items()}
+        self.assertEqual(after, before)
+
+    def test_probing_blames_nobody_for_its_own_pause(self) -> None:
+        # Answers wait behind a late tick; the peers are not to be suspected.
+        table, _ = _tick(_make_joined(), 0.0)
+        for now_s in (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35):
+            table, _ = _tick(table, now_s)
+        self.assertTrue(any(p.indirect for p in table.probes.values()))
+        for pause_s in (0.3, 0.8, DEATH_S):
+            after, _ = _tick(table, 0.35 + pause_s)
+            self.assertEqual(after.suspects, {})
+
+    def test_probing_keeps_suspects_alive_over_its_own_pause(self) -> None:
+        suspect = dataclasses.replace(_PEERS[0], state=MemberState.SUSPECT)
+        table = merge_members(_make_joined(), [suspect], 0.0)
+        for pause_s in (0.6, DEATH_S):
+            after, _ = _tick(table, pause_s)
+            self.assertTrue(after.by_vm["b"].live)
+
+    def test_probing_notices_a_freeze_by_the_clock_alone(self) -> None:
+        # Peers may have swept this process's attempts before they say so.
+        table = _make_joined()
+        message = Message(MessageKind.PING, 1, _PEERS[0], "region")
+        for now_s, change in ((DEATH_S - 0.01, 0), (DEATH_S, 1)):
+            ticked, _ = _tick(table, now_s)
+            heard, _ = swim.receive(table, message, now_s)
+            for after in (ticked, heard):
+                expected = table.me.incarnation + change
+                self.assertEqual(after.me.incarnation, expected)
+
+    def test_probing_tells_a_sender_what_outranks_its_own_word(self) -> None:
+        # A successor with a slow clock learns that it has to outbid.
+        table = _make_joined()
+        for state in (MemberState.ALIVE, MemberState.DEAD):
+            known = dataclasses.replace(_PEERS[0], incarnation=9, state=state)
+            table = dataclasses.replace(
+                merge_members(table, [known], 0.0), member_sends={}, order=()
+            )
+            message = Message(MessageKind.PING, 1, _PEERS[0], "region")
+            _, (ack,) = swim.receive(table, message, 0.0)
+            self.assertEqual(ack.message.updates, (known,))
+
+    def test_probing_tells_a_member_that_it_is_thought_dead(self) -> None:
+        table = _make_joined()
+        dead = dataclasses.replace(_PEERS[0], state=MemberState.DEAD)
+        table = dataclasses.replace(
+            merge_members(table, [dead], 0.0), member_sends={}
+        )
+        _, message = compose(table, MessageKind.PING, 1, 0.0, recipient="b")
+        self.assertEqual(message.updates[0], dead)
+
+    def test_probing_corrects_a_sender_that_missed_a_death(self) -> None:
+        table = _make_joined()
+        dead = dataclasses.replace(_PEERS[0], state=MemberState.DEAD)
+        table = dataclasses.replace(
+            merge_members(table, [dead], 0.0), member_sends={}
+        )
+        table = merge_members(table, [_PEERS[0]], 0.0)
+        self.assertEqual(table.by_vm["b"], dead)
+        self.assertEqual(table.member_sends, {"b": 0})
+
+    def test_probing_shuffles_members_learned_at_once(self) -> None:
+        # Fresh nodes with the same list must not all probe the same member.
+        draws = iter((0.9, 0.1, 0.7, 0.3, 0.5, 0.5, 0.5, 0.5))
+        table, _ = swim.tick(_make_joined(), 0.0, lambda: next(draws))
+        self.assertNotEqual(table.order, tuple("bcdef"))
+        self.assertEqual(set(table.order), set("bcdef"))
+
+    def test_probing_forgets_what_is_long_gone(self) -> None:
+        table = _make_joined()
+        dead = dataclasses.replace(_PEERS[0], state=MemberState.DEAD)
+        revived = dataclasses.replace(_PEERS[1], incarnation=6)
+        died = dataclasses.replace(_PEERS[1], state=MemberState.DEAD)
+        table = merge_members(table, [dead, died, revived], 0.0)
+        held = shared.add_reports(
+            table.shared, [LoadReport("e", "x", False, 1, 1, 0, 0, 0.0)]
+        )
+        key = StrikeKey("ab" * 32, "e", "x")
+        held = shared.add_strikes(held, {key: 60.0}, 0.0)
+        table = share(table, held)
+        for late_s, vms in (
+            (GONE_RETENTION_S - 1, set("abcdef")),
+            (GONE_RETENTION_S, set("acdef")),
+        ):
+            after = dataclasses.replace(
+                table, last_tick_s=late_s, position=len(table.order)
+            )
+            after, _ = _tick(after, late_s)
+            self.assertEqual(set(after.by_vm), vms)
+            self.assertEqual(after.shared, shared.Shared())
+
+
+def _tick(table: Members, now_s: float) -> tuple[Members, tuple[Outgoing, ...]]:
+    return swim.tick(table, now_s, random.Random(1).random)
+
+
+def _make_joined() -> Members:
+    return merge_members(make_table(), _PEERS, 0.0)
