--- a/src/burdockspan/membership/members.py
+++ b/src/burdockspan/membership/members.py
@@ -12,7 +12,7 @@
 from burdockspan.membership import probing, shared
 from burdockspan.membership.gossip import compose
 from burdockspan.membership.merge import leave_own, merge_members, renew
-from burdockspan.membership.probing import Draw, next_sequence, sample
+from burdockspan.membership.rounds import Draw, next_sequence, sample
 from burdockspan.membership.table import (
     DEATH_S,
     DIRECT_TIMEOUT_S,
