Scale up the rate of a node that has just taken over a pool

Cause: after the owner of a pool was killed, the next owner saw hardly any releases at first, expected long waits and refused calls that fit.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -80,6 +80,10 @@
 
     def notice() -> None:
         node.retired = True
+        if cluster.variant.sharing == "pool_owner":
+            # Entry VMs tell the owner of the day when a call has ended.
+            node.heir = nodes[KILLED_ENTRY + 1]
+            node.heir.take_over()
         on_retired()
 
     cluster.loop.after(_DEATH_NOTICED_S, notice)
--- a/bench/node.py
+++ b/bench/node.py
@@ -32,6 +32,7 @@
         self.entry = entry
         self.dead = False
         self.retired = False
+        self.heir: EntryNode | None = None
         self.successor: Callable[[Call], None] | None = None
         self.knowledge = Knowledge(cluster, entry)
         self.chooser = Chooser(
@@ -118,11 +119,27 @@
         """Counts the memory that a finished call gives back."""
         now_s = self._cluster.loop.now_s
         self.attempts.pop(attempt.attempt_id, None)
+        if self.heir is not None:
+            self.heir.note_released(attempt.call)
+            return
         self._released = forecasts.observe(
             self._released, attempt.call.pieces, now_s
         )
         self.dispatch()
 
+    def note_released(self, call: Call) -> None:
+        """Counts memory of a call that another owner had granted."""
+        self._released = forecasts.observe(
+            self._released, call.pieces, self._cluster.loop.now_s
+        )
+        self.dispatch()
+
+    def take_over(self) -> None:
+        """Becomes the owner of the pool; its rates start anew."""
+        now_s = self._cluster.loop.now_s
+        self._released = forecasts.Rate(started_s=now_s, updated_s=now_s)
+        self._urgent = forecasts.Rate(started_s=now_s, updated_s=now_s)
+
     def on_engine_lost(self, lost: tuple[str, ...]) -> None:
         """Fails the attempts that a dead decode engine held."""
         if self.dead:
--- a/bench/summary.py
+++ b/bench/summary.py
@@ -7,7 +7,7 @@
 
 import csv
 import pathlib
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import click
 
@@ -26,32 +26,40 @@
     """Prints tables and the verdict on each target."""
     with pathlib.Path(results).open(newline="") as file:
         rows = list(csv.DictReader(file))
-    _print_table(rows, "Goodput, % of the bound", _share)
-    _print_table(rows, "Goodput, calls/s within both targets", _goodput)
-    _print_table(rows, "Good output, tokens/s", _tokens)
-    _print_table(rows, "Good calls, % of all calls", _offered)
-    _print_table(rows, "Urgent calls within both targets, %", _urgent)
-    _print_table(rows, "Wasted prefill, %", _wasted)
-    _print_table(rows, "Retries after a failed attempt", _retries)
-    _print_table(rows, "Reservations refused (409), % of made", _refused)
+    for team, faults in dict.fromkeys((r["team"], r["faults"]) for r in rows):
+        part = [r for r in rows if (r["team"], r["faults"]) == (team, faults)]
+        click.echo(f"\n{team}, faults {faults}:\n")
+        _print_table(part)
+    click.echo("")
     for team in dict.fromkeys(row["team"] for row in rows):
         for line in _judge([row for row in rows if row["team"] == team]):
             click.echo(f"- {team}: {line}")
 
 
-def _print_table(
-    rows: list[Row], title: str, value: Callable[[Row], str]
-) -> None:
-    for team, faults in dict.fromkeys((r["team"], r["faults"]) for r in rows):
-        part = [r for r in rows if (r["team"], r["faults"]) == (team, faults)]
-        loads = list(dict.fromkeys(row["load"] for row in part))
-        click.echo(f"\n{title} ({team}, faults {faults}):\n")
-        click.echo(f"| variant | {' | '.join(loads)} |")
-        click.echo("|---|" + "---:|" * len(loads))
-        for name in dict.fromkeys(row["variant"] for row in part):
-            cells = [value(row) for row in part if row["variant"] == name]
-            click.echo(f"| {name} | {' | '.join(cells)} |")
-    click.echo("")
+def _print_table(rows: list[Row]) -> None:
+    loads = list(dict.fromkeys(row["load"] for row in rows))
+    shares = " | ".join(f"% of bound at {load}" for load in loads)
+    click.echo(
+        f"| variant | {shares} | calls/s at {loads[-1]} | urgent % at "
+        f"{loads[-1]} | wasted %, most | retries | 409 % at {loads[-1]} |"
+    )
+    click.echo("|---|" + "---:|" * (len(loads) + 5))
+    for name in dict.fromkeys(row["variant"] for row in rows):
+        part = [row for row in rows if row["variant"] == name]
+        last = part[-1]
+        wasted = max(
+            _ratio(r, "wasted_tokens", "prefilled_tokens") for r in part
+        )
+        refused = _ratio(last, "reservations_refused", "reservations")
+        cells = [
+            *(f"{100 * float(row['share']):.1f}" for row in part),
+            _goodput(last),
+            f"{100 * _ratio(last, 'urgent_good', 'urgent'):.1f}",
+            f"{100 * wasted:.2f}",
+            str(sum(int(row["retries"]) for row in part)),
+            f"{100 * refused:.1f}",
+        ]
+        click.echo(f"| {name} | {' | '.join(cells)} |")
 
 
 def _judge(rows: list[Row]) -> Iterable[str]:
@@ -62,6 +70,13 @@
         least >= _GOODPUT_SHARE,
         f"goodput up to 1.0 is at least {100 * least:.1f}% of the bound",
     )
+    full = min(
+        _ratio(row, "good", "calls") for load, row in calm.items() if load <= 1
+    )
+    yield (
+        f"note: up to 1.0 at least {100 * full:.1f}% of all calls that were"
+        " made keep both targets, which no router can bring above 100%"
+    )
     for unit, number in (("calls/s", _goodput), ("tokens/s", _tokens)):
         one, two = number(calm[1.0]), number(calm[2.0])
         yield _verdict(
@@ -101,10 +116,6 @@
     return float(row[part]) / max(1.0, float(row[whole]))
 
 
-def _share(row: Row) -> str:
-    return f"{100 * float(row['share']):.1f}"
-
-
 def _goodput(row: Row) -> str:
     return f"{float(row['good']) / float(row['measured_s']):.2f}"
 
@@ -113,26 +124,6 @@
     return f"{float(row['good_tokens']) / float(row['measured_s']):.0f}"
 
 
-def _offered(row: Row) -> str:
-    return f"{100 * _ratio(row, 'good', 'calls'):.1f}"
-
-
-def _urgent(row: Row) -> str:
-    return f"{100 * _ratio(row, 'urgent_good', 'urgent'):.1f}"
-
-
-def _wasted(row: Row) -> str:
-    return f"{100 * _ratio(row, 'wasted_tokens', 'prefilled_tokens'):.2f}"
-
-
-def _retries(row: Row) -> str:
-    return row["retries"]
-
-
-def _refused(row: Row) -> str:
-    return f"{100 * _ratio(row, 'reservations_refused', 'reservations'):.1f}"
-
-
 if __name__ == "__main__":
     main()
 
--- a/src/burdockspan/admission/forecast.py
+++ b/src/burdockspan/admission/forecast.py
@@ -12,6 +12,7 @@
 from burdockspan.values.submission import Priority
 
 _MEMORY_S = 5.0
+_LEAST_AGE_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,19 +22,28 @@
     Attributes:
       per_s: amount per second at `updated_s`.
       updated_s: time of the last observation, monotonic seconds.
+      started_s: start of the observation. A young rate is scaled up for the
+        time that it has not seen.
     """
 
     per_s: float = 0.0
     updated_s: float = 0.0
+    started_s: float = float("-inf")
 
 
 def observe(rate: Rate, amount: float, now_s: float) -> Rate:
     """Returns the rate after `amount` more has been seen."""
-    return Rate(current(rate, now_s) + amount / _MEMORY_S, now_s)
+    seen = _decay(rate, now_s) + amount / _MEMORY_S
+    return dataclasses.replace(rate, per_s=seen, updated_s=now_s)
 
 
 def current(rate: Rate, now_s: float) -> float:
     """Returns the rate per second at `now_s`; it decays without news."""
+    age_s = max(_LEAST_AGE_S, now_s - rate.started_s)
+    return _decay(rate, now_s) / (1.0 - math.exp(-age_s / _MEMORY_S))
+
+
+def _decay(rate: Rate, now_s: float) -> float:
     elapsed_s = max(0.0, now_s - rate.updated_s)
     return rate.per_s * math.exp(-elapsed_s / _MEMORY_S)
 
--- a/tests/admission/test_forecast.py
+++ b/tests/admission/test_forecast.py
@@ -22,6 +22,14 @@
         self.assertAlmostEqual(current(rate, 60.0), 20.0, delta=0.5)
         self.assertLess(current(rate, 120.0), 0.01)
 
+    def test_young_rate_is_scaled_up(self) -> None:
+        # A node that takes over a pool would else expect long waits and
+        # refuse calls that fit.
+        rate = Rate(updated_s=10.0, started_s=10.0)
+        for step in range(1, 11):
+            rate = observe(rate, 2.0, 10.0 + step * 0.1)
+        self.assertAlmostEqual(current(rate, 11.0), 20.0, delta=2.0)
+
     def test_patient_waits_behind_urgent_and_keeps_its_share(self) -> None:
         waiting = {
             "u": Waiting("u", Priority.URGENT, 3, 0.0, 9.0, 9.0),
