Say unknown for a key whose claim was not read

Cause: a call with an Idempotency-Key was refused as not_run for a bad token, path, deadline or priority although an earlier call with the key may have run.

Change: refusals that come before the claim is read say unknown when the call carries a key. Malformed bodies and keys keep not_run.

--- a/src/burdockspan/http/application.py
+++ b/src/burdockspan/http/application.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.configuration.document import Client, Configuration
+from burdockspan.http.claiming import hedge_refusal
 from burdockspan.http.completions import complete
 from burdockspan.http.models import MODELS_PATH, list_models, show_model
 from burdockspan.http.outcomes import OUTCOMES_PREFIX, show_outcome
@@ -98,7 +99,7 @@
         )
     found = authenticate(request, configuration)
     if isinstance(found, Err):
-        return found
+        return Err(hedge_refusal(request, found.err_value))
     if _starts_work(request) and not ports.router.ready():
         return Err(
             _make_unready(
@@ -116,10 +117,14 @@
 
 
 def _make_unready(request: Request, reason: Reason, detail: str) -> Refusal:
-    # An earlier call with the same key may have run.
-    keyed = get_header(request, "Idempotency-Key") is not None
-    execution = Execution.UNKNOWN if keyed else Execution.NOT_RUN
-    return Refusal(503, execution, reason, detail, retry_after_s=_RETRY_AFTER_S)
+    refusal = Refusal(
+        503,
+        Execution.NOT_RUN,
+        reason,
+        detail,
+        retry_after_s=_RETRY_AFTER_S,
+    )
+    return hedge_refusal(request, refusal)
 
 
 def _route(
--- a/src/burdockspan/http/claiming.py
+++ b/src/burdockspan/http/claiming.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 
 from result import Err, Ok, Result
@@ -15,7 +16,7 @@
 )
 from burdockspan.claims.store import Claims
 from burdockspan.configuration.document import Client
-from burdockspan.http.parsing import Request, parse_key
+from burdockspan.http.parsing import Request, get_header, parse_key
 from burdockspan.http.ports import Ports
 from burdockspan.http.refusals import Reply
 from burdockspan.http.routes import Destination
@@ -92,6 +93,19 @@
     return Ok(Guard(ports.claims, claimed.ok_value))
 
 
+def hedge_refusal(request: Request, refusal: Refusal) -> Refusal:
+    """Returns a refusal that was made before the key's claim was read.
+
+    An earlier call with the key may have run, so that `not_run` would be about
+    this call only.
+    """
+    if get_header(request, KEY_HEADER) is None:
+        return refusal
+    if refusal.execution is not Execution.NOT_RUN:
+        return refusal
+    return dataclasses.replace(refusal, execution=Execution.UNKNOWN)
+
+
 def make_digest(method: str, destination: Destination, body: bytes) -> str:
     """Returns the SHA-256 (hex) that tells one call from another.
 
@@ -118,6 +132,7 @@
     "FENCING_HEADER",
     "KEY_HEADER",
     "Guard",
+    "hedge_refusal",
     "make_digest",
     "make_replay_reply",
     "open_guard",
--- a/src/burdockspan/http/services.py
+++ b/src/burdockspan/http/services.py
@@ -17,6 +17,7 @@
 from burdockspan.http.claiming import (
     FENCING_HEADER,
     Guard,
+    hedge_refusal,
     make_replay_reply,
     open_guard,
 )
@@ -98,12 +99,14 @@
 ) -> Result[ServiceJob, Refusal | Replay]:
     found = find_destination(request, configuration)
     if isinstance(found, Err):
-        return Err(found.err_value)
+        return Err(hedge_refusal(request, found.err_value))
     destination = found.ok_value
     policy, route = configuration.policy, destination.route
     terms = parse_terms(request, policy, route.priority)
     if isinstance(terms, Err):
-        return Err(terms.err_value)
+        if route.idempotent:
+            return terms
+        return Err(hedge_refusal(request, terms.err_value))
     read = read_body(request, policy)
     if isinstance(read, Err):
         return Err(read.err_value)
--- /dev/null
+++ b/tests/support/actions.py
@@ -0,0 +1,107 @@
+"""Orders with idempotency keys against a fleet of real processes."""
+
+from __future__ import annotations
+
+import hashlib
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from standins.zone import Fleet, Process, Reply
+from tests.support.fleets import AUTHORIZATION
+
+PATH = "/services/hajz-app/bookings"
+ANSWERED = "answered"
+ORDER = {"hall": 1}
+
+# One replica that ignores fencing tokens and one that checks them.
+REPLICAS = ((), ("--checks-fencing",))
+CLAIMS_PATH = "/objects/claims"
+
+
+class Sending:
+    """An order that is under way in a thread."""
+
+    def __init__(self, send: Callable[[], Reply]) -> None:
+        self._outcome: list[str] = []
+        self._thread = threading.Thread(target=self._run, args=(send,))
+        self._thread.start()
+
+    def wait(self) -> str:
+        """Returns the word of the answer, `reset` when there was none."""
+        self._thread.join(30.0)
+        return self._outcome[0]
+
+    def _run(self, send: Callable[[], Reply]) -> None:
+        try:
+            self._outcome.append(read_outcome(send()))
+        except OSError:
+            self._outcome.append("reset")
+
+
+def send_order(
+    entry: Process,
+    key: str,
+    body: object = None,
+    headers: dict[str, str] | None = None,
+    path: str = PATH,
+) -> Reply:
+    """Sends an order through an entry VM."""
+    sent = {**AUTHORIZATION, "Idempotency-Key": key, **(headers or {})}
+    return entry.call("POST", path, body or ORDER, sent)
+
+
+def read_outcome(reply: Reply) -> str:
+    """Returns the outcome word of a refusal, ANSWERED for an answer."""
+    if reply.status == 200:
+        return ANSWERED
+    return str(reply.json()["outcome"])
+
+
+def count_runs(fleet: Fleet, key: str) -> int:
+    """Returns how often the action of a key ran, at all replicas."""
+    return sum(
+        fleet.processes_by_name[plan.name]
+        .call("GET", "/runs")
+        .json()["by_key"]
+        .get(key, 0)
+        for plan in fleet.plan.endpoints
+        if plan.pool == "service"
+    )
+
+
+def look_up(entry: Process, key: str) -> dict[str, Any]:
+    """Returns what an entry VM says about a key."""
+    reply = entry.call("GET", f"/v1/outcomes/{key}", None, AUTHORIZATION)
+    found: dict[str, Any] = reply.json()
+    return found
+
+
+def fault_replicas(fleet: Fleet, **faults: object) -> None:
+    """Changes the faults of all replicas of the plain service."""
+    for plan in fleet.plan.endpoints:
+        if plan.pool == "service":
+            fleet.processes_by_name[plan.name].fault(**faults)
+
+
+def is_claimed(fleet: Fleet, key: str) -> bool:
+    """Returns whether the platform holds a claim of a key."""
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    path = f"{CLAIMS_PATH}/booking-site.{digest}"
+    return fleet.platform.call("GET", path).status == 200
+
+
+__all__ = [
+    "ANSWERED",
+    "CLAIMS_PATH",
+    "ORDER",
+    "PATH",
+    "REPLICAS",
+    "Sending",
+    "count_runs",
+    "fault_replicas",
+    "is_claimed",
+    "look_up",
+    "read_outcome",
+    "send_order",
+]
--- /dev/null
+++ b/tests/system/test_not_run.py
@@ -0,0 +1,188 @@
+"""P4: a request refused as `not_run` did not run."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+import uuid
+
+from standins import zone
+from tests.support.actions import (
+    ANSWERED,
+    REPLICAS,
+    Sending,
+    count_runs,
+    fault_replicas,
+    is_claimed,
+    look_up,
+    read_outcome,
+    send_order,
+)
+from tests.support.fleets import make_plan, running_fleet
+
+_NO_FAULTS: dict[str, object] = {
+    "down": False,
+    "slow_s": 0,
+    "lose_answers": 0,
+    "lose_probability": 0,
+    "only_path": None,
+}
+_REPLICA_FAULTS: dict[str, object] = {
+    "full": False,
+    "leaving": False,
+    "slow_s": 0,
+    "only_path": None,
+}
+_DAY_S = 86_400.0
+# An entry VM bounds its writes to the platform, three for each such try.
+_PACE_S = 0.2
+
+
+class NotRunTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        plan = make_plan(prefill=0, decode=0, services=REPLICAS)
+        cls.fleet = cls.enterClassContext(running_fleet(plan))
+
+    def setUp(self) -> None:
+        self.addCleanup(fault_replicas, self.fleet, **_REPLICA_FAULTS)
+        self.addCleanup(self.fleet.platform.fault, **_NO_FAULTS)
+
+    def test_refusal_while_the_platform_is_down_claims_no_knowledge(
+        self,
+    ) -> None:
+        """Guards against `not_run` for a key that could not be read."""
+        entries = self.fleet.entries
+        self.assertEqual(send_order(entries[0], "ran-before").status, 200)
+        for down in (True, "error"):
+            self.fleet.platform.fault(down=down)
+            for entry in entries:
+                reply = send_order(entry, "ran-before")
+                self.assertEqual(read_outcome(reply), "unknown", reply.body)
+                self.assertIn("retry-after", reply.headers)
+                self.assertEqual(look_up(entry, "ran-before")["status"], 503)
+        self.fleet.platform.fault(down=False)
+        self.assertEqual(count_runs(self.fleet, "ran-before"), 1)
+        for entry in entries:
+            self.assertEqual(look_up(entry, "ran-before")["outcome"], "ran")
+            reply = send_order(entry, "ran-before")
+            self.assertEqual(reply.headers["idempotency-replayed"], "true")
+        self.assertEqual(count_runs(self.fleet, "ran-before"), 1)
+
+    def test_key_refused_as_not_run_runs_once_when_sent_again(self) -> None:
+        """Guards against a claim that blocks a key which never ran."""
+        for fault in ("full", "leaving"):
+            for number, entry in enumerate(self.fleet.entries):
+                key = f"refused-{fault}-{number}"
+                fault_replicas(self.fleet, **{fault: True})
+                self._send_until(entry, key, "not_run")
+                self.assertEqual(count_runs(self.fleet, key), 0)
+                other = self.fleet.entries[number - 1]
+                self.assertEqual(look_up(other, key)["outcome"], "not_run")
+                self._restart_replicas(fault)
+                self._send_until(other, key, ANSWERED)
+                self.assertEqual(count_runs(self.fleet, key), 1)
+                self.assertEqual(look_up(entry, key)["outcome"], "ran")
+
+    def test_give_up_that_cannot_be_written_is_written_later(self) -> None:
+        """Guards against `not_run` for a key that stays blocked for good."""
+        entry, other = self.fleet.entries[:2]
+        platform = self.fleet.platform
+        fault_replicas(self.fleet, full=True, slow_s=0.5, only_path="/bookings")
+        sending = Sending(lambda: send_order(entry, "given-up"))
+        zone.wait_until(
+            lambda: is_claimed(self.fleet, "given-up"), "the key is claimed"
+        )
+        platform.fault(down=True)
+        self.assertEqual(sending.wait(), "not_run")
+        self.assertEqual(look_up(other, "given-up")["outcome"], "unknown")
+        fault_replicas(self.fleet, full=False, slow_s=0)
+        self.assertEqual(count_runs(self.fleet, "given-up"), 0)
+        platform.fault(down=False)
+        zone.wait_until(
+            lambda: look_up(other, "given-up")["outcome"] == "not_run",
+            "the claim is given up",
+        )
+        self._send_until(other, "given-up", ANSWERED)
+        self.assertEqual(count_runs(self.fleet, "given-up"), 1)
+
+    def test_refusal_before_the_claim_says_unknown_for_a_key(self) -> None:
+        """Guards against `not_run` for a key that ran, from bad headers."""
+        entry = self.fleet.entries[0]
+        self.assertEqual(send_order(entry, "bad-headers").status, 200)
+        for headers in (
+            {"Burdockspan-Deadline": "soon"},
+            {"Burdockspan-Priority": "highest"},
+            {"Authorization": "Bearer of-another-day"},
+        ):
+            reply = send_order(entry, "bad-headers", headers=headers)
+            self.assertGreaterEqual(reply.status, 400)
+            self.assertEqual(read_outcome(reply), "unknown", reply.body)
+        reply = send_order(
+            entry, "bad-headers", path="/services/hajz-app/removed"
+        )
+        self.assertEqual(read_outcome(reply), "unknown", reply.body)
+
+    def test_keys_that_cannot_name_a_claim_are_refused_truthfully(self) -> None:
+        """Guards against a wrong word for other bodies and dated keys."""
+        now_s = time.time()
+        for number, entry in enumerate(self.fleet.entries):
+            key = f"two-bodies-{number}"
+            self.assertEqual(send_order(entry, key).status, 200)
+            for other in self.fleet.entries:
+                reply = send_order(other, key, {"hall": 2})
+                self.assertEqual(reply.status, 422)
+                self.assertEqual(read_outcome(reply), "not_run")
+            self.assertEqual(count_runs(self.fleet, key), 1)
+            old = _make_dated_key(now_s - 8 * _DAY_S)
+            reply = send_order(entry, old)
+            self.assertEqual(reply.status, 422)
+            self.assertEqual(read_outcome(reply), "unknown")
+            future = _make_dated_key(now_s + 600.0)
+            reply = send_order(entry, future)
+            self.assertEqual(reply.status, 400)
+            self.assertEqual(read_outcome(reply), "not_run")
+            current = _make_dated_key(now_s - _DAY_S + number)
+            self.assertEqual(send_order(entry, current).status, 200)
+            runs = [
+                count_runs(self.fleet, one) for one in (old, future, current)
+            ]
+            self.assertEqual(runs, [0, 0, 1])
+
+    def test_client_limit_after_a_run_does_not_say_not_run(self) -> None:
+        """Guards against `not_run` for a key that ran, from a client limit."""
+        entry = self.fleet.entries[0]
+        self.assertEqual(send_order(entry, "limited").status, 200)
+        words = {read_outcome(send_order(entry, "limited")) for _ in range(40)}
+        self.assertLessEqual(words, {ANSWERED, "unknown"})
+        self.assertEqual(count_runs(self.fleet, "limited"), 1)
+
+    def _send_until(self, entry: zone.Process, key: str, wanted: str) -> None:
+        """Repeats an order; `not_run` may never follow a run."""
+        pacing = threading.Event()
+
+        def is_wanted() -> bool:
+            pacing.wait(_PACE_S)
+            word = read_outcome(send_order(entry, key))
+            if word == "not_run":
+                self.assertEqual(count_runs(self.fleet, key), 0)
+            return word == wanted
+
+        zone.wait_until(is_wanted, f"{key}: {wanted}")
+
+    def _restart_replicas(self, fault: str) -> None:
+        fault_replicas(self.fleet, **{fault: False})
+        if fault != "leaving":
+            return
+        # An endpoint that said that it leaves stays out until it restarts.
+        for plan in self.fleet.plan.endpoints:
+            self.fleet.processes_by_name[plan.name].kill()
+            self.fleet.start_endpoint(plan)
+        self.fleet.set_vm_list()
+
+
+def _make_dated_key(created_s: float) -> str:
+    milliseconds = int(created_s * 1000.0)
+    number = milliseconds << 80 | 0x7 << 76 | 0x8 << 60 | milliseconds % 999
+    return str(uuid.UUID(int=number))
