Prove that an action runs at most once with real processes

Cause: P5 had one test, of four copies without a fault.

Change: orders with a key are retried through all four entry VMs while the platform loses answers, is slow or is down, while the service fails, and while the claim's holder is killed or frozen.

Before: no such tests.

--- /dev/null
+++ b/tests/system/test_at_most_once.py
@@ -0,0 +1,167 @@
+"""P5: a non-idempotent action runs at most once."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import unittest
+
+from standins import zone
+from standins.zone import Process
+from tests.support.actions import (
+    ANSWERED,
+    CLAIMS_PATH,
+    REPLICAS,
+    Sending,
+    count_runs,
+    fault_replicas,
+    is_claimed,
+    look_up,
+    read_outcome,
+    send_order,
+)
+from tests.support.fleets import make_plan, running_fleet
+
+_ROUNDS = 4
+_KEYS = 6
+_NO_FAULTS: dict[str, object] = {
+    "down": False,
+    "slow_s": 0,
+    "lose_answers": 0,
+    "lose_probability": 0,
+    "silent_open": False,
+    "truncate": 0,
+    "work_s": 0,
+    "only_path": None,
+}
+
+
+class AtMostOnceTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        plan = make_plan(prefill=0, decode=0, services=REPLICAS)
+        cls.fleet = cls.enterClassContext(running_fleet(plan))
+
+    def setUp(self) -> None:
+        self.addCleanup(fault_replicas, self.fleet, **_NO_FAULTS)
+        self.addCleanup(self.fleet.platform.fault, **_NO_FAULTS)
+
+    def test_order_with_lost_platform_answers_runs_at_most_once(self) -> None:
+        """Guards against a second run after a claim's answer was lost."""
+        self.fleet.platform.fault(lose_probability=0.4, only_path=CLAIMS_PATH)
+        self._check_retries("lost")
+
+    def test_order_with_slow_platform_runs_at_most_once(self) -> None:
+        """Guards against a second run while a claim is being written."""
+        self.fleet.platform.fault(slow_s=0.15, only_path=CLAIMS_PATH)
+        self._check_retries("slow")
+
+    def test_order_with_platform_outages_runs_at_most_once(self) -> None:
+        """Guards against a run without a claim while the platform is out."""
+        platform = self.fleet.platform
+        for number in range(_KEYS):
+            key = f"outage-{number}"
+            fault_replicas(self.fleet, work_s=0.3)
+            sending = Sending(lambda key=key: send_order(self._entry(0), key))
+            zone.wait_until(
+                lambda key=key: is_claimed(self.fleet, key), "key is claimed"
+            )
+            platform.fault(down=True if number % 2 else "error")
+            words = [
+                read_outcome(send_order(entry, key))
+                for entry in self.fleet.entries
+            ]
+            self.assertEqual(set(words), {"unknown"})
+            self.assertEqual(sending.wait(), ANSWERED)
+            platform.fault(down=False)
+            zone.wait_until(
+                lambda key=key: (
+                    look_up(self._entry(1), key)["outcome"] == "ran"
+                ),
+                "the outcome is recorded after the outage",
+            )
+            self._check_settled(key, "ran", 1)
+
+    def test_copies_sent_at_once_through_all_entry_vms_run_once(self) -> None:
+        """Guards against two holders of one claim."""
+        self.fleet.platform.fault(lose_probability=0.3, only_path=CLAIMS_PATH)
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            for number in range(_KEYS):
+                key = f"copies-{number}"
+                entries = self.fleet.entries * 2
+                replies = pool.map(
+                    lambda entry, key=key: send_order(entry, key), entries
+                )
+                words = {read_outcome(reply) for reply in replies}
+                runs = count_runs(self.fleet, key)
+                self.assertLessEqual(runs, 1)
+                if ANSWERED in words:
+                    self.assertEqual(runs, 1)
+
+    def test_order_whose_service_fails_is_unknown_and_runs_once(self) -> None:
+        """Guards against a retry of a call that may have run."""
+        for fault in ("lose_answers", "truncate"):
+            key = f"service-{fault}"
+            fault_replicas(self.fleet, **{fault: 1})
+            word = read_outcome(send_order(self._entry(0), key))
+            self.assertEqual(word, "unknown", fault)
+            fault_replicas(self.fleet, **_NO_FAULTS)
+            self._check_settled(key, "unknown", 1)
+
+    def test_order_on_a_connection_gone_silent_is_unknown(self) -> None:
+        """Guards against a retry, or an endless wait, without an answer."""
+        fault_replicas(self.fleet, work_s=0.5)
+        deadline = {"Burdockspan-Deadline": "3"}
+        sending = Sending(
+            lambda: send_order(self._entry(0), "silent", headers=deadline)
+        )
+        zone.wait_until(
+            lambda: count_runs(self.fleet, "silent") == 1, "it is running"
+        )
+        fault_replicas(self.fleet, silent_open=True)
+        self.assertEqual(sending.wait(), "unknown")
+        fault_replicas(self.fleet, **_NO_FAULTS)
+        self._check_settled("silent", "unknown", 1)
+
+    def _check_retries(self, name: str) -> None:
+        """Retries keys through all entry VMs in turn."""
+        for number in range(_KEYS):
+            key = f"{name}-{number}"
+            answered = False
+            for attempt in range(_ROUNDS):
+                entry = self._entry(number + attempt)
+                word = read_outcome(send_order(entry, key))
+                runs = count_runs(self.fleet, key)
+                self.assertLessEqual(runs, 1)
+                if word == "not_run":
+                    self.assertEqual(runs, 0)
+                if word == ANSWERED:
+                    self.assertEqual(runs, 1)
+                    answered = True
+                found = look_up(entry, key)["outcome"]
+                if answered:
+                    self.assertIn(found, ("ran", "unknown"))
+                if found == "not_run":
+                    self.assertEqual(count_runs(self.fleet, key), 0)
+            if answered:
+                zone.wait_until(
+                    lambda key=key: (
+                        look_up(self._entry(0), key)["outcome"] == "ran"
+                    ),
+                    "the outcome is recorded",
+                )
+
+    def _check_settled(self, key: str, outcome: str, runs: int) -> None:
+        """Checks lookup, and that a repeat does not run, everywhere."""
+        for entry in self.fleet.entries:
+            zone.wait_until(
+                lambda entry=entry: look_up(entry, key)["outcome"] == outcome,
+                f"{entry.name} says {outcome} for {key}",
+            )
+            word = read_outcome(send_order(entry, key))
+            wanted = ANSWERED if outcome == "ran" else "unknown"
+            self.assertEqual(word, wanted)
+        self.assertEqual(count_runs(self.fleet, key), runs)
+
+    def _entry(self, number: int) -> Process:
+        entries = self.fleet.entries
+        return entries[number % len(entries)]
--- /dev/null
+++ b/tests/system/test_claim_holders.py
@@ -0,0 +1,124 @@
+"""P5: an action runs at most once although its claim's holder fails."""
+
+from __future__ import annotations
+
+import signal
+import unittest
+
+from standins import zone
+from standins.zone import Process
+from tests.support.actions import (
+    ANSWERED,
+    CLAIMS_PATH,
+    REPLICAS,
+    Sending,
+    count_runs,
+    fault_replicas,
+    look_up,
+    read_outcome,
+    send_order,
+)
+from tests.support.fleets import make_plan, running_fleet
+
+
+class HolderTest(unittest.TestCase):
+    """The entry VM that holds a claim dies or freezes."""
+
+    def test_holder_killed_before_dispatch_leaves_the_key_unknown(self) -> None:
+        """Guards against a dead holder's claim being taken over."""
+        with running_fleet(_make_plan()) as fleet:
+            holder = fleet.entries[0]
+            sending = _claim_slowly(fleet, holder, "killed-early")
+            holder.kill()
+            fleet.platform.fault(slow_s=0)
+            self.assertEqual(sending.wait(), "reset")
+            self._check_blocked(fleet, holder, "killed-early", 0)
+
+    def test_holder_killed_while_the_action_runs_does_not_repeat_it(
+        self,
+    ) -> None:
+        """Guards against a second run by the caller's retry elsewhere."""
+        with running_fleet(_make_plan()) as fleet:
+            fault_replicas(fleet, work_s=1.0)
+            holder = fleet.entries[0]
+            sending = Sending(lambda: send_order(holder, "killed-late"))
+            zone.wait_until(
+                lambda: count_runs(fleet, "killed-late") == 1, "it is running"
+            )
+            holder.kill()
+            self.assertEqual(sending.wait(), "reset")
+            self._check_blocked(fleet, holder, "killed-late", 1)
+
+    def test_holder_frozen_before_dispatch_runs_the_action_at_most_once(
+        self,
+    ) -> None:
+        """Guards against two runs when a paused holder acts late."""
+        with running_fleet(_make_plan()) as fleet:
+            holder, *others = fleet.entries
+            sending = _claim_slowly(fleet, holder, "frozen")
+            holder.signal(signal.SIGSTOP)
+            fleet.platform.fault(slow_s=0)
+            for entry in others:
+                reply = send_order(entry, "frozen")
+                self.assertEqual(read_outcome(reply), "unknown", reply.body)
+                self.assertIn("retry-after", reply.headers)
+            zone.wait_until(
+                lambda: (
+                    zone.call(others[0].admin, "GET", "/admin/status").json()[
+                        "members"
+                    ][0]["state"]
+                    == "dead"
+                ),
+                "the frozen holder is declared dead",
+            )
+            holder.signal(signal.SIGCONT)
+            word = sending.wait()
+            runs = count_runs(fleet, "frozen")
+            self.assertEqual(runs, {ANSWERED: 1, "not_run": 0}[word])
+            outcome = "ran" if runs else "not_run"
+            for entry in fleet.entries:
+                zone.wait_until(
+                    lambda entry=entry: (
+                        look_up(entry, "frozen").get("outcome") == outcome
+                    ),
+                    f"{entry.name} tells the truth",
+                )
+            zone.wait_until(
+                lambda: (
+                    read_outcome(send_order(others[1], "frozen")) == ANSWERED
+                ),
+                "the key is answered in the end",
+            )
+            self.assertEqual(count_runs(fleet, "frozen"), 1)
+
+    def _check_blocked(
+        self, fleet: zone.Fleet, holder: Process, key: str, runs: int
+    ) -> None:
+        others = [entry for entry in fleet.entries if entry is not holder]
+        for entry in others:
+            self.assertEqual(look_up(entry, key)["outcome"], "unknown")
+            reply = send_order(entry, key)
+            self.assertEqual(reply.status, 409, reply.body)
+            self.assertEqual(read_outcome(reply), "unknown")
+            self.assertIn("retry-after", reply.headers)
+        self.assertEqual(count_runs(fleet, key), runs)
+
+
+def _make_plan() -> zone.FleetPlan:
+    return make_plan(prefill=0, decode=0, services=REPLICAS)
+
+
+def _claim_slowly(fleet: zone.Fleet, holder: Process, key: str) -> Sending:
+    """Sends an order; returns when the claim is written, not answered."""
+    fleet.platform.fault(
+        slow_s=0.7, only_path=f"{CLAIMS_PATH}/booking-site", lose_answers=0
+    )
+    sending = Sending(lambda: send_order(holder, key))
+    zone.wait_until(
+        lambda: any(
+            row["value"]["state"] == "held"
+            for row in fleet.platform.call("GET", CLAIMS_PATH).json()["objects"]
+        ),
+        "the claim is written",
+    )
+    return sending
