Wait until endpoints are usable before each test of a shared fleet

Cause: three tests got 503 when an earlier test's faults had opened the circuit breaker of a replica; calls are now refused at once while no endpoint is usable. Change: each test first waits until every entry VM can use all endpoints. Tested: tests.system.test_not_run and test_at_most_once pass.

--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -19,7 +19,7 @@
     read_outcome,
     send_order,
 )
-from tests.support.fleets import make_plan, running_fleet
+from tests.support.fleets import make_plan, running_fleet, wait_usable
 
 _ROUNDS = 4
 _KEYS = 6
@@ -44,6 +44,8 @@
     def setUp(self) -> None:
         self.addCleanup(fault_replicas, self.fleet, **_NO_FAULTS)
         self.addCleanup(self.fleet.platform.fault, **_NO_FAULTS)
+        # The faults of an earlier test may have opened circuit breakers.
+        wait_usable(self.fleet)
 
     def test_order_with_lost_platform_answers_runs_at_most_once(self) -> None:
         """Guards against a second run after a claim's answer was lost."""
--- a/tests/system/test_not_run.py
+++ b/tests/system/test_not_run.py
@@ -19,7 +19,7 @@
     read_outcome,
     send_order,
 )
-from tests.support.fleets import make_plan, running_fleet
+from tests.support.fleets import make_plan, running_fleet, wait_usable
 
 _NO_FAULTS: dict[str, object] = {
     "down": False,
@@ -48,6 +48,8 @@
     def setUp(self) -> None:
         self.addCleanup(fault_replicas, self.fleet, **_REPLICA_FAULTS)
         self.addCleanup(self.fleet.platform.fault, **_NO_FAULTS)
+        # The faults of an earlier test may have opened circuit breakers.
+        wait_usable(self.fleet)
 
     def test_refusal_while_the_platform_is_down_claims_no_knowledge(
         self,
