--- a/src/burdockspan/gen/peer/ttypes.py
+++ b/src/burdockspan/gen/peer/ttypes.py
@@ -29,6 +29,19 @@
     PING = 1
     ACK = 2
     PING_REQUEST = 3
+    CALL = 4
+
+
+
+class CallStep(IntEnum):
+    ASK = 1
+    QUEUED = 2
+    GRANT = 3
+    REFUSE = 4
+    RESERVED = 5
+    TRANSFERRED = 6
+    FULL = 7
+    ENDED = 8
 
 
 
@@ -498,6 +511,334 @@
         return not (self == other)
 
 
+class CallNeeds(object):
+    """
+    Attributes:
+     - service_name
+     - completion
+     - urgent
+     - pieces
+     - prompt_tokens
+     - max_tokens
+     - remaining_ms
+     - prefix
+     - excluded
+
+    """
+
+
+    def __init__(self, service_name=None, completion=None, urgent=None, pieces=None, prompt_tokens=None, max_tokens=None, remaining_ms=None, prefix=None, excluded=None,):
+        self.service_name = service_name
+        self.completion = completion
+        self.urgent = urgent
+        self.pieces = pieces
+        self.prompt_tokens = prompt_tokens
+        self.max_tokens = max_tokens
+        self.remaining_ms = remaining_ms
+        self.prefix = prefix
+        self.excluded = excluded
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.completion = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.urgent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.pieces = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.max_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.remaining_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.prefix = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CallNeeds')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.completion is not None:
+            oprot.writeFieldBegin('completion', TType.BOOL, 2)
+            oprot.writeBool(self.completion)
+            oprot.writeFieldEnd()
+        if self.urgent is not None:
+            oprot.writeFieldBegin('urgent', TType.BOOL, 3)
+            oprot.writeBool(self.urgent)
+            oprot.writeFieldEnd()
+        if self.pieces is not None:
+            oprot.writeFieldBegin('pieces', TType.I32, 4)
+            oprot.writeI32(self.pieces)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 5)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.max_tokens is not None:
+            oprot.writeFieldBegin('max_tokens', TType.I32, 6)
+            oprot.writeI32(self.max_tokens)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 7)
+            oprot.writeI32(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.prefix is not None:
+            oprot.writeFieldBegin('prefix', TType.STRING, 8)
+            oprot.writeBinary(self.prefix)
+            oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter6 in self.excluded:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.completion is None:
+            raise TProtocolException(message='Required field completion is unset!')
+        if self.urgent is None:
+            raise TProtocolException(message='Required field urgent is unset!')
+        if self.pieces is None:
+            raise TProtocolException(message='Required field pieces is unset!')
+        if self.prompt_tokens is None:
+            raise TProtocolException(message='Required field prompt_tokens is unset!')
+        if self.max_tokens is None:
+            raise TProtocolException(message='Required field max_tokens is unset!')
+        if self.remaining_ms is None:
+            raise TProtocolException(message='Required field remaining_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CallMessage(object):
+    """
+    Attributes:
+     - step
+     - attempt
+     - needs
+     - prefill
+     - decode
+     - replica
+     - status
+     - reason
+     - detail
+     - retry_after_ms
+
+    """
+
+
+    def __init__(self, step=None, attempt=None, needs=None, prefill=None, decode=None, replica=None, status=None, reason=None, detail=None, retry_after_ms=None,):
+        self.step = step
+        self.attempt = attempt
+        self.needs = needs
+        self.prefill = prefill
+        self.decode = decode
+        self.replica = replica
+        self.status = status
+        self.reason = reason
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.step = CallStep(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.attempt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.needs = CallNeeds()
+                    self.needs.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.prefill = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.decode = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.replica = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I16:
+                    self.status = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CallMessage')
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I32, 1)
+            oprot.writeI32(CallStep[self.step].value)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.STRING, 2)
+            oprot.writeString(self.attempt.encode('utf-8') if sys.version_info[0] == 2 else self.attempt)
+            oprot.writeFieldEnd()
+        if self.needs is not None:
+            oprot.writeFieldBegin('needs', TType.STRUCT, 3)
+            self.needs.write(oprot)
+            oprot.writeFieldEnd()
+        if self.prefill is not None:
+            oprot.writeFieldBegin('prefill', TType.STRING, 4)
+            oprot.writeString(self.prefill.encode('utf-8') if sys.version_info[0] == 2 else self.prefill)
+            oprot.writeFieldEnd()
+        if self.decode is not None:
+            oprot.writeFieldBegin('decode', TType.STRING, 5)
+            oprot.writeString(self.decode.encode('utf-8') if sys.version_info[0] == 2 else self.decode)
+            oprot.writeFieldEnd()
+        if self.replica is not None:
+            oprot.writeFieldBegin('replica', TType.STRING, 6)
+            oprot.writeString(self.replica.encode('utf-8') if sys.version_info[0] == 2 else self.replica)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I16, 7)
+            oprot.writeI16(self.status)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 8)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 9)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 10)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.step is None:
+            raise TProtocolException(message='Required field step is unset!')
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -513,11 +854,12 @@
      - reports
      - strikes
      - marks
+     - call
 
     """
 
 
-    def __init__(self, protocol_version=None, kind=None, sequence=None, sender=None, target=None, target_address=None, configuration_generation=None, vm_list_version=None, updates=None, reports=None, strikes=None, marks=None,):
+    def __init__(self, protocol_version=None, kind=None, sequence=None, sender=None, target=None, target_address=None, configuration_generation=None, vm_list_version=None, updates=None, reports=None, strikes=None, marks=None, call=None,):
         self.protocol_version = protocol_version
         self.kind = kind
         self.sequence = sequence
@@ -530,6 +872,7 @@
         self.reports = reports
         self.strikes = strikes
         self.marks = marks
+        self.call = call
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -584,47 +927,53 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = MemberUpdate()
-                        _elem5.read(iprot)
-                        self.updates.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = MemberUpdate()
+                        _elem12.read(iprot)
+                        self.updates.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = EndpointReport()
-                        _elem11.read(iprot)
-                        self.reports.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = EndpointReport()
+                        _elem18.read(iprot)
+                        self.reports.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = Strike()
-                        _elem17.read(iprot)
-                        self.strikes.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = Strike()
+                        _elem24.read(iprot)
+                        self.strikes.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.marks = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = LeavingMark()
-                        _elem23.read(iprot)
-                        self.marks.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = LeavingMark()
+                        _elem30.read(iprot)
+                        self.marks.append(_elem30)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.call = CallMessage()
+                    self.call.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -670,31 +1019,35 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter24 in self.updates:
-                iter24.write(oprot)
+            for iter31 in self.updates:
+                iter31.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter25 in self.reports:
-                iter25.write(oprot)
+            for iter32 in self.reports:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter26 in self.strikes:
-                iter26.write(oprot)
+            for iter33 in self.strikes:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.marks is not None:
             oprot.writeFieldBegin('marks', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.marks))
-            for iter27 in self.marks:
-                iter27.write(oprot)
+            for iter34 in self.marks:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.STRUCT, 13)
+            self.call.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -780,33 +1133,33 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = MemberUpdate()
-                        _elem33.read(iprot)
-                        self.members.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = MemberUpdate()
+                        _elem40.read(iprot)
+                        self.members.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = Strike()
-                        _elem39.read(iprot)
-                        self.strikes.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = Strike()
+                        _elem46.read(iprot)
+                        self.strikes.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.marks = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = LeavingMark()
-                        _elem45.read(iprot)
-                        self.marks.append(_elem45)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = LeavingMark()
+                        _elem52.read(iprot)
+                        self.marks.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -839,22 +1192,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter46 in self.members:
-                iter46.write(oprot)
+            for iter53 in self.members:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter47 in self.strikes:
-                iter47.write(oprot)
+            for iter54 in self.strikes:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.marks is not None:
             oprot.writeFieldBegin('marks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.marks))
-            for iter48 in self.marks:
-                iter48.write(oprot)
+            for iter55 in self.marks:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -915,6 +1268,33 @@
     (3, TType.STRING, 'boot', 'UTF8', None, ),  # 3
     (4, TType.I32, 'remaining_s', None, None, ),  # 4
 )
+all_structs.append(CallNeeds)
+CallNeeds.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'completion', None, None, ),  # 2
+    (3, TType.BOOL, 'urgent', None, None, ),  # 3
+    (4, TType.I32, 'pieces', None, None, ),  # 4
+    (5, TType.I32, 'prompt_tokens', None, None, ),  # 5
+    (6, TType.I32, 'max_tokens', None, None, ),  # 6
+    (7, TType.I32, 'remaining_ms', None, None, ),  # 7
+    (8, TType.STRING, 'prefix', 'BINARY', None, ),  # 8
+    (9, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 9
+)
+all_structs.append(CallMessage)
+CallMessage.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'step', None, None, ),  # 1
+    (2, TType.STRING, 'attempt', 'UTF8', None, ),  # 2
+    (3, TType.STRUCT, 'needs', [CallNeeds, None], None, ),  # 3
+    (4, TType.STRING, 'prefill', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'decode', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'replica', 'UTF8', None, ),  # 6
+    (7, TType.I16, 'status', None, None, ),  # 7
+    (8, TType.STRING, 'reason', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'detail', 'UTF8', None, ),  # 9
+    (10, TType.I32, 'retry_after_ms', None, None, ),  # 10
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -930,6 +1310,7 @@
     (10, TType.LIST, 'reports', (TType.STRUCT, [EndpointReport, None], False), None, ),  # 10
     (11, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 11
     (12, TType.LIST, 'marks', (TType.STRUCT, [LeavingMark, None], False), None, ),  # 12
+    (13, TType.STRUCT, 'call', [CallMessage, None], None, ),  # 13
 )
 all_structs.append(Snapshot)
 Snapshot.thrift_spec = (
--- a/src/burdockspan/membership/values.py
+++ b/src/burdockspan/membership/values.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from burdockspan.membership.calls import CallMessage
+
 
 class MemberState(enum.IntEnum):
     """What a node believes of a member; values as in peer.thrift."""
@@ -21,6 +23,7 @@
     PING = 1
     ACK = 2
     PING_REQUEST = 3
+    CALL = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,6 +170,7 @@
       reports: loads of endpoints.
       marks: leaving marks.
       strikes: crash strikes.
+      call: what is said of a call, in a datagram of kind CALL.
     """
 
     kind: MessageKind
@@ -180,6 +184,7 @@
     reports: tuple[AgedReport, ...] = ()
     marks: tuple[LeavingMark, ...] = ()
     strikes: tuple[Strike, ...] = ()
+    call: CallMessage | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/membership/wire.py
+++ b/src/burdockspan/membership/wire.py
@@ -11,6 +11,10 @@
 
 from burdockspan.gen.peer import constants, ttypes
 from burdockspan.membership import records
+from burdockspan.membership.call_records import (
+    call_from_thrift,
+    call_to_thrift,
+)
 from burdockspan.membership.values import (
     AgedReport,
     Message,
@@ -108,6 +112,7 @@
         reports=[*map(_report_to_thrift, message.reports)] or None,
         strikes=[*map(records.strike_to_thrift, message.strikes)] or None,
         marks=[*map(records.mark_to_thrift, message.marks)] or None,
+        call=None if message.call is None else call_to_thrift(message.call),
     )
 
 
@@ -127,6 +132,7 @@
         reports=tuple(map(_report_from_thrift, datagram.reports or ())),
         marks=tuple(map(records.mark_from_thrift, datagram.marks or ())),
         strikes=tuple(map(records.strike_from_thrift, datagram.strikes or ())),
+        call=None if datagram.call is None else call_from_thrift(datagram.call),
     )
 
 
--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -7,12 +7,15 @@
 
 import pykka
 
+from burdockspan.membership.calls import CallStep
 from burdockspan.node import (
     attempts,
+    borrowing,
     documents,
     gossip,
     grants,
     intake,
+    lending,
     messages,
     upkeep,
 )
@@ -69,6 +72,7 @@
         *documents.activate(tables, context),
         *documents.apply_stops(tables, context),
         *_end_requests(tables, context),
+        *borrowing.repeat(tables, context),
         *_run_queues(tables, context),
         *upkeep.poll(tables, context),
         *upkeep.list_attempts(tables, context),
@@ -87,7 +91,7 @@
         effects += attempts.cancel(tables, request_id, now_s)
     for request_id in attempts.find_overdue(tables, now_s):
         effects += attempts.refuse_overdue(tables, request_id, now_s)
-    return effects
+    return effects + lending.prune(tables, context)
 
 
 def _run_queues(tables: Tables, context: Context) -> Effects:
@@ -130,6 +134,22 @@
     return gossip.leave(tables, context)
 
 
+def _receive(
+    tables: Tables, message: messages.PeerMessage, context: Context
+) -> Effects:
+    call = message.message.call
+    if call is None:
+        return gossip.receive(tables, message, context)
+    address = message.message.sender.address
+    if call.step is CallStep.ASK:
+        effects = lending.take_question(tables, call, address, context)
+        return effects + _run_queues(tables, context)
+    if call.step in _ANSWERS:
+        return borrowing.take_answer(tables, call, address, context)
+    effects = lending.take_news(tables, call, context)
+    return effects + _run_queues(tables, context)
+
+
 def _release(
     tables: Tables, message: messages.ReleaseMemory, context: Context
 ) -> Effects:
@@ -137,6 +157,8 @@
     return upkeep.free_memory(tables, context)
 
 
+_ANSWERS = frozenset({CallStep.QUEUED, CallStep.GRANT, CallStep.REFUSE})
+
 _HANDLERS: dict[type, _Handler] = {
     messages.Attach: _attach,
     messages.AttemptsListed: upkeep.free_orphans,
@@ -147,7 +169,7 @@
     messages.Leave: _leave,
     messages.LoadPolled: gossip.take_poll,
     messages.MemoryReleased: upkeep.note_released,
-    messages.PeerMessage: gossip.receive,
+    messages.PeerMessage: _receive,
     messages.ReleaseMemory: _release,
     messages.Replace: intake.replace,
     messages.SnapshotFetched: gossip.take_snapshot,
--- a/src/burdockspan/node/attempts.py
+++ b/src/burdockspan/node/attempts.py
@@ -6,7 +6,8 @@
 
 from burdockspan.admission import forecast as forecasts
 from burdockspan.admission.forecast import Rate
-from burdockspan.node import fleet
+from burdockspan.membership.calls import CallStep
+from burdockspan.node import fleet, news
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Abort, Answer, Count, Effects, Measure
 from burdockspan.node.gossip import add_strike
@@ -25,6 +26,12 @@
 from burdockspan.values.placement import Event, Failure, FailureKind
 from burdockspan.values.refusal import Execution, Reason, Refusal
 
+# Events that the owner of a pool is told of.
+_REPORTED = {
+    Event.RESERVED: CallStep.RESERVED,
+    Event.TRANSFERRED: CallStep.TRANSFERRED,
+}
+
 # Kinds of failure that say something about the health of the endpoint.
 _UNHEALTHY = frozenset(
     {
@@ -65,7 +72,11 @@
             return False, refuse(tables, request_id, refusal, now_s)
         return False, (Count("invalid_events"),)
     tables.requests_by_id[request_id] = result.ok_value.row
-    return True, _note_event(tables, row, message.event, now_s)
+    effects = _note_event(tables, row, message.event, now_s)
+    step = _REPORTED.get(message.event)
+    if step is not None:
+        effects += news.report(tables, message.attempt, step)
+    return True, effects
 
 
 def attach(tables: Tables, message: Attach) -> Effects:
@@ -107,8 +118,11 @@
     """Ends the current attempt; the request is queued again."""
     if row.attempt is None:
         return ()
+    full: Effects = ()
+    if failure.kind is FailureKind.FULL:
+        full = news.report(tables, row.attempt, CallStep.FULL, failure.endpoint)
     step = lifecycle.fail(row, row.attempt, failure).unwrap()
-    return _apply(tables, row, step, now_s)
+    return full + _apply(tables, row, step, now_s)
 
 
 def refuse(
@@ -224,10 +238,13 @@
         _leave_endpoints(tables, before, now_s)
     for entry in step.releases:
         _queue_release(tables, entry, now_s)
+    effects: Effects = ()
+    if before.attempt is not None:
+        effects = news.report(tables, before.attempt, CallStep.ENDED)
     if step.aborted is None:
-        return ()
+        return effects
     abort = tables.aborts_by_attempt.pop(step.aborted, None)
-    return (Abort(abort),) if abort is not None else ()
+    return (*effects, Abort(abort)) if abort is not None else effects
 
 
 def _leave_endpoints(tables: Tables, row: RequestRow, now_s: float) -> None:
--- /dev/null
+++ b/src/burdockspan/node/borrowing.py
@@ -0,0 +1,229 @@
+"""Calls of this node that wait for endpoints at the owner of their pool.
+
+The owner only orders and places calls. Where it does not answer in time, this
+node chooses on its own reports; the engine's answer to a reservation is final
+in both cases, so two views of who owns a pool do no harm.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from burdockspan.configuration.document import Service
+from burdockspan.membership import ownership, table
+from burdockspan.membership.calls import CallMessage, CallNeeds, CallStep
+from burdockspan.membership.values import Member
+from burdockspan.node import attempts, queues
+from burdockspan.node.context import Context
+from burdockspan.node.effects import Count, Effects, SendDatagram
+from burdockspan.node.grants import start
+from burdockspan.node.news import send
+from burdockspan.node.tables import Question, Tables, make_attempt_id
+from burdockspan.requests.lifecycle import RequestRow, State
+from burdockspan.values.endpoint import Endpoint
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Placement
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from burdockspan.values.submission import CallKind, Priority
+
+# One tick of 50 ms, in which an owner of the region answers many times over.
+_ANSWER_WAIT_S = 0.04
+# A waiting question is repeated, so that a lost grant is noticed and the owner
+# knows that the call still waits.
+_REPEAT_S = 0.25
+_TRIES = 2
+# An owner that did not answer is not asked again before it is either heard
+# from by the membership protocol or declared dead.
+_SILENT_OWNER_S = 1.0
+
+
+def find_owner(
+    tables: Tables, service: Service, context: Context
+) -> Member | None:
+    """Returns the other VM that grants a service's pool.
+
+    None if this node does, or has to choose by itself.
+    """
+    members = tables.members
+    live = table.live_vms(members)
+    name = ownership.owner_of(f"pool/{service.name}", live)
+    if name is None or name == members.vm:
+        return None
+    if context.clock() < tables.silent_owners_until.get(name, 0.0):
+        return None
+    return members.by_vm[name]
+
+
+def ask(
+    tables: Tables,
+    service: Service,
+    row: RequestRow,
+    pieces: int,
+    owner: Member,
+    context: Context,
+) -> Effects:
+    """Asks the owner of a pool for the endpoints of a queued request."""
+    now_s = context.clock()
+    attempt = make_attempt_id(tables)
+    question = Question(
+        row.submission.request_id,
+        service.name,
+        owner.vm,
+        owner.address,
+        pieces,
+        next_s=now_s + _ANSWER_WAIT_S,
+    )
+    tables.questions_by_attempt[attempt] = question
+    return (
+        Count("borrowing.asked"),
+        _send_question(tables, row, attempt, question, now_s),
+    )
+
+
+def take_answer(
+    tables: Tables, message: CallMessage, address: str, context: Context
+) -> Effects:
+    """Takes in an answer of the owner of a pool."""
+    attempt = message.attempt
+    question = tables.questions_by_attempt.get(attempt)
+    if question is None:
+        return _answer_unasked(tables, message, address)
+    if message.step is CallStep.QUEUED:
+        tables.questions_by_attempt[attempt] = dataclasses.replace(
+            question, tries=0, next_s=context.clock() + _REPEAT_S
+        )
+        return ()
+    del tables.questions_by_attempt[attempt]
+    if message.step is CallStep.REFUSE:
+        return attempts.refuse(
+            tables,
+            question.request_id,
+            _read_refusal(message),
+            context.clock(),
+        )
+    placement = _read_placement(tables, message, question)
+    service = _find_service(tables, question.service)
+    row = tables.requests_by_id.get(question.request_id)
+    if placement is None or service is None or row is None:
+        # The VM list of this node lags behind that of the owner.
+        ended = CallMessage(CallStep.ENDED, attempt)
+        sent = send(tables, question.address, ended)
+        return (sent, *_choose_here(tables, question, context))
+    tables.owner_addresses_by_attempt[attempt] = question.address
+    return start(tables, service, placement, context)
+
+
+def repeat(tables: Tables, context: Context) -> Effects:
+    """Repeats questions, and gives up on owners that do not answer."""
+    now_s = context.clock()
+    effects: Effects = ()
+    for attempt, question in list(tables.questions_by_attempt.items()):
+        row = tables.requests_by_id.get(question.request_id)
+        if row is None or row.state is not State.QUEUED:
+            del tables.questions_by_attempt[attempt]
+            ended = CallMessage(CallStep.ENDED, attempt)
+            effects += (send(tables, question.address, ended),)
+            continue
+        if now_s < question.next_s:
+            continue
+        if question.tries + 1 >= _TRIES:
+            del tables.questions_by_attempt[attempt]
+            tables.silent_owners_until[question.owner] = now_s + _SILENT_OWNER_S
+            effects += (
+                Count("borrowing.unanswered"),
+                *_choose_here(tables, question, context),
+            )
+            continue
+        tables.questions_by_attempt[attempt] = dataclasses.replace(
+            question, tries=question.tries + 1, next_s=now_s + _ANSWER_WAIT_S
+        )
+        effects += (_send_question(tables, row, attempt, question, now_s),)
+    return effects
+
+
+def _send_question(
+    tables: Tables,
+    row: RequestRow,
+    attempt: AttemptId,
+    question: Question,
+    now_s: float,
+) -> SendDatagram:
+    submission = row.submission
+    needs = CallNeeds(
+        service=question.service,
+        completion=submission.kind is CallKind.COMPLETION,
+        urgent=submission.priority is Priority.URGENT,
+        pieces=question.pieces,
+        prompt_tokens=submission.prompt_tokens,
+        max_tokens=submission.max_tokens,
+        remaining_ms=max(0, round((submission.deadline_s - now_s) * 1000)),
+        prefix=submission.prefix,
+        excluded=tuple(sorted(row.excluded)),
+    )
+    message = CallMessage(CallStep.ASK, attempt, needs)
+    return send(tables, question.address, message)
+
+
+def _choose_here(
+    tables: Tables, question: Question, context: Context
+) -> Effects:
+    row = tables.requests_by_id.get(question.request_id)
+    service = _find_service(tables, question.service)
+    if row is None or service is None or row.state is not State.QUEUED:
+        return ()
+    return queues.enqueue(tables, service, row.submission, context)
+
+
+def _answer_unasked(
+    tables: Tables, message: CallMessage, address: str
+) -> Effects:
+    """Gives back a grant that came too late for its call."""
+    request_id = tables.request_id_by_attempt.get(message.attempt, "")
+    row = tables.requests_by_id.get(request_id)
+    running = row is not None and row.attempt == message.attempt
+    if message.step is not CallStep.GRANT or running:
+        return ()
+    ended = CallMessage(CallStep.ENDED, message.attempt)
+    return (Count("borrowing.late"), send(tables, address, ended))
+
+
+def _read_placement(
+    tables: Tables, message: CallMessage, question: Question
+) -> Placement | None:
+    def find(name: str | None) -> Endpoint | None:
+        row = tables.endpoints_by_name.get(name or "")
+        return None if row is None else row.endpoint
+
+    names = (message.prefill, message.decode, message.replica)
+    prefill, decode, replica = (find(name) for name in names)
+    found = (prefill, decode, replica)
+    if any(
+        name is not None and endpoint is None
+        for name, endpoint in zip(names, found, strict=True)
+    ) or not any(found):
+        return None
+    pieces = question.pieces if decode is not None else 0
+    return Placement(
+        question.request_id, message.attempt, pieces, prefill, decode, replica
+    )
+
+
+def _read_refusal(message: CallMessage) -> Refusal:
+    known = {reason.value: reason for reason in Reason}
+    retry_ms = message.retry_after_ms
+    return Refusal(
+        message.status or 503,
+        Execution.NOT_RUN,
+        known.get(message.reason or "", Reason.OVERLOADED),
+        message.detail or "The call cannot be placed in time.",
+        None if retry_ms is None else retry_ms / 1000,
+    )
+
+
+def _find_service(tables: Tables, name: str) -> Service | None:
+    if tables.catalog is None:
+        return None
+    return tables.catalog.services_by_name.get(name)
+
+
+__all__ = ["ask", "find_owner", "repeat", "take_answer"]
--- /dev/null
+++ b/src/burdockspan/node/choices.py
@@ -0,0 +1,159 @@
+"""Choice of the endpoints of one call, from the node's tables."""
+
+from __future__ import annotations
+
+from burdockspan.admission.queue import Waiting
+from burdockspan.configuration.document import Service
+from burdockspan.node import fleet
+from burdockspan.node.catalog import Catalog, delay_ms
+from burdockspan.node.context import Context
+from burdockspan.node.tables import Tables
+from burdockspan.placement import transfer
+from burdockspan.placement.pair import Links, choose_pair
+from burdockspan.placement.service import choose_service
+from burdockspan.placement.transfer import Link
+from burdockspan.requests.lifecycle import RequestRow
+from burdockspan.resilience import breaker
+from burdockspan.values.endpoint import EndpointView, Pool
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Placement
+from burdockspan.values.submission import CallKind
+
+
+def choose_endpoints(
+    tables: Tables,
+    service: Service,
+    request: RequestRow,
+    row: Waiting,
+    attempt: AttemptId,
+    context: Context,
+) -> Placement | None:
+    """Returns the endpoints of an attempt, None if the call has to wait."""
+    catalog = tables.catalog
+    if catalog is None:
+        return None
+    submission = request.submission
+    if submission.kind is CallKind.SERVICE:
+        replica = choose_service(
+            _views(tables, catalog, service, Pool.SERVICE, request, context),
+            context.draw,
+        )
+        if replica is None:
+            return None
+        return Placement(
+            submission.request_id, attempt, service=replica.endpoint
+        )
+    prefill_views = _views(
+        tables, catalog, service, Pool.PREFILL, request, context
+    )
+    pair = choose_pair(
+        row,
+        prompt_tokens=submission.prompt_tokens,
+        decode_views=_views(
+            tables, catalog, service, Pool.DECODE, request, context
+        ),
+        prefill_views=[view for view in prefill_views if view.usable],
+        service=service,
+        links=_make_links(
+            tables, catalog, service, request, prefill_views, context
+        ),
+        now_s=context.clock(),
+        draw=context.draw,
+    )
+    if pair is None:
+        return None
+    return Placement(
+        submission.request_id,
+        attempt,
+        row.pieces,
+        pair.prefill.endpoint,
+        pair.decode.endpoint,
+    )
+
+
+def hold_endpoints(
+    tables: Tables,
+    service: Service,
+    request: RequestRow,
+    placement: Placement,
+    now_s: float,
+) -> None:
+    """Counts an attempt against the endpoints that it was granted."""
+    tokens = request.submission.prompt_tokens
+    pieces = max(1, placement.pieces)
+    for endpoint in (placement.prefill, placement.decode, placement.service):
+        held = endpoint and tables.endpoints_by_name.get(endpoint.name)
+        if held:
+            begun = fleet.set_breaker(held, breaker.begin(held.breaker, now_s))
+            tables.endpoints_by_name[held.endpoint.name] = fleet.hold(
+                begun, placement.attempt, pieces, tokens
+            )
+    if placement.prefill is None:
+        return
+    name = placement.prefill.name
+    link = tables.links_by_endpoint.get(name, Link(updated_s=now_s))
+    tables.links_by_endpoint[name] = transfer.schedule(
+        link, tokens, service, now_s
+    )
+    tables.prefixes.expect(name, request.submission.prefix)
+
+
+def _views(
+    tables: Tables,
+    catalog: Catalog,
+    service: Service,
+    pool: Pool,
+    request: RequestRow,
+    context: Context,
+) -> list[EndpointView]:
+    rows = [
+        row
+        for row in tables.endpoints_by_name.values()
+        if row.endpoint.service == service.name and row.endpoint.pool is pool
+    ]
+    # A failed endpoint is tried again only if there is no other.
+    fresh = [row for row in rows if row.endpoint.name not in request.excluded]
+    zone = context.settings.availability_zone
+    return [
+        fleet.view(
+            row,
+            catalog,
+            zone,
+            context.clock(),
+            tables.prefixes if pool is Pool.PREFILL else None,
+            request.submission.prefix,
+        )
+        for row in fresh or rows
+    ]
+
+
+def _make_links(
+    tables: Tables,
+    catalog: Catalog,
+    service: Service,
+    request: RequestRow,
+    views: list[EndpointView],
+    context: Context,
+) -> Links:
+    now_s = context.clock()
+    tokens = request.submission.prompt_tokens
+    backlog_bytes = {}
+    for view in views:
+        name = view.endpoint.name
+        ahead = view.waiting_tokens
+        backlog_bytes[name] = transfer.expected_backlog_bytes(
+            tables.links_by_endpoint.get(name, Link()),
+            ahead,
+            (ahead + tokens) / service.prefill_tokens_per_s,
+            service,
+            now_s,
+        )
+    return Links(
+        backlog_bytes,
+        lambda one, other: delay_ms(
+            catalog, one.availability_zone, other.availability_zone
+        ),
+    )
+
+
+__all__ = ["choose_endpoints", "hold_endpoints"]
--- a/src/burdockspan/node/intake.py
+++ b/src/burdockspan/node/intake.py
@@ -2,28 +2,26 @@
 
 from __future__ import annotations
 
-from result import Err, Result
+from result import Err, Ok, Result
 
-from burdockspan.admission import forecast as forecasts
 from burdockspan.admission import limits, queue
-from burdockspan.admission.forecast import Rate
 from burdockspan.configuration.document import Service
-from burdockspan.node import attempts, grants
+from burdockspan.node import attempts, borrowing, queues
 from burdockspan.node.catalog import Catalog
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Answer, Count, Effects
+from burdockspan.node.forecasts import has_usable_endpoints, make_forecast
 from burdockspan.node.gossip import count_live_entry_vms, judge_fingerprint
 from burdockspan.node.messages import Replace, Submit
 from burdockspan.node.readiness import is_accepting
 from burdockspan.node.tables import Tables
-from burdockspan.placement import memory
 from burdockspan.requests import lifecycle
 from burdockspan.requests.lifecycle import RequestRow, State
 from burdockspan.resilience import retries
 from burdockspan.resilience.quarantine import Verdict
 from burdockspan.values.placement import Failure, FailureKind
 from burdockspan.values.refusal import Execution, Reason, Refusal
-from burdockspan.values.submission import CallKind, Priority, Submission
+from burdockspan.values.submission import CallKind, Submission
 
 _COME_BACK_S = 1.0
 _COPY_RUNNING_RETRY_S = 2.0
@@ -45,8 +43,8 @@
     tables.requests_by_id[submission.request_id] = RequestRow(submission)
     tables.replies_by_request[submission.request_id] = message.reply
     tables.caller_gone_by_request[submission.request_id] = message.caller_gone
-    enqueue(tables, service, submission, now_s)
-    return (Count("accepted"), *grants.grant(tables, service, context))
+    found = _find_endpoints(tables, service, submission, context)
+    return (Count("accepted"), *found)
 
 
 def replace(tables: Tables, message: Replace, context: Context) -> Effects:
@@ -68,34 +66,20 @@
     if service is None:
         gone = _refuse(503, Reason.NO_ENDPOINT, "The service was removed.")
         return effects + attempts.refuse(tables, request_id, gone, now_s)
-    enqueue(tables, service, row.submission, now_s)
-    return (*effects, *grants.grant(tables, service, context))
-
-
-def enqueue(
-    tables: Tables, service: Service, submission: Submission, now_s: float
-) -> None:
-    """Puts an admitted call into the queue of its service."""
-    pieces = needed_pieces(service, submission)
-    if submission.priority is Priority.URGENT:
-        rate = tables.urgent_by_service.get(service.name, Rate())
-        tables.urgent_by_service[service.name] = forecasts.observe(
-            rate, pieces, now_s
-        )
-    waiting = tables.waiting_by_service.setdefault(service.name, {})
-    forecast = grants.make_forecast(tables, service, now_s)
-    waiting[submission.request_id] = queue.make_waiting(
-        submission, pieces, forecast
-    )
+    found = _find_endpoints(tables, service, row.submission, context)
+    return (*effects, *found)
 
 
-def needed_pieces(service: Service, submission: Submission) -> int:
-    """Returns the decode memory that a call needs, 1 for a service call."""
-    if submission.kind is CallKind.SERVICE:
-        return 1
-    return memory.pieces_for(
-        submission.prompt_tokens, submission.max_tokens, service.piece_tokens
-    )
+def _find_endpoints(
+    tables: Tables, service: Service, submission: Submission, context: Context
+) -> Effects:
+    """Asks the owner of the pool, or queues the call here."""
+    owner = borrowing.find_owner(tables, service, context)
+    if owner is None:
+        return queues.enqueue(tables, service, submission, context)
+    row = tables.requests_by_id[submission.request_id]
+    pieces = queues.needed_pieces(service, submission)
+    return borrowing.ask(tables, service, row, pieces, owner, context)
 
 
 def _check(
@@ -124,7 +108,9 @@
     ):
         if problem is not None:
             return Err(problem)
-    forecast = grants.make_forecast(tables, service, now_s)
+    if borrowing.find_owner(tables, service, context) is not None:
+        return Ok(service)
+    forecast = make_forecast(tables, service, now_s)
     waiting = tables.waiting_by_service.get(service.name, {})
     limit = catalog.configuration.policy.queue_limit
     admitted = queue.admit(waiting, submission, forecast, now_s, limit)
@@ -175,7 +161,7 @@
 def _check_endpoints(
     tables: Tables, service: Service, now_s: float
 ) -> Refusal | None:
-    if grants.has_usable_endpoints(tables, service, now_s):
+    if has_usable_endpoints(tables, service, now_s):
         return None
     detail = f"Service {service.name} has no endpoint that can be used now."
     return _refuse(503, Reason.NO_ENDPOINT, detail)
@@ -251,4 +237,4 @@
     return Refusal(status, Execution.NOT_RUN, reason, detail, retry_after_s)
 
 
-__all__ = ["enqueue", "needed_pieces", "replace", "submit"]
+__all__ = ["replace", "submit"]
--- /dev/null
+++ b/src/burdockspan/node/lending.py
@@ -0,0 +1,253 @@
+"""Calls of other entry VMs that wait for endpoints of a pool owned here.
+
+The entry VM that ranks first for a service grants the endpoints of its pool to
+the calls of all entry VMs. One queue knows each release at once and orders
+all calls by class and deadline; with a queue in each entry VM, measured in
+bench/, urgent calls of one wait while another grants patient ones.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from result import Err
+
+from burdockspan.admission import forecast as forecasts
+from burdockspan.admission import queue
+from burdockspan.admission.forecast import Rate
+from burdockspan.configuration.document import Service
+from burdockspan.membership.calls import CallMessage, CallNeeds, CallStep
+from burdockspan.node import fleet
+from burdockspan.node.context import Context
+from burdockspan.node.effects import Count, Effects
+from burdockspan.node.forecasts import has_usable_endpoints, make_forecast
+from burdockspan.node.gossip import is_dead
+from burdockspan.node.news import send
+from burdockspan.node.tables import Borrower, Tables
+from burdockspan.requests.lifecycle import RequestRow
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Placement
+from burdockspan.values.refusal import Execution, Reason, Refusal
+from burdockspan.values.submission import CallKind, Priority, Submission
+
+_COME_BACK_S = 1.0
+# A borrower repeats its question while it waits; one that has fallen silent
+# has gone, or asks another owner.
+_WAITING_LIFE_S = 1.0
+# A grant whose end was never reported. Reports of the engine count its memory
+# from then on.
+_GRANT_LIFE_S = 900.0
+# The engine has confirmed or refused a reservation long before.
+_CONFIRMED_AFTER_S = 0.5
+
+
+def take_question(
+    tables: Tables, message: CallMessage, address: str, context: Context
+) -> Effects:
+    """Takes in the question of a borrower, or answers a repeated one."""
+    now_s = context.clock()
+    key = str(message.attempt)
+    known = tables.borrowers_by_id.get(key)
+    if known is not None:
+        tables.borrowers_by_id[key] = dataclasses.replace(
+            known, heard_s=now_s, address=address
+        )
+        answer = known.answer or CallMessage(CallStep.QUEUED, message.attempt)
+        return (send(tables, address, answer),)
+    needs = message.needs
+    if needs is None:
+        return ()
+    service = _find_service(tables, needs)
+    if service is None:
+        return ()
+    submission = _make_submission(needs, key, now_s)
+    tables.borrowers_by_id[key] = Borrower(
+        message.attempt,
+        address,
+        RequestRow(submission, excluded=frozenset(needs.excluded)),
+        heard_s=now_s,
+    )
+    forecast = make_forecast(tables, service, now_s)
+    waiting = tables.waiting_by_service.setdefault(service.name, {})
+    if not has_usable_endpoints(tables, service, now_s):
+        refusal = Refusal(
+            503,
+            Execution.NOT_RUN,
+            Reason.NO_ENDPOINT,
+            f"Service {service.name} has no endpoint that can be used now.",
+            _COME_BACK_S,
+        )
+        return refuse(tables, key, refusal, context)
+    admitted = queue.admit(waiting, submission, forecast, now_s)
+    if isinstance(admitted, Err):
+        return refuse(tables, key, admitted.err_value, context)
+    if needs.urgent:
+        rate = tables.urgent_by_service.get(service.name, Rate())
+        tables.urgent_by_service[service.name] = forecasts.observe(
+            rate, needs.pieces, now_s
+        )
+    waiting[key] = queue.make_waiting(submission, needs.pieces, forecast)
+    answer = CallMessage(CallStep.QUEUED, message.attempt)
+    return (Count("lending.asked"), send(tables, address, answer))
+
+
+def grant(
+    tables: Tables, key: str, placement: Placement, context: Context
+) -> Effects:
+    """Tells a borrower which endpoints it was granted."""
+    prefill, decode = placement.prefill, placement.decode
+    replica = placement.service
+    answer = CallMessage(
+        CallStep.GRANT,
+        placement.attempt,
+        prefill=prefill.name if prefill else None,
+        decode=decode.name if decode else None,
+        replica=replica.name if replica else None,
+    )
+    borrower = tables.borrowers_by_id[key]
+    tables.borrowers_by_id[key] = dataclasses.replace(
+        borrower,
+        answer=answer,
+        placement=placement,
+        answered_s=context.clock(),
+    )
+    return (Count("lending.granted"), send(tables, borrower.address, answer))
+
+
+def refuse(
+    tables: Tables, key: str, refusal: Refusal, context: Context
+) -> Effects:
+    """Tells a borrower that its call is refused."""
+    borrower = tables.borrowers_by_id[key]
+    retry_s = refusal.retry_after_s
+    answer = CallMessage(
+        CallStep.REFUSE,
+        borrower.attempt,
+        status=refusal.status,
+        reason=refusal.reason.value,
+        detail=refusal.detail,
+        retry_after_ms=None if retry_s is None else round(retry_s * 1000),
+    )
+    for waiting in tables.waiting_by_service.values():
+        waiting.pop(key, None)
+    tables.borrowers_by_id[key] = dataclasses.replace(
+        borrower, answer=answer, answered_s=context.clock()
+    )
+    return (Count("lending.refused"), send(tables, borrower.address, answer))
+
+
+def take_news(
+    tables: Tables, message: CallMessage, context: Context
+) -> Effects:
+    """Takes in how far a borrower's attempt has come."""
+    borrower = tables.borrowers_by_id.get(str(message.attempt))
+    if borrower is None:
+        return ()
+    now_s = context.clock()
+    placement = borrower.placement
+    if message.step is CallStep.RESERVED and placement is not None:
+        _confirm(tables, placement, now_s)
+    elif message.step is CallStep.TRANSFERRED and placement is not None:
+        if placement.prefill is not None:
+            _let_go(tables, placement.prefill.name, message.attempt, now_s)
+    elif message.step is CallStep.FULL and message.decode is not None:
+        row = tables.endpoints_by_name.get(message.decode)
+        if row is not None:
+            tables.endpoints_by_name[message.decode] = fleet.mark_full(
+                row, now_s
+            )
+    elif message.step is CallStep.ENDED:
+        _end(tables, borrower, now_s)
+    return ()
+
+
+def prune(tables: Tables, context: Context) -> Effects:
+    """Drops borrowers that have died, fallen silent, or long been served."""
+    now_s = context.clock()
+    for borrower in list(tables.borrowers_by_id.values()):
+        attempt = borrower.attempt
+        silent_s = now_s - borrower.heard_s
+        answered = borrower.answer is not None
+        if borrower.placement is not None and (
+            now_s - borrower.answered_s > _CONFIRMED_AFTER_S
+        ):
+            _confirm(tables, borrower.placement, now_s)
+        if borrower.placement is not None:
+            over = now_s - borrower.answered_s > _GRANT_LIFE_S
+        elif answered:
+            over = now_s - borrower.answered_s > _WAITING_LIFE_S
+        else:
+            over = silent_s > _WAITING_LIFE_S
+        if over or is_dead(tables, attempt.vm, attempt.incarnation):
+            _end(tables, borrower, now_s)
+    return ()
+
+
+def _find_service(tables: Tables, needs: CallNeeds) -> Service | None:
+    if tables.catalog is None:
+        return None
+    service = tables.catalog.services_by_name.get(needs.service)
+    if service is None or bool(service.models) != needs.completion:
+        return None
+    return service
+
+
+def _make_submission(needs: CallNeeds, key: str, now_s: float) -> Submission:
+    return Submission(
+        request_id=key,
+        client="",
+        kind=CallKind.COMPLETION if needs.completion else CallKind.SERVICE,
+        target=needs.service,
+        path="/",
+        priority=Priority.URGENT if needs.urgent else Priority.PATIENT,
+        arrived_s=now_s,
+        deadline_s=now_s + needs.remaining_ms / 1000,
+        prompt_tokens=needs.prompt_tokens,
+        max_tokens=needs.max_tokens,
+        prefix=needs.prefix,
+    )
+
+
+def _confirm(tables: Tables, placement: Placement, now_s: float) -> None:
+    for endpoint in (placement.prefill, placement.decode, placement.service):
+        row = endpoint and tables.endpoints_by_name.get(endpoint.name)
+        if row:
+            tables.endpoints_by_name[row.endpoint.name] = fleet.confirm(
+                row, placement.attempt, now_s
+            )
+
+
+def _let_go(
+    tables: Tables, name: str, attempt: AttemptId, now_s: float
+) -> None:
+    row = tables.endpoints_by_name.get(name)
+    if row is not None:
+        tables.endpoints_by_name[name] = fleet.let_go(row, attempt, now_s)
+
+
+def _end(tables: Tables, borrower: Borrower, now_s: float) -> None:
+    key = str(borrower.attempt)
+    del tables.borrowers_by_id[key]
+    for waiting in tables.waiting_by_service.values():
+        waiting.pop(key, None)
+    placement = borrower.placement
+    if placement is None:
+        return
+    for endpoint in (placement.prefill, placement.decode, placement.service):
+        if endpoint is not None:
+            _let_go(tables, endpoint.name, borrower.attempt, now_s)
+    granted = placement.decode or placement.service
+    if granted is not None:
+        rate = tables.released_by_service.get(granted.service, Rate())
+        tables.released_by_service[granted.service] = forecasts.observe(
+            rate, max(1, placement.pieces), now_s
+        )
+
+
+__all__ = [
+    "grant",
+    "prune",
+    "refuse",
+    "take_news",
+    "take_question",
+]
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -9,6 +9,7 @@
 from burdockspan.admission.limits import Bucket
 from burdockspan.admission.queue import Shares, Waiting
 from burdockspan.configuration.adoption import Adoption, Start
+from burdockspan.membership.calls import CallMessage
 from burdockspan.membership.table import Members
 from burdockspan.node.catalog import Catalog
 from burdockspan.node.fleet import EndpointRow
@@ -19,6 +20,7 @@
 from burdockspan.requests.lifecycle import RequestRow
 from burdockspan.resilience.retries import Budget, make_budget
 from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Placement
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +38,52 @@
     tries: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Borrower:
+    """A call of another entry VM that this node places.
+
+    Attributes:
+      attempt: identity of the attempt that it will make.
+      address: `ip:port` of the entry VM.
+      request: what it needs, as a request.
+      heard_s: when it last asked, monotonic seconds.
+      answer: grant or refusal, once given; sent again when asked again.
+      answered_s: when it was given.
+      placement: granted endpoints.
+    """
+
+    attempt: AttemptId
+    address: str
+    request: RequestRow
+    heard_s: float
+    answer: CallMessage | None = None
+    answered_s: float = 0.0
+    placement: Placement | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Question:
+    """A call of this node that the owner of its pool was asked to place.
+
+    Attributes:
+      request_id: the call.
+      service: its service.
+      owner: VM that owns the pool.
+      address: `ip:port` of that VM.
+      pieces: decode memory that the call needs.
+      next_s: when to ask again, monotonic seconds.
+      tries: questions since the last answer.
+    """
+
+    request_id: str
+    service: str
+    owner: str
+    address: str
+    pieces: int
+    next_s: float
+    tries: int = 0
+
+
 class Tables:
     """State of one node. Only the node's thread reads or writes it."""
 
@@ -62,6 +110,10 @@
         self.urgent_by_service: dict[str, Rate] = {}
         self.endpoints_by_name: dict[str, EndpointRow] = {}
         self.links_by_endpoint: dict[str, Link] = {}
+        self.borrowers_by_id: dict[str, Borrower] = {}
+        self.questions_by_attempt: dict[AttemptId, Question] = {}
+        self.owner_addresses_by_attempt: dict[AttemptId, str] = {}
+        self.silent_owners_until: dict[str, float] = {}
         self.releases: dict[tuple[AttemptId, str], ReleaseRow] = {}
         self.buckets_by_client: dict[str, Bucket] = {}
         self.retry_budget: Budget = make_budget(0.1, 20.0)
@@ -88,4 +140,4 @@
     return attempt
 
 
-__all__ = ["ReleaseRow", "Tables", "make_attempt_id"]
+__all__ = ["Borrower", "Question", "ReleaseRow", "Tables", "make_attempt_id"]
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -52,6 +52,46 @@
   PING = 1,
   ACK = 2,
   PING_REQUEST = 3,
+  CALL = 4,
+}
+
+// A call that waits for endpoints of a pool that another entry VM grants.
+enum CallStep {
+  ASK = 1,
+  QUEUED = 2,
+  GRANT = 3,
+  REFUSE = 4,
+  RESERVED = 5,
+  TRANSFERRED = 6,
+  FULL = 7,
+  ENDED = 8,
+}
+
+struct CallNeeds {
+  1: required string service_name,
+  2: required bool completion,
+  3: required bool urgent,
+  4: required i32 pieces,
+  5: required i32 prompt_tokens,
+  6: required i32 max_tokens,
+  // Time left until the deadline when the message was sent.
+  7: required i32 remaining_ms,
+  // Leading block hashes of the prompt, 8 bytes each.
+  8: optional binary prefix,
+  9: optional list<string> excluded,
+}
+
+struct CallMessage {
+  1: required CallStep step,
+  2: required string attempt,
+  3: optional CallNeeds needs,
+  4: optional string prefill,
+  5: optional string decode,
+  6: optional string replica,
+  7: optional i16 status,
+  8: optional string reason,
+  9: optional string detail,
+  10: optional i32 retry_after_ms,
 }
 
 struct Datagram {
@@ -67,6 +107,7 @@
   10: optional list<EndpointReport> reports,
   11: optional list<Strike> strikes,
   12: optional list<LeavingMark> marks,
+  13: optional CallMessage call,
 }
 
 struct Snapshot {
