--- a/bench/variants.py
+++ b/bench/variants.py
@@ -76,6 +76,7 @@
     _vary("4 optimistic", sharing="optimistic"),
     _vary("4 divided budgets", sharing="divided"),
     _vary("4 owner per endpoint", sharing="owner"),
+    _vary("4 answers without load", answers_carry_load=False),
     _vary("5 reserve after", reserve="after"),
     _vary("5 reserve during", reserve="during"),
     _vary("5 during, counted", reserve="during", ahead=0.0),
