standins: Let a KV cache decide the tokens that are generated

Cause: the decode stand-in took the prompt from the completion call, so that a cache of another prompt went unnoticed. Change: an exported cache carries its prompt, and the decode engine generates the tokens of the prompt that it imported. Conclusion: tests that compare texts now also find a mixed-up cache.

--- a/standins/attempts.py
+++ b/standins/attempts.py
@@ -21,7 +21,7 @@
       name: attempt identity.
       pieces: decode memory that it holds.
       running: whether it is prefilling or generating.
-      imported: whether its KV cache has arrived.
+      imported: prompt of the KV cache that has arrived; None before.
       chat: whether it answers a chat completion.
       body: body of the completion.
       started_s: when it started to generate, monotonic.
@@ -30,7 +30,7 @@
     name: str
     pieces: int
     running: bool = False
-    imported: bool = False
+    imported: str | None = None
     chat: bool = False
     body: dict[str, Any] = dataclasses.field(default_factory=dict)
     started_s: float | None = None
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -144,21 +144,22 @@
         if not self.attempts.is_current(attempt):
             return json_answer(404, {"reason": "cancelled"})
         try:
-            status = fetch_cache(str(call["source"]), str(call["cache"]))
+            prompt = fetch_cache(str(call["source"]), str(call["cache"]))
         except OSError:
             return json_answer(502, {"reason": "source_unreachable"})
-        if status != 200 or not self.attempts.is_current(attempt):
+        if prompt is None or not self.attempts.is_current(attempt):
             return json_answer(404, {"reason": "expired"})
-        attempt.imported = True
+        attempt.imported = prompt
         return json_answer(200, {})
 
     def _complete(self, exchange: Exchange) -> Answer:
         attempt = self.attempts.get(
             exchange.headers.get("burdockspan-attempt", "")
         )
-        if attempt is None or not attempt.imported:
+        if attempt is None or attempt.imported is None:
             return self._refuse(409, "no_cache")
-        body = exchange.json()
+        # The tokens follow from the KV cache, whatever the body says.
+        body = {**exchange.json(), "prompt": attempt.imported}
         chat = exchange.path.endswith("chat/completions")
         if not self.attempts.start(attempt, body, chat):
             return json_answer(409, {"reason": "already_started"})
--- a/standins/prefill.py
+++ b/standins/prefill.py
@@ -23,7 +23,7 @@
 
     name: str
     attempt: str
-    tokens: int
+    text: str
     expires_s: float
 
 
@@ -58,7 +58,7 @@
             self._remember(blocks)
             name = secrets.token_hex(8)
             expires_s = time.monotonic() + self._life_s
-            self._caches[name] = Cache(name, attempt, total, expires_s)
+            self._caches[name] = Cache(name, attempt, text, expires_s)
         return {
             "cache": name,
             "tokens": total,
@@ -67,13 +67,19 @@
         }
 
     def export(self, name: str) -> bytes | None:
-        """Returns a cache's bytes, None once it has expired."""
+        """Returns a cache's bytes, None once it has expired.
+
+        They begin with the prompt, whose length is in the first line.
+        """
         with self._lock:
             cache = self._caches.get(name)
         if cache is None or cache.expires_s < time.monotonic():
             return None
-        self._count("exported", cache.tokens)
-        return b"k" * (cache.tokens * _CACHE_BYTES_PER_TOKEN)
+        count = tokens.count_tokens(cache.text)
+        self._count("exported", count)
+        text = cache.text.encode()
+        padding = b"k" * (count * _CACHE_BYTES_PER_TOKEN)
+        return b"%d\n%s%s" % (len(text), text, padding)
 
     def forget(self, attempt: str) -> None:
         """Drops the caches of an attempt."""
@@ -139,18 +145,25 @@
     return min(duration_s, time.monotonic() - started_s)
 
 
-def fetch_cache(source: str, cache: str) -> int:
-    """Reads a cache from the engine at `ip:port`; returns the status."""
+def fetch_cache(source: str, cache: str) -> str | None:
+    """Reads a cache from the engine at `ip:port`.
+
+    Returns:
+      The prompt that the cache was made of, None if it has expired.
+    """
     connection = http.client.HTTPConnection(source, timeout=_TRANSFER_TIMEOUT_S)
     try:
         connection.request("GET", f"/caches/{cache}")
         response = connection.getresponse()
-        response.read()
-        return response.status
+        data = response.read()
     except http.client.HTTPException as error:
         raise OSError(str(error)) from error
     finally:
         connection.close()
+    if response.status != 200:
+        return None
+    length, _, rest = data.partition(b"\n")
+    return rest[: int(length)].decode()
 
 
 __all__ = ["Cache", "Prefiller", "fetch_cache"]
