resilience: Confirm crashes, so that the quarantine works

Cause: no code produced the failure kind `crashed`, so that no strike was ever added, and a failure in mid-stream was not reported to the node at all. Change: after a lost connection a health check tells whether the endpoint refuses connections or has a new boot identity. A broken stream is reported like any failed attempt; without a crash it does not count against the engine's breaker, since a sweeper may have cancelled it. Strikes are sent to some members at once.

--- a/src/burdockspan/http/attempts.py
+++ b/src/burdockspan/http/attempts.py
@@ -12,6 +12,7 @@
 from burdockspan.endpoints import engine
 from burdockspan.endpoints.answers import Prefilled, may_have_run
 from burdockspan.endpoints.connections import Abort, Exchange
+from burdockspan.endpoints.crashes import confirm_crash
 from burdockspan.endpoints.engine import Link, Waits
 from burdockspan.http.parsing import Request
 from burdockspan.http.ports import Ports
@@ -306,9 +307,12 @@
         return outcome
     if run.abort.aborted:
         return Err(Stopped())
-    if outcome.err_value.kind is FailureKind.SILENT:
+    failure = outcome.err_value
+    if failure.kind is FailureKind.SILENT:
         check_silence(run, endpoint)
-    return Err(outcome.err_value)
+    elif failure.kind is FailureKind.CONNECTION_LOST:
+        failure = confirm_crash(ports.connections, endpoint, failure)
+    return Err(failure)
 
 
 def check_silence(run: Run, endpoint: Endpoint) -> bool:
--- a/src/burdockspan/http/completions.py
+++ b/src/burdockspan/http/completions.py
@@ -10,6 +10,7 @@
 from burdockspan.configuration.document import Client, Configuration
 from burdockspan.endpoints.answers import make_shape_failure, parse_object
 from burdockspan.endpoints.connections import EndpointError, Exchange
+from burdockspan.endpoints.crashes import confirm_crash
 from burdockspan.endpoints.engine import ANSWER_LIMIT_BYTES
 from burdockspan.http.attempts import (
     Job,
@@ -30,7 +31,8 @@
 from burdockspan.http.refusals import Reply, make_refusal_reply
 from burdockspan.http.relay import ClosingBody, Relay
 from burdockspan.http.sse import make_error_event
-from burdockspan.values.placement import Event, Failure
+from burdockspan.values.endpoint import Endpoint
+from burdockspan.values.placement import Event, Failure, FailureKind
 from burdockspan.values.refusal import Execution, Reason, Refusal
 from burdockspan.values.submission import CallKind, Priority, Submission
 
@@ -133,7 +135,7 @@
 ) -> Result[Reply, Failure | Stopped]:
     body = exchange.read(ANSWER_LIMIT_BYTES)
     if isinstance(body, Err):
-        return Err(Stopped() if run.abort.aborted else body.err_value)
+        return Err(_judge_broken(run, exchange.call.endpoint, body.err_value))
     value = parse_object(body.ok_value)
     if value is None or not isinstance(value.get("choices"), list):
         endpoint = exchange.call.endpoint
@@ -162,7 +164,7 @@
         first = next(parts, b"")
     except EndpointError as error:
         relay.close()
-        return Err(Stopped() if run.abort.aborted else error.failure)
+        return Err(_judge_broken(run, endpoint, error.failure))
     if not run.record(Event.FIRST_BYTE):
         relay.close()
         return Err(Stopped())
@@ -176,10 +178,20 @@
         relay.close()
         run.finish(Execution.RAN, ended.status)
 
-    body = ClosingBody(_stream(run, first, parts, ended), clean_up)
+    body = ClosingBody(_stream(run, endpoint, first, parts, ended), clean_up)
     return Ok(Reply(200, headers, body))
 
 
+def _judge_broken(
+    run: Run, endpoint: Endpoint, failure: Failure
+) -> Failure | Stopped:
+    if run.abort.aborted:
+        return Stopped()
+    if failure.kind is not FailureKind.CONNECTION_LOST:
+        return failure
+    return confirm_crash(run.job.ports.connections, endpoint, failure)
+
+
 class _End:
     """How a stream ended; a caller that goes leaves the initial value."""
 
@@ -188,7 +200,11 @@
 
 
 def _stream(
-    run: Run, first: bytes, parts: Iterator[bytes], ended: _End
+    run: Run,
+    endpoint: Endpoint,
+    first: bytes,
+    parts: Iterator[bytes],
+    ended: _End,
 ) -> Iterator[bytes]:
     yield first
     try:
@@ -198,6 +214,10 @@
         refusal = _make_stream_refusal(run, error.failure)
         ended.status = refusal.status
         run.job.ports.metrics.count("streams.failed", 1)
+        problem = _judge_broken(run, endpoint, error.failure)
+        if not isinstance(problem, Stopped):
+            # The node notes the failure; a begun answer is never replaced.
+            replace_attempt(run, problem)
         yield make_error_event(refusal, run.job.request.request_id)
 
 
--- a/src/burdockspan/http/relay.py
+++ b/src/burdockspan/http/relay.py
@@ -83,6 +83,7 @@
     def _resume(self, failure: Failure) -> None:
         self.close()
         run = self._run
+        first = failure
         while True:
             if (
                 failure.kind not in _RESUMABLE
@@ -90,7 +91,7 @@
                 or run.past_deadline()
                 or self._resumed_without_data >= _RESUME_LIMIT_COUNT
             ):
-                raise EndpointError(failure)
+                raise EndpointError(first)
             self._resumed_without_data += 1
             self._filter.restart()
             run.job.ports.metrics.count("streams.resumed", 1)
--- a/src/burdockspan/http/services.py
+++ b/src/burdockspan/http/services.py
@@ -13,6 +13,7 @@
 from burdockspan.configuration.document import Client, Configuration
 from burdockspan.endpoints.answers import may_have_run
 from burdockspan.endpoints.connections import Abort, Call, EndpointError
+from burdockspan.endpoints.crashes import confirm_crash
 from burdockspan.endpoints.service import ServiceAnswer, call_service
 from burdockspan.http.claiming import (
     FENCING_HEADER,
@@ -31,7 +32,12 @@
 from burdockspan.http.refusals import Reply, make_refusal_reply
 from burdockspan.http.relay import ClosingBody
 from burdockspan.http.routes import Destination, find_destination
-from burdockspan.values.placement import Event, Failure, Placement
+from burdockspan.values.placement import (
+    Event,
+    Failure,
+    FailureKind,
+    Placement,
+)
 from burdockspan.values.refusal import Execution, Reason, Refusal
 from burdockspan.values.submission import CallKind, Submission
 
@@ -165,6 +171,11 @@
             execution = Execution.UNKNOWN
         if abort.aborted:
             return Err(_make_stop_refusal(job, execution))
+        if failure.kind is FailureKind.CONNECTION_LOST:
+            assert placement.service is not None
+            failure = confirm_crash(
+                job.ports.connections, placement.service, failure
+            )
         job.ports.metrics.count(f"attempts.failed.{failure.kind.value}", 1)
         placed = router.replace(placement.attempt, failure)
         if may_have_run(failure) and not job.submission.idempotent:
--- a/src/burdockspan/membership/members.py
+++ b/src/burdockspan/membership/members.py
@@ -30,7 +30,7 @@
 _TICK_S = 0.05
 # A tick this late is not jitter of the ticker.
 _LATE_S = 0.05
-_FAREWELLS = 5
+_TOLD_AT_ONCE = 5
 
 
 def receive(
@@ -95,9 +95,15 @@
 
     The node should go on to tick for a second, so that the word spreads.
     """
-    members = leave_own(members)
+    return tell_some(leave_own(members), now_s, draw)
+
+
+def tell_some(
+    members: Members, now_s: float, draw: Draw
+) -> tuple[Members, tuple[Outgoing, ...]]:
+    """Sends the newest entries to some members at once."""
     outgoing = []
-    for peer in sample(members, _FAREWELLS, frozenset(), draw):
+    for peer in sample(members, _TOLD_AT_ONCE, frozenset(), draw):
         members, sequence = next_sequence(members)
         members, message = compose(
             members,
@@ -237,4 +243,4 @@
     return members, (Outgoing(relay.address, ack),)
 
 
-__all__ = ["leave", "merge_shared", "receive", "tick"]
+__all__ = ["leave", "merge_shared", "receive", "tell_some", "tick"]
--- a/src/burdockspan/node/attempts.py
+++ b/src/burdockspan/node/attempts.py
@@ -9,7 +9,8 @@
 from burdockspan.node import fleet
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Abort, Answer, Count, Effects, Measure
-from burdockspan.node.gossip import add_strike
+from burdockspan.node.fleet import EndpointRow
+from burdockspan.node.gossip import add_strike, spread
 from burdockspan.node.messages import Attach, Finish, Record, ReleaseMemory
 from burdockspan.node.tables import ReleaseRow, Tables
 from burdockspan.requests import lifecycle, outcome
@@ -85,22 +86,47 @@
     effects: Effects = (Count(f"failures.{failure.kind.value}"),)
     if endpoint is None:
         return effects
-    boot = endpoint.boot
     if failure.kind is FailureKind.FULL:
         endpoint = fleet.mark_full(endpoint, now_s)
     elif failure.kind is FailureKind.LEAVING:
         endpoint = fleet.mark_leaving(endpoint)
-    elif failure.kind in _UNHEALTHY:
+    elif failure.kind in _UNHEALTHY and not _is_cancelled_stream(row, failure):
         state = breaker.record(endpoint.breaker, False, 0.0, now_s)
         endpoint = fleet.set_breaker(endpoint, state)
     tables.endpoints_by_name[failure.endpoint] = endpoint
-    if outcome.is_suspected_crash(row.reached, failure.kind):
+    crashed_boot = _find_crashed_boot(endpoint, row, failure)
+    if crashed_boot is not None:
         fingerprint = row.submission.fingerprint
-        add_strike(tables, fingerprint, failure.endpoint, boot, context)
-        effects += (Count("strikes"),)
+        add_strike(tables, fingerprint, failure.endpoint, crashed_boot, context)
+        effects += (Count("strikes"), *spread(tables, context))
     return effects
 
 
+def _is_cancelled_stream(row: RequestRow, failure: Failure) -> bool:
+    """Returns whether the engine may have ended the stream on request.
+
+    A sweeper cancels the attempts of a process that was frozen. When that
+    resumes, its broken streams say nothing of the engine's health.
+    """
+    lost = failure.kind is FailureKind.CONNECTION_LOST
+    return lost and row.reached is Event.FIRST_BYTE
+
+
+def _find_crashed_boot(
+    endpoint: EndpointRow, row: RequestRow, failure: Failure
+) -> str | None:
+    """Returns the boot identity that crashed under a request, if one did."""
+    if not outcome.may_be_crash(row.reached, failure.kind):
+        return None
+    if row.attempt not in endpoint.reservations and endpoint.previous_boot:
+        # A report of the new process came before the request's own failure.
+        return endpoint.previous_boot
+    restarted = failure.boot and failure.boot != endpoint.boot
+    if failure.kind is FailureKind.CRASHED or restarted:
+        return endpoint.boot
+    return None
+
+
 def fail(
     tables: Tables, row: RequestRow, failure: Failure, now_s: float
 ) -> Effects:
--- a/src/burdockspan/node/fleet.py
+++ b/src/burdockspan/node/fleet.py
@@ -42,6 +42,7 @@
       reservations: this node's, by attempt, until a report includes them.
       prompt_tokens: tokens of this node's attempts that it prefills.
       boot: identity of its process in the newest report.
+      previous_boot: identity of the process before; empty for the first.
     """
 
     endpoint: Endpoint
@@ -57,6 +58,7 @@
         default_factory=dict
     )
     boot: str = ""
+    previous_boot: str = ""
 
     @property
     def leaving(self) -> bool:
@@ -102,6 +104,7 @@
         row,
         report=report,
         boot=report.boot,
+        previous_boot=row.boot if restarted else row.previous_boot,
         heard_s=now_s,
         self_leaving=leaving or report.leaving,
         reservations=kept,
--- a/src/burdockspan/node/gossip.py
+++ b/src/burdockspan/node/gossip.py
@@ -88,6 +88,14 @@
     return _note_changes(before, tables.members)
 
 
+def spread(tables: Tables, context: Context) -> Effects:
+    """Sends news to some members at once instead of with the next probes."""
+    tables.members, outgoing = swim.tell_some(
+        tables.members, context.clock(), context.draw
+    )
+    return _send(outgoing)
+
+
 def accept(tables: Tables, report: LoadReport, now_s: float) -> None:
     """Takes a load report into the endpoint's row."""
     row = tables.endpoints_by_name.get(report.endpoint)
@@ -194,6 +202,7 @@
     "judge_fingerprint",
     "leave",
     "receive",
+    "spread",
     "take_poll",
     "take_snapshot",
     "tick",
--- a/src/burdockspan/requests/outcome.py
+++ b/src/burdockspan/requests/outcome.py
@@ -42,14 +42,14 @@
     return Execution.RAN
 
 
-def is_suspected_crash(reached: Event | None, kind: FailureKind) -> bool:
+def may_be_crash(reached: Event | None, kind: FailureKind) -> bool:
     """Returns whether the call may have crashed its endpoint.
 
     A lost connection alone is no crash, since a partition breaks connections
-    to endpoints that go on running.
+    to endpoints that go on running; it takes a new boot identity as well.
     """
     started = reached not in (None, Event.RESERVED)
-    return started and kind is FailureKind.CRASHED
+    return started and kind in _SUSPECTED_CRASH
 
 
-__all__ = ["combine", "execution_after", "is_suspected_crash"]
+__all__ = ["combine", "execution_after", "may_be_crash"]
--- a/src/burdockspan/resilience/quarantine.py
+++ b/src/burdockspan/resilience/quarantine.py
@@ -15,7 +15,7 @@
 class Verdict(enum.Enum):
     """How a request is treated.
 
-    SINGLE allows one running copy at a time and no automatic retry.
+    SINGLE allows one running copy at a time.
     """
 
     ALLOW = "allow"
--- a/src/burdockspan/values/placement.py
+++ b/src/burdockspan/values/placement.py
@@ -65,11 +65,14 @@
       kind: how it failed.
       endpoint: name of the endpoint at fault.
       detail: one sentence for a person.
+      boot: boot identity that the endpoint named after its connection was
+        lost; empty if it was not asked or did not answer.
     """
 
     kind: FailureKind
     endpoint: str
     detail: str = ""
+    boot: str = ""
 
 
 __all__ = ["Event", "Failure", "FailureKind", "Placement"]
