--- /dev/null
+++ b/tests/system/test_entry_failures.py
@@ -0,0 +1,97 @@
+"""P1 and P2 when entry VMs die or freeze in the middle of streams."""
+
+from __future__ import annotations
+
+import signal
+import unittest
+
+from standins import tokens, zone
+from standins.zone import Process
+from tests.support.calls import RunningCall, start_call
+from tests.support.fleets import (
+    FREE_S,
+    assert_freed,
+    count_held_pieces,
+    make_plan,
+    read_status,
+    running_fleet,
+)
+
+_DECODE = ("decode-1", "decode-2")
+
+
+class EntryFailureTest(unittest.TestCase):
+    def setUp(self) -> None:
+        plan = make_plan(entries=3, token_gap_ms=20)
+        self.fleet = self.enterContext(running_fleet(plan))
+        self.victim, *self.others = self.fleet.entries
+
+    def test_entry_killed_mid_stream_leaves_no_memory_held(self) -> None:
+        """Guards against memory that only a dead process would free."""
+        calls = self.start_streams(self.victim, 4)
+        beside = start_call(self.others[0], "beside", 100)
+        beside.wait_events(1)
+        self.victim.kill()
+        took_s = zone.wait_until(
+            lambda: count_held_pieces(self.fleet, _DECODE) <= 1,
+            "the memory of the dead entry VM is free",
+        )
+        self.assertLessEqual(took_s, FREE_S)
+        for call in calls:
+            ended = call.wait()
+            self.assertTrue(ended.broken)
+            self.assertFalse(ended.done)
+        self.assert_whole(beside)
+
+    def test_entry_frozen_mid_stream_ends_its_streams_with_errors(
+        self,
+    ) -> None:
+        """Guards against memory held by, and late answers of, a frozen VM."""
+        before = read_status(self.victim)["incarnation"]
+        calls = self.start_streams(self.victim, 4)
+        self.victim.signal(signal.SIGSTOP)
+        assert_freed(self, self.fleet, _DECODE)
+        # The caller tries again elsewhere while the first answer is stuck.
+        again = start_call(self.others[0], "p0", 20)
+        self.assert_whole(again)
+        self.victim.signal(signal.SIGCONT)
+        for call in calls:
+            ended = call.wait()
+            expected = tokens.expected_text(call.body)
+            self.assertTrue(expected.startswith(ended.text))
+            self.assertFalse(ended.done, ended)
+            outcomes = [error["outcome"] for error in ended.errors]
+            self.assertEqual(outcomes, ["ran"])
+        zone.wait_until(
+            lambda: read_status(self.victim)["incarnation"] > before,
+            "the resumed process has a new incarnation",
+        )
+        self.assertFalse(read_status(self.victim)["requests"])
+        self.assert_whole(start_call(self.victim, "after", 5))
+        assert_freed(self, self.fleet, _DECODE)
+
+    def test_entry_killed_while_a_decode_engine_is_frozen(self) -> None:
+        """Guards against a frozen engine that holds up the other releases."""
+        frozen, working = (
+            self.fleet.processes_by_name[name] for name in _DECODE
+        )
+        self.start_streams(self.victim, 12)
+        self.assertGreater(count_held_pieces(self.fleet, [frozen.name]), 0)
+        self.assertGreater(count_held_pieces(self.fleet, [working.name]), 0)
+        frozen.signal(signal.SIGSTOP)
+        self.victim.kill()
+        assert_freed(self, self.fleet, [working.name])
+        frozen.signal(signal.SIGCONT)
+        assert_freed(self, self.fleet, _DECODE)
+        self.assert_whole(start_call(self.others[1], "after", 5))
+
+    def start_streams(self, entry: Process, count: int) -> list[RunningCall]:
+        calls = [start_call(entry, f"p{n}", 1500) for n in range(count)]
+        for call in calls:
+            call.wait_events(2)
+        return calls
+
+    def assert_whole(self, call: RunningCall) -> None:
+        ended = call.wait()
+        self.assertTrue(ended.done, ended)
+        self.assertEqual(ended.text, tokens.expected_text(call.body))
--- /dev/null
+++ b/tests/system/test_gone_callers.py
@@ -0,0 +1,76 @@
+"""P1: no engine memory stays held for a caller that is gone."""
+
+from __future__ import annotations
+
+import unittest
+
+from standins import zone
+from tests.support.calls import start_call
+from tests.support.fleets import (
+    FREE_S,
+    assert_freed,
+    count_held_pieces,
+    make_plan,
+    running_fleet,
+)
+
+_ENGINES = ("decode-1", "decode-2", "prefill-1", "prefill-2")
+_DECODE = _ENGINES[:2]
+
+
+class GoneCallerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        plan = make_plan(
+            entries=2,
+            token_gap_ms=20,
+            engine_options=("--prefill-tokens-per-s", "2000"),
+        )
+        self.fleet = self.enterContext(running_fleet(plan))
+
+    def test_gone_caller_mid_stream_frees_engine_memory(self) -> None:
+        """Guards against generation for a caller that was killed."""
+        for reset in (False, True):
+            calls = [
+                start_call(entry, f"p{number}", 1000)
+                for number in range(3)
+                for entry in self.fleet.entries
+            ]
+            for call in calls:
+                call.wait_events(2)
+            self.assertEqual(count_held_pieces(self.fleet, _DECODE), 6)
+            for call in calls:
+                call.close(reset)
+            assert_freed(self, self.fleet, _DECODE)
+
+    def test_gone_caller_mid_prefill_frees_engine_memory(self) -> None:
+        """Guards against a cancellation that waits for the prefill to end."""
+        # 20,000 tokens take 10 s to prefill.
+        calls = [
+            start_call(entry, f"{number}" * 80_000)
+            for number, entry in enumerate(self.fleet.entries)
+        ]
+        prefilling = self.fleet.processes_by_name
+        zone.wait_until(
+            lambda: (
+                sum(
+                    prefilling[name].call("GET", "/load").json()["running"]
+                    for name in _ENGINES[2:]
+                )
+                >= 1
+                and count_held_pieces(self.fleet, _DECODE) > 0
+            ),
+            "a prefill has begun",
+        )
+        for call in calls:
+            call.close()
+        assert_freed(self, self.fleet, _DECODE)
+        zone.wait_until(
+            lambda: (
+                not any(
+                    prefilling[name].call("GET", "/load").json()["running"]
+                    for name in _ENGINES[2:]
+                )
+            ),
+            "the prefill was cancelled",
+            FREE_S,
+        )
