--- a/src/burdockspan/endpoints/fetch.py
+++ b/src/burdockspan/endpoints/fetch.py
@@ -27,7 +27,7 @@
         return started
     exchange = started.ok_value
     return exchange.read(ANSWER_LIMIT_BYTES).map(
-        lambda body: RawAnswer(exchange.status, body)
+        lambda body: RawAnswer(exchange.status, body, exchange.reused)
     )
 
 
--- a/src/burdockspan/http/services.py
+++ b/src/burdockspan/http/services.py
@@ -9,6 +9,7 @@
 from burdockspan.claims.record import Replay
 from burdockspan.configuration.document import Client, Configuration
 from burdockspan.endpoints.answers import may_have_run
+from burdockspan.endpoints.crashes import confirm_crash
 from burdockspan.endpoints.exchange import Call
 from burdockspan.endpoints.service import call_service
 from burdockspan.endpoints.sockets import Abort
@@ -33,7 +34,12 @@
     begin_answer,
     make_job_stopped,
 )
-from burdockspan.values.placement import Event, Failure, Placement
+from burdockspan.values.placement import (
+    Event,
+    Failure,
+    FailureKind,
+    Placement,
+)
 from burdockspan.values.refusal import Execution, Reason, Refusal
 from burdockspan.values.submission import CallKind, Submission
 
@@ -148,6 +154,11 @@
             execution = Execution.UNKNOWN
         if abort.aborted:
             return Err(make_job_stopped(job, execution))
+        if failure.kind is FailureKind.CONNECTION_LOST:
+            assert placement.service is not None
+            failure = confirm_crash(
+                job.ports.connections, placement.service, failure
+            )
         job.ports.metrics.count(f"attempts.failed.{failure.kind.value}", 1)
         placed = router.replace(placement.attempt, failure)
         if may_have_run(failure) and not job.submission.idempotent:
