Prove that leaving endpoints get no new work with real processes

Change: endpoints leave while the VM list lags by 10 s, without the platform, and while their owner is frozen; a resumed entry VM and a drain are covered too. The stand-in service lists refused calls in /seen, as the engines do. One test of keys uses another entry VM, because its burst used up the writes that the next test needs.

Before: no such tests.

--- a/standins/service.py
+++ b/standins/service.py
@@ -1,7 +1,8 @@
 """Stand-in for a replica of a plain service.
 
 Any other path runs the call. A call other than GET is counted by idempotency
-key and attempt; `GET /runs` returns the counts, `GET /seen` the calls received.
+key and attempt; `GET /runs` returns the counts, `GET /seen` the calls received,
+also those that were refused.
 `GET /status/<key>` tells how often the action of a key ran, `POST /orders`
 takes an operator order. The query `chunks=N` asks for a chunked answer of N
 parts, `bytes=N` for an answer padded by N bytes. Faults beside the shared
@@ -68,6 +69,8 @@
         return self._call(exchange)
 
     def _call(self, exchange: Exchange) -> Answer:
+        with self._lock:
+            self._record(exchange)
         for fault, status in (("full", 429), ("leaving", 503)):
             if self.faults.get(fault):
                 body = {"outcome": "not_run", "reason": fault}
@@ -81,7 +84,6 @@
             self._running += 1
             if exchange.method != "GET":
                 self._runs.setdefault(key, []).append(attempt)
-            self._record(exchange)
         self._loads.sample()
         digest = hashlib.sha256(exchange.body).hexdigest()
         value = {
--- /dev/null
+++ b/tests/support/commands.py
@@ -0,0 +1,47 @@
+"""Operator commands run as processes against a fleet."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+from standins.zone import Fleet
+
+
+def start_cli(
+    fleet: Fleet, *arguments: str, operator: str = "amal"
+) -> subprocess.Popen[str]:
+    """Starts a burdockspan command as an operator of a fleet."""
+    environment = {
+        **os.environ,
+        "BURDOCKSPAN_PLATFORM": f"http://{fleet.platform.address}",
+        "BURDOCKSPAN_OPERATOR": operator,
+    }
+    return subprocess.Popen(
+        [sys.executable, "-m", "burdockspan", *arguments],
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def run_cli(
+    fleet: Fleet, *arguments: str, operator: str = "amal"
+) -> subprocess.CompletedProcess[str]:
+    """Runs a burdockspan command to its end."""
+    return finish_cli(start_cli(fleet, *arguments, operator=operator))
+
+
+def finish_cli(
+    process: subprocess.Popen[str],
+) -> subprocess.CompletedProcess[str]:
+    """Waits for the end of a command."""
+    stdout, stderr = process.communicate(timeout=60.0)
+    return subprocess.CompletedProcess(
+        process.args, process.returncode, stdout, stderr
+    )
+
+
+__all__ = ["finish_cli", "run_cli", "start_cli"]
--- /dev/null
+++ b/tests/support/load.py
@@ -0,0 +1,109 @@
+"""Steady calls through the entry VMs of a fleet."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import threading
+from collections.abc import Iterator, Sequence
+
+from standins import zone
+from standins.zone import Fleet, Process, Reply
+from tests.support.fleets import AUTHORIZATION, MODEL
+
+_PAUSE_S = 0.02
+
+
+class Load:
+    """Calls that threads send, one completion and one read per turn.
+
+    Attributes:
+      problems: answers other than 200 and refusals as `not_run`.
+    """
+
+    def __init__(self) -> None:
+        self.problems: list[str] = []
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._answered: collections.Counter[str] = collections.Counter()
+
+    def run(self, entry: Process) -> None:
+        """Sends calls through an entry VM until `stop`."""
+        number = 0
+        while not self._stopping.wait(_PAUSE_S):
+            number += 1
+            # Equal prompts would all go to the engine that cached the first.
+            prompt = f"{number} {entry.name} " * 40
+            try:
+                replies = (complete(entry, prompt), read_hall(entry))
+            except OSError as error:
+                self.problems.append(f"{entry.name}: {error!r}")
+                continue
+            with self._lock:
+                for reply in replies:
+                    self._count(entry, reply)
+
+    def stop(self) -> None:
+        """Ends the threads after their current turn."""
+        self._stopping.set()
+
+    def wait_more(self, entries: Sequence[Process], count: int) -> None:
+        """Waits until each entry VM has answered further calls."""
+        before = collections.Counter(self._answered)
+        for entry in entries:
+            zone.wait_until(
+                lambda entry=entry: (
+                    self._answered[entry.name] >= before[entry.name] + count
+                ),
+                f"{entry.name} answers; problems: {self.problems[-3:]}",
+            )
+
+    def _count(self, entry: Process, reply: Reply) -> None:
+        if reply.status == 200:
+            self._answered[entry.name] += 1
+        elif reply.json().get("outcome") != "not_run":
+            self.problems.append(f"{entry.name}: {reply.body!r}")
+
+
+def complete(entry: Process, prompt: str = "review") -> Reply:
+    """Runs one short completion."""
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": 2}
+    return entry.call("POST", "/v1/completions", body, AUTHORIZATION)
+
+
+def read_hall(entry: Process) -> Reply:
+    """Reads from the plain service."""
+    path = "/services/hajz-app/status"
+    return entry.call("GET", path, None, AUTHORIZATION)
+
+
+@contextlib.contextmanager
+def running_load(entries: Sequence[Process]) -> Iterator[Load]:
+    """Sends calls through some entry VMs until left."""
+    load = Load()
+    threads = [
+        threading.Thread(target=load.run, args=(entry,)) for entry in entries
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield load
+    finally:
+        load.stop()
+        for thread in threads:
+            thread.join(30.0)
+
+
+def count_seen(fleet: Fleet, names: Sequence[str]) -> dict[str, int]:
+    """Returns the calls that reached some endpoints, also refused ones."""
+    return {
+        name: len(
+            fleet.processes_by_name[name]
+            .call("GET", "/seen")
+            .json()["requests"]
+        )
+        for name in names
+    }
+
+
+__all__ = ["Load", "complete", "count_seen", "read_hall", "running_load"]
--- /dev/null
+++ b/tests/system/test_leaving_endpoints.py
@@ -0,0 +1,123 @@
+"""P6: a leaving endpoint receives no new work after 3 s."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import signal
+import time
+import unittest
+from collections.abc import Sequence
+
+from burdockspan.membership.ownership import owner_of
+from standins import zone
+from standins.zone import Fleet, Process
+from tests.support.commands import run_cli
+from tests.support.fleets import make_plan, read_status, running_fleet
+from tests.support.load import complete, count_seen, running_load
+
+_LEAVING = ("prefill-1", "decode-1", "service-1")
+_LIMIT_S = 3.0
+_DRAIN_LIMIT_S = 6.0
+_VM_LIST_LAG_S = 10.0
+_CALLS = 10
+
+
+class LeavingEndpointsTest(unittest.TestCase):
+    def test_leaving_endpoints_get_no_new_work_while_the_list_lags(
+        self,
+    ) -> None:
+        """Guards against news of leaving that only the VM list carries."""
+        with running_fleet(_make_plan()) as fleet:
+            self._check_leaving(fleet, fleet.entries)
+
+    def test_leaving_endpoints_get_no_new_work_without_the_platform(
+        self,
+    ) -> None:
+        """Guards against news of leaving that needs the platform."""
+        with running_fleet(_make_plan()) as fleet:
+            fleet.platform.fault(down=True)
+            self._check_leaving(fleet, fleet.entries)
+
+    def test_leaving_endpoints_get_no_new_work_while_an_owner_is_frozen(
+        self,
+    ) -> None:
+        """Guards against reports that stop with their owner."""
+        with running_fleet(_make_plan()) as fleet:
+            owner = _find_owner(fleet, "decode-1")
+            others = [entry for entry in fleet.entries if entry is not owner]
+            owner.signal(signal.SIGSTOP)
+            self._check_leaving(fleet, others)
+
+    def test_entry_vm_that_was_frozen_sends_no_work_to_leaving_endpoints(
+        self,
+    ) -> None:
+        """Guards against old news that a resumed process takes for new."""
+        with running_fleet(_make_plan()) as fleet:
+            owner = _find_owner(fleet, "decode-1")
+            others = [entry for entry in fleet.entries if entry is not owner]
+            owner.signal(signal.SIGSTOP)
+            with concurrent.futures.ThreadPoolExecutor(30) as pool:
+                self._check_leaving(fleet, others)
+                before = count_seen(fleet, _LEAVING)
+                calls = [
+                    pool.submit(complete, owner, f"{number} " * 40)
+                    for number in range(30)
+                ]
+                owner.signal(signal.SIGCONT)
+                statuses = {call.result().status for call in calls}
+            self.assertLessEqual(statuses, {200, 503})
+            zone.wait_until(
+                lambda: complete(owner).status == 200, "it serves again"
+            )
+            self.assertEqual(count_seen(fleet, _LEAVING), before)
+
+    def test_drained_endpoints_get_no_new_work_six_seconds_after(self) -> None:
+        """Guards against a drain that misses entry VMs without a platform."""
+        with running_fleet(_make_plan()) as fleet:
+            fleet.platform.fault(cut_off=["entry-1", "entry-3"])
+            with running_load(fleet.entries) as load:
+                load.wait_more(fleet.entries, _CALLS)
+                drained = run_cli(fleet, "drain", *_LEAVING)
+                accepted_s = time.monotonic()
+                self.assertEqual(drained.returncode, 0, drained.stderr)
+                _wait_until_s(accepted_s + _DRAIN_LIMIT_S)
+                before = count_seen(fleet, _LEAVING)
+                load.wait_more(fleet.entries, _CALLS)
+                self.assertEqual(count_seen(fleet, _LEAVING), before)
+            self.assertEqual(load.problems, [])
+
+    def _check_leaving(self, fleet: Fleet, entries: Sequence[Process]) -> None:
+        fleet.platform.fault(vm_list_lag_s=_VM_LIST_LAG_S)
+        with running_load(entries) as load:
+            load.wait_more(entries, _CALLS)
+            zone.wait_until(
+                lambda: all(count_seen(fleet, _LEAVING).values()),
+                "each endpoint has had work",
+            )
+            for name in _LEAVING:
+                fleet.processes_by_name[name].fault(leaving=True)
+            left_s = time.monotonic()
+            fleet.set_vm_list(frozenset(_LEAVING))
+            _wait_until_s(left_s + _LIMIT_S)
+            before = count_seen(fleet, _LEAVING)
+            load.wait_more(entries, _CALLS)
+            self.assertEqual(count_seen(fleet, _LEAVING), before)
+            versions = {
+                read_status(entry)["vm_list_version"] for entry in entries
+            }
+            self.assertEqual(len(versions), 1)
+        self.assertEqual(load.problems, [])
+
+
+def _make_plan() -> zone.FleetPlan:
+    return make_plan(services=((), ()), token_gap_ms=1)
+
+
+def _find_owner(fleet: Fleet, endpoint: str) -> Process:
+    owner = owner_of(endpoint, tuple(fleet.plan.entry_zones))
+    assert owner is not None
+    return fleet.processes_by_name[owner]
+
+
+def _wait_until_s(moment_s: float) -> None:
+    zone.wait_until(lambda: time.monotonic() >= moment_s, "the limit passed")
--- a/tests/system/test_not_run.py
+++ b/tests/system/test_not_run.py
@@ -152,7 +152,7 @@
 
     def test_client_limit_after_a_run_does_not_say_not_run(self) -> None:
         """Guards against `not_run` for a key that ran, from a client limit."""
-        entry = self.fleet.entries[0]
+        entry = self.fleet.entries[-1]
         self.assertEqual(send_order(entry, "limited").status, 200)
         words = {read_outcome(send_order(entry, "limited")) for _ in range(40)}
         self.assertLessEqual(words, {ANSWERED, "unknown"})
