Send answers to slow readers in full before a stop

Cause: a request ends in the node's table when its last part is in the output buffer. A process that was asked to stop closed the connection while up to 4 MiB of the answer were still waiting for a slow reader.

Change: a stop also waits until no call is handled and no output is buffered, within the limit of a stop.

Before: with the wait removed, test_stop_of_entry_vm_waits_for_a_slow_reader fails: the process exits with the answer unsent. After: 5 tests of tests.system.test_planned_stops pass.

Conclusion: SIGTERM interrupts no answer in these cases and the exit code is 0.

--- a/src/burdockspan/http/server.py
+++ b/src/burdockspan/http/server.py
@@ -67,12 +67,15 @@
       address: `ip:port` it listens on.
       run: serves until it is stopped.
       stop_accepting: closes the listening socket; open connections go on.
+      busy: whether a call is being handled, or its answer has not been handed
+        over to the kernel. A slow reader's answer outlives its request.
       stop: closes all connections, so that `run` returns.
     """
 
     address: str
     run: Callable[[], None]
     stop_accepting: Callable[[], None]
+    busy: Callable[[], bool]
     stop: Callable[[], None]
 
 
@@ -135,10 +138,19 @@
         stop_accepting=lambda: loop.ask(
             lambda: waitress.wasyncore.dispatcher.close(made)
         ),
+        busy=lambda: _is_busy(sockets),
         stop=loop.stop,
     )
 
 
+def _is_busy(sockets: dict[int, Any]) -> bool:
+    return any(
+        bool(one.requests) or one.total_outbufs_len > 0
+        for one in list(sockets.values())
+        if isinstance(one, waitress.channel.HTTPChannel)
+    )
+
+
 class _Loop:
     """The loop of a server.
 
--- a/src/burdockspan/node/assembly.py
+++ b/src/burdockspan/node/assembly.py
@@ -210,7 +210,7 @@
             return
         self._read(_begin_stop)
         end_s = time.monotonic() + _STOP_LIMIT_S
-        while time.monotonic() < end_s and not self._read(_is_idle):
+        while time.monotonic() < end_s and not self._is_idle():
             time.sleep(_TICK_S)
         while (
             self._settlement is not None
@@ -222,6 +222,11 @@
         # Ticks spread the word before the socket closes.
         time.sleep(_FAREWELL_S)
 
+    def _is_idle(self) -> bool:
+        server = self._caller_server
+        answering = server is not None and server.busy()
+        return not answering and self._read(_is_idle)
+
     def close(self) -> None:
         """Ends all parts."""
         self._stopping.set()
