Ask for changes every 3 s where no watcher reaches the platform

Cause: when both watchers of a region's only zone were cut off from the platform, the other entry VMs asked it every 30 s, so that a change took longer than 6 s.

Change: an entry VM that does not watch asks every 3 s for changes after the version it has seen, without waiting.

Before: test_change_reaches_entry_vms_that_are_cut_off_from_the_platform failed: generation 2 was not in force after 6 s. After: 6 tests of tests.system.test_configuration_changes pass.

By calculation it costs 350 VMs about 120 reads/s of the platform's 2,000.

--- a/src/burdockspan/node/feed.py
+++ b/src/burdockspan/node/feed.py
@@ -1,8 +1,9 @@
 """Brings the platform's configuration and VM list to the node.
 
 Two VMs of each zone hold the watch and read the VM list every second. The
-others hear of changes from peers, and ask the platform only rarely, in case
-that no watcher of the region can reach it.
+others hear of changes from peers. In case that no watcher of the region can
+reach the platform, they ask it for a newer configuration every 3 s, and for
+the VM list every 30 s.
 """
 
 from __future__ import annotations
@@ -24,7 +25,12 @@
 
 _WATCHER_VM_LIST_INTERVAL_S = 1.0
 _OTHER_INTERVAL_S = 30.0
-_IDLE_S = 0.5
+# The watchers of the region may be cut off from the platform while this VM is
+# not. It asks for changes without waiting, so that a change can take effect
+# everywhere within 6 s: 350 VMs make 120 reads/s, and an answer without news
+# takes a few hundred bytes.
+_ASK_INTERVAL_S = 3.0
+_IDLE_S = 0.25
 _STARTING_INTERVAL_S = 0.5
 
 Tell = Callable[[object], None]
@@ -61,7 +67,7 @@
     """
     stopping = threading.Event()
     watch = make_watch(
-        _make_poll(client, is_watcher, stopping),
+        _make_poll(client, is_watcher, draw, stopping),
         (commit.KIND,),
         lambda events: _deliver(events, tell),
         draw,
@@ -92,15 +98,24 @@
 def _make_poll(
     client: PlatformClient,
     is_watcher: Callable[[], bool],
+    draw: Draw,
     stopping: threading.Event,
 ) -> Callable[[tuple[str, ...], int, float], Result[WatchBatch, PlatformError]]:
+    idle_s = 0.0
+
     def poll(
         kinds: tuple[str, ...], after: int, timeout_s: float
     ) -> Result[WatchBatch, PlatformError]:
+        nonlocal idle_s
         if is_watcher():
             return client.watch(kinds, after, timeout_s)
-        stopping.wait(_IDLE_S)
-        return Ok(WatchBatch(after))
+        if idle_s < _ASK_INTERVAL_S:
+            pause_s = _IDLE_S * (0.75 + draw() / 2)
+            stopping.wait(pause_s)
+            idle_s += pause_s
+            return Ok(WatchBatch(after))
+        idle_s = 0.0
+        return client.watch(kinds, after, 0.0)
 
     return poll
 
--- a/tests/support/fleets.py
+++ b/tests/support/fleets.py
@@ -21,12 +21,12 @@
 MODEL = "qalam-large"
 AUTHORIZATION = {"Authorization": "Bearer demo-token"}
 
-_EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "atlas.yaml"
+EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "atlas.yaml"
 
 
 def make_configuration() -> Configuration:
     """Returns the example's configuration as generation 1."""
-    answers = read(_EXAMPLE.read_text()).unwrap()
+    answers = read(EXAMPLE.read_text()).unwrap()
     return generate(answers, None)
 
 
@@ -123,6 +123,7 @@
 
 __all__ = [
     "AUTHORIZATION",
+    "EXAMPLE",
     "MODEL",
     "MODELS",
     "ORDERS",
