Drop news that waited while the process was frozen

Cause: datagrams that waited in the socket of a frozen process, messages that waited in its node's mailbox, and answers to polls that were sent before the freeze counted as news from the moment they were handled.

Change: the receiver drops what waited when it was away for over 0.5 s, the node drops a membership message that is older than that, and the age of a poll's answer counts from the time the poll was sent.

Conclusion: a report counts for at most 2 s from when it was asked for or arrived, also in a process that was frozen.

--- /dev/null
+++ b/bench/document_checks.py
@@ -0,0 +1,106 @@
+"""Processes of histories, and the invariants that they must keep."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from bench import document_world
+from bench.document_news import News
+from bench.document_world import VMS, ZONE
+from burdockspan.configuration.adoption import generation_of
+from burdockspan.membership.table import make_members
+from burdockspan.node import effects
+from burdockspan.node.tables import Tables
+
+
+@dataclasses.dataclass
+class HistoryCounts:
+    """What happened in a history, and which invariants it violated."""
+
+    accepted: int = 0
+    activated: int = 0
+    restarts: int = 0
+    placed: int = 0
+    refused: int = 0
+    late_starts: int = 0
+    violations: list[str] = dataclasses.field(default_factory=list)
+    steps: list[str] = dataclasses.field(default_factory=list)
+
+
+class Process:
+    """One process and what an observer knows of it."""
+
+    def __init__(self, number: int, now_s: float) -> None:
+        vm = VMS[number]
+        self.tables = Tables(
+            make_members(
+                vm=vm,
+                address=document_world.make_address(vm),
+                availability_zone=ZONE,
+                region="region",
+                seeds=tuple(map(document_world.make_address, VMS)),
+                now_s=now_s,
+                wall_s=now_s,
+            )
+        )
+        self.settings = document_world.make_settings(vm)
+        self.generation = 0
+        self.news = News()
+
+
+def check_process(
+    process: Process, now_s: float, counts: HistoryCounts
+) -> None:
+    """Checks the configuration that a process serves after a message."""
+
+    def violate(what: str) -> None:
+        _violate(process, now_s, counts, what)
+
+    tables = process.tables
+    active = generation_of(tables.adoption.active)
+    if active < process.generation:
+        violate(f"generation {process.generation} became {active}")
+    if generation_of(tables.adoption.stored) < active:
+        violate("the stored generation is older than the active one")
+    served = 0
+    if tables.catalog is not None:
+        served = tables.catalog.configuration.generation
+    if served != active:
+        violate(f"serves generation {served}, the active one is {active}")
+    if active != process.generation:
+        counts.activated += 1
+        if not process.generation:
+            counts.late_starts += active < process.news.generation_before
+    process.generation = active
+
+
+def check_answer(
+    process: Process,
+    effect: effects.Answer,
+    now_s: float,
+    counts: HistoryCounts,
+) -> None:
+    """Checks where a call was placed."""
+    placed = effect.outcome.ok()
+    if placed is None:
+        counts.refused += 1
+        return
+    counts.placed += 1
+    if process.tables.adoption.active is None:
+        _violate(process, now_s, counts, "placed without a configuration")
+    if placed.service is not None:
+        problem = process.news.find_problem(
+            placed.service.name, now_s, process.tables
+        )
+        if problem is not None:
+            _violate(process, now_s, counts, problem)
+
+
+def _violate(
+    process: Process, now_s: float, counts: HistoryCounts, what: str
+) -> None:
+    vm = process.settings.vm
+    counts.violations.append(f"{vm} at {now_s:.2f} s: {what}")
+
+
+__all__ = ["HistoryCounts", "Process", "check_answer", "check_process"]
--- /dev/null
+++ b/bench/document_model.py
@@ -0,0 +1,264 @@
+"""Histories of nodes that adopt configurations and choose endpoints.
+
+Each node is the tables of one process on a shared test clock. Its effects are
+collected as values; the model answers them later, in any order, or loses them.
+
+Invariants: the active generation of a process never decreases, a process
+serves nothing before it holds a configuration, and no call is placed on an
+endpoint that is leaving or that has not been heard of for 2 s, as far as the
+news that reached the process tells.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from concurrent.futures import Future
+
+from bench import document_checks as checks
+from bench import document_world
+from bench.document_checks import HistoryCounts, Process
+from bench.document_world import CLIENT, ENDPOINTS, SERVICE, VMS
+from burdockspan.configuration.adoption import START_WAIT_S, generation_of
+from burdockspan.configuration.document import Configuration
+from burdockspan.node import actor, effects, messages
+from burdockspan.node.context import Context
+from burdockspan.values.endpoint import LoadReport
+from burdockspan.values.submission import CallKind, Priority, Submission
+
+Choose = Callable[[int], int]
+"""Returns a number from 0 to below its argument."""
+
+_STEPS = 120
+_WAITS_S = (0.01, 0.01, 0.05, 0.05, 0.05, 0.25, 0.6, 1.1, 2.1)
+_DEADLINE_S = 30.0
+
+
+class History:
+    """A run of random steps over a few processes and a platform."""
+
+    def __init__(self, choose: Choose) -> None:
+        self.choose = choose
+        self.now_s = 1000.0
+        self.platform_up = True
+        self.configuration = document_world.make_configuration(1)
+        self.boots = dict.fromkeys(ENDPOINTS, 1)
+        self.leaving: set[str] = set()
+        self.vm_list_version = 1
+        self.listed_leaving: frozenset[str] = frozenset()
+        self.counts = HistoryCounts()
+        self.processes = [Process(n, self.now_s) for n in range(len(VMS))]
+        # A pending delivery names its process, so that it is lost with it.
+        self.pending: list[tuple[Process, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def run(self) -> HistoryCounts:
+        """Runs the steps."""
+        actions = (
+            *(self._tick,) * 6,
+            *(self._deliver,) * 8,
+            *(self._submit,) * 8,
+            *(self._report,) * 8,
+            self._accept,
+            self._restart,
+            self._toggle_platform,
+            self._change_endpoint,
+            self._list_vms,
+            self._watch,
+            self._offer_stale,
+        )
+        self._warm_up()
+        for _ in range(_STEPS):
+            action = actions[self.choose(len(actions))]
+            self.counts.steps.append(action.__name__.strip("_"))
+            action()
+        return self.counts
+
+    def _warm_up(self) -> None:
+        """Lets all processes start with the first documents."""
+        listed = document_world.make_vm_list(1, frozenset())
+        held = messages.ConfigurationSeen(
+            messages.PLATFORM_SOURCE, self.configuration
+        )
+        for process in self.processes:
+            self.handle(process, messages.Tick())
+            self.handle(process, held)
+            self.handle(process, messages.VmListSeen(listed))
+        self.now_s += START_WAIT_S
+        for process in self.processes:
+            self.handle(process, messages.Tick())
+
+    def handle(self, process: Process, message: object) -> None:
+        """Lets a process handle a message and collects its effects."""
+        context = Context(
+            process.settings, self._clock, self._clock, lambda: 0.5
+        )
+        for effect in actor.handle(process.tables, message, context):
+            self._collect(process, effect)
+        checks.check_process(process, self.now_s, self.counts)
+
+    def _clock(self) -> float:
+        return self.now_s
+
+    def _pick(self) -> Process:
+        return self.processes[self.choose(len(self.processes))]
+
+    def _tick(self) -> None:
+        self.now_s += _WAITS_S[self.choose(len(_WAITS_S))]
+        self.handle(self._pick(), messages.Tick())
+
+    def _deliver(self) -> None:
+        if self.pending:
+            index = self.choose(len(self.pending))
+            process, act = self.pending.pop(index)
+            if process in self.processes:
+                act()
+
+    def _accept(self) -> None:
+        if not self.platform_up:
+            return
+        generation = self.configuration.generation + 1
+        drained = self.choose(len(ENDPOINTS) + 2)
+        self.configuration = document_world.make_configuration(
+            generation,
+            ENDPOINTS[drained : drained + 1],
+            self.now_s + self.choose(4) - 1.0,
+        )
+        self.counts.accepted += 1
+
+    def _restart(self) -> None:
+        if self.choose(4):
+            return
+        number = self.choose(len(VMS))
+        before = self.processes[number].generation
+        self.processes[number] = Process(number, self.now_s)
+        self.processes[number].news.generation_before = before
+        self.counts.restarts += 1
+
+    def _toggle_platform(self) -> None:
+        if self.platform_up or self.choose(2):
+            self.platform_up = not self.platform_up
+
+    def _change_endpoint(self) -> None:
+        name = ENDPOINTS[self.choose(len(ENDPOINTS))]
+        if name in self.leaving:
+            self.leaving.discard(name)
+            self.boots[name] += 1
+        elif self.choose(3) == 0:
+            self.leaving.add(name)
+
+    def _list_vms(self) -> None:
+        if self.choose(3) == 0:
+            self.vm_list_version += 1
+            self.listed_leaving = frozenset(self.leaving)
+        version = self.vm_list_version - self.choose(2)
+        if version == self.vm_list_version:
+            listed = document_world.make_vm_list(version, self.listed_leaving)
+            self.handle(self._pick(), messages.VmListSeen(listed))
+
+    def _report(self) -> None:
+        """An endpoint answers a poll, at once or late."""
+        process = self._pick()
+        name = ENDPOINTS[self.choose(len(ENDPOINTS))]
+        report = document_world.make_report(
+            name, self.boots[name], name in self.leaving, self.now_s
+        )
+        if self.choose(2):
+            self._tell_report(process, report)
+        else:
+            self.pending.append(
+                (process, lambda: self._tell_report(process, report))
+            )
+
+    def _tell_report(self, process: Process, report: LoadReport) -> None:
+        process.news.hear(report, self.now_s, process.tables)
+        self.handle(
+            process, document_world.make_polled(report, report.measured_s)
+        )
+
+    def _watch(self) -> None:
+        if self.platform_up:
+            process, held = self._pick(), self.configuration
+            self._answer(process, messages.PLATFORM_SOURCE, held, False)
+
+    def _offer_stale(self) -> None:
+        """A process that was frozen offers what it held then."""
+        held = self._pick().tables.adoption.stored
+        target = self._pick()
+        if held is not None:
+            seen = messages.ConfigurationSeen("peer", held)
+            self.pending.append((target, lambda: self.handle(target, seen)))
+
+    def _submit(self) -> None:
+        process = self._pick()
+        submission = Submission(
+            request_id=f"{next(self._numbers):032x}",
+            client=CLIENT,
+            kind=CallKind.SERVICE,
+            target=SERVICE,
+            path="/status",
+            priority=Priority.URGENT,
+            arrived_s=self.now_s,
+            deadline_s=self.now_s + _DEADLINE_S,
+        )
+        self.handle(
+            process, messages.Submit(submission, lambda: False, Future())
+        )
+
+    def _collect(self, process: Process, effect: object) -> None:
+        if isinstance(effect, effects.Answer):
+            checks.check_answer(process, effect, self.now_s, self.counts)
+        elif isinstance(effect, effects.ReadPlatform):
+            held = self.configuration if self.platform_up else None
+            source = messages.PLATFORM_SOURCE
+            self._answer(process, source, held, held is None)
+        elif isinstance(effect, effects.PullDocuments):
+            peer = self._find(effect.address)
+            held = peer.tables.adoption.stored
+            newer = generation_of(held) > effect.held.configuration_generation
+            lost = self.choose(4) == 0
+            given = held if newer and not lost else None
+            self._answer(process, effect.address, given, lost)
+        elif isinstance(effect, effects.OfferConfiguration):
+            self._offer(process, effect)
+
+    def _answer(
+        self,
+        process: Process,
+        source: str,
+        held: Configuration | None,
+        failed: bool,
+    ) -> None:
+        seen = messages.ConfigurationSeen(source, held, failed)
+        self.pending.append((process, lambda: self.handle(process, seen)))
+
+    def _offer(
+        self, process: Process, effect: effects.OfferConfiguration
+    ) -> None:
+        peer = self._find(effect.address)
+
+        def arrive() -> None:
+            seen = messages.ConfigurationSeen("peer", effect.configuration)
+            self.handle(peer, seen)
+            stored = messages.ConfigurationStored(
+                peer.tables.members.versions.configuration_generation
+            )
+            if process in self.processes:
+                self.handle(process, stored)
+
+        self.pending.append((peer, arrive))
+
+    def _find(self, address: str) -> Process:
+        return next(
+            process
+            for process in self.processes
+            if process.settings.peer_address == address
+        )
+
+
+def run_history(choose: Choose) -> HistoryCounts:
+    """Runs one history whose steps `choose` selects."""
+    return History(choose).run()
+
+
+__all__ = ["Choose", "HistoryCounts", "run_history"]
--- a/src/burdockspan/membership/transport.py
+++ b/src/burdockspan/membership/transport.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import select
 import socket
 import threading
+import time
 from collections.abc import Callable
 
 from absl import logging
@@ -12,10 +14,16 @@
 
 from burdockspan.membership import wire
 from burdockspan.membership.values import Message, Outgoing
+from burdockspan.values.clock import Clock
 
 # One byte more than is accepted, so that an oversize datagram is noticed.
 _READ_BYTES = wire.MAX_DATAGRAM_BYTES + 1
 _CLOSE_TIMEOUT_S = 5.0
+_WAIT_S = 0.1
+# A receiver that was away for longer was frozen. The ages in datagrams count
+# from their arrival, so that those which waited would pass off old load
+# reports as new. They are dropped as if they had been lost.
+_PAUSE_S = 0.5
 
 
 @dataclasses.dataclass
@@ -29,6 +37,7 @@
       received_bytes: bytes of those.
       rejected: datagrams that did not decode.
       failed: messages that could not be encoded or sent.
+      stale: datagrams dropped because they waited while the process was frozen.
     """
 
     sent: int = 0
@@ -37,6 +46,7 @@
     received_bytes: int = 0
     rejected: int = 0
     failed: int = 0
+    stale: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,13 +68,16 @@
 
 
 def make_transport(
-    address: str, deliver: Callable[[Message], None]
+    address: str,
+    deliver: Callable[[Message], None],
+    clock: Clock = time.monotonic,
 ) -> Result[Transport, str]:
     """Binds a UDP socket and starts its receiver thread.
 
     Args:
       address: `ip:port` to bind; port 0 takes a free one.
       deliver: called on the receiver thread with each message.
+      clock: monotonic seconds.
 
     Returns:
       The transport, or why the address could not be bound.
@@ -85,7 +98,7 @@
     closing = threading.Event()
     receiver = threading.Thread(
         target=_receive_all,
-        args=(udp, deliver, counts, closing),
+        args=(udp, deliver, counts, closing, clock),
         name="membership-receiver",
         daemon=True,
     )
@@ -137,15 +150,26 @@
     deliver: Callable[[Message], None],
     counts: TransportCounts,
     closing: threading.Event,
+    clock: Clock,
 ) -> None:
+    udp.settimeout(_WAIT_S)
+    waited_since_s = clock()
     while not closing.is_set():
         try:
             data, _ = udp.recvfrom(_READ_BYTES)
         except OSError:
             # On Linux, a refusal of an earlier datagram surfaces here.
-            continue
+            data = None
         if closing.is_set():
             return
+        now_s = clock()
+        paused = now_s - waited_since_s > _PAUSE_S
+        waited_since_s = now_s
+        if paused:
+            counts.stale += _drop_waiting(udp) + (data is not None)
+            continue
+        if data is None:
+            continue
         counts.received += 1
         counts.received_bytes += len(data)
         decoded = wire.decode(data)
@@ -158,6 +182,20 @@
             logging.exception("membership message was not delivered")
 
 
+def _drop_waiting(udp: socket.socket) -> int:
+    """Reads what waits in the socket; returns the number of datagrams."""
+    waiting = select.poll()
+    waiting.register(udp, select.POLLIN)
+    dropped = 0
+    while waiting.poll(0):
+        try:
+            udp.recvfrom(_READ_BYTES)
+        except OSError:
+            break
+        dropped += 1
+    return dropped
+
+
 def _shut_down(udp: socket.socket) -> None:
     try:
         udp.shutdown(socket.SHUT_RDWR)
--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -49,11 +49,15 @@
             return allowed
         if isinstance(message, messages.ReadState):
             return message.read(self._tables)
-        handler = _HANDLERS[type(message)]
-        self._perform(handler(self._tables, message, self._context))
+        self._perform(handle(self._tables, message, self._context))
         return None
 
 
+def handle(tables: Tables, message: Any, context: Context) -> Effects:
+    """Changes the tables for a message that expects no answer itself."""
+    return _HANDLERS[type(message)](tables, message, context)
+
+
 def run_systems(
     tables: Tables, message: messages.Tick, context: Context
 ) -> Effects:
@@ -142,4 +146,4 @@
 }
 
 
-__all__ = ["Node", "Perform", "run_systems"]
+__all__ = ["Node", "Perform", "handle", "run_systems"]
--- a/src/burdockspan/node/assembly.py
+++ b/src/burdockspan/node/assembly.py
@@ -120,7 +120,9 @@
 
         transport = make_transport(
             settings.peer_address,
-            lambda message: tell(messages.PeerMessage(message)),
+            lambda message: tell(
+                messages.PeerMessage(message, context.clock())
+            ),
         )
         if isinstance(transport, Err):
             return transport.err_value
--- a/src/burdockspan/node/gossip.py
+++ b/src/burdockspan/node/gossip.py
@@ -25,11 +25,16 @@
 # A peer that was just asked for its newer documents is not asked again while
 # the answer is under way.
 _PULL_INTERVAL_S = 0.3
+# The ages in a message count from its arrival. One that waited longer, because
+# the process was frozen, would pass off an old report as new.
+_MESSAGE_LIFE_S = 0.5
 
 
 def receive(tables: Tables, message: PeerMessage, context: Context) -> Effects:
     """Takes in a membership message."""
     now_s = context.clock()
+    if now_s - message.received_s > _MESSAGE_LIFE_S:
+        return (Count("datagrams.stale"),)
     before = tables.members
     tables.members, outgoing = swim.receive(before, message.message, now_s)
     _take_reports(tables, before, now_s)
@@ -73,7 +78,7 @@
             row, state
         )
         return (Count("polls.failed"),)
-    accept(tables, report, now_s)
+    accept(tables, report, message.asked_s)
     held = shared.add_reports(tables.members.shared, (report,))
     tables.members = table.share(tables.members, held)
     return ()
@@ -88,12 +93,12 @@
     return _note_changes(before, tables.members)
 
 
-def accept(tables: Tables, report: LoadReport, now_s: float) -> None:
-    """Takes a load report into the endpoint's row."""
+def accept(tables: Tables, report: LoadReport, heard_s: float) -> None:
+    """Takes a load report, heard at a time, into the endpoint's row."""
     row = tables.endpoints_by_name.get(report.endpoint)
     if row is None:
         return
-    taken = fleet.accept_report(row, report, now_s)
+    taken = fleet.accept_report(row, report, heard_s)
     tables.endpoints_by_name[report.endpoint] = taken
     if row.boot and taken.boot != row.boot:
         tables.prefixes.forget(report.endpoint)
--- a/src/burdockspan/node/messages.py
+++ b/src/burdockspan/node/messages.py
@@ -93,11 +93,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadPolled:
-    """The answer of an endpoint to a load poll."""
+    """The answer of an endpoint to a load poll.
+
+    Attributes:
+      endpoint: its name.
+      outcome: its report, or why there is none.
+      latency_s: time until the answer.
+      asked_s: when the poll was sent, monotonic seconds. A process that froze
+        meanwhile handles an answer that is as old as that.
+    """
 
     endpoint: str
     outcome: Result[LoadReport, Failure]
     latency_s: float
+    asked_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,9 +127,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerMessage:
-    """A membership message from another entry VM."""
+    """A membership message from another entry VM.
+
+    Attributes:
+      message: what arrived.
+      received_s: when it was read from the socket, monotonic seconds.
+    """
 
     message: Message
+    received_s: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/node/performer.py
+++ b/src/burdockspan/node/performer.py
@@ -161,19 +161,25 @@
 
 def _poll_load(outlets: Outlets, effect: effects.PollLoad) -> None:
     began_s = outlets.clock()
-    outcome = _fetch_report(outlets, effect.endpoint)
+    outcome = _fetch_report(outlets, effect.endpoint, began_s)
     latency_s = outlets.clock() - began_s
-    outlets.tell(messages.LoadPolled(effect.endpoint.name, outcome, latency_s))
+    outlets.tell(
+        messages.LoadPolled(effect.endpoint.name, outcome, latency_s, began_s)
+    )
 
 
 def _fetch_report(
-    outlets: Outlets, endpoint: Endpoint
+    outlets: Outlets, endpoint: Endpoint, asked_s: float
 ) -> Result[LoadReport, Failure]:
-    """Returns the lagging load with the current state and boot identity."""
+    """Returns the lagging load with the state and boot identity.
+
+    Its age counts from `asked_s`, because the answers may have waited in a
+    socket while the process was frozen.
+    """
     health = engine.check_health(outlets.connections, endpoint)
     if isinstance(health, Err):
         return health
-    load = reports.fetch_load(outlets.connections, endpoint, outlets.clock)
+    load = reports.fetch_load(outlets.connections, endpoint, lambda: asked_s)
     return load.map(
         lambda report: dataclasses.replace(
             report,
--- a/tests/membership/test_transport.py
+++ b/tests/membership/test_transport.py
@@ -2,12 +2,14 @@
 
 import queue
 import socket
+import threading
 import unittest
 
 from burdockspan.membership import members as swim
 from burdockspan.membership.table import live_vms, make_members
 from burdockspan.membership.transport import make_transport
 from burdockspan.membership.values import Member, Message, MessageKind, Outgoing
+from tests.support.caller import wait_until
 
 _LIMIT_S = 20.0
 
@@ -60,6 +62,39 @@
         self.assertEqual(transport.counts.rejected, 4)
         self.assertEqual(transport.counts.failed, 1)
 
+    def test_transport_drops_datagrams_that_waited_during_a_freeze(
+        self,
+    ) -> None:
+        """Guards against old load reports that a resumed process believes."""
+        now_s = [0.0]
+        sent = threading.Event()
+        inbox: queue.Queue[int] = queue.Queue()
+
+        def deliver(message: Message) -> None:
+            inbox.put(message.sequence)
+            if message.sequence == 1:
+                sent.wait(_LIMIT_S)
+                now_s[0] += 5.0
+
+        transport = make_transport(
+            "127.0.0.1:0", deliver, lambda: now_s[0]
+        ).unwrap()
+        self.addCleanup(transport.close)
+        sender = Member("a", transport.address, "zone", 1)
+
+        def send(sequence: int) -> None:
+            message = Message(MessageKind.PING, sequence, sender, "region")
+            transport.send(Outgoing(transport.address, message))
+
+        send(1)
+        self.assertEqual(inbox.get(timeout=_LIMIT_S), 1)
+        for sequence in range(2, 7):
+            send(sequence)
+        sent.set()
+        wait_until(self, lambda: transport.counts.stale == 5)
+        send(7)
+        self.assertEqual(inbox.get(timeout=_LIMIT_S), 7)
+
     def test_transport_closes_and_reports_a_taken_address(self) -> None:
         transport = make_transport("127.0.0.1:0", lambda message: None)
         address = transport.unwrap().address
--- /dev/null
+++ b/tests/node/test_document_histories.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+
+from bench.document_model import run_history
+from burdockspan.configuration import adoption
+from burdockspan.node import fleet
+from burdockspan.node.fleet import EndpointRow
+
+_SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=150
+)
+_CHOICES = strategies.lists(
+    strategies.integers(0, 255), min_size=150, max_size=500
+)
+_HISTORIES = 60
+
+
+class DocumentHistoriesTest(unittest.TestCase):
+    @_SETTINGS
+    @hypothesis.given(_CHOICES)
+    def test_histories_keep_the_invariants(self, choices: list[int]) -> None:
+        """Guards against reversals, early service and stale endpoints."""
+        left = iter(choices)
+        counts = run_history(lambda count: next(left, 0) % count)
+        self.assertEqual(counts.violations, [], counts.steps)
+
+    def test_seeded_histories_keep_the_invariants(self) -> None:
+        """Guards against histories too short to place calls and restart."""
+        totals = _run_seeded()
+        self.assertEqual(totals["violations"], 0)
+        for name in ("accepted", "activated", "restarts", "placed"):
+            self.assertGreater(totals[name], 10, name)
+
+
+class WrongVersionsTest(unittest.TestCase):
+    """The histories find versions of the product that are wrong."""
+
+    def test_histories_find_a_configuration_that_reverts(self) -> None:
+        """Guards against a model that cannot see a reversal."""
+        self._check_found(
+            mock.patch.object(adoption, "adopt", lambda _held, new: new)
+        )
+
+    def test_histories_find_work_for_silent_endpoints(self) -> None:
+        """Guards against a model that cannot see a silent endpoint."""
+        self._check_found(mock.patch.object(fleet, "SILENCE_LIMIT_S", 2.5))
+
+    def test_histories_find_work_for_leaving_endpoints(self) -> None:
+        """Guards against a model that cannot see a leaving endpoint."""
+        real = fleet.is_usable
+
+        def is_usable(row: EndpointRow, now_s: float) -> bool:
+            stays = dataclasses.replace(row, self_leaving=False)
+            return real(stays, now_s)
+
+        self._check_found(mock.patch.object(fleet, "is_usable", is_usable))
+
+    def test_histories_find_work_for_drained_endpoints(self) -> None:
+        """Guards against a model that cannot see drains and stops."""
+        real = fleet.is_usable
+
+        def is_usable(row: EndpointRow, now_s: float) -> bool:
+            stays = dataclasses.replace(row, drained=False)
+            return real(stays, now_s)
+
+        self._check_found(mock.patch.object(fleet, "is_usable", is_usable))
+
+    def test_histories_find_reports_that_count_from_their_arrival(
+        self,
+    ) -> None:
+        """Guards against a late report that counts as news."""
+        real = fleet.accept_report
+
+        def accept_report(row: EndpointRow, report: Any, heard_s: float) -> Any:
+            return real(row, report, heard_s + 1.0)
+
+        self._check_found(
+            mock.patch.object(fleet, "accept_report", accept_report)
+        )
+
+    def _check_found(self, wrong: Any) -> None:
+        with wrong:
+            self.assertGreater(_run_seeded()["violations"], 0)
+
+
+def _run_seeded() -> dict[str, int]:
+    totals = dict.fromkeys(
+        ("accepted", "activated", "restarts", "placed", "violations"), 0
+    )
+    for number in range(_HISTORIES):
+        choose: Callable[[int], int] = random.Random(number).randrange
+        counts = run_history(choose)
+        totals["violations"] += len(counts.violations)
+        for name in ("accepted", "activated", "restarts", "placed"):
+            totals[name] += getattr(counts, name)
+    return totals
