--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -57,11 +57,15 @@
             return allowed
         if isinstance(message, messages.ReadState):
             return message.read(self._tables)
-        handler = HANDLERS[type(message)]
-        self._perform(handler(self._tables, message, self._context))
+        self._perform(handle(self._tables, message, self._context))
         return None
 
 
+def handle(tables: Tables, message: Any, context: Context) -> Effects:
+    """Changes the tables for a message that expects no answer itself."""
+    return _HANDLERS[type(message)](tables, message, context)
+
+
 def run_systems(
     tables: Tables, message: messages.Tick, context: Context
 ) -> Effects:
@@ -159,7 +163,7 @@
 
 _ANSWERS = frozenset({CallStep.QUEUED, CallStep.GRANT, CallStep.REFUSE})
 
-HANDLERS: dict[type, _Handler] = {
+_HANDLERS: dict[type, _Handler] = {
     messages.Attach: _attach,
     messages.AttemptsListed: upkeep.free_orphans,
     messages.CacheEventsFetched: upkeep.take_cache_events,
@@ -179,4 +183,4 @@
 }
 
 
-__all__ = ["HANDLERS", "Node", "Perform", "run_systems"]
+__all__ = ["Node", "Perform", "handle", "run_systems"]
--- a/tests/support/fleets.py
+++ b/tests/support/fleets.py
@@ -25,12 +25,12 @@
 MODEL = "qalam-large"
 AUTHORIZATION = {"Authorization": "Bearer demo-token"}
 
-_EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "atlas.yaml"
+EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "atlas.yaml"
 
 
 def make_configuration(policy: Policy | None = None) -> Configuration:
     """Returns the example's configuration as generation 1."""
-    answers = read(_EXAMPLE.read_text()).unwrap()
+    answers = read(EXAMPLE.read_text()).unwrap()
     made = generate(answers, None)
     if policy is None:
         return made
@@ -142,6 +142,7 @@
 
 __all__ = [
     "AUTHORIZATION",
+    "EXAMPLE",
     "FREE_S",
     "MODEL",
     "MODELS",
--- a/tests/support/nodes.py
+++ b/tests/support/nodes.py
@@ -84,8 +84,7 @@
                 node.tables, message, node.context
             )
         else:
-            handler = actor.HANDLERS[type(message)]
-            following = handler(node.tables, message, node.context)
+            following = actor.handle(node.tables, message, node.context)
         self._perform(node, following)
 
     def advance(self, duration_s: float) -> None:
@@ -124,7 +123,10 @@
         receiver = self._vm_by_address.get(effect.outgoing.address)
         if receiver is None or self.drops(node.vm, receiver):
             return
-        self.handle(receiver, messages.PeerMessage(effect.outgoing.message))
+        self.handle(
+            receiver,
+            messages.PeerMessage(effect.outgoing.message, self.clock()),
+        )
 
     def _make_node(self, vm: str, names: list[str], engines: int) -> SimpleNode:
         addresses = {
