Order engines to load their models and adapters

Cause: orders.send_order existed, but nothing called it, so engines never got the weights version and adapters that the configuration names.

A generation refused with 409 is never sent to that endpoint again, and the platform is read every 5 s until a newer one is held. At most four orders of a node are under way, because an order to a silent endpoint holds one of its 16 threads for 5 s. Status lists the owned engines with what they lack.

Conclusion: models and adapters are loaded; changes of role are not sent yet.

--- a/src/burdockspan/endpoints/orders.py
+++ b/src/burdockspan/endpoints/orders.py
@@ -23,6 +23,7 @@
     """What an endpoint is ordered to do."""
 
     LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
     SET_ROLE = "set_role"
 
 
@@ -34,14 +35,17 @@
     UNSAFE = "unsafe"
 
 
+_IDEMPOTENT = (OrderKind.LOAD_MODEL, OrderKind.LOAD_ADAPTER)
+
+
 @dataclasses.dataclass(frozen=True)
 class Order:
     """One order.
 
     Attributes:
       kind: what to do.
-      fencing: number that grows with every decision about the endpoint, such
-        as the platform version of the decision.
+      fencing: number that grows with every decision about the endpoint: the
+        generation of the configuration that asks for it.
       arguments: further members of the JSON body.
     """
 
@@ -54,11 +58,11 @@
     """Whether a late copy of an order can do no harm.
 
     An endpoint that ignores fencing numbers applies a late order after a
-    newer one. Loading a model only adds to what it holds, so a late copy
-    costs memory but changes no decision; a late change of role undoes the
-    newer one and is not sent.
+    newer one. Loading a model or an adapter only adds to what it holds, so
+    a late copy costs memory but changes no decision; a late change of role
+    undoes the newer one and is not sent.
     """
-    return endpoint.checks_fencing or order.kind is OrderKind.LOAD_MODEL
+    return endpoint.checks_fencing or order.kind in _IDEMPOTENT
 
 
 def send_order(
--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -14,6 +14,7 @@
     grants,
     intake,
     messages,
+    orders,
     upkeep,
 )
 from burdockspan.node.context import Context
@@ -74,6 +75,7 @@
         *upkeep.list_attempts(tables, context),
         *upkeep.fetch_cache_events(tables, context),
         *upkeep.free_memory(tables, context),
+        *orders.send_orders(tables, context),
     )
 
 
@@ -147,6 +149,7 @@
     messages.Leave: _leave,
     messages.LoadPolled: gossip.take_poll,
     messages.MemoryReleased: upkeep.note_released,
+    messages.OrderAnswered: orders.note_answer,
     messages.PeerMessage: gossip.receive,
     messages.ReleaseMemory: _release,
     messages.Replace: intake.replace,
--- a/src/burdockspan/node/effects.py
+++ b/src/burdockspan/node/effects.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from burdockspan.configuration.document import Configuration
+from burdockspan.endpoints.orders import Order
 from burdockspan.membership.values import Outgoing, Versions
 from burdockspan.node.messages import PlacementReply
 from burdockspan.values.endpoint import Endpoint
@@ -68,6 +69,14 @@
     endpoint: Endpoint
 
 
+@dataclasses.dataclass(frozen=True)
+class SendOrder:
+    """Sends an order to an endpoint."""
+
+    endpoint: Endpoint
+    order: Order
+
+
 @dataclasses.dataclass(frozen=True)
 class SendDatagram:
     """Sends a membership message."""
@@ -143,6 +152,7 @@
     | FetchCacheEvents
     | ListAttempts
     | SendDatagram
+    | SendOrder
     | PullDocuments
     | ReadPlatform
     | OfferConfiguration
@@ -170,4 +180,5 @@
     "PullDocuments",
     "ReadPlatform",
     "SendDatagram",
+    "SendOrder",
 ]
--- a/src/burdockspan/node/messages.py
+++ b/src/burdockspan/node/messages.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from burdockspan.configuration.document import Configuration
+from burdockspan.endpoints.orders import Order, OrderOutcome
 from burdockspan.endpoints.reports import CacheEvents
 from burdockspan.membership.values import Message
 from burdockspan.peering.snapshot import Snapshot
@@ -116,6 +117,15 @@
     outcome: Result[tuple[HeldAttempt, ...], Failure]
 
 
+@dataclasses.dataclass(frozen=True)
+class OrderAnswered:
+    """The answer of an endpoint to an order."""
+
+    endpoint: str
+    order: Order
+    outcome: Result[OrderOutcome, Failure]
+
+
 @dataclasses.dataclass(frozen=True)
 class PeerMessage:
     """A membership message from another entry VM."""
@@ -189,6 +199,7 @@
     "Leave",
     "LoadPolled",
     "MemoryReleased",
+    "OrderAnswered",
     "PlacementReply",
     "ReadState",
     "Record",
--- /dev/null
+++ b/src/burdockspan/node/orders.py
@@ -0,0 +1,158 @@
+"""Orders of this node to the endpoints that it owns."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from burdockspan.configuration.document import Service
+from burdockspan.endpoints import control as controls
+from burdockspan.endpoints.control import Control
+from burdockspan.endpoints.orders import OrderOutcome
+from burdockspan.node import fleet, upkeep
+from burdockspan.node.context import Context
+from burdockspan.node.effects import (
+    Count,
+    Effects,
+    Note,
+    ReadPlatform,
+    SendOrder,
+)
+from burdockspan.node.fleet import EndpointRow
+from burdockspan.node.messages import OrderAnswered
+from burdockspan.node.tables import Tables
+
+_INTERVAL_S = 0.1
+# An order to a silent endpoint holds a thread for seconds; the others must
+# stay free for polls and releases.
+_PENDING_LIMIT = 4
+_LOOK_INTERVAL_S = 5.0
+
+
+def send_orders(tables: Tables, context: Context) -> Effects:
+    """Sends the orders that owned endpoints have not confirmed."""
+    now_s = context.clock()
+    if tables.catalog is None or now_s < tables.next_orders_s:
+        return ()
+    tables.next_orders_s = now_s + _INTERVAL_S
+    owned = upkeep.owned_endpoints(tables)
+    _forget_others(tables, owned)
+    if tables.members.superseded:
+        # Another process of the same name acts in place of this one.
+        return ()
+    generation = tables.catalog.configuration.generation
+    pending = sum(
+        control.pending is not None
+        for control in tables.controls_by_endpoint.values()
+    )
+    effects: Effects = ()
+    for name in sorted(owned):
+        row = tables.endpoints_by_name[name]
+        service = tables.catalog.services_by_name.get(row.endpoint.service)
+        if service is None or not _is_reachable(row, now_s):
+            continue
+        if pending >= _PENDING_LIMIT:
+            break
+        control, order = controls.choose_order(
+            tables.controls_by_endpoint.get(name, Control()),
+            row.boot,
+            controls.list_wanted(service),
+            generation,
+            now_s,
+        )
+        tables.controls_by_endpoint[name] = control
+        if order is not None:
+            pending += 1
+            effects += (SendOrder(row.endpoint, order), Count("orders.sent"))
+    return effects + _look_for_newer(tables, owned, generation, now_s)
+
+
+def note_answer(
+    tables: Tables, message: OrderAnswered, context: Context
+) -> Effects:
+    """Notes what an endpoint answered to an order."""
+    control = tables.controls_by_endpoint.get(message.endpoint)
+    if control is None:
+        return ()
+    outcome = message.outcome.ok()
+    tables.controls_by_endpoint[message.endpoint] = controls.note_answer(
+        control, message.order.fencing, outcome, context.clock()
+    )
+    if outcome is None:
+        return (Count("orders.failed"),)
+    count = Count(f"orders.{outcome.value}")
+    if outcome is OrderOutcome.DONE:
+        return (count,)
+    fields = (
+        ("endpoint", message.endpoint),
+        ("kind", message.order.kind.value),
+        ("fencing", str(message.order.fencing)),
+    )
+    return (count, Note(f"order_{outcome.value}", fields))
+
+
+def describe_orders(tables: Tables) -> list[dict[str, object]]:
+    """Returns the owned engines and what they have not confirmed yet."""
+    if tables.catalog is None:
+        return []
+    described: list[dict[str, object]] = []
+    for name in sorted(upkeep.owned_endpoints(tables)):
+        row = tables.endpoints_by_name[name]
+        service = tables.catalog.services_by_name.get(row.endpoint.service)
+        if service is not None and service.models:
+            described.append(_describe(tables, row, service))
+    return described
+
+
+def _describe(
+    tables: Tables, row: EndpointRow, service: Service
+) -> dict[str, object]:
+    name = row.endpoint.name
+    control = tables.controls_by_endpoint.get(name, Control())
+    wanted = controls.list_wanted(service)
+    missing = controls.list_missing(control, row.boot, wanted)
+    return {
+        "vm": name,
+        "missing": [dataclasses.asdict(load) for load in missing],
+        "refused_generation": control.refused,
+    }
+
+
+def _is_reachable(row: EndpointRow, now_s: float) -> bool:
+    return now_s - row.heard_s <= fleet.SILENCE_LIMIT_S
+
+
+def _forget_others(tables: Tables, owned: frozenset[str]) -> None:
+    """Drops what endpoints confirmed that this node no longer owns.
+
+    What they refused is kept as long as they are listed, and an order under
+    way until it is answered.
+    """
+    for name, control in list(tables.controls_by_endpoint.items()):
+        if name in owned or control.pending is not None:
+            continue
+        if name in tables.endpoints_by_name:
+            kept = Control(newest=control.newest, refused=control.refused)
+            tables.controls_by_endpoint[name] = kept
+        else:
+            del tables.controls_by_endpoint[name]
+
+
+def _look_for_newer(
+    tables: Tables, owned: frozenset[str], generation: int, now_s: float
+) -> Effects:
+    """Reads the platform while an endpoint knows of a newer generation.
+
+    Peers that hold one say so in each membership message.
+    """
+    refused = any(
+        tables.controls_by_endpoint[name].refused >= generation
+        for name in owned
+        if name in tables.controls_by_endpoint
+    )
+    if not refused or now_s < tables.next_look_s:
+        return ()
+    tables.next_look_s = now_s + _LOOK_INTERVAL_S
+    return (ReadPlatform(),)
+
+
+__all__ = ["describe_orders", "note_answer", "send_orders"]
--- a/src/burdockspan/node/performer.py
+++ b/src/burdockspan/node/performer.py
@@ -13,7 +13,7 @@
 from burdockspan.configuration import adoption
 from burdockspan.configuration.codec import dump_configuration
 from burdockspan.configuration.document import Configuration
-from burdockspan.endpoints import engine, reports
+from burdockspan.endpoints import engine, orders, reports
 from burdockspan.endpoints.connections import Connections
 from burdockspan.endpoints.engine import Link
 from burdockspan.membership.values import Outgoing
@@ -205,6 +205,15 @@
     outlets.tell(messages.AttemptsListed(effect.endpoint.name, held))
 
 
+def _send_order(outlets: Outlets, effect: effects.SendOrder) -> None:
+    outcome = orders.send_order(
+        outlets.connections, effect.endpoint, effect.order
+    )
+    outlets.tell(
+        messages.OrderAnswered(effect.endpoint.name, effect.order, outcome)
+    )
+
+
 def _pull(outlets: Outlets, effect: effects.PullDocuments) -> None:
     fetched = outlets.peers.fetch(effect.address, effect.held)
     configuration = None
@@ -260,6 +269,7 @@
     effects.PullDocuments: _pull,
     effects.ReadPlatform: _read_platform,
     effects.SendDatagram: _send,
+    effects.SendOrder: _send_order,
 }
 
 
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -9,6 +9,7 @@
 from burdockspan.admission.limits import Bucket
 from burdockspan.admission.queue import Shares, Waiting
 from burdockspan.configuration.adoption import Adoption, Start
+from burdockspan.endpoints.control import Control
 from burdockspan.membership.table import Members
 from burdockspan.node.catalog import Catalog
 from burdockspan.node.fleet import EndpointRow
@@ -67,6 +68,7 @@
         self.retry_budget: Budget = make_budget(0.1, 20.0)
         self.prefixes: PrefixIndex = make_prefix_index()
         self.cache_positions_by_endpoint: dict[str, tuple[str, int]] = {}
+        self.controls_by_endpoint: dict[str, Control] = {}
         self.owned_endpoints: frozenset[str] = frozenset()
         self.ownership_basis: tuple[object, ...] = (None, None, None)
         self.next_cache_poll_s = 0.0
@@ -78,6 +80,8 @@
         self.next_prune_s = 0.0
         self.next_pull_s = 0.0
         self.next_ask_s = 0.0
+        self.next_orders_s = 0.0
+        self.next_look_s = 0.0
 
 
 def make_attempt_id(tables: Tables) -> AttemptId:
--- a/src/burdockspan/node/upkeep.py
+++ b/src/burdockspan/node/upkeep.py
@@ -43,7 +43,7 @@
     if now_s < tables.next_poll_s:
         return ()
     tables.next_poll_s = now_s + _POLL_INTERVAL_S
-    owned = _owned_endpoints(tables)
+    owned = owned_endpoints(tables)
     return tuple(
         PollLoad(row.endpoint)
         for name, row in tables.endpoints_by_name.items()
@@ -57,7 +57,7 @@
     if now_s < tables.next_sweep_s:
         return ()
     tables.next_sweep_s = now_s + _SWEEP_INTERVAL_S
-    rows = (tables.endpoints_by_name[name] for name in _owned_endpoints(tables))
+    rows = (tables.endpoints_by_name[name] for name in owned_endpoints(tables))
     return tuple(
         ListAttempts(row.endpoint)
         for row in rows
@@ -163,7 +163,7 @@
     return (Count("releases.retried"),)
 
 
-def _owned_endpoints(tables: Tables) -> frozenset[str]:
+def owned_endpoints(tables: Tables) -> frozenset[str]:
     """Returns the endpoints that this node owns.
 
     Ranking every endpoint over every member takes milliseconds, so the result
@@ -208,6 +208,7 @@
     "free_orphans",
     "list_attempts",
     "note_released",
+    "owned_endpoints",
     "poll",
     "take_cache_events",
 ]
--- /dev/null
+++ b/tests/node/test_orders.py
@@ -0,0 +1,134 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+
+from burdockspan.configuration.document import (
+    Configuration,
+    Model,
+    Service,
+)
+from burdockspan.endpoints.orders import OrderOutcome
+from burdockspan.membership.table import make_members
+from burdockspan.node import orders
+from burdockspan.node.catalog import make_catalog
+from burdockspan.node.context import Context
+from burdockspan.node.effects import Effects, ReadPlatform, SendOrder
+from burdockspan.node.fleet import EndpointRow
+from burdockspan.node.messages import OrderAnswered
+from burdockspan.node.tables import Tables
+from burdockspan.settings import Settings
+from burdockspan.values.endpoint import Endpoint, Pool
+
+_NAMES = tuple(f"decode-{number}" for number in range(8))
+
+
+class OrdersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_s = 0.0
+        address = "127.0.0.1:1"
+        self.context = Context(
+            Settings(
+                vm="entry-1",
+                availability_zone="fes-a",
+                region="maghreb-north",
+                caller_address=address,
+                admin_address=address,
+                peer_address=address,
+                peers=(),
+                platform_url=f"http://{address}",
+            ),
+            lambda: self.now_s,
+            lambda: self.now_s,
+            random.Random(1).random,
+        )
+        members = make_members(
+            vm="entry-1",
+            address=address,
+            availability_zone="fes-a",
+            region="maghreb-north",
+            seeds=(),
+            now_s=0.0,
+            wall_s=1.0,
+        )
+        self.tables = Tables(members)
+        self.adopt(1)
+        self.own(frozenset(_NAMES))
+
+    def adopt(self, generation: int) -> None:
+        service = Service("lm", models=(Model("m1", 1000),))
+        document = Configuration(generation, "team", services=(service,))
+        self.tables.catalog = make_catalog(document)
+
+    def own(self, names: frozenset[str]) -> None:
+        """Makes the node own some endpoints and hear from all of them."""
+        tables = self.tables
+        tables.endpoints_by_name = {
+            name: EndpointRow(
+                Endpoint(name, "127.0.0.1:2", "lm", Pool.DECODE, "fes-a"),
+                heard_s=self.now_s,
+                boot="b1",
+            )
+            for name in _NAMES
+        }
+        basis = (tables.members.by_vm, tables.vm_list, tables.catalog)
+        tables.ownership_basis = basis
+        tables.owned_endpoints = names
+
+    def step(self) -> Effects:
+        self.now_s += 1.0
+        self.own(self.tables.owned_endpoints)
+        return orders.send_orders(self.tables, self.context)
+
+    def answer(self, effects: Effects, outcome: OrderOutcome) -> None:
+        for effect in effects:
+            if isinstance(effect, SendOrder):
+                name = effect.endpoint.name
+                message = OrderAnswered(name, effect.order, Ok(outcome))
+                orders.note_answer(self.tables, message, self.context)
+
+    @settings(max_examples=50, derandomize=True, deadline=None)
+    @given(st.lists(st.frozensets(st.sampled_from(_NAMES)), max_size=6))
+    def test_only_the_owner_sends(self, changes: list[frozenset[str]]) -> None:
+        """Guards against two entry VMs that order the same endpoint."""
+        self.tables.controls_by_endpoint.clear()
+        for owned in changes:
+            self.own(owned)
+            confirmed: list[str] = []
+            for _ in range(4):
+                effects = self.step()
+                sent = [
+                    effect.endpoint.name
+                    for effect in effects
+                    if isinstance(effect, SendOrder)
+                ]
+                self.assertLessEqual(len(sent), 4)
+                confirmed += sent
+                self.answer(effects, OrderOutcome.DONE)
+            self.assertLessEqual(set(confirmed), owned)
+            self.assertEqual(len(set(confirmed)), len(confirmed))
+            described = orders.describe_orders(self.tables)
+            self.assertEqual({str(row["vm"]) for row in described}, owned)
+            self.assertTrue(all(row["missing"] == [] for row in described))
+
+    def test_refused_generation_makes_the_node_look_for_a_newer(self) -> None:
+        """Guards against a stale owner that repeats its old order."""
+        self.own(frozenset({"decode-1"}))
+        self.answer(self.step(), OrderOutcome.SUPERSEDED)
+        found = [effect for _ in range(20) for effect in self.step()]
+        self.assertFalse(any(isinstance(e, SendOrder) for e in found))
+        reads = sum(isinstance(effect, ReadPlatform) for effect in found)
+        self.assertIn(reads, range(3, 6))
+        # Neither a lost and regained endpoint nor its restart lifts this.
+        self.own(frozenset())
+        self.step()
+        self.own(frozenset({"decode-1"}))
+        self.assertFalse(any(isinstance(e, SendOrder) for e in self.step()))
+        self.adopt(2)
+        self.own(frozenset({"decode-1"}))
+        sent = [e for e in self.step() if isinstance(e, SendOrder)]
+        self.assertEqual([effect.order.fencing for effect in sent], [2])
