Carry the role of an engine in its load report

Cause: a change of role must be routed by every entry VM once the engine has confirmed it, and only the engine's own word survives its restarts and the loss of its owner.

Change: an engine may name its role in its health answer; the load report and its gossip carry it, 2 bytes for each report. The field is optional in peer.thrift, so that processes of an older version read the datagrams.

Tested: the wire and size properties now draw roles.

Conclusion: nothing uses the role yet.

--- a/src/burdockspan/endpoints/answers.py
+++ b/src/burdockspan/endpoints/answers.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints.failures import make_failure
-from burdockspan.values.endpoint import Endpoint
+from burdockspan.values.endpoint import Endpoint, Pool
 from burdockspan.values.ids import AttemptId, parse_attempt_id
 from burdockspan.values.placement import Failure, FailureKind
 
@@ -45,10 +45,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Health:
-    """Answer of a health check."""
+    """Answer of a health check; the role is None if it names none."""
 
     boot: str
     leaving: bool
+    role: Pool | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -190,7 +191,12 @@
     boot, state = value.get("boot"), value.get("state")
     if not isinstance(boot, str) or state not in ("live", "leaving"):
         return Err(make_shape_failure(endpoint, "health answer is malformed"))
-    return Ok(Health(boot, state == "leaving"))
+    return Ok(Health(boot, state == "leaving", _parse_role(value.get("role"))))
+
+
+def _parse_role(value: object) -> Pool | None:
+    roles = {pool.value: pool for pool in (Pool.PREFILL, Pool.DECODE)}
+    return roles.get(value) if isinstance(value, str) else None
 
 
 def is_count(value: object) -> bool:
--- a/src/burdockspan/gen/peer/ttypes.py
+++ b/src/burdockspan/gen/peer/ttypes.py
@@ -25,6 +25,12 @@
 
 
 
+class EngineRole(IntEnum):
+    PREFILL = 1
+    DECODE = 2
+
+
+
 class DatagramKind(IntEnum):
     PING = 1
     ACK = 2
@@ -261,11 +267,12 @@
      - running
      - waiting
      - age_ms
+     - role
 
     """
 
 
-    def __init__(self, endpoint=None, boot=None, leaving=None, pieces=None, free_pieces=None, running=None, waiting=None, age_ms=None,):
+    def __init__(self, endpoint=None, boot=None, leaving=None, pieces=None, free_pieces=None, running=None, waiting=None, age_ms=None, role=None,):
         self.endpoint = endpoint
         self.boot = boot
         self.leaving = leaving
@@ -274,6 +281,7 @@
         self.running = running
         self.waiting = waiting
         self.age_ms = age_ms
+        self.role = role
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -324,6 +332,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.role = EngineRole(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -366,6 +379,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 8)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.I32, 9)
+            oprot.writeI32(EngineRole[self.role].value)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -906,6 +923,7 @@
     (6, TType.I32, 'running', None, None, ),  # 6
     (7, TType.I32, 'waiting', None, None, ),  # 7
     (8, TType.I32, 'age_ms', None, None, ),  # 8
+    (9, TType.I32, 'role', None, None, ),  # 9
 )
 all_structs.append(Strike)
 Strike.thrift_spec = (
--- a/src/burdockspan/membership/shared.py
+++ b/src/burdockspan/membership/shared.py
@@ -154,6 +154,7 @@
         report.running,
         report.waiting,
         math.ceil(age_s * 1000),
+        report.role,
     )
 
 
@@ -172,6 +173,7 @@
         report.running,
         report.waiting,
         now_s - report.age_ms / 1000 - _HOP_S,
+        report.role,
     )
 
 
--- a/src/burdockspan/membership/sizes.py
+++ b/src/burdockspan/membership/sizes.py
@@ -19,6 +19,7 @@
 _BOOL_FIELD = 1
 _FINGERPRINT_BYTES = 33
 _LIST_HEADER = 4
+_ROLE_BYTES = 2
 _LISTS = 4
 _VERSION_AND_KIND = 4
 
@@ -47,6 +48,7 @@
         + _integer(report.running)
         + _integer(report.waiting)
         + _integer(report.age_ms)
+        + (_ROLE_BYTES if report.role is not None else 0)
         + _STOP
     )
 
--- a/src/burdockspan/membership/values.py
+++ b/src/burdockspan/membership/values.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from burdockspan.values.endpoint import Pool
+
 
 class MemberState(enum.IntEnum):
     """What a node believes of a member; values as in peer.thrift."""
@@ -92,6 +94,7 @@
       running: calls running.
       waiting: calls waiting inside the endpoint.
       age_ms: time since the measurement when the message was sent.
+      role: role that an engine says it has; None if it does not say.
     """
 
     endpoint: str
@@ -102,6 +105,7 @@
     running: int
     waiting: int
     age_ms: int
+    role: Pool | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/membership/wire.py
+++ b/src/burdockspan/membership/wire.py
@@ -17,6 +17,7 @@
     MessageKind,
     Versions,
 )
+from burdockspan.values.endpoint import Pool
 
 MAX_DATAGRAM_BYTES = 1_399
 """Fits an Ethernet frame with room for tunnel headers."""
@@ -24,6 +25,12 @@
 # The smallest entry takes several bytes, so a datagram holds fewer than this.
 _MAX_ENTRIES = 400
 
+_NUMBER_BY_ROLE = {
+    Pool.PREFILL: ttypes.EngineRole.PREFILL,
+    Pool.DECODE: ttypes.EngineRole.DECODE,
+}
+_ROLE_BY_NUMBER = {number: role for role, number in _NUMBER_BY_ROLE.items()}
+
 
 class WireFault(enum.Enum):
     """Why a datagram was not encoded or decoded."""
@@ -140,6 +147,7 @@
         report.running,
         report.waiting,
         report.age_ms,
+        _NUMBER_BY_ROLE.get(report.role) if report.role else None,
     )
 
 
@@ -154,6 +162,8 @@
         records.natural(report.running),
         records.natural(report.waiting),
         records.natural(report.age_ms),
+        # A role of a later version says nothing to this one.
+        _ROLE_BY_NUMBER.get(report.role),
     )
 
 
--- a/src/burdockspan/node/performer.py
+++ b/src/burdockspan/node/performer.py
@@ -179,6 +179,7 @@
             report,
             boot=health.ok_value.boot,
             leaving=report.leaving or health.ok_value.leaving,
+            role=health.ok_value.role,
         )
     )
 
--- a/src/burdockspan/values/endpoint.py
+++ b/src/burdockspan/values/endpoint.py
@@ -53,6 +53,7 @@
       waiting: calls waiting inside the endpoint.
       measured_s: when the load was measured, on the receiver's monotonic
         clock, lag included.
+      role: role that an engine says it has; None if it does not say.
     """
 
     endpoint: str
@@ -63,6 +64,7 @@
     running: int
     waiting: int
     measured_s: float
+    role: Pool | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,7 +3,8 @@
 Decode memory is held from the reservation until `DELETE /attempts/<attempt>`,
 also after the answer is complete, unless the process was started with
 `--frees-on-disconnect` and a stream's connection is lost. Tokens become due by
-time, so a paused or lost stream goes on and can be resumed. Faults beside the
+time, so a paused or lost stream goes on and can be resumed. An engine that
+holds attempts refuses to change its role with 503. Faults beside the
 shared ones: `full`, `leaving`, `stall_transfers`, `refuse_fencing` (next n
 orders), `load_lag_s`, `cache_events_lag` (newest events withheld).
 
@@ -37,7 +38,8 @@
         self.options = options
         self.faults = faults
         self.boot = make_boot()
-        self.orders = Orders(faults)
+        self.role = options.pool
+        self.orders = Orders(faults, self._apply)
         self.attempts = AttemptTable(
             options.pieces if options.pool == "decode" else 0,
             options.token_gap_ms / 1000,
@@ -62,7 +64,14 @@
         if path == "/stats":
             return json_answer(200, self._stats())
         if path == "/health":
-            return json_answer(200, {"boot": self.boot, "state": self._state()})
+            return json_answer(
+                200,
+                {
+                    "boot": self.boot,
+                    "state": self._state(),
+                    "role": self.role,
+                },
+            )
         if path == "/load":
             return json_answer(200, self._loads.report())
         if path == "/orders":
@@ -117,6 +126,8 @@
         for fault, status in (("leaving", 503), ("full", 429)):
             if self.faults.get(fault):
                 return self._refuse(status, fault)
+        if self.role != "prefill":
+            return self._refuse(503, "wrong_role")
         self._expire_caches()
         attempt = self.attempts.add_prefill(str(call["attempt"]))
         self._loads.sample()
@@ -204,6 +215,18 @@
             return json_answer(404, {})
         return self._stream(attempt, int(exchange.query.get("after", -1)) + 1)
 
+    def _apply(self, order: dict[str, Any]) -> bool:
+        role = order.get("role", self.role)
+        if role != self.role:
+            self._expire_caches()
+            if self.attempts.as_json():
+                return False
+            self.role = role
+            pieces = self.options.pieces if role == "decode" else 0
+            self.attempts.pieces = pieces
+            self._loads.sample()
+        return True
+
     def _expire_caches(self) -> None:
         for name in self.prefiller.expire():
             self.attempts.free(name)
@@ -218,7 +241,7 @@
 
     def _load(self) -> dict[str, Any]:
         running = self.attempts.count_running()
-        serial = self.options.pool == "prefill"
+        serial = self.role == "prefill"
         return {
             "boot": self.boot,
             "state": self._state(),
--- a/standins/load.py
+++ b/standins/load.py
@@ -53,10 +53,18 @@
 
 
 class Orders:
-    """Operator orders; an older fencing token than seen is refused."""
+    """Orders; an older fencing token than seen is refused.
 
-    def __init__(self, faults: Faults) -> None:
+    `apply` carries an order out and tells whether it could.
+    """
+
+    def __init__(
+        self,
+        faults: Faults,
+        apply: Callable[[dict[str, Any]], bool] = lambda order: True,
+    ) -> None:
         self._faults = faults
+        self._apply = apply
         self._lock = threading.Lock()
         self._newest = 0
         self.taken: list[dict[str, Any]] = []
@@ -69,6 +77,8 @@
             if old or self._faults.spend("refuse_fencing"):
                 body = {"outcome": "not_run", "fencing": self._newest}
                 return json_answer(409, body)
+            if not self._apply(order):
+                return json_answer(503, {"outcome": "not_run"})
             self._newest = fencing
             self.taken.append(order)
         return json_answer(200, {"fencing": fencing})
--- a/tests/membership/test_wire.py
+++ b/tests/membership/test_wire.py
@@ -17,6 +17,7 @@
     StrikeKey,
     Versions,
 )
+from burdockspan.values.endpoint import Pool
 
 _REPRODUCIBLE = settings(derandomize=True, deadline=None, max_examples=100)
 # Short, multi-byte, and long enough for a length of two bytes.
@@ -28,8 +29,10 @@
 _MEMBER = st.builds(
     Member, _NAME, _NAME, _NAME, _I64, st.sampled_from(MemberState), _I32
 )
+_ROLE = st.sampled_from((None, Pool.PREFILL, Pool.DECODE))
 _REPORT = st.builds(
-    AgedReport, _NAME, _NAME, st.booleans(), _I32, _I32, _I32, _I32, _I32
+    AgedReport,
+    *(_NAME, _NAME, st.booleans(), _I32, _I32, _I32, _I32, _I32, _ROLE),
 )
 _MARK = st.builds(LeavingMark, _NAME, _I64, st.booleans())
 _KEY = st.builds(
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -30,6 +30,11 @@
   3: required bool leaving,
 }
 
+enum EngineRole {
+  PREFILL = 1,
+  DECODE = 2,
+}
+
 struct EndpointReport {
   1: required string endpoint,
   2: required string boot,
@@ -39,6 +44,8 @@
   6: required i32 running,
   7: required i32 waiting,
   8: required i32 age_ms,
+  // Absent for an endpoint that reports no role.
+  9: optional EngineRole role,
 }
 
 struct Strike {
