Let operators change the role of an engine

Cause: the pool of an engine was fixed by the VM list.

Change: the configuration has a section `roles`, edited with `burdockspan role set` and `role clear`. Every node routes an engine by the role that it reports, and gives it no new work while that is not the wanted one. The order is repeated for every generation, also when the engine has the role already, so that a late copy of any earlier order is refused by its fencing token. Engines that check no fencing tokens or report no role keep their pool; the command and the status say so.

Conclusion: processes older than this refuse a document with `roles`, as they do any unknown field.

--- a/src/burdockspan/cli/config_generate.py
+++ b/src/burdockspan/cli/config_generate.py
@@ -12,8 +12,8 @@
 @click.option(
     "--previous",
     metavar="FILE",
-    help="Configuration to keep drains, planned stops and generation from, "
-    "as printed by `config show`.",
+    help="Configuration to keep drains, planned stops, roles and generation "
+    "from, as printed by `config show`.",
 )
 def generate(questionnaire: str, previous: str | None) -> None:
     """Prints the configuration of the answers in QUESTIONNAIRE as JSON.
--- a/src/burdockspan/cli/config_status.py
+++ b/src/burdockspan/cli/config_status.py
@@ -16,7 +16,8 @@
     The platform holds only the configuration in force, without history.
     Which generation each entry VM holds is printed by `burdockspan status`.
     With --json, prints {generation, team, accepted_by, accepted_at, clients,
-    services, drains, stops}; generation is 0 when none has been accepted.
+    services, drains, stops, roles}; generation is 0 when none has been
+    accepted.
     """
     import json
 
@@ -35,6 +36,7 @@
             "services": [service.name for service in held.services],
             "drains": [drain.vm for drain in held.drains],
             "stops": [stop.stop_id for stop in held.stops],
+            "roles": [f"{item.vm}={item.pool.value}" for item in held.roles],
         }
     if as_json:
         click.echo(json.dumps(value, indent=2))
--- a/src/burdockspan/cli/fleet.py
+++ b/src/burdockspan/cli/fleet.py
@@ -54,11 +54,12 @@
 
 
 def render_fleet(answers: Mapping[str, Mapping[str, Any]]) -> str:
-    """Returns zones, VMs, endpoints, quarantine and requests as text."""
+    """Returns the state of entry VMs and endpoints as text."""
     sections = (
         ("zones", _render_zones(answers.values())),
         ("entry VMs", _render_vms(answers)),
         ("endpoints", _render_endpoints(answers.values())),
+        ("engines", _render_engines(answers.values())),
         ("quarantine", _render_quarantine(answers.values())),
     )
     return "\n\n".join(f"{name}:\n{text}" for name, text in sections)
@@ -124,6 +125,22 @@
     return _render_table(_ENDPOINT_COLUMNS, rows)
 
 
+def _render_engines(statuses: Iterable[Mapping[str, Any]]) -> str:
+    """Returns the engines with a changed role or unconfirmed orders."""
+    rows = set()
+    for status in statuses:
+        for name, role in _items(status.get("roles")):
+            role_text = f"role {_show(role.get('pool'))}"
+            rows.add((name, role_text, _show(role.get("state"))))
+        for name, order in _items(status.get("orders")):
+            refused = _show(order.get("refused_generation"))
+            for _, item in _items(order.get("missing")):
+                load = f"{_show(item.get('model'))} {item.get('adapter') or ''}"
+                state = f"not confirmed; refused generation {refused}"
+                rows.add((name, load.strip(), state))
+    return _render_table(("vm", "order", "state"), sorted(rows))
+
+
 def _render_quarantine(statuses: Iterable[Mapping[str, Any]]) -> str:
     names = {
         name
--- a/src/burdockspan/cli/root.py
+++ b/src/burdockspan/cli/root.py
@@ -18,6 +18,7 @@
     "entry": "burdockspan.cli.entry:entry",
     "lookup": "burdockspan.cli.lookup:lookup",
     "questionnaire": "burdockspan.cli.questionnaire:questionnaire",
+    "role": "burdockspan.cli.role:role",
     "status": "burdockspan.cli.status:status",
     "stop": "burdockspan.cli.stop:stop",
     "undrain": "burdockspan.cli.undrain:undrain",
--- a/src/burdockspan/cli/store.py
+++ b/src/burdockspan/cli/store.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from result import Result
 
+    from burdockspan.configuration.document import Configuration
     from burdockspan.configuration.port import (
         ObjectStore,
         StoredObject,
@@ -67,6 +68,28 @@
             click.echo(text, err=True)
 
 
+def find_unchecked_service(
+    platform_url: str, vm: str, held: Configuration
+) -> str | None:
+    """Returns the service of a VM if its endpoints check no fencing tokens.
+
+    None also when the VM list cannot be read or lacks the VM.
+    """
+    from burdockspan.configuration.port import ObjectStore
+
+    if click.get_current_context().find_object(ObjectStore) is not None:
+        return None
+
+    from burdockspan.platform.connection import connect_platform
+
+    found = connect_platform(platform_url, "operator-reader").list_vms().ok()
+    names = {item.name: item.service for item in found.vms} if found else {}
+    for service in held.services:
+        if service.name == names.get(vm) and not service.checks_fencing:
+            return service.name
+    return None
+
+
 def _convert(answer: Result[Any, Any]) -> Result[StoredObject, StoreError]:
     from result import Err, Ok
 
@@ -81,4 +104,4 @@
     return Ok(StoredObject(versioned.version, versioned.value))
 
 
-__all__ = ["open_store", "warn_of_unknown_vms"]
+__all__ = ["find_unchecked_service", "open_store", "warn_of_unknown_vms"]
--- a/src/burdockspan/configuration/acceptance.py
+++ b/src/burdockspan/configuration/acceptance.py
@@ -34,8 +34,8 @@
 ) -> Result[Configuration, CommitError]:
     """Puts a configuration in force in place of the one it was compared with.
 
-    Drains and planned stops are kept from the generation in force, so that a
-    document generated earlier cannot undo them.
+    Drains, planned stops and roles are kept from the generation in force, so
+    that a document generated earlier cannot undo them.
 
     Args:
       store: the object store.
@@ -64,6 +64,7 @@
         generation=base_generation + 1,
         drains=held.drains if held else (),
         stops=held.stops if held else (),
+        roles=held.roles if held else (),
     )
     return write(store, current, document, pause)
 
--- a/src/burdockspan/configuration/difference.py
+++ b/src/burdockspan/configuration/difference.py
@@ -20,7 +20,7 @@
       before: old value, None where there was none.
       after: new value, None where there is none any more.
       answer: questionnaire answer behind the value, `default`, or the
-        operator who drained the VM or planned the stop.
+        operator who drained the VM, planned the stop or set the role.
     """
 
     path: str
@@ -75,6 +75,9 @@
     for stop in configuration.stops:
         for field in ("vm", "at_s", "by"):
             answers[f"stops.{stop.stop_id}.{field}"] = f"stop by {stop.by}"
+    for role in configuration.roles:
+        for field in ("pool", "by", "at_s"):
+            answers[f"roles.{role.vm}.{field}"] = f"role by {role.by}"
     return answers
 
 
--- a/src/burdockspan/configuration/document.py
+++ b/src/burdockspan/configuration/document.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from burdockspan.values.endpoint import Pool
 from burdockspan.values.submission import Priority
 
 
@@ -164,6 +165,23 @@
     by: str
 
 
+@dataclasses.dataclass(frozen=True)
+class RoleChange:
+    """A role of an engine that differs from its pool in the VM list.
+
+    Attributes:
+      vm: name of an endpoint VM.
+      pool: prefill or decode.
+      by: operator who asked for it.
+      at_s: wall time of the request, seconds since 1970.
+    """
+
+    vm: str
+    pool: Pool
+    by: str
+    at_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Distance:
     """One-way network delay between two availability zones.
@@ -208,6 +226,7 @@
       distances: delays between availability zones.
       drains: drained VMs.
       stops: planned stops.
+      roles: changed roles of engines.
       origins: the answer behind each generated value.
     """
 
@@ -221,6 +240,7 @@
     distances: tuple[Distance, ...] = ()
     drains: tuple[Drain, ...] = ()
     stops: tuple[PlannedStop, ...] = ()
+    roles: tuple[RoleChange, ...] = ()
     origins: tuple[Origin, ...] = ()
 
 
@@ -233,6 +253,7 @@
     "Origin",
     "PlannedStop",
     "Policy",
+    "RoleChange",
     "Route",
     "Service",
 ]
--- a/src/burdockspan/configuration/generate.py
+++ b/src/burdockspan/configuration/generate.py
@@ -60,12 +60,13 @@
     """Returns the configuration of valid answers.
 
     The same answers give the same document, whatever their order. Every value
-    has an Origin, but for generation, acceptance, drains and planned stops.
+    has an Origin, but for generation, acceptance, drains, planned
+    stops and roles.
 
     Args:
       questionnaire: valid answers.
-      previous: configuration in force, whose drains and planned stops are
-        kept; None before the first.
+      previous: configuration in force, whose drains, planned stops and
+        roles are kept; None before the first.
     """
     services = [_engines(item) for item in questionnaire.model_services]
     services += [
@@ -84,9 +85,12 @@
         distances=_distances(questionnaire),
         drains=previous.drains if previous else (),
         stops=previous.stops if previous else (),
+        roles=previous.roles if previous else (),
     )
     answers = dict(_origins(questionnaire, document))
-    paths = flatten(dataclasses.replace(document, drains=(), stops=()))
+    paths = flatten(
+        dataclasses.replace(document, drains=(), stops=(), roles=())
+    )
     origins = tuple(
         Origin(path, answers.get(path, DEFAULT)) for path in sorted(paths)
     )
--- a/src/burdockspan/configuration/maintenance.py
+++ b/src/burdockspan/configuration/maintenance.py
@@ -1,4 +1,4 @@
-"""Edits of a configuration: drains and planned stops."""
+"""Edits of a configuration: drains, planned stops and roles."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
     Configuration,
     Drain,
     PlannedStop,
+    RoleChange,
 )
 
 
@@ -83,4 +84,39 @@
     return change
 
 
-__all__ = ["make_cancel", "make_drain", "make_schedule", "make_undrain"]
+def make_role(role: RoleChange) -> Edit:
+    """Returns an edit that sets the role of an engine."""
+
+    def change(held: Configuration) -> Result[Configuration, str]:
+        others = [item for item in held.roles if item.vm != role.vm]
+        if any(
+            (item.vm, item.pool) == (role.vm, role.pool) for item in held.roles
+        ):
+            return Ok(held)
+        roles = sorted((*others, role), key=lambda item: item.vm)
+        return Ok(dataclasses.replace(held, roles=tuple(roles)))
+
+    return change
+
+
+def make_clear_role(vm: str) -> Edit:
+    """Returns an edit that gives an engine its pool of the VM list again."""
+
+    def change(held: Configuration) -> Result[Configuration, str]:
+        roles = tuple(item for item in held.roles if item.vm != vm)
+        if len(roles) == len(held.roles):
+            known = ", ".join(item.vm for item in held.roles) or "none"
+            return Err(f"No role is set for {vm}. Roles are set for: {known}.")
+        return Ok(dataclasses.replace(held, roles=roles))
+
+    return change
+
+
+__all__ = [
+    "make_cancel",
+    "make_clear_role",
+    "make_drain",
+    "make_role",
+    "make_schedule",
+    "make_undrain",
+]
--- a/src/burdockspan/configuration/paths.py
+++ b/src/burdockspan/configuration/paths.py
@@ -14,6 +14,7 @@
     Drain,
     Model,
     PlannedStop,
+    RoleChange,
     Route,
     Service,
 )
@@ -29,6 +30,7 @@
     Distance: ("zone", "other"),
     Drain: ("vm",),
     PlannedStop: ("stop_id",),
+    RoleChange: ("vm",),
 }
 """Fields that identify an item of a list."""
 
@@ -79,6 +81,7 @@
     "distances",
     "drains",
     "stops",
+    "roles",
 )
 """Lists of items, which have no value of their own when empty."""
 
--- a/src/burdockspan/endpoints/control.py
+++ b/src/burdockspan/endpoints/control.py
@@ -7,6 +7,7 @@
 
 from burdockspan.configuration.document import Service
 from burdockspan.endpoints.orders import Order, OrderKind, OrderOutcome
+from burdockspan.values.endpoint import Pool
 
 _FIRST_RETRY_S = 0.25
 # An endpoint that fails for long is asked about four times a minute.
@@ -14,6 +15,10 @@
 _LAST_DOUBLING = 6
 
 
+Slot = tuple[str, str, str]
+"""What an order sets: its kind, and the model and adapter that it names."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Load:
     """Weights that an endpoint is to hold.
@@ -29,14 +34,44 @@
     adapter: str = ""
 
     @property
-    def slot(self) -> tuple[str, str]:
+    def slot(self) -> Slot:
         """Model and adapter, of which an endpoint uses one version."""
-        return self.model, self.adapter
+        return "load", self.model, self.adapter
+
+    @property
+    def base(self) -> Slot | None:
+        """What must hold the same version before: the adapter's model."""
+        return ("load", self.model, "") if self.adapter else None
+
+
+@dataclasses.dataclass(frozen=True)
+class Role:
+    """Role that an engine is to have.
+
+    Attributes:
+      pool: prefill or decode.
+      generation: configuration that wants it. The order is repeated for each
+        generation, even if the engine has the role already, so that a late
+        copy of any earlier order is refused.
+    """
+
+    pool: Pool
+    generation: int
+    slot: Slot = ("role", "", "")
+    base: Slot | None = None
+
+    @property
+    def version(self) -> str:
+        """Value that is confirmed."""
+        return f"{self.pool.value}@{self.generation}"
+
+
+Wanted = Load | Role
 
 
 @dataclasses.dataclass(frozen=True)
 class Pace:
-    """Failed tries of one load.
+    """Failed tries of one order.
 
     Attributes:
       failures: tries without a confirmation.
@@ -54,18 +89,16 @@
     Attributes:
       boot: boot identity that the confirmations belong to.
       confirmed: confirmed version by slot.
-      paces: failed tries by load.
-      pending: load that was sent and not answered yet.
+      paces: failed tries by slot.
+      pending: what was sent and not answered yet.
       newest: highest generation sent.
       refused: highest generation that the endpoint refused as old; 0 for none.
     """
 
     boot: str = ""
-    confirmed: Mapping[tuple[str, str], str] = dataclasses.field(
-        default_factory=dict
-    )
-    paces: Mapping[Load, Pace] = dataclasses.field(default_factory=dict)
-    pending: Load | None = None
+    confirmed: Mapping[Slot, str] = dataclasses.field(default_factory=dict)
+    paces: Mapping[Slot, Pace] = dataclasses.field(default_factory=dict)
+    pending: Wanted | None = None
     newest: int = 0
     refused: int = 0
 
@@ -82,19 +115,19 @@
 
 
 def list_missing(
-    control: Control, boot: str, wanted: tuple[Load, ...]
-) -> tuple[Load, ...]:
-    """Returns the loads that the endpoint's process has not confirmed."""
+    control: Control, boot: str, wanted: tuple[Wanted, ...]
+) -> tuple[Wanted, ...]:
+    """Returns what the endpoint's process has not confirmed."""
     confirmed = control.confirmed if control.boot == boot else {}
     return tuple(
-        load for load in wanted if confirmed.get(load.slot) != load.version
+        item for item in wanted if confirmed.get(item.slot) != item.version
     )
 
 
 def choose_order(
     control: Control,
     boot: str,
-    wanted: tuple[Load, ...],
+    wanted: tuple[Wanted, ...],
     generation: int,
     now_s: float,
 ) -> tuple[Control, Order | None]:
@@ -108,7 +141,7 @@
     Args:
       control: what was ordered so far.
       boot: boot identity of the endpoint's process in the newest report.
-      wanted: what the configuration wants it to hold.
+      wanted: what the configuration wants of it.
       generation: generation of that configuration, the fencing token.
       now_s: monotonic seconds.
     """
@@ -120,16 +153,18 @@
         )
     if generation <= control.refused or generation < control.newest:
         return control, None
-    for load in list_missing(control, boot, wanted):
-        pace = control.paces.get(load)
+    for item in list_missing(control, boot, wanted):
+        pace = control.paces.get(item.slot)
         due = pace is None or now_s >= pace.next_s
-        # An adapter is loaded onto its model, so the model comes first.
-        based = control.confirmed.get((load.model, "")) == load.version
-        if due and (based or not load.adapter):
+        based = (
+            item.base is None
+            or control.confirmed.get(item.base) == item.version
+        )
+        if due and based:
             control = dataclasses.replace(
-                control, pending=load, newest=generation
+                control, pending=item, newest=generation
             )
-            return control, _make_order(load, generation)
+            return control, _make_order(item, generation)
     return control, None
 
 
@@ -147,38 +182,44 @@
       outcome: what the endpoint answered; None if there was no usable answer.
       now_s: monotonic seconds.
     """
-    load = control.pending
-    if load is None:
+    item = control.pending
+    if item is None:
         return control
     control = dataclasses.replace(control, pending=None)
     if outcome is OrderOutcome.DONE:
-        return dataclasses.replace(
-            control,
-            confirmed={**control.confirmed, load.slot: load.version},
-            paces={k: v for k, v in control.paces.items() if k != load},
-        )
+        paces = {k: v for k, v in control.paces.items() if k != item.slot}
+        confirmed = {**control.confirmed, item.slot: item.version}
+        return dataclasses.replace(control, confirmed=confirmed, paces=paces)
     if outcome is OrderOutcome.SUPERSEDED:
         refused = max(control.refused, generation)
         return dataclasses.replace(control, refused=refused)
-    earlier = control.paces.get(load)
+    earlier = control.paces.get(item.slot)
     failures = 0 if earlier is None else earlier.failures
     delay_s = _FIRST_RETRY_S * 2.0 ** min(failures, _LAST_DOUBLING)
     pace = Pace(failures + 1, now_s + min(delay_s, _LAST_RETRY_S))
-    return dataclasses.replace(control, paces={**control.paces, load: pace})
+    return dataclasses.replace(
+        control, paces={**control.paces, item.slot: pace}
+    )
 
 
-def _make_order(load: Load, generation: int) -> Order:
-    arguments = (("model", load.model), ("version", load.version))
-    if not load.adapter:
-        return Order(OrderKind.LOAD_MODEL, generation, arguments)
-    named = (*arguments, ("adapter", load.adapter))
-    return Order(OrderKind.LOAD_ADAPTER, generation, named)
+def _make_order(item: Wanted, generation: int) -> Order:
+    if isinstance(item, Role):
+        arguments = (("role", item.pool.value),)
+        return Order(OrderKind.SET_ROLE, generation, arguments)
+    named = (("model", item.model), ("version", item.version))
+    if not item.adapter:
+        return Order(OrderKind.LOAD_MODEL, generation, named)
+    adapter = (*named, ("adapter", item.adapter))
+    return Order(OrderKind.LOAD_ADAPTER, generation, adapter)
 
 
 __all__ = [
     "Control",
     "Load",
     "Pace",
+    "Role",
+    "Slot",
+    "Wanted",
     "choose_order",
     "list_missing",
     "list_wanted",
--- a/src/burdockspan/node/documents.py
+++ b/src/burdockspan/node/documents.py
@@ -9,7 +9,7 @@
 from burdockspan.configuration.document import Configuration
 from burdockspan.membership import table
 from burdockspan.membership.values import Member, Versions
-from burdockspan.node import fleet
+from burdockspan.node import fleet, roles
 from burdockspan.node.catalog import make_catalog
 from burdockspan.node.context import Context
 from burdockspan.node.effects import (
@@ -125,13 +125,14 @@
 
 
 def apply_stops(tables: Tables, context: Context) -> Effects:
-    """Drains the endpoints and this VM when their planned stop has come."""
+    """Applies planned stops that have come, and roles that were confirmed."""
     now_s = context.clock()
     if tables.catalog is None or now_s < tables.next_stops_s:
         return ()
     tables.next_stops_s = now_s + _STOPS_INTERVAL_S
     drained = _drained_vms(tables.catalog.configuration, context)
-    if drained == tables.drained_vms:
+    unchanged = roles.resolve(tables) == tables.roles
+    if drained == tables.drained_vms and unchanged:
         return ()
     return _rebuild_endpoints(tables, context)
 
@@ -193,13 +194,16 @@
     catalog = tables.catalog
     if catalog is None:
         return ()
-    listed = make_fleet(tables.vm_list, catalog.configuration)
+    roles.update(tables, context.clock())
+    listed = make_fleet(
+        tables.vm_list, catalog.configuration, tables.roles.pools
+    )
     drained = _drained_vms(catalog.configuration, context)
     tables.drained_vms = drained
     rows = fleet.replace_endpoints(
         tables.endpoints_by_name, listed.endpoints.values()
     )
-    gone = drained | listed.leaving
+    gone = drained | listed.leaving | tables.roles.changing
     tables.endpoints_by_name = {
         name: dataclasses.replace(row, drained=name in gone)
         for name, row in rows.items()
--- a/src/burdockspan/node/orders.py
+++ b/src/burdockspan/node/orders.py
@@ -6,9 +6,9 @@
 
 from burdockspan.configuration.document import Service
 from burdockspan.endpoints import control as controls
-from burdockspan.endpoints.control import Control
+from burdockspan.endpoints.control import Control, Load
 from burdockspan.endpoints.orders import OrderOutcome
-from burdockspan.node import fleet, upkeep
+from burdockspan.node import fleet, roles, upkeep
 from burdockspan.node.context import Context
 from burdockspan.node.effects import (
     Count,
@@ -21,7 +21,7 @@
 from burdockspan.node.messages import OrderAnswered
 from burdockspan.node.tables import Tables
 
-_INTERVAL_S = 0.1
+_INTERVAL_S = 0.25
 # An order to a silent endpoint holds a thread for seconds; the others must
 # stay free for polls and releases.
 _PENDING_LIMIT = 4
@@ -44,6 +44,7 @@
         control.pending is not None
         for control in tables.controls_by_endpoint.values()
     )
+    pools = roles.list_wanted(tables)
     effects: Effects = ()
     for name in sorted(owned):
         row = tables.endpoints_by_name[name]
@@ -55,7 +56,10 @@
         control, order = controls.choose_order(
             tables.controls_by_endpoint.get(name, Control()),
             row.boot,
-            controls.list_wanted(service),
+            (
+                *roles.list_ready(tables, row, pools.get(name), now_s),
+                *controls.list_wanted(service),
+            ),
             generation,
             now_s,
         )
@@ -112,7 +116,11 @@
     missing = controls.list_missing(control, row.boot, wanted)
     return {
         "vm": name,
-        "missing": [dataclasses.asdict(load) for load in missing],
+        "missing": [
+            dataclasses.asdict(item)
+            for item in missing
+            if isinstance(item, Load)
+        ],
         "refused_generation": control.refused,
     }
 
--- a/src/burdockspan/node/status.py
+++ b/src/burdockspan/node/status.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from burdockspan.configuration.adoption import generation_of
-from burdockspan.node import fleet, orders
+from burdockspan.node import fleet, orders, roles
 from burdockspan.node.context import Context
 from burdockspan.node.tables import Tables
 from burdockspan.requests import lifecycle
@@ -50,6 +50,7 @@
         "quarantine": _quarantine(tables, context),
         "stops": _stops(tables),
         "orders": orders.describe_orders(tables),
+        "roles": roles.describe(tables),
     }
 
 
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from burdockspan.admission.forecast import Rate
 from burdockspan.admission.limits import Bucket
@@ -19,6 +19,7 @@
 from burdockspan.platform.vms import VmList
 from burdockspan.requests.lifecycle import RequestRow
 from burdockspan.resilience.retries import Budget, make_budget
+from burdockspan.values.endpoint import Pool
 from burdockspan.values.ids import AttemptId
 
 
@@ -37,6 +38,19 @@
     tries: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Roles:
+    """Engines whose role is not the pool that the VM list gives.
+
+    Attributes:
+      pools: pool that an engine is routed as, by VM.
+      changing: engines that take no new work until they confirm a role.
+    """
+
+    pools: Mapping[str, Pool] = dataclasses.field(default_factory=dict)
+    changing: frozenset[str] = frozenset()
+
+
 class Tables:
     """State of one node. Only the node's thread reads or writes it."""
 
@@ -69,6 +83,8 @@
         self.prefixes: PrefixIndex = make_prefix_index()
         self.cache_positions_by_endpoint: dict[str, tuple[str, int]] = {}
         self.controls_by_endpoint: dict[str, Control] = {}
+        self.roles = Roles()
+        self.changing_since_s: dict[str, tuple[int, float]] = {}
         self.owned_endpoints: frozenset[str] = frozenset()
         self.ownership_basis: tuple[object, ...] = (None, None, None)
         self.next_cache_poll_s = 0.0
@@ -92,4 +108,4 @@
     return attempt
 
 
-__all__ = ["ReleaseRow", "Tables", "make_attempt_id"]
+__all__ = ["ReleaseRow", "Roles", "Tables", "make_attempt_id"]
--- a/src/burdockspan/platform/vms.py
+++ b/src/burdockspan/platform/vms.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import ipaddress
+from collections.abc import Mapping
 from typing import Any
 
 from result import Err, Ok, Result
@@ -108,15 +109,26 @@
     return Ok(VmList(version, tuple(vms)))
 
 
-def make_fleet(vm_list: VmList, configuration: Configuration) -> Fleet:
-    """Returns the endpoints of the list that the configuration knows."""
+def make_fleet(
+    vm_list: VmList,
+    configuration: Configuration,
+    pools: Mapping[str, Pool] | None = None,
+) -> Fleet:
+    """Returns the endpoints of the list that the configuration knows.
+
+    Args:
+      vm_list: the VM list.
+      configuration: the configuration in force.
+      pools: pools of engines, by VM, that differ from the VM list.
+    """
     services = {service.name: service for service in configuration.services}
     endpoints: dict[str, Endpoint] = {}
     problems: list[str] = []
     for vm in vm_list.vms:
         if vm.role is VmRole.ENTRY:
             continue
-        made = _make_endpoint(vm, services.get(vm.service))
+        pool = (pools or {}).get(vm.name, Pool(vm.role.value))
+        made = _make_endpoint(vm, pool, services.get(vm.service))
         if isinstance(made, Err):
             problems.append(f"{vm.name}: {made.err_value}")
         else:
@@ -130,10 +142,11 @@
     )
 
 
-def _make_endpoint(vm: Vm, service: Service | None) -> Result[Endpoint, str]:
+def _make_endpoint(
+    vm: Vm, pool: Pool, service: Service | None
+) -> Result[Endpoint, str]:
     if service is None:
         return Err(f"service {vm.service!r} is not in the configuration")
-    pool = Pool(vm.role.value)
     if (pool is Pool.SERVICE) == bool(service.models):
         return Err(f"pool {pool.value} does not suit service {service.name!r}")
     return Ok(
--- a/tests/cli/test_platform.py
+++ b/tests/cli/test_platform.py
@@ -57,6 +57,28 @@
         self.assertNotIn("'vm-1'", result.stderr)
         self.assertIn("no VM named 'vm-2'", result.stderr)
 
+    def test_role_is_refused_where_fencing_is_not_checked(self) -> None:
+        # Guards against a late order that undoes a newer role.
+        vms = [
+            {
+                "name": f"vm-{number}",
+                "availability_zone": "fes-a",
+                "address": "127.0.0.1",
+                "port": 80 + number,
+                "service": service,
+                "pool": "decode",
+                "state": "live",
+            }
+            for number, service in enumerate(("hajz-app", "qalam-models"))
+        ]
+        self.platform.call("PUT", "/control/vms", {"vms": vms})
+        self.run_command(*self.accept)
+        result = self.run_command("role", "set", "vm-0", "prefill")
+        self.assertEqual(result.exit_code, 2, result.output)
+        self.assertIn("do not check fencing tokens", result.stderr)
+        result = self.run_command("role", "set", "vm-1", "prefill")
+        self.assertEqual(result.exit_code, 0, result.output)
+
     def test_changes_report_an_outage_over_http(self) -> None:
         self.platform.fault(down="error")
         result = self.run_command("drain", "vm-1")
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -24,6 +24,15 @@
         {"vm": "decode-1", "pool": "decode", "free": 3, "added_later": [1]}
     ],
     "quarantine": [{"fingerprint": "ab12"}],
+    "roles": [{"vm": "decode-1", "pool": "prefill", "state": "changing"}],
+    "orders": [
+        {
+            "vm": "decode-2",
+            "missing": [{"model": "large", "adapter": "legal"}],
+            "refused_generation": 6,
+        },
+        {"vm": "decode-3", "missing": 1},
+    ],
     "added_later": [1, 2],
 }
 
@@ -69,6 +78,9 @@
         self.assertIn(["ab12"], lines)
         endpoint = ["decode-1", "-", "decode", *"-----", "3", "-"]
         self.assertIn(endpoint, lines)
+        self.assertIn(["decode-1", "role", "prefill", "changing"], lines)
+        order = "decode-2 large legal not confirmed; refused generation 6"
+        self.assertIn(order.split(), lines)
 
     def test_status_survives_fields_of_other_types(self) -> None:
         # Guards against a command that breaks during an upgrade.
