Refuse calls beyond the thread limit at once

Cause: with all waitress threads busy, further calls waited in the queue of waitress, seen by no limit, deadline or counter.

Change: the application counts the active calls, each until the server closes its body, and refuses one over the `threads` setting at once with 503, `overloaded`, Retry-After 1 and `not_run`, or `unknown` if it carries an idempotency key. waitress gets four threads more than the setting, in which these refusals run.

Tested: a limit of 2 with two open streams, further calls with and without a key, and callers that leave in mid-stream; the test fails when a call is not uncounted at its end.

--- a/src/burdockspan/http/application.py
+++ b/src/burdockspan/http/application.py
@@ -9,6 +9,7 @@
 
 from burdockspan.configuration.document import Client, Configuration
 from burdockspan.http.completions import complete
+from burdockspan.http.concurrency import ActiveCalls, CountedBody
 from burdockspan.http.models import MODELS_PATH, list_models, show_model
 from burdockspan.http.outcomes import OUTCOMES_PREFIX, show_outcome
 from burdockspan.http.parsing import (
@@ -34,16 +35,40 @@
 WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
 REQUEST_ID_HEADER = "Burdockspan-Request-Id"
 _RETRY_AFTER_S = 1.0
+# The largest number of threads that the settings allow.
+CALLS_LIMIT = 4096
 
 
-def make_application(ports: Ports) -> WsgiApplication:
-    """Returns the WSGI application that answers callers."""
+def make_application(
+    ports: Ports, calls_limit: int = CALLS_LIMIT
+) -> WsgiApplication:
+    """Returns the WSGI application that answers callers.
+
+    Args:
+      ports: collaborators.
+      calls_limit: most calls served at a time; further ones are refused.
+    """
+    calls = ActiveCalls(calls_limit)
 
     def application(
         environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        if not calls.enter():
+            return answer(environ, start_response, _refuse_excess)
+        try:
+            body = answer(environ, start_response, _answer_safely)
+        except BaseException:
+            calls.leave()
+            raise
+        return CountedBody(body, calls.leave)
+
+    def answer(
+        environ: dict[str, Any],
+        start_response: Any,
+        handle: Callable[[Ports, Request], Reply],
     ) -> Iterable[bytes]:
         request = make_request(environ, make_request_id(), ports.clock())
-        reply = _answer_safely(ports, request)
+        reply = handle(ports, request)
         took_s = ports.clock() - request.arrived_s
         ports.metrics.count(f"answers.{reply.status}", 1)
         if reply.refusal is not None:
@@ -58,6 +83,13 @@
     return application
 
 
+def _refuse_excess(ports: Ports, request: Request) -> Reply:
+    del ports
+    detail = "this router serves as many calls as it can at a time"
+    refusal = _make_unready(request, Reason.OVERLOADED, detail)
+    return make_refusal_reply(refusal, request.request_id)
+
+
 def _answer_safely(ports: Ports, request: Request) -> Reply:
     try:
         return _answer(ports, request)
@@ -165,4 +197,9 @@
     return make_refusal_reply(refusal, request.request_id)
 
 
-__all__ = ["REQUEST_ID_HEADER", "WsgiApplication", "make_application"]
+__all__ = [
+    "CALLS_LIMIT",
+    "REQUEST_ID_HEADER",
+    "WsgiApplication",
+    "make_application",
+]
--- a/src/burdockspan/http/server.py
+++ b/src/burdockspan/http/server.py
@@ -36,6 +36,9 @@
 _HEADER_LIMIT_BYTES = 64 * 1024
 _POLL_S = 1.0
 _ADMIN_THREADS = 4
+# The application refuses calls beyond the limit, for which it needs threads
+# of its own; in the queue of waitress they would wait unseen.
+_SPARE_THREADS = 4
 _ADMIN_BODY_LIMIT_BYTES = 64 * 1024
 
 # Keep-alive finds a caller that vanished while nothing is sent to it;
@@ -87,10 +90,12 @@
     Args:
       application: WSGI application.
       address: `ip:port` to listen on; port 0 takes a free one.
-      threads: most calls served at a time.
+      threads: most calls that the application serves at a time.
       body_limit: returns the largest body of a call, in bytes.
     """
-    return _make_server(application, address, threads, body_limit)
+    return _make_server(
+        application, address, threads + _SPARE_THREADS, body_limit
+    )
 
 
 def make_admin_server(application: WsgiApplication, address: str) -> Server:
--- a/src/burdockspan/node/assembly.py
+++ b/src/burdockspan/node/assembly.py
@@ -186,7 +186,7 @@
         )
         try:
             self._caller_server = make_caller_server(
-                make_application(ports),
+                make_application(ports, settings.threads),
                 settings.caller_address,
                 settings.threads,
                 lambda: self._policy().body_limit_bytes,
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -23,6 +23,7 @@
 )
 from burdockspan.values.refusal import Execution, Reason, Refusal
 from tests.support.caller import WAIT_S, ServedTest, serve, wait_until
+from tests.support.endpoint_fake import TOKENS, Handler, script_engine
 from tests.support.router_fake import RouterFake
 
 _PART = b"x" * 65_536
@@ -159,6 +160,53 @@
         self.assertTrue(text.endswith(b"done"))
 
 
+class ConcurrencyTest(ServedTest):
+    calls_limit = 2
+
+    def test_calls_over_the_limit_are_refused_at_once(self) -> None:
+        # Guards against calls that wait unseen while all threads are busy,
+        # and against a call that is counted after its end.
+        proceed = threading.Event()
+        self.addCleanup(proceed.set)
+
+        def decode(one: Handler) -> None:
+            one.begin_stream()
+            one.send_tokens(0, 1)
+            proceed.wait(WAIT_S)
+            one.send_tokens(1, TOKENS)
+            one.end_stream()
+
+        self.decode.scripts["POST /v1/"] = decode
+        body = {"model": "m1", "prompt": "p", "max_tokens": 5, "stream": True}
+        streams = [
+            self.open("POST", "/v1/completions", body)[1] for _ in range(2)
+        ]
+        for _ in range(3):
+            answer = self.complete()
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(answer.headers["Retry-After"], "1")
+            self.assertEqual(answer.problem()["reason"], "overloaded")
+            self.assertEqual(answer.problem()["outcome"], "not_run")
+        # An earlier call with the same key may have run.
+        keyed = self.complete({"Idempotency-Key": "k"})
+        self.assertEqual(keyed.problem()["outcome"], "unknown")
+        proceed.set()
+        for stream in streams:
+            self.assertTrue(stream.read().endswith(b"data: [DONE]\n\n"))
+        script_engine(self.decode)
+        self.wait_until(lambda: self.complete().status == 200)
+        # A caller that goes away in mid-stream ends its call as well.
+        for _ in range(4):
+            self.wait_until(self.open_and_leave)
+        self.wait_until(lambda: self.complete().status == 200)
+
+    def open_and_leave(self) -> bool:
+        body = {"model": "m1", "prompt": "p", "max_tokens": 5, "stream": True}
+        connection, response = self.open("POST", "/v1/completions", body)
+        connection.close()
+        return response.status == 200
+
+
 def _accepts(server: Server) -> bool:
     host, _, port = server.address.rpartition(":")
     try:
--- a/tests/support/caller.py
+++ b/tests/support/caller.py
@@ -52,6 +52,7 @@
         stream_silence_s=WAIT_S,
         body_limit_bytes=20_000,
     )
+    calls_limit = 8
 
     def setUp(self) -> None:
         self.prefill = self.make_endpoint("prefill-1")
@@ -74,7 +75,10 @@
         )
         limit = self.policy.body_limit_bytes
         self.server = make_caller_server(
-            make_application(ports), "127.0.0.1:0", 8, lambda: limit
+            make_application(ports, self.calls_limit),
+            "127.0.0.1:0",
+            self.calls_limit,
+            lambda: limit,
         )
         serve(self, self.server)
 
