Trace the queue and the relay of an answer

Cause: the span of the decode hop ends at the first byte of a stream, so that a trace showed nothing of the rest of the answer, nor of the wait for a placement.

Change: a `queue` span covers each wait for a placement, and a `relay` span runs from the first byte of an answer until the server closes its body. Both are children of the request's span, which still ends with the answer's head. The relay span is started without becoming the current one, because it ends outside the function that starts it.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -155,7 +155,7 @@
     def arrived() -> bool:
         found = fleet.collector.call("GET", "/traces").json()["spans"]
         spans[:] = [span for span in found if span["traceId"] == _TRACE_ID]
-        return any(span["name"] == "request" for span in spans)
+        return any(span["name"] == "relay" for span in spans)
 
     zone.wait_until(arrived, "the trace has been exported", _EXPORT_LIMIT_S)
     print("\ntrace of the streamed completion:")
--- a/src/burdockspan/http/attempts.py
+++ b/src/burdockspan/http/attempts.py
@@ -40,7 +40,12 @@
         return make_stop_refusal(run)
     assert run.placement is not None
     run.job.ports.metrics.count(f"attempts.failed.{problem.kind.value}", 1)
-    return run.job.ports.router.replace(run.placement.attempt, problem)
+    job = run.job
+    priority = job.submission.priority.value
+    with job.ports.traces.span(
+        "queue", job.traceparent, {"priority": priority}
+    ):
+        return job.ports.router.replace(run.placement.attempt, problem)
 
 
 def run_attempt(
--- a/src/burdockspan/http/completions.py
+++ b/src/burdockspan/http/completions.py
@@ -104,7 +104,13 @@
 def _run_until_answer(run: Run) -> Result[Reply, Refusal]:
     """Runs attempts until there is something to send to the caller."""
     job = run.job
-    placed = job.ports.router.submit(job.submission, job.request.caller_gone)
+    priority = job.submission.priority.value
+    with job.ports.traces.span(
+        "queue", job.traceparent, {"priority": priority}
+    ):
+        placed = job.ports.router.submit(
+            job.submission, job.request.caller_gone
+        )
     while True:
         if isinstance(placed, Err):
             return Err(_make_truthful(run, placed.err_value))
@@ -170,12 +176,16 @@
         relay.close()
         return Err(Stopped())
     ended = _End()
+    end_span = run.job.ports.traces.begin(
+        "relay", run.job.traceparent, {"endpoint": endpoint.name}
+    )
     headers = (
         ("Content-Type", "text/event-stream; charset=utf-8"),
         ("Cache-Control", "no-cache"),
     )
 
     def clean_up() -> None:
+        end_span()
         relay.close()
         run.finish(Execution.RAN, ended.status)
 
--- a/src/burdockspan/http/service_answers.py
+++ b/src/burdockspan/http/service_answers.py
@@ -70,7 +70,13 @@
         exchange.close()
         return Err(make_job_stopped(job, Execution.RAN))
 
+    assert placement.service is not None
+    end_span = job.ports.traces.begin(
+        "relay", job.traceparent, {"endpoint": placement.service.name}
+    )
+
     def clean_up() -> None:
+        end_span()
         exchange.close()
         job.guard.refuse(Execution.UNKNOWN)
         job.ports.router.finish(job.request.request_id, Execution.RAN, status)
--- a/src/burdockspan/http/services.py
+++ b/src/burdockspan/http/services.py
@@ -122,7 +122,9 @@
 
 def _dispatch(job: ServiceJob) -> Result[Reply, Refusal]:
     router = job.ports.router
-    placed = router.submit(job.submission, job.request.caller_gone)
+    waiting = {"priority": job.submission.priority.value}
+    with job.ports.traces.span("queue", job.traceparent, {**waiting}):
+        placed = router.submit(job.submission, job.request.caller_gone)
     execution = Execution.NOT_RUN
     while True:
         if isinstance(placed, Err):
@@ -146,7 +148,8 @@
         if abort.aborted:
             return Err(make_job_stopped(job, execution))
         job.ports.metrics.count(f"attempts.failed.{failure.kind.value}", 1)
-        placed = router.replace(placement.attempt, failure)
+        with job.ports.traces.span("queue", job.traceparent, {**waiting}):
+            placed = router.replace(placement.attempt, failure)
         if may_have_run(failure) and not job.submission.idempotent:
             return Err(_make_unknown_refusal(failure))
 
--- a/src/burdockspan/observe/traces.py
+++ b/src/burdockspan/observe/traces.py
@@ -27,12 +27,15 @@
       span: returns a context manager for a span with a name, a parent as
         `traceparent` text or None, and attributes. Its value is the
         `traceparent` to send onwards, None if there is nothing to send.
+      begin: starts a span with the same arguments that outlasts the calling
+        function; returns a function that ends it, to be called once.
       close: exports what is pending and stops.
     """
 
     span: Callable[
         [str, str | None, _Attributes], AbstractContextManager[str | None]
     ]
+    begin: Callable[[str, str | None, _Attributes], Callable[[], None]]
     close: Callable[[], None]
 
 
@@ -40,6 +43,7 @@
     """Returns traces that export nothing and pass trace contexts on."""
     return Traces(
         span=lambda name, parent, attributes: contextlib.nullcontext(parent),
+        begin=lambda name, parent, attributes: _do_nothing,
         close=lambda: None,
     )
 
@@ -92,7 +96,21 @@
             propagator.inject(onwards, trace.set_span_in_context(current))
             yield onwards.get("traceparent")
 
-    return Traces(span, provider.shutdown)
+    def begin(
+        name: str, parent: str | None, attributes: _Attributes
+    ) -> Callable[[], None]:
+        carrier = {"traceparent": parent} if parent else {}
+        context = propagator.extract(carrier)
+        end: Callable[[], None] = tracer.start_span(
+            name, context=context, attributes=attributes
+        ).end
+        return end
+
+    return Traces(span, begin, provider.shutdown)
+
+
+def _do_nothing() -> None:
+    """Ends a span that is not recorded."""
 
 
 def parse_traceparent(text: str | None) -> str | None:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -203,6 +203,7 @@
     def open_and_leave(self) -> bool:
         body = {"model": "m1", "prompt": "p", "max_tokens": 5, "stream": True}
         connection, response = self.open("POST", "/v1/completions", body)
+        response.close()
         connection.close()
         return response.status == 200
 
--- a/tests/support/caller.py
+++ b/tests/support/caller.py
@@ -16,6 +16,7 @@
 from burdockspan.http.application import make_application
 from burdockspan.http.ports import Ports
 from burdockspan.http.server import Server, make_caller_server
+from burdockspan.observe.traces import Traces, make_no_traces
 from burdockspan.values.endpoint import Pool
 from tests.support.endpoint_fake import EndpointFake, script_engine
 from tests.support.router_fake import (
@@ -72,6 +73,7 @@
             self.claims.make(),
             self.connections,
             time.monotonic,
+            traces=self.make_traces(),
         )
         limit = self.policy.body_limit_bytes
         self.server = make_caller_server(
@@ -82,6 +84,9 @@
         )
         serve(self, self.server)
 
+    def make_traces(self) -> Traces:
+        return make_no_traces()
+
     def limit(self, **changes: float) -> None:
         """Changes limits of the configuration in force."""
         policy = dataclasses.replace(self.policy, **changes)  # type: ignore[arg-type]
