Keep the wanted roles between passes

Cause: the wanted role of each engine was found by going through the VM list eight times a second, 0.85 ms each time with 660 engines and 350 entry VMs, 0.7% of a core of the 1.7% that control work may use.

Change: the result is kept until the VM list or the configuration changes.

--- a/src/burdockspan/node/roles.py
+++ b/src/burdockspan/node/roles.py
@@ -6,14 +6,13 @@
 from burdockspan.endpoints.control import Role
 from burdockspan.node.fleet import EndpointRow
 from burdockspan.node.tables import Roles, Tables
+from burdockspan.platform.vms import VmRole
 from burdockspan.values.endpoint import Pool
 
 # A generation is in force everywhere within 6 s (P8), so that afterwards no
 # entry VM gives new work to an engine that changes its role.
 _SETTLE_S = 6.0
 
-_ENGINE_POOLS = (Pool.PREFILL, Pool.DECODE)
-
 
 def resolve(tables: Tables) -> Roles:
     """Returns how engines are routed whose role is not as listed.
@@ -102,7 +101,22 @@
 
 
 def list_wanted(tables: Tables) -> dict[str, tuple[Pool, Pool]]:
-    """Returns the listed and the wanted pool of engines that check fencing."""
+    """Returns the listed and the wanted pool of engines that check fencing.
+
+    Going through the VM list takes 0.8 ms at the design size, so the result
+    is kept until the list or the configuration changes.
+    """
+    basis = (tables.vm_list, tables.catalog)
+    if any(
+        old is not new
+        for old, new in zip(tables.pools_basis, basis, strict=True)
+    ):
+        tables.pools_basis = basis
+        tables.pools_by_vm = _find_wanted(tables)
+    return tables.pools_by_vm
+
+
+def _find_wanted(tables: Tables) -> dict[str, tuple[Pool, Pool]]:
     catalog = tables.catalog
     if catalog is None:
         return {}
@@ -110,7 +124,7 @@
     wanted = {}
     for vm in tables.vm_list.vms:
         service = catalog.services_by_name.get(vm.service)
-        if _can_change(service) and vm.role.value != "entry":
+        if vm.role is not VmRole.ENTRY and _can_change(service):
             listed = Pool(vm.role.value)
             wanted[vm.name] = listed, changes.get(vm.name, listed)
     return wanted
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -84,6 +84,8 @@
         self.cache_positions_by_endpoint: dict[str, tuple[str, int]] = {}
         self.controls_by_endpoint: dict[str, Control] = {}
         self.roles = Roles()
+        self.pools_by_vm: dict[str, tuple[Pool, Pool]] = {}
+        self.pools_basis: tuple[object, ...] = (None, None)
         self.changing_since_s: dict[str, tuple[int, float]] = {}
         self.owned_endpoints: frozenset[str] = frozenset()
         self.ownership_basis: tuple[object, ...] = (None, None, None)
