--- a/src/burdockspan/membership/values.py
+++ b/src/burdockspan/membership/values.py
@@ -6,6 +6,7 @@
 import enum
 
 from burdockspan.membership.calls import CallMessage
+from burdockspan.values.endpoint import Pool
 
 
 class MemberState(enum.IntEnum):
@@ -95,6 +96,7 @@
       running: calls running.
       waiting: calls waiting inside the endpoint.
       age_ms: time since the measurement when the message was sent.
+      role: role that an engine says it has; None if it does not say.
     """
 
     endpoint: str
@@ -105,6 +107,7 @@
     running: int
     waiting: int
     age_ms: int
+    role: Pool | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -17,6 +17,7 @@
     intake,
     lending,
     messages,
+    orders,
     upkeep,
 )
 from burdockspan.node.context import Context
@@ -82,6 +83,7 @@
         *upkeep.list_attempts(tables, context),
         *upkeep.fetch_cache_events(tables, context),
         *upkeep.free_memory(tables, context),
+        *orders.send_orders(tables, context),
     )
 
 
@@ -173,6 +175,7 @@
     messages.Leave: _leave,
     messages.LoadPolled: gossip.take_poll,
     messages.MemoryReleased: upkeep.note_released,
+    messages.OrderAnswered: orders.note_answer,
     messages.PeerMessage: _receive,
     messages.ReleaseMemory: _release,
     messages.Replace: intake.replace,
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from burdockspan.admission.forecast import Rate
 from burdockspan.admission.limits import Bucket
 from burdockspan.admission.queue import Shares, Waiting
 from burdockspan.configuration.adoption import Adoption, Start
+from burdockspan.endpoints.control import Control
 from burdockspan.membership.calls import CallMessage
 from burdockspan.membership.table import Members
 from burdockspan.node.catalog import Catalog
@@ -19,6 +20,7 @@
 from burdockspan.platform.vms import VmList
 from burdockspan.requests.lifecycle import RequestRow
 from burdockspan.resilience.retries import Budget, make_budget
+from burdockspan.values.endpoint import Pool
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import Placement
 
@@ -86,6 +88,19 @@
     tries: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Roles:
+    """Engines whose role is not the pool that the VM list gives.
+
+    Attributes:
+      pools: pool that an engine is routed as, by VM.
+      changing: engines that take no new work until they confirm a role.
+    """
+
+    pools: Mapping[str, Pool] = dataclasses.field(default_factory=dict)
+    changing: frozenset[str] = frozenset()
+
+
 class Tables:
     """State of one node. Only the node's thread reads or writes it."""
 
@@ -121,6 +136,11 @@
         self.retry_budget: Budget = make_budget(0.1, 20.0)
         self.prefixes: PrefixIndex = make_prefix_index()
         self.cache_positions_by_endpoint: dict[str, tuple[str, int]] = {}
+        self.controls_by_endpoint: dict[str, Control] = {}
+        self.roles = Roles()
+        self.pools_by_vm: dict[str, tuple[Pool, Pool]] = {}
+        self.pools_basis: tuple[object, ...] = (None, None)
+        self.changing_since_s: dict[str, tuple[int, float]] = {}
         self.owned_endpoints: frozenset[str] = frozenset()
         self.ownership_basis: tuple[object, ...] = (None, None, None)
         self.next_cache_poll_s = 0.0
@@ -132,6 +152,8 @@
         self.next_prune_s = 0.0
         self.next_pull_s = 0.0
         self.next_ask_s = 0.0
+        self.next_orders_s = 0.0
+        self.next_look_s = 0.0
 
 
 def make_attempt_id(tables: Tables) -> AttemptId:
@@ -142,4 +164,11 @@
     return attempt
 
 
-__all__ = ["Borrower", "Question", "ReleaseRow", "Tables", "make_attempt_id"]
+__all__ = [
+    "Borrower",
+    "Question",
+    "ReleaseRow",
+    "Roles",
+    "Tables",
+    "make_attempt_id",
+]
