node: Test random histories of a node against its invariants

Cause: the node's systems had no test of their own. Before: wrong versions fail: a failure of another attempt taken, a lost release taken as confirmed, reservations kept, stranded calls kept, a cancelled call not answered.

--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -41,17 +41,25 @@
 
     def on_receive(self, message: Any) -> Any:
         """Handles a message of `messages`; returns what its sender asked."""
-        if isinstance(message, messages.Record):
-            allowed, effects = attempts.record(
-                self._tables, message, self._context
-            )
-            self._perform(effects)
-            return allowed
-        if isinstance(message, messages.ReadState):
-            return message.read(self._tables)
-        handler = _HANDLERS[type(message)]
-        self._perform(handler(self._tables, message, self._context))
-        return None
+        answer, effects = handle(self._tables, message, self._context)
+        self._perform(effects)
+        return answer
+
+
+def handle(
+    tables: Tables, message: Any, context: Context
+) -> tuple[Any, Effects]:
+    """Applies a message to the tables.
+
+    Returns:
+      What the sender asked, and the effects to carry out.
+    """
+    if isinstance(message, messages.Record):
+        return attempts.record(tables, message, context)
+    if isinstance(message, messages.ReadState):
+        return message.read(tables), ()
+    handler = _HANDLERS[type(message)]
+    return None, handler(tables, message, context)
 
 
 def run_systems(
@@ -142,4 +150,4 @@
 }
 
 
-__all__ = ["Node", "Perform", "run_systems"]
+__all__ = ["Node", "Perform", "handle", "run_systems"]
--- /dev/null
+++ b/tests/node/test_histories.py
@@ -0,0 +1,56 @@
+"""P1, P2 and P3 in a node under random histories."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burdockspan.values.submission import CallKind, Priority
+from tests.support.node_calls import make_call
+from tests.support.node_driver import NodeDriver
+from tests.support.node_history import History
+
+
+class NodeHistoryTest(unittest.TestCase):
+    @settings(max_examples=150)
+    @given(st.randoms(use_true_random=False))
+    def test_node_keeps_its_invariants(self, draw: random.Random) -> None:
+        """Guards against lost calls, second answers and held memory."""
+        History(draw.randrange).run()
+
+    def test_node_answers_at_once_without_a_usable_endpoint(self) -> None:
+        """Guards against calls that wait for an endpoint that is gone."""
+        driver = NodeDriver()
+        for name in ("decode-1", "decode-2"):
+            driver.engines[name].alive = False
+        driver.advance(3.0)
+        call = make_call(
+            driver, 1, CallKind.COMPLETION, Priority.PATIENT, 300.0
+        )
+        self.assertTrue(call.replies[0].done())
+        self.assertEqual(call.replies[0].result().unwrap_err().status, 503)
+
+    def test_node_repeats_a_lost_release_until_it_is_confirmed(self) -> None:
+        """Guards against memory held because one release was lost."""
+        driver = NodeDriver()
+        driver.swept = False
+        call = make_call(
+            driver, 1, CallKind.COMPLETION, Priority.PATIENT, 300.0
+        )
+        call.step()
+        held = [e for e in driver.engines.values() if e.pieces and e.held]
+        self.assertEqual(len(held), 1)
+        call.gone = True
+        for _ in range(5):
+            driver.advance(1.0)
+            call.step()
+            self.assertTrue(driver.frees)
+            while driver.frees:
+                driver.free(driver.frees.pop(), False, False)
+        driver.advance(1.0)
+        driver.deliver()
+        self.assertEqual(held[0].held, {})
+        self.assertEqual(driver.tables.releases, {})
--- /dev/null
+++ b/tests/support/node_calls.py
@@ -0,0 +1,199 @@
+"""A call's handler as the node sees it, advanced step by step."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from concurrent.futures import Future
+
+from result import Err, Result
+
+from burdockspan.node import messages
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.placement import Event, Failure, FailureKind, Placement
+from burdockspan.values.refusal import Execution, Refusal
+from burdockspan.values.submission import CallKind, Priority, Submission
+from tests.support.node_driver import MODEL, PLAIN, NodeDriver
+
+# Failures in which the engine may still have received what was sent.
+_MAY_ARRIVE = frozenset(
+    {
+        FailureKind.SILENT,
+        FailureKind.CONNECTION_LOST,
+        FailureKind.TIMED_OUT,
+        FailureKind.ENDPOINT_ERROR,
+    }
+)
+
+_Steps = Generator[None, FailureKind | None, "Failure | bool"]
+
+
+class HandledCall:
+    """One call; `step` lets its handler reach its next wait.
+
+    Attributes:
+      submission: the call.
+      gone: whether its caller has gone.
+      ended: whether its handler has returned.
+      attempts: attempts that it was given.
+      late: reservations that are still on their way to an engine.
+    """
+
+    def __init__(self, driver: NodeDriver, submission: Submission) -> None:
+        self.submission = submission
+        self.gone = False
+        self.ended = False
+        self.attempts: list[AttemptId] = []
+        self.late: list[tuple[str, AttemptId, int]] = []
+        self.replies: list[messages.PlacementReply] = []
+        self._driver = driver
+        self._aborted = False
+        self._touched: set[str] = set()
+        self._steps = self._run()
+        self.step()
+
+    def step(self, failure: FailureKind | None = None) -> None:
+        """Ends the present wait, with a failure if one is given."""
+        if self.ended:
+            return
+        try:
+            self._steps.send(failure)
+        except StopIteration:
+            self.ended = True
+
+    def _run(self) -> Generator[None, FailureKind | None, None]:
+        reply: messages.PlacementReply = Future()
+        self.replies.append(reply)
+        self._driver.send(
+            messages.Submit(self.submission, lambda: self.gone, reply)
+        )
+        while True:
+            while not reply.done():
+                yield
+            outcome: Result[Placement, Refusal] = reply.result()
+            if isinstance(outcome, Err):
+                refusal = outcome.err_value
+                return self._finish(refusal.execution, refusal.status)
+            placement = outcome.ok_value
+            self.attempts.append(placement.attempt)
+            self._aborted = False
+            attach = messages.Attach(placement.attempt, self._abort)
+            self._driver.send(attach)
+            ended = yield from self._run_attempt(placement)
+            self._release(placement)
+            if ended is True:
+                return self._finish(Execution.RAN, 200)
+            if ended is False or self._aborted:
+                return self._finish(Execution.UNKNOWN, 503)
+            reply = Future()
+            self.replies.append(reply)
+            self._driver.send(messages.Replace(placement.attempt, ended, reply))
+
+    def _run_attempt(self, placement: Placement) -> _Steps:
+        if placement.service is not None:
+            return (yield from self._run_service(placement))
+        assert placement.decode is not None
+        assert placement.prefill is not None
+        decode, prefill = placement.decode.name, placement.prefill.name
+        attempt = placement.attempt
+        self._touched.add(decode)
+        failed = yield
+        refused = self._reserve(placement, decode, failed)
+        if refused is not None:
+            return refused
+        if not self._record(attempt, Event.RESERVED, Event.PREFILL_SENT):
+            return False
+        self._touched.add(prefill)
+        if self._driver.engines[prefill].alive:
+            self._driver.engines[prefill].held[attempt] = 0
+        for engine, events in (
+            (prefill, (Event.PREFILLED,)),
+            (decode, (Event.TRANSFERRED, Event.DECODE_SENT)),
+            (decode, (Event.FIRST_BYTE,)),
+            (decode, ()),
+        ):
+            failed = yield
+            if self._aborted:
+                return False
+            if failed is not None:
+                return Failure(failed, engine)
+            if not self._record(attempt, *events):
+                return False
+        return True
+
+    def _run_service(self, placement: Placement) -> _Steps:
+        assert placement.service is not None
+        attempt = placement.attempt
+        for event in (Event.DISPATCHED, Event.FIRST_BYTE):
+            if not self._record(attempt, event):
+                return False
+            failed = yield
+            if self._aborted:
+                return False
+            if failed is not None:
+                return Failure(failed, placement.service.name)
+        return True
+
+    def _reserve(
+        self, placement: Placement, name: str, failed: FailureKind | None
+    ) -> Failure | bool | None:
+        engine = self._driver.engines[name]
+        attempt, pieces = placement.attempt, placement.pieces
+        if self._aborted or failed in _MAY_ARRIVE:
+            # What was sent may arrive after the release that follows.
+            self.late.append((name, attempt, pieces))
+            return False if self._aborted else Failure(failed, name)  # type: ignore[arg-type]
+        if failed is None and not engine.alive:
+            failed = FailureKind.NOT_CONNECTED
+        if failed is None and not engine.reserve(attempt, pieces):
+            failed = FailureKind.FULL
+        if failed is None:
+            return None
+        self._touched.discard(name)
+        return Failure(failed, name)
+
+    def _record(self, attempt: AttemptId, *events: Event) -> bool:
+        return all(
+            self._driver.send(messages.Record(attempt, event))
+            for event in events
+        )
+
+    def _release(self, placement: Placement) -> None:
+        touched, self._touched = self._touched, set()
+        for name in sorted(touched):
+            self._driver.send(messages.ReleaseMemory(placement.attempt, name))
+
+    def _finish(self, execution: Execution, status: int) -> None:
+        request_id = self.submission.request_id
+        self._driver.send(messages.Finish(request_id, execution, status))
+
+    def _abort(self) -> None:
+        self._aborted = True
+
+
+def make_call(
+    driver: NodeDriver,
+    number: int,
+    kind: CallKind,
+    priority: Priority,
+    deadline_s: float,
+    pieces: int = 1,
+) -> HandledCall:
+    """Submits a call; `deadline_s` counts from now."""
+    model = kind is CallKind.COMPLETION
+    submission = Submission(
+        f"r{number}",
+        "c",
+        kind,
+        MODEL if model else PLAIN,
+        "/v1/completions" if model else "/",
+        priority,
+        driver.now_s,
+        driver.now_s + deadline_s,
+        prompt_tokens=100 if model else 0,
+        max_tokens=1000 * pieces - 100 if model else 0,
+        fingerprint=f"f{number % 5}",
+    )
+    return HandledCall(driver, submission)
+
+
+__all__ = ["HandledCall", "make_call"]
