--- /dev/null
+++ b/tests/node/test_crashes.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import unittest
+from concurrent.futures import Future
+
+from burdockspan.node import messages
+from burdockspan.values.placement import Failure, FailureKind
+from burdockspan.values.submission import CallKind, Priority
+from tests.support.node_calls import make_call
+from tests.support.node_driver import NodeDriver
+
+
+class CrashTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.driver = NodeDriver()
+        call = make_call(
+            self.driver, 1, CallKind.COMPLETION, Priority.PATIENT, 300.0
+        )
+        for _ in range(2):
+            call.step()
+        self.attempt = call.attempts[0]
+        placement = call.replies[0].result().unwrap()
+        assert placement.decode is not None
+        self.engine = self.driver.engines[placement.decode.name]
+
+    def lose(self, kind: FailureKind, boot: str = "") -> list[str]:
+        """Fails the attempt; returns the boot identities of the strikes."""
+        failure = Failure(kind, self.engine.name, boot=boot)
+        reply: messages.PlacementReply = Future()
+        self.driver.send(messages.Replace(self.attempt, failure, reply))
+        strikes = self.driver.tables.members.shared.strikes
+        return [key.boot for key in strikes]
+
+    def test_crash_needs_more_than_a_lost_connection(self) -> None:
+        """Guards against strikes for requests that a partition cut off."""
+        self.assertEqual(self.lose(FailureKind.CONNECTION_LOST, "1"), [])
+
+    def test_crash_is_confirmed_by_refused_connections(self) -> None:
+        """Guards against crashes that the quarantine does not count."""
+        self.assertEqual(self.lose(FailureKind.CRASHED), ["1"])
+
+    def test_crash_is_confirmed_by_a_new_boot(self) -> None:
+        """Guards against an engine that restarts before it is asked."""
+        self.assertEqual(self.lose(FailureKind.CONNECTION_LOST, "2"), ["1"])
+
+    def test_crash_is_confirmed_by_an_earlier_report_of_a_new_boot(
+        self,
+    ) -> None:
+        """Guards against a report that arrives before the failure."""
+        self.engine.restart()
+        self.driver.now_s += 0.1
+        self.driver.report(self.engine.name)
+        self.assertEqual(self.lose(FailureKind.CONNECTION_LOST, "2"), ["1"])
--- a/tests/node/test_histories.py
+++ b/tests/node/test_histories.py
@@ -46,11 +46,12 @@
         call.gone = True
         for _ in range(5):
             driver.advance(1.0)
-            call.step()
+            # The handler may be blocked; the node's own release must do.
             self.assertTrue(driver.frees)
             while driver.frees:
                 driver.free(driver.frees.pop(), False, False)
         driver.advance(1.0)
+        call.step()
         driver.deliver()
         self.assertEqual(held[0].held, {})
         self.assertEqual(driver.tables.releases, {})
