--- a/tests/support/nodes.py
+++ b/tests/support/nodes.py
@@ -79,12 +79,7 @@
     def handle(self, vm: str, message: object) -> None:
         """Handles a message at a node and carries out what follows."""
         node = self.nodes_by_vm[vm]
-        if isinstance(message, messages.Record):
-            _, following = actor.attempts.record(
-                node.tables, message, node.context
-            )
-        else:
-            following = actor.handle(node.tables, message, node.context)
+        _, following = actor.handle(node.tables, message, node.context)
         self._perform(node, following)
 
     def advance(self, duration_s: float) -> None:
