Refuse work whose endpoint fell silent after it was chosen

Change: before a plain call or a prefill is sent, the node checks that the endpoint was heard of in the last 2 s; otherwise the call is refused as not_run with Retry-After, and a claim is given up.

After: 3 tests of tests.node.test_stale_news pass.

Conclusion: a freeze before the check sends no late work. A freeze between the check and the send still does.

--- a/bench/document_model.py
+++ b/bench/document_model.py
@@ -18,20 +18,18 @@
 from bench import document_checks as checks
 from bench import document_world
 from bench.document_checks import HistoryCounts, Process
-from bench.document_world import CLIENT, ENDPOINTS, SERVICE, VMS
+from bench.document_world import ENDPOINTS, VMS
 from burdockspan.configuration.adoption import START_WAIT_S, generation_of
 from burdockspan.configuration.document import Configuration
 from burdockspan.node import actor, effects, messages
 from burdockspan.node.context import Context
 from burdockspan.values.endpoint import LoadReport
-from burdockspan.values.submission import CallKind, Priority, Submission
 
 Choose = Callable[[int], int]
 """Returns a number from 0 to below its argument."""
 
 _STEPS = 120
 _WAITS_S = (0.01, 0.01, 0.05, 0.05, 0.05, 0.25, 0.6, 1.1, 2.1)
-_DEADLINE_S = 30.0
 
 
 class History:
@@ -191,15 +189,8 @@
 
     def _submit(self) -> None:
         process = self._pick()
-        submission = Submission(
-            request_id=f"{next(self._numbers):032x}",
-            client=CLIENT,
-            kind=CallKind.SERVICE,
-            target=SERVICE,
-            path="/status",
-            priority=Priority.URGENT,
-            arrived_s=self.now_s,
-            deadline_s=self.now_s + _DEADLINE_S,
+        submission = document_world.make_submission(
+            f"{next(self._numbers):032x}", self.now_s
         )
         self.handle(
             process, messages.Submit(submission, lambda: False, Future())
--- a/bench/document_world.py
+++ b/bench/document_world.py
@@ -18,6 +18,7 @@
 from burdockspan.platform.vms import Vm, VmList, VmRole
 from burdockspan.settings import Settings
 from burdockspan.values.endpoint import LoadReport
+from burdockspan.values.submission import CallKind, Priority, Submission
 
 VMS = ("entry-1", "entry-2", "entry-3")
 ENDPOINTS = ("service-1", "service-2")
@@ -27,6 +28,7 @@
 _RATE_PER_S = 1e6
 # No call of a history ends; none may be refused for lack of room.
 _CONCURRENCY = 10_000
+_DEADLINE_S = 30.0
 
 
 def make_address(vm: str) -> str:
@@ -101,6 +103,20 @@
     return LoadPolled(report.endpoint, Ok(report), 0.0, asked_s)
 
 
+def make_submission(request_id: str, now_s: float) -> Submission:
+    """Returns an idempotent call of the plain service."""
+    return Submission(
+        request_id=request_id,
+        client=CLIENT,
+        kind=CallKind.SERVICE,
+        target=SERVICE,
+        path="/status",
+        priority=Priority.URGENT,
+        arrived_s=now_s,
+        deadline_s=now_s + _DEADLINE_S,
+    )
+
+
 __all__ = [
     "CLIENT",
     "ENDPOINTS",
@@ -112,5 +128,6 @@
     "make_polled",
     "make_report",
     "make_settings",
+    "make_submission",
     "make_vm_list",
 ]
--- a/src/burdockspan/node/attempts.py
+++ b/src/burdockspan/node/attempts.py
@@ -6,7 +6,7 @@
 
 from burdockspan.admission import forecast as forecasts
 from burdockspan.admission.forecast import Rate
-from burdockspan.node import fleet
+from burdockspan.node import fleet, silence
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Abort, Answer, Count, Effects, Measure
 from burdockspan.node.gossip import add_strike
@@ -58,6 +58,10 @@
     request_id = row.submission.request_id
     if _caller_gone(tables, request_id):
         return False, cancel(tables, request_id, now_s)
+    silent = silence.find_silent(tables, row, message.event, now_s)
+    if silent is not None:
+        refusal = silence.make_refusal(silent)
+        return False, refuse(tables, request_id, refusal, now_s)
     result = lifecycle.progress(row, message.attempt, message.event, now_s)
     if isinstance(result, Err):
         if result.err_value is InvalidTransition.DEADLINE:
--- a/src/burdockspan/node/fleet.py
+++ b/src/burdockspan/node/fleet.py
@@ -242,8 +242,14 @@
     the VM list that would say so lags. It gets no new work until it is heard
     from again.
     """
-    heard = now_s - row.heard_s <= SILENCE_LIMIT_S
-    return heard and not row.leaving and breaker.allows(row.breaker, now_s)
+    if row.leaving or not is_heard(row, now_s):
+        return False
+    return breaker.allows(row.breaker, now_s)
+
+
+def is_heard(row: EndpointRow, now_s: float) -> bool:
+    """Returns whether the endpoint was heard of in the last 2 s."""
+    return now_s - row.heard_s <= SILENCE_LIMIT_S
 
 
 __all__ = [
@@ -253,6 +259,7 @@
     "confirm",
     "free_room",
     "hold",
+    "is_heard",
     "is_usable",
     "let_go",
     "mark_full",
--- /dev/null
+++ b/src/burdockspan/node/silence.py
@@ -0,0 +1,47 @@
+"""Endpoints that fell silent between their choice and their work."""
+
+from __future__ import annotations
+
+from burdockspan.node import fleet
+from burdockspan.node.tables import Tables
+from burdockspan.requests.lifecycle import RequestRow
+from burdockspan.values.placement import Event
+from burdockspan.values.refusal import Execution, Reason, Refusal
+
+_RETRY_AFTER_S = 1.0
+
+
+def find_silent(
+    tables: Tables, row: RequestRow, event: Event, now_s: float
+) -> str | None:
+    """Returns the endpoint that must not be sent this work any more.
+
+    A process that froze after it chose an endpoint has not heard whether the
+    endpoint is leaving.
+    """
+    placement = row.placement
+    if placement is None:
+        return None
+    endpoint = None
+    if event is Event.DISPATCHED:
+        endpoint = placement.service
+    elif event is Event.PREFILL_SENT:
+        endpoint = placement.prefill
+    held = endpoint and tables.endpoints_by_name.get(endpoint.name)
+    if not held or fleet.is_heard(held, now_s):
+        return None
+    return held.endpoint.name
+
+
+def make_refusal(endpoint: str) -> Refusal:
+    """Refuses a call whose endpoint fell silent before the call was sent."""
+    return Refusal(
+        503,
+        Execution.NOT_RUN,
+        Reason.NO_ENDPOINT,
+        f"Endpoint {endpoint} has not been heard of since it was chosen.",
+        _RETRY_AFTER_S,
+    )
+
+
+__all__ = ["find_silent", "make_refusal"]
--- a/tests/node/test_stale_news.py
+++ b/tests/node/test_stale_news.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
+import dataclasses
 import unittest
+from concurrent.futures import Future
 
 from bench import document_world
 from bench.document_checks import Process
@@ -12,8 +14,10 @@
     Message,
     MessageKind,
 )
-from burdockspan.node import actor, fleet, messages
+from burdockspan.node import actor, attempts, effects, fleet, messages
 from burdockspan.node.context import Context
+from burdockspan.values.placement import Event
+from burdockspan.values.refusal import Execution
 
 _NAME = ENDPOINTS[0]
 
@@ -46,15 +50,44 @@
         self._handle(document_world.make_polled(report, asked_s))
         self.assertFalse(self._is_usable())
 
-    def _handle(self, *received: object) -> None:
-        context = Context(
+    def test_call_that_was_placed_before_a_freeze_is_not_dispatched(
+        self,
+    ) -> None:
+        """Guards against a dispatch to an endpoint that left meanwhile."""
+        tables, context = self.process.tables, self._make_context()
+        report = document_world.make_report(_NAME, 1, False, self.now_s)
+        for frozen_s, allowed in ((0.1, True), (5.0, False)):
+            report = dataclasses.replace(report, measured_s=self.now_s)
+            self._handle(document_world.make_polled(report, self.now_s))
+            reply: messages.PlacementReply = Future()
+            submission = document_world.make_submission(
+                f"{frozen_s}", self.now_s
+            )
+            submit = messages.Submit(submission, lambda: False, reply)
+            placed = [
+                effect.outcome.unwrap()
+                for effect in actor.handle(tables, submit, context)
+                if isinstance(effect, effects.Answer)
+            ]
+            self.now_s += frozen_s
+            record = messages.Record(placed[0].attempt, Event.DISPATCHED)
+            told, _ = attempts.record(tables, record, context)
+            self.assertEqual(told, allowed)
+            row = tables.requests_by_id[submission.request_id]
+            if not allowed:
+                self.assertIs(row.execution, Execution.NOT_RUN)
+
+    def _make_context(self) -> Context:
+        return Context(
             self.process.settings,
             lambda: self.now_s,
             lambda: self.now_s,
             lambda: 0.5,
         )
+
+    def _handle(self, *received: object) -> None:
         for message in received:
-            actor.handle(self.process.tables, message, context)
+            actor.handle(self.process.tables, message, self._make_context())
 
     def _is_usable(self) -> bool:
         row = self.process.tables.endpoints_by_name[_NAME]
