Ask all sources before a fresh process serves

Cause: a fresh process that received a document before its first tick, by a pull after gossip or an offer, took it at once: it was waiting for no answer yet because it had asked nobody.

Change: the search for the first configuration ends early only after the platform and the peers were asked. The histories of nodes check this.

Conclusion: an unasked answer no longer ends the search. Sources that do not answer for 2 s still may.

--- a/bench/document_checks.py
+++ b/bench/document_checks.py
@@ -7,9 +7,9 @@
 from bench import document_world
 from bench.document_news import News
 from bench.document_world import VMS, ZONE
-from burdockspan.configuration.adoption import generation_of
+from burdockspan.configuration.adoption import START_WAIT_S, generation_of
 from burdockspan.membership.table import make_members
-from burdockspan.node import effects
+from burdockspan.node import effects, messages
 from burdockspan.node.tables import Tables
 
 
@@ -45,8 +45,15 @@
         )
         self.settings = document_world.make_settings(vm)
         self.generation = 0
+        self.started_s = now_s
+        self.asked: set[str] = set()
         self.news = News()
 
+    @property
+    def sources(self) -> set[str]:
+        """Whom the process asks for its first configuration."""
+        return {messages.PLATFORM_SOURCE, *self.tables.members.seeds}
+
 
 def check_process(
     process: Process, now_s: float, counts: HistoryCounts
@@ -70,6 +77,9 @@
     if active != process.generation:
         counts.activated += 1
         if not process.generation:
+            waited = now_s - process.started_s >= START_WAIT_S
+            if process.asked != process.sources and not waited:
+                violate("serves before it has asked the platform and its peers")
             counts.late_starts += active < process.news.generation_before
     process.generation = active
 
--- a/bench/document_model.py
+++ b/bench/document_model.py
@@ -202,8 +202,10 @@
         elif isinstance(effect, effects.ReadPlatform):
             held = self.configuration if self.platform_up else None
             source = messages.PLATFORM_SOURCE
+            process.asked.add(source)
             self._answer(process, source, held, held is None)
         elif isinstance(effect, effects.PullDocuments):
+            process.asked.add(effect.address)
             peer = self._find(effect.address)
             held = peer.tables.adoption.stored
             newer = generation_of(held) > effect.held.configuration_generation
--- a/src/burdockspan/configuration/adoption.py
+++ b/src/burdockspan/configuration/adoption.py
@@ -235,11 +235,13 @@
     """Returns what the process starts with, None while it must not serve.
 
     It starts once all sources have answered or failed, or after two seconds,
-    and in both cases only if an answer carried a configuration.
+    and in both cases only if an answer carried a configuration. A document
+    that a peer offers before the sources were asked may be an old one.
     """
     if start.best is None:
         return None
-    if start.waiting and now_s - start.began_s < START_WAIT_S:
+    answered = bool(start.asked) and not start.waiting
+    if not answered and now_s - start.began_s < START_WAIT_S:
         return None
     return store(Adoption(), start.best, now_s, from_peer=start.confirmed)
 
--- a/tests/system/test_configuration_changes.py
+++ b/tests/system/test_configuration_changes.py
@@ -10,7 +10,13 @@
 from burdockspan.membership.ownership import watchers
 from standins import zone
 from tests.support.commands import finish_cli, run_cli, start_cli
-from tests.support.fleets import EXAMPLE, ZONE, make_plan, running_fleet
+from tests.support.fleets import (
+    EXAMPLE,
+    ZONE,
+    make_plan,
+    read_status,
+    running_fleet,
+)
 from tests.support.generations import accept, observing
 
 _LIMIT_S = 6.0
@@ -99,11 +105,24 @@
             seen.wait(2, _LIMIT_S, [replaced, *others])
             fleet.platform.fault(down=True)
             fleet.processes_by_name[replaced].kill()
+            fresh = fleet.start_entry(replaced)
+            # The answer of the frozen peer, which is older, comes last.
+            zone.wait_until(
+                lambda: _count_alive(fresh) >= 1 + len(others),
+                "it has heard from the other peers",
+            )
             frozen.signal(signal.SIGCONT)
-            fleet.start_entry(replaced)
             seen.wait(2, _LIMIT_S)
 
 
+def _count_alive(entry: zone.Process) -> int:
+    try:
+        members = read_status(entry)["members"]
+    except OSError:
+        return 0
+    return sum(member["state"] == "alive" for member in members)
+
+
 def _cut_off(
     fleet: zone.Fleet, names: Sequence[str], watching: Collection[str]
 ) -> None:
