--- a/bench/document_model.py
+++ b/bench/document_model.py
@@ -18,20 +18,18 @@
 from bench import document_checks as checks
 from bench import document_world
 from bench.document_checks import HistoryCounts, Process
-from bench.document_world import CLIENT, ENDPOINTS, SERVICE, VMS
+from bench.document_world import ENDPOINTS, VMS
 from burdockspan.configuration.adoption import START_WAIT_S, generation_of
 from burdockspan.configuration.document import Configuration
 from burdockspan.node import actor, effects, messages
 from burdockspan.node.context import Context
 from burdockspan.values.endpoint import LoadReport
-from burdockspan.values.submission import CallKind, Priority, Submission
 
 Choose = Callable[[int], int]
 """Returns a number from 0 to below its argument."""
 
 _STEPS = 120
 _WAITS_S = (0.01, 0.01, 0.05, 0.05, 0.05, 0.25, 0.6, 1.1, 2.1)
-_DEADLINE_S = 30.0
 
 
 class History:
@@ -93,7 +91,8 @@
         context = Context(
             process.settings, self._clock, self._clock, lambda: 0.5
         )
-        for effect in actor.handle(process.tables, message, context):
+        _, following = actor.handle(process.tables, message, context)
+        for effect in following:
             self._collect(process, effect)
         checks.check_process(process, self.now_s, self.counts)
 
@@ -191,15 +190,8 @@
 
     def _submit(self) -> None:
         process = self._pick()
-        submission = Submission(
-            request_id=f"{next(self._numbers):032x}",
-            client=CLIENT,
-            kind=CallKind.SERVICE,
-            target=SERVICE,
-            path="/status",
-            priority=Priority.URGENT,
-            arrived_s=self.now_s,
-            deadline_s=self.now_s + _DEADLINE_S,
+        submission = document_world.make_submission(
+            f"{next(self._numbers):032x}", self.now_s
         )
         self.handle(
             process, messages.Submit(submission, lambda: False, Future())
@@ -211,8 +203,10 @@
         elif isinstance(effect, effects.ReadPlatform):
             held = self.configuration if self.platform_up else None
             source = messages.PLATFORM_SOURCE
+            process.asked.add(source)
             self._answer(process, source, held, held is None)
         elif isinstance(effect, effects.PullDocuments):
+            process.asked.add(effect.address)
             peer = self._find(effect.address)
             held = peer.tables.adoption.stored
             newer = generation_of(held) > effect.held.configuration_generation
