Reject granted endpoints that a borrower knows to be leaving

Cause: the owner of a pool may not have heard yet that an endpoint is leaving when another entry VM has. Change: a borrower that cannot use a granted endpoint gives the grant back and chooses by itself. The default retry burst is now 20, the calls that one decode engine runs.

--- a/src/burdockspan/configuration/document.py
+++ b/src/burdockspan/configuration/document.py
@@ -106,7 +106,8 @@
       patient_share: least share of grants that patient calls get.
       queue_limit: most calls that wait in one entry process.
       retry_ratio: retries allowed for each accepted call.
-      retry_burst: retries allowed beyond the ratio.
+      retry_burst: retries allowed beyond the ratio; by default as many as one
+        decode engine runs requests, so that the loss of one can be retried.
       attempts_limit: most attempts of one call.
       body_limit_bytes: largest body of a call.
       key_retention_s: how long dated idempotency keys are kept.
@@ -123,7 +124,7 @@
     patient_share: float = 0.1
     queue_limit: int = 1000
     retry_ratio: float = 0.1
-    retry_burst: int = 10
+    retry_burst: int = 20
     attempts_limit: int = 3
     body_limit_bytes: int = 4 * 1024 * 1024
     key_retention_s: float = 7 * 86400.0
--- a/src/burdockspan/node/borrowing.py
+++ b/src/burdockspan/node/borrowing.py
@@ -13,7 +13,7 @@
 from burdockspan.membership import ownership, table
 from burdockspan.membership.calls import CallMessage, CallNeeds, CallStep
 from burdockspan.membership.values import Member
-from burdockspan.node import attempts, queues
+from burdockspan.node import attempts, fleet, queues
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Count, Effects, SendDatagram
 from burdockspan.node.grants import start
@@ -101,11 +101,12 @@
             _read_refusal(message),
             context.clock(),
         )
-    placement = _read_placement(tables, message, question)
+    placement = _read_placement(tables, message, question, context)
     service = _find_service(tables, question.service)
     row = tables.requests_by_id.get(question.request_id)
     if placement is None or service is None or row is None:
-        # The VM list of this node lags behind that of the owner.
+        # This node does not know an endpoint, or knows better than the owner
+        # that it is leaving.
         ended = CallMessage(CallStep.ENDED, attempt)
         sent = send(tables, question.address, ended)
         return (sent, *_choose_here(tables, question, context))
@@ -190,11 +191,18 @@
 
 
 def _read_placement(
-    tables: Tables, message: CallMessage, question: Question
+    tables: Tables,
+    message: CallMessage,
+    question: Question,
+    context: Context,
 ) -> Placement | None:
+    """Returns the granted endpoints, None if one must not be used here."""
+
     def find(name: str | None) -> Endpoint | None:
         row = tables.endpoints_by_name.get(name or "")
-        return None if row is None else row.endpoint
+        if row is None or not fleet.is_usable(row, context.clock()):
+            return None
+        return row.endpoint
 
     names = (message.prefill, message.decode, message.replica)
     prefill, decode, replica = (find(name) for name in names)
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -9,6 +9,7 @@
 from burdockspan.admission.limits import Bucket
 from burdockspan.admission.queue import Shares, Waiting
 from burdockspan.configuration.adoption import Adoption, Start
+from burdockspan.configuration.document import Policy
 from burdockspan.endpoints.control import Control
 from burdockspan.membership.calls import CallMessage
 from burdockspan.membership.table import Members
@@ -133,7 +134,9 @@
         self.silent_owners_until: dict[str, float] = {}
         self.releases: dict[tuple[AttemptId, str], ReleaseRow] = {}
         self.buckets_by_client: dict[str, Bucket] = {}
-        self.retry_budget: Budget = make_budget(0.1, 20.0)
+        self.retry_budget: Budget = make_budget(
+            Policy().retry_ratio, Policy().retry_burst
+        )
         self.prefixes: PrefixIndex = make_prefix_index()
         self.cache_positions_by_endpoint: dict[str, tuple[str, int]] = {}
         self.controls_by_endpoint: dict[str, Control] = {}
--- a/tests/cli/test_entry.py
+++ b/tests/cli/test_entry.py
@@ -13,7 +13,8 @@
 from click.testing import CliRunner, Result
 
 from burdockspan.cli.root import root
-from tests.support.processes import running, wait_until
+from standins.zone import wait_until
+from tests.support.processes import running
 from tests.support.questionnaires import fill_template
 
 
--- a/tests/node/test_borrowing.py
+++ b/tests/node/test_borrowing.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from burdockspan.membership import ownership
-from burdockspan.node import messages
+from burdockspan.node import fleet, messages
 from burdockspan.values.placement import Event
 from burdockspan.values.refusal import Execution
 from tests.support.nodes import SERVICE, Network, make_submission
@@ -70,6 +70,23 @@
         )
         self.assertTrue(again.done(), "a silent owner was asked again")
 
+    def test_borrower_rejects_an_endpoint_that_it_knows_is_leaving(
+        self,
+    ) -> None:
+        """Guards against new work by an owner that has not heard (P6)."""
+        borrower = _BORROWERS[0]
+        rows = self.network.nodes_by_vm[borrower].tables.endpoints_by_name
+        for name in ("engine-1", "engine-2"):
+            rows[name] = fleet.mark_leaving(rows[name])
+        chosen = set()
+        for number in range(20):
+            reply = self.network.submit(
+                borrower, make_submission(self.network, f"r{number}")
+            )
+            placement = reply.result(timeout=0).unwrap()
+            chosen |= {placement.decode.name, placement.prefill.name}
+        self.assertEqual(chosen, {"engine-0", "engine-3"})
+
     def test_grant_that_comes_late_is_given_back(self) -> None:
         """Guards against an owner that counts a grant nobody took."""
         borrower = _BORROWERS[0]
