Test a fresh process against a peer that is really stale

Cause: in the first form of test_replaced_entry_vm_ignores_a_stale_peer the frozen peer was not stale: the answer to its open watch, or an offer from a peer, waited in its sockets.

Change: the peer is cut off from the platform and declared dead by the others before the change is accepted, and its answer to the fresh process comes last.

Conclusion: a fresh process ignores an older answer that comes last.

--- a/tests/system/test_configuration_changes.py
+++ b/tests/system/test_configuration_changes.py
@@ -100,7 +100,16 @@
         with running_fleet(_make_plan()) as fleet, observing(fleet) as seen:
             stale, replaced, *others = fleet.plan.entry_zones
             frozen = fleet.processes_by_name[stale]
+            # An open watch's answer, or an offer, would wait in its sockets.
+            watching = watchers(ZONE, tuple(fleet.plan.entry_zones))
+            _cut_off(fleet, [stale], {stale}.intersection(watching))
             frozen.signal(signal.SIGSTOP)
+            for name in (replaced, *others):
+                entry = fleet.processes_by_name[name]
+                zone.wait_until(
+                    lambda entry=entry: _find_state(entry, stale) == "dead",
+                    f"{name} has declared {stale} dead",
+                )
             accept(fleet, 1)
             seen.wait(2, _LIMIT_S, [replaced, *others])
             fleet.platform.fault(down=True)
@@ -115,6 +124,13 @@
             seen.wait(2, _LIMIT_S)
 
 
+def _find_state(entry: zone.Process, name: str) -> str | None:
+    members = read_status(entry)["members"]
+    return next(
+        (member["state"] for member in members if member["vm"] == name), None
+    )
+
+
 def _count_alive(entry: zone.Process) -> int:
     try:
         members = read_status(entry)["members"]
