Test late copies of orders and changes of role

Cause: the property test of orders drew no roles and no late copies, so that it could not show why set_role is repeated for every generation.

Change: it draws both, with three fixed histories beside the random ones.

Tested: without the generation in the confirmed role, without the guard on refused or on older generations, without the reset at a new boot id, and with adapters sent before their model, the test fails; it passes otherwise.

--- a/tests/endpoints/test_control.py
+++ b/tests/endpoints/test_control.py
@@ -9,23 +9,38 @@
 from burdockspan.configuration.document import Model, Service
 from burdockspan.endpoints.control import (
     Control,
-    Load,
+    Role,
+    Wanted,
     choose_order,
     list_missing,
     list_wanted,
     note_answer,
 )
-from burdockspan.endpoints.orders import Order, OrderOutcome
+from burdockspan.endpoints.orders import Order, OrderKind, OrderOutcome
+from burdockspan.values.endpoint import Pool
 
 _STEPS = 200
 
 
-def make_wanted(version: int) -> tuple[Load, ...]:
+def make_wanted(generation: int) -> tuple[Wanted, ...]:
     models = (
-        Model("large", 1000, f"v{version % 3}", ("legal", "travel")),
+        Model("large", 1000, f"v{generation // 4 % 3}", ("legal", "travel")),
         Model("small", 1000, "v1"),
     )
-    return list_wanted(Service("lm", models=models))
+    pool = (Pool.PREFILL, Pool.DECODE)[generation % 2]
+    role = Role(pool, generation)
+    return role, *list_wanted(Service("lm", models=models))
+
+
+def make_held(generation: int) -> dict[str, str]:
+    """Returns what an engine holds after all orders of a generation."""
+    held = {}
+    for item in make_wanted(generation):
+        if isinstance(item, Role):
+            held["role"] = item.pool.value
+        else:
+            held[f"{item.model}/{item.adapter}"] = item.version
+    return held
 
 
 @dataclasses.dataclass
@@ -34,17 +49,18 @@
 
     boot: int = 1
     newest: int = 0
-    applied: list[int] = dataclasses.field(default_factory=list)
     held: dict[str, str] = dataclasses.field(default_factory=dict)
 
     def take(self, order: Order) -> OrderOutcome:
         if order.fencing < self.newest:
             return OrderOutcome.SUPERSEDED
         self.newest = order.fencing
-        self.applied.append(order.fencing)
         values = dict(order.arguments)
-        name = values["model"] + "/" + values.get("adapter", "")
-        self.held[name] = values["version"]
+        if order.kind is OrderKind.SET_ROLE:
+            self.held["role"] = values["role"]
+        else:
+            name = values["model"] + "/" + values.get("adapter", "")
+            self.held[name] = values["version"]
         return OrderOutcome.DONE
 
     def restart(self) -> None:
@@ -80,11 +96,25 @@
             fencing, self.order = self.order.fencing, None
             self.control = note_answer(self.control, fencing, outcome, now_s)
 
+    def settle(self, action: str, engine: Engine, now_s: float) -> list[Order]:
+        """Ends the pending order; returns it if it was lost on its way."""
+        order = self.order
+        if order is None:
+            return []
+        outcome = OrderOutcome.SUPERSEDED if action == "refuse" else None
+        if action == "apply":
+            outcome = engine.take(order)
+        self.answer(outcome, now_s)
+        return [order] if action == "lose" else []
+
 
 _ACTIONS = st.lists(
     st.tuples(
         st.sampled_from(
-            ("choose", "apply", "refuse", "lose", "restart", "adopt", "back")
+            (
+                *("choose", "apply", "refuse", "lose", "late"),
+                *("restart", "adopt", "back"),
+            )
         ),
         st.integers(0, 2),
     ),
@@ -93,12 +123,20 @@
 
 
 _BACK = ("adopt", "choose", "apply", "back", "choose")
+_REFUSED = ("choose", "refuse", "choose")
+# A late order of the second owner must find that the first one, which wants
+# nothing new, has raised the fencing token.
+_LATE = [("choose", 0), ("apply", 0)] * 5 + [
+    *(("adopt", 1), ("choose", 1), ("lose", 1), ("back", 2), ("back", 2))
+]
 
 
 class ControlTest(unittest.TestCase):
     @settings(max_examples=300, derandomize=True, deadline=None)
     @given(_ACTIONS)
     @example([(one, 0) for one in _BACK])
+    @example([(one, 0) for one in _REFUSED])
+    @example(_LATE)
     def test_older_generation_is_never_sent_after_a_newer(
         self, actions: list[tuple[str, int]]
     ) -> None:
@@ -107,6 +145,7 @@
         owners = [Owner(), Owner(), Owner()]
         newest = 1
         now_s = 0.0
+        lost: list[Order] = []
         for action, number in actions:
             now_s += 1.0
             owner = owners[number]
@@ -114,12 +153,10 @@
                 refused = owner.control.refused
                 order = owner.choose(engine, now_s)
                 self.assertTrue(order is None or order.fencing > refused)
-            elif action == "apply" and owner.order is not None:
-                owner.answer(engine.take(owner.order), now_s)
-            elif action == "refuse":
-                owner.answer(OrderOutcome.SUPERSEDED, now_s)
-            elif action == "lose":
-                owner.answer(None, now_s)
+            elif action in ("apply", "refuse", "lose"):
+                lost += owner.settle(action, engine, now_s)
+            elif action == "late" and lost:
+                engine.take(lost[number % len(lost)])
             elif action == "restart":
                 engine.restart()
             elif action == "adopt":
@@ -140,12 +177,11 @@
             order = last.choose(engine, now_s)
             if order is not None:
                 last.answer(engine.take(order), now_s)
-        wanted = make_wanted(last.generation)
-        self.assertEqual(
-            engine.held,
-            {f"{load.model}/{load.adapter}": load.version for load in wanted},
-        )
         self.assertIsNone(last.choose(engine, now_s + 100.0))
+        # Late copies of earlier orders change nothing any more.
+        for order in lost:
+            engine.take(order)
+        self.assertEqual(engine.held, make_held(last.generation))
 
     @settings(max_examples=100, derandomize=True, deadline=None)
     @given(st.lists(st.booleans(), max_size=20))
@@ -184,7 +220,7 @@
                 order = owner.choose(engine, 0.0)
                 if order is not None:
                     owner.answer(engine.take(order), 0.0)
-            self.assertEqual(len(engine.held), 4)
+            self.assertEqual(len(engine.held), 5)
             engine.restart()
 
     def test_adapter_follows_its_model(self) -> None:
@@ -194,7 +230,6 @@
             order = owner.choose(engine, 0.0)
             if order is None:
                 break
-            arguments = dict(order.arguments)
-            self.assertNotIn("adapter", arguments)
+            self.assertNotIn("adapter", dict(order.arguments))
             owner.answer(None, 0.0)
-        self.assertEqual(len(owner.sent), 2)
+        self.assertEqual(len(owner.sent), 3)
