Take ports of test processes from below the ephemeral range

Cause: ten tests of a full run on a busy machine failed with 'cannot listen': a port that was found free became the local port of an outgoing connection before its process had started. Change: ports come from 10000 to 29999, each test run from another start. Tested: the tests of the whole path, the questionnaire and the entry command.

--- a/standins/zone.py
+++ b/standins/zone.py
@@ -9,7 +9,9 @@
 import contextlib
 import dataclasses
 import http.client
+import itertools
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -22,6 +24,18 @@
 
 _ROOT = pathlib.Path(__file__).parents[1]
 _LIMIT_S = 30.0
+_FIRST_PORT = 10_000
+_PORTS_COUNT = 20_000
+
+
+def _make_ports() -> Iterator[int]:
+    # Test runs at the same time begin at different ports.
+    first = os.getpid() * 61 % _PORTS_COUNT
+    for number in itertools.count(first):
+        yield _FIRST_PORT + number % _PORTS_COUNT
+
+
+_PORTS = _make_ports()
 _POLL_S = 0.01
 
 
@@ -367,15 +381,19 @@
 
 
 def find_free_port() -> int:
-    """Returns a port that is free for TCP and UDP at this moment."""
+    """Returns a port that is free for TCP and UDP at this moment.
+
+    Ports of outgoing connections start at 32768 on Linux. A lower port stays
+    free until the process that it is meant for has started.
+    """
     while True:
+        port = next(_PORTS)
         with (
             socket.socket() as tcp,
             socket.socket(type=socket.SOCK_DGRAM) as udp,
         ):
-            tcp.bind(("127.0.0.1", 0))
-            port: int = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
--- a/tests/cli/test_entry.py
+++ b/tests/cli/test_entry.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -13,29 +12,19 @@
 from click.testing import CliRunner, Result
 
 from burdockspan.cli.root import root
-from standins.zone import wait_until
+from standins.zone import find_free_port, wait_until
 from tests.support.processes import running
 from tests.support.questionnaires import fill_template
 
 
-def find_free_addresses(count: int) -> list[str]:
-    """Returns addresses whose ports are free now, for TCP."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
-
-
 class EntryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.platform = self.enterContext(running("platform"))
         directory = self.enterContext(tempfile.TemporaryDirectory())
         self.directory = pathlib.Path(directory)
-        caller, self.admin, peer = find_free_addresses(3)
+        caller, self.admin, peer = (
+            f"127.0.0.1:{find_free_port()}" for _ in range(3)
+        )
         settings = {
             "vm": "entry-1",
             "availability_zone": "fes-a",
