--- /dev/null
+++ b/bench/capacity_calls.py
@@ -0,0 +1,193 @@
+"""Processor time of claims, of polls of endpoints and of placements."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import random
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future
+
+from result import Err, Ok, Result
+
+from bench.node_cost import (
+    ManualClock,
+    Sizes,
+    make_settings,
+    make_tables,
+    refresh_reports,
+)
+from bench.slopes import processor_ms
+from burdockspan.claims.record import Answer, ClaimState
+from burdockspan.claims.settlement import make_settlement
+from burdockspan.claims.store import Claims, make_claims
+from burdockspan.endpoints import engine, reports
+from burdockspan.endpoints.connections import make_connections
+from burdockspan.node import intake, messages
+from burdockspan.node.context import Context
+from burdockspan.node.fleet import EndpointRow
+from burdockspan.platform.calls import Budget, CallLimit, make_call_account
+from burdockspan.platform.client import make_platform_client
+from burdockspan.platform.transport import Call, Loss, Reply
+from burdockspan.values.endpoint import Endpoint, Pool
+from burdockspan.values.ids import AttemptId
+from burdockspan.values.submission import CallKind, Priority, Submission
+
+_ROOT = pathlib.Path(__file__).parents[1]
+_WALL_S = 1.8e9
+_ANSWER_BYTES = 500
+_UNBOUNDED = CallLimit(1e9, 1e9)
+
+
+class _Objects:
+    """Objects of an in-memory platform, as HTTP exchanges without sockets."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, tuple[int, object]] = {}
+        self._version = 0
+
+    def exchange(self, call: Call) -> Result[Reply, Loss]:
+        """Answers one call as the platform would."""
+        if call.body is None:
+            return Err(Loss.NOT_SENT)
+        held = self._held.get(call.path)
+        condition = dict(call.headers)
+        wanted = condition.get("If-Match")
+        if (wanted is None) != (held is None):
+            return Ok(Reply(412, b"{}"))
+        if held is not None and wanted != str(held[0]):
+            return Ok(Reply(412, b"{}"))
+        self._version += 1
+        value = json.loads(call.body)
+        self._held[call.path] = (self._version, value)
+        answer = {"version": self._version, "value": value}
+        return Ok(Reply(200, json.dumps(answer).encode()))
+
+
+def measure_claims(count: int) -> float:
+    """Returns processor ms of claims that are made and settled."""
+    claims = _make_claims()
+    answer = Answer(200, "application/json", b"x" * _ANSWER_BYTES)
+
+    def run() -> None:
+        for number in range(count):
+            holder = AttemptId("entry-1", 1, number)
+            held = claims.claim("c", f"key-{number}", "d" * 64, holder).unwrap()
+            claims.settle(held, ClaimState.DONE, answer).unwrap()
+
+    return processor_ms(run)
+
+
+def _make_claims() -> Claims:
+    limits = {Budget.READ: _UNBOUNDED, Budget.WRITE: _UNBOUNDED}
+    draw = random.Random(1).random
+    client = make_platform_client(
+        _Objects().exchange,
+        make_call_account(time.monotonic, limits),
+        time.monotonic,
+        draw,
+    )
+    settlement = make_settlement(time.monotonic, draw)
+    return make_claims(client, settlement, lambda: _WALL_S, lambda: 604_800.0)
+
+
+@contextlib.contextmanager
+def running_engine() -> Iterator[Endpoint]:
+    """Runs a decode engine stand-in until left."""
+    command = [sys.executable, "-m", "standins.engine", "--port", "0"]
+    process = subprocess.Popen(
+        [*command, "--pool", "decode", "--name", "d"],
+        cwd=_ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert process.stdout is not None
+        address = process.stdout.readline().split()[-1]
+        yield Endpoint("d", address, "lm", Pool.DECODE, "zone", pieces=20)
+    finally:
+        process.kill()
+        process.wait()
+        if process.stdout is not None:
+            process.stdout.close()
+
+
+def make_poll_measure(endpoint: Endpoint, kind: str) -> Callable[[int], float]:
+    """Returns a measure of processor ms for a number of calls.
+
+    Args:
+      endpoint: a running engine.
+      kind: `poll` for health and load, `attempts`, or `cache` for events.
+    """
+    connections = make_connections(time.monotonic, lambda: 1.0)
+
+    def poll() -> None:
+        engine.check_health(connections, endpoint).unwrap()
+        reports.fetch_load(connections, endpoint, time.monotonic).unwrap()
+
+    actions: dict[str, Callable[[], object]] = {
+        "poll": poll,
+        "attempts": lambda: engine.list_attempts(
+            connections, endpoint
+        ).unwrap(),
+        "cache": lambda: reports.fetch_cache_events(
+            connections, endpoint, "", 0
+        ).unwrap(),
+    }
+
+    def measure(count: int) -> float:
+        return processor_ms(lambda: [actions[kind]() for _ in range(count)])
+
+    return measure
+
+
+def measure_placement(endpoints: int) -> float:
+    """Returns processor ms of one submission that is placed at once."""
+    clock = ManualClock()
+    context = Context(
+        make_settings(), clock, lambda: _WALL_S, random.Random(1).random
+    )
+    tables = make_tables(Sizes(endpoints=endpoints), context)
+    spent_ms = 0.0
+    count = 50
+    for number in range(count):
+        # Without this the engines would be full after some submissions.
+        tables.endpoints_by_name = {
+            name: EndpointRow(row.endpoint)
+            for name, row in tables.endpoints_by_name.items()
+        }
+        refresh_reports(tables, clock(), 20)
+        tables.buckets_by_client.clear()
+        reply: messages.PlacementReply = Future()
+        submission = Submission(
+            f"r-{number}",
+            "client-0",
+            CallKind.COMPLETION,
+            "m",
+            "/v1/completions",
+            Priority.PATIENT,
+            clock(),
+            clock() + 1e6,
+            prompt_tokens=1000,
+            max_tokens=100,
+        )
+        message = messages.Submit(submission, lambda: False, reply)
+        spent_ms += processor_ms(
+            lambda message=message: intake.submit(tables, message, context)
+        )
+        if tables.waiting_by_service.get("models"):
+            raise RuntimeError("a submission was not placed at once")
+        clock.now_s += 0.01
+    return spent_ms / count
+
+
+__all__ = [
+    "make_poll_measure",
+    "measure_claims",
+    "measure_placement",
+    "running_engine",
+]
--- /dev/null
+++ b/bench/fanout.py
@@ -0,0 +1,103 @@
+"""Ways in which a configuration change reaches all entry VMs, compared.
+
+Usage: python -m bench.fanout [--sizes 4,35,128,350] [--seeds 1,2,3]
+
+Each run passes through the same parts on a test clock: steady operation,
+changes, changes while the platform is slow, changes while one zone is cut off
+from it, an outage and the return. Prints medians over the seeds, and the worst
+for times and peaks. Bytes are those of datagrams, peer calls and platform
+answers, sent and received, without the load reports of endpoints.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import json
+import statistics
+from collections.abc import Iterator, Sequence
+
+import click
+
+from bench.fanout_run import Figures, measure
+from bench.fanout_vm import Way
+
+_WORKERS = 4
+
+
+def _summarize(rows: Sequence[Figures]) -> Iterator[tuple[str, str]]:
+    def median(name: str) -> float:
+        return statistics.median(getattr(row, name) for row in rows)
+
+    def times(name: str) -> str:
+        found = [
+            value
+            for row in rows
+            for value in (
+                getattr(row, name)
+                if isinstance(getattr(row, name), tuple)
+                else (getattr(row, name),)
+            )
+        ]
+        return f"{statistics.median(found):.2f}/{max(found):.2f}"
+
+    yield "calls/s", f"{median('calls_per_s'):.1f}"
+    yield "peak", f"{max(row.peak_calls for row in rows)}"
+    yield "KB/s", f"{median('bytes_per_s') / 1000:.1f}"
+    yield "most KB/s", f"{median('worst_bytes_per_s') / 1000:.1f}"
+    yield "KB/change", f"{median('change_bytes') / 1000:.0f}"
+    yield "change s", times("changes_s")
+    yield "slow s", times("slow_s")
+    yield "cut s", times("cut_s")
+    yield "cut zone s", times("cut_zone_s")
+    yield "outage peak", f"{max(row.outage_peak for row in rows)}"
+    yield "return peak", f"{max(row.return_peak for row in rows)}"
+    yield "return s", times("return_s")
+
+
+def _parse(text: str) -> list[int]:
+    return [int(part) for part in text.split(",")]
+
+
+@click.command(help="Ways for a change to reach all entry VMs, compared.")
+@click.option("--sizes", default="4,35,128,350", show_default=True)
+@click.option("--seeds", default="1,2,3", show_default=True)
+@click.option("--json-file", type=click.File("w"), help="Figures of each run.")
+def main(
+    sizes: str, seeds: str, json_file: click.utils.LazyFile | None
+) -> None:
+    """Prints one row for each number of entry VMs and way."""
+    tasks = [
+        (way, size, seed)
+        for size in _parse(sizes)
+        for way in Way
+        for seed in _parse(seeds)
+    ]
+    with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
+        # The largest take longest and start first.
+        found = list(pool.map(measure, reversed(tasks)))[::-1]
+    if json_file is not None:
+        rows = [
+            {"way": way.value, "vms": size, "seed": seed}
+            | dataclasses.asdict(figures)
+            for (way, size, seed), figures in zip(tasks, found, strict=True)
+        ]
+        json.dump(rows, json_file, indent=1)
+    header = True
+    count = len(_parse(seeds))
+    for start in range(0, len(tasks), count):
+        way, size, _ = tasks[start]
+        cells = dict(_summarize(found[start : start + count]))
+        if header:
+            click.echo(
+                f"{'VMs':>4} {'way':<13}" + "".join(map("{:>13}".format, cells))
+            )
+            header = False
+        click.echo(
+            f"{size:4d} {way.value:<13}"
+            + "".join(map("{:>13}".format, cells.values()))
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -46,6 +46,14 @@
 _SERVICE = "models"
 _MODEL = "m"
 
+SIZES = {
+    "endpoints": (12, 48, 96, 330, 660),
+    "peers": (4, 25, 50, 100, 175),
+    "waiting": (0, 50, 200, 800),
+    "streams": (0, 50, 100, 200, 400),
+}
+"""Sizes of the tables by field of `Sizes`; a region has 175 entry VMs."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Sizes:
@@ -79,14 +87,13 @@
 
 def main() -> None:
     """Prints one table per size."""
-    _print_table("endpoints", (12, 24, 48, 96), _vary("endpoints"))
-    _print_table("peers", (4, 12, 25, 50), _vary("peers"))
-    _print_table("waiting", (0, 50, 200, 800), _vary("waiting"))
-    _print_table("streams", (0, 50, 100, 200), _vary("streams"))
+    for name, counts in SIZES.items():
+        _print_table(name, counts, vary(name))
     _print_configuration((10, 110, 220, 440))
 
 
-def _vary(name: str) -> Callable[[int], Sizes]:
+def vary(name: str) -> Callable[[int], Sizes]:
+    """Returns a function from one size to sizes that differ in it only."""
     return lambda size: dataclasses.replace(Sizes(), **{name: size})
 
 
@@ -106,7 +113,7 @@
     print("\nconfiguration: client accounts, bytes, processor ms to adopt")
     costs = []
     for size in sizes:
-        document = _make_configuration(size)
+        document = make_configuration(size)
         data = dump_configuration(document)
         began_s = time.process_time()
         make_catalog(load_configuration(data).unwrap())
@@ -121,23 +128,24 @@
     tracemalloc.start()
     clock = ManualClock()
     context = Context(
-        _make_settings(), clock, lambda: 1.8e9, random.Random(_SEED).random
+        make_settings(), clock, lambda: 1.8e9, random.Random(_SEED).random
     )
-    tables = _make_tables(sizes, context)
+    tables = make_tables(sizes, context)
     memory_kb = tracemalloc.get_traced_memory()[0] / 1024
     tracemalloc.stop()
     ticks = int(_RUN_S / _TICK_S)
     spent_s = 0.0
     for _ in range(ticks):
         clock.now_s += _TICK_S
-        _refresh_reports(tables, clock.now_s)
+        refresh_reports(tables, clock.now_s)
         began_s = time.process_time()
         actor.run_systems(tables, messages.Tick(), context)
         spent_s += time.process_time() - began_s
     return spent_s / _RUN_S * 1000, memory_kb
 
 
-def _make_settings() -> Settings:
+def make_settings() -> Settings:
+    """Returns settings of a process that is never started."""
     return Settings(
         "entry-0",
         "zone",
@@ -149,7 +157,8 @@
     )
 
 
-def _make_configuration(clients: int) -> Configuration:
+def make_configuration(clients: int) -> Configuration:
+    """Returns a configuration with a number of client accounts."""
     return Configuration(
         1,
         "bench",
@@ -161,7 +170,8 @@
     )
 
 
-def _make_tables(sizes: Sizes, context: Context) -> Tables:
+def make_tables(sizes: Sizes, context: Context) -> Tables:
+    """Returns the tables of a node of some sizes."""
     now_s = context.clock()
     members = make_members(
         vm="entry-0",
@@ -181,12 +191,12 @@
     members = dataclasses.replace(members, by_vm={**members.by_vm, **peers})
     tables = Tables(members)
     tables.start = None
-    configuration = _make_configuration(sizes.clients)
+    configuration = make_configuration(sizes.clients)
     tables.adoption = Adoption(configuration, configuration)
     tables.catalog = make_catalog(configuration)
     vms = tuple(_make_vm(number) for number in range(sizes.endpoints))
     documents.see_vm_list(tables, messages.VmListSeen(VmList(1, vms)), context)
-    _refresh_reports(tables, now_s)
+    refresh_reports(tables, now_s)
     _submit(tables, sizes.streams, context, free=20)
     _submit(tables, sizes.waiting, context, free=0)
     return tables
@@ -198,7 +208,7 @@
     return Vm(f"engine-{number}", "zone", address, _SERVICE, role, False)
 
 
-def _refresh_reports(tables: Tables, now_s: float, free: int = 0) -> None:
+def refresh_reports(tables: Tables, now_s: float, free: int = 0) -> None:
     """Replaces members' and endpoints' news, as polls and acks would."""
     for name, row in tables.endpoints_by_name.items():
         pieces = 20 if row.endpoint.pool is Pool.DECODE else 0
@@ -213,7 +223,7 @@
 def _submit(tables: Tables, count: int, context: Context, free: int) -> None:
     for number in range(count):
         if free:
-            _refresh_reports(tables, context.clock(), free)
+            refresh_reports(tables, context.clock(), free)
         reply: messages.PlacementReply = Future()
         submission = Submission(
             f"{free}-{number}",
