node: Bound the polls of endpoints that others own

Cause: a node polls an endpoint that it has not heard of for 0.75 s. Gossip brings a region's reports too slowly beyond about 25 entry VMs, so at 175 every node polled nearly all 330 endpoints each second: 310 polls/s per node, 164 per endpoint, about 160 ms/s of processor time at 0.52 ms for a poll.

Change: at most two such polls every 250 ms, endpoints of the own zone first, those silent longest first, those whose polls fail last.

Conclusion: the polls end at a bound.

--- a/src/burdockspan/node/upkeep.py
+++ b/src/burdockspan/node/upkeep.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import heapq
 
 from result import Err
 
@@ -16,6 +17,7 @@
     ListAttempts,
     PollLoad,
 )
+from burdockspan.node.fleet import EndpointRow
 from burdockspan.node.gossip import is_dead
 from burdockspan.node.messages import (
     AttemptsListed,
@@ -24,11 +26,16 @@
 )
 from burdockspan.node.tables import ReleaseRow, Tables
 from burdockspan.requests import lifecycle, sweep
+from burdockspan.resilience import breaker
 from burdockspan.values.endpoint import Pool
 
 _POLL_INTERVAL_S = 0.25
 # An endpoint whose owner is silent is polled by whoever needs it.
 _ORPHAN_POLL_AGE_S = 0.75
+# Polls of such endpoints in one round. In a region of more than about 25 entry
+# VMs gossip brings reports too slowly, and without a bound every node would
+# poll every endpoint each second: 310 polls/s at 175 entry VMs.
+_ORPHAN_POLLS = 2
 _SWEEP_INTERVAL_S = 0.5
 _CACHE_INTERVAL_S = 2.0
 _FIRST_RELEASE_RETRY_S = 0.1
@@ -38,17 +45,23 @@
 
 
 def poll(tables: Tables, context: Context) -> Effects:
-    """Polls the endpoints that this node owns, and those nobody polls."""
+    """Polls the endpoints that this node owns, and some that are silent."""
     now_s = context.clock()
     if now_s < tables.next_poll_s:
         return ()
     tables.next_poll_s = now_s + _POLL_INTERVAL_S
+    zone = context.settings.availability_zone
     owned = _owned_endpoints(tables)
-    return tuple(
-        PollLoad(row.endpoint)
+    silent = [
+        row
         for name, row in tables.endpoints_by_name.items()
-        if name in owned or now_s - row.heard_s > _ORPHAN_POLL_AGE_S
+        if name not in owned and now_s - row.heard_s > _ORPHAN_POLL_AGE_S
+    ]
+    rows = (
+        *(tables.endpoints_by_name[name] for name in sorted(owned)),
+        *_choose_silent(silent, zone, now_s),
     )
+    return tuple(PollLoad(row.endpoint) for row in rows)
 
 
 def list_attempts(tables: Tables, context: Context) -> Effects:
@@ -163,6 +176,22 @@
     return (Count("releases.retried"),)
 
 
+def _choose_silent(
+    silent: list[EndpointRow], zone: str, now_s: float
+) -> list[EndpointRow]:
+    """Returns the rows to poll: those of this zone, silent longest, first.
+
+    Those whose polls have failed come last, so that endpoints that are gone do
+    not use up the bound.
+    """
+
+    def rank(row: EndpointRow) -> tuple[bool, bool, float]:
+        failing = not breaker.allows(row.breaker, now_s)
+        return failing, row.endpoint.availability_zone != zone, row.heard_s
+
+    return heapq.nsmallest(_ORPHAN_POLLS, silent, key=rank)
+
+
 def _owned_endpoints(tables: Tables) -> frozenset[str]:
     """Returns the endpoints that this node owns.
 
--- /dev/null
+++ b/tests/node/test_upkeep.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+
+from bench.node_cost import (
+    ManualClock,
+    Sizes,
+    make_settings,
+    make_tables,
+    refresh_reports,
+)
+from burdockspan.node import upkeep
+from burdockspan.node.context import Context
+from burdockspan.node.effects import PollLoad
+from burdockspan.node.tables import Tables
+from burdockspan.resilience import breaker
+
+
+def _make(endpoints: int) -> tuple[Tables, Context, ManualClock]:
+    clock = ManualClock()
+    context = Context(
+        make_settings(), clock, lambda: 1.8e9, random.Random(1).random
+    )
+    tables = make_tables(Sizes(endpoints=endpoints, peers=50), context)
+    return tables, context, clock
+
+
+def _poll(tables: Tables, context: Context) -> list[str]:
+    batch = upkeep.poll(tables, context)
+    polled = [e.endpoint.name for e in batch if isinstance(e, PollLoad)]
+    return [name for name in polled if name not in tables.owned_endpoints]
+
+
+class PollTest(unittest.TestCase):
+    def test_silent_endpoints_of_others_are_polled_within_a_bound(self) -> None:
+        # Without it, 175 nodes polled 330 endpoints 57,000 times a second.
+        tables, context, clock = _make(300)
+        clock.now_s += 5.0
+        self.assertEqual(len(_poll(tables, context)), 2)
+
+    def test_bound_reaches_each_silent_endpoint_in_turn(self) -> None:
+        # A fixed choice would leave the others without new work for ever.
+        tables, context, clock = _make(12)
+        clock.now_s += 5.0
+        seen: set[str] = set()
+        for _ in range(6):
+            for name in _poll(tables, context):
+                seen.add(name)
+                row = tables.endpoints_by_name[name]
+                tables.endpoints_by_name[name] = dataclasses.replace(
+                    row, heard_s=clock.now_s
+                )
+            clock.now_s += 0.25
+        self.assertEqual(seen | tables.owned_endpoints, set(_names(tables)))
+
+    def test_endpoint_that_fails_does_not_use_up_the_bound(self) -> None:
+        # Two dead endpoints would otherwise keep all others from being polled.
+        tables, context, clock = _make(12)
+        clock.now_s += 5.0
+        failing = _poll(tables, context)
+        for name in failing:
+            row = tables.endpoints_by_name[name]
+            state = row.breaker
+            for _ in range(20):
+                state = breaker.record(state, False, 0.0, clock.now_s)
+            tables.endpoints_by_name[name] = dataclasses.replace(
+                row, breaker=state
+            )
+        clock.now_s += 0.25
+        self.assertFalse(set(failing) & set(_poll(tables, context)))
+
+    def test_owned_endpoints_are_polled_whatever_was_heard(self) -> None:
+        # The others rely on the reports of the owner.
+        tables, context, clock = _make(100)
+        clock.now_s += 0.25
+        refresh_reports(tables, clock.now_s)
+        batch = upkeep.poll(tables, context)
+        polled = {e.endpoint.name for e in batch if isinstance(e, PollLoad)}
+        self.assertTrue(polled)
+        self.assertEqual(polled, tables.owned_endpoints)
+
+
+def _names(tables: Tables) -> list[str]:
+    return list(tables.endpoints_by_name)
+
+
+if __name__ == "__main__":
+    unittest.main()
