feed: Read a long VM list less often

Cause: a watcher read the whole VM list each second. At 1,010 VMs an answer has 137 KB, so the 14 watchers took 158 KB/s each against a budget of 29 KB/s, and parsed for about 11 ms in each second.

Change: the interval is 20 ms for each listed VM, at least 1 s: 1 s up to 50 VMs, 20 s at 1,010. After a failed read it is 1 s as before.

--- a/bench/fanout_run.py
+++ b/bench/fanout_run.py
@@ -91,6 +91,7 @@
             self.loop,
             way,
             lambda value: sizes[type(value)],
+            _count_vms(size),
             seed,
         )
         self.fleet.start(first)
@@ -217,9 +218,13 @@
     return Configuration(generation, "bench", clients=clients)
 
 
+def _count_vms(entries: int) -> int:
+    return entries + round(entries * _ENDPOINTS_PER_VM)
+
+
 def _measure_vm_list(entries: int) -> int:
     roles = [VmRole.ENTRY] * entries
-    roles += [VmRole.DECODE] * round(entries * _ENDPOINTS_PER_VM)
+    roles += [VmRole.DECODE] * (_count_vms(entries) - entries)
     vms = tuple(
         Vm(
             f"vm-{number:04d}",
--- a/bench/fanout_vm.py
+++ b/bench/fanout_vm.py
@@ -68,6 +68,7 @@
         )
         self.watch = WatchState()
         self.waited_s = 0.0
+        self.listed = 0
         self.busy_s = 0.0
         self.bytes = 0
         self.watching: tuple[object, bool] = (None, False)
--- a/src/burdockspan/node/feed.py
+++ b/src/burdockspan/node/feed.py
@@ -1,6 +1,6 @@
 """Brings the platform's configuration and VM list to the node.
 
-Two VMs of each zone hold the watch and read the VM list every second. The
+Two VMs of each zone hold the watch and read the VM list regularly. The
 others hear of changes from peers, and ask the platform only rarely, in case
 that no watcher of the region can reach it.
 """
@@ -23,6 +23,10 @@
 from burdockspan.platform.watch import Watch, make_watch
 
 _WATCHER_VM_LIST_INTERVAL_S = 1.0
+# The platform answers with the whole list, about 140 bytes for each VM. This
+# keeps a watcher at 7 KB/s however long the list is: 1 s up to 50 VMs, 20 s at
+# 1,010. Leaving endpoints are noticed sooner, by their health reports.
+_INTERVAL_FOR_EACH_VM_S = 0.02
 _OTHER_INTERVAL_S = 30.0
 _IDLE_S = 0.5
 _STARTING_INTERVAL_S = 0.5
@@ -84,6 +88,18 @@
     )
 
 
+def read_interval_s(watching: bool, listed: int) -> float:
+    """Returns the time between two reads of the platform, in seconds.
+
+    Args:
+      watching: whether this VM watches the platform for its zone.
+      listed: VMs in the last list read; 0 if the last read failed.
+    """
+    if not watching:
+        return _OTHER_INTERVAL_S
+    return max(_WATCHER_VM_LIST_INTERVAL_S, listed * _INTERVAL_FOR_EACH_VM_S)
+
+
 def _start(watch: Watch, reader: threading.Thread) -> None:
     watch.start()
     reader.start()
@@ -136,11 +152,13 @@
     _read_vm_list(client, tell)
 
 
-def _read_vm_list(client: PlatformClient, tell: Tell) -> bool:
+def _read_vm_list(client: PlatformClient, tell: Tell) -> int | None:
+    """Returns how many VMs were listed, None if the read failed."""
     listed = client.list_vms()
-    if isinstance(listed, Ok):
-        tell(messages.VmListSeen(listed.ok_value))
-    return listed.is_ok()
+    if isinstance(listed, Err):
+        return None
+    tell(messages.VmListSeen(listed.ok_value))
+    return len(listed.ok_value.vms)
 
 
 def _read_regularly(
@@ -151,21 +169,22 @@
     stopping: threading.Event,
 ) -> None:
     reachable = True
+    listed: int | None = 0
     waited_s = 0.0
     while not stopping.wait(_STARTING_INTERVAL_S * (0.75 + draw() / 2)):
         waited_s += _STARTING_INTERVAL_S
         watching = is_watcher()
-        due_s = _WATCHER_VM_LIST_INTERVAL_S if watching else _OTHER_INTERVAL_S
-        if waited_s < due_s:
+        if waited_s < read_interval_s(watching, listed or 0):
             continue
         waited_s = 0.0
         if not watching:
             _read_once(client, tell)
             continue
-        answered = _read_vm_list(client, tell)
+        listed = _read_vm_list(client, tell)
+        answered = listed is not None
         if answered != reachable:
             log_change("platform_reachable", reachable=answered)
         reachable = answered
 
 
-__all__ = ["Feed", "make_feed"]
+__all__ = ["Feed", "make_feed", "read_interval_s"]
--- /dev/null
+++ b/tests/node/test_feed.py
@@ -0,0 +1,25 @@
+from __future__ import annotations
+
+import unittest
+
+from burdockspan.node.feed import read_interval_s
+
+_VM_BYTES = 140
+_BUDGET_BYTES_PER_S = 29_000
+
+
+class ReadIntervalTest(unittest.TestCase):
+    def test_long_list_is_read_within_the_budget_of_a_watcher(self) -> None:
+        # Read each second, a list of 1,010 VMs cost a watcher 158 KB/s.
+        for listed in (100, 1_010, 5_000):
+            rate = listed * _VM_BYTES / read_interval_s(True, listed)
+            self.assertLess(rate, _BUDGET_BYTES_PER_S / 3)
+
+    def test_short_list_or_failed_read_is_followed_each_second(self) -> None:
+        # A longer wait after a failure would delay the list after an outage.
+        self.assertEqual(read_interval_s(True, 0), 1.0)
+        self.assertEqual(read_interval_s(True, 50), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
