Tell peers of endpoints that refuse work because they leave

Cause: the protocol carried leaving marks that no node ever set. Change: a node whose work a leaving endpoint refused marks it for its peers; a mark counts until a later report says otherwise, so a restarted endpoint comes back by itself. Tested: test_refusal_of_a_leaving_endpoint_reaches_the_peers and the tests of leaving endpoints with real processes.

--- a/src/burdockspan/node/attempts.py
+++ b/src/burdockspan/node/attempts.py
@@ -11,7 +11,7 @@
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Abort, Answer, Count, Effects, Measure
 from burdockspan.node.fleet import EndpointRow
-from burdockspan.node.gossip import add_strike, spread
+from burdockspan.node.gossip import add_leaving_mark, add_strike, spread
 from burdockspan.node.messages import Attach, Finish, Record, ReleaseMemory
 from burdockspan.node.tables import ReleaseRow, Tables
 from burdockspan.requests import lifecycle, outcome
@@ -105,7 +105,8 @@
     if failure.kind is FailureKind.FULL:
         endpoint = fleet.mark_full(endpoint, now_s)
     elif failure.kind is FailureKind.LEAVING:
-        endpoint = fleet.mark_leaving(endpoint)
+        endpoint = fleet.mark_leaving(endpoint, now_s)
+        add_leaving_mark(tables, failure.endpoint)
     elif failure.kind in _UNHEALTHY and not _is_cancelled_stream(row, failure):
         state = breaker.record(endpoint.breaker, False, 0.0, now_s)
         endpoint = fleet.set_breaker(endpoint, state)
--- a/src/burdockspan/node/fleet.py
+++ b/src/burdockspan/node/fleet.py
@@ -39,6 +39,7 @@
       breaker: its circuit breaker.
       drained: whether the VM list, a drain or a planned stop removes it.
       self_leaving: whether its process says that it takes no new work.
+      refused_s: when it, or a peer's word, last refused work as leaving.
       heard_s: when a newer report last arrived, monotonic seconds.
       reservations: this node's, by attempt, until a report includes them.
       prompt_tokens: tokens of this node's attempts that it prefills.
@@ -51,6 +52,7 @@
     breaker: BreakerState = dataclasses.field(default_factory=BreakerState)
     drained: bool = False
     self_leaving: bool = False
+    refused_s: float = float("-inf")
     heard_s: float = float("-inf")
     reservations: Mapping[AttemptId, Reservation] = dataclasses.field(
         default_factory=dict
@@ -103,7 +105,9 @@
             or report.measured_s - held.released_s < _RELEASE_MEMORY_S
         )
     }
-    leaving = row.self_leaving and not restarted
+    # A report measured before the endpoint refused work says nothing of that.
+    refused_since = report.measured_s <= row.refused_s
+    leaving = row.self_leaving and refused_since and not restarted
     return dataclasses.replace(
         row,
         report=report,
@@ -129,9 +133,12 @@
     )
 
 
-def mark_leaving(row: EndpointRow) -> EndpointRow:
-    """Returns the row of an endpoint that takes no new work."""
-    return dataclasses.replace(row, self_leaving=True)
+def mark_leaving(row: EndpointRow, now_s: float) -> EndpointRow:
+    """Returns the row of an endpoint that refused work because it leaves.
+
+    It counts as leaving until a later report says otherwise.
+    """
+    return dataclasses.replace(row, self_leaving=True, refused_s=now_s)
 
 
 def set_breaker(row: EndpointRow, state: BreakerState) -> EndpointRow:
--- a/src/burdockspan/node/gossip.py
+++ b/src/burdockspan/node/gossip.py
@@ -4,7 +4,12 @@
 
 from burdockspan.membership import members as swim
 from burdockspan.membership import shared, table
-from burdockspan.membership.values import Member, Outgoing, StrikeKey
+from burdockspan.membership.values import (
+    LeavingMark,
+    Member,
+    Outgoing,
+    StrikeKey,
+)
 from burdockspan.node import fleet
 from burdockspan.node.context import Context
 from burdockspan.node.effects import (
@@ -38,6 +43,7 @@
     before = tables.members
     tables.members, outgoing = swim.receive(before, message.message, now_s)
     _take_reports(tables, before, now_s)
+    _take_marks(tables, before, now_s)
     return (
         *_send(outgoing),
         *_note_changes(before, tables.members),
@@ -126,6 +132,14 @@
     tables.members = table.share(tables.members, held)
 
 
+def add_leaving_mark(tables: Tables, endpoint: str) -> None:
+    """Notes for all peers that an endpoint refused work because it leaves."""
+    generation = tables.members.versions.configuration_generation
+    mark = LeavingMark(endpoint, generation, True)
+    held = shared.add_marks(tables.members.shared, (mark,))
+    tables.members = table.share(tables.members, held)
+
+
 def judge_fingerprint(
     tables: Tables, fingerprint: str, context: Context
 ) -> Verdict:
@@ -161,6 +175,14 @@
             accept(tables, report, now_s)
 
 
+def _take_marks(tables: Tables, before: table.Members, now_s: float) -> None:
+    old = before.shared.marks
+    for name, mark in tables.members.shared.marks.items():
+        row = tables.endpoints_by_name.get(name)
+        if row is not None and mark.leaving and old.get(name) != mark:
+            tables.endpoints_by_name[name] = fleet.mark_leaving(row, now_s)
+
+
 def _pull_newer(tables: Tables, message: PeerMessage, now_s: float) -> Effects:
     ours = tables.members.versions
     newer = is_behind(ours, message.message.versions)
@@ -201,6 +223,7 @@
 
 __all__ = [
     "accept",
+    "add_leaving_mark",
     "add_strike",
     "count_live_entry_vms",
     "is_dead",
--- a/tests/node/test_borrowing.py
+++ b/tests/node/test_borrowing.py
@@ -2,13 +2,14 @@
 
 import random
 import unittest
+from concurrent.futures import Future
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from burdockspan.membership import ownership
 from burdockspan.node import fleet, messages
-from burdockspan.values.placement import Event
+from burdockspan.values.placement import Event, Failure, FailureKind
 from burdockspan.values.refusal import Execution
 from tests.support.nodes import SERVICE, Network, make_submission
 
@@ -77,7 +78,7 @@
         borrower = _BORROWERS[0]
         rows = self.network.nodes_by_vm[borrower].tables.endpoints_by_name
         for name in ("engine-1", "engine-2"):
-            rows[name] = fleet.mark_leaving(rows[name])
+            rows[name] = fleet.mark_leaving(rows[name], self.network.clock())
         chosen = set()
         for number in range(20):
             reply = self.network.submit(
@@ -130,3 +131,21 @@
             self.assertTrue(reply.result(timeout=0).is_ok())
         placed = {reply.result(timeout=0).unwrap().attempt for reply in replies}
         self.assertEqual(len(placed), calls)
+
+
+class LeavingMarkTest(unittest.TestCase):
+    def test_refusal_of_a_leaving_endpoint_reaches_the_peers(self) -> None:
+        """Guards against peers that go on until their next report (P6)."""
+        network = Network(_VMS, engines=4)
+        network.reports = False
+        reply = network.submit(_VMS[0], make_submission(network, "r1"))
+        placement = reply.result(timeout=0).unwrap()
+        failure = Failure(FailureKind.LEAVING, placement.decode.name)
+        again: messages.PlacementReply = Future()
+        network.handle(
+            _VMS[0], messages.Replace(placement.attempt, failure, again)
+        )
+        network.advance(1.0)
+        for node in network.nodes_by_vm.values():
+            rows = node.tables.endpoints_by_name
+            self.assertTrue(rows[failure.endpoint].leaving, node.vm)
--- a/tests/node/test_stale_news.py
+++ b/tests/node/test_stale_news.py
@@ -64,9 +64,10 @@
                 f"{frozen_s}", self.now_s
             )
             submit = messages.Submit(submission, lambda: False, reply)
+            _, following = actor.handle(tables, submit, context)
             placed = [
                 effect.outcome.unwrap()
-                for effect in actor.handle(tables, submit, context)
+                for effect in following
                 if isinstance(effect, effects.Answer)
             ]
             self.now_s += frozen_s
