Name the placement at the owner of a pool by the terms of the field

Cause: the modules spoke of borrowing and lending, which are figures of speech. Change: delegation and remote calls, placement requests, requester and owner. The owner of each pool is kept until a member changes, since ranking a region's members for every call takes half a millisecond at 175 VMs (calculation). Tested: tests.node.test_delegation, tests.membership.test_wire and tests.system.test_whole_path.

--- a/src/burdockspan/gen/peer/ttypes.py
+++ b/src/burdockspan/gen/peer/ttypes.py
@@ -40,7 +40,7 @@
 
 
 class CallStep(IntEnum):
-    ASK = 1
+    REQUEST = 1
     QUEUED = 2
     GRANT = 3
     REFUSE = 4
--- a/src/burdockspan/membership/call_records.py
+++ b/src/burdockspan/membership/call_records.py
@@ -13,7 +13,7 @@
 from burdockspan.membership.records import natural, text
 from burdockspan.values.ids import parse_attempt_id
 
-# Keep a question within one datagram.
+# Keep a request within one datagram.
 PREFIX_BLOCKS_LIMIT = 48
 EXCLUDED_LIMIT = 8
 _DETAIL_LIMIT = 200
--- a/src/burdockspan/membership/calls.py
+++ b/src/burdockspan/membership/calls.py
@@ -1,4 +1,4 @@
-"""Messages by which an entry VM borrows endpoints from a pool's owner."""
+"""Messages between an entry VM and the owner of a pool about one call."""
 
 from __future__ import annotations
 
@@ -11,17 +11,17 @@
 class CallStep(enum.IntEnum):
     """What a message says of a call; values as in peer.thrift.
 
-    ASK: asks the owner for endpoints; repeated while the call waits.
+    REQUEST: asks the owner for endpoints; repeated while the call waits.
     QUEUED: the owner holds the call in its queue.
     GRANT: the owner grants the named endpoints.
     REFUSE: the owner refuses the call.
-    RESERVED: the borrower's reservation was confirmed by the engine.
+    RESERVED: the requester's reservation was confirmed by the engine.
     TRANSFERRED: the KV cache has left the prefill engine.
     FULL: the decode engine refused the reservation as full.
-    ENDED: the borrower's attempt has ended, or waits no longer.
+    ENDED: the requester's attempt has ended, or waits no longer.
     """
 
-    ASK = 1
+    REQUEST = 1
     QUEUED = 2
     GRANT = 3
     REFUSE = 4
@@ -64,8 +64,8 @@
 
     Attributes:
       step: what it says.
-      attempt: identity of the attempt that the borrower will make.
-      needs: what the call needs, in ASK.
+      attempt: identity of the attempt that the requester will make.
+      needs: what the call needs, in REQUEST.
       prefill: granted prefill engine.
       decode: granted decode engine, or the engine that is full.
       replica: granted replica of a plain service.
--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -10,14 +10,14 @@
 from burdockspan.membership.calls import CallStep
 from burdockspan.node import (
     attempts,
-    borrowing,
+    delegation,
     documents,
     gossip,
     grants,
     intake,
-    lending,
     messages,
     orders,
+    remote_calls,
     upkeep,
 )
 from burdockspan.node.context import Context
@@ -81,7 +81,7 @@
         *documents.activate(tables, context),
         *documents.apply_stops(tables, context),
         *_end_requests(tables, context),
-        *borrowing.repeat(tables, context),
+        *delegation.repeat(tables, context),
         *_run_queues(tables, context),
         *upkeep.poll(tables, context),
         *upkeep.list_attempts(tables, context),
@@ -101,7 +101,7 @@
         effects += attempts.cancel(tables, request_id, now_s)
     for request_id in attempts.find_overdue(tables, now_s):
         effects += attempts.refuse_overdue(tables, request_id, now_s)
-    return effects + lending.prune(tables, context)
+    return effects + remote_calls.prune(tables, context)
 
 
 def _run_queues(tables: Tables, context: Context) -> Effects:
@@ -115,7 +115,7 @@
     for service in tables.catalog.configuration.services:
         if not tables.waiting_by_service.get(service.name):
             continue
-        effects += grants.refuse_stranded(tables, service, context)
+        effects += grants.refuse_unplaceable(tables, service, context)
         if shedding:
             effects += grants.shed(tables, service, context)
         effects += grants.grant(tables, service, context)
@@ -152,12 +152,12 @@
     if call is None:
         return gossip.receive(tables, message, context)
     address = message.message.sender.address
-    if call.step is CallStep.ASK:
-        effects = lending.take_question(tables, call, address, context)
+    if call.step is CallStep.REQUEST:
+        effects = remote_calls.receive_request(tables, call, address, context)
         return effects + _run_queues(tables, context)
     if call.step in _ANSWERS:
-        return borrowing.take_answer(tables, call, address, context)
-    effects = lending.take_news(tables, call, context)
+        return delegation.receive_reply(tables, call, address, context)
+    effects = remote_calls.receive_progress(tables, call, context)
     return effects + _run_queues(tables, context)
 
 
--- a/src/burdockspan/node/attempts.py
+++ b/src/burdockspan/node/attempts.py
@@ -7,7 +7,7 @@
 from burdockspan.admission import forecast as forecasts
 from burdockspan.admission.forecast import Rate
 from burdockspan.membership.calls import CallStep
-from burdockspan.node import fleet, news, silence
+from burdockspan.node import call_messages, fleet, silence
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Abort, Answer, Count, Effects, Measure
 from burdockspan.node.fleet import EndpointRow
@@ -81,7 +81,7 @@
     effects = _note_event(tables, row, message.event, now_s)
     step = _REPORTED.get(message.event)
     if step is not None:
-        effects += news.report(tables, message.attempt, step)
+        effects += call_messages.report(tables, message.attempt, step)
     return True, effects
 
 
@@ -152,7 +152,9 @@
         return ()
     full: Effects = ()
     if failure.kind is FailureKind.FULL:
-        full = news.report(tables, row.attempt, CallStep.FULL, failure.endpoint)
+        full = call_messages.report(
+            tables, row.attempt, CallStep.FULL, failure.endpoint
+        )
     step = lifecycle.fail(row, row.attempt, failure).unwrap()
     return full + _apply(tables, row, step, now_s)
 
@@ -272,7 +274,7 @@
         _queue_release(tables, entry, now_s)
     effects: Effects = ()
     if before.attempt is not None:
-        effects = news.report(tables, before.attempt, CallStep.ENDED)
+        effects = call_messages.report(tables, before.attempt, CallStep.ENDED)
     if step.aborted is None:
         return effects
     abort = tables.aborts_by_attempt.pop(step.aborted, None)
--- a/src/burdockspan/node/news.py
+++ b/src/burdockspan/node/call_messages.py
@@ -1,4 +1,4 @@
-"""Messages about calls to the owner of a pool or to a borrower."""
+"""Messages about calls to the owner of a pool or to a requester."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 ) -> Effects:
     """Tells the owner how far an attempt has come that it granted.
 
-    Lost news does no harm: load reports of the engine tell the same, later.
+    A lost report does no harm: load reports of the engine tell the same, later.
     """
     addresses = tables.owner_addresses_by_attempt
     address = addresses.get(attempt)
--- a/src/burdockspan/node/borrowing.py
+++ b/src/burdockspan/node/delegation.py
@@ -14,11 +14,11 @@
 from burdockspan.membership.calls import CallMessage, CallNeeds, CallStep
 from burdockspan.membership.values import Member
 from burdockspan.node import attempts, fleet, queues
+from burdockspan.node.call_messages import send
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Count, Effects, SendDatagram
 from burdockspan.node.grants import start
-from burdockspan.node.news import send
-from burdockspan.node.tables import Question, Tables, make_attempt_id
+from burdockspan.node.tables import PlacementRequest, Tables, make_attempt_id
 from burdockspan.requests.lifecycle import RequestRow, State
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.ids import AttemptId
@@ -28,12 +28,12 @@
 
 # One tick of 50 ms, in which an owner of the region answers many times over.
 _ANSWER_WAIT_S = 0.04
-# A waiting question is repeated, so that a lost grant is noticed and the owner
+# A waiting request is repeated, so that a lost grant is noticed and the owner
 # knows that the call still waits.
 _REPEAT_S = 0.25
 _TRIES = 2
-# An owner that did not answer is not asked again before it is either heard
-# from by the membership protocol or declared dead.
+# Covers most of the time until the membership protocol declares an owner dead
+# that did not answer.
 _SILENT_OWNER_S = 1.0
 
 
@@ -45,8 +45,7 @@
     None if this node does, or has to choose by itself.
     """
     members = tables.members
-    live = table.live_vms(members)
-    name = ownership.owner_of(f"pool/{service.name}", live)
+    name = _rank_first(tables, service)
     if name is None or name == members.vm:
         return None
     if context.clock() < tables.silent_owners_until.get(name, 0.0):
@@ -65,7 +64,7 @@
     """Asks the owner of a pool for the endpoints of a queued request."""
     now_s = context.clock()
     attempt = make_attempt_id(tables)
-    question = Question(
+    request = PlacementRequest(
         row.submission.request_id,
         service.name,
         owner.vm,
@@ -73,111 +72,125 @@
         pieces,
         next_s=now_s + _ANSWER_WAIT_S,
     )
-    tables.questions_by_attempt[attempt] = question
+    tables.placement_requests_by_attempt[attempt] = request
     return (
-        Count("borrowing.asked"),
-        _send_question(tables, row, attempt, question, now_s),
+        Count("delegation.asked"),
+        _send_request(tables, row, attempt, request, now_s),
     )
 
 
-def take_answer(
+def receive_reply(
     tables: Tables, message: CallMessage, address: str, context: Context
 ) -> Effects:
     """Takes in an answer of the owner of a pool."""
     attempt = message.attempt
-    question = tables.questions_by_attempt.get(attempt)
-    if question is None:
-        return _answer_unasked(tables, message, address)
+    request = tables.placement_requests_by_attempt.get(attempt)
+    if request is None:
+        return _return_late_grant(tables, message, address)
     if message.step is CallStep.QUEUED:
-        tables.questions_by_attempt[attempt] = dataclasses.replace(
-            question, tries=0, next_s=context.clock() + _REPEAT_S
+        tables.placement_requests_by_attempt[attempt] = dataclasses.replace(
+            request, tries=0, next_s=context.clock() + _REPEAT_S
         )
         return ()
-    del tables.questions_by_attempt[attempt]
+    del tables.placement_requests_by_attempt[attempt]
     if message.step is CallStep.REFUSE:
         return attempts.refuse(
             tables,
-            question.request_id,
+            request.request_id,
             _read_refusal(message),
             context.clock(),
         )
-    placement = _read_placement(tables, message, question, context)
-    service = _find_service(tables, question.service)
-    row = tables.requests_by_id.get(question.request_id)
+    placement = _read_placement(tables, message, request, context)
+    service = _find_service(tables, request.service)
+    row = tables.requests_by_id.get(request.request_id)
     if placement is None or service is None or row is None:
         # This node does not know an endpoint, or knows better than the owner
         # that it is leaving.
         ended = CallMessage(CallStep.ENDED, attempt)
-        sent = send(tables, question.address, ended)
-        return (sent, *_choose_here(tables, question, context))
-    tables.owner_addresses_by_attempt[attempt] = question.address
+        sent = send(tables, request.address, ended)
+        return (sent, *_choose_here(tables, request, context))
+    tables.owner_addresses_by_attempt[attempt] = request.address
     return start(tables, service, placement, context)
 
 
 def repeat(tables: Tables, context: Context) -> Effects:
-    """Repeats questions, and gives up on owners that do not answer."""
+    """Repeats placement requests, and gives up on owners that do not answer."""
     now_s = context.clock()
     effects: Effects = ()
-    for attempt, question in list(tables.questions_by_attempt.items()):
-        row = tables.requests_by_id.get(question.request_id)
+    for attempt, request in list(tables.placement_requests_by_attempt.items()):
+        row = tables.requests_by_id.get(request.request_id)
         if row is None or row.state is not State.QUEUED:
-            del tables.questions_by_attempt[attempt]
+            del tables.placement_requests_by_attempt[attempt]
             ended = CallMessage(CallStep.ENDED, attempt)
-            effects += (send(tables, question.address, ended),)
+            effects += (send(tables, request.address, ended),)
             continue
-        if now_s < question.next_s:
+        if now_s < request.next_s:
             continue
-        if question.tries + 1 >= _TRIES:
-            del tables.questions_by_attempt[attempt]
-            tables.silent_owners_until[question.owner] = now_s + _SILENT_OWNER_S
+        if request.tries + 1 >= _TRIES:
+            del tables.placement_requests_by_attempt[attempt]
+            tables.silent_owners_until[request.owner] = now_s + _SILENT_OWNER_S
             ended = CallMessage(CallStep.ENDED, attempt)
             effects += (
-                Count("borrowing.unanswered"),
-                send(tables, question.address, ended),
-                *_choose_here(tables, question, context),
+                Count("delegation.unanswered"),
+                send(tables, request.address, ended),
+                *_choose_here(tables, request, context),
             )
             continue
-        tables.questions_by_attempt[attempt] = dataclasses.replace(
-            question, tries=question.tries + 1, next_s=now_s + _ANSWER_WAIT_S
+        tables.placement_requests_by_attempt[attempt] = dataclasses.replace(
+            request, tries=request.tries + 1, next_s=now_s + _ANSWER_WAIT_S
         )
-        effects += (_send_question(tables, row, attempt, question, now_s),)
+        effects += (_send_request(tables, row, attempt, request, now_s),)
     return effects
 
 
-def _send_question(
+def _rank_first(tables: Tables, service: Service) -> str | None:
+    """Returns the VM that owns a pool; kept until a member changes."""
+    members = tables.members
+    if tables.pool_owners_basis is not members.by_vm:
+        tables.pool_owners_basis = members.by_vm
+        tables.pool_owners_by_service = {}
+    owners = tables.pool_owners_by_service
+    if service.name not in owners:
+        live = table.live_vms(members)
+        name = f"pool/{service.name}"
+        owners[service.name] = ownership.owner_of(name, live)
+    return owners[service.name]
+
+
+def _send_request(
     tables: Tables,
     row: RequestRow,
     attempt: AttemptId,
-    question: Question,
+    request: PlacementRequest,
     now_s: float,
 ) -> SendDatagram:
     submission = row.submission
     needs = CallNeeds(
-        service=question.service,
+        service=request.service,
         completion=submission.kind is CallKind.COMPLETION,
         urgent=submission.priority is Priority.URGENT,
-        pieces=question.pieces,
+        pieces=request.pieces,
         prompt_tokens=submission.prompt_tokens,
         max_tokens=submission.max_tokens,
         remaining_ms=max(0, round((submission.deadline_s - now_s) * 1000)),
         prefix=submission.prefix,
         excluded=tuple(sorted(row.excluded)),
     )
-    message = CallMessage(CallStep.ASK, attempt, needs)
-    return send(tables, question.address, message)
+    message = CallMessage(CallStep.REQUEST, attempt, needs)
+    return send(tables, request.address, message)
 
 
 def _choose_here(
-    tables: Tables, question: Question, context: Context
+    tables: Tables, request: PlacementRequest, context: Context
 ) -> Effects:
-    row = tables.requests_by_id.get(question.request_id)
-    service = _find_service(tables, question.service)
+    row = tables.requests_by_id.get(request.request_id)
+    service = _find_service(tables, request.service)
     if row is None or service is None or row.state is not State.QUEUED:
         return ()
     return queues.enqueue(tables, service, row.submission, context)
 
 
-def _answer_unasked(
+def _return_late_grant(
     tables: Tables, message: CallMessage, address: str
 ) -> Effects:
     """Gives back a grant that came too late for its call."""
@@ -187,13 +200,13 @@
     if message.step is not CallStep.GRANT or running:
         return ()
     ended = CallMessage(CallStep.ENDED, message.attempt)
-    return (Count("borrowing.late"), send(tables, address, ended))
+    return (Count("delegation.late"), send(tables, address, ended))
 
 
 def _read_placement(
     tables: Tables,
     message: CallMessage,
-    question: Question,
+    request: PlacementRequest,
     context: Context,
 ) -> Placement | None:
     """Returns the granted endpoints, None if one must not be used here."""
@@ -212,9 +225,9 @@
         for name, endpoint in zip(names, found, strict=True)
     ) or not any(found):
         return None
-    pieces = question.pieces if decode is not None else 0
+    pieces = request.pieces if decode is not None else 0
     return Placement(
-        question.request_id, message.attempt, pieces, prefill, decode, replica
+        request.request_id, message.attempt, pieces, prefill, decode, replica
     )
 
 
@@ -236,4 +249,4 @@
     return tables.catalog.services_by_name.get(name)
 
 
-__all__ = ["ask", "find_owner", "repeat", "take_answer"]
+__all__ = ["ask", "find_owner", "repeat", "receive_reply"]
--- a/src/burdockspan/node/grants.py
+++ b/src/burdockspan/node/grants.py
@@ -10,7 +10,7 @@
 from burdockspan.admission.deadline import retry_after_s
 from burdockspan.admission.queue import Waiting
 from burdockspan.configuration.document import Service
-from burdockspan.node import attempts, fleet, lending
+from burdockspan.node import attempts, fleet, remote_calls
 from burdockspan.node.choices import choose_endpoints, hold_endpoints
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Answer, Count, Effects, Measure
@@ -32,8 +32,8 @@
 # of the whole queue at each event would cost too much.
 _PASSED_OVER = 8
 # Covers a report that is late by a few polls.
-_STRANDED_WAIT_S = 0.9
-_STRANDED_RETRY_S = 1.0
+_UNPLACEABLE_WAIT_S = 0.9
+_UNPLACEABLE_RETRY_S = 1.0
 
 
 def grant(tables: Tables, service: Service, context: Context) -> Effects:
@@ -106,7 +106,7 @@
     return effects
 
 
-def refuse_stranded(
+def refuse_unplaceable(
     tables: Tables, service: Service, context: Context
 ) -> Effects:
     """Refuses waiting calls of a service that has no usable endpoint."""
@@ -117,12 +117,12 @@
         Execution.NOT_RUN,
         Reason.NO_ENDPOINT,
         f"Service {service.name} has no endpoint that can be used now.",
-        _STRANDED_RETRY_S,
+        _UNPLACEABLE_RETRY_S,
     )
     waiting = tables.waiting_by_service.get(service.name, {})
     effects: Effects = ()
     for row in list(waiting.values()):
-        if context.clock() - row.arrived_s >= _STRANDED_WAIT_S:
+        if context.clock() - row.arrived_s >= _UNPLACEABLE_WAIT_S:
             effects += _refuse(tables, row, refusal, context)
     return effects
 
@@ -130,8 +130,8 @@
 def _refuse(
     tables: Tables, row: Waiting, refusal: Refusal, context: Context
 ) -> Effects:
-    if row.request_id in tables.borrowers_by_id:
-        return lending.refuse(tables, row.request_id, refusal, context)
+    if row.request_id in tables.remote_calls_by_id:
+        return remote_calls.refuse(tables, row.request_id, refusal, context)
     return attempts.refuse(tables, row.request_id, refusal, context.clock())
 
 
@@ -148,9 +148,9 @@
 def _find_request(
     tables: Tables, request_id: str
 ) -> tuple[RequestRow, AttemptId] | None:
-    borrower = tables.borrowers_by_id.get(request_id)
-    if borrower is not None:
-        return borrower.request, borrower.attempt
+    remote = tables.remote_calls_by_id.get(request_id)
+    if remote is not None:
+        return remote.request, remote.attempt
     row = tables.requests_by_id.get(request_id)
     return None if row is None else (row, make_attempt_id(tables))
 
@@ -165,10 +165,10 @@
     now_s = context.clock()
     waited_s = now_s - chosen.arrived_s
     effects: Effects = (Measure(f"wait.{chosen.priority.value}", waited_s),)
-    if chosen.request_id in tables.borrowers_by_id:
-        request = tables.borrowers_by_id[chosen.request_id].request
+    if chosen.request_id in tables.remote_calls_by_id:
+        request = tables.remote_calls_by_id[chosen.request_id].request
         hold_endpoints(tables, service, request, placement, now_s)
-        return effects + lending.grant(
+        return effects + remote_calls.grant(
             tables, chosen.request_id, placement, context
         )
     return effects + start(tables, service, placement, context)
@@ -191,4 +191,4 @@
     return (Answer(reply, Ok(placement)), Count("placed"))
 
 
-__all__ = ["grant", "refuse_stranded", "shed", "start"]
+__all__ = ["grant", "refuse_unplaceable", "shed", "start"]
--- a/src/burdockspan/node/intake.py
+++ b/src/burdockspan/node/intake.py
@@ -6,7 +6,7 @@
 
 from burdockspan.admission import limits, queue
 from burdockspan.configuration.document import Service
-from burdockspan.node import attempts, borrowing, queues
+from burdockspan.node import attempts, delegation, queues
 from burdockspan.node.catalog import Catalog
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Answer, Count, Effects
@@ -74,12 +74,12 @@
     tables: Tables, service: Service, submission: Submission, context: Context
 ) -> Effects:
     """Asks the owner of the pool, or queues the call here."""
-    owner = borrowing.find_owner(tables, service, context)
+    owner = delegation.find_owner(tables, service, context)
     if owner is None:
         return queues.enqueue(tables, service, submission, context)
     row = tables.requests_by_id[submission.request_id]
     pieces = queues.needed_pieces(service, submission)
-    return borrowing.ask(tables, service, row, pieces, owner, context)
+    return delegation.ask(tables, service, row, pieces, owner, context)
 
 
 def _check(
@@ -108,7 +108,7 @@
     ):
         if problem is not None:
             return Err(problem)
-    if borrowing.find_owner(tables, service, context) is not None:
+    if delegation.find_owner(tables, service, context) is not None:
         return Ok(service)
     forecast = make_forecast(tables, service, now_s)
     waiting = tables.waiting_by_service.get(service.name, {})
--- a/src/burdockspan/node/lending.py
+++ b/src/burdockspan/node/remote_calls.py
@@ -18,12 +18,12 @@
 from burdockspan.configuration.document import Service
 from burdockspan.membership.calls import CallMessage, CallNeeds, CallStep
 from burdockspan.node import fleet
+from burdockspan.node.call_messages import send
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Count, Effects
 from burdockspan.node.forecasts import has_usable_endpoints, make_forecast
 from burdockspan.node.gossip import is_dead
-from burdockspan.node.news import send
-from burdockspan.node.tables import Borrower, Tables
+from burdockspan.node.tables import RemoteCall, Tables
 from burdockspan.requests.lifecycle import RequestRow
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import Placement
@@ -31,28 +31,28 @@
 from burdockspan.values.submission import CallKind, Priority, Submission
 
 _COME_BACK_S = 1.0
-# A borrower repeats its question while it waits; one that has fallen silent
+# A requester repeats its request while it waits; one that has fallen silent
 # has gone, or asks another owner.
 _WAITING_LIFE_S = 1.0
 # A grant whose end was never reported. Reports of the engine count its memory
 # from then on.
 _GRANT_LIFE_S = 900.0
-# A grant that was lost on its way, or that its borrower did not use. Longer
+# A grant that was lost on its way, or that its requester did not use. Longer
 # than a reservation or a dispatch takes, which acknowledges the grant.
 _UNACKNOWLEDGED_LIFE_S = 5.0
 # The engine has confirmed or refused a reservation long before.
 _CONFIRMED_AFTER_S = 0.5
 
 
-def take_question(
+def receive_request(
     tables: Tables, message: CallMessage, address: str, context: Context
 ) -> Effects:
-    """Takes in the question of a borrower, or answers a repeated one."""
+    """Takes in a placement request, or answers a repeated one."""
     now_s = context.clock()
     key = str(message.attempt)
-    known = tables.borrowers_by_id.get(key)
+    known = tables.remote_calls_by_id.get(key)
     if known is not None:
-        tables.borrowers_by_id[key] = dataclasses.replace(
+        tables.remote_calls_by_id[key] = dataclasses.replace(
             known, heard_s=now_s, address=address
         )
         answer = known.answer or CallMessage(CallStep.QUEUED, message.attempt)
@@ -64,7 +64,7 @@
     if service is None:
         return ()
     submission = _make_submission(needs, key, now_s)
-    tables.borrowers_by_id[key] = Borrower(
+    tables.remote_calls_by_id[key] = RemoteCall(
         message.attempt,
         address,
         RequestRow(submission, excluded=frozenset(needs.excluded)),
@@ -91,13 +91,13 @@
         )
     waiting[key] = queue.make_waiting(submission, needs.pieces, forecast)
     answer = CallMessage(CallStep.QUEUED, message.attempt)
-    return (Count("lending.asked"), send(tables, address, answer))
+    return (Count("remote_calls.asked"), send(tables, address, answer))
 
 
 def grant(
     tables: Tables, key: str, placement: Placement, context: Context
 ) -> Effects:
-    """Tells a borrower which endpoints it was granted."""
+    """Tells a requester which endpoints it was granted."""
     prefill, decode = placement.prefill, placement.decode
     replica = placement.service
     answer = CallMessage(
@@ -107,25 +107,25 @@
         decode=decode.name if decode else None,
         replica=replica.name if replica else None,
     )
-    borrower = tables.borrowers_by_id[key]
-    tables.borrowers_by_id[key] = dataclasses.replace(
-        borrower,
+    remote = tables.remote_calls_by_id[key]
+    tables.remote_calls_by_id[key] = dataclasses.replace(
+        remote,
         answer=answer,
         placement=placement,
         answered_s=context.clock(),
     )
-    return (Count("lending.granted"), send(tables, borrower.address, answer))
+    return (Count("remote_calls.granted"), send(tables, remote.address, answer))
 
 
 def refuse(
     tables: Tables, key: str, refusal: Refusal, context: Context
 ) -> Effects:
-    """Tells a borrower that its call is refused."""
-    borrower = tables.borrowers_by_id[key]
+    """Tells a requester that its call is refused."""
+    remote = tables.remote_calls_by_id[key]
     retry_s = refusal.retry_after_s
     answer = CallMessage(
         CallStep.REFUSE,
-        borrower.attempt,
+        remote.attempt,
         status=refusal.status,
         reason=refusal.reason.value,
         detail=refusal.detail,
@@ -133,25 +133,25 @@
     )
     for waiting in tables.waiting_by_service.values():
         waiting.pop(key, None)
-    tables.borrowers_by_id[key] = dataclasses.replace(
-        borrower, answer=answer, answered_s=context.clock()
+    tables.remote_calls_by_id[key] = dataclasses.replace(
+        remote, answer=answer, answered_s=context.clock()
     )
-    return (Count("lending.refused"), send(tables, borrower.address, answer))
+    return (Count("remote_calls.refused"), send(tables, remote.address, answer))
 
 
-def take_news(
+def receive_progress(
     tables: Tables, message: CallMessage, context: Context
 ) -> Effects:
-    """Takes in how far a borrower's attempt has come."""
-    borrower = tables.borrowers_by_id.get(str(message.attempt))
-    if borrower is None:
+    """Takes in how far a requester's attempt has come."""
+    remote = tables.remote_calls_by_id.get(str(message.attempt))
+    if remote is None:
         return ()
     now_s = context.clock()
-    placement = borrower.placement
+    placement = remote.placement
     if message.step is CallStep.RESERVED and placement is not None:
         _confirm(tables, placement, now_s)
-        tables.borrowers_by_id[str(message.attempt)] = dataclasses.replace(
-            borrower, acknowledged=True
+        tables.remote_calls_by_id[str(message.attempt)] = dataclasses.replace(
+            remote, acknowledged=True
         )
     elif message.step is CallStep.TRANSFERRED and placement is not None:
         if placement.prefill is not None:
@@ -163,32 +163,32 @@
                 row, now_s
             )
     elif message.step is CallStep.ENDED:
-        _end(tables, borrower, now_s)
+        _end(tables, remote, now_s)
     return ()
 
 
 def prune(tables: Tables, context: Context) -> Effects:
-    """Drops borrowers that have died, fallen silent, or long been served."""
+    """Drops calls whose requester has died or fallen silent, and old grants."""
     now_s = context.clock()
-    for borrower in list(tables.borrowers_by_id.values()):
-        attempt = borrower.attempt
-        silent_s = now_s - borrower.heard_s
-        answered = borrower.answer is not None
-        if borrower.placement is not None and (
-            now_s - borrower.answered_s > _CONFIRMED_AFTER_S
+    for remote in list(tables.remote_calls_by_id.values()):
+        attempt = remote.attempt
+        silent_s = now_s - remote.heard_s
+        answered = remote.answer is not None
+        if remote.placement is not None and (
+            now_s - remote.answered_s > _CONFIRMED_AFTER_S
         ):
-            _confirm(tables, borrower.placement, now_s)
-        if borrower.placement is not None:
+            _confirm(tables, remote.placement, now_s)
+        if remote.placement is not None:
             life_s = _GRANT_LIFE_S
-            if not borrower.acknowledged:
+            if not remote.acknowledged:
                 life_s = _UNACKNOWLEDGED_LIFE_S
-            over = now_s - borrower.answered_s > life_s
+            over = now_s - remote.answered_s > life_s
         elif answered:
-            over = now_s - borrower.answered_s > _WAITING_LIFE_S
+            over = now_s - remote.answered_s > _WAITING_LIFE_S
         else:
             over = silent_s > _WAITING_LIFE_S
         if over or is_dead(tables, attempt.vm, attempt.incarnation):
-            _end(tables, borrower, now_s)
+            _end(tables, remote, now_s)
     return ()
 
 
@@ -234,17 +234,17 @@
         tables.endpoints_by_name[name] = fleet.let_go(row, attempt, now_s)
 
 
-def _end(tables: Tables, borrower: Borrower, now_s: float) -> None:
-    key = str(borrower.attempt)
-    del tables.borrowers_by_id[key]
+def _end(tables: Tables, remote: RemoteCall, now_s: float) -> None:
+    key = str(remote.attempt)
+    del tables.remote_calls_by_id[key]
     for waiting in tables.waiting_by_service.values():
         waiting.pop(key, None)
-    placement = borrower.placement
+    placement = remote.placement
     if placement is None:
         return
     for endpoint in (placement.prefill, placement.decode, placement.service):
         if endpoint is not None:
-            _let_go(tables, endpoint.name, borrower.attempt, now_s)
+            _let_go(tables, endpoint.name, remote.attempt, now_s)
     granted = placement.decode or placement.service
     if granted is not None:
         rate = tables.released_by_service.get(granted.service, Rate())
@@ -257,6 +257,6 @@
     "grant",
     "prune",
     "refuse",
-    "take_news",
-    "take_question",
+    "receive_progress",
+    "receive_request",
 ]
--- a/src/burdockspan/node/status.py
+++ b/src/burdockspan/node/status.py
@@ -37,8 +37,8 @@
             for service, rows in tables.waiting_by_service.items()
         },
         "releases": len(tables.releases),
-        "borrowers": len(tables.borrowers_by_id),
-        "questions": len(tables.questions_by_attempt),
+        "remote_calls": len(tables.remote_calls_by_id),
+        "placement_requests": len(tables.placement_requests_by_attempt),
         "members": [
             {
                 "vm": member.vm,
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -13,6 +13,7 @@
 from burdockspan.endpoints.control import Control
 from burdockspan.membership.calls import CallMessage
 from burdockspan.membership.table import Members
+from burdockspan.membership.values import Member
 from burdockspan.node.catalog import Catalog
 from burdockspan.node.fleet import EndpointRow
 from burdockspan.node.messages import PlacementReply
@@ -42,7 +43,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Borrower:
+class RemoteCall:
     """A call of another entry VM that this node places.
 
     Attributes:
@@ -53,7 +54,7 @@
       answer: grant or refusal, once given; sent again when asked again.
       answered_s: when it was given.
       placement: granted endpoints.
-      acknowledged: whether the borrower has used the grant.
+      acknowledged: whether the requester has used the grant.
     """
 
     attempt: AttemptId
@@ -67,7 +68,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Question:
+class PlacementRequest:
     """A call of this node that the owner of its pool was asked to place.
 
     Attributes:
@@ -77,7 +78,7 @@
       address: `ip:port` of that VM.
       pieces: decode memory that the call needs.
       next_s: when to ask again, monotonic seconds.
-      tries: questions since the last answer.
+      tries: requests sent since the last answer.
     """
 
     request_id: str
@@ -128,10 +129,14 @@
         self.urgent_by_service: dict[str, Rate] = {}
         self.endpoints_by_name: dict[str, EndpointRow] = {}
         self.links_by_endpoint: dict[str, Link] = {}
-        self.borrowers_by_id: dict[str, Borrower] = {}
-        self.questions_by_attempt: dict[AttemptId, Question] = {}
+        self.remote_calls_by_id: dict[str, RemoteCall] = {}
+        self.placement_requests_by_attempt: dict[
+            AttemptId, PlacementRequest
+        ] = {}
         self.owner_addresses_by_attempt: dict[AttemptId, str] = {}
         self.silent_owners_until: dict[str, float] = {}
+        self.pool_owners_basis: Mapping[str, Member] | None = None
+        self.pool_owners_by_service: dict[str, str | None] = {}
         self.releases: dict[tuple[AttemptId, str], ReleaseRow] = {}
         self.buckets_by_client: dict[str, Bucket] = {}
         self.retry_budget: Budget = make_budget(
@@ -168,8 +173,8 @@
 
 
 __all__ = [
-    "Borrower",
-    "Question",
+    "RemoteCall",
+    "PlacementRequest",
     "ReleaseRow",
     "Roles",
     "Tables",
--- a/tests/node/test_borrowing.py
+++ b/tests/node/test_delegation.py
@@ -15,43 +15,43 @@
 
 _VMS = ("entry-1", "entry-2", "entry-3")
 _OWNER = ownership.owner_of(f"pool/{SERVICE}", _VMS)
-_BORROWERS = tuple(vm for vm in _VMS if vm != _OWNER)
+_REQUESTERS = tuple(vm for vm in _VMS if vm != _OWNER)
 # Two ticks without an answer and one to place the call here.
 _FALLBACK_S = 0.2
 
 
-class BorrowingTest(unittest.TestCase):
+class DelegationTest(unittest.TestCase):
     def setUp(self) -> None:
         self.network = Network(_VMS, engines=4)
 
-    def test_borrower_is_granted_endpoints_by_the_owner(self) -> None:
+    def test_requester_is_granted_endpoints_by_the_owner(self) -> None:
         """Guards against calls that bypass the queue of the pool."""
-        borrower = _BORROWERS[0]
+        requester = _REQUESTERS[0]
         reply = self.network.submit(
-            borrower, make_submission(self.network, "r1")
+            requester, make_submission(self.network, "r1")
         )
         placement = reply.result(timeout=0).unwrap()
         owner = self.network.nodes_by_vm[_OWNER].tables
-        self.assertIn(str(placement.attempt), owner.borrowers_by_id)
+        self.assertIn(str(placement.attempt), owner.remote_calls_by_id)
         held = owner.endpoints_by_name[placement.decode.name].reservations
         self.assertIn(placement.attempt, held)
 
     def test_owner_forgets_a_call_that_has_ended(self) -> None:
         """Guards against memory that stays granted to nobody."""
-        borrower = _BORROWERS[0]
+        requester = _REQUESTERS[0]
         reply = self.network.submit(
-            borrower, make_submission(self.network, "r1")
+            requester, make_submission(self.network, "r1")
         )
         attempt = reply.result(timeout=0).unwrap().attempt
         for event in (Event.RESERVED, Event.PREFILL_SENT):
-            self.network.handle(borrower, messages.Record(attempt, event))
+            self.network.handle(requester, messages.Record(attempt, event))
         self.network.handle(
-            borrower, messages.Finish("r1", Execution.UNKNOWN, 502)
+            requester, messages.Finish("r1", Execution.UNKNOWN, 502)
         )
         owner = self.network.nodes_by_vm[_OWNER].tables
-        self.assertEqual(owner.borrowers_by_id, {})
+        self.assertEqual(owner.remote_calls_by_id, {})
 
-    def test_borrower_chooses_itself_when_the_owner_is_silent(self) -> None:
+    def test_requester_chooses_itself_when_the_owner_is_silent(self) -> None:
         """Guards against calls that wait for a dead or cut-off owner."""
         self.network.drops = lambda sender, receiver: (
             _OWNER
@@ -61,28 +61,28 @@
             )
         )
         reply = self.network.submit(
-            _BORROWERS[0], make_submission(self.network, "r1")
+            _REQUESTERS[0], make_submission(self.network, "r1")
         )
         self.assertFalse(reply.done())
         self.network.advance(_FALLBACK_S)
         self.assertTrue(reply.result(timeout=0).is_ok())
         again = self.network.submit(
-            _BORROWERS[0], make_submission(self.network, "r2")
+            _REQUESTERS[0], make_submission(self.network, "r2")
         )
         self.assertTrue(again.done(), "a silent owner was asked again")
 
-    def test_borrower_rejects_an_endpoint_that_it_knows_is_leaving(
+    def test_requester_rejects_an_endpoint_that_it_knows_is_leaving(
         self,
     ) -> None:
         """Guards against new work by an owner that has not heard (P6)."""
-        borrower = _BORROWERS[0]
-        rows = self.network.nodes_by_vm[borrower].tables.endpoints_by_name
+        requester = _REQUESTERS[0]
+        rows = self.network.nodes_by_vm[requester].tables.endpoints_by_name
         for name in ("engine-1", "engine-2"):
             rows[name] = fleet.mark_leaving(rows[name], self.network.clock())
         chosen = set()
         for number in range(20):
             reply = self.network.submit(
-                borrower, make_submission(self.network, f"r{number}")
+                requester, make_submission(self.network, f"r{number}")
             )
             placement = reply.result(timeout=0).unwrap()
             chosen |= {placement.decode.name, placement.prefill.name}
@@ -90,9 +90,9 @@
 
     def test_grant_that_comes_late_is_given_back(self) -> None:
         """Guards against an owner that counts a grant nobody took."""
-        borrower = _BORROWERS[0]
+        requester = _REQUESTERS[0]
         self.network.drops = lambda sender, receiver: sender == _OWNER
-        self.network.submit(borrower, make_submission(self.network, "r1"))
+        self.network.submit(requester, make_submission(self.network, "r1"))
         self.network.advance(_FALLBACK_S)
         # The word that the call was placed elsewhere is lost as well.
         self.network.drops = lambda sender, receiver: sender != _OWNER
@@ -102,7 +102,7 @@
         owner = self.network.nodes_by_vm[_OWNER].tables
         granted = [
             row
-            for row in owner.borrowers_by_id.values()
+            for row in owner.remote_calls_by_id.values()
             if row.placement is not None
         ]
         self.assertEqual(granted, [])
--- a/tests/support/node_history.py
+++ b/tests/support/node_history.py
@@ -19,7 +19,7 @@
 _EVENTS = tuple(Event)
 _KINDS = tuple(FailureKind)
 # A call that waits for an endpoint that none can use is refused by then.
-_STRANDED_S = 1.0
+_UNPLACEABLE_S = 1.0
 _SETTLE_TICKS = 40
 _SETTLE_TICK_S = 0.25
 
@@ -117,7 +117,7 @@
             if grants.has_usable_endpoints(tables, service, now_s):
                 continue
             for row in tables.waiting_by_service.get(service.name, {}).values():
-                if now_s - row.arrived_s >= _STRANDED_S:
+                if now_s - row.arrived_s >= _UNPLACEABLE_S:
                     raise ViolationError(f"{row.request_id} waits in vain")
 
     def _report(self) -> None:
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -64,7 +64,7 @@
 
 // A call that waits for endpoints of a pool that another entry VM grants.
 enum CallStep {
-  ASK = 1,
+  REQUEST = 1,
   QUEUED = 2,
   GRANT = 3,
   REFUSE = 4,
