Group the times of the node's systems

Cause: the constructor of the tables had more statements than the linter allows. Change: the next run of each system is kept in Timers. Tested: 20 tests of tests.node.

--- a/bench/capacity_documents.py
+++ b/bench/capacity_documents.py
@@ -117,7 +117,7 @@
     member = Member("entry-new", "127.0.0.1:9", "zone", 1)
     by_vm = {**tables.members.by_vm, member.vm: member}
     tables.members = dataclasses.replace(tables.members, by_vm=by_vm)
-    tables.next_poll_s = 0.0
+    tables.timers.next_poll_s = 0.0
     return processor_ms(lambda: upkeep.poll(tables, context))
 
 
--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -93,9 +93,9 @@
 
 def _end_requests(tables: Tables, context: Context) -> Effects:
     now_s = context.clock()
-    if now_s < tables.next_end_s:
+    if now_s < tables.timers.next_end_s:
         return ()
-    tables.next_end_s = now_s + _END_INTERVAL_S
+    tables.timers.next_end_s = now_s + _END_INTERVAL_S
     effects: Effects = ()
     for request_id in attempts.find_gone_callers(tables):
         effects += attempts.cancel(tables, request_id, now_s)
@@ -108,9 +108,9 @@
     if tables.catalog is None:
         return ()
     now_s = context.clock()
-    shedding = now_s >= tables.next_shed_s
+    shedding = now_s >= tables.timers.next_shed_s
     if shedding:
-        tables.next_shed_s = now_s + _SHED_INTERVAL_S
+        tables.timers.next_shed_s = now_s + _SHED_INTERVAL_S
     effects: Effects = ()
     for service in tables.catalog.configuration.services:
         if not tables.waiting_by_service.get(service.name):
--- a/src/burdockspan/node/documents.py
+++ b/src/burdockspan/node/documents.py
@@ -42,8 +42,8 @@
     if start is None:
         return _seek_vm_list(tables, now_s)
     effects: Effects = ()
-    if now_s >= tables.next_ask_s:
-        tables.next_ask_s = now_s + _ASK_INTERVAL_S
+    if now_s >= tables.timers.next_ask_s:
+        tables.timers.next_ask_s = now_s + _ASK_INTERVAL_S
         peers = {member.address for member in _peers(tables)}
         sources = {PLATFORM_SOURCE, *tables.members.seeds, *peers}
         tables.start, fresh = adoptions.ask(start, sources)
@@ -127,9 +127,9 @@
 def apply_stops(tables: Tables, context: Context) -> Effects:
     """Applies planned stops that have come, and roles that were confirmed."""
     now_s = context.clock()
-    if tables.catalog is None or now_s < tables.next_stops_s:
+    if tables.catalog is None or now_s < tables.timers.next_stops_s:
         return ()
-    tables.next_stops_s = now_s + _STOPS_INTERVAL_S
+    tables.timers.next_stops_s = now_s + _STOPS_INTERVAL_S
     drained = _drained_vms(tables.catalog.configuration, context)
     unchanged = roles.resolve(tables) == tables.roles
     if drained == tables.drained_vms and unchanged:
@@ -138,9 +138,9 @@
 
 
 def _seek_vm_list(tables: Tables, now_s: float) -> Effects:
-    if tables.vm_list.version > 0 or now_s < tables.next_ask_s:
+    if tables.vm_list.version > 0 or now_s < tables.timers.next_ask_s:
         return ()
-    tables.next_ask_s = now_s + _VM_LIST_ASK_INTERVAL_S
+    tables.timers.next_ask_s = now_s + _VM_LIST_ASK_INTERVAL_S
     return (ReadPlatform(),)
 
 
--- a/src/burdockspan/node/gossip.py
+++ b/src/burdockspan/node/gossip.py
@@ -55,8 +55,8 @@
     """Advances the membership protocol."""
     now_s = context.clock()
     before = tables.members
-    if now_s >= tables.next_prune_s:
-        tables.next_prune_s = now_s + _PRUNE_INTERVAL_S
+    if now_s >= tables.timers.next_prune_s:
+        tables.timers.next_prune_s = now_s + _PRUNE_INTERVAL_S
         held = shared.prune(before.shared, now_s)
         tables.members = table.share(before, held)
     tables.members, outgoing = swim.tick(tables.members, now_s, context.draw)
@@ -186,9 +186,9 @@
 def _pull_newer(tables: Tables, message: PeerMessage, now_s: float) -> Effects:
     ours = tables.members.versions
     newer = is_behind(ours, message.message.versions)
-    if not newer or now_s < tables.next_pull_s:
+    if not newer or now_s < tables.timers.next_pull_s:
         return ()
-    tables.next_pull_s = now_s + _PULL_INTERVAL_S
+    tables.timers.next_pull_s = now_s + _PULL_INTERVAL_S
     return (PullDocuments(message.message.sender.address, ours),)
 
 
--- a/src/burdockspan/node/orders.py
+++ b/src/burdockspan/node/orders.py
@@ -31,9 +31,9 @@
 def send_orders(tables: Tables, context: Context) -> Effects:
     """Sends the orders that owned endpoints have not confirmed."""
     now_s = context.clock()
-    if tables.catalog is None or now_s < tables.next_orders_s:
+    if tables.catalog is None or now_s < tables.timers.next_orders_s:
         return ()
-    tables.next_orders_s = now_s + _INTERVAL_S
+    tables.timers.next_orders_s = now_s + _INTERVAL_S
     owned = upkeep.owned_endpoints(tables)
     _forget_others(tables, owned)
     if tables.members.superseded:
@@ -157,9 +157,9 @@
         for name in owned
         if name in tables.controls_by_endpoint
     )
-    if not refused or now_s < tables.next_look_s:
+    if not refused or now_s < tables.timers.next_look_s:
         return ()
-    tables.next_look_s = now_s + _LOOK_INTERVAL_S
+    tables.timers.next_look_s = now_s + _LOOK_INTERVAL_S
     return (ReadPlatform(),)
 
 
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -103,6 +103,26 @@
     changing: frozenset[str] = frozenset()
 
 
+@dataclasses.dataclass
+class Timers:
+    """When each system that does not run on every tick runs next.
+
+    All fields are monotonic seconds.
+    """
+
+    next_cache_poll_s: float = 0.0
+    next_poll_s: float = 0.0
+    next_sweep_s: float = 0.0
+    next_stops_s: float = 0.0
+    next_end_s: float = 0.0
+    next_shed_s: float = 0.0
+    next_prune_s: float = 0.0
+    next_pull_s: float = 0.0
+    next_ask_s: float = 0.0
+    next_orders_s: float = 0.0
+    next_look_s: float = 0.0
+
+
 class Tables:
     """State of one node. Only the node's thread reads or writes it."""
 
@@ -151,17 +171,7 @@
         self.changing_since_s: dict[str, tuple[int, float]] = {}
         self.owned_endpoints: frozenset[str] = frozenset()
         self.ownership_basis: tuple[object, ...] = (None, None, None)
-        self.next_cache_poll_s = 0.0
-        self.next_poll_s = 0.0
-        self.next_sweep_s = 0.0
-        self.next_stops_s = 0.0
-        self.next_end_s = 0.0
-        self.next_shed_s = 0.0
-        self.next_prune_s = 0.0
-        self.next_pull_s = 0.0
-        self.next_ask_s = 0.0
-        self.next_orders_s = 0.0
-        self.next_look_s = 0.0
+        self.timers = Timers()
 
 
 def make_attempt_id(tables: Tables) -> AttemptId:
@@ -178,5 +188,6 @@
     "ReleaseRow",
     "Roles",
     "Tables",
+    "Timers",
     "make_attempt_id",
 ]
--- a/src/burdockspan/node/upkeep.py
+++ b/src/burdockspan/node/upkeep.py
@@ -47,9 +47,9 @@
 def poll(tables: Tables, context: Context) -> Effects:
     """Polls the endpoints that this node owns, and some that are silent."""
     now_s = context.clock()
-    if now_s < tables.next_poll_s:
+    if now_s < tables.timers.next_poll_s:
         return ()
-    tables.next_poll_s = now_s + _POLL_INTERVAL_S
+    tables.timers.next_poll_s = now_s + _POLL_INTERVAL_S
     zone = context.settings.availability_zone
     owned = owned_endpoints(tables)
     silent = [
@@ -67,9 +67,9 @@
 def list_attempts(tables: Tables, context: Context) -> Effects:
     """Lists the attempts held by the engines that this node owns."""
     now_s = context.clock()
-    if now_s < tables.next_sweep_s:
+    if now_s < tables.timers.next_sweep_s:
         return ()
-    tables.next_sweep_s = now_s + _SWEEP_INTERVAL_S
+    tables.timers.next_sweep_s = now_s + _SWEEP_INTERVAL_S
     rows = (tables.endpoints_by_name[name] for name in owned_endpoints(tables))
     return tuple(
         ListAttempts(row.endpoint)
@@ -86,9 +86,9 @@
     """
     now_s = context.clock()
     zone = context.settings.availability_zone
-    if now_s < tables.next_cache_poll_s:
+    if now_s < tables.timers.next_cache_poll_s:
         return ()
-    tables.next_cache_poll_s = now_s + _CACHE_INTERVAL_S
+    tables.timers.next_cache_poll_s = now_s + _CACHE_INTERVAL_S
     positions = tables.cache_positions_by_endpoint
     return tuple(
         FetchCacheEvents(row.endpoint, *positions.get(name, ("", 0)))
