Show waiting claim writes and platform calls in the status

Cause: an operator could not see whether final writes of claims wait for the platform, nor how many calls an entry VM makes. Change: /admin/status has claims and platform_calls, and the status command prints the waiting claims of each entry VM. Tested: tests.cli.test_status.

--- a/src/burdockspan/cli/fleet.py
+++ b/src/burdockspan/cli/fleet.py
@@ -94,11 +94,12 @@
             *(_show(status.get(column)) for column in _VM_COLUMNS),
             _show_counts(status.get("requests")),
             str(len(_items(status.get("quarantine")))),
+            _show_waiting_claims(status.get("claims")),
             address,
         )
         for address, status in answers.items()
     ]
-    header = (*_VM_COLUMNS, "requests", "strikes", "admin")
+    header = (*_VM_COLUMNS, "requests", "strikes", "claims", "admin")
     text = _render_table(header, sorted(rows))
     if (
         len({_show(status.get("generation")) for status in answers.values()})
@@ -108,6 +109,13 @@
     return text
 
 
+def _show_waiting_claims(claims: object) -> str:
+    """Returns how many final writes of claims wait for the platform."""
+    if not isinstance(claims, dict):
+        return "-"
+    return _show(claims.get("waiting"))
+
+
 def _render_endpoints(statuses: Iterable[Mapping[str, Any]]) -> str:
     # Each entry VM has its own view; the first one that names an endpoint is
     # shown, since load reports differ between VMs by their age only.
--- a/src/burdockspan/node/assembly.py
+++ b/src/burdockspan/node/assembly.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import signal
 import threading
 import time
 from collections.abc import Callable
-from typing import cast
+from typing import Any, cast
 
 import pykka
 from result import Err
@@ -40,6 +41,7 @@
 from burdockspan.peering.client import make_peer_client
 from burdockspan.peering.server import PeerServer, make_peer_server
 from burdockspan.placement.prefix import block_hashes
+from burdockspan.platform.client import PlatformClient
 from burdockspan.platform.connection import connect_platform
 from burdockspan.settings import Settings
 from burdockspan.values.clock import make_monotonic_clock, make_wall_clock
@@ -169,11 +171,16 @@
         if isinstance(peer_server, Err):
             return peer_server.err_value
         self._peer_server = peer_server.ok_value
-        router = make_router(self._node, context)
-        self._settlement = make_settlement(context.clock, context.draw)
+        settlement = make_settlement(context.clock, context.draw)
+        self._settlement = settlement
+        router = make_router(
+            self._node,
+            context,
+            lambda: _describe_platform(settlement, client),
+        )
         claims = make_claims(
             client,
-            self._settlement,
+            settlement,
             context.wall_clock,
             lambda: self._policy().key_retention_s,
         )
@@ -288,6 +295,21 @@
     return True
 
 
+def _describe_platform(
+    settlement: Settlement, client: PlatformClient
+) -> dict[str, Any]:
+    calls = client.counts()
+    return {
+        # Final writes of claims that wait for the platform, and the rest.
+        "claims": dataclasses.asdict(settlement.counts()),
+        "platform_calls": {
+            "by_operation": calls.by_operation,
+            "by_outcome": calls.by_outcome,
+            "limited": calls.limited,
+        },
+    }
+
+
 def _start_thread(run: Callable[[], None], name: str) -> None:
     threading.Thread(target=run, name=name, daemon=True).start()
 
--- a/src/burdockspan/node/port.py
+++ b/src/burdockspan/node/port.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from concurrent.futures import Future
-from typing import TypeVar, cast
+from typing import Any, TypeVar, cast
 
 import pykka
 from result import Result
@@ -29,8 +29,19 @@
 _T = TypeVar("_T")
 
 
-def make_router(node: pykka.ActorRef, context: Context) -> Router:
-    """Returns the functions of a node for the HTTP layer."""
+def make_router(
+    node: pykka.ActorRef,
+    context: Context,
+    describe_platform: Callable[[], dict[str, Any]] = dict,
+) -> Router:
+    """Returns the functions of a node for the HTTP layer.
+
+    Args:
+      node: the actor.
+      context: its surroundings.
+      describe_platform: claims and calls at the platform, as JSON values, for
+        the status.
+    """
 
     def read(function: Callable[[Tables], _T]) -> _T:
         return _read(node, function)
@@ -72,7 +83,10 @@
         in_rotation=lambda: read(
             lambda tables: is_accepting(tables, context) and not tables.draining
         ),
-        status=lambda: read(lambda tables: status.make_status(tables, context)),
+        status=lambda: {
+            **read(lambda tables: status.make_status(tables, context)),
+            **describe_platform(),
+        },
     )
 
 
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -15,6 +15,7 @@
     "generation": 7,
     "draining": False,
     "idle": False,
+    "claims": {"waiting": 3},
     "requests": {"queued": 2, "decoding": 5},
     "members": [
         {"vm": "entry-1", "availability_zone": "fes-a", "state": "alive"},
@@ -73,7 +74,7 @@
         self.assertEqual(result.exit_code, 0, result.output)
         lines = [line.split() for line in result.stdout.splitlines()]
         vm = ["entry-1", "fes-a", "7", "false", "false"]
-        self.assertIn([*vm, "decoding=5", "queued=2", "1", address], lines)
+        self.assertIn([*vm, "decoding=5", "queued=2", "1", "3", address], lines)
         self.assertIn(["fes-a", "dead", "1"], lines)
         self.assertIn(["ab12"], lines)
         endpoint = ["decode-1", "-", "decode", *"-----", "3", "-"]
