--- a/bench/variants.py
+++ b/bench/variants.py
@@ -47,7 +47,6 @@
 CHOSEN = Variant(
     "chosen",
     sharing="pool_owner",
-    answers_carry_load=True,
     links=True,
 )
 
@@ -74,9 +73,14 @@
 )
 CASES = (
     _vary("4 optimistic", sharing="optimistic"),
+    _vary(
+        "4 optimistic, load in answers",
+        sharing="optimistic",
+        answers_carry_load=True,
+    ),
     _vary("4 divided budgets", sharing="divided"),
     _vary("4 owner per endpoint", sharing="owner"),
-    _vary("4 answers without load", answers_carry_load=False),
+    _vary("4 load in answers", answers_carry_load=True),
     _vary("5 reserve after", reserve="after"),
     _vary("5 reserve during", reserve="during"),
     _vary("5 during, counted", reserve="during", ahead=0.0),
