Open the circuit breaker of endpoints that are slower than their peers

Cause: the node told breakers the time from the call's arrival to its first byte, without the latency of the pool's other endpoints, so slowness never opened a breaker. Change: health records for each endpoint its own part of a call, prefills by the token, with the median of its peers. The functions moved out of attempts.

--- a/src/burdockspan/node/attempts.py
+++ b/src/burdockspan/node/attempts.py
@@ -7,14 +7,12 @@
 from burdockspan.admission import forecast as forecasts
 from burdockspan.admission.forecast import Rate
 from burdockspan.membership.calls import CallStep
-from burdockspan.node import call_messages, fleet, silence
+from burdockspan.node import call_messages, fleet, health, silence
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Abort, Answer, Count, Effects, Measure
-from burdockspan.node.fleet import EndpointRow
-from burdockspan.node.gossip import add_leaving_mark, add_strike, spread
 from burdockspan.node.messages import Attach, Finish, Record, ReleaseMemory
 from burdockspan.node.tables import ReleaseRow, Tables
-from burdockspan.requests import lifecycle, outcome
+from burdockspan.requests import lifecycle
 from burdockspan.requests.lifecycle import (
     InvalidTransition,
     Release,
@@ -22,7 +20,6 @@
     State,
     Step,
 )
-from burdockspan.resilience import breaker
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import Event, Failure, FailureKind
 from burdockspan.values.refusal import Execution, Reason, Refusal
@@ -34,18 +31,6 @@
     Event.TRANSFERRED: CallStep.TRANSFERRED,
 }
 
-# Kinds of failure that say something about the health of the endpoint.
-_UNHEALTHY = frozenset(
-    {
-        FailureKind.NOT_CONNECTED,
-        FailureKind.CONNECTION_LOST,
-        FailureKind.SILENT,
-        FailureKind.CRASHED,
-        FailureKind.ENDPOINT_ERROR,
-        FailureKind.TIMED_OUT,
-    }
-)
-
 
 def find_current(tables: Tables, attempt: AttemptId) -> RequestRow | None:
     """Returns the request whose current attempt this is, None if ended."""
@@ -93,57 +78,6 @@
     return ()
 
 
-def record_failure(
-    tables: Tables, row: RequestRow, failure: Failure, context: Context
-) -> Effects:
-    """Notes in the endpoint's row, breaker and strikes how it failed."""
-    now_s = context.clock()
-    endpoint = tables.endpoints_by_name.get(failure.endpoint)
-    effects: Effects = (Count(f"failures.{failure.kind.value}"),)
-    if endpoint is None:
-        return effects
-    if failure.kind is FailureKind.FULL:
-        endpoint = fleet.mark_full(endpoint, now_s)
-    elif failure.kind is FailureKind.LEAVING:
-        endpoint = fleet.mark_leaving(endpoint, now_s)
-        add_leaving_mark(tables, failure.endpoint)
-    elif failure.kind in _UNHEALTHY and not _is_cancelled_stream(row, failure):
-        state = breaker.record(endpoint.breaker, False, 0.0, now_s)
-        endpoint = fleet.set_breaker(endpoint, state)
-    tables.endpoints_by_name[failure.endpoint] = endpoint
-    crashed_boot = _find_crashed_boot(endpoint, row, failure)
-    if crashed_boot is not None:
-        fingerprint = row.submission.fingerprint
-        add_strike(tables, fingerprint, failure.endpoint, crashed_boot, context)
-        effects += (Count("strikes"), *spread(tables, context))
-    return effects
-
-
-def _is_cancelled_stream(row: RequestRow, failure: Failure) -> bool:
-    """Returns whether the engine may have ended the stream on request.
-
-    A sweeper cancels the attempts of a process that was frozen. When that
-    resumes, its broken streams say nothing of the engine's health.
-    """
-    lost = failure.kind is FailureKind.CONNECTION_LOST
-    return lost and row.reached is Event.FIRST_BYTE
-
-
-def _find_crashed_boot(
-    endpoint: EndpointRow, row: RequestRow, failure: Failure
-) -> str | None:
-    """Returns the boot identity that crashed under a request, if one did."""
-    if not outcome.may_be_crash(row.reached, failure.kind):
-        return None
-    if row.attempt not in endpoint.reservations and endpoint.previous_boot:
-        # A report of the new process came before the request's own failure.
-        return endpoint.previous_boot
-    restarted = failure.boot and failure.boot != endpoint.boot
-    if failure.kind is FailureKind.CRASHED or restarted:
-        return endpoint.boot
-    return None
-
-
 def fail(
     tables: Tables, row: RequestRow, failure: Failure, now_s: float
 ) -> Effects:
@@ -323,17 +257,10 @@
             )
     if event is Event.DISPATCHED and placement.service is not None:
         _confirm(tables, placement.service.name, row.attempt, now_s)
+    health.record_success(tables, row, event, now_s)
     if event is not Event.FIRST_BYTE:
         return ()
-    latency_s = now_s - row.submission.arrived_s
-    for endpoint in (placement.prefill, placement.decode, placement.service):
-        held = endpoint and tables.endpoints_by_name.get(endpoint.name)
-        if held:
-            state = breaker.record(held.breaker, True, latency_s, now_s)
-            tables.endpoints_by_name[held.endpoint.name] = fleet.set_breaker(
-                held, state
-            )
-    return (Measure("first_byte", latency_s),)
+    return (Measure("first_byte", now_s - row.submission.arrived_s),)
 
 
 def _confirm(
@@ -368,7 +295,6 @@
     "finish",
     "forget",
     "record",
-    "record_failure",
     "refuse",
     "refuse_overdue",
     "release",
--- a/src/burdockspan/node/intake.py
+++ b/src/burdockspan/node/intake.py
@@ -6,7 +6,7 @@
 
 from burdockspan.admission import limits, queue
 from burdockspan.configuration.document import Service
-from burdockspan.node import attempts, delegation, queues
+from burdockspan.node import attempts, delegation, health, queues
 from burdockspan.node.catalog import Catalog
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Answer, Count, Effects
@@ -55,7 +55,7 @@
         refusal = _ended_refusal(tables, message)
         return (Answer(message.reply, Err(refusal)),)
     failure = message.failure
-    effects = attempts.record_failure(tables, row, failure, context)
+    effects = health.record_failure(tables, row, failure, context)
     request_id = row.submission.request_id
     tables.replies_by_request[request_id] = message.reply
     verdict = _judge_retry(tables, row, failure, context, now_s)
--- a/src/burdockspan/requests/lifecycle.py
+++ b/src/burdockspan/requests/lifecycle.py
@@ -70,6 +70,7 @@
       placement: endpoints of the current attempt; None while queued.
       attempts: attempts started so far.
       reached: last event of the current attempt.
+      reached_s: when it was recorded, monotonic seconds.
       execution: what is true of the attempts that have failed so far.
       refusal: the refusal, once refused.
       status: HTTP status of the answer, once ended.
@@ -82,6 +83,7 @@
     placement: Placement | None = None
     attempts: int = 0
     reached: Event | None = None
+    reached_s: float = 0.0
     execution: Execution = Execution.NOT_RUN
     refusal: Refusal | None = None
     status: int | None = None
@@ -158,7 +160,10 @@
         return Err(InvalidTransition.OUT_OF_ORDER)
     if event in _STARTING and now_s >= row.submission.deadline_s:
         return Err(InvalidTransition.DEADLINE)
-    return Ok(Step(dataclasses.replace(row, state=following, reached=event)))
+    reached = dataclasses.replace(
+        row, state=following, reached=event, reached_s=now_s
+    )
+    return Ok(Step(reached))
 
 
 def fail(
