Test the unmodified OpenAI client against real processes

Cause: the client was only tested against a fake engine. Change: it lists models, reads whole, streamed and chat answers and gets its usual error classes from a real entry process. Tested: 1 passed.

--- /dev/null
+++ b/tests/system/test_openai_client.py
@@ -0,0 +1,47 @@
+from __future__ import annotations
+
+import unittest
+
+import openai
+
+from standins import tokens
+from standins.zone import Process
+from tests.support.fleets import MODEL, make_plan, running_fleet
+
+
+class OpenAiClientTest(unittest.TestCase):
+    def test_unmodified_client_works_against_real_processes(self) -> None:
+        """Guards against answers that the usual client cannot read."""
+        plan = make_plan(entries=1, prefill=1, decode=1, services=())
+        with running_fleet(plan) as fleet:
+            client = _make_client(fleet.entries[0], "demo-token")
+            names = [model.id for model in client.models.list()]
+            self.assertEqual(names, [MODEL])
+            body = {"model": MODEL, "prompt": "a charter", "max_tokens": 6}
+            whole = client.completions.create(**body)
+            expected = tokens.expected_text(body)
+            self.assertEqual(whole.choices[0].text, expected)
+            parts = client.completions.create(**body, stream=True)
+            streamed = "".join(part.choices[0].text for part in parts)
+            self.assertEqual(streamed, expected)
+            chat = client.chat.completions.create(
+                model=MODEL,
+                max_tokens=4,
+                messages=[{"role": "user", "content": "a letter"}],
+            )
+            self.assertTrue(chat.choices[0].message.content)
+            with self.assertRaises(openai.NotFoundError):
+                client.completions.create(model="other", prompt="x")
+            with self.assertRaises(openai.BadRequestError):
+                client.completions.create(
+                    model=MODEL, prompt="x", max_tokens=-1
+                )
+            stranger = _make_client(fleet.entries[0], "wrong")
+            with self.assertRaises(openai.AuthenticationError):
+                stranger.models.list()
+
+
+def _make_client(entry: Process, token: str) -> openai.OpenAI:
+    return openai.OpenAI(
+        base_url=f"http://{entry.address}/v1", api_key=token, max_retries=0
+    )
