node: Poll the health of endpoints on pooled connections

Change: check_health takes a pooled connection where the caller asks for one, and the regular poll does. A closed one is replaced within the call; a silent one fails the poll, as that of the load call did before, and is closed. The check after a first-byte timeout still uses a new connection.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -109,6 +109,7 @@
     with capacity_calls.running_engine() as endpoint:
         for kind, title in (
             ("poll", "health and load polls over HTTP"),
+            ("new", "the same with a new connection for each health poll"),
             ("attempts", "listings of attempts over HTTP"),
             ("cache", "reads of cache events over HTTP, no new ones"),
         ):
--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -121,16 +121,18 @@
 
     Args:
       endpoint: a running engine.
-      kind: `poll` for health and load, `attempts`, or `cache` for events.
+      kind: `poll` for health and load, `new` for the same with a new
+        connection for health, `attempts`, or `cache` for events.
     """
     connections = make_connections(time.monotonic, lambda: 1.0)
 
-    def poll() -> None:
-        engine.check_health(connections, endpoint).unwrap()
+    def poll(fresh: bool) -> None:
+        engine.check_health(connections, endpoint, fresh=fresh).unwrap()
         reports.fetch_load(connections, endpoint, time.monotonic).unwrap()
 
     actions: dict[str, Callable[[], object]] = {
-        "poll": poll,
+        "poll": lambda: poll(False),
+        "new": lambda: poll(True),
         "attempts": lambda: engine.list_attempts(
             connections, endpoint
         ).unwrap(),
--- a/src/burdockspan/endpoints/engine.py
+++ b/src/burdockspan/endpoints/engine.py
@@ -168,15 +168,25 @@
     connections: Connections,
     endpoint: Endpoint,
     timeout_s: float = CONTROL_TIMEOUT_S,
+    *,
+    fresh: bool = True,
 ) -> Result[Health, Failure]:
-    """Asks for the health of an endpoint on a new connection."""
+    """Asks for the health of an endpoint.
+
+    Args:
+      connections: connections of the process.
+      endpoint: the endpoint.
+      timeout_s: longest time for the first byte, and between two parts.
+      fresh: whether to use a new connection, which tells a silent connection
+        from a dead endpoint.
+    """
     call = Call(
         endpoint,
         "GET",
         "/health",
         first_byte_timeout_s=timeout_s,
         silence_s=timeout_s,
-        fresh=True,
+        fresh=fresh,
     )
     return (
         fetch(connections, call, None)
--- a/src/burdockspan/node/performer.py
+++ b/src/burdockspan/node/performer.py
@@ -170,7 +170,9 @@
     outlets: Outlets, endpoint: Endpoint
 ) -> Result[LoadReport, Failure]:
     """Returns the lagging load with the current state and boot identity."""
-    health = engine.check_health(outlets.connections, endpoint)
+    # A new connection for each poll would cost a third of its processor time.
+    # A silent pooled one makes this poll fail and is then closed.
+    health = engine.check_health(outlets.connections, endpoint, fresh=False)
     if isinstance(health, Err):
         return health
     load = reports.fetch_load(outlets.connections, endpoint, outlets.clock)
--- a/tests/endpoints/test_engine.py
+++ b/tests/endpoints/test_engine.py
@@ -22,7 +22,11 @@
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import FailureKind
 from tests.support.caller import WAIT_S
-from tests.support.endpoint_fake import EndpointFake, script_engine
+from tests.support.endpoint_fake import (
+    EndpointFake,
+    Handler,
+    script_engine,
+)
 
 _ATTEMPT = AttemptId("entry-1", 1, 2)
 _ENDPOINT = Endpoint("e", "127.0.0.1:1", "lm", Pool.DECODE, "zone-a")
@@ -111,6 +115,31 @@
         ports = {one.client for one in self.fake.received}
         self.assertEqual(len(ports), 2)
 
+    def test_health_polls_share_a_connection_that_may_break(self) -> None:
+        # A new connection for each poll cost a third of its processor time.
+        # One that breaks must not make a live endpoint look dead.
+        def poll() -> str:
+            health = engine.check_health(
+                self.connections, self.endpoint, fresh=False
+            )
+            return health.unwrap().boot
+
+        self.assertEqual(poll(), poll())
+        ports = {one.client for one in self.fake.received}
+        self.assertEqual(len(ports), 1)
+        script = self.fake.scripts["GET /health"]
+        broken: list[bool] = []
+
+        def break_once(one: Handler) -> None:
+            if broken:
+                script(one)
+            else:
+                broken.append(True)
+                one.break_off()
+
+        self.fake.scripts["GET /health"] = break_once
+        self.assertEqual(poll(), "b1")
+
     def test_load_report_is_dated_back_by_its_age(self) -> None:
         self.answer("GET /load", 200, _LOAD)
         report = fetch_load(self.connections, self.endpoint, lambda: 9.0)
