bench: Give each simulated VM a document of its own

Cause: bench.fanout handed one configuration object to all VMs. Adoption tells a newer document from the held one by identity, so each regular read of an unchanged document was taken for news and offered to three peers. The wait for streams in bench.capacity_processes named a state that streams do not reach.

Change: a copy for each VM; the right state; clients of the bench end quietly.

--- a/bench/capacity_processes.py
+++ b/bench/capacity_processes.py
@@ -89,7 +89,7 @@
             time.sleep(_START_GAP_S)
         started = count
         wait_until(
-            lambda count=count: _count_decoding(entry) >= count,
+            lambda count=count: _count_relaying(entry) >= count,
             f"{count} streams run",
         )
         time.sleep(_SETTLE_S)
@@ -121,7 +121,9 @@
         "max_tokens": _MAX_TOKENS,
         "stream": True,
     }
-    with contextlib.closing(connection):
+    # The fleet ends while streams run.
+    ended = contextlib.suppress(OSError, http.client.HTTPException)
+    with contextlib.closing(connection), ended:
         connection.request(
             "POST", "/v1/completions", json.dumps(body), AUTHORIZATION
         )
@@ -130,8 +132,8 @@
             pass
 
 
-def _count_decoding(entry: Process) -> int:
-    return int(read_status(entry)["requests"].get("decoding", 0))
+def _count_relaying(entry: Process) -> int:
+    return int(read_status(entry)["requests"].get("relaying", 0))
 
 
 def _read_processor_s(entry: Process) -> float:
--- a/bench/fanout_fleet.py
+++ b/bench/fanout_fleet.py
@@ -176,7 +176,11 @@
         configuration: Configuration,
         source: str = messages.PLATFORM_SOURCE,
     ) -> None:
-        seen = messages.ConfigurationSeen(source, configuration)
+        # Each process decodes a document of its own. Adoption tells a newer
+        # one from the one it holds by identity, so a shared object would be
+        # taken for news.
+        own = dataclasses.replace(configuration)
+        seen = messages.ConfigurationSeen(source, own)
         self._perform(
             vm, documents.see_configuration(vm.tables, seen, vm.context)
         )
--- a/bench/polls.py
+++ b/bench/polls.py
@@ -1,6 +1,6 @@
 """Polls of endpoints and the age of load reports at all nodes of a region.
 
-Usage: python -m bench.polls [--nodes 4,35,100,175]
+Usage: python -m bench.polls [--nodes 4,35,100,200]
 
 Runs the real membership, gossip and poll systems of every node on a test
 clock. A poll is answered after 2 ms. Each node polls the endpoints that it
@@ -237,7 +237,7 @@
 
 
 @click.command(help="Polls and age of reports at all nodes of a region.")
-@click.option("--nodes", default="4,12,35,58,100,175", show_default=True)
+@click.option("--nodes", default="4,12,25,35,58,100,175,200", show_default=True)
 @click.option("--seed", default=1, show_default=True)
 def main(nodes: str, seed: int) -> None:
     """Prints one line per number of nodes."""
