--- /dev/null
+++ b/bench/delegation.py
@@ -0,0 +1,95 @@
+"""Processor time of placing a call at the owner of its pool.
+
+Usage: python -m bench.delegation
+
+Two nodes without threads exchange real messages in memory; the time of each is
+measured apart, from the call's arrival at the requester to its end. The wire
+and the sockets are not included. Prints medians of several rounds.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections.abc import Sequence
+
+from burdockspan.membership import ownership
+from burdockspan.node import messages
+from burdockspan.values.placement import Event
+from burdockspan.values.refusal import Execution
+from tests.support.nodes import SERVICE, Network, make_submission
+
+_VMS = ("entry-1", "entry-2")
+_SIZES = (12, 24, 48, 96, 192)
+_CALLS_COUNT = 200
+_ROUNDS_COUNT = 5
+_EVENTS = (
+    Event.RESERVED,
+    Event.PREFILL_SENT,
+    Event.PREFILLED,
+    Event.TRANSFERRED,
+    Event.DECODE_SENT,
+    Event.FIRST_BYTE,
+)
+
+
+class TimedNetwork(Network):
+    """A network that counts the processor time of each node."""
+
+    def __init__(self, vms: Sequence[str], engines: int) -> None:
+        self.spent_s_by_vm = dict.fromkeys(vms, 0.0)
+        self._running: list[str] = []
+        self._since_s = time.process_time()
+        super().__init__(vms, engines)
+
+    def handle(self, vm: str, message: object) -> None:
+        """Handles a message; messages that follow count for their receiver."""
+        self._switch()
+        self._running.append(vm)
+        super().handle(vm, message)
+        self._switch()
+        self._running.pop()
+
+    def _switch(self) -> None:
+        now_s = time.process_time()
+        if self._running:
+            self.spent_s_by_vm[self._running[-1]] += now_s - self._since_s
+        self._since_s = now_s
+
+
+def main() -> None:
+    """Prints the time for each call at the owner and at the requester."""
+    owner = ownership.owner_of(f"pool/{SERVICE}", _VMS)
+    assert owner is not None
+    requester = next(vm for vm in _VMS if vm != owner)
+    print(f"median of {_ROUNDS_COUNT} rounds of {_CALLS_COUNT} calls")
+    print("endpoints  owner ms/call  requester ms/call")
+    for size in _SIZES:
+        rounds = [_run(size, owner, requester) for _ in range(_ROUNDS_COUNT)]
+        owners, requesters = zip(*rounds, strict=True)
+        print(
+            f"{size:9d}  {statistics.median(owners):13.3f}"
+            f"  {statistics.median(requesters):17.3f}"
+        )
+
+
+def _run(engines: int, owner: str, requester: str) -> tuple[float, float]:
+    """Returns the ms for each call at the owner and at the requester."""
+    network = TimedNetwork(_VMS, engines)
+    network.spent_s_by_vm = dict.fromkeys(_VMS, 0.0)
+    for number in range(_CALLS_COUNT):
+        name = f"r{number}"
+        reply = network.submit(requester, make_submission(network, name))
+        attempt = reply.result(timeout=0).unwrap().attempt
+        for event in _EVENTS:
+            network.handle(requester, messages.Record(attempt, event))
+        network.handle(requester, messages.Finish(name, Execution.RAN, 200))
+    spent = network.spent_s_by_vm
+    return (
+        spent[owner] / _CALLS_COUNT * 1000,
+        spent[requester] / _CALLS_COUNT * 1000,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/burdockspan/node/assembly.py
+++ b/src/burdockspan/node/assembly.py
@@ -140,7 +140,9 @@
         client = connect_platform(
             settings.platform_url, settings.vm, context.clock, context.draw
         )
-        self._feed = make_feed(client, tell, self._is_watcher, context.draw)
+        self._feed = make_feed(
+            client, tell, self._is_watcher, self._count_zone_vms, context.draw
+        )
         self._performer = make_performer(
             Outlets(
                 connections,
@@ -277,6 +279,15 @@
             return False
         return self._read(_is_watcher)
 
+    def _count_zone_vms(self) -> int:
+        if self._node is None:
+            return 1
+        read = messages.ReadState(_count_zone_vms)
+        try:
+            return cast(int, self._node.ask(read))
+        except pykka.ActorDeadError:
+            return 1
+
     def _read(self, function: Callable[[Tables], bool]) -> bool:
         node = self._node
         if node is None:
@@ -328,6 +339,11 @@
     return not tables.requests_by_id and not tables.releases
 
 
+def _count_zone_vms(tables: Tables) -> int:
+    zone = tables.members.me.availability_zone
+    return len(table.live_vms(tables.members, zone))
+
+
 def _is_watcher(tables: Tables) -> bool:
     members = tables.members
     zone = members.me.availability_zone
--- a/src/burdockspan/node/feed.py
+++ b/src/burdockspan/node/feed.py
@@ -2,8 +2,8 @@
 
 Two VMs of each zone hold the watch and read the VM list regularly. The others
 hear of changes from peers. In case that no watcher of the region can reach the
-platform, they ask it for a newer configuration every 3 s, and for the VM list
-every 30 s.
+platform, they ask it for a newer configuration every 3 s in a zone of up to ten
+entry VMs and less often in a larger one, and for the VM list every 30 s.
 """
 
 from __future__ import annotations
@@ -31,9 +31,10 @@
 _OTHER_INTERVAL_S = 30.0
 # The watchers of the region may be cut off from the platform while this VM is
 # not. It asks for changes without waiting, so that a change can take effect
-# everywhere within 6 s: 350 VMs make 120 reads/s, and an answer without news
-# takes a few hundred bytes.
+# everywhere within 6 s. In a larger zone the VMs share these reads: 350 VMs in
+# 7 zones make 19 reads/s, where 3 s for each would cost 112.
 _ASK_INTERVAL_S = 3.0
+_ASKING_VMS_COUNT = 8
 _IDLE_S = 0.25
 _STARTING_INTERVAL_S = 0.5
 
@@ -59,6 +60,7 @@
     client: PlatformClient,
     tell: Tell,
     is_watcher: Callable[[], bool],
+    count_zone_vms: Callable[[], int],
     draw: Draw,
 ) -> Feed:
     """Returns a feed whose threads are not started.
@@ -67,11 +69,12 @@
       client: client of the platform.
       tell: sends a message to the node.
       is_watcher: whether this VM watches the platform for its zone.
+      count_zone_vms: returns the live entry VMs of the zone.
       draw: jitter, so that a fleet does not ask at the same moment.
     """
     stopping = threading.Event()
     watch = make_watch(
-        _make_poll(client, is_watcher, draw, stopping),
+        _make_poll(client, is_watcher, count_zone_vms, draw, stopping),
         (commit.KIND,),
         lambda events: _deliver(events, tell),
         draw,
@@ -106,6 +109,24 @@
     return max(_WATCHER_VM_LIST_INTERVAL_S, listed * _INTERVAL_FOR_EACH_VM_S)
 
 
+def ask_interval_s(zone_vms: int) -> float:
+    """Returns the time between two questions of a VM that does not watch.
+
+    Args:
+      zone_vms: live entry VMs of its zone, two of which watch.
+    """
+    return _ASK_INTERVAL_S * max(1.0, (zone_vms - 2) / _ASKING_VMS_COUNT)
+
+
+def first_wait_s(draw: Draw) -> float:
+    """Returns how long ago a fresh process acts as if it had last read.
+
+    Processes that start together would otherwise read within the same second
+    for as long as they run.
+    """
+    return draw() * _OTHER_INTERVAL_S
+
+
 def _start(watch: Watch, reader: threading.Thread) -> None:
     watch.start()
     reader.start()
@@ -114,6 +135,7 @@
 def _make_poll(
     client: PlatformClient,
     is_watcher: Callable[[], bool],
+    count_zone_vms: Callable[[], int],
     draw: Draw,
     stopping: threading.Event,
 ) -> Callable[[tuple[str, ...], int, float], Result[WatchBatch, PlatformError]]:
@@ -125,7 +147,7 @@
         nonlocal idle_s
         if is_watcher():
             return client.watch(kinds, after, timeout_s)
-        if idle_s < _ASK_INTERVAL_S:
+        if idle_s < ask_interval_s(count_zone_vms()):
             pause_s = _IDLE_S * (0.75 + draw() / 2)
             stopping.wait(pause_s)
             idle_s += pause_s
@@ -185,7 +207,7 @@
 ) -> None:
     reachable = True
     listed: int | None = 0
-    waited_s = 0.0
+    waited_s = first_wait_s(draw)
     while not stopping.wait(_STARTING_INTERVAL_S * (0.75 + draw() / 2)):
         waited_s += _STARTING_INTERVAL_S
         watching = is_watcher()
@@ -202,4 +224,10 @@
         reachable = answered
 
 
-__all__ = ["Feed", "make_feed", "read_interval_s"]
+__all__ = [
+    "Feed",
+    "ask_interval_s",
+    "first_wait_s",
+    "make_feed",
+    "read_interval_s",
+]
--- a/src/burdockspan/node/performer.py
+++ b/src/burdockspan/node/performer.py
@@ -176,7 +176,9 @@
     Its age counts from `asked_s`, because the answers may have waited in a
     socket while the process was frozen.
     """
-    health = engine.check_health(outlets.connections, endpoint)
+    # A new connection for each poll would cost a third of its processor time.
+    # A silent pooled one makes this poll fail and is then closed.
+    health = engine.check_health(outlets.connections, endpoint, fresh=False)
     if isinstance(health, Err):
         return health
     load = reports.fetch_load(outlets.connections, endpoint, lambda: asked_s)
