Split the assembly of an entry process from its run

Change: assembly makes frozen parts in short functions, process starts and stops them, link is the way of other threads to the node, and queries are the reads that they make. No behaviour changes. Tested: the whole path, planned stops and the entry command with real processes; a new test starts a process whose admin address is taken.

--- a/src/burdockspan/cli/entry.py
+++ b/src/burdockspan/cli/entry.py
@@ -25,7 +25,7 @@
     if isinstance(settings, Err):
         exits.stop_for_problems(settings.err_value)
 
-    from burdockspan.node.assembly import run_entry
+    from burdockspan.node.process import run_entry
 
     raise click.exceptions.Exit(run_entry(settings.ok_value))
 
--- a/src/burdockspan/node/feed.py
+++ b/src/burdockspan/node/feed.py
@@ -38,7 +38,7 @@
 _IDLE_S = 0.25
 _STARTING_INTERVAL_S = 0.5
 
-Tell = Callable[[object], None]
+Tell = Callable[[object], object]
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/src/burdockspan/node/link.py
@@ -0,0 +1,64 @@
+"""The way from other threads to a node that may not run yet, or any more."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import TypeVar, cast
+
+import pykka
+
+from burdockspan.node.messages import ReadState
+from burdockspan.node.tables import Tables
+
+_T = TypeVar("_T")
+
+_START_WAIT_S = 1.0
+
+
+class NodeLink:
+    """Holds the reference to the node once it has started."""
+
+    def __init__(self) -> None:
+        self._node: pykka.ActorRef | None = None
+        self._connected = threading.Event()
+
+    def connect(self, node: pykka.ActorRef) -> None:
+        """Sets the node; messages that wait for it are sent."""
+        self._node = node
+        self._connected.set()
+
+    def tell(self, message: object) -> bool:
+        """Sends a message; False if no node runs.
+
+        Waits for a node that is being started, because receivers of datagrams
+        run before it.
+        """
+        self._connected.wait(_START_WAIT_S)
+        if self._node is None:
+            return False
+        try:
+            self._node.tell(message)
+        except pykka.ActorDeadError:
+            return False
+        return True
+
+    def read(self, function: Callable[[Tables], _T], default: _T) -> _T:
+        """Returns a value of the tables, the default if no node runs.
+
+        Must not be called on the node's own thread, which it waits for.
+        """
+        if self._node is None:
+            return default
+        try:
+            return cast(_T, self._node.ask(ReadState(function)))
+        except pykka.ActorDeadError:
+            return default
+
+    def stop(self, timeout_s: float) -> None:
+        """Stops the node and waits for its thread."""
+        if self._node is not None:
+            self._node.stop(block=True, timeout=timeout_s)
+
+
+__all__ = ["NodeLink"]
--- a/src/burdockspan/node/performer.py
+++ b/src/burdockspan/node/performer.py
@@ -31,7 +31,7 @@
 
 _IO_THREADS = 16
 
-Tell = Callable[[object], None]
+Tell = Callable[[object], object]
 """Sends a message to the node."""
 
 
--- a/tests/cli/test_entry.py
+++ b/tests/cli/test_entry.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -79,3 +80,12 @@
         self.assertIn("entry-1", shown.stdout)
         process.send_signal(signal.SIGTERM)
         self.assertEqual(process.wait(20), 0)
+
+    def test_entry_with_a_taken_address_ends_with_an_error(self) -> None:
+        # Guards against a process that runs on without its server.
+        with socket.socket() as taken:
+            host, _, port = self.admin.rpartition(":")
+            taken.bind((host, int(port)))
+            taken.listen()
+            process = self.start_entry()
+            self.assertEqual(process.wait(20), 1)
