node: Count a gossiped report as heard when it was measured

Cause: an endpoint gets no new work 2 s after it was last heard of, but a report counted as heard on its arrival. Polls of its own hid this until they were bounded.

Change: a report that came by gossip counts as heard at most 1 s after its measurement; the second is for the lag of an engine's load figures.

An engine whose own load figures lag by more than about 1 s is heard through gossip for a shorter time and polled more often instead.

--- a/src/burdockspan/node/fleet.py
+++ b/src/burdockspan/node/fleet.py
@@ -78,10 +78,12 @@
 
 
 def accept_report(
-    row: EndpointRow, report: LoadReport, now_s: float
+    row: EndpointRow, report: LoadReport, heard_s: float
 ) -> EndpointRow:
     """Returns the row after a load report; older reports change nothing.
 
+    `heard_s` is when the endpoint was asked, as far as is known.
+
     A new boot identity means that the process was replaced: it holds none of
     the earlier reservations, and what is known of its leaving is void.
     """
@@ -102,7 +104,7 @@
         row,
         report=report,
         boot=report.boot,
-        heard_s=now_s,
+        heard_s=max(row.heard_s, heard_s),
         self_leaving=leaving or report.leaving,
         reservations=kept,
         breaker=BreakerState() if restarted else row.breaker,
--- a/src/burdockspan/node/gossip.py
+++ b/src/burdockspan/node/gossip.py
@@ -25,6 +25,11 @@
 # A peer that was just asked for its newer documents is not asked again while
 # the answer is under way.
 _PULL_INTERVAL_S = 0.3
+# A report can take many seconds through a large region, and what it says of
+# leaving is as old. It counts as heard when it was measured, with this much
+# for the lag of an engine's own load figures, so that an endpoint gets no new
+# work 3 s after it has begun to leave.
+_LAG_ALLOWANCE_S = 1.0
 
 
 def receive(tables: Tables, message: PeerMessage, context: Context) -> Effects:
@@ -88,12 +93,12 @@
     return _note_changes(before, tables.members)
 
 
-def accept(tables: Tables, report: LoadReport, now_s: float) -> None:
-    """Takes a load report into the endpoint's row."""
+def accept(tables: Tables, report: LoadReport, heard_s: float) -> None:
+    """Takes a load report into the row of an endpoint asked at `heard_s`."""
     row = tables.endpoints_by_name.get(report.endpoint)
     if row is None:
         return
-    taken = fleet.accept_report(row, report, now_s)
+    taken = fleet.accept_report(row, report, heard_s)
     tables.endpoints_by_name[report.endpoint] = taken
     if row.boot and taken.boot != row.boot:
         tables.prefixes.forget(report.endpoint)
@@ -145,7 +150,8 @@
         return
     for name, report in new.items():
         if old.get(name) is not report:
-            accept(tables, report, now_s)
+            asked_s = report.measured_s + _LAG_ALLOWANCE_S
+            accept(tables, report, min(now_s, asked_s))
 
 
 def _pull_newer(tables: Tables, message: PeerMessage, now_s: float) -> Effects:
--- a/tests/node/test_upkeep.py
+++ b/tests/node/test_upkeep.py
@@ -11,9 +11,16 @@
     make_tables,
     refresh_reports,
 )
-from burdockspan.node import upkeep
+from burdockspan.membership.values import (
+    AgedReport,
+    Member,
+    Message,
+    MessageKind,
+)
+from burdockspan.node import fleet, gossip, upkeep
 from burdockspan.node.context import Context
 from burdockspan.node.effects import PollLoad
+from burdockspan.node.messages import PeerMessage
 from burdockspan.node.tables import Tables
 from burdockspan.resilience import breaker
 
@@ -82,6 +89,28 @@
         self.assertEqual(polled, tables.owned_endpoints)
 
 
+class OldReportTest(unittest.TestCase):
+    def test_report_that_was_long_on_its_way_does_not_allow_work(self) -> None:
+        # It says nothing of an endpoint that has begun to leave since (P6).
+        tables, context, clock = _make(12)
+        clock.now_s += 20.0
+        for name, age_ms, usable in (
+            ("engine-1", 9_000, False),
+            ("engine-2", 100, True),
+        ):
+            report = AgedReport(name, "b", False, 20, 5, 0, 0, age_ms)
+            message = Message(
+                MessageKind.ACK,
+                1,
+                Member("entry-1", "127.0.0.1:1", "zone", 1),
+                tables.members.region,
+                reports=(report,),
+            )
+            gossip.receive(tables, PeerMessage(message), context)
+            row = tables.endpoints_by_name[name]
+            self.assertEqual(fleet.is_usable(row, clock.now_s), usable)
+
+
 def _names(tables: Tables) -> list[str]:
     return list(tables.endpoints_by_name)
 
