--- a/bench/fanout_fleet.py
+++ b/bench/fanout_fleet.py
@@ -211,10 +211,10 @@
         vm.count_bytes(size)
         if self._random.random() < _LOSS:
             return
-        message = messages.PeerMessage(outgoing.message)
 
         def arrive() -> None:
             peer.count_bytes(size)
+            message = messages.PeerMessage(outgoing.message, self.loop.now_s)
             batch = gossip.receive(peer.tables, message, peer.context)
             self._perform(peer, batch)
 
--- a/bench/polls.py
+++ b/bench/polls.py
@@ -180,7 +180,9 @@
         tables, context = self.by_address[outgoing.address]
 
         def receive() -> effects.Effects:
-            message = messages.PeerMessage(wire.decode(data).unwrap())
+            message = messages.PeerMessage(
+                wire.decode(data).unwrap(), self.loop.now_s
+            )
             return gossip.receive(tables, message, context)
 
         self.loop.after(
@@ -189,12 +191,13 @@
 
     def _poll(self, tables: Tables, context: Context, name: str) -> None:
         self.polls += 1
+        asked_s = self.loop.now_s
 
         def answer() -> None:
             report = LoadReport(
                 name, "0123456789abcdef", False, 20, 7, 13, 2, self.loop.now_s
             )
-            polled = messages.LoadPolled(name, Ok(report), _POLL_S)
+            polled = messages.LoadPolled(name, Ok(report), _POLL_S, asked_s)
             self._perform(
                 tables,
                 context,
--- a/src/burdockspan/node/fleet.py
+++ b/src/burdockspan/node/fleet.py
@@ -85,8 +85,8 @@
 ) -> EndpointRow:
     """Returns the row after a load report; older reports change nothing.
 
-    `heard_s` is when the endpoint's word was current, monotonic seconds: the
-    arrival of a peer's message, or the start of this node's own poll.
+    `heard_s` is when the endpoint was asked, as far as is known, in monotonic
+    seconds.
 
     A release that the report was measured after changes no expectation, and its
     reservation is dropped.
--- a/src/burdockspan/node/gossip.py
+++ b/src/burdockspan/node/gossip.py
@@ -33,6 +33,11 @@
 # The ages in a message count from its arrival. One that waited longer, because
 # the process was frozen, would pass off an old report as new.
 _MESSAGE_LIFE_S = 0.5
+# A report can take many seconds through a large region, and what it says of
+# leaving is as old. It counts as heard when it was measured, with this much
+# for the lag of an engine's own load figures, so that an endpoint gets no new
+# work 3 s after it has begun to leave.
+_LAG_ALLOWANCE_S = 1.0
 
 
 def receive(tables: Tables, message: PeerMessage, context: Context) -> Effects:
@@ -108,7 +113,7 @@
 
 
 def accept(tables: Tables, report: LoadReport, heard_s: float) -> None:
-    """Takes a load report, heard at a time, into the endpoint's row."""
+    """Takes a load report into the row of an endpoint asked at `heard_s`."""
     row = tables.endpoints_by_name.get(report.endpoint)
     if row is None:
         return
@@ -172,7 +177,8 @@
         return
     for name, report in new.items():
         if old.get(name) is not report:
-            accept(tables, report, now_s)
+            asked_s = report.measured_s + _LAG_ALLOWANCE_S
+            accept(tables, report, min(now_s, asked_s))
 
 
 def _take_marks(tables: Tables, before: table.Members, now_s: float) -> None:
