Leave endpoints of other regions out of a node's table

Cause: a zone without a configured delay counted as 0 ms away, so endpoints of another region looked nearest, and they were polled and owned too. Change: a node knows only endpoints of zones to which the configuration names a delay, of its own zone, or all of them where no delay is configured.

--- a/src/burdockspan/node/catalog.py
+++ b/src/burdockspan/node/catalog.py
@@ -68,4 +68,15 @@
     return catalog.delay_ms_by_zones.get((zone, other), 0.0)
 
 
-__all__ = ["Catalog", "delay_ms", "make_catalog"]
+def is_same_region(catalog: Catalog, zone: str, other: str) -> bool:
+    """Returns whether two zones are in one region.
+
+    The configuration names a delay for every two zones of one region. Without
+    any delay there is one region.
+    """
+    if zone == other or not catalog.delay_ms_by_zones:
+        return True
+    return (zone, other) in catalog.delay_ms_by_zones
+
+
+__all__ = ["Catalog", "delay_ms", "is_same_region", "make_catalog"]
--- a/src/burdockspan/node/documents.py
+++ b/src/burdockspan/node/documents.py
@@ -10,7 +10,7 @@
 from burdockspan.membership import table
 from burdockspan.membership.values import Member, Versions
 from burdockspan.node import fleet, roles
-from burdockspan.node.catalog import make_catalog
+from burdockspan.node.catalog import is_same_region, make_catalog
 from burdockspan.node.context import Context
 from burdockspan.node.effects import (
     Count,
@@ -203,9 +203,15 @@
     )
     drained = _drained_vms(catalog.configuration, context)
     tables.drained_vms = drained
-    rows = fleet.replace_endpoints(
-        tables.endpoints_by_name, listed.endpoints.values()
-    )
+    # Calls, polls and sweeps stay within the region, since regions can lose each
+    # other for an hour.
+    zone = context.settings.availability_zone
+    local = [
+        endpoint
+        for endpoint in listed.endpoints.values()
+        if is_same_region(catalog, zone, endpoint.availability_zone)
+    ]
+    rows = fleet.replace_endpoints(tables.endpoints_by_name, local)
     gone = drained | listed.leaving | tables.roles.changing
     tables.endpoints_by_name = {
         name: dataclasses.replace(row, drained=name in gone)
