Follow prefix caches at the owner of the pool only

Cause: every node followed the prefix caches of all prefill engines of its zone, 6.3 ms/s at 31 engines, although the owner of the pool places the calls. Change: the owner follows all prefill engines of its pools; the others choose by load alone while the owner does not answer. Tested: test_prefix_caches_are_followed_by_the_owner_of_the_pool fails without the change (three followers). Calculated: 27.4 instead of 33.7 ms/s for an ordinary entry VM at the design size.

--- a/src/burdockspan/node/delegation.py
+++ b/src/burdockspan/node/delegation.py
@@ -45,7 +45,7 @@
     None if this node does, or has to choose by itself.
     """
     members = tables.members
-    name = _rank_first(tables, service)
+    name = _rank_first(tables, service.name)
     if name is None or name == members.vm:
         return None
     if context.clock() < tables.silent_owners_until.get(name, 0.0):
@@ -53,6 +53,11 @@
     return members.by_vm[name]
 
 
+def owns_pool(tables: Tables, service: str) -> bool:
+    """Returns whether this node grants the endpoints of a service."""
+    return _rank_first(tables, service) in (None, tables.members.vm)
+
+
 def ask(
     tables: Tables,
     service: Service,
@@ -143,18 +148,17 @@
     return effects
 
 
-def _rank_first(tables: Tables, service: Service) -> str | None:
+def _rank_first(tables: Tables, service: str) -> str | None:
     """Returns the VM that owns a pool; kept until a member changes."""
     members = tables.members
     if tables.pool_owners_basis is not members.by_vm:
         tables.pool_owners_basis = members.by_vm
         tables.pool_owners_by_service = {}
     owners = tables.pool_owners_by_service
-    if service.name not in owners:
+    if service not in owners:
         live = table.live_vms(members)
-        name = f"pool/{service.name}"
-        owners[service.name] = ownership.owner_of(name, live)
-    return owners[service.name]
+        owners[service] = ownership.owner_of(f"pool/{service}", live)
+    return owners[service]
 
 
 def _send_request(
@@ -249,4 +253,4 @@
     return tables.catalog.services_by_name.get(name)
 
 
-__all__ = ["ask", "find_owner", "repeat", "receive_reply"]
+__all__ = ["ask", "find_owner", "owns_pool", "receive_reply", "repeat"]
--- a/src/burdockspan/node/documents.py
+++ b/src/burdockspan/node/documents.py
@@ -203,8 +203,8 @@
     )
     drained = _drained_vms(catalog.configuration, context)
     tables.drained_vms = drained
-    # Calls, polls and sweeps stay within the region, since regions can lose each
-    # other for an hour.
+    # Calls, polls and sweeps stay within the region, since regions can lose
+    # each other for an hour.
     zone = context.settings.availability_zone
     local = [
         endpoint
--- a/src/burdockspan/node/upkeep.py
+++ b/src/burdockspan/node/upkeep.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from burdockspan.membership import ownership, table
+from burdockspan.node import delegation
 from burdockspan.node.context import Context
 from burdockspan.node.effects import (
     Count,
@@ -79,13 +80,12 @@
 
 
 def fetch_cache_events(tables: Tables, context: Context) -> Effects:
-    """Follows the prefix caches of the prefill engines of this zone.
+    """Follows the prefix caches of the pools that this node owns.
 
-    Engines of other zones are chosen for their load alone, since an answer
-    from there would cost more than most prefixes save.
+    Other nodes place calls only while the owner does not answer, and choose
+    prefill engines for their load alone then.
     """
     now_s = context.clock()
-    zone = context.settings.availability_zone
     if now_s < tables.timers.next_cache_poll_s:
         return ()
     tables.timers.next_cache_poll_s = now_s + _CACHE_INTERVAL_S
@@ -94,8 +94,8 @@
         FetchCacheEvents(row.endpoint, *positions.get(name, ("", 0)))
         for name, row in tables.endpoints_by_name.items()
         if row.endpoint.pool is Pool.PREFILL
-        and row.endpoint.availability_zone == zone
         and row.boot
+        and delegation.owns_pool(tables, row.endpoint.service)
     )
 
 
--- a/tests/node/test_upkeep.py
+++ b/tests/node/test_upkeep.py
@@ -19,10 +19,11 @@
 )
 from burdockspan.node import fleet, gossip, upkeep
 from burdockspan.node.context import Context
-from burdockspan.node.effects import PollLoad
+from burdockspan.node.effects import FetchCacheEvents, PollLoad
 from burdockspan.node.messages import PeerMessage
 from burdockspan.node.tables import Tables
 from burdockspan.resilience import breaker
+from tests.support.nodes import Network
 
 
 def _make(endpoints: int) -> tuple[Tables, Context, ManualClock]:
@@ -117,3 +118,16 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class CacheEventsTest(unittest.TestCase):
+    def test_prefix_caches_are_followed_by_the_owner_of_the_pool(self) -> None:
+        # Each node of a zone that followed them spent 6 ms/s at 31 engines.
+        network = Network(("entry-1", "entry-2", "entry-3"), engines=4)
+        network.advance(4.0)
+        followers = {
+            vm
+            for vm, node in network.nodes_by_vm.items()
+            if any(isinstance(e, FetchCacheEvents) for e in node.done)
+        }
+        self.assertEqual(len(followers), 1)
