Forget endpoints that have left the VM list

Change: they are dropped with the endpoint's row. Tested: test_endpoint_that_leaves_the_vm_list_is_forgotten.

--- a/src/burdockspan/node/documents.py
+++ b/src/burdockspan/node/documents.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Set as AbstractSet
 
 from burdockspan.configuration import adoption as adoptions
 from burdockspan.configuration.adoption import Adoption
 from burdockspan.configuration.document import Configuration
-from burdockspan.membership import table
+from burdockspan.membership import shared, table
 from burdockspan.membership.values import Member, Versions
 from burdockspan.node import fleet, roles
 from burdockspan.node.catalog import is_same_region, make_catalog
@@ -212,6 +213,7 @@
         if is_same_region(catalog, zone, endpoint.availability_zone)
     ]
     rows = fleet.replace_endpoints(tables.endpoints_by_name, local)
+    _forget_endpoints(tables, tables.endpoints_by_name.keys() - rows.keys())
     gone = drained | listed.leaving | tables.roles.changing
     tables.endpoints_by_name = {
         name: dataclasses.replace(row, drained=name in gone)
@@ -225,6 +227,21 @@
     return (Note("draining", (("draining", str(tables.draining).lower()),)),)
 
 
+def _forget_endpoints(tables: Tables, names: AbstractSet[str]) -> None:
+    """Drops what is known of endpoints that have left the VM list.
+
+    240 VMs are replaced a day, and most replacements have new names.
+    """
+    if not names:
+        return
+    for name in names:
+        tables.prefixes.forget(name)
+        tables.links_by_endpoint.pop(name, None)
+        tables.cache_positions_by_endpoint.pop(name, None)
+    held = shared.forget_marks(tables.members.shared, names)
+    tables.members = table.share(tables.members, held)
+
+
 def _drained_vms(
     configuration: Configuration, context: Context
 ) -> frozenset[str]:
--- a/tests/node/test_upkeep.py
+++ b/tests/node/test_upkeep.py
@@ -20,10 +20,11 @@
 from burdockspan.node import fleet, gossip, upkeep
 from burdockspan.node.context import Context
 from burdockspan.node.effects import FetchCacheEvents, PollLoad
-from burdockspan.node.messages import PeerMessage
+from burdockspan.node.messages import PeerMessage, VmListSeen
 from burdockspan.node.tables import Tables
+from burdockspan.platform.vms import VmList
 from burdockspan.resilience import breaker
-from tests.support.nodes import Network
+from tests.support.nodes import Network, make_submission
 
 
 def _make(endpoints: int) -> tuple[Tables, Context, ManualClock]:
@@ -131,3 +132,16 @@
             if any(isinstance(e, FetchCacheEvents) for e in node.done)
         }
         self.assertEqual(len(followers), 1)
+
+
+class ForgottenEndpointTest(unittest.TestCase):
+    def test_endpoint_that_leaves_the_vm_list_is_forgotten(self) -> None:
+        # Names of replaced VMs piled up for as long as the process ran.
+        network = Network(("entry-1",), engines=4)
+        tables = network.nodes_by_vm["entry-1"].tables
+        reply = network.submit("entry-1", make_submission(network, "r1"))
+        name = reply.result(timeout=0).unwrap().prefill.name
+        self.assertIn(name, tables.links_by_endpoint)
+        network.handle("entry-1", VmListSeen(VmList(2)))
+        self.assertNotIn(name, tables.endpoints_by_name)
+        self.assertNotIn(name, tables.links_by_endpoint)
