--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -18,6 +18,7 @@
 import signal
 import subprocess
 import sys
+import threading
 from typing import Any
 
 _ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -41,7 +42,9 @@
     """Runs the demo; returns the exit code."""
     parser = argparse.ArgumentParser(description="Runs a zone on loopback.")
     parser.add_argument(
-        "--keep", action="store_true", help="leave it running until Ctrl-C"
+        "--keep",
+        action="store_true",
+        help="leave it running until it is stopped",
     )
     parser.add_argument(
         "--skip-build",
@@ -177,14 +180,14 @@
 
 
 def _keep(fleet: Fleet) -> None:
-    print("\nrunning; Ctrl-C stops it")
+    print("\nrunning; Ctrl-C or SIGTERM stops it")
     print(f"  platform http://{fleet.platform.address}")
     for entry in fleet.entries:
         print(f"  {entry.name} http://{entry.address} admin {entry.admin}")
-    try:
-        signal.pause()
-    except KeyboardInterrupt:
-        print()
+    stop = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: stop.set())
+    stop.wait()
 
 
 def _stop_entries(fleet: Fleet) -> None:
