--- a/src/burdockspan/membership/members.py
+++ b/src/burdockspan/membership/members.py
@@ -30,7 +30,7 @@
 _TICK_S = 0.05
 # Ticks further apart are not jitter of the ticker.
 _LATE_TICK_S = 0.1
-_TOLD_AT_ONCE = 5
+_IMMEDIATE_RECEIVERS_COUNT = 5
 
 
 def receive(
@@ -93,7 +93,7 @@
 ) -> tuple[Members, tuple[Outgoing, ...]]:
     """Marks this node as left and tells some members at once.
 
-    The node should go on to tick for a second, so that the word spreads.
+    The node should go on to tick for a second, so that gossip spreads it.
     """
     return tell_some(leave_own(members), now_s, draw)
 
@@ -103,7 +103,7 @@
 ) -> tuple[Members, tuple[Outgoing, ...]]:
     """Sends the newest entries to some members at once."""
     outgoing = []
-    for peer in sample(members, _TOLD_AT_ONCE, frozenset(), draw):
+    for peer in sample(members, _IMMEDIATE_RECEIVERS_COUNT, frozenset(), draw):
         members, sequence = next_sequence(members)
         members, message = compose(
             members,
--- a/src/burdockspan/membership/shared.py
+++ b/src/burdockspan/membership/shared.py
@@ -23,7 +23,7 @@
 # Zones are 1.5 ms apart; the rest is for queues on the way.
 _HOP_S = 0.003
 # A copy of a known report that took another path differs by milliseconds. It
-# is not news; polls are 250 ms apart.
+# is not newer; polls are 250 ms apart.
 _NEWER_S = 0.1
 # Bounds the memory that a burst of strikes can take on a node.
 _STRIKES_LIMIT = 10_000
@@ -54,33 +54,33 @@
 
 def add_reports(shared: Shared, reports: Iterable[LoadReport]) -> Shared:
     """Returns the entries with newer reports taken over."""
-    news = {
+    newer = {
         report.endpoint: report
         for report in reports
         if _is_newer(report, shared.reports.get(report.endpoint))
     }
-    if not news:
+    if not newer:
         return shared
     return dataclasses.replace(
         shared,
-        reports={**shared.reports, **news},
-        report_sends={**shared.report_sends, **dict.fromkeys(news, 0)},
+        reports={**shared.reports, **newer},
+        report_sends={**shared.report_sends, **dict.fromkeys(newer, 0)},
     )
 
 
 def add_marks(shared: Shared, marks: Iterable[LeavingMark]) -> Shared:
     """Returns the entries with marks of higher precedence taken over."""
-    news: dict[str, LeavingMark] = {}
+    newer: dict[str, LeavingMark] = {}
     for mark in marks:
-        held = news.get(mark.endpoint) or shared.marks.get(mark.endpoint)
+        held = newer.get(mark.endpoint) or shared.marks.get(mark.endpoint)
         if held is None or _mark_rank(mark) > _mark_rank(held):
-            news[mark.endpoint] = mark
-    if not news:
+            newer[mark.endpoint] = mark
+    if not newer:
         return shared
     return dataclasses.replace(
         shared,
-        marks={**shared.marks, **news},
-        mark_sends={**shared.mark_sends, **dict.fromkeys(news, 0)},
+        marks={**shared.marks, **newer},
+        mark_sends={**shared.mark_sends, **dict.fromkeys(newer, 0)},
     )
 
 
@@ -95,18 +95,18 @@
       now_s: now on the same clock.
     """
     room = _STRIKES_LIMIT - len(shared.strikes)
-    news = {
+    newer = {
         key: min(expires_s, now_s + STRIKE_LIFE_S)
         for key, expires_s in strikes.items()
         if expires_s > now_s and key not in shared.strikes
     }
-    news = dict(list(news.items())[: max(0, room)])
-    if not news:
+    newer = dict(list(newer.items())[: max(0, room)])
+    if not newer:
         return shared
     return dataclasses.replace(
         shared,
-        strikes={**shared.strikes, **news},
-        strike_sends={**shared.strike_sends, **dict.fromkeys(news, 0)},
+        strikes={**shared.strikes, **newer},
+        strike_sends={**shared.strike_sends, **dict.fromkeys(newer, 0)},
     )
 
 
--- a/src/burdockspan/node/fleet.py
+++ b/src/burdockspan/node/fleet.py
@@ -37,7 +37,7 @@
       breaker: its circuit breaker.
       drained: whether the VM list, a drain or a planned stop removes it.
       self_leaving: whether its process says that it takes no new work.
-      refused_s: when it, or a peer's word, last refused work as leaving.
+      refused_s: when it last refused work as leaving, as far as is known.
       heard_s: when a newer report last arrived, monotonic seconds.
       reservations: this node's, by attempt, until a report includes them.
       prompt_tokens: tokens of this node's attempts that it prefills.
--- a/src/burdockspan/node/forecasts.py
+++ b/src/burdockspan/node/forecasts.py
@@ -79,7 +79,7 @@
     """Returns this node's share of the memory that calls should give back.
 
     Long answers release memory too rarely for the observed rate. Without an
-    estimate, a call would wait in vain until its deadline.
+    estimate, a call would wait until its deadline.
     """
     capacity = sum(
         row.endpoint.pieces or row.endpoint.concurrency for row in rows
--- a/src/burdockspan/node/gossip.py
+++ b/src/burdockspan/node/gossip.py
@@ -105,7 +105,7 @@
 
 
 def spread(tables: Tables, context: Context) -> Effects:
-    """Sends news to some members at once instead of with the next probes."""
+    """Sends changed entries to some members now, not with the next probes."""
     tables.members, outgoing = swim.tell_some(
         tables.members, context.clock(), context.draw
     )
--- a/src/burdockspan/node/process.py
+++ b/src/burdockspan/node/process.py
@@ -17,7 +17,7 @@
 _TICK_S = 0.05
 # Running calls get this long to end after SIGTERM; a stream may be long.
 _STOP_LIMIT_S = 3600.0
-_FAREWELL_S = 1.0
+_LEAVE_WAIT_S = 1.0
 _OK = 0
 _FAILED = 1
 
@@ -80,8 +80,8 @@
     while time.monotonic() < end_s and parts.settlement.counts().waiting:
         time.sleep(_TICK_S)
     parts.link.tell(messages.Leave())
-    # Ticks spread the word before the socket closes.
-    time.sleep(_FAREWELL_S)
+    # Ticks spread the departure by gossip before the socket closes.
+    time.sleep(_LEAVE_WAIT_S)
 
 
 def _is_idle(parts: Parts) -> bool:
@@ -96,7 +96,7 @@
     parts.settlement.stop()
     parts.peer_server.close()
     parts.transport.close()
-    parts.link.stop(_FAREWELL_S)
+    parts.link.stop(_LEAVE_WAIT_S)
     parts.performer.close()
     parts.traces.close()
     parts.metrics.close()
