Test that drains and planned stops end no running call

Cause: P7 had tests with real processes only, each with one drain or stop. Change: a property test runs up to 8 calls at any progress, drains and stops any set of VMs, and advances 8 s, longer than the grace time of a drain.

--- /dev/null
+++ b/tests/node/test_drains.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockspan.configuration.document import Drain, PlannedStop
+from burdockspan.node import effects, messages
+from burdockspan.requests.lifecycle import TERMINAL_STATES
+from burdockspan.values.placement import Event
+from burdockspan.values.refusal import Execution
+from tests.support.nodes import Network, make_submission
+
+_VM = "entry-1"
+_ENGINES_COUNT = 6
+_VMS = (_VM, *(f"engine-{number}" for number in range(_ENGINES_COUNT)))
+_EVENTS = tuple(event for event in Event if event is not Event.DISPATCHED)
+# Longer than a drain's grace time and the life of a report.
+_WATCHED_S = 8.0
+
+
+class DrainTest(unittest.TestCase):
+    @given(
+        progress=st.lists(st.integers(0, len(_EVENTS)), max_size=8),
+        drained=st.sets(st.sampled_from(_VMS)),
+        stopped=st.sets(st.sampled_from(_VMS)),
+    )
+    def test_drains_and_planned_stops_end_no_running_call(
+        self, progress: list[int], drained: set[str], stopped: set[str]
+    ) -> None:
+        """Guards against a planned stop that cuts off a call (P7)."""
+        network = Network((_VM,), engines=_ENGINES_COUNT)
+        node = network.nodes_by_vm[_VM]
+        running = {}
+        for number, count in enumerate(progress):
+            name = f"r{number}"
+            reply = network.submit(_VM, make_submission(network, name))
+            running[name] = reply.result(timeout=0).unwrap().attempt
+            for event in _EVENTS[:count]:
+                record = messages.Record(running[name], event)
+                network.handle(_VM, record)
+        node.done.clear()
+        self._change(network, drained, stopped)
+        network.advance(_WATCHED_S)
+        rows = node.tables.requests_by_id
+        for name, attempt in running.items():
+            self.assertNotIn(rows[name].state, TERMINAL_STATES)
+            self.assertEqual(rows[name].attempt, attempt)
+        ended = (effects.Abort, effects.FreeMemory, effects.Answer)
+        self.assertFalse([e for e in node.done if isinstance(e, ended)])
+        for name in running:
+            network.handle(_VM, messages.Finish(name, Execution.RAN, 200))
+        self.assertEqual(node.tables.requests_by_id, {})
+        self._submit_another(network, drained | stopped)
+
+    def _change(
+        self, network: Network, drained: set[str], stopped: set[str]
+    ) -> None:
+        tables = network.nodes_by_vm[_VM].tables
+        active = tables.adoption.active
+        assert active is not None
+        changed = dataclasses.replace(
+            active,
+            generation=active.generation + 1,
+            drains=tuple(Drain(vm, "op", 0.0) for vm in sorted(drained)),
+            stops=tuple(
+                PlannedStop(vm, vm, 0.0, "op") for vm in sorted(stopped)
+            ),
+        )
+        network.handle(_VM, messages.ConfigurationSeen("platform", changed))
+
+    def _submit_another(self, network: Network, leaving: set[str]) -> None:
+        reply = network.submit(_VM, make_submission(network, "late"))
+        outcome = reply.result(timeout=0) if reply.done() else None
+        if outcome is None or outcome.is_err():
+            return
+        placement = outcome.unwrap()
+        self.assertNotIn(_VM, leaving)
+        self.assertNotIn(placement.decode.name, leaving)
+        self.assertNotIn(placement.prefill.name, leaving)
