Test orders over a client account's limit

Cause: no test of P4 reached a client account's limit. Change: 24 orders against a limit of one at once for each entry VM, and repeats of an order that ran before; runs are counted at the replicas.

--- /dev/null
+++ b/tests/system/test_client_limits.py
@@ -0,0 +1,60 @@
+"""P4: a refusal over a client account's limit says what is known."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from tests.support.actions import (
+    ANSWERED,
+    REPLICAS,
+    count_runs,
+    look_up,
+    read_outcome,
+    send_order,
+)
+from tests.support.fleets import make_configuration, make_plan, running_fleet
+
+_ORDERS_COUNT = 24
+# One order at once for each of 4 entry VMs, and the next after 40 s.
+_LIMIT = {"requests_per_s": 0.1, "burst": 4}
+
+
+class ClientLimitsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        plan = make_plan(prefill=0, decode=0, services=REPLICAS)
+        made = make_configuration()
+        clients = tuple(
+            dataclasses.replace(client, **_LIMIT) for client in made.clients
+        )
+        configuration = dataclasses.replace(made, clients=clients)
+        self.fleet = self.enterContext(running_fleet(plan, configuration))
+
+    def test_orders_over_the_limit_are_refused_and_do_not_run(self) -> None:
+        """Guards against a run of an order that was refused as `not_run`."""
+        entries = self.fleet.entries
+        refused = []
+        for number in range(_ORDERS_COUNT):
+            key = f"over-{number}"
+            reply = send_order(entries[number % len(entries)], key)
+            word = read_outcome(reply)
+            runs = count_runs(self.fleet, key)
+            if word == ANSWERED:
+                self.assertEqual(runs, 1)
+                continue
+            self.assertEqual((reply.status, word), (429, "not_run"), reply.body)
+            self.assertGreater(int(reply.headers["retry-after"]), 0)
+            refused.append((key, entries[number % len(entries)]))
+        self.assertGreater(len(refused), 0)
+        for key, entry in refused:
+            self.assertEqual(count_runs(self.fleet, key), 0)
+            self.assertEqual(look_up(entry, key)["outcome"], "not_run")
+
+    def test_repeats_over_the_limit_of_a_run_never_say_not_run(self) -> None:
+        """Guards against `not_run` for a key that ran before the limit."""
+        entries = self.fleet.entries
+        self.assertEqual(send_order(entries[0], "ran").status, 200)
+        for entry in entries:
+            words = {read_outcome(send_order(entry, "ran")) for _ in range(6)}
+            self.assertLessEqual(words, {ANSWERED, "unknown"})
+        self.assertEqual(count_runs(self.fleet, "ran"), 1)
