Wait on an event in the test of idle peer connections

Cause: the poll for the connection slept, unlike the other tests. Change: it waits on an event with the same limit. Before and after: the module passes.

--- a/tests/peering/test_peering.py
+++ b/tests/peering/test_peering.py
@@ -155,8 +155,9 @@
         ip, port = server.address.split(":")
         with socket.create_connection((ip, int(port)), _LIMIT_S) as peer:
             end_s = time.monotonic() + _LIMIT_S
+            pause = threading.Event()
             while not server.counts.open and time.monotonic() < end_s:
-                time.sleep(0.001)
+                pause.wait(0.005)
             server.close()
             self.assertEqual(peer.recv(1), b"")
         self.assertEqual(server.counts.open, 0)
