--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -30,9 +30,9 @@
 from burdockspan.node import intake, messages
 from burdockspan.node.context import Context
 from burdockspan.node.fleet import EndpointRow
-from burdockspan.platform.calls import Budget, CallLimit, make_call_account
-from burdockspan.platform.client import make_platform_client
-from burdockspan.platform.transport import Call, Loss, Reply
+from burdockspan.object_api.calls import Budget, CallLimit, make_call_account
+from burdockspan.object_api.client import make_platform_client
+from burdockspan.object_api.transport import Call, Loss, Reply
 from burdockspan.values.endpoint import Endpoint, Pool
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.submission import CallKind, Priority, Submission
--- a/bench/capacity_documents.py
+++ b/bench/capacity_documents.py
@@ -24,9 +24,9 @@
 from burdockspan.node import documents, messages, upkeep
 from burdockspan.node.catalog import make_catalog
 from burdockspan.node.context import Context
+from burdockspan.object_api.vm_codec import dump_vm_list, load_vm_list
+from burdockspan.object_api.vms import Vm, VmList, VmRole
 from burdockspan.peering.snapshot import make_snapshot, to_thrift
-from burdockspan.platform.vm_codec import dump_vm_list, load_vm_list
-from burdockspan.platform.vms import Vm, VmList, VmRole
 
 _ENTRY_EVERY = 3
 
--- a/bench/claims_model.py
+++ b/bench/claims_model.py
@@ -25,7 +25,7 @@
 )
 from burdockspan.claims.settlement import Settlement, make_settlement
 from burdockspan.claims.store import Claims, make_claims
-from burdockspan.platform.client import PlatformClient
+from burdockspan.object_api.client import PlatformClient
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.refusal import Execution, Refusal
 
--- a/bench/document_world.py
+++ b/bench/document_world.py
@@ -15,7 +15,7 @@
     Service,
 )
 from burdockspan.node.messages import LoadPolled
-from burdockspan.platform.vms import Vm, VmList, VmRole
+from burdockspan.object_api.vms import Vm, VmList, VmRole
 from burdockspan.settings import Settings
 from burdockspan.values.endpoint import LoadReport
 from burdockspan.values.submission import CallKind, Priority, Submission
--- a/bench/fanout_fleet.py
+++ b/bench/fanout_fleet.py
@@ -23,10 +23,10 @@
 from burdockspan.membership.merge import merge_members
 from burdockspan.membership.values import Member, Outgoing, Versions
 from burdockspan.node import documents, effects, feed, gossip, messages
+from burdockspan.object_api.objects import PlatformError, WatchBatch
+from burdockspan.object_api.vms import VmList
+from burdockspan.object_api.watch import advance
 from burdockspan.peering.snapshot import Snapshot, make_snapshot
-from burdockspan.platform.objects import PlatformError, WatchBatch
-from burdockspan.platform.vms import VmList
-from burdockspan.platform.watch import advance
 
 _POLL_INTERVAL_S = 2.0
 _WATCH_TIMEOUT_S = 3.0
--- a/bench/fanout_platform.py
+++ b/bench/fanout_platform.py
@@ -12,14 +12,14 @@
 from bench.loop import Loop
 from burdockspan.configuration import commit
 from burdockspan.configuration.document import Configuration
-from burdockspan.platform.calls import Budget, CallAccount
-from burdockspan.platform.objects import (
+from burdockspan.object_api.calls import Budget, CallAccount
+from burdockspan.object_api.objects import (
     PlatformError,
     WatchBatch,
     WatchEvent,
 )
-from burdockspan.platform.retries import READ_ATTEMPTS, READ_BACKOFF, delay_s
-from burdockspan.platform.vms import VmList
+from burdockspan.object_api.retries import READ_ATTEMPTS, READ_BACKOFF, delay_s
+from burdockspan.object_api.vms import VmList
 
 HEADER_BYTES = 300
 _PATH_S = 0.001
--- a/bench/fanout_run.py
+++ b/bench/fanout_run.py
@@ -12,8 +12,8 @@
 from bench.loop import Loop
 from burdockspan.configuration.codec import dump_configuration
 from burdockspan.configuration.document import Client, Configuration
-from burdockspan.platform.vm_codec import dump_vm_list
-from burdockspan.platform.vms import Vm, VmList, VmRole
+from burdockspan.object_api.vm_codec import dump_vm_list
+from burdockspan.object_api.vms import Vm, VmList, VmRole
 
 _ZONES = tuple(f"zone-{letter}" for letter in "abcdefg")
 _REGION_BY_ZONE = {
--- a/bench/fanout_vm.py
+++ b/bench/fanout_vm.py
@@ -12,8 +12,8 @@
 from burdockspan.node import feed
 from burdockspan.node.context import Context
 from burdockspan.node.tables import Tables
-from burdockspan.platform.calls import make_call_account
-from burdockspan.platform.watch import WatchState
+from burdockspan.object_api.calls import make_call_account
+from burdockspan.object_api.watch import WatchState
 from burdockspan.settings import Settings
 
 
--- a/bench/polls.py
+++ b/bench/polls.py
@@ -31,7 +31,7 @@
 from burdockspan.node.catalog import make_catalog
 from burdockspan.node.context import Context
 from burdockspan.node.tables import Tables
-from burdockspan.platform.vms import Vm, VmList, VmRole
+from burdockspan.object_api.vms import Vm, VmList, VmRole
 from burdockspan.settings import Settings
 from burdockspan.values.endpoint import LoadReport
 
--- a/bench/simulated_platform.py
+++ b/bench/simulated_platform.py
@@ -9,9 +9,9 @@
 from result import Err, Ok, Result
 
 from bench.interleaving import Choose
-from burdockspan.platform.calls import CallCounts
-from burdockspan.platform.client import PlatformClient
-from burdockspan.platform.objects import PlatformError, Versioned
+from burdockspan.object_api.calls import CallCounts
+from burdockspan.object_api.client import PlatformClient
+from burdockspan.object_api.objects import PlatformError, Versioned
 
 _FATES = ("done", "done", "done", "done", "lost", "late", "dropped", "unsent")
 _READ_FATES = ("done", "done", "done", "done", "done", "done", "down", "down")
--- a/src/burdockspan/claims/record.py
+++ b/src/burdockspan/claims/record.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.platform.calls import CLAIMS_KIND
+from burdockspan.object_api.calls import CLAIMS_KIND
 from burdockspan.values.ids import AttemptId, parse_attempt_id
 from burdockspan.values.refusal import Execution
 
--- a/src/burdockspan/claims/settlement.py
+++ b/src/burdockspan/claims/settlement.py
@@ -8,8 +8,8 @@
 
 from result import Err, Result
 
-from burdockspan.platform.objects import PlatformError
-from burdockspan.platform.retries import Backoff, Draw, delay_s
+from burdockspan.object_api.objects import PlatformError
+from burdockspan.object_api.retries import Backoff, Draw, delay_s
 from burdockspan.values.clock import Clock
 
 SETTLEMENT_BACKOFF = Backoff(0.2, 5.0)
--- a/src/burdockspan/claims/store.py
+++ b/src/burdockspan/claims/store.py
@@ -22,9 +22,9 @@
     Replay,
 )
 from burdockspan.claims.settlement import Settlement
-from burdockspan.platform.client import PlatformClient
-from burdockspan.platform.objects import PlatformError, Versioned
-from burdockspan.platform.retries import settle_write
+from burdockspan.object_api.client import PlatformClient
+from burdockspan.object_api.objects import PlatformError, Versioned
+from burdockspan.object_api.retries import settle_write
 from burdockspan.values.clock import Clock
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.refusal import Refusal
--- a/src/burdockspan/cli/store.py
+++ b/src/burdockspan/cli/store.py
@@ -31,7 +31,7 @@
     if given is not None:
         return given
 
-    from burdockspan.platform.connection import connect_platform
+    from burdockspan.object_api.connection import connect_platform
 
     client = connect_platform(platform_url, f"operator-{operator}")
     return ObjectStore(
@@ -56,7 +56,7 @@
     if click.get_current_context().find_object(ObjectStore) is not None:
         return
 
-    from burdockspan.platform.connection import connect_platform
+    from burdockspan.object_api.connection import connect_platform
 
     found = connect_platform(platform_url, "operator-reader").list_vms().ok()
     if found is None:
@@ -80,7 +80,7 @@
     if click.get_current_context().find_object(ObjectStore) is not None:
         return None
 
-    from burdockspan.platform.connection import connect_platform
+    from burdockspan.object_api.connection import connect_platform
 
     found = connect_platform(platform_url, "operator-reader").list_vms().ok()
     names = {item.name: item.service for item in found.vms} if found else {}
--- a/src/burdockspan/http/application.py
+++ b/src/burdockspan/http/application.py
@@ -11,6 +11,7 @@
 from burdockspan.http.claiming import hedge_refusal
 from burdockspan.http.completions import complete
 from burdockspan.http.concurrency import ActiveCalls, CountedBody
+from burdockspan.http.listener import WsgiApplication
 from burdockspan.http.models import MODELS_PATH, list_models, show_model
 from burdockspan.http.outcomes import OUTCOMES_PREFIX, show_outcome
 from burdockspan.http.parsing import (
@@ -33,7 +34,6 @@
 from burdockspan.values.ids import make_request_id
 from burdockspan.values.refusal import Execution, Reason, Refusal
 
-WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
 REQUEST_ID_HEADER = "Burdockspan-Request-Id"
 _RETRY_AFTER_S = 1.0
 # The largest number of threads that the settings allow.
--- a/src/burdockspan/node/assembly.py
+++ b/src/burdockspan/node/assembly.py
@@ -31,13 +31,13 @@
 from burdockspan.node.performer import Outlets, Performer, make_performer
 from burdockspan.node.port import make_peer_handlers, make_router
 from burdockspan.node.tables import Tables
+from burdockspan.object_api.client import PlatformClient
+from burdockspan.object_api.connection import connect_platform
 from burdockspan.observe.metrics import Metrics, make_metrics
 from burdockspan.observe.traces import Traces, make_traces
 from burdockspan.peering.client import make_peer_client
 from burdockspan.peering.server import PeerServer, make_peer_server
 from burdockspan.placement.prefix import block_hashes
-from burdockspan.platform.client import PlatformClient
-from burdockspan.platform.connection import connect_platform
 from burdockspan.settings import Settings
 from burdockspan.values.clock import make_monotonic_clock, make_wall_clock
 
--- a/src/burdockspan/node/documents.py
+++ b/src/burdockspan/node/documents.py
@@ -28,7 +28,7 @@
     VmListSeen,
 )
 from burdockspan.node.tables import Tables
-from burdockspan.platform.vms import make_fleet
+from burdockspan.object_api.vms import make_fleet
 from burdockspan.resilience import retries
 
 _ASK_INTERVAL_S = 0.25
--- a/src/burdockspan/node/feed.py
+++ b/src/burdockspan/node/feed.py
@@ -17,11 +17,11 @@
 from burdockspan.configuration import commit
 from burdockspan.configuration.codec import decode_configuration
 from burdockspan.node import messages
+from burdockspan.object_api.client import PlatformClient
+from burdockspan.object_api.objects import PlatformError, WatchBatch, WatchEvent
+from burdockspan.object_api.watch import Watch, make_watch
 from burdockspan.observe.logs import log_change, log_fault
 from burdockspan.placement.sampling import Draw
-from burdockspan.platform.client import PlatformClient
-from burdockspan.platform.objects import PlatformError, WatchBatch, WatchEvent
-from burdockspan.platform.watch import Watch, make_watch
 
 _WATCHER_VM_LIST_INTERVAL_S = 1.0
 # The platform answers with the whole list, about 140 bytes for each VM. This
--- a/src/burdockspan/node/messages.py
+++ b/src/burdockspan/node/messages.py
@@ -13,8 +13,8 @@
 from burdockspan.endpoints.orders import Order, OrderOutcome
 from burdockspan.endpoints.reports import CacheEvents
 from burdockspan.membership.values import Message
+from burdockspan.object_api.vms import VmList
 from burdockspan.peering.snapshot import Snapshot
-from burdockspan.platform.vms import VmList
 from burdockspan.requests.sweep import HeldAttempt
 from burdockspan.values.endpoint import LoadReport
 from burdockspan.values.ids import AttemptId
--- a/src/burdockspan/node/performer.py
+++ b/src/burdockspan/node/performer.py
@@ -19,11 +19,11 @@
 from burdockspan.membership.values import Outgoing
 from burdockspan.node import effects, messages
 from burdockspan.node.effects import Effects
+from burdockspan.object_api.vm_codec import load_vm_list
 from burdockspan.observe.logs import log_change, log_fault
 from burdockspan.observe.metrics import Metrics
 from burdockspan.peering.client import PeerClient
 from burdockspan.peering.snapshot import Snapshot
-from burdockspan.platform.vm_codec import load_vm_list
 from burdockspan.requests.sweep import HeldAttempt
 from burdockspan.values.clock import Clock
 from burdockspan.values.endpoint import Endpoint, LoadReport
--- a/src/burdockspan/node/port.py
+++ b/src/burdockspan/node/port.py
@@ -17,9 +17,9 @@
 from burdockspan.node.context import Context
 from burdockspan.node.readiness import is_accepting
 from burdockspan.node.tables import Tables, make_attempt_id
+from burdockspan.object_api.vm_codec import dump_vm_list
 from burdockspan.peering.server import PeerHandlers
 from burdockspan.peering.snapshot import Snapshot, make_snapshot
-from burdockspan.platform.vm_codec import dump_vm_list
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import Event, Failure, Placement
 from burdockspan.values.refusal import Execution, Refusal
--- a/src/burdockspan/node/roles.py
+++ b/src/burdockspan/node/roles.py
@@ -6,7 +6,7 @@
 from burdockspan.endpoints.control import Role
 from burdockspan.node.fleet import EndpointRow
 from burdockspan.node.tables import Roles, Tables
-from burdockspan.platform.vms import VmRole
+from burdockspan.object_api.vms import VmRole
 from burdockspan.values.endpoint import Pool
 
 # A generation is in force everywhere within 6 s (P8), so that afterwards no
--- a/src/burdockspan/node/tables.py
+++ b/src/burdockspan/node/tables.py
@@ -17,9 +17,9 @@
 from burdockspan.node.catalog import Catalog
 from burdockspan.node.fleet import EndpointRow
 from burdockspan.node.messages import PlacementReply
+from burdockspan.object_api.vms import VmList
 from burdockspan.placement.prefix import PrefixIndex, make_prefix_index
 from burdockspan.placement.transfer import Link
-from burdockspan.platform.vms import VmList
 from burdockspan.requests.lifecycle import RequestRow
 from burdockspan.resilience.retries import Budget, make_budget
 from burdockspan.values.endpoint import Pool
--- a/src/burdockspan/platform/client.py
+++ b/src/burdockspan/object_api/client.py
@@ -11,8 +11,8 @@
 
 from result import Result
 
-from burdockspan.platform.calls import CallAccount, CallCounts
-from burdockspan.platform.exchange import (
+from burdockspan.object_api.calls import CallAccount, CallCounts
+from burdockspan.object_api.exchange import (
     CallTimes,
     Sender,
     object_path,
@@ -22,7 +22,7 @@
     send,
     write,
 )
-from burdockspan.platform.objects import (
+from burdockspan.object_api.objects import (
     PlatformError,
     Versioned,
     WatchBatch,
@@ -30,10 +30,10 @@
     parse_listing,
     parse_versioned,
 )
-from burdockspan.platform.retries import Draw
-from burdockspan.platform.transport import Call, Transport
-from burdockspan.platform.vms import VmList, parse_vm_list
-from burdockspan.platform.weights import Weights, parse_weights
+from burdockspan.object_api.retries import Draw
+from burdockspan.object_api.transport import Call, Transport
+from burdockspan.object_api.vms import VmList, parse_vm_list
+from burdockspan.object_api.weights import Weights, parse_weights
 from burdockspan.values.clock import Clock
 
 
--- a/src/burdockspan/platform/connection.py
+++ b/src/burdockspan/object_api/connection.py
@@ -4,10 +4,10 @@
 
 import random
 
+from burdockspan.object_api.calls import make_call_account
+from burdockspan.object_api.client import PlatformClient, make_platform_client
+from burdockspan.object_api.transport import make_transport
 from burdockspan.placement.sampling import Draw
-from burdockspan.platform.calls import make_call_account
-from burdockspan.platform.client import PlatformClient, make_platform_client
-from burdockspan.platform.transport import make_transport
 from burdockspan.values.clock import Clock, make_monotonic_clock
 
 
--- a/src/burdockspan/platform/exchange.py
+++ b/src/burdockspan/object_api/exchange.py
@@ -10,14 +10,14 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.platform.calls import Budget, CallAccount
-from burdockspan.platform.objects import (
+from burdockspan.object_api.calls import Budget, CallAccount
+from burdockspan.object_api.objects import (
     PlatformError,
     Versioned,
     parse_versioned,
 )
-from burdockspan.platform.retries import Draw, retry_read
-from burdockspan.platform.transport import Call, Loss, Transport
+from burdockspan.object_api.retries import Draw, retry_read
+from burdockspan.object_api.transport import Call, Loss, Transport
 from burdockspan.values.clock import Clock
 
 T = TypeVar("T")
--- a/src/burdockspan/platform/retries.py
+++ b/src/burdockspan/object_api/retries.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.platform.objects import PlatformError, Versioned
+from burdockspan.object_api.objects import PlatformError, Versioned
 from burdockspan.values.clock import Clock
 
 T = TypeVar("T")
--- a/src/burdockspan/platform/vm_codec.py
+++ b/src/burdockspan/object_api/vm_codec.py
@@ -6,7 +6,7 @@
 
 from result import Err, Result
 
-from burdockspan.platform.vms import Vm, VmList, parse_vm_list
+from burdockspan.object_api.vms import Vm, VmList, parse_vm_list
 
 
 def dump_vm_list(vm_list: VmList) -> bytes:
--- a/src/burdockspan/platform/watch.py
+++ b/src/burdockspan/object_api/watch.py
@@ -8,8 +8,8 @@
 
 from result import Err, Result
 
-from burdockspan.platform.objects import PlatformError, WatchBatch, WatchEvent
-from burdockspan.platform.retries import Backoff, Draw, delay_s
+from burdockspan.object_api.objects import PlatformError, WatchBatch, WatchEvent
+from burdockspan.object_api.retries import Backoff, Draw, delay_s
 
 # Spreads the watchers of a fleet after an outage, while a configuration still
 # arrives within 6 s.
--- a/tests/claims/test_protocol.py
+++ b/tests/claims/test_protocol.py
@@ -13,7 +13,7 @@
 from burdockspan.claims.record import ClaimRecord, ClaimState, Held
 from burdockspan.claims.settlement import Settlement
 from burdockspan.claims.store import ClaimOutcome, Claims
-from burdockspan.platform.client import PlatformClient
+from burdockspan.object_api.client import PlatformClient
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.refusal import Reason
 
--- a/tests/claims/test_settlement.py
+++ b/tests/claims/test_settlement.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.claims.settlement import make_settlement
-from burdockspan.platform.objects import PlatformError
+from burdockspan.object_api.objects import PlatformError
 from standins.zone import wait_until
 
 
--- a/tests/claims/test_store.py
+++ b/tests/claims/test_store.py
@@ -8,7 +8,7 @@
 from burdockspan.claims.record import Answer, ClaimState, Held, Replay
 from burdockspan.claims.settlement import make_settlement
 from burdockspan.claims.store import ClaimOutcome
-from burdockspan.platform.objects import PlatformError
+from burdockspan.object_api.objects import PlatformError
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.refusal import Execution, Reason, Refusal
 
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -24,7 +24,7 @@
 from burdockspan.node.fleet import EndpointRow
 from burdockspan.node.messages import OrderAnswered
 from burdockspan.node.tables import Tables
-from burdockspan.platform.vms import Vm, VmList, VmRole
+from burdockspan.object_api.vms import Vm, VmList, VmRole
 from burdockspan.settings import Settings
 from burdockspan.values.endpoint import Endpoint, LoadReport, Pool
 
--- a/tests/node/test_upkeep.py
+++ b/tests/node/test_upkeep.py
@@ -22,7 +22,7 @@
 from burdockspan.node.effects import FetchCacheEvents, PollLoad
 from burdockspan.node.messages import PeerMessage, VmListSeen
 from burdockspan.node.tables import Tables
-from burdockspan.platform.vms import VmList
+from burdockspan.object_api.vms import VmList
 from burdockspan.resilience import breaker
 from tests.support.nodes import Network, make_submission
 
--- a/tests/platform/test_calls.py
+++ b/tests/object_api/test_calls.py
@@ -6,16 +6,16 @@
 from result import Err, Ok
 
 from burdockspan.configuration.document import Configuration, Model, Service
-from burdockspan.platform.calls import (
+from burdockspan.object_api.calls import (
     Bucket,
     Budget,
     CallLimit,
     make_call_account,
     spend,
 )
-from burdockspan.platform.objects import PlatformError, WatchBatch, WatchEvent
-from burdockspan.platform.vms import make_fleet, parse_vm_list
-from burdockspan.platform.watch import WatchState, advance
+from burdockspan.object_api.objects import PlatformError, WatchBatch, WatchEvent
+from burdockspan.object_api.vms import make_fleet, parse_vm_list
+from burdockspan.object_api.watch import WatchState, advance
 
 _LIMIT = CallLimit(10.0, 20.0, claims_reserve=5.0)
 
--- a/tests/platform/test_client.py
+++ b/tests/object_api/test_client.py
@@ -6,16 +6,16 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.platform.calls import Budget, CallLimit, make_call_account
-from burdockspan.platform.client import (
+from burdockspan.object_api.calls import Budget, CallLimit, make_call_account
+from burdockspan.object_api.client import (
     CallTimes,
     PlatformClient,
     make_platform_client,
 )
-from burdockspan.platform.objects import PlatformError, Versioned
-from burdockspan.platform.retries import settle_write
-from burdockspan.platform.transport import Call, Loss, Reply, make_transport
-from burdockspan.platform.watch import make_watch
+from burdockspan.object_api.objects import PlatformError, Versioned
+from burdockspan.object_api.retries import settle_write
+from burdockspan.object_api.transport import Call, Loss, Reply, make_transport
+from burdockspan.object_api.watch import make_watch
 from standins.zone import Process, wait_until
 from tests.support.processes import running
 
--- a/tests/support/node_driver.py
+++ b/tests/support/node_driver.py
@@ -20,7 +20,7 @@
 from burdockspan.node import actor, effects, messages
 from burdockspan.node.context import Context
 from burdockspan.node.tables import Tables
-from burdockspan.platform.vms import Vm, VmList, VmRole
+from burdockspan.object_api.vms import Vm, VmList, VmRole
 from burdockspan.requests import lifecycle
 from burdockspan.requests.lifecycle import RequestRow
 from burdockspan.requests.sweep import HeldAttempt
--- a/tests/support/nodes.py
+++ b/tests/support/nodes.py
@@ -16,7 +16,7 @@
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Effects
 from burdockspan.node.tables import Tables
-from burdockspan.platform.vms import Vm, VmList, VmRole
+from burdockspan.object_api.vms import Vm, VmList, VmRole
 from burdockspan.settings import Settings
 from burdockspan.values.endpoint import LoadReport, Pool
 from burdockspan.values.submission import CallKind, Priority, Submission
--- a/tests/support/router_fake.py
+++ b/tests/support/router_fake.py
@@ -26,7 +26,7 @@
     Route,
     Service,
 )
-from burdockspan.platform.objects import PlatformError
+from burdockspan.object_api.objects import PlatformError
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.ids import AttemptId
 from burdockspan.values.placement import Event, Failure, Placement
