--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -141,6 +141,8 @@
     def limit_silence(self, silence_s: float) -> None:
         """Changes the longest wait between two parts of the answer."""
         self._watched.limit_s = silence_s
+        if not self.call.streamed:
+            self._held.sock.settimeout(silence_s)
 
     def read(self, limit_bytes: int) -> Result[bytes, Failure]:
         """Reads the whole body and closes the exchange."""
@@ -209,6 +211,8 @@
     """
     connection = held.connection
     connection.timeout = call.first_byte_timeout_s
+    # The limit of the connection's opening would otherwise bound the sending.
+    held.sock.settimeout(call.first_byte_timeout_s)
     connection.request(
         call.method,
         call.path,
--- /dev/null
+++ b/src/burdockspan/gateway/application.py
@@ -0,0 +1,210 @@
+"""Handles the requests of callers: route, limits, then the service."""
+
+from __future__ import annotations
+
+import threading
+import traceback
+from collections.abc import Iterator
+
+from result import Err, Ok, Result
+
+from burdockspan.endpoints.sockets import Abort
+from burdockspan.gateway.attempts import Job
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.generation import generate
+from burdockspan.gateway.ingress import (
+    Handler,
+    RawRequest,
+    Reply,
+    TruncatedError,
+    make_problem,
+)
+from burdockspan.gateway.plain import forward
+from burdockspan.gateway.routing import choose_backend, find_route
+from burdockspan.gateway.values import InboundCall
+
+# A VM that starts has a configuration within a few calls to the store.
+_UNREADY_RETRY_AFTER_S = 1.0
+_OVERLOADED_RETRY_AFTER_S = 1.0
+
+
+class Running:
+    """Requests that are being handled.
+
+    Attributes:
+      count: how many there are.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._lock = threading.Lock()
+        self._limit = limit
+        self.count = 0
+
+    def enter(self) -> bool:
+        """Counts a request; False if there are too many."""
+        with self._lock:
+            if self.count >= self._limit:
+                return False
+            self.count += 1
+            return True
+
+    def leave(self) -> None:
+        """Counts the end of a request."""
+        with self._lock:
+            self.count -= 1
+
+
+def make_handler(context: Context, running: Running) -> Handler:
+    """Returns the handler of callers' requests.
+
+    Args:
+      context: collaborators.
+      running: counts the requests that are being handled.
+    """
+
+    def handle(raw: RawRequest) -> Reply:
+        if not running.enter():
+            context.registry.count("refusal", "overloaded")
+            return make_problem(
+                503,
+                "not_run",
+                "this router serves as many requests as it can",
+                _OVERLOADED_RETRY_AFTER_S,
+            )
+        try:
+            decoded = context.platform.decode_call(raw)
+            reply = _handle_safely(context, raw, decoded)
+        except BaseException:
+            running.leave()
+            raise
+        call = decoded.ok()
+        request_id = call.request_id if call is not None else None
+        return _observe(context, raw, request_id, reply, running)
+
+    return handle
+
+
+def _handle_safely(
+    context: Context, raw: RawRequest, decoded: Result[InboundCall, str]
+) -> Reply:
+    try:
+        return _handle(context, raw, decoded)
+    except Exception:
+        context.log("handler failed", exception=traceback.format_exc())
+        context.registry.count("refusal", "internal")
+        return make_problem(500, "unknown", "the router failed")
+
+
+def _handle(
+    context: Context, raw: RawRequest, decoded: Result[InboundCall, str]
+) -> Reply:
+    if isinstance(decoded, Err):
+        context.registry.count("refusal", "malformed")
+        context.log("malformed request", detail=decoded.err_value)
+        return make_problem(400, "malformed", decoded.err_value)
+    call = decoded.ok_value
+    made = _make_job(context, call, raw)
+    if isinstance(made, Err):
+        return made.err_value
+    job = made.ok_value
+    context.budget.note_request(job.service)
+    version = context.tables.version()
+    service = version and version.configuration.services_by_name.get(
+        job.service
+    )
+    if service and service.engine is not None and call.prompt is not None:
+        return generate(context, job, service.engine, call.prompt)
+    return forward(context, job)
+
+
+def _make_job(
+    context: Context, call: InboundCall, raw: RawRequest
+) -> Result[Job, Reply]:
+    version = context.tables.version()
+    if version is None:
+        return Err(_refuse_unready(context, call))
+    route = find_route(version.routes, call.host, call.path)
+    if route is None:
+        number = version.configuration.version
+        context.registry.count("refusal", "no_route")
+        context.log(
+            "no route",
+            request_id=call.request_id,
+            host=call.host,
+            path=call.path[:200],
+            configuration=number,
+        )
+        detail = f"configuration {number} has no route for this host and path"
+        return Err(make_problem(404, "not_run", detail))
+    abort = Abort()
+    raw.caller.on_gone(abort.abort)
+    return Ok(
+        Job(
+            call=call,
+            route=route,
+            service=choose_backend(route, context.draw),
+            version=version.configuration.version,
+            deadline_s=call.arrived_s + min(call.patience_s, route.timeout_s),
+            caller=raw.caller,
+            abort=abort,
+        )
+    )
+
+
+def _refuse_unready(context: Context, call: InboundCall) -> Reply:
+    context.registry.count("refusal", "no_configuration")
+    context.log(
+        "refused", request_id=call.request_id, status=503, reason="unready"
+    )
+    detail = "this router has no configuration yet"
+    return make_problem(503, "not_run", detail, _UNREADY_RETRY_AFTER_S)
+
+
+def _observe(
+    context: Context,
+    raw: RawRequest,
+    request_id: str | None,
+    reply: Reply,
+    running: Running,
+) -> Reply:
+    """Returns the reply, whose end is counted and logged."""
+    first_s = context.clock() - raw.arrived_s
+    state = {"complete": False, "bytes": 0}
+
+    def iterate() -> Iterator[bytes]:
+        try:
+            for part in reply.body:
+                state["bytes"] += len(part)
+                yield part
+            state["complete"] = True
+        except TruncatedError as error:
+            context.log(
+                "answer cut off", request_id=request_id, detail=str(error)
+            )
+            raise
+
+    ended = threading.Lock()
+
+    def close() -> None:
+        if not ended.acquire(blocking=False):
+            return
+        reply.close()
+        running.leave()
+        total_s = context.clock() - raw.arrived_s
+        context.registry.count("answer", str(reply.status))
+        context.registry.observe("first_byte", first_s)
+        context.registry.observe("answer", total_s)
+        context.log(
+            "answered",
+            request_id=request_id,
+            status=reply.status,
+            first_byte_s=round(first_s, 3),
+            total_s=round(total_s, 3),
+            caller_gone=raw.caller.gone,
+            **state,
+        )
+
+    return Reply(reply.status, reply.headers, iterate(), close)
+
+
+__all__ = ["Running", "make_handler"]
--- /dev/null
+++ b/src/burdockspan/gateway/context.py
@@ -0,0 +1,45 @@
+"""What the handlers of requests share."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from burdockspan.gateway.admission import WaitingLines
+from burdockspan.gateway.budget import RetryLedger
+from burdockspan.gateway.full import FullMarks
+from burdockspan.gateway.ports import Platform
+from burdockspan.gateway.tables import Tables
+from burdockspan.observe.decisions import Write
+from burdockspan.observe.registry import Registry
+from burdockspan.placement.sampling import Draw
+from burdockspan.values.clock import Clock
+
+
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """Collaborators of the handlers.
+
+    Attributes:
+      platform: adapter to the platform.
+      tables: what this process believes.
+      budget: budget of repeated arrivals.
+      full: engines that lately had no room.
+      lines: generations that wait for decode memory, by service.
+      clock: monotonic clock, in seconds.
+      draw: uniform floats from 0 to 1.
+      log: writes a line about a decision.
+      registry: counters and histograms.
+    """
+
+    platform: Platform
+    tables: Tables
+    budget: RetryLedger
+    full: FullMarks
+    lines: WaitingLines
+    clock: Clock
+    draw: Draw
+    log: Write
+    registry: Registry
+
+
+__all__ = ["Context"]
--- /dev/null
+++ b/src/burdockspan/gateway/generation.py
@@ -0,0 +1,303 @@
+"""Generations: memory first, then the prompt, then the stream of events."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+
+from result import Err, Ok, Result
+
+from burdockspan.endpoints.failures import EndpointError
+from burdockspan.gateway.attempts import (
+    NOT_STARTED,
+    Attempts,
+    Job,
+    log_attempt,
+)
+from burdockspan.gateway.choice import exclude, rank_prefill
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.events import Progress, take_events
+from burdockspan.gateway.ingress import Reply, TruncatedError
+from burdockspan.gateway.memory import Room, take_room
+from burdockspan.gateway.ports import Answer, Cache, RunOptions
+from burdockspan.gateway.values import Engine, Prompt, Stage
+from burdockspan.values.placement import Failure, FailureKind
+
+# Share of the objective that a generation may wait for memory and still meet
+# it: reading and moving a prompt of usual size take the rest.
+_WAIT_SHARE = 0.5
+# A generation that cannot meet its objective any more waits longer, since its
+# refusal would earn nothing; its caller still has seconds left.
+_LATE_WAIT_S = 2.0
+# Bursts last some seconds; a caller that comes back after this time finds
+# room more likely.
+_FULL_RETRY_AFTER_S = 2.0
+# A prompt that waits longer than this for a prefill engine is read by the
+# decode engine itself.
+_PREFILL_TIMEOUT_S = 0.6
+# A stream that may be resumed goes on elsewhere after a pause of so many gap
+# objectives, or this time if the route names none.
+_SILENCE_GAPS = 4.0
+_LEAST_SILENCE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Running:
+    """A generation whose answer has begun."""
+
+    room: Room
+    answer: Answer
+
+
+def generate(
+    context: Context, job: Job, engine: Engine, prompt: Prompt
+) -> Reply:
+    """Returns the answer of a decode engine, or why there is none."""
+    attempts = Attempts(context, job)
+    started = _start(context, job, attempts, engine, prompt, None)
+    if isinstance(started, Err):
+        return attempts.give_up(started.err_value, _FULL_RETRY_AFTER_S)
+    running = started.ok_value
+    stream = _Stream(context, job, attempts, engine, prompt, running)
+    answer = running.answer
+    return Reply(answer.status, answer.headers, stream.iterate(), stream.close)
+
+
+def _start(
+    context: Context,
+    job: Job,
+    attempts: Attempts,
+    engine: Engine,
+    prompt: Prompt,
+    after_event: str | None,
+) -> Result[_Running, str]:
+    """Starts the generation, or tells why it could not be started."""
+    while True:
+        room = _wait_for_room(context, job, attempts, engine, prompt)
+        if room is None:
+            return Err("no memory" if _engines(context, job) else "no endpoint")
+        ran = _run(context, job, attempts, room, prompt, after_event)
+        if isinstance(ran, Ok):
+            return Ok(_Running(room, ran.ok_value))
+        _give_back(context, room, ran.err_value)
+        if ran.err_value is None or job.caller.gone:
+            return Err("no attempt left")
+
+
+def _engines(context: Context, job: Job) -> bool:
+    return bool(context.tables.views(job.service, lambda *_: 0.0))
+
+
+def _wait_for_room(
+    context: Context,
+    job: Job,
+    attempts: Attempts,
+    engine: Engine,
+    prompt: Prompt,
+) -> Room | None:
+    now_s = context.clock()
+    objective_s = job.route.objective_s
+    usual_s = _WAIT_SHARE * objective_s
+    # A caller that comes back after a refusal has less than the timeout left.
+    late = (
+        job.call.patience_s < job.route.timeout_s - objective_s
+        or now_s - job.call.arrived_s > usual_s
+    )
+    until_s = job.call.arrived_s + usual_s
+    if late:
+        until_s = now_s + _LATE_WAIT_S
+    until_s = min(until_s, job.deadline_s - objective_s)
+    line = context.lines.of(job.service)
+    job.caller.on_gone(line.notify)
+    return line.wait(
+        late=late,
+        arrived_s=job.call.arrived_s,
+        until_s=until_s,
+        ask=lambda: take_room(context, job, engine, prompt, attempts.tried),
+        gone=lambda: job.caller.gone,
+    )
+
+
+def _run(
+    context: Context,
+    job: Job,
+    attempts: Attempts,
+    room: Room,
+    prompt: Prompt,
+    after_event: str | None,
+) -> Result[Answer, Failure | None]:
+    cache = _prefill(context, job, attempts, room, prompt)
+    if not attempts.may_start():
+        if cache is not None:
+            context.platform.endpoints.drop_cache(cache)
+        return Err(None)
+    replica = room.replica
+    log_attempt(
+        context,
+        job,
+        replica,
+        tokens=room.tokens,
+        reserved=room.reservation is not None,
+        prefilled=cache.replica.id if cache else None,
+        after_event=after_event,
+        waited_s=round(context.clock() - job.call.arrived_s, 3),
+    )
+    left_s = attempts.left_s()
+    options = RunOptions(
+        left_s=left_s,
+        wait_s=left_s,
+        abort=job.abort,
+        cache=cache,
+        reservation=room.reservation,
+        after_event=after_event,
+    )
+    ran = context.platform.endpoints.run(replica, job.call, options)
+    if isinstance(ran, Err):
+        attempts.note_failure(replica, ran.err_value)
+        if cache is not None and ran.err_value.kind in NOT_STARTED:
+            context.platform.endpoints.drop_cache(cache)
+        return ran
+    attempts.note_run(replica)
+    return ran
+
+
+def _prefill(
+    context: Context,
+    job: Job,
+    attempts: Attempts,
+    room: Room,
+    prompt: Prompt,
+) -> Cache | None:
+    """Has a prefill engine read the prompt; None leaves it to the decoder."""
+    if room.replica.stage is None:
+        return None
+    views = context.tables.views(
+        job.service, lambda _, __, tokens: float(tokens), Stage.PREFILL
+    )
+    ranked = rank_prefill(views, room.replica.zone, context.draw)
+    fresh = exclude(ranked, attempts.tried)
+    if not fresh:
+        return None
+    replica = fresh[0]
+    end = context.tables.begin(replica, prompt.tokens)
+    started_s = context.clock()
+    wait_s = min(_PREFILL_TIMEOUT_S, attempts.left_s())
+    try:
+        options = RunOptions(attempts.left_s(), wait_s, job.abort)
+        read = context.platform.endpoints.prefill(replica, job.call, options)
+    finally:
+        end()
+    taken_s = context.clock() - started_s
+    context.registry.observe("prefill", taken_s)
+    if isinstance(read, Err):
+        attempts.note_prefill_failure(replica, read.err_value)
+        return None
+    context.tables.note_success(replica)
+    context.log(
+        "prefilled",
+        request_id=job.call.request_id,
+        endpoint=replica.id,
+        zone=replica.zone,
+        tokens=prompt.tokens,
+        taken_s=round(taken_s, 3),
+    )
+    return read.ok_value
+
+
+def _give_back(context: Context, room: Room, failure: Failure | None) -> None:
+    room.release()
+    unused = failure is None or failure.kind in NOT_STARTED
+    unreachable = (
+        failure is not None and failure.kind is FailureKind.NOT_CONNECTED
+    )
+    if room.reservation is not None and unused and not unreachable:
+        context.platform.endpoints.drop_reservation(
+            room.replica, room.reservation
+        )
+
+
+class _Stream:
+    """The events of a generation, over all its attempts."""
+
+    def __init__(
+        self,
+        context: Context,
+        job: Job,
+        attempts: Attempts,
+        engine: Engine,
+        prompt: Prompt,
+        running: _Running,
+    ) -> None:
+        self._context = context
+        self._job = job
+        self._attempts = attempts
+        self._engine = engine
+        self._prompt = prompt
+        self._running = running
+        self._resumable = job.route.repeatable and running.answer.succeeded
+
+    def close(self) -> None:
+        """Ends the present attempt."""
+        self._running.answer.close()
+        self._running.room.release()
+
+    def iterate(self) -> Iterator[bytes]:
+        """Yields the events as they arrive.
+
+        Raises:
+          TruncatedError: the stream cannot go on.
+        """
+        progress = Progress()
+        while True:
+            try:
+                for part in self._running.answer.iterate(self._wait_s):
+                    if not self._resumable:
+                        yield part
+                        continue
+                    progress, whole = take_events(progress, part)
+                    if whole:
+                        yield whole
+                if progress.rest:
+                    yield progress.rest
+                self._context.tables.note_success(self._running.room.replica)
+                return
+            except EndpointError as error:
+                self._resume(error.failure, progress.last_id)
+                progress = dataclasses.replace(progress, rest=b"")
+
+    def _wait_s(self) -> float:
+        left_s = self._attempts.left_s()
+        if not self._resumable:
+            return left_s
+        gaps_s = _SILENCE_GAPS * self._job.route.gap_objective_s
+        return min(left_s, max(_LEAST_SILENCE_S, gaps_s))
+
+    def _resume(self, failure: Failure, after_event: str | None) -> None:
+        """Goes on at another engine, from the last event that was sent."""
+        context, job, attempts = self._context, self._job, self._attempts
+        replica = self._running.room.replica
+        self.close()
+        attempts.note_broken_stream(replica, failure)
+        if job.caller.gone or not self._resumable:
+            raise TruncatedError(failure.detail)
+        started = _start(
+            context, job, attempts, self._engine, self._prompt, after_event
+        )
+        if isinstance(started, Err):
+            raise TruncatedError(f"{failure.detail}; {started.err_value}")
+        running = started.ok_value
+        if not running.answer.succeeded:
+            running.answer.close()
+            running.room.release()
+            raise TruncatedError(f"resumed with {running.answer.status}")
+        self._running = running
+        context.registry.count("stream", "resumed")
+        context.log(
+            "stream resumed",
+            request_id=job.call.request_id,
+            endpoint=running.room.replica.id,
+            after_event=after_event,
+        )
+
+
+__all__ = ["generate"]
--- /dev/null
+++ b/src/burdockspan/gateway/memory.py
@@ -0,0 +1,128 @@
+"""Takes decode memory at an engine before a prompt is read."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Callable
+
+from result import Ok
+
+from burdockspan.gateway import evidence
+from burdockspan.gateway.attempts import Job
+from burdockspan.gateway.choice import View, rank_decode
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.tables import Incarnation
+from burdockspan.gateway.values import Engine, Prompt, Replica, Stage
+from burdockspan.values.placement import FailureKind
+
+# An engine that had no room is asked again after this time, or once a run of
+# this VM has ended there.
+_FULL_S = 0.1
+# Engines asked for room in one go; each costs a connection.
+_MOST_ASKED = 4
+# Engines allocate memory in blocks of so many tokens.
+_BLOCK_TOKENS = 16
+
+
+@dataclasses.dataclass(frozen=True)
+class Room:
+    """Memory for one generation.
+
+    Attributes:
+      replica: engine that will decode.
+      reservation: names the memory at the engine; None if engines take no
+        reservations.
+      tokens: tokens that it is for.
+      release: notes the end of the generation, once.
+    """
+
+    replica: Replica
+    reservation: str | None
+    tokens: int
+    release: Callable[[], None]
+
+
+def needed_tokens(prompt: Prompt) -> int:
+    """Returns the memory that a generation is expected to take."""
+    tokens = prompt.tokens + prompt.expected_output_tokens
+    return _BLOCK_TOKENS * math.ceil(tokens / _BLOCK_TOKENS)
+
+
+def take_room(
+    context: Context,
+    job: Job,
+    engine: Engine,
+    prompt: Prompt,
+    avoided: set[Incarnation],
+) -> Room | None:
+    """Reserves memory at the best engine that has room, None without one."""
+    tokens = min(needed_tokens(prompt), engine.kv_tokens)
+    ranked = rank_decode(_views(context, job, engine), context.draw)
+    asked = 0
+    for replica in ranked:
+        if replica.incarnation in avoided or asked >= _MOST_ASKED:
+            continue
+        if context.full.covers(replica, tokens, context.clock()):
+            continue
+        asked += 1
+        room = _ask(context, job, engine, replica, tokens)
+        if room is not None:
+            return room
+    return None
+
+
+def _views(context: Context, job: Job, engine: Engine) -> tuple[View, ...]:
+    def load(_: Replica, running: int, tokens: int) -> float:
+        return max(tokens / engine.kv_tokens, running / engine.slots)
+
+    tables = context.tables
+    staged = tables.views(job.service, load, Stage.DECODE)
+    if staged:
+        return staged
+    views = tables.views(job.service, load)
+    return tuple(view for view in views if view.replica.stage is None)
+
+
+def _ask(
+    context: Context,
+    job: Job,
+    engine: Engine,
+    replica: Replica,
+    tokens: int,
+) -> Room | None:
+    end = context.tables.begin(replica, tokens)
+
+    def release() -> None:
+        end()
+        context.full.clear(replica)
+        context.lines.of(job.service).notify()
+
+    if engine.reservation_s <= 0:
+        return Room(replica, None, tokens, release)
+    reserved = context.platform.endpoints.reserve(
+        replica, tokens, engine.reservation_s
+    )
+    if isinstance(reserved, Ok):
+        return Room(replica, reserved.ok_value, tokens, release)
+    failure = reserved.err_value
+    end()
+    full = failure.kind is FailureKind.REFUSED
+    if full:
+        context.full.add(replica, tokens, context.clock() + _FULL_S)
+    else:
+        weight = evidence.weight_of(failure.kind)
+        context.tables.note_failure(replica, weight)
+    context.registry.count("reservation", failure.kind.value)
+    context.log(
+        "no room",
+        request_id=job.call.request_id,
+        endpoint=replica.id,
+        tokens=tokens,
+        kind="full" if full else failure.kind.value,
+        detail=failure.detail,
+    )
+    return None
+
+
+__all__ = ["Room", "needed_tokens", "take_room"]
--- /dev/null
+++ b/src/burdockspan/gateway/ports.py
@@ -0,0 +1,243 @@
+"""What a gateway process needs from the platform that it runs on."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from result import Result
+
+from burdockspan.endpoints.sockets import Abort
+from burdockspan.gateway.ingress import RawRequest
+from burdockspan.gateway.values import (
+    Configuration,
+    InboundCall,
+    Replica,
+    Stage,
+)
+from burdockspan.values.placement import Failure
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """An endpoint's answer whose body is still to be read.
+
+    Attributes:
+      status: HTTP status.
+      headers: headers to pass on, with Content-Length if there is one.
+      iterate: yields the parts of the body as they arrive; raises
+        `endpoints.failures.EndpointError` if the body breaks off. Its argument
+        returns the longest wait for the next part, in seconds.
+      close: ends the connection.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    iterate: Callable[[Callable[[], float]], Iterator[bytes]]
+    close: Callable[[], None]
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the endpoint did what was asked."""
+        return 200 <= self.status < 300
+
+
+@dataclasses.dataclass(frozen=True)
+class Cache:
+    """The KV cache of a prompt at a prefill engine.
+
+    Attributes:
+      replica: the engine.
+      handle: names the cache there.
+    """
+
+    replica: Replica
+    handle: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RunOptions:
+    """How one attempt runs.
+
+    Attributes:
+      left_s: time that the endpoint may take.
+      wait_s: longest wait for the head of the answer.
+      cache: prompt that was read elsewhere.
+      reservation: memory that was reserved at the endpoint.
+      after_event: id of the event after which a stream is resumed.
+      abort: ends the attempt from another thread.
+    """
+
+    left_s: float
+    wait_s: float
+    abort: Abort
+    cache: Cache | None = None
+    reservation: str | None = None
+    after_event: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What a model engine last said of its load, some hundred ms old.
+
+    Attributes:
+      stage: part of a generation that it does.
+      busy: whether it carries out an order.
+      orders: orders that it has accepted since its start.
+      waiting: requests that wait inside the engine.
+      running: requests that run.
+      used_tokens: memory that cannot be given up.
+      total_tokens: memory in all.
+    """
+
+    stage: Stage | None
+    busy: bool
+    orders: int
+    waiting: int
+    running: int
+    used_tokens: int
+    total_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoints:
+    """Calls to endpoints; each takes a new connection.
+
+    A `Failure` of kind NOT_CONNECTED or REFUSED says that the request did not
+    run, and LEAVING that another endpoint has the address.
+
+    Attributes:
+      run: forwards a call.
+      prefill: reads the prompt of a call and keeps its KV cache.
+      reserve: reserves memory for some tokens, for a time in seconds.
+      drop_reservation: gives a reservation back.
+      drop_cache: frees a KV cache.
+      load: asks for the load.
+    """
+
+    run: Callable[[Replica, InboundCall, RunOptions], Result[Answer, Failure]]
+    prefill: Callable[
+        [Replica, InboundCall, RunOptions], Result[Cache, Failure]
+    ]
+    reserve: Callable[[Replica, int, float], Result[str, Failure]]
+    drop_reservation: Callable[[Replica, str], None]
+    drop_cache: Callable[[Cache], None]
+    load: Callable[[Replica], Result[Load, Failure]]
+
+
+class StoreError(enum.Enum):
+    """Why a call to the store gave no result.
+
+    UNAVAILABLE: no usable answer.
+    CONFLICT: the object exists, or has another revision.
+    NOT_FOUND: there is no such object.
+    COMPACTED: the history that a watch asked for is gone.
+    LIMITED: the store turned the call away.
+    MALFORMED: the answer cannot be understood.
+    """
+
+    UNAVAILABLE = "unavailable"
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    COMPACTED = "compacted"
+    LIMITED = "limited"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredObject:
+    """An object of the store.
+
+    Attributes:
+      name: unique within its kind.
+      revision: the store's revision at its last change.
+      value: contents.
+      removed: whether a watch reports its removal.
+    """
+
+    name: str
+    revision: int
+    value: Any
+    removed: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """Objects of one kind, or their changes.
+
+    Attributes:
+      objects: the objects, or what has changed.
+      revision: revision to watch from.
+    """
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Store:
+    """The platform's object store.
+
+    Attributes:
+      list_objects: lists a kind.
+      watch: waits for changes of a kind after a revision, at most some
+        seconds.
+      create: creates an object of a kind and name.
+      replace: replaces an object; a revision makes it conditional.
+      remove: removes an object.
+    """
+
+    list_objects: Callable[[str], Result[Listing, StoreError]]
+    watch: Callable[[str, int, float], Result[Listing, StoreError]]
+    create: Callable[[str, str, Any], Result[StoredObject, StoreError]]
+    replace: Callable[
+        [str, str, Any, int | None], Result[StoredObject, StoreError]
+    ]
+    remove: Callable[[str, str], Result[None, StoreError]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Kinds:
+    """Kinds of the objects that the platform and the operator write."""
+
+    configuration: str
+    replicas: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """An adapter to a platform.
+
+    Attributes:
+      store: its object store.
+      endpoints: calls to its endpoints.
+      kinds: kinds of its objects.
+      decode_call: decodes a caller's request, or tells what is wrong with it.
+      decode_configuration: decodes the newest configuration among the objects
+        of its kind, or tells what is wrong.
+      decode_replica: decodes an endpoint's entry, or tells what is wrong.
+    """
+
+    store: Store
+    endpoints: Endpoints
+    kinds: Kinds
+    decode_call: Callable[[RawRequest], Result[InboundCall, str]]
+    decode_configuration: Callable[[StoredObject], Result[Configuration, str]]
+    decode_replica: Callable[[StoredObject], Result[Replica, str]]
+
+
+__all__ = [
+    "Answer",
+    "Cache",
+    "Endpoints",
+    "Kinds",
+    "Listing",
+    "Load",
+    "Platform",
+    "RunOptions",
+    "Store",
+    "StoreError",
+    "StoredObject",
+]
--- /dev/null
+++ b/src/burdockspan/gateway/process.py
@@ -0,0 +1,194 @@
+"""Runs a gateway process from its start to its graceful stop."""
+
+from __future__ import annotations
+
+import random
+import signal
+import sys
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from burdockspan.gateway.admission import WaitingLines
+from burdockspan.gateway.application import Running, make_handler
+from burdockspan.gateway.budget import RetryLedger
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.discovery import follow, make_followers
+from burdockspan.gateway.full import FullMarks
+from burdockspan.gateway.ingress import make_ingress, make_status_line
+from burdockspan.gateway.ports import Platform
+from burdockspan.gateway.settings import GatewaySettings
+from burdockspan.gateway.tables import Tables
+from burdockspan.http.listener import Server, make_server
+from burdockspan.observe.decisions import make_decision_log
+from burdockspan.observe.logs import configure_logs
+from burdockspan.observe.registry import make_registry
+from burdockspan.values.clock import (
+    Clock,
+    make_monotonic_clock,
+    make_wall_clock,
+)
+
+# The application refuses requests beyond the limit, for which it needs threads
+# of its own; in the queue of waitress they would wait unseen.
+_SPARE_THREADS = 4
+_STATUS_THREADS = 1
+# The load balancer asks once a second and takes a VM out after two misses;
+# until then it still sends new connections.
+_LEAVE_ROTATION_S = 3.0
+# Left of the grace time for closing connections and writing the log.
+_CLOSING_S = 0.5
+_TICK_S = 0.1
+_OK = 0
+
+
+def run_gateway(
+    settings: GatewaySettings,
+    make_platform: Callable[[str, Clock], Platform],
+) -> int:
+    """Runs a gateway process until SIGTERM or SIGINT.
+
+    A signal starts a graceful stop: the process is not ready any more, serves
+    what still arrives, and ends once its requests have ended.
+
+    Args:
+      settings: settings of the process.
+      make_platform: factory of the platform's adapter, given the address of
+        the store and a clock.
+
+    Returns:
+      The exit code of the process.
+    """
+    configure_logs(sys.stdout)
+    clock = make_monotonic_clock()
+    log = make_decision_log(settings.vm, clock, make_wall_clock())
+    log.start()
+    registry = make_registry()
+    tables = Tables(settings.availability_zone, clock)
+    context = Context(
+        platform=make_platform(settings.store_address, clock),
+        tables=tables,
+        budget=RetryLedger(settings.retry_budget, clock),
+        full=FullMarks(),
+        lines=WaitingLines(clock),
+        clock=clock,
+        draw=random.Random().random,
+        log=log.write,
+        registry=registry,
+    )
+    running = Running(settings.threads)
+    stopping, stopped = threading.Event(), threading.Event()
+    _handle_signals(stopping, log.write)
+    ingress = make_ingress(
+        make_handler(context, running),
+        settings.caller_address,
+        settings.threads + _SPARE_THREADS,
+        tables.limits,
+        stopping.is_set,
+        clock,
+    )
+    servers = [ingress, *_make_status_servers(settings, context, stopping)]
+    log.write("started", settings=settings)
+    for server in servers:
+        _start_thread(server.run, "server")
+    for follower in make_followers(
+        context.platform, tables, clock, log.write, registry
+    ):
+        _start_follower(context, follower, stopped)
+    while not stopping.wait(_TICK_S):
+        tables.forget_departed()
+    log.write("stopping", running=running.count)
+    _drain(settings, ingress, tables, clock)
+    log.write("stopped", running=running.count)
+    stopped.set()
+    for server in servers:
+        server.stop()
+    log.close()
+    return _OK
+
+
+def _start_follower(
+    context: Context, follower: Any, stopped: threading.Event
+) -> None:
+    _start_thread(
+        lambda: follow(context.platform.store, follower, context.draw, stopped),
+        f"follow-{follower.kind}",
+    )
+
+
+def _handle_signals(
+    stopping: threading.Event, log: Callable[..., None]
+) -> None:
+    def reload(*_: Any) -> None:
+        # All settings are read at the start; what changes at run time comes
+        # from the store.
+        threading.Thread(
+            target=lambda: log("reload", effect="settings apply at the start")
+        ).start()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    signal.signal(signal.SIGHUP, reload)
+
+
+def _drain(
+    settings: GatewaySettings, ingress: Server, tables: Tables, clock: Clock
+) -> None:
+    """Serves until all requests have ended or the grace time is over."""
+    begun_s = clock()
+    end_s = begun_s + max(0.0, settings.grace_s - _CLOSING_S)
+    leave_s = min(end_s, begun_s + _LEAVE_ROTATION_S)
+    waiting = threading.Event()
+    while clock() < end_s and (clock() < leave_s or ingress.busy()):
+        tables.forget_departed()
+        waiting.wait(_TICK_S)
+
+
+def is_ready(context: Context, stopping: Callable[[], bool]) -> bool:
+    """Returns whether callers should be sent to this VM."""
+    version = context.tables.version()
+    if stopping() or version is None:
+        return False
+    return context.tables.serves(version.configuration.services_by_name)
+
+
+def _make_status_servers(
+    settings: GatewaySettings, context: Context, stopping: threading.Event
+) -> list[Server]:
+    last = {"ready": False}
+
+    def answer_ready(_: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        ready = is_ready(context, stopping.is_set)
+        if ready != last["ready"]:
+            last["ready"] = ready
+            context.log("readiness changed", ready=ready)
+        return _respond(start_response, 200 if ready else 503, b"")
+
+    def answer_metrics(
+        _: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        return _respond(start_response, 200, context.registry.render())
+
+    servers = [make_server(answer_ready, settings.ready_address, 1)]
+    if settings.metrics_address is not None:
+        metrics = make_server(
+            answer_metrics, settings.metrics_address, _STATUS_THREADS
+        )
+        servers.append(metrics)
+    return servers
+
+
+def _respond(start_response: Any, status: int, body: bytes) -> Iterable[bytes]:
+    headers = [
+        ("Content-Type", "text/plain; version=0.0.4"),
+        ("Content-Length", str(len(body))),
+    ]
+    start_response(make_status_line(status), headers)
+    return [body]
+
+
+def _start_thread(run: Callable[[], None], name: str) -> None:
+    threading.Thread(target=run, name=name, daemon=True).start()
+
+
+__all__ = ["is_ready", "run_gateway"]
--- /dev/null
+++ b/src/burdockspan/gateway/routing.py
@@ -0,0 +1,59 @@
+"""Selects the route of a request, and the service among its backends."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from burdockspan.gateway.values import Configuration, Route
+from burdockspan.placement.sampling import Draw
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingTable:
+    """Routes of one configuration.
+
+    Attributes:
+      by_prefix: route by host and path prefix.
+    """
+
+    by_prefix: Mapping[tuple[str, str], Route]
+
+
+def make_routing_table(configuration: Configuration) -> RoutingTable:
+    """Returns the table of a configuration's routes."""
+    routes = configuration.routes
+    return RoutingTable(
+        {(route.host, route.path_prefix): route for route in routes}
+    )
+
+
+def find_route(table: RoutingTable, host: str, path: str) -> Route | None:
+    """Returns the route with the longest prefix of a path, None without one.
+
+    The time grows with the length of the path and not with the number of
+    routes, of which a configuration may have hundreds.
+    """
+    names = (host, host.rpartition(":")[0]) if ":" in host else (host,)
+    end = path.rfind("/")
+    while end >= 0:
+        for name in names:
+            route = table.by_prefix.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+        end = path.rfind("/", 0, end)
+    return None
+
+
+def choose_backend(route: Route, draw: Draw) -> str:
+    """Returns a service of the route, drawn by the weights."""
+    total = sum(backend.weight for backend in route.backends)
+    point = draw() * total
+    for backend in route.backends:
+        point -= backend.weight
+        if point < 0:
+            return backend.service
+    return route.backends[-1].service
+
+
+__all__ = ["RoutingTable", "choose_backend", "find_route", "make_routing_table"]
--- /dev/null
+++ b/src/burdockspan/gateway/settings.py
@@ -0,0 +1,165 @@
+"""Settings of a gateway process and their reading from YAML."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from result import Err, Ok, Result
+
+from burdockspan.configuration import converters, strict_yaml
+from burdockspan.configuration.fields import (
+    Section,
+    check_keys,
+    report,
+    take,
+    take_required,
+)
+from burdockspan.configuration.problem import Problem
+
+_NAME = converters.text(
+    r"[A-Za-z0-9][A-Za-z0-9_.-]{0,127}",
+    "a name of up to 128 letters, digits, '.', '-' and '_'",
+)
+_LISTENING = converters.address(unspecified=True)
+_REACHABLE = converters.address(unspecified=False)
+_THREADS_LIMIT = 4096
+_SPAN_S = converters.quantity(converters.SECONDS, "s", 0.0, 3600.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryBudget:
+    """How many arrivals at a service may be repeats, over all VMs.
+
+    Attributes:
+      ratio: repeats for each request.
+      slack: further repeats in a window.
+      window_s: length of the window.
+    """
+
+    ratio: float = 0.2
+    slack: int = 50
+    window_s: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewaySettings:
+    """Settings of one gateway process.
+
+    Attributes:
+      vm: name of this VM, unique in the fleet.
+      availability_zone: zone of this VM.
+      caller_address: `ip:port` that callers connect to.
+      ready_address: `ip:port` that the load balancer asks for readiness.
+      metrics_address: `ip:port` that serves counters and histograms; None
+        serves none.
+      store_address: `ip:port` of the platform's object store.
+      threads: most requests served at a time.
+      grace_s: time from SIGTERM to the end of the process.
+      drain_s: time within which an endpoint that leaves gets no new work.
+      stable_s: length of a disruption's aftermath.
+      lease_s: time within which two holders of orders must not take turns.
+      heartbeat_s: interval at which endpoints renew their entries.
+      retry_budget: bounds of repeated arrivals.
+    """
+
+    vm: str
+    availability_zone: str
+    caller_address: str
+    ready_address: str
+    store_address: str
+    metrics_address: str | None = None
+    threads: int = 160
+    grace_s: float = 8.0
+    drain_s: float = 2.0
+    stable_s: float = 3.0
+    lease_s: float = 3.0
+    heartbeat_s: float = 1.2
+    retry_budget: RetryBudget = RetryBudget()
+
+
+def load_gateway_settings(
+    path: str,
+) -> Result[GatewaySettings, tuple[Problem, ...]]:
+    """Reads and validates a settings file.
+
+    Args:
+      path: YAML file of at most 1 MB without aliases or duplicate keys.
+
+    Returns:
+      The settings, or every problem found, each with its file and field.
+    """
+    text = strict_yaml.read_file(path)
+    if isinstance(text, Err):
+        return text
+    values = strict_yaml.read_mapping(text.ok_value, path)
+    if isinstance(values, Err):
+        return values
+    section = Section(path, "", values.ok_value, [])
+    names = (field.name for field in dataclasses.fields(GatewaySettings))
+    check_keys(section, names)
+    settings = _take_settings(section)
+    _check_addresses(section, settings)
+    if section.problems:
+        return Err(tuple(section.problems))
+    return Ok(settings)
+
+
+def _take_settings(section: Section) -> GatewaySettings:
+    def optional(value: object) -> Result[str | None, str]:
+        return _LISTENING(value)
+
+    default = GatewaySettings
+    return GatewaySettings(
+        vm=take_required(section, "vm", _NAME, ""),
+        availability_zone=take_required(
+            section, "availability_zone", _NAME, ""
+        ),
+        caller_address=take_required(section, "caller_address", _LISTENING, ""),
+        ready_address=take_required(section, "ready_address", _LISTENING, ""),
+        store_address=take_required(section, "store_address", _REACHABLE, ""),
+        metrics_address=take(section, "metrics_address", optional, None),
+        threads=take(
+            section,
+            "threads",
+            converters.count(1, _THREADS_LIMIT),
+            default.threads,
+        ),
+        grace_s=take(section, "grace_s", _SPAN_S, default.grace_s),
+        drain_s=take(section, "drain_s", _SPAN_S, default.drain_s),
+        stable_s=take(section, "stable_s", _SPAN_S, default.stable_s),
+        lease_s=take(section, "lease_s", _SPAN_S, default.lease_s),
+        heartbeat_s=take(section, "heartbeat_s", _SPAN_S, default.heartbeat_s),
+        retry_budget=_take_budget(section),
+    )
+
+
+def _take_budget(section: Section) -> RetryBudget:
+    value = section.values.get("retry_budget")
+    if value is None:
+        return RetryBudget()
+    if not isinstance(value, dict):
+        report(section, "retry_budget", value, "a mapping")
+        return RetryBudget()
+    inner = Section(section.file, "retry_budget", value, section.problems)
+    check_keys(inner, (field.name for field in dataclasses.fields(RetryBudget)))
+    default = RetryBudget()
+    return RetryBudget(
+        ratio=take(inner, "ratio", converters.share, default.ratio),
+        slack=take(
+            inner, "slack", converters.count(0, 1_000_000), default.slack
+        ),
+        window_s=take(inner, "window_s", _SPAN_S, default.window_s),
+    )
+
+
+def _check_addresses(section: Section, settings: GatewaySettings) -> None:
+    taken: dict[str, str] = {}
+    for key in ("caller_address", "ready_address", "metrics_address"):
+        value = getattr(settings, key)
+        if value and value in taken:
+            allowed = f"an address other than that of {taken[value]}"
+            report(section, key, value, allowed)
+        taken.setdefault(value, key)
+
+
+__all__ = ["GatewaySettings", "RetryBudget", "load_gateway_settings"]
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -61,6 +61,7 @@
     address: str,
     threads: int,
     channel_class: type = waitress.channel.HTTPChannel,
+    housekeeping: Callable[[Iterable[Any]], None] | None = None,
     **adjustments: Any,
 ) -> Server:
     """Returns a server, listening but not yet serving.
@@ -70,6 +71,7 @@
       address: `ip:port` to listen on; port 0 takes a free one.
       threads: threads that run the application.
       channel_class: class of a caller's connection.
+      housekeeping: called with the open connections in each turn of the loop.
       adjustments: settings of waitress that replace the ones used here.
     """
     host, _, port = address.rpartition(":")
@@ -98,7 +100,7 @@
     )
     made.adj.socket_options = CALLER_SOCKET_OPTIONS
     made.channel_class = channel_class
-    loop = _Loop(made, sockets)
+    loop = _Loop(made, sockets, housekeeping)
     return Server(
         address=f"{made.effective_host}:{made.effective_port}",
         run=loop.run,
@@ -113,9 +115,16 @@
 def _is_busy(sockets: dict[int, Any]) -> bool:
     return any(
         bool(one.requests) or one.total_outbufs_len > 0
+        for one in _channels(sockets)
+    )
+
+
+def _channels(sockets: dict[int, Any]) -> list[Any]:
+    return [
+        one
         for one in list(sockets.values())
         if isinstance(one, waitress.channel.HTTPChannel)
-    )
+    ]
 
 
 class _Loop:
@@ -126,9 +135,15 @@
     is closed after the workers have ended.
     """
 
-    def __init__(self, server: Any, sockets: dict[int, Any]) -> None:
+    def __init__(
+        self,
+        server: Any,
+        sockets: dict[int, Any],
+        housekeeping: Callable[[Iterable[Any]], None] | None,
+    ) -> None:
         self._server = server
         self._sockets = sockets
+        self._housekeeping = housekeeping
         self._lock = threading.Lock()
         self._stopping = False
         self._ended = False
@@ -137,9 +152,10 @@
         """Serves until `stop` is called."""
         while not self._stopping:
             waitress.wasyncore.poll2(_POLL_S, self._sockets)
-        for one in list(self._sockets.values()):
-            if isinstance(one, waitress.channel.HTTPChannel):
-                one.handle_close()
+            if self._housekeeping is not None:
+                self._housekeeping(_channels(self._sockets))
+        for channel in _channels(self._sockets):
+            channel.handle_close()
         waitress.wasyncore.dispatcher.close(self._server)
         self._server.task_dispatcher.shutdown()
         with self._lock:
--- a/src/burdockspan/object_api/connection.py
+++ b/src/burdockspan/object_api/connection.py
@@ -6,7 +6,7 @@
 
 from burdockspan.object_api.calls import make_call_account
 from burdockspan.object_api.client import PlatformClient, make_platform_client
-from burdockspan.object_api.transport import make_transport
+from burdockspan.object_api.transport import VM_HEADER, make_transport
 from burdockspan.placement.sampling import Draw
 from burdockspan.values.clock import Clock, make_monotonic_clock
 
@@ -28,7 +28,7 @@
     now = clock or make_monotonic_clock()
     address = url.removeprefix("http://").rstrip("/")
     return make_platform_client(
-        make_transport(address, caller, now),
+        make_transport(address, {VM_HEADER: caller}, now),
         make_call_account(now),
         now,
         draw or random.Random().random,
--- a/src/burdockspan/object_api/transport.py
+++ b/src/burdockspan/object_api/transport.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import urllib3
 from result import Err, Ok, Result
@@ -54,9 +54,10 @@
 class _Pool:
     """A connection pool that is replaced after it has been idle."""
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(self, address: str, clock: Clock, idle_limit_s: float) -> None:
         self._host, _, self._port = address.rpartition(":")
         self._clock = clock
+        self._idle_limit_s = idle_limit_s
         self._lock = threading.Lock()
         self._used_s = clock()
         self._pool = self._make()
@@ -65,7 +66,7 @@
         """Returns the pool to use now."""
         now_s = self._clock()
         with self._lock:
-            if now_s - self._used_s > _IDLE_LIMIT_S:
+            if now_s - self._used_s >= self._idle_limit_s:
                 # Calls still running keep their connection; the old pool
                 # closes connections that are returned to it.
                 self._pool.close()
@@ -79,14 +80,27 @@
         )
 
 
-def make_transport(address: str, vm: str, clock: Clock) -> Transport:
-    """Returns a transport to `ip:port` that names this VM in each call."""
-    pool = _Pool(address, clock)
+def make_transport(
+    address: str,
+    headers: Mapping[str, str],
+    clock: Clock,
+    idle_limit_s: float = _IDLE_LIMIT_S,
+) -> Transport:
+    """Returns a transport to `ip:port`.
+
+    Args:
+      address: `ip:port` of the platform.
+      headers: sent with each call.
+      clock: monotonic clock, in seconds.
+      idle_limit_s: time after which an idle connection is not used again; 0
+        opens one for each call.
+    """
+    pool = _Pool(address, clock, idle_limit_s)
 
     def exchange(call: Call) -> Result[Reply, Loss]:
         end_s = clock() + call.timeout_s
         try:
-            response = _send(pool.get(), vm, call)
+            response = _send(pool.get(), headers, call)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -101,13 +115,13 @@
 
 
 def _send(
-    pool: urllib3.HTTPConnectionPool, vm: str, call: Call
+    pool: urllib3.HTTPConnectionPool, headers: Mapping[str, str], call: Call
 ) -> urllib3.BaseHTTPResponse:
     return pool.urlopen(
         call.method,
         call.path,
         body=call.body,
-        headers={VM_HEADER: vm, **dict(call.headers)},
+        headers={**headers, **dict(call.headers)},
         retries=False,
         redirect=False,
         timeout=urllib3.Timeout(
--- /dev/null
+++ b/src/burdockspan/platform/replicas.py
@@ -0,0 +1,283 @@
+"""Calls to the platform's replicas."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+import urllib3
+from result import Err, Ok, Result
+
+from burdockspan.endpoints.connections import Connections, make_connections
+from burdockspan.endpoints.exchange import Call, Exchange
+from burdockspan.endpoints.failures import make_failure
+from burdockspan.endpoints.sockets import Abort
+from burdockspan.gateway.ports import (
+    Answer,
+    Cache,
+    Endpoints,
+    Load,
+    RunOptions,
+)
+from burdockspan.gateway.values import InboundCall, Replica, Stage
+from burdockspan.platform import headers as names
+from burdockspan.values.clock import Clock
+from burdockspan.values.endpoint import Endpoint, Pool
+from burdockspan.values.placement import Failure, FailureKind
+
+# The opening packet of a connection crosses between zones in 3 ms; one that is
+# lost is sent again only after a second.
+_CONNECT_TIMEOUT_S = 0.25
+# A reservation, a release or a report takes some milliseconds.
+_CONTROL_TIMEOUT_S = 0.5
+_CONTROL_ANSWER_BYTES = 4 * 1024 * 1024
+_MISDIRECTED = 421
+
+
+def make_endpoints(clock: Clock) -> Endpoints:
+    """Returns the calls to replicas; each takes a new connection.
+
+    A kept connection would save a round trip and bring its faults: idle
+    closes, silent losses, and answers that arrive too late.
+    """
+    connections = make_connections(clock, lambda: _CONNECT_TIMEOUT_S)
+
+    def run(
+        replica: Replica, call: InboundCall, options: RunOptions
+    ) -> Result[Answer, Failure]:
+        started = _start(connections, replica, call, options, {})
+        if isinstance(started, Err):
+            return started
+        exchange = started.ok_value
+        failure = _judge(replica, call, exchange)
+        if failure is not None:
+            exchange.close()
+            return Err(failure)
+        return Ok(_make_answer(exchange))
+
+    def prefill(
+        replica: Replica, call: InboundCall, options: RunOptions
+    ) -> Result[Cache, Failure]:
+        started = _start(
+            connections, replica, call, options, {names.STAGE: "prefill"}
+        )
+        if isinstance(started, Err):
+            return started
+        exchange = started.ok_value
+        failure = _judge(replica, call, exchange)
+        if failure is not None:
+            exchange.close()
+            return Err(failure)
+        value = _read_json(replica, exchange)
+        if isinstance(value, Err):
+            return value
+        handle = value.ok_value.get("handle")
+        if not isinstance(handle, str) or not handle:
+            return Err(_spoiled(replica, "prefill answer has no handle"))
+        return Ok(Cache(replica, handle))
+
+    def reserve(
+        replica: Replica, tokens: int, life_s: float
+    ) -> Result[str, Failure]:
+        body = {"tokens": tokens, "ttl_ms": int(life_s * 1000)}
+        value = _control(connections, replica, "POST", "/v1/hold-take", body)
+        if isinstance(value, Err):
+            return value
+        held = value.ok_value.get("hold")
+        if not isinstance(held, str) or not held:
+            return Err(_spoiled(replica, "reservation has no name"))
+        return Ok(held)
+
+    def drop_reservation(replica: Replica, held: str) -> None:
+        _control(connections, replica, "DELETE", f"/v1/hold-drop/{held}")
+
+    def drop_cache(cache: Cache) -> None:
+        path = f"/v1/kv-handle/{cache.handle}"
+        _control(connections, cache.replica, "DELETE", path)
+
+    def load(replica: Replica) -> Result[Load, Failure]:
+        value = _control(connections, replica, "GET", "/v1/report")
+        if isinstance(value, Err):
+            return value
+        try:
+            return Ok(_decode_load(value.ok_value))
+        except (KeyError, TypeError, ValueError):
+            return Err(_spoiled(replica, "load report is malformed"))
+
+    return Endpoints(
+        run=run,
+        prefill=prefill,
+        reserve=reserve,
+        drop_reservation=drop_reservation,
+        drop_cache=drop_cache,
+        load=load,
+    )
+
+
+def _start(
+    connections: Connections,
+    replica: Replica,
+    call: InboundCall,
+    options: RunOptions,
+    extra: Mapping[str, str],
+) -> Result[Exchange, Failure]:
+    headers = urllib3.HTTPHeaderDict()
+    replaced = set()
+    if options.after_event is not None:
+        replaced.add(names.LAST_EVENT_ID.lower())
+        headers.add(names.LAST_EVENT_ID, options.after_event)
+    for name, value in call.headers:
+        if name.lower() not in replaced:
+            headers.add(name, value)
+    headers.add(names.DEADLINE_MS, str(max(1, int(options.left_s * 1000))))
+    headers.add(names.EXPECT_INSTANCE, replica.id)
+    if options.cache is not None:
+        source = f"{options.cache.replica.address}/{options.cache.handle}"
+        headers.add(names.KV_SOURCE, source)
+    if options.reservation is not None:
+        headers.add(names.KV_HOLD, options.reservation)
+    for name, value in extra.items():
+        headers.add(name, value)
+    _skip_library_headers(headers)
+    request = Call(
+        endpoint=_as_endpoint(replica),
+        method=call.method,
+        path=call.target,
+        body=call.body or None,
+        headers=headers,
+        first_byte_timeout_s=max(0.001, options.wait_s),
+        silence_s=max(0.001, options.wait_s),
+        fresh=True,
+    )
+    return connections.start(request, options.abort)
+
+
+def _skip_library_headers(headers: urllib3.HTTPHeaderDict) -> None:
+    for name in ("Accept-Encoding", "User-Agent"):
+        if name not in headers:
+            headers[name] = urllib3.util.SKIP_HEADER
+
+
+def _judge(
+    replica: Replica, call: InboundCall, exchange: Exchange
+) -> Failure | None:
+    """Returns why an answer is none to this request, None if it is one."""
+    echoed = exchange.headers.get(names.REQUEST_ID)
+    if echoed is not None and echoed != call.request_id:
+        return _spoiled(replica, "answer belongs to another request")
+    if exchange.status == _MISDIRECTED:
+        return make_failure(
+            _as_endpoint(replica),
+            FailureKind.LEAVING,
+            "another endpoint has the address, or another stage",
+        )
+    if names.NOT_EXECUTED in exchange.headers:
+        return make_failure(
+            _as_endpoint(replica),
+            FailureKind.REFUSED,
+            f"not started, status {exchange.status}",
+        )
+    if exchange.status < 200:
+        return _spoiled(replica, f"status {exchange.status}")
+    return None
+
+
+def _make_answer(exchange: Exchange) -> Answer:
+    def iterate(wait_s: Callable[[], float]) -> Iterator[bytes]:
+        exchange.limit_silence(max(0.001, wait_s()))
+        for part in exchange.iterate():
+            yield part
+            exchange.limit_silence(max(0.001, wait_s()))
+
+    return Answer(
+        status=exchange.status,
+        headers=names.keep_answer_headers(exchange.headers.items()),
+        iterate=iterate,
+        close=exchange.close,
+    )
+
+
+def _control(
+    connections: Connections,
+    replica: Replica,
+    method: str,
+    path: str,
+    body: Any = None,
+) -> Result[Mapping[str, Any], Failure]:
+    content = None if body is None else json.dumps(body).encode()
+    headers = urllib3.HTTPHeaderDict()
+    if content is not None:
+        headers.add("Content-Type", "application/json")
+    headers.add(names.EXPECT_INSTANCE, replica.id)
+    _skip_library_headers(headers)
+    call = Call(
+        endpoint=_as_endpoint(replica),
+        method=method,
+        path=path,
+        body=content,
+        headers=headers,
+        first_byte_timeout_s=_CONTROL_TIMEOUT_S,
+        silence_s=_CONTROL_TIMEOUT_S,
+        fresh=True,
+    )
+    started = connections.start(call, Abort())
+    if isinstance(started, Err):
+        return started
+    exchange = started.ok_value
+    if not 200 <= exchange.status < 300:
+        exchange.close()
+        kind = FailureKind.REFUSED
+        if exchange.status == _MISDIRECTED:
+            kind = FailureKind.LEAVING
+        detail = f"{method} {path}: status {exchange.status}"
+        return Err(make_failure(_as_endpoint(replica), kind, detail))
+    return _read_json(replica, exchange)
+
+
+def _read_json(
+    replica: Replica, exchange: Exchange
+) -> Result[Mapping[str, Any], Failure]:
+    body = exchange.read(_CONTROL_ANSWER_BYTES)
+    if isinstance(body, Err):
+        return body
+    try:
+        value = json.loads(body.ok_value or b"{}")
+    except ValueError:
+        return Err(_spoiled(replica, "answer is not JSON"))
+    if not isinstance(value, dict):
+        return Err(_spoiled(replica, "answer is not a JSON object"))
+    return Ok(value)
+
+
+def _decode_load(value: Mapping[str, Any]) -> Load:
+    stage = value.get("stage")
+    return Load(
+        stage=Stage(stage) if stage is not None else None,
+        busy=value.get("busy") is True,
+        # Counts accepted orders, and starts anew with the process.
+        orders=int(value.get("seq", 0)),
+        waiting=int(value.get("waiting", 0)),
+        running=int(value.get("running", 0)),
+        used_tokens=int(value["kv_used"]),
+        total_tokens=int(value["kv_total"]),
+    )
+
+
+def _spoiled(replica: Replica, detail: str) -> Failure:
+    return make_failure(
+        _as_endpoint(replica), FailureKind.ENDPOINT_ERROR, detail
+    )
+
+
+def _as_endpoint(replica: Replica) -> Endpoint:
+    return Endpoint(
+        name=replica.id,
+        address=replica.address,
+        service=replica.service,
+        pool=Pool.SERVICE,
+        availability_zone=replica.zone,
+    )
+
+
+__all__ = ["make_endpoints"]
--- a/tests/object_api/test_client.py
+++ b/tests/object_api/test_client.py
@@ -42,7 +42,7 @@
 
         ample = dict.fromkeys(Budget, _AMPLE)
         return make_platform_client(
-            make_transport(self.platform.address, vm, clock),
+            make_transport(self.platform.address, {VM_HEADER: vm}, clock),
             make_call_account(clock, limits or ample),
             clock,
             random.Random(1).random,
