--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -9,6 +9,6 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "src"))
 
-from burdockspan.__main__ import main  # noqa: E402
+from burdockspan.__main__ import main
 
 main()
