Test the relay against stand-ins of the platform's store and replicas

Two of them failed first: a stream of a route without token counts was held until its end, so that one that broke off became a 502; streams are now passed on as they arrive.

--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -19,7 +19,7 @@
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.ingress import Reply, TruncatedError
 from burdockspan.gateway.ports import Answer, RunOptions
-from burdockspan.gateway.values import Replica
+from burdockspan.gateway.values import Kind, Replica
 from burdockspan.values.placement import Failure
 
 # An answer up to this size is read whole before its head is passed on, so that
@@ -73,7 +73,7 @@
         ran = context.platform.endpoints.run(replica, job.call, options)
         if isinstance(ran, Err):
             return ran
-        reply = _read_answer(attempts, ran.ok_value)
+        reply = _read_answer(attempts, ran.ok_value, _held_bytes(job))
     finally:
         end()
     if isinstance(reply, Ok):
@@ -103,7 +103,14 @@
     context.registry.count("attempt", "answered")
 
 
-def _read_answer(attempts: Attempts, answer: Answer) -> Result[Reply, Failure]:
+def _held_bytes(job: Job) -> int:
+    # The events of a stream are passed on as they arrive.
+    return 0 if job.route.kind is Kind.STREAM else _WHOLE_ANSWER_BYTES
+
+
+def _read_answer(
+    attempts: Attempts, answer: Answer, held_bytes: int
+) -> Result[Reply, Failure]:
     parts = answer.iterate(attempts.left_s)
     held: list[bytes] = []
     size = 0
@@ -111,7 +118,7 @@
         for part in parts:
             held.append(part)
             size += len(part)
-            if size > _WHOLE_ANSWER_BYTES:
+            if size > held_bytes:
                 rest = _iterate_rest(parts)
                 body = itertools.chain(held, rest)
                 return Ok(
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import signal
 import sys
@@ -13,14 +14,18 @@
 from burdockspan.gateway.application import Running, make_handler
 from burdockspan.gateway.budget import RetryLedger
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.discovery import follow, make_followers
+from burdockspan.gateway.discovery import (
+    Follower,
+    follow,
+    make_followers,
+)
 from burdockspan.gateway.full import FullMarks
 from burdockspan.gateway.ingress import make_ingress, make_status_line
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.gateway.tables import Tables
 from burdockspan.http.listener import Server, make_server
-from burdockspan.observe.decisions import make_decision_log
+from burdockspan.observe.decisions import Write, make_decision_log
 from burdockspan.observe.logs import configure_logs
 from burdockspan.observe.registry import make_registry
 from burdockspan.values.clock import (
@@ -42,28 +47,44 @@
 _OK = 0
 
 
-def run_gateway(
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """The parts of a gateway process.
+
+    Attributes:
+      settings: settings of the process.
+      context: what the handlers share.
+      ingress: server for callers.
+      status_servers: readiness and metrics.
+      running: counts the requests that are being handled.
+      stopping: set once the process is to stop.
+      stopped: set once its threads are to end.
+    """
+
+    settings: GatewaySettings
+    context: Context
+    ingress: Server
+    status_servers: tuple[Server, ...]
+    running: Running
+    stopping: threading.Event
+    stopped: threading.Event
+
+
+def make_parts(
     settings: GatewaySettings,
     make_platform: Callable[[str, Clock], Platform],
-) -> int:
-    """Runs a gateway process until SIGTERM or SIGINT.
-
-    A signal starts a graceful stop: the process is not ready any more, serves
-    what still arrives, and ends once its requests have ended.
+    clock: Clock,
+    log: Write,
+) -> Parts:
+    """Returns the parts, listening but not yet serving.
 
     Args:
       settings: settings of the process.
       make_platform: factory of the platform's adapter, given the address of
         the store and a clock.
-
-    Returns:
-      The exit code of the process.
+      clock: monotonic clock, in seconds.
+      log: writes a line about a decision.
     """
-    configure_logs(sys.stdout)
-    clock = make_monotonic_clock()
-    log = make_decision_log(settings.vm, clock, make_wall_clock())
-    log.start()
-    registry = make_registry()
     tables = Tables(settings.availability_zone, clock)
     context = Context(
         platform=make_platform(settings.store_address, clock),
@@ -73,12 +94,11 @@
         lines=WaitingLines(clock),
         clock=clock,
         draw=random.Random().random,
-        log=log.write,
-        registry=registry,
+        log=log,
+        registry=make_registry(),
     )
     running = Running(settings.threads)
-    stopping, stopped = threading.Event(), threading.Event()
-    _handle_signals(stopping, log.write)
+    stopping = threading.Event()
     ingress = make_ingress(
         make_handler(context, running),
         settings.caller_address,
@@ -87,28 +107,72 @@
         stopping.is_set,
         clock,
     )
-    servers = [ingress, *_make_status_servers(settings, context, stopping)]
-    log.write("started", settings=settings)
-    for server in servers:
+    status_servers = _make_status_servers(settings, context, stopping)
+    return Parts(
+        settings,
+        context,
+        ingress,
+        status_servers,
+        running,
+        stopping,
+        threading.Event(),
+    )
+
+
+def start(parts: Parts) -> None:
+    """Starts the servers, and follows the store."""
+    context = parts.context
+    for server in (parts.ingress, *parts.status_servers):
         _start_thread(server.run, "server")
     for follower in make_followers(
-        context.platform, tables, clock, log.write, registry
+        context.platform,
+        context.tables,
+        context.clock,
+        context.log,
+        context.registry,
     ):
-        _start_follower(context, follower, stopped)
-    while not stopping.wait(_TICK_S):
-        tables.forget_departed()
-    log.write("stopping", running=running.count)
-    _drain(settings, ingress, tables, clock)
-    log.write("stopped", running=running.count)
-    stopped.set()
-    for server in servers:
+        _start_follower(context, follower, parts.stopped)
+
+
+def stop(parts: Parts) -> None:
+    """Ends the servers and threads; open connections are closed."""
+    parts.stopped.set()
+    for server in (parts.ingress, *parts.status_servers):
         server.stop()
+
+
+def run_gateway(
+    settings: GatewaySettings,
+    make_platform: Callable[[str, Clock], Platform],
+) -> int:
+    """Runs a gateway process until SIGTERM or SIGINT.
+
+    A signal starts a graceful stop: the process is not ready any more, serves
+    what still arrives, and ends once its requests have ended.
+
+    Returns:
+      The exit code of the process.
+    """
+    configure_logs(sys.stdout)
+    clock = make_monotonic_clock()
+    log = make_decision_log(settings.vm, clock, make_wall_clock())
+    log.start()
+    parts = make_parts(settings, make_platform, clock, log.write)
+    _handle_signals(parts.stopping, log.write)
+    log.write("started", settings=settings)
+    start(parts)
+    while not parts.stopping.wait(_TICK_S):
+        parts.context.tables.forget_departed()
+    log.write("stopping", running=parts.running.count)
+    _drain(settings, parts.ingress, parts.context.tables, clock)
+    log.write("stopped", running=parts.running.count)
+    stop(parts)
     log.close()
     return _OK
 
 
 def _start_follower(
-    context: Context, follower: Any, stopped: threading.Event
+    context: Context, follower: Follower, stopped: threading.Event
 ) -> None:
     _start_thread(
         lambda: follow(context.platform.store, follower, context.draw, stopped),
@@ -154,7 +218,7 @@
 
 def _make_status_servers(
     settings: GatewaySettings, context: Context, stopping: threading.Event
-) -> list[Server]:
+) -> tuple[Server, ...]:
     last = {"ready": False}
 
     def answer_ready(_: dict[str, Any], start_response: Any) -> Iterable[bytes]:
@@ -175,7 +239,7 @@
             answer_metrics, settings.metrics_address, _STATUS_THREADS
         )
         servers.append(metrics)
-    return servers
+    return tuple(servers)
 
 
 def _respond(start_response: Any, status: int, body: bytes) -> Iterable[bytes]:
@@ -191,4 +255,11 @@
     threading.Thread(target=run, name=name, daemon=True).start()
 
 
-__all__ = ["is_ready", "run_gateway"]
+__all__ = [
+    "Parts",
+    "is_ready",
+    "make_parts",
+    "run_gateway",
+    "start",
+    "stop",
+]
--- /dev/null
+++ b/tests/gateway/case.py
@@ -0,0 +1,28 @@
+"""A test case with a running gateway."""
+
+from __future__ import annotations
+
+import contextlib
+import unittest
+from typing import Any
+
+from standins.replica import Script, ScriptedReplica
+from tests.support.gateways import Gateway, make_document, run_gateway
+
+
+class GatewayCase(unittest.TestCase):
+    """Starts a gateway before each test."""
+
+    def setUp(self) -> None:
+        self.gateway: Gateway = self.enterContext(
+            contextlib.contextmanager(run_gateway)(make_document())
+        )
+
+    def replica(
+        self, script: Script, name: str = "i-1", **entry: Any
+    ) -> ScriptedReplica:
+        """Adds a replica that answers by a script."""
+        return self.gateway.add(ScriptedReplica(name, script), **entry)
+
+
+__all__ = ["GatewayCase"]
--- a/tests/object_api/test_client.py
+++ b/tests/object_api/test_client.py
@@ -14,7 +14,13 @@
 )
 from burdockspan.object_api.objects import PlatformError, Versioned
 from burdockspan.object_api.retries import settle_write
-from burdockspan.object_api.transport import Call, Loss, Reply, VM_HEADER, make_transport
+from burdockspan.object_api.transport import (
+    VM_HEADER,
+    Call,
+    Loss,
+    Reply,
+    make_transport,
+)
 from burdockspan.object_api.watch import make_watch
 from standins.zone import Process, wait_until
 from tests.support.processes import running
