Refuse an answer whose head breaks off or that has no stamp

Change: connections to endpoints raise if the head has no end, and a success without a stamp is a failure of the endpoint. Before and after: the two new tests failed and pass.

--- a/src/burdockspan/endpoints/connections.py
+++ b/src/burdockspan/endpoints/connections.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 from result import Err, Ok, Result
-from urllib3.connection import HTTPConnection
 
 from burdockspan.endpoints.exchange import (
     Call,
@@ -25,6 +24,7 @@
     make_not_connected,
 )
 from burdockspan.endpoints.sockets import Abort, SilenceWatch
+from burdockspan.endpoints.whole_heads import WholeHeadConnection
 from burdockspan.values.clock import Clock
 from burdockspan.values.placement import Failure, FailureKind
 
@@ -170,7 +170,7 @@
 
     def _open(self, call: Call) -> Result[Held, Failure]:
         host, _, port = call.endpoint.address.rpartition(":")
-        connection = HTTPConnection(
+        connection = WholeHeadConnection(
             host,
             int(port),
             timeout=self._connect_timeout(),
--- a/src/burdockspan/platform/replicas.py
+++ b/src/burdockspan/platform/replicas.py
@@ -65,7 +65,7 @@
         if isinstance(started, Err):
             return started
         exchange = started.ok_value
-        failure = _judge(replica, call, exchange)
+        failure = _judge(replica, call, exchange, staged=True)
         if failure is not None:
             exchange.close()
             return Err(failure)
@@ -160,9 +160,19 @@
 
 
 def _judge(
-    replica: Replica, call: InboundCall, exchange: Exchange
+    replica: Replica,
+    call: InboundCall,
+    exchange: Exchange,
+    staged: bool = False,
 ) -> Failure | None:
-    """Returns why an answer is none to this request, None if it is one."""
+    """Returns why an answer is none to this request, None if it is one.
+
+    Args:
+      replica: endpoint that answered.
+      call: the request.
+      exchange: the answer.
+      staged: whether only the prompt was read; such an answer has no stamp.
+    """
     echoed = exchange.headers.get(names.REQUEST_ID)
     if echoed is not None and echoed != call.request_id:
         return _spoiled(replica, "answer belongs to another request")
@@ -178,6 +188,10 @@
             FailureKind.REFUSED,
             f"not started, status {exchange.status}",
         )
+    unsigned = names.RESPONSE_STAMP not in exchange.headers
+    if 200 <= exchange.status < 300 and unsigned and not staged:
+        # Only the stamp shows that the endpoint made the answer.
+        return _spoiled(replica, "success has no stamp")
     if exchange.status < 200:
         return _spoiled(replica, f"status {exchange.status}")
     return None
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -122,6 +122,24 @@
         answer = self.gateway.call("POST", "/pay/x")
         self.assertEqual((answer.status, answer.body), (200, b"all"))
 
+    def test_head_that_breaks_off_is_no_success(self) -> None:
+        """Guards against an endpoint that crashes in the middle of a head."""
+        for head in (
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n",
+            b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Le",
+        ):
+            with self.subTest(head):
+                self.replica(lambda _, head=head: [head, Action.CLOSE])
+                self.assertEqual(
+                    self.gateway.call("POST", "/pay/x").status, 502
+                )
+
+    def test_success_without_a_stamp_is_no_success(self) -> None:
+        """Guards against a success that no endpoint has signed."""
+        self.replica(lambda _: respond(200, b"done"))
+        self.assertEqual(self.gateway.call("POST", "/pay/x").status, 502)
+
     def test_unframed_answer_that_is_reset_is_not_complete(self) -> None:
         """Guards against an answer whose rest was lost."""
         head = b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\n"
