Share the retry budget between live VMs, and stop requests that crash endpoints

And nothing told other VMs of a request that crashes its endpoints. Change: each VM renews an object in the store and takes its part of the budget by the number of live ones. A crash that follows a request is noted in the store once the endpoint refuses connections; three refuse the request. Shown by unit tests; the sum over VMs is a property test.

--- a/src/burdockspan/endpoints/connections.py
+++ b/src/burdockspan/endpoints/connections.py
@@ -26,6 +26,7 @@
 from burdockspan.endpoints.sockets import Abort, SilenceWatch
 from burdockspan.endpoints.whole_heads import WholeHeadConnection
 from burdockspan.values.clock import Clock
+from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.placement import Failure, FailureKind
 
 # A firewall or a restarted host may have dropped an idle connection without a
@@ -101,6 +102,14 @@
             return Err(classify_error(call.endpoint, str(call), error))
         return Ok(Exchange(call, held, response, abort, self._keeper))
 
+    def reaches(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint accepts a connection."""
+        opened = self._open(endpoint)
+        if isinstance(opened, Err):
+            return False
+        discard(opened.ok_value)
+        return True
+
     def keep(self, address: str, held: Held) -> None:
         """Keeps a connection for a later call."""
         if held.connection.sock is None:
@@ -151,7 +160,7 @@
                 if self._usable(call.endpoint.address, held):
                     return Ok(held)
                 discard(held)
-        return self._open(call)
+        return self._open(call.endpoint)
 
     def _pop(self, address: str) -> Held | None:
         with self._lock:
@@ -168,8 +177,8 @@
         # that belong to no call of ours.
         return held.connection.is_connected
 
-    def _open(self, call: Call) -> Result[Held, Failure]:
-        host, _, port = call.endpoint.address.rpartition(":")
+    def _open(self, endpoint: Endpoint) -> Result[Held, Failure]:
+        host, _, port = endpoint.address.rpartition(":")
         connection = WholeHeadConnection(
             host,
             int(port),
@@ -181,9 +190,9 @@
             connection.connect()
         except ERRORS as error:
             connection.close()
-            return Err(make_not_connected(call.endpoint, str(error)))
+            return Err(make_not_connected(endpoint, str(error)))
         if connection.sock is None:
-            return Err(make_not_connected(call.endpoint, "no socket"))
+            return Err(make_not_connected(endpoint, "no socket"))
         return Ok(Held(connection, connection.sock, opened_s))
 
 
--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -11,6 +11,7 @@
 from burdockspan.endpoints.sockets import Abort
 from burdockspan.gateway.attempts import Job
 from burdockspan.gateway.context import Context
+from burdockspan.gateway.crashes import LIFE_S
 from burdockspan.gateway.generation import generate
 from burdockspan.gateway.ingress import (
     Handler,
@@ -103,6 +104,8 @@
         context.log("malformed request", detail=decoded.err_value)
         return make_problem(400, "malformed", decoded.err_value)
     call = decoded.ok_value
+    if context.crashes.refuses(call):
+        return _refuse_crashing(context, call)
     made = _make_job(context, call, raw)
     if isinstance(made, Err):
         return made.err_value
@@ -151,6 +154,18 @@
     )
 
 
+def _refuse_crashing(context: Context, call: InboundCall) -> Reply:
+    context.registry.count("refusal", "crashes_endpoints")
+    context.log(
+        "refused",
+        request_id=call.request_id,
+        status=503,
+        reason="crashes endpoints",
+    )
+    detail = "this request has crashed the endpoints that ran it"
+    return make_problem(503, "not_run", detail, LIFE_S)
+
+
 def _refuse_unready(context: Context, call: InboundCall) -> Reply:
     context.registry.count("refusal", "no_configuration")
     context.log(
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -113,6 +113,8 @@
         if not job.caller.gone:
             weight = evidence.weight_of(failure.kind)
             context.tables.note_failure(replica, weight)
+            if failure.kind is FailureKind.CONNECTION_LOST:
+                context.crashes.suspect(job.call, replica)
         context.registry.count("attempt", failure.kind.value)
         context.log(
             event,
--- a/src/burdockspan/gateway/budget.py
+++ b/src/burdockspan/gateway/budget.py
@@ -21,7 +21,7 @@
 class RetryLedger:
     """Requests and repeats of the last window, by service."""
 
-    def __init__(self, bounds: RetryBudget, clock: Clock, vms: int = 1) -> None:
+    def __init__(self, bounds: RetryBudget, clock: Clock, vms: int) -> None:
         self._bounds = bounds
         self._clock = clock
         self._started_s = clock()
@@ -32,7 +32,11 @@
         self._repeats_by_service: dict[str, collections.deque[float]] = (
             collections.defaultdict(collections.deque)
         )
-        self.vms = vms
+        self._vms = vms
+
+    def share_with(self, vms: int) -> None:
+        """Divides the bounds between so many VMs."""
+        self._vms = vms
 
     def note_request(self, service: str) -> None:
         """Counts a request of a caller."""
@@ -52,7 +56,7 @@
 
     def _allowed(self, requests: int, now_s: float) -> float:
         bounds = self._bounds
-        slack = bounds.slack / max(1, self.vms)
+        slack = bounds.slack / max(1, self._vms)
         if now_s - self._started_s < bounds.window_s:
             slack *= _START_SHARE
         return _SAFETY_SHARE * (bounds.ratio * requests + slack)
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -6,6 +6,7 @@
 
 from burdockspan.gateway.admission import WaitingLines
 from burdockspan.gateway.budget import RetryLedger
+from burdockspan.gateway.crashes import Crashes
 from burdockspan.gateway.full import FullMarks
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.tables import Tables
@@ -23,6 +24,7 @@
       platform: adapter to the platform.
       tables: what this process believes.
       budget: budget of repeated arrivals.
+      crashes: requests that crash endpoints.
       full: engines that lately had no room.
       lines: generations that wait for decode memory, by service.
       clock: monotonic clock, in seconds.
@@ -34,6 +36,7 @@
     platform: Platform
     tables: Tables
     budget: RetryLedger
+    crashes: Crashes
     full: FullMarks
     lines: WaitingLines
     clock: Clock
--- /dev/null
+++ b/src/burdockspan/gateway/crashes.py
@@ -0,0 +1,185 @@
+"""Requests that crash the endpoints that run them, known to all VMs.
+
+A crash that follows a request is noted in the store, where every VM sees it.
+After three of them the request is refused.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import queue
+import threading
+from collections.abc import Callable
+
+from result import Err
+
+from burdockspan.gateway.discovery import Follower
+from burdockspan.gateway.ports import Store, StoredObject, StoreError
+from burdockspan.gateway.values import InboundCall, Replica
+from burdockspan.observe.decisions import Write
+from burdockspan.resilience import quarantine
+from burdockspan.resilience.quarantine import Crash, Strikes, Verdict
+from burdockspan.values.clock import Clock
+
+KIND = "burdockspan-crashes"
+# One crash may hit an innocent request, and so may two in a bad minute.
+CRASHES_TO_REFUSE = 3
+# How long a crash counts; a request that crashes endpoints comes again soon.
+LIFE_S = 120.0
+# Crashes that wait to be written; more of them at once have another cause
+# than one request.
+_QUEUE_LENGTH = 64
+_WRITE_TRIES = 3
+# A watch on crashes may be slower than one on endpoints.
+_WATCH_S = 6.0
+
+
+def fingerprint(call: InboundCall) -> str:
+    """Returns what identifies a request that is sent again."""
+    digest = hashlib.sha256()
+    for part in (call.method.encode(), call.target.encode("latin-1")):
+        digest.update(len(part).to_bytes(4, "big") + part)
+    digest.update(call.body)
+    return digest.hexdigest()[:32]
+
+
+class Crashes:
+    """Crashes by request fingerprint, shared through the store."""
+
+    def __init__(
+        self,
+        store: Store,
+        reachable: Callable[[Replica], bool],
+        clock: Clock,
+        log: Write,
+    ) -> None:
+        self._store = store
+        self._reachable = reachable
+        self._clock = clock
+        self._log = log
+        self._lock = threading.Lock()
+        self._strikes = Strikes()
+        self._suspects: queue.Queue[tuple[str, Replica]] = queue.Queue(
+            _QUEUE_LENGTH
+        )
+
+    def refuses(self, call: InboundCall) -> bool:
+        """Returns whether a request has crashed too many endpoints."""
+        if not self._strikes.by_fingerprint:
+            return False
+        verdict = quarantine.judge(
+            self._strikes,
+            fingerprint(call),
+            self._clock(),
+            CRASHES_TO_REFUSE,
+        )
+        return verdict is Verdict.REFUSE
+
+    def suspect(self, call: InboundCall, replica: Replica) -> None:
+        """Notes that an endpoint broke off while it ran a request."""
+        try:
+            self._suspects.put_nowait((fingerprint(call), replica))
+        except queue.Full:
+            self._log("crash not checked", request_id=call.request_id)
+
+    def run(self, stopped: threading.Event) -> None:
+        """Checks suspected crashes until `stopped` is set."""
+        while not stopped.is_set():
+            try:
+                name, replica = self._suspects.get(timeout=0.5)
+            except queue.Empty:
+                self._prune()
+                continue
+            self.check(name, replica)
+
+    def check(self, name: str, replica: Replica) -> None:
+        """Notes a crash unless the endpoint still accepts connections.
+
+        A reset by the network leaves the endpoint reachable.
+        """
+        if self._reachable(replica):
+            return
+        crash = (replica.id, str(replica.born_ms))
+        self._add(name, (crash,))
+        self._log("crash noted", fingerprint=name, endpoint=replica.id)
+        self._write(name)
+
+    def follower(self) -> Follower:
+        """Returns what takes over the crashes that other VMs noted."""
+
+        def adopt(held: StoredObject) -> None:
+            crashes = _decode(held)
+            if held.removed or not crashes:
+                return
+            known = self._strikes.by_fingerprint.get(held.name, {})
+            news = tuple(one for one in crashes if one not in known)
+            if news:
+                self._add(held.name, news)
+                self._log(
+                    "crashes learned", fingerprint=held.name, count=len(news)
+                )
+
+        def adopt_all(objects: tuple[StoredObject, ...]) -> None:
+            for held in objects:
+                adopt(held)
+
+        return Follower(
+            KIND,
+            adopt_all,
+            adopt,
+            lambda error: self._log(
+                "store lost", watching="crashes", cause=error.value
+            ),
+            lambda: self._log("store regained", watching="crashes"),
+            _WATCH_S,
+        )
+
+    def _add(self, name: str, crashes: tuple[Crash, ...]) -> None:
+        expires_s = self._clock() + LIFE_S
+        with self._lock:
+            for crash in crashes:
+                self._strikes = quarantine.add(
+                    self._strikes, name, crash, expires_s
+                )
+
+    def _write(self, name: str) -> None:
+        for _ in range(_WRITE_TRIES):
+            held = self._strikes.by_fingerprint.get(name, {})
+            value = {"crashes": sorted([list(one) for one in held])}
+            written = self._store.create(KIND, name, value)
+            if not isinstance(written, Err):
+                return
+            if written.err_value is StoreError.CONFLICT:
+                written = self._store.replace(KIND, name, value, None)
+                if not isinstance(written, Err):
+                    return
+            cause = written.err_value.value
+            self._log("crash not written", fingerprint=name, cause=cause)
+
+    def _prune(self) -> None:
+        if not self._strikes.by_fingerprint:
+            return
+        with self._lock:
+            before = self._strikes.by_fingerprint.keys()
+            self._strikes = quarantine.prune(self._strikes, self._clock())
+            expired = before - self._strikes.by_fingerprint.keys()
+        for name in expired:
+            # Every VM does this; removing an absent object does no harm.
+            self._store.remove(KIND, name)
+
+
+def _decode(held: StoredObject) -> tuple[Crash, ...]:
+    value = held.value
+    rows = value.get("crashes") if isinstance(value, dict) else None
+    if not isinstance(rows, list):
+        return ()
+    return tuple(
+        (row[0], row[1])
+        for row in rows
+        if isinstance(row, list)
+        and len(row) == 2
+        and all(isinstance(part, str) for part in row)
+    )
+
+
+__all__ = ["CRASHES_TO_REFUSE", "KIND", "LIFE_S", "Crashes", "fingerprint"]
--- a/src/burdockspan/gateway/discovery.py
+++ b/src/burdockspan/gateway/discovery.py
@@ -27,7 +27,7 @@
 # A watch on a connection that went silent ends after this time and the margin
 # of the call, which leaves a change time to come into force within the bound
 # of the shortest deployments, two seconds after the aftermath of a fault.
-_WATCH_S = 2.0
+WATCH_S = 2.0
 # An outage is noticed within a fraction of a second, and its end as well.
 _BACKOFF = Backoff(0.1, 0.5)
 # A store that turns calls away is asked less often.
@@ -44,6 +44,7 @@
       adopt_change: takes over one change.
       lost: notes that the store does not answer any more.
       regained: notes that it answers again, before its answer is taken over.
+      watch_s: longest wait for a change.
     """
 
     kind: str
@@ -51,6 +52,7 @@
     adopt_change: Callable[[StoredObject], None]
     lost: Callable[[StoreError], None]
     regained: Callable[[], None]
+    watch_s: float = WATCH_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,7 +79,7 @@
     if position.revision is None:
         answer = store.list_objects(follower.kind)
     else:
-        answer = store.watch(follower.kind, position.revision, _WATCH_S)
+        answer = store.watch(follower.kind, position.revision, follower.watch_s)
     if isinstance(answer, Err):
         return _note_error(follower, position, answer.err_value, draw)
     if position.failures:
--- /dev/null
+++ b/src/burdockspan/gateway/members.py
@@ -0,0 +1,144 @@
+"""How many VMs share the bounds of a deployment, from the store alone.
+
+Each VM renews an object of its own. One whose object has not changed for some
+intervals counts as gone; too many VMs make this VM's share too small, which is
+the safe direction.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections.abc import Callable, Mapping
+
+from result import Err
+
+from burdockspan.gateway.ports import Store, StoredObject, StoreError
+from burdockspan.observe.decisions import Write
+from burdockspan.values.clock import Clock
+
+KIND = "burdockspan-vms"
+# A VM's share of the bounds follows a change of the fleet within three of
+# these intervals; each interval costs a write and a list.
+BEAT_S = 8.0
+_GONE_AFTER_S = 3 * BEAT_S
+# Objects of departed VMs are removed after this time.
+_REMOVE_AFTER_S = 20 * BEAT_S
+# Until the store has been read, a share is taken that any fleet can bear.
+UNKNOWN_VMS = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """An object of a VM, and since when it has not changed."""
+
+    revision: int
+    changed_s: float
+
+
+def observe(
+    seen: Mapping[str, Seen], listed: Mapping[str, int], now_s: float
+) -> dict[str, Seen]:
+    """Returns what is known after a list of revisions by VM."""
+    observed = {}
+    for vm, revision in listed.items():
+        held = seen.get(vm)
+        if held is not None and held.revision == revision:
+            observed[vm] = held
+        else:
+            observed[vm] = Seen(revision, now_s)
+    return observed
+
+
+def count_live(seen: Mapping[str, Seen], now_s: float) -> int:
+    """Returns how many VMs are believed to live, at least one."""
+    live = sum(
+        now_s - held.changed_s <= _GONE_AFTER_S for held in seen.values()
+    )
+    return max(1, live)
+
+
+def departed(seen: Mapping[str, Seen], now_s: float) -> tuple[str, ...]:
+    """Returns the VMs whose objects can be removed."""
+    return tuple(
+        vm
+        for vm, held in seen.items()
+        if now_s - held.changed_s > _REMOVE_AFTER_S
+    )
+
+
+class Members:
+    """Renews this VM's object and counts the others."""
+
+    def __init__(
+        self,
+        vm: str,
+        store: Store,
+        clock: Clock,
+        tell: Callable[[int], None],
+        log: Write,
+    ) -> None:
+        self._vm = vm
+        self._store = store
+        self._clock = clock
+        self._tell = tell
+        self._log = log
+        self._seen: dict[str, Seen] = {}
+        self._beats = 0
+        self._counted = 0
+
+    def beat(self) -> None:
+        """Renews the object, then counts the VMs."""
+        self._beats += 1
+        value = {"beat": self._beats}
+        renewed = self._store.replace(KIND, self._vm, value, None)
+        if isinstance(renewed, Err):
+            if renewed.err_value is not StoreError.NOT_FOUND:
+                self._note_error("renew", renewed.err_value)
+            else:
+                created = self._store.create(KIND, self._vm, value)
+                if isinstance(created, Err):
+                    self._note_error("create", created.err_value)
+        listed = self._store.list_objects(KIND)
+        if isinstance(listed, Err):
+            self._note_error("list", listed.err_value)
+            return
+        self._count(listed.ok_value.objects)
+
+    def _count(self, objects: tuple[StoredObject, ...]) -> None:
+        now_s = self._clock()
+        revisions = {held.name: held.revision for held in objects}
+        self._seen = observe(self._seen, revisions, now_s)
+        live = count_live(self._seen, now_s)
+        if live != self._counted:
+            self._log("vms counted", live=live, listed=len(objects))
+            self._counted = live
+        self._tell(live)
+        for vm in departed(self._seen, now_s):
+            if vm != self._vm:
+                self._log("departed vm removed", member=vm)
+                self._store.remove(KIND, vm)
+
+    def _note_error(self, operation: str, error: StoreError) -> None:
+        # The last count stays in force; the next beat tries again.
+        self._log("vm count failed", operation=operation, cause=error.value)
+
+
+def run(members: Members, stopped: threading.Event) -> None:
+    """Beats until `stopped` is set."""
+    while not stopped.is_set():
+        members.beat()
+        stopped.wait(BEAT_S)
+
+
+__all__ = [
+    "BEAT_S",
+    "KIND",
+    "UNKNOWN_VMS",
+    "Members",
+    "Seen",
+    "count_live",
+    "departed",
+    "observe",
+    "run",
+]
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -115,6 +115,7 @@
       drop_reservation: gives a reservation back.
       drop_cache: frees a KV cache.
       load: asks for the load.
+      reachable: whether an endpoint accepts connections.
     """
 
     run: Callable[[Replica, InboundCall, RunOptions], Result[Answer, Failure]]
@@ -125,6 +126,7 @@
     drop_reservation: Callable[[Replica, str], None]
     drop_cache: Callable[[Cache], None]
     load: Callable[[Replica], Result[Load, Failure]]
+    reachable: Callable[[Replica], bool]
 
 
 class StoreError(enum.Enum):
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -14,6 +14,7 @@
 from burdockspan.gateway.application import Running, make_handler
 from burdockspan.gateway.budget import RetryLedger
 from burdockspan.gateway.context import Context
+from burdockspan.gateway.crashes import Crashes
 from burdockspan.gateway.discovery import (
     Follower,
     follow,
@@ -21,6 +22,8 @@
 )
 from burdockspan.gateway.full import FullMarks
 from burdockspan.gateway.ingress import make_ingress, make_status_line
+from burdockspan.gateway.members import UNKNOWN_VMS, Members
+from burdockspan.gateway.members import run as run_members
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.gateway.tables import Tables
@@ -56,6 +59,7 @@
       context: what the handlers share.
       ingress: server for callers.
       status_servers: readiness and metrics.
+      members: counts the VMs.
       running: counts the requests that are being handled.
       stopping: set once the process is to stop.
       stopped: set once its threads are to end.
@@ -65,6 +69,7 @@
     context: Context
     ingress: Server
     status_servers: tuple[Server, ...]
+    members: Members
     running: Running
     stopping: threading.Event
     stopped: threading.Event
@@ -86,10 +91,14 @@
       log: writes a line about a decision.
     """
     tables = Tables(settings.availability_zone, clock)
+    platform = make_platform(settings.store_address, clock)
     context = Context(
-        platform=make_platform(settings.store_address, clock),
+        platform=platform,
         tables=tables,
-        budget=RetryLedger(settings.retry_budget, clock),
+        budget=RetryLedger(settings.retry_budget, clock, UNKNOWN_VMS),
+        crashes=Crashes(
+            platform.store, platform.endpoints.reachable, clock, log
+        ),
         full=FullMarks(),
         lines=WaitingLines(clock),
         clock=clock,
@@ -113,6 +122,13 @@
         context,
         ingress,
         status_servers,
+        Members(
+            settings.vm,
+            platform.store,
+            clock,
+            context.budget.share_with,
+            log,
+        ),
         running,
         stopping,
         threading.Event(),
@@ -132,6 +148,9 @@
         context.registry,
     ):
         _start_follower(context, follower, parts.stopped)
+    _start_follower(context, context.crashes.follower(), parts.stopped)
+    _start_thread(lambda: context.crashes.run(parts.stopped), "crashes")
+    _start_thread(lambda: run_members(parts.members, parts.stopped), "members")
 
 
 def stop(parts: Parts) -> None:
--- a/src/burdockspan/platform/replicas.py
+++ b/src/burdockspan/platform/replicas.py
@@ -105,6 +105,9 @@
         except (KeyError, TypeError, ValueError):
             return Err(_spoiled(replica, "load report is malformed"))
 
+    def reachable(replica: Replica) -> bool:
+        return connections.reaches(_as_endpoint(replica))
+
     return Endpoints(
         run=run,
         prefill=prefill,
@@ -112,6 +115,7 @@
         drop_reservation=drop_reservation,
         drop_cache=drop_cache,
         load=load,
+        reachable=reachable,
     )
 
 
--- a/src/burdockspan/resilience/quarantine.py
+++ b/src/burdockspan/resilience/quarantine.py
@@ -67,11 +67,16 @@
     return Strikes({key: row for key, row in rows.items() if row})
 
 
-def judge(strikes: Strikes, fingerprint: str, now_s: float) -> Verdict:
-    """Returns how a request is treated at wall time `now_s`."""
+def judge(
+    strikes: Strikes,
+    fingerprint: str,
+    now_s: float,
+    strikes_to_refuse: int = _STRIKES_TO_REFUSE,
+) -> Verdict:
+    """Returns how a request is treated at `now_s`, on the clock of expiry."""
     crashes = strikes.by_fingerprint.get(fingerprint, {})
     live = sum(expires_s > now_s for expires_s in crashes.values())
-    if live >= _STRIKES_TO_REFUSE:
+    if live >= strikes_to_refuse:
         return Verdict.REFUSE
     return Verdict.SINGLE if live else Verdict.ALLOW
 
--- /dev/null
+++ b/tests/gateway/test_budget.py
@@ -0,0 +1,78 @@
+"""The repeats of all VMs together keep the bound of the deployment."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockspan.gateway import members
+from burdockspan.gateway.budget import RetryLedger
+from burdockspan.gateway.settings import RetryBudget
+
+_BOUNDS = RetryBudget(ratio=0.2, slack=58, window_s=10.0)
+
+
+class TestRetryLedger(unittest.TestCase):
+    @given(
+        vms=st.integers(1, 40),
+        requests=st.lists(st.integers(0, 60), min_size=1, max_size=40),
+        now_s=st.floats(0.0, 40.0),
+    )
+    def test_all_vms_together_keep_the_bound(
+        self, vms: int, requests: list[int], now_s: float
+    ) -> None:
+        """Guards against a fault that every VM answers with a full budget."""
+        clock = [0.0]
+        spent = 0
+        counts = (requests * vms)[:vms]
+        ledgers = [RetryLedger(_BOUNDS, lambda: clock[0], vms) for _ in counts]
+        clock[0] = now_s
+        for ledger, count in zip(ledgers, counts, strict=True):
+            for _ in range(count):
+                ledger.note_request("app")
+            while ledger.spend("app"):
+                spent += 1
+        bound = _BOUNDS.ratio * sum(counts) + _BOUNDS.slack
+        self.assertLessEqual(spent, bound)
+
+    def test_budget_returns_with_time(self) -> None:
+        """Guards against a budget that a past fault has used up for good."""
+        clock = [0.0]
+        ledger = RetryLedger(_BOUNDS, lambda: clock[0], 4)
+        while ledger.spend("app"):
+            pass
+        clock[0] = 10.1
+        self.assertTrue(ledger.spend("app"))
+
+    def test_services_do_not_share_a_budget(self) -> None:
+        """Guards against a service that fails for the faults of another."""
+        ledger = RetryLedger(_BOUNDS, lambda: 20.0, 4)
+        while ledger.spend("app"):
+            pass
+        self.assertTrue(ledger.spend("llm"))
+
+    def test_unknown_fleet_takes_a_small_share(self) -> None:
+        """Guards against full budgets while nobody knows how many VMs live."""
+        ledger = RetryLedger(_BOUNDS, lambda: 20.0, members.UNKNOWN_VMS)
+        spent = 0
+        while ledger.spend("app"):
+            spent += 1
+        self.assertLessEqual(spent, 2)
+
+
+class TestMembers(unittest.TestCase):
+    def test_silent_vm_counts_until_it_is_surely_gone(self) -> None:
+        """Guards against shares that grow while a VM is only cut off."""
+        seen = members.observe({}, {"a": 1, "b": 1}, 0.0)
+        seen = members.observe(seen, {"a": 2, "b": 1}, 16.0)
+        self.assertEqual(members.count_live(seen, 16.0), 2)
+        seen = members.observe(seen, {"a": 3, "b": 1}, 25.0)
+        self.assertEqual(members.count_live(seen, 25.0), 1)
+
+    def test_departed_objects_are_removed_later(self) -> None:
+        """Guards against objects that pile up as VMs are replaced."""
+        seen = members.observe({}, {"old": 1}, 0.0)
+        self.assertEqual(members.departed(seen, 100.0), ())
+        self.assertEqual(members.departed(seen, 161.0), ("old",))
--- /dev/null
+++ b/tests/gateway/test_crashes.py
@@ -0,0 +1,87 @@
+"""A request that crashes what runs it is stopped at all VMs."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from burdockspan.gateway.crashes import KIND, Crashes, fingerprint
+from burdockspan.gateway.discovery import Position, step
+from burdockspan.gateway.values import InboundCall, Replica
+from burdockspan.platform.store import make_store
+from standins.object_store import ObjectStore
+
+
+def _call(target: str = "/pay/x", body: bytes = b"1") -> InboundCall:
+    return InboundCall(
+        method="POST",
+        target=target,
+        host="app.example",
+        headers=(),
+        body=body,
+        request_id="r",
+        patience_s=1.0,
+        prompt=None,
+        client="10.0.0.1",
+        arrived_s=0.0,
+    )
+
+
+def _replica(name: str) -> Replica:
+    return Replica(name, 1, "app", "127.0.0.1:1", "zone-a", False, 4)
+
+
+class TestCrashes(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = ObjectStore()
+        self.addCleanup(self.platform.close)
+        self.now_s = 0.0
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def make(self, reachable: bool = False) -> Crashes:
+        clock = lambda: self.now_s  # noqa: E731
+        return Crashes(
+            make_store(self.platform.address, clock),
+            lambda _: reachable,
+            clock,
+            lambda event, **fields: self.lines.append((event, fields)),
+        )
+
+    def test_third_crash_refuses_the_request_at_every_vm(self) -> None:
+        """Guards against a request that takes down one endpoint a VM."""
+        vms = [self.make(), self.make(), self.make()]
+        call = _call()
+        for number, vm in enumerate(vms):
+            self.assertFalse(vm.refuses(call))
+            vm.check(fingerprint(call), _replica(f"i-{number}"))
+            for other in vms:
+                store = make_store(self.platform.address, lambda: 0.0)
+                step(store, other.follower(), Position(), lambda: 0.0)
+        self.assertTrue(all(vm.refuses(call) for vm in vms))
+        self.assertFalse(vms[0].refuses(_call(body=b"2")))
+
+    def test_reset_by_the_network_is_no_crash(self) -> None:
+        """Guards against innocent requests refused after resets."""
+        vm = self.make(reachable=True)
+        for number in range(5):
+            vm.check(fingerprint(_call()), _replica(f"i-{number}"))
+        self.assertFalse(vm.refuses(_call()))
+        self.assertEqual(self.platform.read(KIND), {})
+
+    def test_crashes_expire(self) -> None:
+        """Guards against a request that is refused for ever."""
+        vm = self.make()
+        for number in range(3):
+            vm.check(fingerprint(_call()), _replica(f"i-{number}"))
+        self.assertTrue(vm.refuses(_call()))
+        self.now_s = 121.0
+        self.assertFalse(vm.refuses(_call()))
+
+    def test_object_of_another_writer_is_ignored(self) -> None:
+        """Guards against a crash object with unexpected contents."""
+        vm = self.make()
+        for name, value in (("a", None), ("b", {"crashes": [1, ["x"]]})):
+            self.platform.put(KIND, name, value)
+        store = make_store(self.platform.address, lambda: 0.0)
+        position, _ = step(store, vm.follower(), Position(), lambda: 0.0)
+        self.assertIsNotNone(position.revision)
