Have idle prefill engines decode

Change: VMs publish the prompts they get; a VM that has measured for 16 s takes a lease for one batch of orders and has the prefill engines decode that not even a doubled load needs, at most a quarter at a time and never the last two. Reading a prompt a second time now costs budget, and a generation that is refused although it had room counts against both of its engines.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -51,6 +51,8 @@
     Attributes:
       runs: attempts that may have run.
       arrivals: attempts that reached an endpoint.
+      prefills: calls that only had the prompt read; the first one that an
+        endpoint accepts is free.
       tried: endpoints that an attempt went to.
       last_failure: newest failure of an attempt.
     """
@@ -60,6 +62,7 @@
         self._job = job
         self.runs = 0
         self.arrivals = 0
+        self.prefills = 0
         self.tried: set[tuple[str, int]] = set()
         self.last_failure: Failure | None = None
 
@@ -73,6 +76,13 @@
             self._job.service
         )
 
+    def may_prefill(self) -> bool:
+        """Takes the cost of having the prompt read; False without budget."""
+        if self.prefills and not self._context.budget.spend(self._job.service):
+            return False
+        self.prefills += 1
+        return True
+
     def _may_repeat(self) -> bool:
         route = self._job.route
         return route.repeatable and self.runs < route.max_attempts
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -9,6 +9,7 @@
 from burdockspan.gateway.crashes import Crashes
 from burdockspan.gateway.full import FullMarks
 from burdockspan.gateway.ports import Platform
+from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.tables import Tables
 from burdockspan.observe.decisions import Write
 from burdockspan.observe.registry import Registry
@@ -25,6 +26,7 @@
       tables: what this process believes.
       budget: budget of repeated arrivals.
       crashes: requests that crash endpoints.
+      demand: prompts that arrive at this VM.
       full: engines that lately had no room.
       lines: generations that wait for decode memory, by service.
       clock: monotonic clock, in seconds.
@@ -37,6 +39,7 @@
     tables: Tables
     budget: RetryLedger
     crashes: Crashes
+    demand: DemandMeter
     full: FullMarks
     lines: WaitingLines
     clock: Clock
--- a/src/burdockspan/gateway/evidence.py
+++ b/src/burdockspan/gateway/evidence.py
@@ -25,6 +25,11 @@
 # An answer of the endpoint that reports a failure; plain services send some
 # of these for reasons of their own.
 FAILED_ANSWER_WEIGHT = 0.3
+# A generation that was refused by an engine that had reserved memory for it;
+# two of these make a suspect.
+REFUSED_PAIR_WEIGHT = 0.5
+# An engine that has been ordered to change takes no work for seconds.
+ORDERED_WEIGHT = 5.0
 _SUCCESS_FACTOR = 0.7
 
 
@@ -63,6 +68,8 @@
 
 __all__ = [
     "FAILED_ANSWER_WEIGHT",
+    "ORDERED_WEIGHT",
+    "REFUSED_PAIR_WEIGHT",
     "SUSPECT_WEIGHT",
     "Suspicion",
     "add_failure",
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints.failures import EndpointError
+from burdockspan.gateway import evidence
 from burdockspan.gateway.attempts import (
     NOT_STARTED,
     Attempts,
@@ -54,6 +55,7 @@
 ) -> Reply:
     """Returns the answer of a decode engine, or why there is none."""
     attempts = Attempts(context, job)
+    context.demand.note_prompt(job.service, prompt.tokens)
     started = _start(context, job, attempts, engine, prompt, None)
     if isinstance(started, Err):
         return attempts.give_up(started.err_value, _FULL_RETRY_AFTER_S)
@@ -154,6 +156,8 @@
     ran = context.platform.endpoints.run(replica, job.call, options)
     if isinstance(ran, Err):
         attempts.note_failure(replica, ran.err_value)
+        if ran.err_value.kind is FailureKind.REFUSED:
+            _doubt_pair(context, room, cache)
         if cache is not None and ran.err_value.kind in NOT_STARTED:
             context.platform.endpoints.drop_cache(cache)
         return ran
@@ -161,6 +165,16 @@
     return ran
 
 
+def _doubt_pair(context: Context, room: Room, cache: Cache | None) -> None:
+    """Notes that a generation was refused although it had room.
+
+    Either the prefill engine lost the cache, or the decode engine takes no
+    work; which of them it was shows once one of them meets others.
+    """
+    for replica in (room.replica, cache.replica if cache else room.replica):
+        context.tables.note_failure(replica, evidence.REFUSED_PAIR_WEIGHT)
+
+
 def _prefill(
     context: Context,
     job: Job,
@@ -176,7 +190,7 @@
     )
     ranked = rank_prefill(views, room.replica.zone, context.draw)
     fresh = exclude(ranked, attempts.tried)
-    if not fresh:
+    if not fresh or not attempts.may_prefill():
         return None
     replica = fresh[0]
     end = context.tables.begin(replica, prompt.tokens)
@@ -193,6 +207,7 @@
         attempts.note_prefill_failure(replica, read.err_value)
         return None
     context.tables.note_success(replica)
+    context.demand.note_read(job.service, prompt.tokens, taken_s)
     context.log(
         "prefilled",
         request_id=job.call.request_id,
--- a/src/burdockspan/gateway/members.py
+++ b/src/burdockspan/gateway/members.py
@@ -10,6 +10,7 @@
 import dataclasses
 import threading
 from collections.abc import Callable, Mapping
+from typing import Any
 
 from result import Err
 
@@ -52,10 +53,12 @@
 
 def count_live(seen: Mapping[str, Seen], now_s: float) -> int:
     """Returns how many VMs are believed to live, at least one."""
-    live = sum(
-        now_s - held.changed_s <= _GONE_AFTER_S for held in seen.values()
-    )
-    return max(1, live)
+    return max(1, sum(is_live(held, now_s) for held in seen.values()))
+
+
+def is_live(held: Seen, now_s: float) -> bool:
+    """Returns whether a VM is believed to live."""
+    return now_s - held.changed_s <= _GONE_AFTER_S
 
 
 def departed(seen: Mapping[str, Seen], now_s: float) -> tuple[str, ...]:
@@ -68,19 +71,25 @@
 
 
 class Members:
-    """Renews this VM's object and counts the others."""
+    """Renews this VM's object and counts the others.
+
+    What `describe` returns stands in the object; `tell` gets the contents of
+    the objects of all live VMs, by VM.
+    """
 
     def __init__(
         self,
         vm: str,
         store: Store,
         clock: Clock,
-        tell: Callable[[int], None],
+        describe: Callable[[], dict[str, Any]],
+        tell: Callable[[Mapping[str, Any]], None],
         log: Write,
     ) -> None:
         self._vm = vm
         self._store = store
         self._clock = clock
+        self._describe = describe
         self._tell = tell
         self._log = log
         self._seen: dict[str, Seen] = {}
@@ -90,7 +99,7 @@
     def beat(self) -> None:
         """Renews the object, then counts the VMs."""
         self._beats += 1
-        value = {"beat": self._beats}
+        value = {**self._describe(), "beat": self._beats}
         renewed = self._store.replace(KIND, self._vm, value, None)
         if isinstance(renewed, Err):
             if renewed.err_value is not StoreError.NOT_FOUND:
@@ -113,7 +122,13 @@
         if live != self._counted:
             self._log("vms counted", live=live, listed=len(objects))
             self._counted = live
-        self._tell(live)
+        self._tell(
+            {
+                held.name: held.value
+                for held in objects
+                if is_live(self._seen[held.name], now_s)
+            }
+        )
         for vm in departed(self._seen, now_s):
             if vm != self._vm:
                 self._log("departed vm removed", member=vm)
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -115,6 +115,8 @@
       drop_reservation: gives a reservation back.
       drop_cache: frees a KV cache.
       load: asks for the load.
+      order_stage: orders an engine to change its stage, given the holder, its
+        fencing token, and the orders that the engine must have accepted.
       reachable: whether an endpoint accepts connections.
     """
 
@@ -126,6 +128,9 @@
     drop_reservation: Callable[[Replica, str], None]
     drop_cache: Callable[[Cache], None]
     load: Callable[[Replica], Result[Load, Failure]]
+    order_stage: Callable[
+        [Replica, Stage, str, int, int], Result[None, Failure]
+    ]
     reachable: Callable[[Replica], bool]
 
 
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -7,11 +7,13 @@
 import signal
 import sys
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+from burdockspan.gateway import stages
 from burdockspan.gateway.admission import WaitingLines
 from burdockspan.gateway.application import Running, make_handler
+from burdockspan.gateway.balance import balance
 from burdockspan.gateway.budget import RetryLedger
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.crashes import Crashes
@@ -22,10 +24,12 @@
 )
 from burdockspan.gateway.full import FullMarks
 from burdockspan.gateway.ingress import make_ingress, make_status_line
-from burdockspan.gateway.members import UNKNOWN_VMS, Members
+from burdockspan.gateway.members import BEAT_S, UNKNOWN_VMS, Members
 from burdockspan.gateway.members import run as run_members
+from burdockspan.gateway.orders import Orderer
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.settings import GatewaySettings
+from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.tables import Tables
 from burdockspan.http.listener import Server, make_server
 from burdockspan.observe.decisions import Write, make_decision_log
@@ -33,6 +37,7 @@
 from burdockspan.observe.registry import make_registry
 from burdockspan.values.clock import (
     Clock,
+    make_boot_clock,
     make_monotonic_clock,
     make_wall_clock,
 )
@@ -47,6 +52,8 @@
 # Left of the grace time for closing connections and writing the log.
 _CLOSING_S = 0.5
 _TICK_S = 0.1
+# A VM gives orders only once it has measured the load more than once.
+_LEAST_UPTIME_S = 2 * BEAT_S
 _OK = 0
 
 
@@ -99,6 +106,7 @@
         crashes=Crashes(
             platform.store, platform.endpoints.reachable, clock, log
         ),
+        demand=DemandMeter(clock),
         full=FullMarks(),
         lines=WaitingLines(clock),
         clock=clock,
@@ -122,19 +130,41 @@
         context,
         ingress,
         status_servers,
-        Members(
-            settings.vm,
-            platform.store,
-            clock,
-            context.budget.share_with,
-            log,
-        ),
+        _make_members(settings, context),
         running,
         stopping,
         threading.Event(),
     )
 
 
+def _make_members(settings: GatewaySettings, context: Context) -> Members:
+    platform = context.platform
+    orderer = Orderer(
+        settings.vm,
+        platform.store,
+        platform.endpoints,
+        settings.lease_s,
+        make_boot_clock(),
+        context.log,
+    )
+
+    started_s = context.clock()
+
+    def tell(value_by_vm: Mapping[str, Any]) -> None:
+        context.budget.share_with(len(value_by_vm))
+        if context.clock() - started_s >= _LEAST_UPTIME_S:
+            balance(context, orderer, value_by_vm)
+
+    return Members(
+        settings.vm,
+        platform.store,
+        context.clock,
+        lambda: {"demand": stages.encode(context.demand.read())},
+        tell,
+        context.log,
+    )
+
+
 def start(parts: Parts) -> None:
     """Starts the servers, and follows the store."""
     context = parts.context
--- a/src/burdockspan/platform/replicas.py
+++ b/src/burdockspan/platform/replicas.py
@@ -105,6 +105,20 @@
         except (KeyError, TypeError, ValueError):
             return Err(_spoiled(replica, "load report is malformed"))
 
+    def order_stage(
+        replica: Replica, stage: Stage, holder: str, fence: int, orders: int
+    ) -> Result[None, Failure]:
+        body = {
+            "op": "stage",
+            "stage": stage.value,
+            "holder": holder,
+            "fence": fence,
+            # The orders that the replica must have accepted before.
+            "precondition": orders,
+        }
+        answer = _control(connections, replica, "POST", "/v1/order", body)
+        return answer if isinstance(answer, Err) else Ok(None)
+
     def reachable(replica: Replica) -> bool:
         return connections.reaches(_as_endpoint(replica))
 
@@ -115,6 +129,7 @@
         drop_reservation=drop_reservation,
         drop_cache=drop_cache,
         load=load,
+        order_stage=order_stage,
         reachable=reachable,
     )
 
--- a/src/burdockspan/values/clock.py
+++ b/src/burdockspan/values/clock.py
@@ -14,9 +14,19 @@
     return time.monotonic
 
 
+def make_boot_clock() -> Clock:
+    """Returns the seconds since the boot, with the time in suspension."""
+    return lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def make_wall_clock() -> Clock:
     """Returns the wall clock of this VM, in seconds since 1970 (UTC)."""
     return time.time
 
 
-__all__ = ["Clock", "make_monotonic_clock", "make_wall_clock"]
+__all__ = [
+    "Clock",
+    "make_boot_clock",
+    "make_monotonic_clock",
+    "make_wall_clock",
+]
