--- a/src/burdockspan/gateway/ingress.py
+++ b/src/burdockspan/gateway/ingress.py
@@ -374,6 +374,9 @@
         repeated or conflicts with another one.
     """
     _, _, block = header_plus.partition(b"\r\n")
+    if re.search(rb"(?m)^[ \t]", block):
+        # Readers of folded lines disagree about them, RFC 9112 section 5.2.
+        raise waitress.parser.ParsingError("a header line is folded")
     lines = waitress.parser.get_header_lines(block)
     found = []
     for line in lines:
--- a/src/burdockspan/platform/documents.py
+++ b/src/burdockspan/platform/documents.py
@@ -154,7 +154,7 @@
     return Replica(
         id=name,
         # Unix time of the start, despite the name of a birth.
-        born_ms=int(_number(entry, "born", 0.0)),
+        born_ms=_whole(entry, "born") if "born" in entry else 0,
         service=_text(entry, "service"),
         address=_address(entry),
         zone=_text(entry, "zone"),
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.server
 import json
 import threading
@@ -169,7 +170,10 @@
                 self.close_connection = True
                 threading.Event().wait(30.0)
                 return
-            content = json.dumps(value).encode()
+            with contextlib.suppress(OSError):
+                self._send(status, json.dumps(value).encode())
+
+        def _send(self, status: int, content: bytes) -> None:
             self.send_response(status)
             self.send_header("Content-Type", _JSON)
             self.send_header("Content-Length", str(len(content)))
--- /dev/null
+++ b/tests/gateway/test_discovery.py
@@ -0,0 +1,111 @@
+"""Configuration and endpoints follow the store through its faults."""
+
+from __future__ import annotations
+
+import json
+
+from standins.replica import ScriptedReplica, respond
+from tests.gateway.case import GatewayCase
+from tests.support.gateways import make_document, make_route, wait_for
+
+_OK = respond(200, b"done", {"Response-Stamp": "s"})
+
+
+class TestConfiguration(GatewayCase):
+    def test_newer_version_comes_into_force(self) -> None:
+        """Guards against requests handled as only an older version allows."""
+        self.replica(lambda _: _OK)
+        self.assertEqual(self.gateway.call("GET", "/new/x").status, 404)
+        document = make_document(2)
+        document["routes"].append(make_route("new"))
+        self.gateway.configure(document)
+        self.assertEqual(self.gateway.call("GET", "/new/x").status, 200)
+
+    def test_older_version_never_returns(self) -> None:
+        """Guards against a configuration that goes back."""
+        self.gateway.configure(make_document(5))
+        self.gateway.store.put("config", "main", make_document(4))
+        wait_for(
+            lambda: bool(self.gateway.logged("configuration is not newer"))
+        )
+        self.assertEqual(self.gateway.version(), 5)
+
+    def test_malformed_version_leaves_the_old_one_in_force(self) -> None:
+        """Guards against an outage by a document that cannot be read."""
+        self.gateway.store.put("config", "main", {"version": 9})
+        wait_for(lambda: bool(self.gateway.logged("configuration ignored")))
+        self.assertEqual(self.gateway.version(), 1)
+
+    def test_removed_configuration_stays_in_force(self) -> None:
+        """Guards against a process that forgets its configuration."""
+        self.gateway.store.remove("config", "main")
+        wait_for(lambda: bool(self.gateway.logged("configuration removed")))
+        self.assertEqual(self.gateway.version(), 1)
+
+    def test_hundreds_of_routes_do_not_hide_one(self) -> None:
+        """Guards against routes that are lost in a large configuration."""
+        self.replica(lambda _: _OK)
+        document = make_document(2)
+        document["routes"] += [make_route(f"r{n}") for n in range(400)]
+        document["routes"].append(make_route("read-deep"))
+        document["routes"][-1]["path_prefix"] = "/read/deep/"
+        document["routes"][-1]["service"] = "llm"
+        self.gateway.configure(document)
+        self.assertEqual(self.gateway.call("GET", "/r399/x").status, 200)
+        self.assertEqual(self.gateway.call("GET", "/read/deep/x").status, 503)
+        self.assertEqual(self.gateway.call("GET", "/read/deeper").status, 200)
+
+
+class TestEndpoints(GatewayCase):
+    def test_outage_keeps_what_is_known(self) -> None:
+        """Guards against refusals while only the store is away."""
+        self.replica(lambda _: _OK)
+        self.gateway.store.status = 503
+        wait_for(lambda: len(self.gateway.logged("store lost")) >= 2)
+        self.assertEqual(self.gateway.call("POST", "/pay/x").status, 200)
+        self.gateway.store.status = None
+        self.gateway.configure(make_document(3))
+
+    def test_silent_store_is_noticed(self) -> None:
+        """Guards against a watch that waits on a dead connection."""
+        self.gateway.store.silent = True
+        wait_for(lambda: bool(self.gateway.logged("store lost")))
+        self.gateway.store.silent = False
+        self.gateway.configure(make_document(3))
+
+    def test_compacted_history_is_listed_anew(self) -> None:
+        """Guards against changes that fall into a gap of the history."""
+        self.gateway.store.compacted = True
+        wait_for(lambda: not self.gateway.store.compacted)
+        self.gateway.add(ScriptedReplica("i-9", lambda _: _OK))
+
+    def test_draining_endpoint_gets_no_request(self) -> None:
+        """Guards against work for an endpoint that is leaving."""
+        leaving = self.replica(lambda _: _OK, "i-1")
+        self.replica(lambda _: _OK, "i-2")
+        entry = leaving.entry("app", "zone-a", state="draining")
+        self.gateway.store.put("servers", "i-1", entry)
+        tables = self.gateway.parts.context.tables
+        wait_for(lambda: tables.fleet().by_id["i-1"].replica.leaving)
+        for _ in range(6):
+            self.assertEqual(self.gateway.call("GET", "/read/x").status, 200)
+        self.assertEqual(leaving.received, [])
+
+    def test_entry_of_another_writer_leaves_the_others(self) -> None:
+        """Guards against an unreadable entry that hides the readable ones."""
+        self.replica(lambda _: _OK, "i-1")
+        self.gateway.store.put("servers", "i-x", ["?"])
+        wait_for(lambda: bool(self.gateway.logged("entry ignored")))
+        self.assertEqual(self.gateway.call("GET", "/read/x").status, 200)
+
+    def test_lines_about_changes_are_json(self) -> None:
+        """Guards against log lines that nobody can read by a program."""
+        self.replica(lambda _: _OK, "i-1")
+        self.gateway.call("GET", "/read/x")
+        wait_for(lambda: bool(self.gateway.logged("answered")))
+        for line in self.gateway.lines:
+            json.dumps(line, default=str)
+        attempt = self.gateway.logged("attempt")[0]
+        self.assertEqual(attempt["request_id"], "r1")
+        self.assertEqual(attempt["configuration"], 1)
+        self.assertIsNotNone(attempt["fleet_age_s"])
--- /dev/null
+++ b/tests/gateway/test_generations.py
@@ -0,0 +1,191 @@
+"""Generations: memory first, prompt apart, and streams that go on."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Iterable
+
+from standins.replica import (
+    CHUNKED_HEAD,
+    LAST_CHUNK,
+    Action,
+    Received,
+    ScriptedReplica,
+    Step,
+    chunk,
+    respond,
+    respond_json,
+)
+from tests.gateway.case import GatewayCase
+from tests.support.gateways import Answered, wait_for
+
+_SIZES = {"Token-Count": "5200,1760", "Length-Hint": "600"}
+_FULL = respond(503)
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def _stream(*numbers: int) -> list[Step]:
+    events = [chunk(_event(number)) for number in numbers]
+    return [CHUNKED_HEAD, *events, LAST_CHUNK]
+
+
+class Engine:
+    """An engine that reserves, reads prompts, and streams by a script."""
+
+    def __init__(self, stream: Iterable[Step]) -> None:
+        self.stream = stream
+        self.runs: list[Received] = []
+        self.prefills: list[Received] = []
+        self.holds: list[int] = []
+        self.dropped: list[str] = []
+        self.full = False
+
+    def __call__(self, received: Received) -> Iterable[Step]:
+        """Answers one request."""
+        if received.target == "/v1/hold-take":
+            if self.full:
+                return _FULL
+            self.holds.append(json.loads(received.body)["tokens"])
+            return respond_json(200, {"hold": f"h{len(self.holds)}"})
+        if received.method == "DELETE":
+            self.dropped.append(received.target)
+            return respond_json(200, {})
+        if received.header("Stage") == "prefill":
+            self.prefills.append(received)
+            value = {"handle": "k1", "tokens": 5200, "version": 1}
+            return respond_json(200, value)
+        self.runs.append(received)
+        return self.stream
+
+
+class GenerationCase(GatewayCase):
+    def engine(
+        self, name: str, stream: Iterable[Step], stage: str = "decode"
+    ) -> Engine:
+        """Adds an engine."""
+        made = Engine(stream)
+        self.gateway.add(
+            ScriptedReplica(name, made), service="llm", stage=stage
+        )
+        return made
+
+    def generate(self, path: str = "/draft/x", **headers: str) -> Answered:
+        """Sends a generation."""
+        return self.gateway.call("POST", path, b"prompt", {**_SIZES, **headers})
+
+
+class TestPlacement(GenerationCase):
+    def test_memory_then_prompt_then_stream(self) -> None:
+        """Guards against prompts that are read without room to go on."""
+        prefill = self.engine("i-p", [], "prefill")
+        decode = self.engine("i-d", _stream(1, 2))
+        answer = self.generate()
+        self.assertEqual(answer.body, _event(1) + _event(2))
+        self.assertTrue(answer.complete)
+        self.assertEqual(decode.holds, [5808])
+        run = decode.runs[0]
+        self.assertEqual(run.header("Kv-Hold"), "h1")
+        source = run.header("Kv-Source") or ""
+        self.assertTrue(source.endswith("/k1"), source)
+        self.assertEqual(prefill.prefills[0].body, b"prompt")
+        self.assertIsNone(run.header("Stage"))
+
+    def test_full_engine_reads_no_prompt(self) -> None:
+        """Guards against prompts that are read in vain."""
+        prefill = self.engine("i-p", [], "prefill")
+        decode = self.engine("i-d", _stream(1))
+        decode.full = True
+        answer = self.generate(**{"Deadline-Ms": "2500"})
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        self.assertEqual(prefill.prefills, [])
+
+    def test_refusal_does_not_wait_for_the_deadline(self) -> None:
+        """Guards against a refusal that is held back."""
+        decode = self.engine("i-d", _stream(1))
+        decode.full = True
+        self.assertEqual(self.generate().status, 503)
+        waited_s = self.gateway.logged("refused")[0]["waited_s"]
+        self.assertLess(waited_s, 1.5)
+
+    def test_failed_prefill_leaves_the_prompt_to_the_decoder(self) -> None:
+        """Guards against a refusal though the decode engine can read."""
+        self.replica(
+            lambda _: [Action.RESET], "i-p", service="llm", stage="prefill"
+        )
+        decode = self.engine("i-d", _stream(1))
+        self.assertEqual(self.generate().body, _event(1))
+        self.assertIsNone(decode.runs[0].header("Kv-Source"))
+
+    def test_unused_cache_and_memory_are_freed(self) -> None:
+        """Guards against memory that nobody uses."""
+        prefill = self.engine("i-p", [], "prefill")
+        refusing = respond(503, b"", {"Not-Executed": "1"})
+        decode = self.engine("i-d", refusing)
+        self.assertEqual(self.generate().status, 503)
+        self.assertEqual(prefill.dropped, ["/v1/kv-handle/k1"])
+        self.assertEqual(decode.dropped, ["/v1/hold-drop/h1"])
+
+    def test_waiting_generation_takes_room_that_is_given_back(self) -> None:
+        """Guards against a refusal shortly before there is room."""
+        decode = self.engine("i-d", _stream(1))
+        decode.full = True
+        line = self.gateway.parts.context.lines.of("llm")
+
+        def free() -> None:
+            wait_for(lambda: line.length() == 1)
+            decode.full = False
+
+        helper = threading.Thread(target=free)
+        helper.start()
+        self.assertEqual(self.generate().status, 200)
+        helper.join()
+
+
+class TestStreams(GenerationCase):
+    def test_resumable_stream_goes_on_elsewhere(self) -> None:
+        """Guards against pieces that are missing, come twice, or are mixed."""
+        broken = [
+            CHUNKED_HEAD,
+            chunk(_event(1) + _event(2) + b"id: 3\nda"),
+            Action.RESET,
+        ]
+        first = self.engine("i-1", broken)
+        second = self.engine("i-2", _stream(3, 4))
+        # The engine that breaks off has to be the first one.
+        tables = self.gateway.parts.context.tables
+        tables.begin(tables.fleet().by_id["i-2"].replica, 10_000)
+        answer = self.generate("/review/x")
+        whole = b"".join(_event(number) for number in (1, 2, 3, 4))
+        self.assertEqual(answer.body, whole)
+        self.assertTrue(answer.complete)
+        self.assertEqual(len(first.runs), 1)
+        self.assertEqual(second.runs[0].header("Last-Event-Id"), "2")
+
+    def test_other_stream_is_cut_off_and_not_repeated(self) -> None:
+        """Guards against a second run of a stream that may not be resumed."""
+        broken = [CHUNKED_HEAD, chunk(_event(1)), Action.RESET]
+        engines = [self.engine(f"i-{n}", broken) for n in range(2)]
+        answer = self.generate("/draft/x")
+        self.assertFalse(answer.complete)
+        self.assertEqual(sum(len(one.runs) for one in engines), 1)
+
+    def test_break_before_the_first_event_is_no_promise(self) -> None:
+        """Guards against a 503 for a stream that may have run."""
+        engines = [self.engine(f"i-{n}", [Action.RESET]) for n in range(2)]
+        self.assertEqual(self.generate("/draft/x").status, 502)
+        self.assertEqual(sum(len(one.runs) for one in engines), 1)
+
+    def test_resumed_run_uses_its_own_prompt(self) -> None:
+        """Guards against a run that goes on from the cache of another."""
+        broken = [CHUNKED_HEAD, chunk(_event(1)), Action.RESET]
+        self.engine("i-1", broken)
+        self.engine("i-2", broken)
+        prefill = self.engine("i-p", [], "prefill")
+        self.generate("/review/x")
+        ids = {one.header("Request-Id") for one in prefill.prefills}
+        self.assertEqual(ids, {"r1"})
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,122 @@
+"""What the store holds is decoded, and what another writer left is refused."""
+
+from __future__ import annotations
+
+import contextlib
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockspan.gateway.values import Kind, Stage
+from burdockspan.platform import documents
+from tests.support.gateways import make_document
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+_ENTRY: dict[str, Any] = {
+    "service": "llm",
+    "address": "10.1.2.3:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "stage": "prefill",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+class TestConfiguration(unittest.TestCase):
+    def test_units_and_kinds_are_decoded(self) -> None:
+        """Guards against milliseconds that are taken for seconds."""
+        decoded = documents.decode_configuration(make_document(7))
+        by_name = {route.name: route for route in decoded.routes}
+        self.assertEqual(decoded.version, 7)
+        self.assertEqual(by_name["read"].timeout_s, 5.0)
+        self.assertIs(by_name["pay"].kind, Kind.NON_IDEMPOTENT)
+        self.assertTrue(by_name["review"].repeatable)
+        self.assertFalse(by_name["draft"].repeatable)
+        self.assertEqual(decoded.limits.header_timeout_s, 0.3)
+        engine = decoded.services_by_name["llm"].engine
+        assert engine is not None
+        self.assertEqual(engine.reservation_s, 2.0)
+
+    def test_split_route_has_all_its_backends(self) -> None:
+        """Guards against a split that sends everything to one service."""
+        document = make_document()
+        shares = [
+            {"service": "app", "weight": 90},
+            {"service": "llm", "weight": 10},
+        ]
+        document["routes"][0]["backends"] = shares
+        decoded = documents.decode_configuration(document)
+        self.assertEqual(len(decoded.routes[0].backends), 2)
+
+    def test_unknown_kind_is_refused(self) -> None:
+        """Guards against a route whose requests may be repeated or not."""
+        document = make_document()
+        document["routes"][0]["kind"] = "other"
+        with self.assertRaises(documents.MalformedError):
+            documents.decode_configuration(document)
+
+    @given(_JSON)
+    def test_any_value_decodes_or_is_refused(self, value: Any) -> None:
+        """Guards against an object that ends the thread that reads it."""
+        with contextlib.suppress(documents.MalformedError):
+            documents.decode_configuration(value)
+
+
+class TestEntry(unittest.TestCase):
+    def test_entry_names_its_endpoint(self) -> None:
+        """Guards against fields that are mixed up."""
+        replica = documents.decode_replica("i-1", _ENTRY)
+        self.assertEqual(replica.incarnation, ("i-1", 1_700_000_000_000))
+        self.assertEqual(replica.address, "10.1.2.3:8080")
+        self.assertIs(replica.stage, Stage.PREFILL)
+        self.assertFalse(replica.leaving)
+
+    def test_entry_of_another_writer_names_no_endpoint(self) -> None:
+        """Guards against requests to what another writer invented."""
+        for key, value in (
+            ("state", "sleeping"),
+            ("state", None),
+            ("stage", "both"),
+            ("address", "10.1.2.3"),
+            ("address", "10.1.2.3:99999"),
+            ("address", "example.com:80"),
+            ("address", 7),
+            ("service", ""),
+            ("service", ["llm"]),
+            ("zone", None),
+            ("slots", "many"),
+            ("slots", True),
+            ("born", 1.5),
+            ("born", "yesterday"),
+        ):
+            with self.subTest(key=key, value=value):
+                entry = {**_ENTRY, key: value}
+                with self.assertRaises(documents.MalformedError):
+                    documents.decode_replica("i-1", entry)
+
+    def test_entry_without_a_field_names_no_endpoint(self) -> None:
+        """Guards against defaults for what must be said."""
+        for key in ("service", "address", "zone", "state"):
+            entry = {name: v for name, v in _ENTRY.items() if name != key}
+            with self.subTest(key), self.assertRaises(documents.MalformedError):
+                documents.decode_replica("i-1", entry)
+
+    @given(_JSON)
+    def test_any_value_decodes_or_is_refused(self, value: Any) -> None:
+        """Guards against an entry that ends the thread that reads it."""
+        with contextlib.suppress(documents.MalformedError):
+            documents.decode_replica("i-1", value)
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,113 @@
+"""Requests of callers are decoded once, and hostile ones are refused."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from burdockspan.gateway.ingress import Caller, RawRequest
+from burdockspan.platform.headers import (
+    keep_answer_headers,
+    keep_request_headers,
+)
+from burdockspan.platform.ingress import decode_call
+
+
+def _raw(**headers: str) -> RawRequest:
+    named = {name.replace("_", "-"): v for name, v in headers.items()}
+    return RawRequest(
+        method="POST",
+        target="/a/b?c=%20",
+        headers=tuple({"Host": "App.Example", **named}.items()),
+        body=b"x",
+        client="10.0.0.1",
+        arrived_s=1.0,
+        caller=Caller(),
+    )
+
+
+class TestDecodeCall(unittest.TestCase):
+    def test_sizes_and_deadline_are_decoded(self) -> None:
+        """Guards against units and orders that are mixed up."""
+        decoded = decode_call(
+            _raw(
+                Request_Id="r1",
+                Deadline_Ms="14000",
+                Token_Count="5200,1760",
+                Length_Hint="700",
+                Last_Event_Id="4",
+            )
+        )
+        assert isinstance(decoded, Ok)
+        call = decoded.ok_value
+        assert call.prompt is not None
+        self.assertEqual((call.host, call.path), ("app.example", "/a/b"))
+        self.assertEqual(call.patience_s, 14.0)
+        self.assertEqual(
+            (call.prompt.tokens, call.prompt.most_output_tokens), (5200, 1760)
+        )
+        self.assertEqual(call.prompt.expected_output_tokens, 700)
+        self.assertEqual(call.last_event_id, "4")
+
+    def test_malformed_requests_are_refused(self) -> None:
+        """Guards against a default for what a caller got wrong."""
+        for changes in (
+            {"Request_Id": ""},
+            {"Request_Id": "a b"},
+            {"Request_Id": "x" * 300},
+            {"Deadline_Ms": "-1"},
+            {"Deadline_Ms": "soon"},
+            {"Deadline_Ms": "1e9"},
+            {"Token_Count": "5"},
+            {"Token_Count": "5,x"},
+            {"Token_Count": "5,6,7"},
+        ):
+            with self.subTest(changes):
+                headers = {"Request_Id": "r1", **changes}
+                self.assertIsInstance(decode_call(_raw(**headers)), Err)
+
+    def test_malformed_estimate_is_no_reason_to_refuse(self) -> None:
+        """Guards against a refusal for a header that only helps."""
+        decoded = decode_call(
+            _raw(Request_Id="r", Token_Count="9,8", Length_Hint="?")
+        )
+        prompt = decoded.unwrap().prompt
+        assert prompt is not None
+        self.assertEqual(prompt.expected_output_tokens, 8)
+
+    @given(st.text(max_size=40), st.text(max_size=40), st.text(max_size=40))
+    def test_any_header_decodes_or_is_refused(
+        self, deadline: str, count: str, hint: str
+    ) -> None:
+        """Guards against a header that ends the handling thread."""
+        decode_call(
+            _raw(
+                Request_Id="r",
+                Deadline_Ms=deadline,
+                Token_Count=count,
+                Length_Hint=hint,
+            )
+        )
+
+
+class TestHeaders(unittest.TestCase):
+    def test_connection_cannot_remove_what_identifies_a_request(self) -> None:
+        """Guards against callers that strip the size of their request."""
+        kept = keep_request_headers(
+            (
+                ("Connection", "Token-Count, X-Mine"),
+                ("Token-Count", "1,2"),
+                ("X-Mine", "1"),
+            )
+        )
+        self.assertEqual(kept, (("Token-Count", "1,2"),))
+
+    def test_answer_keeps_its_length(self) -> None:
+        """Guards against truncated answers that cannot be recognized."""
+        kept = keep_answer_headers(
+            (("Content-Length", "5"), ("Keep-Alive", "timeout=5"), ("A", "b"))
+        )
+        self.assertEqual(kept, (("Content-Length", "5"), ("A", "b")))
