Do not take a short deadline for a second attempt

Change: only less than 0.82 of the timeout counts as a second attempt, and a refused caller is asked to come back after 0.2 of it.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -30,9 +30,12 @@
 # A generation that cannot meet its objective any more waits longer, since its
 # refusal would earn nothing; its caller still has seconds left.
 _LATE_WAIT_S = 2.0
-# Bursts last some seconds; a caller that comes back after this time finds
-# room more likely.
-_FULL_RETRY_AFTER_S = 2.0
+# A caller that comes back after this share of the timeout is past the burst
+# that it was refused in, which lasts some seconds.
+_RETRY_AFTER_SHARE = 0.2
+# Callers wait for most of the timeout. One that waits for less than this share
+# was refused before: its wait and the time to its return are spent.
+_FIRST_ATTEMPT_SHARE = 0.82
 # A prompt that waits longer than this for a prefill engine is read by the
 # decode engine itself.
 _PREFILL_TIMEOUT_S = 0.6
@@ -58,7 +61,9 @@
     context.demand.note_prompt(job.service, prompt.tokens)
     started = _start(context, job, attempts, engine, prompt, None)
     if isinstance(started, Err):
-        return attempts.give_up(started.err_value, _FULL_RETRY_AFTER_S)
+        return attempts.give_up(
+            started.err_value, _RETRY_AFTER_SHARE * job.route.timeout_s
+        )
     running = started.ok_value
     stream = _Stream(context, job, attempts, engine, prompt, running)
     answer = running.answer
@@ -100,9 +105,8 @@
     now_s = context.clock()
     objective_s = job.route.objective_s
     usual_s = _WAIT_SHARE * objective_s
-    # A caller that comes back after a refusal has less than the timeout left.
     late = (
-        job.call.patience_s < job.route.timeout_s - objective_s
+        job.call.patience_s < _FIRST_ATTEMPT_SHARE * job.route.timeout_s
         or now_s - job.call.arrived_s > usual_s
     )
     until_s = job.call.arrived_s + usual_s
