--- a/src/burdockspan/gateway/balance.py
+++ b/src/burdockspan/gateway/balance.py
@@ -8,20 +8,25 @@
 from burdockspan.gateway import evidence, stages
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.orders import Orderer
+from burdockspan.gateway.stages import SettledEngines
 from burdockspan.gateway.values import Stage
 
 
 def balance(
     context: Context,
     orderer: Orderer,
+    settled: SettledEngines,
     value_by_vm: Mapping[str, Any],
+    may_order: bool,
 ) -> None:
     """Orders prefill engines that no burst needs to decode.
 
     Args:
       context: collaborators.
       orderer: sends orders.
+      settled: engines of the last beat.
       value_by_vm: what the live VMs wrote into their objects.
+      may_order: whether this VM has run for long enough to give orders.
     """
     version = context.tables.version()
     if version is None:
@@ -36,9 +41,9 @@
             continue
         demand = stages.combine([one.get(name) for one in demands])
         views = context.tables.views(name, lambda *_: 0.0, Stage.PREFILL)
-        prefill = [view.replica for view in views]
+        prefill = settled.note(name, [view.replica for view in views])
         chosen = stages.choose_engines(prefill, demand)
-        if not chosen:
+        if not chosen or not may_order:
             continue
         context.log(
             "stages unbalanced",
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -148,12 +148,14 @@
         context.log,
     )
 
+    settled = stages.SettledEngines()
     started_s = context.clock()
 
     def tell(value_by_vm: Mapping[str, Any]) -> None:
         context.budget.share_with(len(value_by_vm))
-        if context.clock() - started_s >= _LEAST_UPTIME_S:
-            balance(context, orderer, value_by_vm)
+        uptime_s = context.clock() - started_s
+        may_order = uptime_s >= _LEAST_UPTIME_S
+        balance(context, orderer, settled, value_by_vm, may_order)
 
     return Members(
         settings.vm,
--- a/src/burdockspan/gateway/stages.py
+++ b/src/burdockspan/gateway/stages.py
@@ -131,6 +131,26 @@
     return max(LEAST_PREFILL, math.ceil(busy / _PEAK_UTILIZATION))
 
 
+class SettledEngines:
+    """Engines that were there at the last beat too, by service.
+
+    While endpoints are replaced one after the other, there is one more for
+    some seconds, which is none to give away.
+    """
+
+    def __init__(self) -> None:
+        self._last_by_service: dict[str, frozenset[tuple[str, int]]] = {}
+
+    def note(
+        self, service: str, engines: Sequence[Replica]
+    ) -> tuple[Replica, ...]:
+        """Adds the engines of now; returns those that are settled."""
+        last = self._last_by_service.get(service, frozenset())
+        now = frozenset(one.incarnation for one in engines)
+        self._last_by_service[service] = now
+        return tuple(one for one in engines if one.incarnation in last)
+
+
 def choose_engines(
     prefill: Sequence[Replica], demand: Demand
 ) -> tuple[Replica, ...]:
@@ -189,6 +209,7 @@
 __all__ = [
     "BURST_FACTOR",
     "LEAST_PREFILL",
+    "SettledEngines",
     "Demand",
     "DemandMeter",
     "choose_engines",
--- a/tests/gateway/test_stage_balance.py
+++ b/tests/gateway/test_stage_balance.py
@@ -55,6 +55,16 @@
         chosen = stages.choose_engines(_engines(24), Demand(1.0, _SPEED))
         self.assertEqual(len(chosen), 6)
 
+    def test_engine_that_replaces_another_is_none_to_give_away(self) -> None:
+        """Guards against a release that leaves a single prefill engine."""
+        demand = Demand(1.0, _SPEED)
+        settled = stages.SettledEngines()
+        old, both = _engines(2), _engines(3)
+        self.assertEqual(settled.note("llm", old), ())
+        for now in (both, old):
+            found = settled.note("llm", now)
+            self.assertEqual(stages.choose_engines(found, demand), ())
+
     def test_unknown_load_changes_nothing(self) -> None:
         """Guards against orders before there was any traffic."""
         for demand in (Demand(0.0, _SPEED), Demand(47_000.0, 0.0)):
