Reserve half of the expected answer

Cause: a reservation of the whole expected answer keeps memory that most of the generations of an engine do not use yet. Change: the prompt and half of the estimate are reserved.

--- a/src/burdockspan/gateway/memory.py
+++ b/src/burdockspan/gateway/memory.py
@@ -21,6 +21,9 @@
 _FULL_S = 0.1
 # Engines asked for room in one go; each costs a connection.
 _MOST_ASKED = 4
+# Generations of one engine are at different places of their answers, so that
+# together they hold about half of them at any time.
+_OUTPUT_SHARE = 0.5
 # Engines allocate memory in blocks of so many tokens.
 _BLOCK_TOKENS = 16
 
@@ -45,7 +48,8 @@
 
 def needed_tokens(prompt: Prompt) -> int:
     """Returns the memory that a generation is expected to take."""
-    tokens = prompt.tokens + prompt.expected_output_tokens
+    output = _OUTPUT_SHARE * prompt.expected_output_tokens
+    tokens = prompt.tokens + output
     return _BLOCK_TOKENS * math.ceil(tokens / _BLOCK_TOKENS)
 
 
