Answer completely when an endpoint closes its connection

A complete answer became a 500. Change: a closed socket gets no time limit. Before and after: the new test got 500 and gets 200 and the body. Conclusion: any endpoint that closes its connection was affected.

--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -141,7 +141,9 @@
     def limit_silence(self, silence_s: float) -> None:
         """Changes the longest wait between two parts of the answer."""
         self._watched.limit_s = silence_s
-        if not self.call.streamed:
+        # The socket of an answer that closes its connection is closed with the
+        # last byte of the body.
+        if not self.call.streamed and self._held.sock.fileno() >= 0:
             self._held.sock.settimeout(silence_s)
 
     def read(self, limit_bytes: int) -> Result[bytes, Failure]:
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -101,6 +101,20 @@
         self.assertEqual((answer.status, answer.body), (418, b"\x00\xff"))
         self.assertEqual(answer.headers["Response-Stamp"], "s1")
 
+    def test_answer_that_closes_its_connection_is_complete(self) -> None:
+        """Guards against a complete answer that becomes a 500.
+
+        The library closes the socket with the last byte of such an answer.
+        """
+        head = (
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+            b"Response-Stamp: s\r\nContent-Length: 4\r\n\r\n"
+        )
+        self.replica(lambda _: [head, b"done", Action.CLOSE])
+        for method, target in (("POST", "/pay/x"), ("GET", "/read/x")):
+            answer = self.gateway.call(method, target)
+            self.assertEqual((answer.status, answer.body), (200, b"done"))
+
     def test_answer_of_another_request_is_dropped(self) -> None:
         """Guards against crossed answers on a connection."""
         other = {"Response-Stamp": "s", "Request-Id": "other"}
