--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -159,7 +159,9 @@
             arrivals=self.arrivals,
             last_failure=failure.kind.value if failure else None,
             waited_s=round(context.clock() - job.call.arrived_s, 3),
-            retry_after_s=retry_after_s if reply.status == 503 else None,
+            retry_after_s=round(retry_after_s, 2)
+            if reply.status == 503
+            else None,
             caller_gone=job.caller.gone,
         )
         return reply
--- a/src/burdockspan/gateway/crashes.py
+++ b/src/burdockspan/gateway/crashes.py
@@ -131,7 +131,7 @@
                 "store lost", watching="crashes", cause=error.value
             ),
             lambda: self._log("store regained", watching="crashes"),
-            _WATCH_S,
+            watch_s=_WATCH_S,
         )
 
     def _add(self, name: str, crashes: tuple[Crash, ...]) -> None:
--- a/src/burdockspan/gateway/discovery.py
+++ b/src/burdockspan/gateway/discovery.py
@@ -44,6 +44,7 @@
       adopt_change: takes over one change.
       lost: notes that the store does not answer any more.
       regained: notes that it answers again, before its answer is taken over.
+      heard: notes an answer of the store, with or without a change.
       watch_s: longest wait for a change.
     """
 
@@ -52,6 +53,7 @@
     adopt_change: Callable[[StoredObject], None]
     lost: Callable[[StoreError], None]
     regained: Callable[[], None]
+    heard: Callable[[], None] = lambda: None
     watch_s: float = WATCH_S
 
 
@@ -85,6 +87,7 @@
     if position.failures:
         follower.regained()
     _adopt(follower, position, answer)
+    follower.heard()
     return Position(answer.ok_value.revision), 0.0
 
 
@@ -216,7 +219,8 @@
         note_regained()
 
     kind = platform.kinds.replicas
-    return Follower(kind, adopt_all, adopt_change, lost, regained)
+    heard = tables.note_fleet_heard
+    return Follower(kind, adopt_all, adopt_change, lost, regained, heard)
 
 
 def _make_notices(
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -55,10 +55,7 @@
       store_address: `ip:port` of the platform's object store.
       threads: most requests served at a time.
       grace_s: time from SIGTERM to the end of the process.
-      drain_s: time within which an endpoint that leaves gets no new work.
-      stable_s: length of a disruption's aftermath.
       lease_s: time within which two holders of orders must not take turns.
-      heartbeat_s: interval at which endpoints renew their entries.
       retry_budget: bounds of repeated arrivals.
     """
 
@@ -70,10 +67,7 @@
     metrics_address: str | None = None
     threads: int = 160
     grace_s: float = 8.0
-    drain_s: float = 2.0
-    stable_s: float = 3.0
     lease_s: float = 3.0
-    heartbeat_s: float = 1.2
     retry_budget: RetryBudget = RetryBudget()
 
 
@@ -125,10 +119,7 @@
             default.threads,
         ),
         grace_s=take(section, "grace_s", _SPAN_S, default.grace_s),
-        drain_s=take(section, "drain_s", _SPAN_S, default.drain_s),
-        stable_s=take(section, "stable_s", _SPAN_S, default.stable_s),
         lease_s=take(section, "lease_s", _SPAN_S, default.lease_s),
-        heartbeat_s=take(section, "heartbeat_s", _SPAN_S, default.heartbeat_s),
         retry_budget=_take_budget(section),
     )
 
--- a/src/burdockspan/gateway/tables.py
+++ b/src/burdockspan/gateway/tables.py
@@ -91,7 +91,10 @@
         """Replaces the endpoints by a function of the present ones."""
         with self._lock:
             self._fleet = change(self._fleet)
-            self._fleet_heard_s = self.clock()
+
+    def note_fleet_heard(self) -> None:
+        """Notes that the endpoints are those of the store now."""
+        self._fleet_heard_s = self.clock()
 
     def forget_departed(self) -> None:
         """Removes expired entries, and what is known of departed endpoints."""
