--- a/src/burdockspan/gateway/admission.py
+++ b/src/burdockspan/gateway/admission.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from burdockspan.gateway.values import InboundCall, Route
 from burdockspan.values.clock import Clock
 
 T = TypeVar("T")
@@ -14,6 +15,9 @@
 # Room that other VMs give back is noticed by asking; the own ends of runs wake
 # the line at once.
 _POLL_S = 0.1
+# Callers wait for most of the timeout. One that waits for less than this share
+# was refused before: its wait and the time to its return are spent.
+_FIRST_ATTEMPT_SHARE = 0.82
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +41,11 @@
         return self.late, self.arrived_s, self.number
 
 
+def is_second_attempt(call: InboundCall, route: Route) -> bool:
+    """Returns whether a caller seems to come back after a refusal."""
+    return call.patience_s < _FIRST_ATTEMPT_SHARE * route.timeout_s
+
+
 class WaitingLine:
     """Generations of one service, of which only the first asks for room."""
 
@@ -124,4 +133,4 @@
             return line
 
 
-__all__ = ["Ticket", "WaitingLine", "WaitingLines"]
+__all__ = ["Ticket", "WaitingLine", "WaitingLines", "is_second_attempt"]
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -9,6 +9,7 @@
 
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway import evidence
+from burdockspan.gateway.admission import is_second_attempt
 from burdockspan.gateway.attempts import (
     NOT_STARTED,
     Attempts,
@@ -33,9 +34,6 @@
 # A caller that comes back after this share of the timeout is past the burst
 # that it was refused in, which lasts some seconds.
 _RETRY_AFTER_SHARE = 0.2
-# Callers wait for most of the timeout. One that waits for less than this share
-# was refused before: its wait and the time to its return are spent.
-_FIRST_ATTEMPT_SHARE = 0.82
 # A prompt that waits longer than this for a prefill engine is read by the
 # decode engine itself.
 _PREFILL_TIMEOUT_S = 0.6
@@ -106,7 +104,7 @@
     objective_s = job.route.objective_s
     usual_s = _WAIT_SHARE * objective_s
     late = (
-        job.call.patience_s < _FIRST_ATTEMPT_SHARE * job.route.timeout_s
+        is_second_attempt(job.call, job.route)
         or now_s - job.call.arrived_s > usual_s
     )
     until_s = job.call.arrived_s + usual_s
--- /dev/null
+++ b/tests/gateway/test_bursts.py
@@ -0,0 +1,119 @@
+"""Bursts in which decode memory is full and callers come back.
+
+Callers of one route wait for 0.85 to 1.0 of its timeout. In a burst of twice
+the usual load, some are refused and come back after a fifth of the timeout.
+Those who can still get their answer in time go first.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockspan.gateway.admission import WaitingLine, is_second_attempt
+from burdockspan.gateway.memory import needed_tokens
+from burdockspan.gateway.values import (
+    Backend,
+    InboundCall,
+    Kind,
+    Prompt,
+    Route,
+)
+from tests.support.gateways import wait_for
+
+_ROUTE = Route(
+    name="draft",
+    host="app.example",
+    path_prefix="/draft/",
+    kind=Kind.STREAM,
+    timeout_s=14.0,
+    objective_s=0.9,
+    gap_objective_s=0.3,
+    priority=1,
+    max_attempts=1,
+    resumable=False,
+    backends=(Backend("llm", 1.0),),
+)
+
+
+def _call(patience_s: float) -> InboundCall:
+    return InboundCall(
+        method="POST",
+        target="/draft/x",
+        host="app.example",
+        headers=(),
+        body=b"",
+        request_id="r",
+        patience_s=patience_s,
+        prompt=Prompt(5_200, 1_760, 700),
+        client="10.0.0.1",
+        arrived_s=0.0,
+    )
+
+
+class TestSecondAttempts(unittest.TestCase):
+    @given(st.floats(0.85, 1.0))
+    def test_short_deadline_is_a_first_attempt(self, share: float) -> None:
+        """Guards against first attempts that wait behind all others."""
+        call = _call(share * _ROUTE.timeout_s)
+        self.assertFalse(is_second_attempt(call, _ROUTE))
+
+    @given(st.floats(0.85, 1.0), st.floats(0.0, 0.45))
+    def test_return_after_a_refusal_is_a_second_attempt(
+        self, share: float, waited_s: float
+    ) -> None:
+        """Guards against returning callers that displace first attempts."""
+        timeout_s = _ROUTE.timeout_s
+        patience_s = share * timeout_s - waited_s - 0.2 * timeout_s
+        self.assertTrue(is_second_attempt(_call(patience_s), _ROUTE))
+
+
+class TestLine(unittest.TestCase):
+    def test_first_attempts_get_room_before_second_ones(self) -> None:
+        """Guards against late answers that make others late."""
+        line = WaitingLine(time.monotonic)
+        rooms = threading.Semaphore(0)
+        served: list[str] = []
+
+        def wait(name: str, late: bool, arrived_s: float) -> None:
+            def ask() -> bool | None:
+                return rooms.acquire(blocking=False) or None
+
+            until_s = time.monotonic() + 20.0
+            if line.wait(late, arrived_s, until_s, ask, lambda: False):
+                served.append(name)
+
+        waiting = [("second", True, 1.0), ("b", False, 3.0), ("a", False, 2.0)]
+        threads = []
+        for number, arguments in enumerate(waiting, start=1):
+            threads.append(threading.Thread(target=wait, args=arguments))
+            threads[-1].start()
+            wait_for(lambda number=number: line.length() == number)
+        for number in range(1, 4):
+            rooms.release()
+            line.notify()
+            wait_for(lambda number=number: len(served) == number)
+        for thread in threads:
+            thread.join()
+        self.assertEqual(served, ["a", "b", "second"])
+
+    def test_caller_that_left_makes_room_in_the_line(self) -> None:
+        """Guards against a line whose first place nobody holds."""
+        line = WaitingLine(time.monotonic)
+        until_s = time.monotonic() + 20.0
+        found = line.wait(False, 1.0, until_s, lambda: None, lambda: True)
+        self.assertIsNone(found)
+        self.assertEqual(line.length(), 0)
+
+
+class TestMemory(unittest.TestCase):
+    def test_reservation_covers_the_prompt_and_half_of_the_answer(
+        self,
+    ) -> None:
+        """Guards against memory that is kept for tokens not made yet."""
+        self.assertEqual(needed_tokens(Prompt(5_200, 1_760, 700)), 5_552)
+        self.assertEqual(needed_tokens(Prompt(16, 0, 0)), 16)
