Split the gateway's ingress, and join what stood twice

The two ways to send a request to a replica, the two ways to answer an unreadable request, and the checks of addresses in both kinds of settings are one each.

--- a/src/burdockspan/configuration/converters.py
+++ b/src/burdockspan/configuration/converters.py
@@ -221,7 +221,12 @@
     return bool(re.fullmatch(r"[1-9][0-9]{0,4}", text)) and int(text) < 65536
 
 
+LISTENING = address(unspecified=True)
+REACHABLE = address(unspecified=False)
+
 __all__ = [
+    "LISTENING",
+    "REACHABLE",
     "BYTES",
     "BYTES_PER_S",
     "MILLISECONDS",
--- a/src/burdockspan/configuration/fields.py
+++ b/src/burdockspan/configuration/fields.py
@@ -65,6 +65,19 @@
         report(section, str(key), value, allowed)
 
 
+def check_distinct(
+    section: Section, settings: object, keys: Iterable[str]
+) -> None:
+    """Reports fields of the settings that repeat another one's value."""
+    taken: dict[str, str] = {}
+    for key in keys:
+        value = getattr(settings, key)
+        if value and value in taken:
+            allowed = f"an address other than that of {taken[value]}"
+            report(section, key, value, allowed)
+        taken.setdefault(value, key)
+
+
 def take(section: Section, key: str, convert: Convert[T], default: T) -> T:
     """Returns an optional field, or its default when absent or wrong."""
     value = section.values.get(key)
@@ -130,6 +143,7 @@
     "NO_TEXTS",
     "Convert",
     "Section",
+    "check_distinct",
     "check_keys",
     "field_path",
     "report",
--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -13,14 +13,14 @@
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.crashes import LIFE_S
 from burdockspan.gateway.generation import generate
-from burdockspan.gateway.ingress import (
-    Handler,
+from burdockspan.gateway.ingress import Handler
+from burdockspan.gateway.plain import forward
+from burdockspan.gateway.replies import (
     RawRequest,
     Reply,
     TruncatedError,
     make_problem,
 )
-from burdockspan.gateway.plain import forward
 from burdockspan.gateway.routing import choose_backend, find_route
 from burdockspan.gateway.values import InboundCall
 
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -7,7 +7,7 @@
 from burdockspan.endpoints.sockets import Abort
 from burdockspan.gateway import evidence
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.ingress import Caller, Reply, make_problem
+from burdockspan.gateway.replies import Caller, Reply, make_problem
 from burdockspan.gateway.values import InboundCall, Replica, Route
 from burdockspan.values.placement import Failure, FailureKind
 
--- /dev/null
+++ b/src/burdockspan/gateway/channel.py
@@ -0,0 +1,186 @@
+"""Callers' connections: heads as received, limits, and who has left."""
+
+from __future__ import annotations
+
+import http
+import re
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import waitress.channel
+import waitress.parser
+import waitress.task
+import waitress.utilities
+
+from burdockspan.gateway.replies import (
+    Caller,
+    RawRequest,
+    TruncatedError,
+    make_problem,
+    make_status_line,
+)
+from burdockspan.gateway.values import Limits
+from burdockspan.http.listener import send_problem
+from burdockspan.values.clock import Clock
+
+RAW_KEY = "burdockspan.raw"
+"""Key of the raw request in a WSGI environment."""
+CLOSE_KEY = "burdockspan.close"
+"""Key of the function that ends the connection with its answer."""
+
+_SINGLE_HEADERS = ("Content-Length", "Host", "Transfer-Encoding")
+
+
+class RequestError(waitress.utilities.Error):
+    """An error of a request that could not be read."""
+
+    def __init__(self, code: int, detail: str) -> None:
+        super().__init__(detail)
+        self.code = code
+        self.reason = http.HTTPStatus(code).phrase
+
+
+def make_channel_class(limits: Callable[[], Limits], clock: Clock) -> type:
+    """Returns the class of the connections of one server.
+
+    Args:
+      limits: returns the limits in force.
+      clock: monotonic clock, in seconds.
+    """
+
+    class Parser(waitress.parser.HTTPRequestParser):
+        """Keeps the head as received and applies the limits in force."""
+
+        header_lines: tuple[tuple[str, str], ...] = ()
+        error: Any = None
+
+        def __init__(self, adj: Any) -> None:
+            now = limits()
+            self.started_s = clock()
+            self.arrived_s = self.started_s
+            self._header_bytes = now.header_bytes
+            adj.max_request_body_size = now.body_bytes + 1
+            super().__init__(adj)
+
+        def received(self, data: bytes) -> int:
+            consumed = super().received(data)
+            too_long = self.header_bytes_received > self._header_bytes
+            if too_long and self.error is None:
+                self.error = RequestError(
+                    431, f"headers are longer than {self._header_bytes} bytes"
+                )
+                self.completed = True
+            return consumed
+
+        def parse_header(self, header_plus: bytes) -> None:
+            self.arrived_s = clock()
+            self.header_lines = _read_headers(header_plus)
+            super().parse_header(header_plus)
+
+    class Task(waitress.task.WSGITask):
+        """Passes the request on as received."""
+
+        environ: Any = None
+
+        def get_environment(self) -> dict[str, Any]:
+            held: dict[str, Any] | None = self.environ
+            if held is not None:
+                return held
+            request = self.request
+            channel = self.channel
+            caller = Caller()
+            channel.caller = caller
+            if not channel.connected:
+                caller.leave()
+            made: dict[str, Any] = {
+                RAW_KEY: RawRequest(
+                    method=request.command,
+                    target=request.request_uri,
+                    headers=request.header_lines,
+                    body=request.get_body_stream().read(),
+                    client=channel.addr[0],
+                    arrived_s=request.arrived_s,
+                    caller=caller,
+                ),
+                CLOSE_KEY: self.set_close_on_finish,
+            }
+            self.environ = made
+            return made
+
+        def execute(self) -> None:
+            try:
+                super().execute()
+            except TruncatedError:
+                if not self.chunked_response and self.content_length is None:
+                    # Without a length, only a reset shows that the rest of
+                    # the body is missing.
+                    self.channel.socket.setsockopt(
+                        socket.SOL_SOCKET,
+                        socket.SO_LINGER,
+                        struct.pack("ii", 1, 0),
+                    )
+                raise
+
+    class Problem(waitress.task.ErrorTask):
+        """Answers a request that could not be read."""
+
+        def execute(self) -> None:
+            error = self.request.error
+            detail = str(error.body) or "request is malformed"
+            reply = make_problem(error.code, "malformed", detail)
+            status = make_status_line(reply.status)
+            send_problem(self, status, reply.headers, b"".join(reply.body))
+
+    class Channel(waitress.channel.HTTPChannel):
+        """A caller's connection."""
+
+        parser_class = Parser
+        task_class = Task
+        error_task_class = Problem
+        caller: Caller | None = None
+
+        def handle_close(self) -> None:
+            super().handle_close()
+            if self.caller is not None:
+                self.caller.leave()
+
+    return Channel
+
+
+def _read_headers(header_plus: bytes) -> tuple[tuple[str, str], ...]:
+    """Returns the headers of a head, and refuses ambiguous ones.
+
+    Raises:
+      waitress.parser.ParsingError: a header that delimits the request is
+        repeated or conflicts with another one.
+    """
+    _, _, block = header_plus.partition(b"\r\n")
+    if re.search(rb"(?m)^[ \t]", block):
+        # Readers of folded lines disagree about them, RFC 9112 section 5.2.
+        raise waitress.parser.ParsingError("a header line is folded")
+    lines = waitress.parser.get_header_lines(block)
+    found = []
+    for line in lines:
+        name, _, value = line.partition(b":")
+        text = value.strip(b" \t").decode("latin-1")
+        found.append((name.decode("latin-1"), text))
+    for single in _SINGLE_HEADERS:
+        count = sum(name.lower() == single.lower() for name, _ in found)
+        if count > 1:
+            raise waitress.parser.ParsingError(f"{single} is repeated")
+    names = {name.lower() for name, _ in found}
+    if {"content-length", "transfer-encoding"} <= names:
+        raise waitress.parser.ParsingError(
+            "Content-Length conflicts with Transfer-Encoding"
+        )
+    first = header_plus.split(b"\r\n", 1)[0]
+    if re.search(rb"[^!-~ ]", first):
+        raise waitress.parser.ParsingError(
+            "request line has characters outside printable ASCII"
+        )
+    return tuple(found)
+
+
+__all__ = ["CLOSE_KEY", "RAW_KEY", "RequestError", "make_channel_class"]
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -19,9 +19,9 @@
 from burdockspan.gateway.choice import exclude, rank_prefill
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.events import Progress, take_events
-from burdockspan.gateway.ingress import Reply, TruncatedError
 from burdockspan.gateway.memory import Room, take_room
 from burdockspan.gateway.ports import Answer, Cache, RunOptions
+from burdockspan.gateway.replies import Reply, TruncatedError
 from burdockspan.gateway.values import Engine, Prompt, Stage
 from burdockspan.values.placement import Failure, FailureKind
 
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -17,8 +17,8 @@
 )
 from burdockspan.gateway.choice import exclude, rank_plain
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.ingress import Reply, TruncatedError
 from burdockspan.gateway.ports import Answer, RunOptions
+from burdockspan.gateway.replies import Reply, TruncatedError
 from burdockspan.gateway.values import Kind, Replica
 from burdockspan.values.placement import Failure
 
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -10,7 +10,7 @@
 from result import Result
 
 from burdockspan.endpoints.sockets import Abort
-from burdockspan.gateway.ingress import RawRequest
+from burdockspan.gateway.replies import RawRequest
 from burdockspan.gateway.values import (
     Configuration,
     InboundCall,
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -23,11 +23,12 @@
     make_followers,
 )
 from burdockspan.gateway.full import FullMarks
-from burdockspan.gateway.ingress import make_ingress, make_status_line
+from burdockspan.gateway.ingress import make_ingress
 from burdockspan.gateway.members import BEAT_S, UNKNOWN_VMS, Members
 from burdockspan.gateway.members import run as run_members
 from burdockspan.gateway.orders import Orderer
 from burdockspan.gateway.ports import Platform
+from burdockspan.gateway.replies import make_status_line
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.tables import Tables
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -9,6 +9,7 @@
 from burdockspan.configuration import converters, strict_yaml
 from burdockspan.configuration.fields import (
     Section,
+    check_distinct,
     check_keys,
     report,
     take,
@@ -20,8 +21,6 @@
     r"[A-Za-z0-9][A-Za-z0-9_.-]{0,127}",
     "a name of up to 128 letters, digits, '.', '-' and '_'",
 )
-_LISTENING = converters.address(unspecified=True)
-_REACHABLE = converters.address(unspecified=False)
 _THREADS_LIMIT = 4096
 _SPAN_S = converters.quantity(converters.SECONDS, "s", 0.0, 3600.0)
 
@@ -92,7 +91,11 @@
     names = (field.name for field in dataclasses.fields(GatewaySettings))
     check_keys(section, names)
     settings = _take_settings(section)
-    _check_addresses(section, settings)
+    check_distinct(
+        section,
+        settings,
+        ("caller_address", "ready_address", "metrics_address"),
+    )
     if section.problems:
         return Err(tuple(section.problems))
     return Ok(settings)
@@ -100,7 +103,7 @@
 
 def _take_settings(section: Section) -> GatewaySettings:
     def optional(value: object) -> Result[str | None, str]:
-        return _LISTENING(value)
+        return converters.LISTENING(value)
 
     default = GatewaySettings
     return GatewaySettings(
@@ -108,9 +111,15 @@
         availability_zone=take_required(
             section, "availability_zone", _NAME, ""
         ),
-        caller_address=take_required(section, "caller_address", _LISTENING, ""),
-        ready_address=take_required(section, "ready_address", _LISTENING, ""),
-        store_address=take_required(section, "store_address", _REACHABLE, ""),
+        caller_address=take_required(
+            section, "caller_address", converters.LISTENING, ""
+        ),
+        ready_address=take_required(
+            section, "ready_address", converters.LISTENING, ""
+        ),
+        store_address=take_required(
+            section, "store_address", converters.REACHABLE, ""
+        ),
         metrics_address=take(section, "metrics_address", optional, None),
         threads=take(
             section,
@@ -143,14 +152,4 @@
     )
 
 
-def _check_addresses(section: Section, settings: GatewaySettings) -> None:
-    taken: dict[str, str] = {}
-    for key in ("caller_address", "ready_address", "metrics_address"):
-        value = getattr(settings, key)
-        if value and value in taken:
-            allowed = f"an address other than that of {taken[value]}"
-            report(section, key, value, allowed)
-        taken.setdefault(value, key)
-
-
 __all__ = ["GatewaySettings", "RetryBudget", "load_gateway_settings"]
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -127,6 +127,17 @@
     ]
 
 
+def send_problem(
+    task: Any, status: str, headers: Iterable[tuple[str, str]], body: bytes
+) -> None:
+    """Answers a request that could not be read, and ends its connection."""
+    task.status = status
+    task.response_headers.extend(headers)
+    task.set_close_on_finish()
+    task.content_length = len(body)
+    task.write(body)
+
+
 class _Loop:
     """The loop of a server.
 
@@ -181,4 +192,5 @@
     "Server",
     "WsgiApplication",
     "make_server",
+    "send_problem",
 ]
--- a/src/burdockspan/http/server.py
+++ b/src/burdockspan/http/server.py
@@ -18,6 +18,7 @@
     HEADER_LIMIT_BYTES,
     Server,
     make_server,
+    send_problem,
 )
 from burdockspan.http.parsing import check_key, make_too_large
 from burdockspan.http.refusals import (
@@ -102,13 +103,9 @@
                 refusal = hedge(refusal)
             request_id = make_request_id()
             reply = make_refusal_reply(refusal, request_id)
-            self.status = make_status_line(reply.status)
-            self.response_headers.extend(reply.headers)
-            self.response_headers.append((REQUEST_ID_HEADER, request_id))
-            self.set_close_on_finish()
-            body = b"".join(reply.body)
-            self.content_length = len(body)
-            self.write(body)
+            headers = [*reply.headers, (REQUEST_ID_HEADER, request_id)]
+            status = make_status_line(reply.status)
+            send_problem(self, status, headers, b"".join(reply.body))
 
     class Channel(waitress.channel.HTTPChannel):
         """A caller's connection."""
--- a/src/burdockspan/platform/ingress.py
+++ b/src/burdockspan/platform/ingress.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway.ingress import RawRequest
+from burdockspan.gateway.replies import RawRequest
 from burdockspan.gateway.values import InboundCall, Prompt
 from burdockspan.platform import headers as names
 
--- a/src/burdockspan/platform/replicas.py
+++ b/src/burdockspan/platform/replicas.py
@@ -31,6 +31,8 @@
 _CONNECT_TIMEOUT_S = 0.25
 # A reservation, a release or a report takes some milliseconds.
 _CONTROL_TIMEOUT_S = 0.5
+# A socket without time left would not block, which is another mode.
+_LEAST_WAIT_S = 0.001
 _CONTROL_ANSWER_BYTES = 4 * 1024 * 1024
 _MISDIRECTED = 421
 
@@ -46,30 +48,16 @@
     def run(
         replica: Replica, call: InboundCall, options: RunOptions
     ) -> Result[Answer, Failure]:
-        started = _start(connections, replica, call, options, {})
-        if isinstance(started, Err):
-            return started
-        exchange = started.ok_value
-        failure = _judge(replica, call, exchange)
-        if failure is not None:
-            exchange.close()
-            return Err(failure)
-        return Ok(_make_answer(exchange))
+        answered = _ask(connections, replica, call, options)
+        return answered.map(_make_answer)
 
     def prefill(
         replica: Replica, call: InboundCall, options: RunOptions
     ) -> Result[Cache, Failure]:
-        started = _start(
-            connections, replica, call, options, {names.STAGE: "prefill"}
-        )
-        if isinstance(started, Err):
-            return started
-        exchange = started.ok_value
-        failure = _judge(replica, call, exchange, staged=True)
-        if failure is not None:
-            exchange.close()
-            return Err(failure)
-        value = _read_json(replica, exchange)
+        answered = _ask(connections, replica, call, options, staged=True)
+        if isinstance(answered, Err):
+            return answered
+        value = _read_json(replica, answered.ok_value)
         if isinstance(value, Err):
             return value
         handle = value.ok_value.get("handle")
@@ -134,13 +122,46 @@
     )
 
 
-def _start(
+def _ask(
     connections: Connections,
     replica: Replica,
     call: InboundCall,
     options: RunOptions,
-    extra: Mapping[str, str],
+    staged: bool = False,
 ) -> Result[Exchange, Failure]:
+    """Sends a request; returns its answer, whose body is unread.
+
+    Args:
+      connections: opens a connection.
+      replica: endpoint to ask.
+      call: the request.
+      options: how it runs.
+      staged: whether only the prompt is read.
+    """
+    headers = _encode_headers(replica, call, options, staged)
+    request = Call(
+        endpoint=_as_endpoint(replica),
+        method=call.method,
+        path=call.target,
+        body=call.body or None,
+        headers=headers,
+        first_byte_timeout_s=max(_LEAST_WAIT_S, options.wait_s),
+        silence_s=max(_LEAST_WAIT_S, options.wait_s),
+        fresh=True,
+    )
+    started = connections.start(request, options.abort)
+    if isinstance(started, Err):
+        return started
+    failure = _judge(replica, call, started.ok_value, staged)
+    if failure is not None:
+        started.ok_value.close()
+        return Err(failure)
+    return started
+
+
+def _encode_headers(
+    replica: Replica, call: InboundCall, options: RunOptions, staged: bool
+) -> urllib3.HTTPHeaderDict:
     headers = urllib3.HTTPHeaderDict()
     replaced = set()
     if options.after_event is not None:
@@ -156,20 +177,10 @@
         headers.add(names.KV_SOURCE, source)
     if options.reservation is not None:
         headers.add(names.KV_HOLD, options.reservation)
-    for name, value in extra.items():
-        headers.add(name, value)
+    if staged:
+        headers.add(names.STAGE, "prefill")
     _skip_library_headers(headers)
-    request = Call(
-        endpoint=_as_endpoint(replica),
-        method=call.method,
-        path=call.target,
-        body=call.body or None,
-        headers=headers,
-        first_byte_timeout_s=max(0.001, options.wait_s),
-        silence_s=max(0.001, options.wait_s),
-        fresh=True,
-    )
-    return connections.start(request, options.abort)
+    return headers
 
 
 def _skip_library_headers(headers: urllib3.HTTPHeaderDict) -> None:
@@ -182,7 +193,7 @@
     replica: Replica,
     call: InboundCall,
     exchange: Exchange,
-    staged: bool = False,
+    staged: bool,
 ) -> Failure | None:
     """Returns why an answer is none to this request, None if it is one.
 
@@ -218,10 +229,10 @@
 
 def _make_answer(exchange: Exchange) -> Answer:
     def iterate(wait_s: Callable[[], float]) -> Iterator[bytes]:
-        exchange.limit_silence(max(0.001, wait_s()))
+        exchange.limit_silence(max(_LEAST_WAIT_S, wait_s()))
         for part in exchange.iterate():
             yield part
-            exchange.limit_silence(max(0.001, wait_s()))
+            exchange.limit_silence(max(_LEAST_WAIT_S, wait_s()))
 
     return Answer(
         status=exchange.status,
--- a/src/burdockspan/settings.py
+++ b/src/burdockspan/settings.py
@@ -9,8 +9,8 @@
 from burdockspan.configuration import converters, strict_yaml
 from burdockspan.configuration.fields import (
     Section,
+    check_distinct,
     check_keys,
-    report,
     take,
     take_required,
 )
@@ -20,8 +20,6 @@
     r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}",
     "a name of up to 63 letters, digits, '-' and '_'",
 )
-_LISTENING = converters.address(unspecified=True)
-_REACHABLE = converters.address(unspecified=False)
 _THREADS_LIMIT = 4096
 
 
@@ -76,7 +74,11 @@
     section = Section(path, "", values.ok_value, [])
     check_keys(section, (field.name for field in dataclasses.fields(Settings)))
     settings = _take_settings(section)
-    _check_addresses(section, settings)
+    check_distinct(
+        section,
+        settings,
+        ("caller_address", "admin_address", "peer_address"),
+    )
     if section.problems:
         return Err(tuple(section.problems))
     return Ok(settings)
@@ -84,7 +86,7 @@
 
 def _take_settings(section: Section) -> Settings:
     def optional(value: object) -> Result[str | None, str]:
-        return _REACHABLE(value)
+        return converters.REACHABLE(value)
 
     def optional_url(value: object) -> Result[str | None, str]:
         return converters.url(value)
@@ -95,13 +97,21 @@
             section, "availability_zone", _NAME, ""
         ),
         region=take_required(section, "region", _NAME, ""),
-        caller_address=take_required(section, "caller_address", _LISTENING, ""),
-        admin_address=take_required(section, "admin_address", _LISTENING, ""),
-        peer_address=take_required(section, "peer_address", _REACHABLE, ""),
+        caller_address=take_required(
+            section, "caller_address", converters.LISTENING, ""
+        ),
+        admin_address=take_required(
+            section, "admin_address", converters.LISTENING, ""
+        ),
+        peer_address=take_required(
+            section, "peer_address", converters.REACHABLE, ""
+        ),
         platform_url=take_required(
             section, "platform_url", converters.base_url, ""
         ),
-        peers=take(section, "peers", converters.list_of(_REACHABLE), ()),
+        peers=take(
+            section, "peers", converters.list_of(converters.REACHABLE), ()
+        ),
         statsd_address=take(section, "statsd_address", optional, None),
         traces_url=take(section, "traces_url", optional_url, None),
         trace_ratio=take(
@@ -116,14 +126,4 @@
     )
 
 
-def _check_addresses(section: Section, settings: Settings) -> None:
-    taken: dict[str, str] = {}
-    for key in ("caller_address", "admin_address", "peer_address"):
-        value = getattr(settings, key)
-        if value and value in taken:
-            allowed = f"an address other than that of {taken[value]}"
-            report(section, key, value, allowed)
-        taken.setdefault(value, key)
-
-
 __all__ = ["Settings", "load_settings"]
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from burdockspan.gateway.ingress import Caller, RawRequest
+from burdockspan.gateway.replies import Caller, RawRequest
 from burdockspan.platform.headers import (
     keep_answer_headers,
     keep_request_headers,
