Refuse streams that begin late after SIGTERM

The load balancer goes on sending connections to the only VM of a zone that is stopping; streams that began 4 to 6 s after SIGTERM were cut off when the grace time ended. Change: 2.5 s after SIGTERM a process begins no stream, and no other request that may not end in time. It refuses them as not run and asks the caller to come back once the process has ended. Measurements of VMs that were not renewed for 12 s no longer count for stage orders.

--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -27,6 +27,8 @@
 # A VM that starts has a configuration within a few calls to the store.
 _UNREADY_RETRY_AFTER_S = 1.0
 _OVERLOADED_RETRY_AFTER_S = 1.0
+# A process that has stopped is started again after a moment.
+_RESTART_S = 0.5
 
 
 class Running:
@@ -139,6 +141,9 @@
         )
         detail = f"configuration {number} has no route for this host and path"
         return Err(make_problem(404, "not_run", detail))
+    deadline_s = call.arrived_s + min(call.patience_s, route.timeout_s)
+    if not context.stopping.accepts(route, deadline_s):
+        return Err(_refuse_stopping(context, call))
     abort = Abort()
     raw.caller.on_gone(abort.abort)
     return Ok(
@@ -147,7 +152,7 @@
             route=route,
             service=choose_backend(route, context.draw),
             version=version.configuration.version,
-            deadline_s=call.arrived_s + min(call.patience_s, route.timeout_s),
+            deadline_s=deadline_s,
             caller=raw.caller,
             abort=abort,
         )
@@ -166,6 +171,18 @@
     return make_problem(503, "not_run", detail, LIFE_S)
 
 
+def _refuse_stopping(context: Context, call: InboundCall) -> Reply:
+    context.registry.count("refusal", "stopping")
+    context.log(
+        "refused", request_id=call.request_id, status=503, reason="stopping"
+    )
+    detail = "this router is stopping and could not finish the request"
+    # In a zone without another VM, callers that come back before the process
+    # has ended would meet it again.
+    left_s = max(0.0, context.stopping.ends_s - context.clock())
+    return make_problem(503, "not_run", detail, left_s + _RESTART_S)
+
+
 def _refuse_unready(context: Context, call: InboundCall) -> Reply:
     context.registry.count("refusal", "no_configuration")
     context.log(
--- a/src/burdockspan/gateway/balance.py
+++ b/src/burdockspan/gateway/balance.py
@@ -25,7 +25,7 @@
       context: collaborators.
       orderer: sends orders.
       settled: engines of the last beat.
-      value_by_vm: what the live VMs wrote into their objects.
+      value_by_vm: what the VMs wrote into their objects lately.
       may_order: whether this VM has run for long enough to give orders.
     """
     version = context.tables.version()
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -10,6 +10,7 @@
 from burdockspan.gateway.full import FullMarks
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.stages import DemandMeter
+from burdockspan.gateway.stopping import Stopping
 from burdockspan.gateway.tables import Tables
 from burdockspan.observe.decisions import Write
 from burdockspan.observe.registry import Registry
@@ -29,6 +30,7 @@
       demand: prompts that arrive at this VM.
       full: engines that lately had no room.
       lines: generations that wait for decode memory, by service.
+      stopping: the graceful stop of this process.
       clock: monotonic clock, in seconds.
       draw: uniform floats from 0 to 1.
       log: writes a line about a decision.
@@ -42,6 +44,7 @@
     demand: DemandMeter
     full: FullMarks
     lines: WaitingLines
+    stopping: Stopping
     clock: Clock
     draw: Draw
     log: Write
--- a/src/burdockspan/gateway/members.py
+++ b/src/burdockspan/gateway/members.py
@@ -23,6 +23,9 @@
 # these intervals; each interval costs a write and a list.
 BEAT_S = 8.0
 _GONE_AFTER_S = 3 * BEAT_S
+# What a VM measured counts for a shorter time: once it is gone, its traffic
+# shows in what the others measure.
+_FRESH_S = 1.5 * BEAT_S
 # Objects of departed VMs are removed after this time.
 _REMOVE_AFTER_S = 20 * BEAT_S
 # Until the store has been read, a share is taken that any fleet can bear.
@@ -73,8 +76,8 @@
 class Members:
     """Renews this VM's object and counts the others.
 
-    What `describe` returns stands in the object; `tell` gets the contents of
-    the objects of all live VMs, by VM.
+    What `describe` returns stands in the object; `tell` gets the number of
+    live VMs, and the contents of the objects that were renewed lately, by VM.
     """
 
     def __init__(
@@ -83,7 +86,7 @@
         store: Store,
         clock: Clock,
         describe: Callable[[], dict[str, Any]],
-        tell: Callable[[Mapping[str, Any]], None],
+        tell: Callable[[int, Mapping[str, Any]], None],
         log: Write,
     ) -> None:
         self._vm = vm
@@ -122,13 +125,12 @@
         if live != self._counted:
             self._log("vms counted", live=live, listed=len(objects))
             self._counted = live
-        self._tell(
-            {
-                held.name: held.value
-                for held in objects
-                if is_live(self._seen[held.name], now_s)
-            }
-        )
+        fresh = {
+            held.name: held.value
+            for held in objects
+            if now_s - self._seen[held.name].changed_s <= _FRESH_S
+        }
+        self._tell(live, fresh)
         for vm in departed(self._seen, now_s):
             if vm != self._vm:
                 self._log("departed vm removed", member=vm)
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -31,6 +31,7 @@
 from burdockspan.gateway.replies import make_status_line
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.gateway.stages import DemandMeter
+from burdockspan.gateway.stopping import Stopping
 from burdockspan.gateway.tables import Tables
 from burdockspan.http.listener import Server, make_server
 from burdockspan.observe.decisions import Write, make_decision_log
@@ -47,11 +48,6 @@
 # of its own; in the queue of waitress they would wait unseen.
 _SPARE_THREADS = 4
 _STATUS_THREADS = 1
-# The load balancer asks once a second and takes a VM out after two misses;
-# until then it still sends new connections.
-_LEAVE_ROTATION_S = 3.0
-# Left of the grace time for closing connections and writing the log.
-_CLOSING_S = 0.5
 _TICK_S = 0.1
 # A VM gives orders only once it has measured the load more than once.
 _LEAST_UPTIME_S = 2 * BEAT_S
@@ -69,7 +65,6 @@
       status_servers: readiness and metrics.
       members: counts the VMs.
       running: counts the requests that are being handled.
-      stopping: set once the process is to stop.
       stopped: set once its threads are to end.
     """
 
@@ -79,7 +74,6 @@
     status_servers: tuple[Server, ...]
     members: Members
     running: Running
-    stopping: threading.Event
     stopped: threading.Event
 
 
@@ -110,22 +104,23 @@
         demand=DemandMeter(clock),
         full=FullMarks(),
         lines=WaitingLines(clock),
+        stopping=Stopping(settings.grace_s, clock),
         clock=clock,
         draw=random.Random().random,
         log=log,
         registry=make_registry(),
     )
     running = Running(settings.threads)
-    stopping = threading.Event()
+    stopping = context.stopping
     ingress = make_ingress(
         make_handler(context, running),
         settings.caller_address,
         settings.threads + _SPARE_THREADS,
         tables.limits,
-        stopping.is_set,
+        lambda: stopping.begun,
         clock,
     )
-    status_servers = _make_status_servers(settings, context, stopping)
+    status_servers = _make_status_servers(settings, context)
     return Parts(
         settings,
         context,
@@ -133,7 +128,6 @@
         status_servers,
         _make_members(settings, context),
         running,
-        stopping,
         threading.Event(),
     )
 
@@ -152,8 +146,8 @@
     settled = stages.SettledEngines()
     started_s = context.clock()
 
-    def tell(value_by_vm: Mapping[str, Any]) -> None:
-        context.budget.share_with(len(value_by_vm))
+    def tell(live: int, value_by_vm: Mapping[str, Any]) -> None:
+        context.budget.share_with(live)
         uptime_s = context.clock() - started_s
         may_order = uptime_s >= _LEAST_UPTIME_S
         balance(context, orderer, settled, value_by_vm, may_order)
@@ -210,13 +204,15 @@
     log = make_decision_log(settings.vm, clock, make_wall_clock())
     log.start()
     parts = make_parts(settings, make_platform, clock, log.write)
-    _handle_signals(parts.stopping, log.write)
+    terminated = threading.Event()
+    _handle_signals(terminated, log.write)
     log.write("started", settings=settings)
     start(parts)
-    while not parts.stopping.wait(_TICK_S):
+    while not terminated.wait(_TICK_S):
         parts.context.tables.forget_departed()
+    parts.context.stopping.begin()
     log.write("stopping", running=parts.running.count)
-    _drain(settings, parts.ingress, parts.context.tables, clock)
+    _drain(parts)
     log.write("stopped", running=parts.running.count)
     stop(parts)
     log.close()
@@ -233,7 +229,7 @@
 
 
 def _handle_signals(
-    stopping: threading.Event, log: Callable[..., None]
+    terminated: threading.Event, log: Callable[..., None]
 ) -> None:
     def reload(*_: Any) -> None:
         # All settings are read at the start; what changes at run time comes
@@ -243,38 +239,37 @@
         ).start()
 
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
+        signal.signal(number, lambda *_: terminated.set())
     signal.signal(signal.SIGHUP, reload)
 
 
-def _drain(
-    settings: GatewaySettings, ingress: Server, tables: Tables, clock: Clock
-) -> None:
+def _drain(parts: Parts) -> None:
     """Serves until all requests have ended or the grace time is over."""
-    begun_s = clock()
-    end_s = begun_s + max(0.0, settings.grace_s - _CLOSING_S)
-    leave_s = min(end_s, begun_s + _LEAVE_ROTATION_S)
+    context = parts.context
+    stopping = context.stopping
     waiting = threading.Event()
-    while clock() < end_s and (clock() < leave_s or ingress.busy()):
-        tables.forget_departed()
+    while context.clock() < stopping.ends_s and (
+        not stopping.left_rotation() or parts.ingress.busy()
+    ):
+        context.tables.forget_departed()
         waiting.wait(_TICK_S)
 
 
-def is_ready(context: Context, stopping: Callable[[], bool]) -> bool:
+def is_ready(context: Context) -> bool:
     """Returns whether callers should be sent to this VM."""
     version = context.tables.version()
-    if stopping() or version is None:
+    if context.stopping.begun or version is None:
         return False
     return context.tables.serves(version.configuration.services_by_name)
 
 
 def _make_status_servers(
-    settings: GatewaySettings, context: Context, stopping: threading.Event
+    settings: GatewaySettings, context: Context
 ) -> tuple[Server, ...]:
     last = {"ready": False}
 
     def answer_ready(_: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        ready = is_ready(context, stopping.is_set)
+        ready = is_ready(context)
         if ready != last["ready"]:
             last["ready"] = ready
             context.log("readiness changed", ready=ready)
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -10,6 +10,8 @@
 from burdockspan.gateway import members
 from burdockspan.gateway.budget import RetryLedger
 from burdockspan.gateway.settings import RetryBudget
+from burdockspan.platform.store import make_store
+from standins.object_store import ObjectStore
 
 _BOUNDS = RetryBudget(ratio=0.2, slack=58, window_s=10.0)
 
@@ -63,6 +65,27 @@
 
 
 class TestMembers(unittest.TestCase):
+    def test_measurements_of_a_dead_vm_do_not_count(self) -> None:
+        """Guards against a load that counts the callers of a dead VM twice."""
+        platform = ObjectStore()
+        self.addCleanup(platform.close)
+        now_s = [0.0]
+        told: list[tuple[int, list[str]]] = []
+        member = members.Members(
+            "alive",
+            make_store(platform.address, lambda: now_s[0]),
+            lambda: now_s[0],
+            dict,
+            lambda live, fresh: told.append((live, sorted(fresh))),
+            lambda event, **fields: None,
+        )
+        platform.put(members.KIND, "dead", {"beat": 1})
+        for _ in range(3):
+            member.beat()
+            now_s[0] += members.BEAT_S
+        both = (2, ["alive", "dead"])
+        self.assertEqual(told, [both, both, (2, ["alive"])])
+
     def test_silent_vm_counts_until_it_is_surely_gone(self) -> None:
         """Guards against shares that grow while a VM is only cut off."""
         seen = members.observe({}, {"a": 1, "b": 1}, 0.0)
--- a/tests/gateway/test_bursts.py
+++ b/tests/gateway/test_bursts.py
@@ -25,7 +25,7 @@
 )
 from tests.support.gateways import wait_for
 
-_ROUTE = Route(
+ROUTE = Route(
     name="draft",
     host="app.example",
     path_prefix="/draft/",
@@ -59,17 +59,17 @@
     @given(st.floats(0.85, 1.0))
     def test_short_deadline_is_a_first_attempt(self, share: float) -> None:
         """Guards against first attempts that wait behind all others."""
-        call = _call(share * _ROUTE.timeout_s)
-        self.assertFalse(is_second_attempt(call, _ROUTE))
+        call = _call(share * ROUTE.timeout_s)
+        self.assertFalse(is_second_attempt(call, ROUTE))
 
     @given(st.floats(0.85, 1.0), st.floats(0.0, 0.45))
     def test_return_after_a_refusal_is_a_second_attempt(
         self, share: float, waited_s: float
     ) -> None:
         """Guards against returning callers that displace first attempts."""
-        timeout_s = _ROUTE.timeout_s
+        timeout_s = ROUTE.timeout_s
         patience_s = share * timeout_s - waited_s - 0.2 * timeout_s
-        self.assertTrue(is_second_attempt(_call(patience_s), _ROUTE))
+        self.assertTrue(is_second_attempt(_call(patience_s), ROUTE))
 
 
 class TestLine(unittest.TestCase):
