--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -5,6 +5,7 @@
 import dataclasses
 import http.client
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
@@ -203,11 +204,12 @@
     Raises:
       AssertionError: it did not hold within a generous time.
     """
+    pause = threading.Event()
     end_s = time.monotonic() + _GENEROUS_S
     while not condition():
         if time.monotonic() > end_s:
             raise AssertionError("condition did not come true in time")
-        time.sleep(0.01)
+        pause.wait(0.01)
 
 
 __all__ = [
