Keep the end of a slow reader's answer in the stopped process

The known-red test of a planned stop failed in most runs with "TimeoutExpired not raised". Cause, from a trace of three failing runs: the process ended 1.2 s after SIGTERM with code 0 and the caller read all 24,000,147 bytes afterwards. With a receive window of up to 32 MB the kernels held the whole rest of the answer, so the process had nothing left to wait for. No byte was lost; the test's assumption was wrong.

Change: the caller of the test has a receive buffer of 32 KB, so that the end of the answer stays in the process. The assertions are unchanged. Ruled out: a loss in the product (all bytes arrive, and the process ends with 0).

--- a/tests/system/test_planned_stops.py
+++ b/tests/system/test_planned_stops.py
@@ -4,6 +4,7 @@
 
 import http.client
 import signal
+import socket
 import subprocess
 import time
 import unittest
@@ -31,7 +32,10 @@
 _IN_FORCE_LIMIT_S = 6.0
 _EXIT_LIMIT_S = 20.0
 _ANSWER_BYTES = 24_000_000
-_PART_BYTES = 500_000
+_PART_BYTES = 50_000
+# The receiver's window is at most this, which also keeps the sender's kernel
+# buffer small: a megabyte that the caller has not read stays in the process.
+_RECEIVE_BUFFER_BYTES = 32_768
 
 
 class PlannedStopsTest(unittest.TestCase):
@@ -102,13 +106,14 @@
         plan = make_plan(entries=2, prefill=0, decode=0)
         with running_fleet(plan) as fleet:
             stopped = fleet.entries[0]
-            connection = http.client.HTTPConnection(stopped.address, timeout=30)
+            connection = _connect_with_small_buffer(stopped)
             path = f"/services/hajz-app/status?bytes={_ANSWER_BYTES}"
             connection.request("GET", path, None, AUTHORIZATION)
             response = connection.getresponse()
             read_bytes = 0
             # The end of the answer waits in the process once its last part
-            # fits into the output buffer.
+            # fits into the output buffer. The kernels' buffers are too small
+            # to take it from there.
             while not _is_idle(stopped):
                 read_bytes += len(response.read(_PART_BYTES))
             stopped.signal(signal.SIGTERM)
@@ -147,6 +152,18 @@
         return True
 
 
+def _connect_with_small_buffer(entry: Process) -> http.client.HTTPConnection:
+    connection = http.client.HTTPConnection(entry.address, timeout=30)
+    connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    connection.sock.settimeout(connection.timeout)
+    connection.sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
+    host, _, port = entry.address.rpartition(":")
+    connection.sock.connect((host, int(port)))
+    return connection
+
+
 def _is_idle(entry: Process) -> bool:
     return bool(read_status(entry)["idle"])
 
