--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -5,6 +5,7 @@
 import threading
 import traceback
 from collections.abc import Iterator
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -201,11 +202,24 @@
 ) -> Reply:
     """Returns the reply, whose end is counted and logged."""
     first_s = context.clock() - raw.arrived_s
-    state = {"complete": False, "bytes": 0}
+    state: dict[str, Any] = {
+        "complete": False,
+        "bytes": 0,
+        "first_part_s": None,
+        "longest_pause_s": 0.0,
+    }
 
     def iterate() -> Iterator[bytes]:
+        last_s = None
         try:
             for part in reply.body:
+                now_s = context.clock()
+                if last_s is None:
+                    state["first_part_s"] = round(now_s - raw.arrived_s, 3)
+                else:
+                    pause_s = max(state["longest_pause_s"], now_s - last_s)
+                    state["longest_pause_s"] = round(pause_s, 3)
+                last_s = now_s
                 state["bytes"] += len(part)
                 yield part
             state["complete"] = True
@@ -226,6 +240,7 @@
         context.registry.count("answer", str(reply.status))
         context.registry.observe("first_byte", first_s)
         context.registry.observe("answer", total_s)
+        context.registry.observe("pause", state["longest_pause_s"])
         context.log(
             "answered",
             request_id=request_id,
