Send a refused prompt to another prefill engine

Cause: after a stage order, the other VMs went on sending prompts to the engine that was changing. Each refusal left the prompt to the decode engine, which reads at half speed between the tokens of its other streams.

Change: a prefill engine that refuses is suspected, and the prompt goes to another one, up to two. A refused call is paid for once: the second reading and the run used to take two repeats from the budget.

The tests of the budget were not run against the old code.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -50,9 +50,8 @@
 
     Attributes:
       runs: attempts that may have run.
-      arrivals: attempts that reached an endpoint.
-      prefills: calls that only had the prompt read; the first one that an
-        endpoint accepts is free.
+      arrivals: calls that reached an endpoint; those beyond the first are
+        paid for. The first reading of the prompt is not counted.
       tried: endpoints that an attempt went to.
       last_failure: newest failure of an attempt.
     """
@@ -62,7 +61,8 @@
         self._job = job
         self.runs = 0
         self.arrivals = 0
-        self.prefills = 0
+        self._paid = 0
+        self._read = False
         self.tried: set[tuple[str, int]] = set()
         self.last_failure: Failure | None = None
 
@@ -72,15 +72,21 @@
             return False
         if self.runs and not self._may_repeat():
             return False
-        return not self.arrivals or self._context.budget.spend(
-            self._job.service
-        )
+        return self._pay_next()
 
     def may_prefill(self) -> bool:
-        """Takes the cost of having the prompt read; False without budget."""
-        if self.prefills and not self._context.budget.spend(self._job.service):
+        """Takes the cost of having the prompt read; False without budget.
+
+        A call that turns out not to be counted leaves its cost to the next.
+        """
+        return self._pay_next()
+
+    def _pay_next(self) -> bool:
+        if self._paid >= self.arrivals:
+            return True
+        if not self._context.budget.spend(self._job.service):
             return False
-        self.prefills += 1
+        self._paid += 1
         return True
 
     def _may_repeat(self) -> bool:
@@ -106,11 +112,21 @@
             self.runs += 1
         self._report("attempt failed", replica, failure)
 
+    def note_prefill(self) -> None:
+        """Notes that a prompt was read."""
+        if self._read:
+            self.arrivals += 1
+        self._read = True
+
     def note_prefill_failure(self, replica: Replica, failure: Failure) -> None:
         """Notes that a prompt was not read; reading it is no run."""
         self.tried.add(replica.incarnation)
         if failure.kind is not FailureKind.NOT_CONNECTED:
             self.arrivals += 1
+        if failure.kind is FailureKind.REFUSED:
+            self._context.tables.note_failure(
+                replica, evidence.REFUSED_PROMPT_WEIGHT
+            )
         self._report("prefill failed", replica, failure)
 
     def note_broken_stream(self, replica: Replica, failure: Failure) -> None:
--- a/src/burdockspan/gateway/evidence.py
+++ b/src/burdockspan/gateway/evidence.py
@@ -28,6 +28,9 @@
 # A generation that was refused by an engine that had reserved memory for it;
 # two of these make a suspect.
 REFUSED_PAIR_WEIGHT = 0.5
+# A prefill engine that refuses a prompt is changing its stage or leaving, for
+# seconds.
+REFUSED_PROMPT_WEIGHT = 2.0
 # An engine that has been ordered to change takes no work for seconds.
 ORDERED_WEIGHT = 5.0
 _SUCCESS_FACTOR = 0.7
@@ -70,6 +73,7 @@
     "FAILED_ANSWER_WEIGHT",
     "ORDERED_WEIGHT",
     "REFUSED_PAIR_WEIGHT",
+    "REFUSED_PROMPT_WEIGHT",
     "SUSPECT_WEIGHT",
     "Suspicion",
     "add_failure",
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -22,7 +22,7 @@
 from burdockspan.gateway.memory import Room, take_room
 from burdockspan.gateway.ports import Answer, Cache, RunOptions
 from burdockspan.gateway.replies import Reply, TruncatedError
-from burdockspan.gateway.values import Engine, Prompt, Stage
+from burdockspan.gateway.values import Engine, Prompt, Replica, Stage
 from burdockspan.values.placement import Failure, FailureKind
 
 # Share of the objective that a generation may wait for memory and still meet
@@ -37,6 +37,9 @@
 # A prompt that waits longer than this for a prefill engine is read by the
 # decode engine itself.
 _PREFILL_TIMEOUT_S = 0.6
+# Prefill engines that a prompt is sent to. A decode engine that reads a prompt
+# itself delays all its streams, so that a second call is the smaller cost.
+_MOST_READERS = 2
 # A stream that may be resumed goes on elsewhere after a pause of so many gap
 # objectives, or this time if the route names none.
 _SILENCE_GAPS = 4.0
@@ -187,14 +190,34 @@
     """Has a prefill engine read the prompt; None leaves it to the decoder."""
     if room.replica.stage is None:
         return None
+    for replica in _readers(context, job, attempts, room):
+        if not attempts.may_prefill():
+            return None
+        read = _read_prompt(context, job, attempts, replica, prompt)
+        if isinstance(read, Ok):
+            return read.ok_value
+        if read.err_value.kind is FailureKind.SILENT or job.caller.gone:
+            return None
+    return None
+
+
+def _readers(
+    context: Context, job: Job, attempts: Attempts, room: Room
+) -> list[Replica]:
     views = context.tables.views(
         job.service, lambda _, __, tokens: float(tokens), Stage.PREFILL
     )
     ranked = rank_prefill(views, room.replica.zone, context.draw)
-    fresh = exclude(ranked, attempts.tried)
-    if not fresh or not attempts.may_prefill():
-        return None
-    replica = fresh[0]
+    return exclude(ranked, attempts.tried)[:_MOST_READERS]
+
+
+def _read_prompt(
+    context: Context,
+    job: Job,
+    attempts: Attempts,
+    replica: Replica,
+    prompt: Prompt,
+) -> Result[Cache, Failure]:
     end = context.tables.begin(replica, prompt.tokens)
     started_s = context.clock()
     wait_s = min(_PREFILL_TIMEOUT_S, attempts.left_s())
@@ -207,7 +230,8 @@
     context.registry.observe("prefill", taken_s)
     if isinstance(read, Err):
         attempts.note_prefill_failure(replica, read.err_value)
-        return None
+        return read
+    attempts.note_prefill()
     context.tables.note_success(replica)
     context.demand.note_read(job.service, prompt.tokens, taken_s)
     context.log(
@@ -218,7 +242,7 @@
         tokens=prompt.tokens,
         taken_s=round(taken_s, 3),
     )
-    return read.ok_value
+    return read
 
 
 def _give_back(context: Context, room: Room, failure: Failure | None) -> None:
--- a/tests/gateway/test_generations.py
+++ b/tests/gateway/test_generations.py
@@ -4,7 +4,9 @@
 
 import json
 import threading
-from collections.abc import Iterable
+import time
+import unittest.mock
+from collections.abc import Iterable, Iterator
 
 from standins.replica import (
     CHUNKED_HEAD,
@@ -43,6 +45,7 @@
         self.holds: list[int] = []
         self.dropped: list[str] = []
         self.full = False
+        self.refuses_prompts = False
 
     def __call__(self, received: Received) -> Iterable[Step]:
         """Answers one request."""
@@ -56,6 +59,8 @@
             return respond_json(200, {})
         if received.header("Stage") == "prefill":
             self.prefills.append(received)
+            if self.refuses_prompts:
+                return respond(503, b"", {"Not-Executed": "1"})
             value = {"handle": "k1", "tokens": 5200, "version": 1}
             return respond_json(200, value)
         self.runs.append(received)
@@ -147,6 +152,59 @@
         helper.join()
 
 
+class TestPrefill(GenerationCase):
+    """Load: an engine that has been ordered to decode refuses prompts.
+
+    A decode engine that reads prompts itself delays all its streams.
+    """
+
+    def setUp(self) -> None:
+        """Adds two prefill engines, of which the refusing one goes first."""
+        super().setUp()
+        self.refusing = self.engine("i-p1", [], "prefill")
+        self.refusing.refuses_prompts = True
+        self.prefill = self.engine("i-p2", [], "prefill")
+        self.decode = self.engine("i-d", _stream(1))
+        tables = self.gateway.parts.context.tables
+        tables.begin(tables.fleet().by_id["i-p2"].replica, 10_000)
+
+    def test_refused_prompt_is_read_by_another_engine(self) -> None:
+        """Guards against pauses of all streams of a decode engine."""
+        self.assertEqual(self.generate().body, _event(1))
+        self.assertEqual(len(self.refusing.prefills), 1)
+        self.assertEqual(len(self.prefill.prefills), 1)
+        self.assertIsNotNone(self.decode.runs[0].header("Kv-Source"))
+
+    def test_engine_that_refuses_prompts_is_avoided(self) -> None:
+        """Guards against a refused call for each prompt of some seconds."""
+        for _ in range(3):
+            self.assertEqual(self.generate().status, 200)
+        self.assertEqual(len(self.refusing.prefills), 1)
+
+    def test_second_reading_costs_budget(self) -> None:
+        """Guards against calls beyond the budget that all VMs share."""
+        budget = self.gateway.parts.context.budget
+        while budget.spend("llm"):
+            pass
+        self.assertEqual(self.generate().status, 503)
+        self.assertEqual(len(self.prefill.prefills), 0)
+        self.assertEqual(self.decode.runs, [])
+
+    def test_refused_prompt_costs_one_repeat(self) -> None:
+        """Guards against a budget that is spent twice for one refusal."""
+        spent = []
+        budget = self.gateway.parts.context.budget
+        spend = budget.spend
+
+        def note(service: str) -> bool:
+            spent.append(service)
+            return spend(service)
+
+        with unittest.mock.patch.object(budget, "spend", note):
+            self.assertEqual(self.generate().status, 200)
+        self.assertEqual(spent, ["llm"])
+
+
 class TestStreams(GenerationCase):
     def test_resumable_stream_goes_on_elsewhere(self) -> None:
         """Guards against pieces that are missing, come twice, or are mixed."""
@@ -175,6 +233,23 @@
         self.assertFalse(answer.complete)
         self.assertEqual(sum(len(one.runs) for one in engines), 1)
 
+    def test_pause_of_a_stream_is_logged(self) -> None:
+        """Guards against late streams whose cause the log does not show."""
+
+        def pause() -> Iterator[Step]:
+            yield CHUNKED_HEAD
+            yield chunk(_event(1))
+            time.sleep(0.2)
+            yield chunk(_event(2))
+            yield LAST_CHUNK
+
+        self.engine("i-1", pause())
+        self.assertTrue(self.generate().complete)
+        wait_for(lambda: bool(self.gateway.logged("answered")))
+        line = self.gateway.logged("answered")[0]
+        self.assertGreaterEqual(line["longest_pause_s"], 0.15)
+        self.assertLess(line["first_part_s"], line["total_s"] - 0.15)
+
     def test_break_before_the_first_event_is_no_promise(self) -> None:
         """Guards against a 503 for a stream that may have run."""
         engines = [self.engine(f"i-{n}", [Action.RESET]) for n in range(2)]
