Give idle prefill engines to decoding sooner, and wait longer for a prefill

Cause: decode memory binds in bursts while prefill engines are idle for three quarters of the time. One engine at a beat of 8 s was ordered to decode, and often only 12 s after the first callers, since the VM had measured for under 3 s at its beat before or had run for under 16 s. A second engine was kept for bursts of double the load, in which decode memory runs out first.

Change: a beat of 4 s (still 24 s until a VM counts as gone); half of the surplus in one batch; prefill engines for 1.4 of the usual load; an engine that was ordered lately is not counted as a prefill engine, so that no second one follows while it changes; 1.5 s until a prefill is given up.

The test of engines that were ordered lately tests new code.

--- a/src/burdockspan/gateway/balance.py
+++ b/src/burdockspan/gateway/balance.py
@@ -45,10 +45,16 @@
         chosen = stages.choose_engines(prefill, demand)
         if not chosen or not may_order:
             continue
+        # An engine that was ordered lately is no prefill engine any more,
+        # though its entry says so until it has changed.
+        staying = orderer.exclude_ordered(prefill)
+        chosen = stages.choose_engines(staying, demand)
+        if not chosen:
+            continue
         context.log(
             "stages unbalanced",
             service=name,
-            prefill=len(prefill),
+            prefill=len(staying),
             tokens_per_s=round(demand.tokens_per_s),
             engine_tokens_per_s=round(demand.speed),
             chosen=[one.id for one in chosen],
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -34,9 +34,10 @@
 # A caller that comes back after this share of the timeout is past the burst
 # that it was refused in, which lasts some seconds.
 _RETRY_AFTER_SHARE = 0.2
-# A prompt that waits longer than this for a prefill engine is read by the
-# decode engine itself.
-_PREFILL_TIMEOUT_S = 0.6
+# A prompt that waits longer than this at a prefill engine is read by the decode
+# engine itself. Giving up on a queue in a burst would waste what was read and
+# delay the streams of the decode engine, so that only mute engines count.
+_PREFILL_TIMEOUT_S = 1.5
 # Prefill engines that a prompt is sent to. A decode engine that reads a prompt
 # itself delays all its streams, so that a second call is the smaller cost.
 _MOST_READERS = 2
--- a/src/burdockspan/gateway/members.py
+++ b/src/burdockspan/gateway/members.py
@@ -19,15 +19,17 @@
 from burdockspan.values.clock import Clock
 
 KIND = "burdockspan-vms"
-# A VM's share of the bounds follows a change of the fleet within three of
-# these intervals; each interval costs a write and a list.
-BEAT_S = 8.0
-_GONE_AFTER_S = 3 * BEAT_S
+# The stages of engines follow the load within two of these intervals; each
+# costs a write and a list.
+BEAT_S = 4.0
+# A VM that reaches its callers but not the store may still spend its share of
+# the bounds, which the others must not take over too soon.
+_GONE_AFTER_S = 6 * BEAT_S
 # What a VM measured counts for a shorter time: once it is gone, its traffic
 # shows in what the others measure.
 _FRESH_S = 1.5 * BEAT_S
 # Objects of departed VMs are removed after this time.
-_REMOVE_AFTER_S = 20 * BEAT_S
+_REMOVE_AFTER_S = 40 * BEAT_S
 # Until the store has been read, a share is taken that any fleet can bear.
 UNKNOWN_VMS = 32
 
--- a/src/burdockspan/gateway/orders.py
+++ b/src/burdockspan/gateway/orders.py
@@ -87,6 +87,18 @@
                     self._last_by_engine[engine] = self._seen_s
         return True
 
+    def exclude_ordered(
+        self, engines: Sequence[Replica]
+    ) -> tuple[Replica, ...]:
+        """Returns the engines that nobody ordered lately.
+
+        Returns none if the store does not tell what others ordered.
+        """
+        if not self.observe():
+            return ()
+        now_s = self._boot_clock()
+        return tuple(one for one in engines if self._is_settled(one, now_s))
+
     def give(
         self, engines: Sequence[Replica], stage: Stage
     ) -> tuple[Replica, ...]:
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -49,8 +49,8 @@
 _SPARE_THREADS = 4
 _STATUS_THREADS = 1
 _TICK_S = 0.1
-# A VM gives orders only once it has measured the load more than once.
-_LEAST_UPTIME_S = 2 * BEAT_S
+# A VM gives orders only once it has seen the engines at two beats or more.
+_LEAST_UPTIME_S = 2.5 * BEAT_S
 _OK = 0
 
 
--- a/src/burdockspan/gateway/stages.py
+++ b/src/burdockspan/gateway/stages.py
@@ -17,8 +17,9 @@
 _WINDOW_S = 20.0
 # A rate that was measured for a shorter time is too uncertain to act on.
 _LEAST_MEASURED_S = 3.0
-# Bursts about double the usual load.
-BURST_FACTOR = 2.0
+# Part of a burst that prefill engines have to read in time. Bursts about double
+# the usual load, but then decode memory runs out before prompts queue.
+BURST_FACTOR = 1.4
 # Beyond this utilization prompts queue for longer than a generation can wait.
 _PEAK_UTILIZATION = 0.9
 # With two prefill engines, one may crash.
@@ -31,7 +32,7 @@
 _SPEEDS_KEPT = 64
 # Share of the prefill engines that may change at a time, so that an error of
 # the measurement costs little.
-_MOST_SHARE = 0.25
+_MOST_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -84,6 +84,16 @@
         self.assertGreater(apart_s, _LEASE_S + SEND_S)
         self.assertLess(self.given[0][2], self.given[1][2])
 
+    def test_ordered_engine_is_none_to_order_next(self) -> None:
+        """Guards against one more order while the first is carried out."""
+        first, second = self.make("vm-1"), self.make("vm-2")
+        engines = (_engine(), _engine("i-2"))
+        first.give(engines[:1], Stage.DECODE)
+        for orderer in (first, second):
+            self.assertEqual(orderer.exclude_ordered(engines), engines[1:])
+        self.platform.close()
+        self.assertEqual(second.exclude_ordered(engines), ())
+
     def test_lost_answer_to_the_lease_sends_nothing(self) -> None:
         """Guards against orders under a lease that another VM may hold."""
 
