Leave prompts to decode engines while the prefill engines queue

Two of four prefill engines had been ordered to decode and one was scaled in, so that one engine was left at 16 s for prompts of 47,000 to 63,000 tokens/s, of which it reads 50,000. Each prompt queued for up to 1.5 s: 266 of 564 streams had their first event late, only 6 had a pause.

Change: each VM learns from its own prompts how long they queue at each prefill engine.

--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -9,6 +9,7 @@
 from burdockspan.gateway.crashes import Crashes
 from burdockspan.gateway.full import FullMarks
 from burdockspan.gateway.ports import Platform
+from burdockspan.gateway.queues import Queues
 from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.stopping import Stopping
 from burdockspan.gateway.tables import Tables
@@ -28,6 +29,7 @@
       budget: budget of repeated arrivals.
       crashes: requests that crash endpoints.
       demand: prompts that arrive at this VM.
+      queues: waits of prompts at prefill engines.
       full: engines that lately had no room.
       lines: generations that wait for decode memory, by service.
       stopping: the graceful stop of this process.
@@ -42,6 +44,7 @@
     budget: RetryLedger
     crashes: Crashes
     demand: DemandMeter
+    queues: Queues
     full: FullMarks
     lines: WaitingLines
     stopping: Stopping
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -21,6 +21,7 @@
 from burdockspan.gateway.events import Progress, take_events
 from burdockspan.gateway.memory import Room, take_room
 from burdockspan.gateway.ports import Answer, Cache, RunOptions
+from burdockspan.gateway.queues import decoder_reads
 from burdockspan.gateway.replies import Reply, TruncatedError
 from burdockspan.gateway.values import Engine, Prompt, Replica, Stage
 from burdockspan.values.placement import Failure, FailureKind
@@ -191,7 +192,7 @@
     """Has a prefill engine read the prompt; None leaves it to the decoder."""
     if room.replica.stage is None:
         return None
-    for replica in _readers(context, job, attempts, room):
+    for replica in _readers(context, job, attempts, room, prompt):
         if not attempts.may_prefill():
             return None
         read = _read_prompt(context, job, attempts, replica, prompt)
@@ -203,13 +204,34 @@
 
 
 def _readers(
-    context: Context, job: Job, attempts: Attempts, room: Room
+    context: Context,
+    job: Job,
+    attempts: Attempts,
+    room: Room,
+    prompt: Prompt,
 ) -> list[Replica]:
+    """Returns the prefill engines to ask; none if the decoder should read."""
     views = context.tables.views(
         job.service, lambda _, __, tokens: float(tokens), Stage.PREFILL
     )
     ranked = rank_prefill(views, room.replica.zone, context.draw)
-    return exclude(ranked, attempts.tried)[:_MOST_READERS]
+    fresh = exclude(ranked, attempts.tried)[:_MOST_READERS]
+    now_s = context.clock()
+    queued_s = min(
+        (context.queues.expect_s(replica, now_s) for replica in fresh),
+        default=0.0,
+    )
+    speed = context.demand.speed(job.service)
+    if not decoder_reads(job.route, prompt.tokens, speed, queued_s):
+        return fresh
+    context.registry.count("prefill", "left_to_decoder")
+    context.log(
+        "prefill left to decoder",
+        request_id=job.call.request_id,
+        queued_s=round(queued_s, 3),
+        tokens=prompt.tokens,
+    )
+    return []
 
 
 def _read_prompt(
@@ -228,6 +250,10 @@
     finally:
         end()
     taken_s = context.clock() - started_s
+    speed = context.demand.speed(job.service)
+    if speed > 0:
+        queued_s = max(0.0, taken_s - prompt.tokens / speed)
+        context.queues.note(replica, queued_s, context.clock())
     context.registry.observe("prefill", taken_s)
     if isinstance(read, Err):
         attempts.note_prefill_failure(replica, read.err_value)
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -28,6 +28,7 @@
 from burdockspan.gateway.members import run as run_members
 from burdockspan.gateway.orders import Orderer
 from burdockspan.gateway.ports import Platform
+from burdockspan.gateway.queues import Queues
 from burdockspan.gateway.replies import make_status_line
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.gateway.stages import DemandMeter
@@ -102,6 +103,7 @@
             platform.store, platform.endpoints.reachable, clock, log
         ),
         demand=DemandMeter(clock),
+        queues=Queues(),
         full=FullMarks(),
         lines=WaitingLines(clock),
         stopping=Stopping(settings.grace_s, clock),
--- a/src/burdockspan/gateway/stages.py
+++ b/src/burdockspan/gateway/stages.py
@@ -29,7 +29,7 @@
 # Speeds of prompts that did not wait for another; the rest is shorter or
 # waited.
 _SPEED_QUANTILE = 0.75
-_SPEEDS_KEPT = 64
+_SPEEDS_KEPT = 256
 # Share of the prefill engines that may change at a time, so that an error of
 # the measurement costs little.
 _MOST_SHARE = 0.5
@@ -86,15 +86,20 @@
                 while prompts and prompts[0][0] < now_s - _WINDOW_S:
                     prompts.popleft()
                 rate = _rate(prompts, now_s)
-                speeds = sorted(self._speeds_by_service[service])
-                speed = (
-                    speeds[int(_SPEED_QUANTILE * (len(speeds) - 1))]
-                    if speeds
-                    else 0.0
-                )
-                found[service] = Demand(rate, speed)
+                found[service] = Demand(rate, self._speed(service))
         return found
 
+    def speed(self, service: str) -> float:
+        """Returns the prompt tokens a second of one engine, 0 if unknown."""
+        with self._lock:
+            return self._speed(service)
+
+    def _speed(self, service: str) -> float:
+        speeds = sorted(self._speeds_by_service[service])
+        if not speeds:
+            return 0.0
+        return speeds[int(_SPEED_QUANTILE * (len(speeds) - 1))]
+
 
 def _rate(prompts: Sequence[tuple[float, int]], now_s: float) -> float:
     if len(prompts) < _LEAST_PROMPTS:
--- a/tests/gateway/test_generations.py
+++ b/tests/gateway/test_generations.py
@@ -46,6 +46,7 @@
         self.dropped: list[str] = []
         self.full = False
         self.refuses_prompts = False
+        self.read_s = 0.0
 
     def __call__(self, received: Received) -> Iterable[Step]:
         """Answers one request."""
@@ -61,6 +62,7 @@
             self.prefills.append(received)
             if self.refuses_prompts:
                 return respond(503, b"", {"Not-Executed": "1"})
+            time.sleep(self.read_s)
             value = {"handle": "k1", "tokens": 5200, "version": 1}
             return respond_json(200, value)
         self.runs.append(received)
@@ -162,6 +164,31 @@
         helper.join()
 
 
+class TestPrefillQueue(GenerationCase):
+    def test_prompt_goes_past_a_long_queue(self) -> None:
+        """Guards against first events that are late behind one engine."""
+        prefill = self.engine("i-p", [], "prefill")
+        decode = self.engine("i-d", _stream(1))
+        context = self.gateway.parts.context
+        context.demand.note_read("llm", 5_200, 0.1)
+        engine = context.tables.fleet().by_id["i-p"].replica
+        context.queues.note(engine, 60.0, context.clock())
+        self.assertEqual(self.generate().body, _event(1))
+        self.assertEqual(prefill.prefills, [])
+        self.assertIsNone(decode.runs[0].header("Kv-Source"))
+
+    def test_queue_is_learned_from_own_prompts(self) -> None:
+        """Guards against a queue that nobody notices."""
+        prefill = self.engine("i-p", [], "prefill")
+        self.engine("i-d", _stream(1))
+        context = self.gateway.parts.context
+        context.demand.note_read("llm", 5_200, 0.001)
+        prefill.read_s = 0.3
+        self.assertEqual(self.generate().status, 200)
+        engine = context.tables.fleet().by_id["i-p"].replica
+        self.assertGreater(context.queues.expect_s(engine, context.clock()), 0)
+
+
 class TestPrefill(GenerationCase):
     """Load: an engine that has been ordered to decode refuses prompts.
 
