Accept fractional bounds, and reload the settings on SIGHUP

Cause: small twins of the large deployment state fractions such as a slack of 35.83 retries, which the settings rejected, so that no process started. Ratios above 1, durations above an hour and numbers in scientific notation were rejected as well. SIGHUP had no effect but a log line. Until the VMs had been counted, a process took a 32nd of the slack; after a restart of all VMs with the store down, 78 VMs together could spend more than the slack.

Change: bounds are any numbers of at least 0. SIGHUP reads the settings again; limits apply at once, other changes at the next start, and an invalid file changes nothing. The slack is not spent until the VMs have been counted.

--- a/src/burdockspan/cli/gateway.py
+++ b/src/burdockspan/cli/gateway.py
@@ -34,7 +34,9 @@
     from burdockspan.gateway.process import run_gateway
     from burdockspan.platform.adapter import make_platform
 
-    code = run_gateway(settings.ok_value, make_platform)
+    code = run_gateway(
+        settings.ok_value, make_platform, lambda: load_gateway_settings(path)
+    )
     raise click.exceptions.Exit(code)
 
 
--- a/src/burdockspan/configuration/converters.py
+++ b/src/burdockspan/configuration/converters.py
@@ -43,7 +43,8 @@
 }
 SHARE: Mapping[str, float] = {"%": 0.01}
 
-_QUANTITY = re.compile(r"([0-9]+(?:\.[0-9]+)?) *([A-Za-z/%]+)")
+_NUMBER = r"[0-9]+(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?"
+_QUANTITY = re.compile(rf"({_NUMBER}) *([A-Za-z/%]+)")
 
 
 def text(pattern: str, allowed: str) -> Convert[str]:
@@ -88,6 +89,18 @@
     return convert
 
 
+def number(value: object) -> Result[float, str]:
+    """Accepts a number of at least 0, without a unit."""
+    # YAML reads a number in scientific notation without a point as text.
+    if isinstance(value, str) and re.fullmatch(_NUMBER, value):
+        value = float(value)
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        converted = float(value)
+        if math.isfinite(converted) and converted >= 0.0:
+            return Ok(converted)
+    return Err("a number of at least 0, without a unit")
+
+
 def share(value: object) -> Result[float, str]:
     """Accepts a fraction as a number from 0 to 1 or a percentage."""
     number = value
@@ -245,6 +258,7 @@
     "count",
     "flag",
     "list_of",
+    "number",
     "quantity",
     "share",
     "text",
--- a/src/burdockspan/gateway/graceful_stop.py
+++ b/src/burdockspan/gateway/graceful_stop.py
@@ -37,6 +37,10 @@
         """Whether the stop has begun."""
         return self._started_s < math.inf
 
+    def set_grace_s(self, grace_s: float) -> None:
+        """Changes the grace period, unless the stop has begun."""
+        self._grace_s = grace_s
+
     def begin(self) -> None:
         """Begins the stop; later calls have no effect."""
         if not self.has_begun:
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -26,6 +26,7 @@
 from burdockspan.gateway.messages import make_status_line
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
+from burdockspan.gateway.reload import LoadSettings, make_reload
 from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.gateway.stage_balance import balance_stages
@@ -34,7 +35,6 @@
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.vm_heartbeats import (
     HEARTBEAT_INTERVAL_S,
-    UNKNOWN_VMS,
     VmHeartbeats,
     run_heartbeats,
 )
@@ -70,6 +70,7 @@
       context: dependencies of the request handlers.
       ingress: server for callers.
       status_servers: servers for the readiness check and metrics.
+      order_sender: orders engines to change their stage.
       vm_heartbeats: counts the live VMs.
       in_flight: counts the requests in flight.
       stopped: tells the threads to end.
@@ -79,6 +80,7 @@
     context: Context
     ingress: Server
     status_servers: tuple[Server, ...]
+    order_sender: OrderSender
     vm_heartbeats: VmHeartbeats
     in_flight: InFlightRequests
     stopped: threading.Event
@@ -104,7 +106,7 @@
     context = Context(
         platform=platform,
         state=state,
-        retry_budget=RetryBudget(settings.retry_budget, clock, UNKNOWN_VMS),
+        retry_budget=RetryBudget(settings.retry_budget, clock),
         crash_records=CrashRecordStore(
             platform.store, platform.endpoints.is_reachable, clock, log
         ),
@@ -129,30 +131,29 @@
         clock,
     )
     status_servers = _make_status_servers(settings, context)
+    order_sender = OrderSender(
+        settings.vm,
+        platform.store,
+        platform.endpoints,
+        settings.lease_s,
+        make_boot_clock(),
+        log,
+    )
     return Components(
         settings,
         context,
         ingress,
         status_servers,
-        _make_vm_heartbeats(settings, context),
+        order_sender,
+        _make_vm_heartbeats(settings, context, order_sender),
         in_flight,
         threading.Event(),
     )
 
 
 def _make_vm_heartbeats(
-    settings: GatewaySettings, context: Context
+    settings: GatewaySettings, context: Context, order_sender: OrderSender
 ) -> VmHeartbeats:
-    platform = context.platform
-    order_sender = OrderSender(
-        settings.vm,
-        platform.store,
-        platform.endpoints,
-        settings.lease_s,
-        make_boot_clock(),
-        context.log,
-    )
-
     settled_engines = stages.SettledEngines()
     started_s = context.clock()
 
@@ -166,7 +167,7 @@
 
     return VmHeartbeats(
         settings.vm,
-        platform.store,
+        context.platform.store,
         context.clock,
         lambda: {"demand": stages.encode_demands(context.demand.measure())},
         on_count,
@@ -209,12 +210,19 @@
 def run_gateway(
     settings: GatewaySettings,
     make_platform: Callable[[str, Clock], Platform],
+    load_settings: LoadSettings,
 ) -> int:
     """Runs a gateway process until SIGTERM or SIGINT.
 
-    A signal starts a graceful stop: the process reports that it is not ready,
-    serves the requests that still arrive, and exits once all requests have
-    ended or the grace period is over.
+    Either signal starts a graceful stop: the process reports that it is not
+    ready, serves the requests that still arrive, and exits once all requests
+    have ended or the grace period is over. SIGHUP reloads the settings, also
+    during the graceful stop.
+
+    Args:
+      settings: settings of the process.
+      make_platform: returns the platform adapter.
+      load_settings: reads the settings again.
 
     Returns:
       The exit code of the process.
@@ -224,15 +232,31 @@
     log = make_event_log(settings.vm, clock, make_wall_clock())
     log.start()
     components = make_components(settings, make_platform, clock, log.write)
-    stop_requested = threading.Event()
-    _handle_signals(stop_requested, log.write)
+    stop_requested, reload_requested = threading.Event(), threading.Event()
+    _handle_signals(stop_requested, reload_requested)
+    context = components.context
+    reload = make_reload(
+        settings,
+        load_settings,
+        context.retry_budget,
+        context.graceful_stop,
+        components.order_sender,
+        log.write,
+    )
+
+    def run_periodic_tasks() -> None:
+        context.state.prune_departed()
+        if reload_requested.is_set():
+            reload_requested.clear()
+            reload()
+
     log.write("started", settings=settings)
     start(components)
     while not stop_requested.wait(_POLL_INTERVAL_S):
-        components.context.state.prune_departed()
-    components.context.graceful_stop.begin()
+        run_periodic_tasks()
+    context.graceful_stop.begin()
     log.write("stopping", running=components.in_flight.count)
-    _drain(components)
+    _drain(components, run_periodic_tasks)
     log.write("stopped", running=components.in_flight.count)
     stop(components)
     log.close()
@@ -251,21 +275,16 @@
 
 
 def _handle_signals(
-    stop_requested: threading.Event, log: Callable[..., None]
+    stop_requested: threading.Event, reload_requested: threading.Event
 ) -> None:
-    def reload(*_: Any) -> None:
-        # Settings are only read at the start. The configuration, which may
-        # change at run time, comes from the store.
-        threading.Thread(
-            target=lambda: log("reload", effect="settings apply at the start")
-        ).start()
-
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop_requested.set())
-    signal.signal(signal.SIGHUP, reload)
+    signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
 
 
-def _drain(components: Components) -> None:
+def _drain(
+    components: Components, run_periodic_tasks: Callable[[], None]
+) -> None:
     """Serves until all requests have ended or the grace period is over."""
     context = components.context
     graceful_stop = context.graceful_stop
@@ -273,7 +292,7 @@
     while context.clock() < graceful_stop.deadline_s and (
         not graceful_stop.has_left_rotation() or components.ingress.busy()
     ):
-        context.state.prune_departed()
+        run_periodic_tasks()
         waiter.wait(_POLL_INTERVAL_S)
 
 
--- a/src/burdockspan/gateway/retry_budget.py
+++ b/src/burdockspan/gateway/retry_budget.py
@@ -25,7 +25,10 @@
     """This VM's share of the retry budget, by service."""
 
     def __init__(
-        self, settings: RetryBudgetSettings, clock: Clock, vm_count: int
+        self,
+        settings: RetryBudgetSettings,
+        clock: Clock,
+        vm_count: int | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -39,6 +42,10 @@
         )
         self._vm_count = vm_count
 
+    def set_settings(self, settings: RetryBudgetSettings) -> None:
+        """Replaces the limit; retries that have been spent stay counted."""
+        self._settings = settings
+
     def set_vm_count(self, vm_count: int) -> None:
         """Sets the number of VMs that share the budget."""
         self._vm_count = vm_count
@@ -65,11 +72,22 @@
 
     def _count_allowed(self, requests: int, now_s: float) -> float:
         settings = self._settings
-        slack = settings.slack / max(1, self._vm_count)
+        slack = self._slack_share()
         if now_s - self._started_s < settings.window_s:
             slack *= _START_SHARE
         return _SAFETY_SHARE * (settings.ratio * requests + slack)
 
+    def _slack_share(self) -> float:
+        """Returns this VM's share of the slack; 0 until the VMs are counted.
+
+        No assumed number of VMs would be safe: after a restart of all VMs
+        during an outage of the store, the shares of a larger fleet would add
+        up to more than the slack.
+        """
+        if self._vm_count is None:
+            return 0.0
+        return self._settings.slack / max(1, self._vm_count)
+
     def _count_recent(
         self, times: collections.deque[float], now_s: float
     ) -> int:
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -22,7 +22,8 @@
     "a name of up to 128 letters, digits, '.', '-' and '_'",
 )
 _MAX_THREADS = 4096
-_DURATION_S = converters.quantity(converters.SECONDS, "s", 0.0, 3600.0)
+_MAX_DURATION_S = 1e15
+_DURATION_S = converters.quantity(converters.SECONDS, "s", 0.0, _MAX_DURATION_S)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,14 +31,14 @@
     """Limit of the retries of a service's requests, over all VMs.
 
     Attributes:
-      ratio: allowed retries for each request.
+      ratio: allowed retries for each request; may exceed 1.
       slack: retries allowed in each window in addition, however few requests
-        there are.
+        there are; not necessarily a whole number.
       window_s: length of the window.
     """
 
     ratio: float = 0.2
-    slack: int = 50
+    slack: float = 50.0
     window_s: float = 10.0
 
 
@@ -153,13 +154,10 @@
     defaults = RetryBudgetSettings()
     return RetryBudgetSettings(
         ratio=read_field(
-            budget_section, "ratio", converters.share, defaults.ratio
+            budget_section, "ratio", converters.number, defaults.ratio
         ),
         slack=read_field(
-            budget_section,
-            "slack",
-            converters.count(0, 1_000_000),
-            defaults.slack,
+            budget_section, "slack", converters.number, defaults.slack
         ),
         window_s=read_field(
             budget_section, "window_s", _DURATION_S, defaults.window_s
--- a/src/burdockspan/gateway/stage_orders.py
+++ b/src/burdockspan/gateway/stage_orders.py
@@ -71,6 +71,10 @@
         self._lease_observed_s = 0.0
         self._ordered_s_by_engine: dict[str, float] = {}
 
+    def set_lease_s(self, lease_s: float) -> None:
+        """Changes the time between orders of two different VMs."""
+        self._lease_s = lease_s
+
     def read_lease(self) -> bool:
         """Reads the lease; returns False if the store is unavailable."""
         listing = self._store.list_objects(KIND)
--- a/src/burdockspan/gateway/vm_heartbeats.py
+++ b/src/burdockspan/gateway/vm_heartbeats.py
@@ -31,9 +31,6 @@
 _MEASUREMENT_TTL_S = 1.5 * HEARTBEAT_INTERVAL_S
 # The object of a failed VM is removed after it has not changed for this time.
 _REMOVE_AFTER_S = 40 * HEARTBEAT_INTERVAL_S
-# Number of VMs assumed until the store has been read, so high that the share of
-# the limits is safe in a deployment of any expected size.
-UNKNOWN_VMS = 32
 
 
 @dataclasses.dataclass(frozen=True)
@@ -172,7 +169,6 @@
 __all__ = [
     "HEARTBEAT_INTERVAL_S",
     "KIND",
-    "UNKNOWN_VMS",
     "ObservedRevision",
     "VmHeartbeats",
     "count_live",
--- a/src/burdockspan/platform/documents.py
+++ b/src/burdockspan/platform/documents.py
@@ -108,8 +108,9 @@
 def _decode_engine(value: Any) -> EngineProperties:
     engine = _read_object(value, "engine")
     return EngineProperties(
-        slots=_read_integer(engine, "slots"),
-        kv_tokens=_read_integer(engine, "kv_tokens"),
+        # A scaled deployment has fractions here; engines use the whole part.
+        slots=max(1, int(_read_number(engine, "slots"))),
+        kv_tokens=int(_read_number(engine, "kv_tokens")),
         stage_switch_s=_read_number(engine, "stage_switch_s", 0.0),
         # This field of an engine is in milliseconds, the others in seconds.
         reservation_ttl_s=_read_number(engine, "hold_ms", 0.0) / 1000.0,
--- a/tests/system/test_gateway_process.py
+++ b/tests/system/test_gateway_process.py
@@ -164,6 +164,54 @@
         self.assertIn("stopping", events)
         self.assertEqual(events[-1], "stopped")
 
+    def test_payment_during_changes_of_settings_runs_once(self) -> None:
+        """Guards against a second payment after SIGHUP ended the first one.
+
+        The settings change several times while the payment runs: a new limit,
+        a malformed file, and the original file during the graceful stop.
+        """
+        self.store.put("config", "main", make_document())
+        paid = threading.Event()
+        runs: list[str] = []
+
+        def script(received: Received) -> list[Any]:
+            runs.append(received.target)
+            return [paid, *_OK]
+
+        self.register_endpoint(script)
+        process = self.start()
+        self.wait_until_ready()
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.caller_port, timeout=20
+        )
+        self.addCleanup(connection.close)
+        headers = {"Host": HOST, "Request-Id": "r1"}
+        connection.request("POST", "/pay/x", b"p", headers)
+        wait_for(lambda: runs == ["/pay/x"])
+        path = pathlib.Path(self.folder, "settings.yaml")
+        text = path.read_text()
+
+        def count(event: str) -> int:
+            return sum(line["event"] == event for line in self.read_log())
+
+        path.write_text(text + "retry_budget: {slack: 35.5}\n")
+        process.send_signal(signal.SIGHUP)
+        wait_for(lambda: count("settings reloaded") == 1)
+        path.write_text("vm: [")
+        process.send_signal(signal.SIGHUP)
+        wait_for(lambda: count("settings not reloaded") == 1)
+        self.assertEqual(self.get(self.ready_port, "/v1/ready")[0], 200)
+        process.send_signal(signal.SIGTERM)
+        wait_for(lambda: count("stopping") == 1)
+        path.write_text(text)
+        process.send_signal(signal.SIGHUP)
+        wait_for(lambda: count("settings reloaded") == 2)
+        paid.set()
+        response = connection.getresponse()
+        self.assertEqual((response.status, response.read()), (200, b"done"))
+        self.assertEqual(process.wait(timeout=20), 0)
+        self.assertEqual(runs, ["/pay/x"])
+
     def test_metrics_count_responses(self) -> None:
         """Guards against a metrics address without metrics."""
         self.store.put("config", "main", make_document())
