Make fewer calls to the store in large fleets

Cause: at 78 VMs each VM made 3 to 4 calls a second: one for each endpoint entry that appeared at the start, one each 2 s for each of two watches, and a write and a list of all VMs each 4 s.

Change: a watcher lets a quarter of the limit of its changes pass before its next call, so that one call returns several changes. Watches last as long as the recovery time of the deployment allows. The heartbeats of all VMs together stay within 8 a second. Lists of VMs after the first two, and watches of crash records, are eventual reads, which cost a tenth. One VM removes the objects of departed VMs, no longer all.

--- a/src/burdockspan/gateway/crash_records.py
+++ b/src/burdockspan/gateway/crash_records.py
@@ -14,7 +14,12 @@
 from result import Err
 
 from burdockspan.gateway.discovery import ObjectWatcher
-from burdockspan.gateway.ports import Store, StoredObject, StoreError
+from burdockspan.gateway.ports import (
+    Consistency,
+    Store,
+    StoredObject,
+    StoreError,
+)
 from burdockspan.gateway.values import Endpoint, InboundCall
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.resilience import quarantine
@@ -149,6 +154,7 @@
             ),
             lambda: self._log("store regained", watching="crashes"),
             watch_timeout_s=_WATCH_TIMEOUT_S,
+            consistency=Consistency.EVENTUAL,
         )
 
     def _add_records(
--- a/src/burdockspan/gateway/discovery.py
+++ b/src/burdockspan/gateway/discovery.py
@@ -15,12 +15,14 @@
 from burdockspan.gateway import endpoint_table
 from burdockspan.gateway.endpoint_table import EndpointTable
 from burdockspan.gateway.ports import (
+    Consistency,
     Listing,
     Platform,
     Store,
     StoredObject,
     StoreError,
 )
+from burdockspan.gateway.settings import ChangeLimits
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.values import Endpoint
 from burdockspan.object_api.retries import Backoff, RandomFloat, backoff_delay_s
@@ -28,11 +30,17 @@
 from burdockspan.observe.registry import Registry
 from burdockspan.values.clock import Clock
 
-# A watch whose connection has become unresponsive ends after this time plus the
-# margin of the call. The sum leaves enough time to apply a change within the
-# shortest limit that any deployment sets for it: two seconds after the effects
-# of a fault have ended.
-WATCH_TIMEOUT_S = 2.0
+# Time between the end of a watch on an unresponsive connection and the end of
+# the recovery time: the margin of the call, a new list, and its processing.
+_WATCH_RESERVE_S = 1.0
+_MIN_WATCH_TIMEOUT_S = 0.5
+# Longest wait that the store grants.
+_MAX_WATCH_TIMEOUT_S = 30.0
+# Share of the time limit for applying a change that a watcher lets pass before
+# its next call, so that one call returns all changes of that time. While the
+# endpoints of a large fleet start, there are dozens of changes a second.
+_COLLECT_SHARE = 0.25
+_MAX_COLLECT_S = 1.0
 # These delays are so short that the end of an outage of the store is detected
 # within a fraction of a second.
 _BACKOFF = Backoff(0.1, 0.5)
@@ -55,6 +63,8 @@
       on_response: called after each response has been applied, also after one
         without changes.
       watch_timeout_s: longest duration of one watch.
+      collect_s: delay before the next call after one that returned changes.
+      consistency: consistency of the watches; a list is always the latest.
     """
 
     kind: str
@@ -63,7 +73,9 @@
     on_lost: Callable[[StoreError], None]
     on_regained: Callable[[], None]
     on_response: Callable[[], None] = lambda: None
-    watch_timeout_s: float = WATCH_TIMEOUT_S
+    watch_timeout_s: float = 2.0
+    collect_s: float = 0.0
+    consistency: Consistency = Consistency.LATEST
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,10 +107,13 @@
       The new position, and the delay before the next call in seconds.
     """
     if position.revision is None:
-        response = store.list_objects(watcher.kind)
+        response = store.list_objects(watcher.kind, Consistency.LATEST)
     else:
         response = store.watch(
-            watcher.kind, position.revision, watcher.watch_timeout_s
+            watcher.kind,
+            position.revision,
+            watcher.watch_timeout_s,
+            watcher.consistency,
         )
     if isinstance(response, Err):
         return _handle_error(
@@ -108,7 +123,8 @@
         watcher.on_regained()
     _apply(watcher, position, response)
     watcher.on_response()
-    return WatchPosition(response.ok_value.revision), 0.0
+    delay_s = watcher.collect_s if response.ok_value.objects else 0.0
+    return WatchPosition(response.ok_value.revision), delay_s
 
 
 def _apply(
@@ -157,17 +173,40 @@
 def make_watchers(
     platform: Platform,
     state: GatewayState,
+    limits: ChangeLimits,
     clock: Clock,
     log: WriteEvent,
     registry: Registry,
 ) -> tuple[ObjectWatcher, ...]:
     """Returns the watchers of the configuration and of the endpoints."""
+    timeout_s = compute_watch_timeout_s(limits.recovery_s)
     return (
-        _watch_configuration(platform, state, log, registry),
-        _watch_endpoints(platform, state, clock, log, registry),
+        dataclasses.replace(
+            _watch_configuration(platform, state, log, registry),
+            watch_timeout_s=timeout_s,
+            collect_s=compute_collect_s(limits.configuration_s),
+        ),
+        dataclasses.replace(
+            _watch_endpoints(platform, state, clock, log, registry),
+            watch_timeout_s=timeout_s,
+            collect_s=compute_collect_s(limits.leaving_endpoint_s),
+        ),
     )
 
 
+def compute_watch_timeout_s(recovery_s: float) -> float:
+    """Returns the longest duration of a watch, given the recovery time."""
+    return min(
+        _MAX_WATCH_TIMEOUT_S,
+        max(_MIN_WATCH_TIMEOUT_S, recovery_s - _WATCH_RESERVE_S),
+    )
+
+
+def compute_collect_s(limit_s: float) -> float:
+    """Returns how long changes are collected, given their time limit."""
+    return min(_MAX_COLLECT_S, _COLLECT_SHARE * limit_s)
+
+
 def _watch_configuration(
     platform: Platform, state: GatewayState, log: WriteEvent, registry: Registry
 ) -> ObjectWatcher:
@@ -317,6 +356,8 @@
 __all__ = [
     "ObjectWatcher",
     "WatchPosition",
+    "compute_collect_s",
+    "compute_watch_timeout_s",
     "make_watchers",
     "poll",
     "run_watcher",
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -162,6 +162,18 @@
     MALFORMED = "malformed"
 
 
+class Consistency(enum.Enum):
+    """How recent the data of a read must be.
+
+    LATEST: it includes all changes that the store has acknowledged.
+    EVENTUAL: it may lack the changes of the last seconds; costs a fraction of
+      the other reads, and does not count toward the store's rate limits.
+    """
+
+    LATEST = "latest"
+    EVENTUAL = "eventual"
+
+
 @dataclasses.dataclass(frozen=True)
 class StoredObject:
     """An object of the store.
@@ -206,8 +218,8 @@
       remove: removes an object.
     """
 
-    list_objects: Callable[[str], Result[Listing, StoreError]]
-    watch: Callable[[str, int, float], Result[Listing, StoreError]]
+    list_objects: Callable[[str, Consistency], Result[Listing, StoreError]]
+    watch: Callable[[str, int, float, Consistency], Result[Listing, StoreError]]
     create: Callable[[str, str, Any], Result[StoredObject, StoreError]]
     replace: Callable[
         [str, str, Any, int | None], Result[StoredObject, StoreError]
@@ -248,6 +260,7 @@
 
 __all__ = [
     "AttemptOptions",
+    "Consistency",
     "EndpointClient",
     "EndpointResponse",
     "EngineLoad",
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -183,6 +183,7 @@
     for watcher in make_watchers(
         context.platform,
         context.state,
+        components.settings.change_limits,
         context.clock,
         context.log,
         context.registry,
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -42,6 +43,22 @@
     window_s: float = 10.0
 
 
+@dataclasses.dataclass(frozen=True)
+class ChangeLimits:
+    """Time limits for applying changes that the store has accepted.
+
+    Attributes:
+      configuration_s: until requests are handled as a new configuration says.
+      leaving_endpoint_s: until a leaving endpoint receives no more requests.
+      recovery_s: until the other two limits hold again after a fault, such as
+        connections that have become unresponsive.
+    """
+
+    configuration_s: float = 2.0
+    leaving_endpoint_s: float = 2.0
+    recovery_s: float = 3.0
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """Settings of one gateway process.
@@ -58,6 +75,7 @@
       grace_s: time from SIGTERM to the end of the process.
       lease_s: time that must pass between orders of two different VMs.
       retry_budget: limit of retries.
+      change_limits: time limits for applying changes.
     """
 
     vm: str
@@ -70,6 +88,7 @@
     grace_s: float = 8.0
     lease_s: float = 3.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    change_limits: ChangeLimits = ChangeLimits()
 
 
 def load_gateway_settings(
@@ -134,22 +153,52 @@
         grace_s=read_field(section, "grace_s", _DURATION_S, defaults.grace_s),
         lease_s=read_field(section, "lease_s", _DURATION_S, defaults.lease_s),
         retry_budget=_read_retry_budget(section),
+        change_limits=_read_change_limits(section),
     )
 
 
-def _read_retry_budget(section: Section) -> RetryBudgetSettings:
-    value = section.values.get("retry_budget")
-    if value is None:
-        return RetryBudgetSettings()
-    if not isinstance(value, dict):
-        add_problem(section, "retry_budget", value, "a mapping")
-        return RetryBudgetSettings()
-    budget_section = Section(
-        section.file, "retry_budget", value, section.problems
+def _open_subsection(section: Section, key: str, kind: type[Any]) -> Section:
+    """Returns the mapping under a key; an empty one if there is none.
+
+    Args:
+      section: the mapping that contains the key.
+      key: the key.
+      kind: data class whose fields are the keys that are allowed.
+    """
+    value = section.values.get(key)
+    if value is not None and not isinstance(value, dict):
+        add_problem(section, key, value, "a mapping")
+        value = None
+    subsection = Section(section.file, key, value or {}, section.problems)
+    check_keys(subsection, (field.name for field in dataclasses.fields(kind)))
+    return subsection
+
+
+def _read_change_limits(section: Section) -> ChangeLimits:
+    limits_section = _open_subsection(section, "change_limits", ChangeLimits)
+    defaults = ChangeLimits()
+    return ChangeLimits(
+        configuration_s=read_field(
+            limits_section,
+            "configuration_s",
+            _DURATION_S,
+            defaults.configuration_s,
+        ),
+        leaving_endpoint_s=read_field(
+            limits_section,
+            "leaving_endpoint_s",
+            _DURATION_S,
+            defaults.leaving_endpoint_s,
+        ),
+        recovery_s=read_field(
+            limits_section, "recovery_s", _DURATION_S, defaults.recovery_s
+        ),
     )
-    check_keys(
-        budget_section,
-        (field.name for field in dataclasses.fields(RetryBudgetSettings)),
+
+
+def _read_retry_budget(section: Section) -> RetryBudgetSettings:
+    budget_section = _open_subsection(
+        section, "retry_budget", RetryBudgetSettings
     )
     defaults = RetryBudgetSettings()
     return RetryBudgetSettings(
@@ -165,4 +214,9 @@
     )
 
 
-__all__ = ["GatewaySettings", "RetryBudgetSettings", "load_gateway_settings"]
+__all__ = [
+    "ChangeLimits",
+    "GatewaySettings",
+    "RetryBudgetSettings",
+    "load_gateway_settings",
+]
--- a/src/burdockspan/gateway/stage_orders.py
+++ b/src/burdockspan/gateway/stage_orders.py
@@ -15,7 +15,7 @@
 
 from result import Err, Ok
 
-from burdockspan.gateway.ports import EndpointClient, Store
+from burdockspan.gateway.ports import Consistency, EndpointClient, Store
 from burdockspan.gateway.values import Endpoint, Stage
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.values.clock import Clock
@@ -77,7 +77,7 @@
 
     def read_lease(self) -> bool:
         """Reads the lease; returns False if the store is unavailable."""
-        listing = self._store.list_objects(KIND)
+        listing = self._store.list_objects(KIND, Consistency.LATEST)
         if isinstance(listing, Err):
             return False
         stored = next(
--- a/src/burdockspan/gateway/vm_heartbeats.py
+++ b/src/burdockspan/gateway/vm_heartbeats.py
@@ -15,22 +15,33 @@
 
 from result import Err
 
-from burdockspan.gateway.ports import Store, StoredObject, StoreError
+from burdockspan.gateway.ports import (
+    Consistency,
+    Store,
+    StoredObject,
+    StoreError,
+)
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.values.clock import Clock
 
 KIND = "burdockspan-vms"
-# The stages of the engines follow the load within two intervals. Each interval
-# costs a write and a list.
+# Shortest interval. The stages of the engines follow the load within two
+# intervals. Each interval costs a write and a list.
 HEARTBEAT_INTERVAL_S = 4.0
+# Limit of the heartbeats of all VMs, so that the store's load does not grow
+# with the fleet. The intervals of a larger fleet are longer.
+_MAX_HEARTBEATS_PER_S = 8.0
+# Lists of a process that must be the latest. Its first lists tell it how many
+# VMs share the limits; later changes of the number are slow.
+_LATEST_LISTS = 2
 # A VM that is cut off from the store but not from its callers still spends its
 # share of the limits, so the other VMs must not take it over too soon.
-_FAILURE_TIMEOUT_S = 6 * HEARTBEAT_INTERVAL_S
+_FAILURE_TIMEOUT_INTERVALS = 6
 # Measurements of a VM are used for less time than the failure timeout: after
 # the VM has failed, its traffic is part of what the other VMs measure.
-_MEASUREMENT_TTL_S = 1.5 * HEARTBEAT_INTERVAL_S
+_MEASUREMENT_TTL_INTERVALS = 1.5
 # The object of a failed VM is removed after it has not changed for this time.
-_REMOVE_AFTER_S = 40 * HEARTBEAT_INTERVAL_S
+_REMOVE_AFTER_INTERVALS = 40
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,28 +74,35 @@
     return updated
 
 
-def count_live(
-    observed_by_vm: Mapping[str, ObservedRevision], now_s: float
-) -> int:
-    """Returns the number of live VMs, at least one."""
-    return max(
-        1, sum(is_live(observed, now_s) for observed in observed_by_vm.values())
-    )
+def interval_s(vm_count: int) -> float:
+    """Returns the interval between heartbeats of one VM, given all VMs."""
+    return max(HEARTBEAT_INTERVAL_S, vm_count / _MAX_HEARTBEATS_PER_S)
 
 
-def is_live(observed: ObservedRevision, now_s: float) -> bool:
-    """Returns whether a VM's object changed within the failure timeout."""
-    return now_s - observed.changed_s <= _FAILURE_TIMEOUT_S
+def list_live(
+    observed_by_vm: Mapping[str, ObservedRevision], now_s: float
+) -> tuple[str, ...]:
+    """Returns the VMs whose objects changed within the failure timeout.
+
+    The timeout is that of a fleet with as many VMs as there are objects.
+    """
+    timeout_s = _FAILURE_TIMEOUT_INTERVALS * interval_s(len(observed_by_vm))
+    return tuple(
+        vm
+        for vm, observed in observed_by_vm.items()
+        if now_s - observed.changed_s <= timeout_s
+    )
 
 
 def list_removable(
     observed_by_vm: Mapping[str, ObservedRevision], now_s: float
 ) -> tuple[str, ...]:
     """Returns the failed VMs whose objects are to be removed."""
+    limit_s = _REMOVE_AFTER_INTERVALS * interval_s(len(observed_by_vm))
     return tuple(
         vm
         for vm, observed in observed_by_vm.items()
-        if now_s - observed.changed_s > _REMOVE_AFTER_S
+        if now_s - observed.changed_s > limit_s
     )
 
 
@@ -113,6 +131,11 @@
         self._observed_by_vm: dict[str, ObservedRevision] = {}
         self._heartbeats_sent = 0
         self._last_count = 0
+        self._lists = 0
+
+    def interval_s(self) -> float:
+        """Returns the time until the next heartbeat."""
+        return interval_s(self._last_count)
 
     def send_and_count(self) -> None:
         """Renews this VM's object, then counts the live VMs."""
@@ -126,10 +149,16 @@
                 created = self._store.create(KIND, self._vm, value)
                 if isinstance(created, Err):
                     self._log_failure("create", created.err_value)
-        listed = self._store.list_objects(KIND)
+        listed = self._store.list_objects(
+            KIND,
+            Consistency.LATEST
+            if self._lists < _LATEST_LISTS
+            else Consistency.EVENTUAL,
+        )
         if isinstance(listed, Err):
             self._log_failure("list", listed.err_value)
             return
+        self._lists += 1
         self._count(listed.ok_value.objects)
 
     def _count(self, objects: tuple[StoredObject, ...]) -> None:
@@ -138,21 +167,23 @@
         self._observed_by_vm = observe_revisions(
             self._observed_by_vm, revisions, now_s
         )
-        live = count_live(self._observed_by_vm, now_s)
+        live_vms = list_live(self._observed_by_vm, now_s)
+        live = max(1, len(live_vms))
         if live != self._last_count:
             self._log("vms counted", live=live, listed=len(objects))
             self._last_count = live
+        ttl_s = _MEASUREMENT_TTL_INTERVALS * interval_s(live)
         recent_values = {
             stored.name: stored.value
             for stored in objects
-            if now_s - self._observed_by_vm[stored.name].changed_s
-            <= _MEASUREMENT_TTL_S
+            if now_s - self._observed_by_vm[stored.name].changed_s <= ttl_s
         }
         self._on_count(live, recent_values)
+        if self._vm != min(live_vms, default=None):
+            return
         for vm in list_removable(self._observed_by_vm, now_s):
-            if vm != self._vm:
-                self._log("departed vm removed", member=vm)
-                self._store.remove(KIND, vm)
+            self._log("departed vm removed", member=vm)
+            self._store.remove(KIND, vm)
 
     def _log_failure(self, operation: str, error: StoreError) -> None:
         # The last count stays in force until the next interval.
@@ -163,7 +194,7 @@
     """Sends a heartbeat in each interval until `stopped` is set."""
     while not stopped.is_set():
         heartbeats.send_and_count()
-        stopped.wait(HEARTBEAT_INTERVAL_S)
+        stopped.wait(heartbeats.interval_s())
 
 
 __all__ = [
@@ -171,7 +202,8 @@
     "KIND",
     "ObservedRevision",
     "VmHeartbeats",
-    "count_live",
+    "interval_s",
+    "list_live",
     "list_removable",
     "observe_revisions",
     "run_heartbeats",
--- a/src/burdockspan/platform/store.py
+++ b/src/burdockspan/platform/store.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.gateway.ports import (
+    Consistency,
     Listing,
     Store,
     StoredObject,
@@ -42,12 +43,16 @@
     """
     transport = make_transport(address, {}, clock, idle_limit_s=0.0)
 
-    def list_objects(kind: str) -> Result[Listing, StoreError]:
+    def list_objects(
+        kind: str, consistency: Consistency
+    ) -> Result[Listing, StoreError]:
         objects: list[StoredObject] = []
         after: str | None = None
         revision = None
         for _ in range(_MAX_PAGES):
-            query = {} if after is None else {"after": after}
+            query = _make_read_query(consistency)
+            if after is not None:
+                query["after"] = after
             page = _send_request(
                 transport, "GET", _make_path(kind, query=query)
             )
@@ -71,9 +76,13 @@
         return Err(StoreError.MALFORMED)
 
     def watch(
-        kind: str, revision: int, wait_s: float
+        kind: str, revision: int, wait_s: float, consistency: Consistency
     ) -> Result[Listing, StoreError]:
-        query = {"watch": str(revision), "wait_ms": str(int(wait_s * 1000))}
+        query = {
+            **_make_read_query(consistency),
+            "watch": str(revision),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
         response = _send_request(
             transport,
             "GET",
@@ -113,6 +122,10 @@
     return Store(list_objects, watch, create, replace, remove)
 
 
+def _make_read_query(consistency: Consistency) -> dict[str, str]:
+    return {"allow_stale": "1"} if consistency is Consistency.EVENTUAL else {}
+
+
 def _write(
     transport: Transport, method: str, path: str, body: Any
 ) -> Result[StoredObject, StoreError]:
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -118,11 +118,11 @@
         observed = vm_heartbeats.observe_revisions(
             observed, {"a": 2, "b": 1}, 16.0
         )
-        self.assertEqual(vm_heartbeats.count_live(observed, 16.0), 2)
+        self.assertEqual(vm_heartbeats.list_live(observed, 16.0), ("a", "b"))
         observed = vm_heartbeats.observe_revisions(
             observed, {"a": 3, "b": 1}, 25.0
         )
-        self.assertEqual(vm_heartbeats.count_live(observed, 25.0), 1)
+        self.assertEqual(vm_heartbeats.list_live(observed, 25.0), ("a",))
 
     def test_objects_of_failed_vms_are_removed(self) -> None:
         """Guards against objects that accumulate as VMs are replaced."""
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -25,6 +25,9 @@
     "retry_budget_ratio",
     "budget_slack",
     "budget_window_s",
+    "config_ms",
+    "drain_ms",
+    "stable_window_ms",
 )
 
 
@@ -48,6 +51,7 @@
         """Guards against processes that do not start on a scaled deployment."""
         settings = self.load(
             {
+                **dict.fromkeys(_BOUNDS, 1),
                 "grace_s": 7.25,
                 "lease_ms": 2999.5,
                 "retry_budget_ratio": 0.125,
