Estimate the demand for prefill engines over all VMs

Cause: a VM measured its prompt rate from 8 prompts, and half of the VMs had to have measured one.

Change: VMs publish the prompts and the time that they measured; their sums give the rate of the fleet once a quarter of the VMs have measured 24 prompts together.

--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -169,7 +169,9 @@
         settings.vm,
         context.platform.store,
         context.clock,
-        lambda: {"demand": stages.encode_demands(context.demand.measure())},
+        lambda: {
+            "demand": stages.encode_measurements(context.demand.measure())
+        },
         on_count,
         context.log,
     )
--- a/src/burdockspan/gateway/stage_balance.py
+++ b/src/burdockspan/gateway/stage_balance.py
@@ -31,16 +31,18 @@
     active = context.state.active_configuration()
     if active is None:
         return
-    demands = []
-    for value in value_by_vm.values():
-        encoded = value.get("demand") if isinstance(value, dict) else None
-        demands.append(stages.decode_demands(encoded) or {})
+    measurements = [
+        stages.decode_measurements(
+            value.get("demand") if isinstance(value, dict) else None
+        )
+        for value in value_by_vm.values()
+    ]
     for name, service in active.configuration.services_by_name.items():
         engine = service.engine
         if engine is None or engine.stage_switch_s <= 0:
             continue
-        demand = stages.combine_demands(
-            [vm_demand.get(name) for vm_demand in demands]
+        demand = stages.combine_measurements(
+            [by_service.get(name) for by_service in measurements]
         )
         candidates = context.state.candidates(
             name, lambda *_: 0.0, Stage.PREFILL
--- a/src/burdockspan/gateway/stages.py
+++ b/src/burdockspan/gateway/stages.py
@@ -15,8 +15,8 @@
 # The window of the arrival rate is so long that it covers bursts and lulls; a
 # shorter one would mistake a burst for the usual load.
 _WINDOW_S = 20.0
-# A rate measured over a shorter time is too uncertain to act on.
-_MIN_MEASURED_S = 3.0
+# Time after its first prompt before a VM measures its arrival rate.
+_MIN_MEASURED_S = 2.0
 # Load that prefill engines must handle, relative to the usual load. Bursts
 # about double the load, but decode memory runs out before prompts queue, so
 # that capacity for less than the double suffices.
@@ -25,8 +25,11 @@
 _MAX_UTILIZATION = 0.9
 # With two prefill engines, one remains after a crash.
 MIN_PREFILL_ENGINES = 2
-# A rate from fewer prompts is too uncertain to act on.
-_MIN_PROMPTS = 8
+# An arrival rate from fewer prompts of all VMs is too uncertain to act on.
+_MIN_FLEET_PROMPTS = 24
+# Share of the live VMs that must have measured. In a large fleet, the VMs that
+# have not differ from the others by chance only.
+_MIN_MEASURED_SHARE = 0.25
 # This quantile of the measured prefill rates is the rate of prompts that did
 # not queue. Lower rates come from short prompts, and from prompts that waited
 # for another one.
@@ -35,11 +38,30 @@
 # Share of the prefill engines that may change at a time, which limits the
 # effect of a measurement error.
 _MAX_CHANGED_SHARE = 0.5
+_MEASUREMENT_FIELDS = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class PromptMeasurement:
+    """The prompts of a service that recently arrived at one VM.
+
+    Attributes:
+      tokens: tokens of the prompts that arrived after the first one.
+      elapsed_s: time since the first of the prompts.
+      prompts: number of the prompts.
+      engine_tokens_per_s: prompt tokens per second that one engine prefills; 0
+        if unknown.
+    """
+
+    tokens: int
+    elapsed_s: float
+    prompts: int
+    engine_tokens_per_s: float
 
 
 @dataclasses.dataclass(frozen=True)
 class Demand:
-    """Demand for the prefill engines of a service, of one VM or of all VMs.
+    """Demand for the prefill engines of a service, of all VMs.
 
     Attributes:
       tokens_per_s: arriving prompt tokens per second; 0 if unknown.
@@ -52,11 +74,10 @@
 
 
 class DemandMeter:
-    """Measures the demand at this VM, by service."""
+    """Measures the prompts that arrive at this VM, by service."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._started_s = clock()
         self._lock = threading.Lock()
         self._prompts_by_service: dict[
             str, collections.deque[tuple[float, int]]
@@ -82,21 +103,28 @@
                     tokens / duration_s
                 )
 
-    def measure(self) -> dict[str, Demand] | None:
-        """Returns the demand by service; None soon after the start."""
+    def measure(self) -> dict[str, PromptMeasurement]:
+        """Returns the measurements by service.
+
+        A service that has received no prompt, or the first one only recently,
+        is missing.
+        """
         now_s = self._clock()
-        if now_s - self._started_s < _MIN_MEASURED_S:
-            return None
-        demand_by_service = {}
+        measurements = {}
         with self._lock:
             for service, prompts in self._prompts_by_service.items():
                 while prompts and prompts[0][0] < now_s - _WINDOW_S:
                     prompts.popleft()
-                rate = _compute_rate(prompts, now_s)
-                demand_by_service[service] = Demand(
-                    rate, self._engine_tokens_per_s(service)
+                if not prompts or now_s - prompts[0][0] < _MIN_MEASURED_S:
+                    continue
+                tokens = sum(tokens for _, tokens in prompts) - prompts[0][1]
+                measurements[service] = PromptMeasurement(
+                    tokens,
+                    now_s - prompts[0][0],
+                    len(prompts),
+                    self._engine_tokens_per_s(service),
                 )
-        return demand_by_service
+        return measurements
 
     def engine_tokens_per_s(self, service: str) -> float:
         """Returns the prefill rate of one engine; 0 if unknown."""
@@ -110,42 +138,40 @@
         return engine_rates[int(_RATE_QUANTILE * (len(engine_rates) - 1))]
 
 
-def _compute_rate(prompts: Sequence[tuple[float, int]], now_s: float) -> float:
-    if len(prompts) < _MIN_PROMPTS:
-        return 0.0
-    elapsed_s = now_s - prompts[0][0]
-    if elapsed_s < _MIN_MEASURED_S:
-        return 0.0
-    return sum(tokens for _, tokens in prompts) / elapsed_s
-
-
-def combine_demands(demands: Sequence[Demand | None]) -> Demand:
+def combine_measurements(
+    measurements: Sequence[PromptMeasurement | None],
+) -> Demand:
     """Returns the total demand of all live VMs.
 
-    A VM that has measured no demand counts as an average one: if it counted as
-    idle, the total would be too small, and prefill engines that are needed
-    would be ordered to decode.
+    A VM without a measurement counts as an average one: if it counted as idle,
+    the total would be too small, and prefill engines that are needed would be
+    ordered to decode. The measured rates are not averaged but their prompts and
+    times added up, since each VM of a large fleet receives too few prompts for
+    a rate of its own.
 
     Args:
-      demands: the measurement of each live VM, None if it has none yet.
+      measurements: the measurement of each live VM, None if it has none yet.
 
     Returns:
-      The total; an unknown demand if fewer than half of the VMs have measured
-      one.
+      The total; an unknown demand if too few prompts or VMs were measured.
     """
-    measured = [
-        demand for demand in demands if demand and demand.tokens_per_s > 0
-    ]
-    if 2 * len(measured) < len(demands):
+    measured = [item for item in measurements if item is not None]
+    prompts = sum(item.prompts for item in measured)
+    elapsed_s = sum(item.elapsed_s for item in measured)
+    if (
+        prompts < _MIN_FLEET_PROMPTS
+        or elapsed_s <= 0
+        or len(measured) < _MIN_MEASURED_SHARE * len(measurements)
+    ):
         return Demand(0.0, 0.0)
     engine_rates = sorted(
-        demand.engine_tokens_per_s
-        for demand in measured
-        if demand.engine_tokens_per_s > 0
+        item.engine_tokens_per_s
+        for item in measured
+        if item.engine_tokens_per_s > 0
     )
     engine_rate = engine_rates[len(engine_rates) // 2] if engine_rates else 0.0
-    total = sum(demand.tokens_per_s for demand in measured)
-    return Demand(total * len(demands) / max(1, len(measured)), engine_rate)
+    tokens_per_s = sum(item.tokens for item in measured) / elapsed_s
+    return Demand(tokens_per_s * len(measurements), engine_rate)
 
 
 def count_needed_prefill_engines(demand: Demand) -> int | None:
@@ -218,31 +244,36 @@
     return tuple(chosen_engines)
 
 
-def encode_demands(
-    demands: Mapping[str, Demand] | None,
-) -> dict[str, list[float]] | None:
-    """Returns demands in the form that the store has them."""
-    if demands is None:
-        return None
+def encode_measurements(
+    measurements: Mapping[str, PromptMeasurement],
+) -> dict[str, list[float]]:
+    """Returns measurements in the form that the store has them."""
     return {
         name: [
-            round(demand.tokens_per_s, 1),
-            round(demand.engine_tokens_per_s, 1),
+            item.tokens,
+            round(item.elapsed_s, 3),
+            item.prompts,
+            round(item.engine_tokens_per_s, 1),
         ]
-        for name, demand in demands.items()
+        for name, item in measurements.items()
     }
 
 
-def decode_demands(value: Any) -> dict[str, Demand] | None:
-    """Returns the demands that a VM wrote; None if there are none."""
+def decode_measurements(value: Any) -> dict[str, PromptMeasurement]:
+    """Returns the measurements that a VM wrote, without malformed ones."""
     if not isinstance(value, dict):
-        return None
+        return {}
     return {
-        name: Demand(float(pair[0]), float(pair[1]))
-        for name, pair in value.items()
-        if isinstance(pair, list)
-        and len(pair) == 2
-        and all(isinstance(number, int | float) for number in pair)
+        name: PromptMeasurement(
+            int(item[0]), float(item[1]), int(item[2]), float(item[3])
+        )
+        for name, item in value.items()
+        if isinstance(item, list)
+        and len(item) == _MEASUREMENT_FIELDS
+        and all(
+            isinstance(number, int | float) and math.isfinite(number)
+            for number in item
+        )
     }
 
 
@@ -251,10 +282,11 @@
     "MIN_PREFILL_ENGINES",
     "Demand",
     "DemandMeter",
+    "PromptMeasurement",
     "SettledEngines",
     "choose_engines_to_decode",
-    "combine_demands",
+    "combine_measurements",
     "count_needed_prefill_engines",
-    "decode_demands",
-    "encode_demands",
+    "decode_measurements",
+    "encode_measurements",
 ]
