Start the threads of a server when requests need them

Cause: each gateway process started 164 threads at its start.

Change: a task dispatcher of our own adds a thread when a request finds none idle, up to the same limit.

--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -10,6 +10,7 @@
 
 import waitress.channel
 import waitress.server
+import waitress.task
 import waitress.wasyncore
 
 _MEBIBYTE = 1024 * 1024
@@ -69,7 +70,7 @@
     Args:
       application: WSGI application.
       address: `ip:port` to listen on; port 0 selects a free one.
-      threads: number of threads that run the application.
+      threads: limit of the threads that run the application.
       channel_class: class of the connections of callers.
       housekeeping: called with the open connections in each iteration of the
         event loop.
@@ -97,6 +98,7 @@
         map=sockets,
         listen=f"{host}:{port}",
         threads=threads,
+        _dispatcher=_GrowingTaskDispatcher(threads),
         **settings,
     )
     server.adj.socket_options = CALLER_SOCKET_OPTIONS
@@ -139,6 +141,29 @@
     task.write(body)
 
 
+class _GrowingTaskDispatcher(waitress.task.ThreadedTaskDispatcher):
+    """A task dispatcher that starts its threads when tasks need them.
+
+    waitress starts all threads at once. Hundreds of processes on one machine
+    would need tens of thousands of threads, of which few ever run.
+    """
+
+    def __init__(self, limit: int) -> None:
+        super().__init__()
+        self._limit = limit
+
+    def add_task(self, task: Any) -> None:
+        """Queues a task, and starts a thread if none is idle."""
+        with self.lock:
+            self.queue.append(task)
+            self.queue_cv.notify()
+            count = len(self.threads) - self.stop_count
+            idle = count - self.active_count
+            needs_thread = len(self.queue) > idle and count < self._limit
+        if needs_thread:
+            self.set_thread_count(count + 1)
+
+
 class _EventLoop:
     """The event loop of a server.
 
