Keep headroom in the memory of decode engines

A report of an engine shows that a reservation keeps its size until its generation ends or outgrows it (used = runs + held). With 0.8 of an estimate that is right at the median only, engines were full of reserved memory that most runs did not use and others lacked.

Change: half of the expected output is reserved, and a generation is admitted only if one more expected output is free, the growth of the other runs until the next one ends. The first of two reservations includes this headroom and is released at once.

--- a/src/burdockspan/gateway/reservations.py
+++ b/src/burdockspan/gateway/reservations.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable
 
-from result import Ok
+from result import Err, Ok, Result
 
 from burdockspan.gateway import passive_health
 from burdockspan.gateway.attempts import RoutedRequest
@@ -19,7 +19,7 @@
     GenerationSize,
     Stage,
 )
-from burdockspan.values.placement import FailureKind
+from burdockspan.values.placement import Failure, FailureKind
 
 # An engine without enough free memory is skipped for this time, or until a
 # generation of this VM has ended there.
@@ -29,10 +29,13 @@
 _MAX_RESERVATION_REQUESTS = 4
 # Share of the expected output that memory is reserved for. The generations of
 # an engine are at different positions of their output, so that together they
-# use less memory than all their complete outputs would. With too small a share,
-# an engine runs out of memory during decoding and has to restart one of its
-# generations.
-_OUTPUT_SHARE = 0.8
+# use less memory than all their complete outputs would.
+_OUTPUT_SHARE = 0.5
+# Memory that must remain free at an engine besides, relative to the expected
+# output. Between the ends of two generations, the others grow by one output on
+# average. An engine that runs out of memory interrupts its newest generation
+# and computes it again.
+_HEADROOM_SHARE = 1.0
 # Size of the blocks in which engines allocate memory.
 _BLOCK_TOKENS = 16
 
@@ -63,6 +66,11 @@
     return _BLOCK_TOKENS * math.ceil(tokens / _BLOCK_TOKENS)
 
 
+def estimate_headroom(size: GenerationSize) -> int:
+    """Returns the memory that must remain free at the engine, in tokens."""
+    return math.ceil(_HEADROOM_SHARE * size.expected_output_tokens)
+
+
 def reserve_memory(
     context: Context,
     request: RoutedRequest,
@@ -83,6 +91,7 @@
       The reservation; None if no engine granted one.
     """
     tokens = min(estimate_tokens(size), engine.kv_tokens)
+    headroom = min(estimate_headroom(size), engine.kv_tokens - tokens)
     ranked = rank_decode(
         _list_candidates(context, request, engine), context.random_float
     )
@@ -93,10 +102,14 @@
             or request_count >= _MAX_RESERVATION_REQUESTS
         ):
             continue
-        if context.full_engines.is_full_for(endpoint, tokens, context.clock()):
+        if context.full_engines.is_full_for(
+            endpoint, tokens + headroom, context.clock()
+        ):
             continue
         request_count += 1
-        reservation = _reserve_at(context, request, engine, endpoint, tokens)
+        reservation = _reserve_at(
+            context, request, engine, endpoint, tokens, headroom
+        )
         if reservation is not None:
             return reservation
     return None
@@ -128,6 +141,7 @@
     engine: EngineProperties,
     endpoint: Endpoint,
     tokens: int,
+    headroom: int,
 ) -> Reservation | None:
     end_work = context.state.begin_work(endpoint, tokens)
 
@@ -138,8 +152,8 @@
 
     if engine.reservation_ttl_s <= 0:
         return Reservation(endpoint, None, tokens, release)
-    reserved = context.platform.endpoints.reserve(
-        endpoint, tokens, engine.reservation_ttl_s
+    reserved = _reserve_below_headroom(
+        context, engine, endpoint, tokens, headroom
     )
     if isinstance(reserved, Ok):
         return Reservation(endpoint, reserved.ok_value, tokens, release)
@@ -148,7 +162,7 @@
     is_full = failure.kind is FailureKind.REFUSED
     if is_full:
         context.full_engines.add(
-            endpoint, tokens, context.clock() + _FULL_TTL_S
+            endpoint, tokens + headroom, context.clock() + _FULL_TTL_S
         )
     else:
         weight = passive_health.failure_weight(failure.kind)
@@ -165,4 +179,32 @@
     return None
 
 
-__all__ = ["Reservation", "estimate_tokens", "reserve_memory"]
+def _reserve_below_headroom(
+    context: Context,
+    engine: EngineProperties,
+    endpoint: Endpoint,
+    tokens: int,
+    headroom: int,
+) -> Result[str, Failure]:
+    """Reserves memory if the engine has headroom besides.
+
+    A reservation that includes the headroom shows whether the engine has it.
+    It is released at once, since the surplus of a reservation stays reserved
+    until the generation ends.
+    """
+    endpoints = context.platform.endpoints
+    ttl_s = engine.reservation_ttl_s
+    if headroom > 0:
+        probe = endpoints.reserve(endpoint, tokens + headroom, ttl_s)
+        if isinstance(probe, Err):
+            return probe
+        endpoints.release_reservation(endpoint, probe.ok_value)
+    return endpoints.reserve(endpoint, tokens, ttl_s)
+
+
+__all__ = [
+    "Reservation",
+    "estimate_headroom",
+    "estimate_tokens",
+    "reserve_memory",
+]
