--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -172,10 +172,18 @@
 
 
 def run_gateway(
-    document: dict[str, Any] | None = None, **settings: Any
+    document: dict[str, Any] | None = None,
+    shared_store: ObjectStore | None = None,
+    **settings: Any,
 ) -> Iterator[Gateway]:
-    """Yields a gateway with a configuration in force, then stops it."""
-    store = ObjectStore()
+    """Yields a gateway with a configuration in force, then stops it.
+
+    Args:
+      document: configuration.
+      shared_store: store of several gateways; by default it has its own.
+      **settings: changes of the settings.
+    """
+    store = shared_store or ObjectStore()
     if document is not None:
         store.put("config", "main", document)
     log_events: list[dict[str, Any]] = []
@@ -185,12 +193,15 @@
 
     components = process.make_components(
         GatewaySettings(
-            vm="vm-1",
-            availability_zone="zone-a",
-            caller_address="127.0.0.1:0",
-            ready_address="127.0.0.1:0",
-            store_address=store.address,
-            **{"threads": 16, **settings},
+            **{
+                "vm": "vm-1",
+                "availability_zone": "zone-a",
+                "caller_address": "127.0.0.1:0",
+                "ready_address": "127.0.0.1:0",
+                "store_address": store.address,
+                "threads": 16,
+                **settings,
+            }
         ),
         make_platform,
         time.monotonic,
@@ -208,7 +219,8 @@
         process.stop(components)
         for endpoint in gateway.endpoints:
             endpoint.close()
-        store.close()
+        if shared_store is None:
+            store.close()
 
 
 def wait_for(condition: Callable[[], bool]) -> None:
