Give tasks that are added at the same time a thread each

Cause: the task dispatcher counted its threads and added one in two steps. Of two tasks added between them, one got no thread, or a thread was stopped again, and the task waited for another request to end. Its log was not kept, so that this fault is a possible cause and not a proved one.

Change: both steps hold the lock.

Result: the test of eight tasks added at the same time failed before.

--- a/src/burdockspan/gateway/discovery.py
+++ b/src/burdockspan/gateway/discovery.py
@@ -34,6 +34,7 @@
 # the recovery time: the margin of the call, a new list, and its processing.
 _WATCH_RESERVE_S = 1.0
 _MIN_WATCH_TIMEOUT_S = 0.5
+_DEFAULT_WATCH_TIMEOUT_S = 2.0
 # Longest wait that the store grants.
 _MAX_WATCH_TIMEOUT_S = 30.0
 # Share of the time limit for applying a change that a watcher lets pass before
@@ -73,7 +74,7 @@
     on_lost: Callable[[StoreError], None]
     on_regained: Callable[[], None]
     on_response: Callable[[], None] = lambda: None
-    watch_timeout_s: float = 2.0
+    watch_timeout_s: float = _DEFAULT_WATCH_TIMEOUT_S
     collect_s: float = 0.0
     consistency: Consistency = Consistency.LATEST
 
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -98,7 +98,7 @@
         map=sockets,
         listen=f"{host}:{port}",
         threads=threads,
-        _dispatcher=_GrowingTaskDispatcher(threads),
+        _dispatcher=GrowingTaskDispatcher(threads),
         **settings,
     )
     server.adj.socket_options = CALLER_SOCKET_OPTIONS
@@ -141,7 +141,7 @@
     task.write(body)
 
 
-class _GrowingTaskDispatcher(waitress.task.ThreadedTaskDispatcher):
+class GrowingTaskDispatcher(waitress.task.ThreadedTaskDispatcher):
     """A task dispatcher that starts its threads when tasks need them.
 
     waitress starts all threads at once. Hundreds of processes on one machine
@@ -151,6 +151,7 @@
     def __init__(self, limit: int) -> None:
         super().__init__()
         self._limit = limit
+        self._last_thread = 0
 
     def add_task(self, task: Any) -> None:
         """Queues a task, and starts a thread if none is idle."""
@@ -159,9 +160,14 @@
             self.queue_cv.notify()
             count = len(self.threads) - self.stop_count
             idle = count - self.active_count
-            needs_thread = len(self.queue) > idle and count < self._limit
-        if needs_thread:
-            self.set_thread_count(count + 1)
+            if len(self.queue) <= idle or count >= self._limit:
+                return
+            # Not `set_thread_count`, which takes the lock itself: of two tasks
+            # added at the same time, one would get no thread.
+            self._last_thread += 1
+            self.threads.add(self._last_thread)
+            self.active_count += 1
+            self.start_new_thread(self.handler_thread, self._last_thread)
 
 
 class _EventLoop:
@@ -215,6 +221,7 @@
 __all__ = [
     "CALLER_SOCKET_OPTIONS",
     "HEADER_LIMIT_BYTES",
+    "GrowingTaskDispatcher",
     "Server",
     "WsgiApplication",
     "make_server",
--- a/tests/gateway/test_memory_headroom.py
+++ b/tests/gateway/test_memory_headroom.py
@@ -55,7 +55,7 @@
 
 
 class _SimulatedEngine:
-    """Memory of an engine as PROTOCOL describes it.
+    """The memory of an engine.
 
     A reservation keeps its size until its generation has ended or outgrown it.
     """
--- a/tests/http/test_listener_threads.py
+++ b/tests/http/test_listener_threads.py
@@ -8,12 +8,27 @@
 from collections.abc import Iterable
 from typing import Any
 
-from burdockspan.http.listener import make_server
+from burdockspan.http.listener import GrowingTaskDispatcher, make_server
 from tests.support.gateways import wait_for
 
 _LIMIT = 6
 
 
+class _Task:
+    """A task that runs until it is released."""
+
+    def __init__(
+        self, running: threading.Semaphore, release: threading.Event
+    ) -> None:
+        self._running = running
+        self._release = release
+
+    def service(self) -> None:
+        """Runs the task."""
+        self._running.release()
+        self._release.wait(20)
+
+
 class TestThreads(unittest.TestCase):
     def setUp(self) -> None:
         self.release = threading.Event()
@@ -60,6 +75,28 @@
             self.assertEqual(connection.getresponse().status, 200)
         self.assertEqual(self.most_running, _LIMIT)
 
+    def test_tasks_added_at_the_same_time_all_get_threads(self) -> None:
+        """Guards against a request that waits for another one to end.
+
+        Worker threads and the event loop add tasks at the same time.
+        """
+        for _ in range(200):
+            dispatcher = GrowingTaskDispatcher(8)
+            release = threading.Event()
+            running = threading.Semaphore(0)
+            adders = [
+                threading.Thread(
+                    target=dispatcher.add_task, args=(_Task(running, release),)
+                )
+                for _ in range(8)
+            ]
+            for adder in adders:
+                adder.start()
+            started = [running.acquire(timeout=5) for _ in adders]
+            release.set()
+            dispatcher.shutdown()
+            self.assertEqual(started, [True] * len(adders))
+
     def test_idle_threads_are_used_again(self) -> None:
         """Guards against one thread for each request ever received."""
         self.release.set()
