--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -23,6 +23,7 @@
 from typing import Any
 
 _ROOT = pathlib.Path(__file__).parents[1]
+_SHOWN_LOG_CHARACTERS = 4000
 _WAIT_TIMEOUT_S = 30.0
 _FIRST_PORT = 10_000
 _PORTS_COUNT = 20_000
@@ -262,10 +263,17 @@
     def wait_until_ready(self) -> None:
         """Waits until every entry process is ready."""
         for entry in self.entries:
-            wait_until(
-                lambda entry=entry: is_ready(entry),
-                f"{entry.name} is ready; its log: {entry.log_path}",
-            )
+            try:
+                wait_until(
+                    lambda entry=entry: is_ready(entry),
+                    f"{entry.name} is ready",
+                )
+            except AssertionError as error:
+                # The folder of the log is removed with the fleet.
+                raise AssertionError(
+                    f"{error}; exit code {entry.popen.poll()}; end of its log:"
+                    f"\n{_read_end(entry.log_path)}"
+                ) from error
 
     def close(self) -> None:
         """Kills all processes."""
@@ -406,6 +414,10 @@
         return Response(response.status, headers_by_name, response.read())
 
 
+def _read_end(path: pathlib.Path) -> str:
+    return path.read_text(errors="replace")[-_SHOWN_LOG_CHARACTERS:]
+
+
 def is_ready(entry: Process) -> bool:
     """Returns whether an entry process is ready for requests."""
     if entry.popen.poll() is not None:
