Log the limits that endpoints name in their answers

The header is decoded for every answer of an endpoint, and changes are logged and counted. Requests are routed as before.

--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -102,6 +102,26 @@
     total_tokens: int
 
 
+@dataclasses.dataclass(frozen=True)
+class EndpointSignals:
+    """What an endpoint says about itself in the headers of an answer.
+
+    Attributes:
+      answers_request: whether the answer is to a caller's request, and not to
+        a call of the router's own. Every answer to a caller's request carries
+        the signals that hold.
+      limit_per_s: requests per second that it takes from all VMs together;
+        None if it names no limit.
+    """
+
+    answers_request: bool
+    limit_per_s: float | None = None
+
+
+# Receives the signals of each answer, or an error text if they are malformed.
+ObserveSignals = Callable[[Endpoint, Result[EndpointSignals, str]], None]
+
+
 @dataclasses.dataclass(frozen=True)
 class EndpointClient:
     """Calls to endpoints; each call opens a new connection.
@@ -263,10 +283,12 @@
     "Consistency",
     "EndpointClient",
     "EndpointResponse",
+    "EndpointSignals",
     "EngineLoad",
     "KvCache",
     "Listing",
     "ObjectKinds",
+    "ObserveSignals",
     "Platform",
     "Store",
     "StoreError",
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -24,8 +24,9 @@
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.ingress import make_ingress
 from burdockspan.gateway.messages import make_status_line
-from burdockspan.gateway.ports import Platform
+from burdockspan.gateway.ports import ObserveSignals, Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
+from burdockspan.gateway.rate_limits import RateLimits, make_signal_observer
 from burdockspan.gateway.reload import LoadSettings, make_reload
 from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import GatewaySettings
@@ -60,6 +61,8 @@
 _MIN_UPTIME_S = 2.5 * HEARTBEAT_INTERVAL_S
 _EXIT_OK = 0
 
+MakePlatform = Callable[[str, Clock, ObserveSignals], Platform]
+
 
 @dataclasses.dataclass(frozen=True)
 class Components:
@@ -88,7 +91,7 @@
 
 def make_components(
     settings: GatewaySettings,
-    make_platform: Callable[[str, Clock], Platform],
+    make_platform: MakePlatform,
     clock: Clock,
     log: WriteEvent,
 ) -> Components:
@@ -96,13 +99,18 @@
 
     Args:
       settings: settings of the process.
-      make_platform: returns the platform adapter for the address of the store
-        and a clock.
+      make_platform: returns the platform adapter for the address of the store,
+        a clock, and a receiver of what endpoints say about themselves.
       clock: monotonic clock, in seconds.
       log: writes a log event.
     """
     state = GatewayState(settings.availability_zone, clock)
-    platform = make_platform(settings.store_address, clock)
+    registry = make_registry()
+    platform = make_platform(
+        settings.store_address,
+        clock,
+        make_signal_observer(RateLimits(), log, registry),
+    )
     context = Context(
         platform=platform,
         state=state,
@@ -118,7 +126,7 @@
         clock=clock,
         random_float=random.Random().random,
         log=log,
-        registry=make_registry(),
+        registry=registry,
     )
     in_flight = InFlightRequests(settings.threads)
     graceful_stop = context.graceful_stop
@@ -212,7 +220,7 @@
 
 def run_gateway(
     settings: GatewaySettings,
-    make_platform: Callable[[str, Clock], Platform],
+    make_platform: MakePlatform,
     load_settings: LoadSettings,
 ) -> int:
     """Runs a gateway process until SIGTERM or SIGINT.
--- a/src/burdockspan/platform/adapter.py
+++ b/src/burdockspan/platform/adapter.py
@@ -4,7 +4,12 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway.ports import ObjectKinds, Platform, StoredObject
+from burdockspan.gateway.ports import (
+    ObjectKinds,
+    ObserveSignals,
+    Platform,
+    StoredObject,
+)
 from burdockspan.gateway.values import Configuration, Endpoint
 from burdockspan.platform import documents
 from burdockspan.platform.endpoint_client import make_endpoint_client
@@ -13,11 +18,19 @@
 from burdockspan.values.clock import Clock
 
 
-def make_platform(store_address: str, clock: Clock) -> Platform:
-    """Returns the adapter; it does not connect yet."""
+def make_platform(
+    store_address: str, clock: Clock, observe_signals: ObserveSignals
+) -> Platform:
+    """Returns the adapter; it does not connect yet.
+
+    Args:
+      store_address: `ip:port` of the object store.
+      clock: monotonic clock, in seconds.
+      observe_signals: receives the signals of each answer of an endpoint.
+    """
     return Platform(
         store=make_store(store_address, clock),
-        endpoints=make_endpoint_client(clock),
+        endpoints=make_endpoint_client(clock, observe_signals),
         kinds=ObjectKinds(
             documents.CONFIGURATION_KIND, documents.ENDPOINT_KIND
         ),
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
@@ -19,9 +20,11 @@
     EndpointResponse,
     EngineLoad,
     KvCache,
+    ObserveSignals,
 )
 from burdockspan.gateway.values import Endpoint, InboundCall, Stage
 from burdockspan.platform import headers as header_names
+from burdockspan.platform.signals import decode_signals
 from burdockspan.values.clock import Clock
 from burdockspan.values.endpoint import Endpoint as TransportEndpoint
 from burdockspan.values.endpoint import Pool
@@ -38,25 +41,40 @@
 _MISDIRECTED_REQUEST = 421
 
 
-def make_endpoint_client(clock: Clock) -> EndpointClient:
+@dataclasses.dataclass(frozen=True)
+class _Channel:
+    """How calls reach endpoints, and who receives the signals of answers."""
+
+    connections: Connections
+    observe_signals: ObserveSignals
+
+
+def make_endpoint_client(
+    clock: Clock, observe_signals: ObserveSignals
+) -> EndpointClient:
     """Returns the client; each of its calls opens a new connection.
 
     Reusing connections would save a round trip, but would expose calls to idle
     connections that were closed or lost, and to late responses of other calls.
+
+    Args:
+      clock: monotonic clock, in seconds.
+      observe_signals: receives the signals of each answer.
     """
     connections = make_connections(clock, lambda: _CONNECT_TIMEOUT_S)
+    channel = _Channel(connections, observe_signals)
 
     def run(
         endpoint: Endpoint, call: InboundCall, options: AttemptOptions
     ) -> Result[EndpointResponse, Failure]:
-        exchanged = _send_request(connections, endpoint, call, options)
+        exchanged = _send_request(channel, endpoint, call, options)
         return exchanged.map(_make_response)
 
     def prefill(
         endpoint: Endpoint, call: InboundCall, options: AttemptOptions
     ) -> Result[KvCache, Failure]:
         exchanged = _send_request(
-            connections, endpoint, call, options, prefill_only=True
+            channel, endpoint, call, options, prefill_only=True
         )
         if isinstance(exchanged, Err):
             return exchanged
@@ -75,7 +93,7 @@
     ) -> Result[str, Failure]:
         body = {"tokens": tokens, "ttl_ms": int(ttl_s * 1000)}
         value = _call_control_api(
-            connections, endpoint, "POST", "/v1/hold-take", body
+            channel, endpoint, "POST", "/v1/hold-take", body
         )
         if isinstance(value, Err):
             return value
@@ -87,16 +105,14 @@
         return Ok(name)
 
     def release_reservation(endpoint: Endpoint, name: str) -> None:
-        _call_control_api(
-            connections, endpoint, "DELETE", f"/v1/hold-drop/{name}"
-        )
+        _call_control_api(channel, endpoint, "DELETE", f"/v1/hold-drop/{name}")
 
     def release_cache(cache: KvCache) -> None:
         path = f"/v1/kv-handle/{cache.handle}"
-        _call_control_api(connections, cache.endpoint, "DELETE", path)
+        _call_control_api(channel, cache.endpoint, "DELETE", path)
 
     def fetch_load(endpoint: Endpoint) -> Result[EngineLoad, Failure]:
-        value = _call_control_api(connections, endpoint, "GET", "/v1/report")
+        value = _call_control_api(channel, endpoint, "GET", "/v1/report")
         if isinstance(value, Err):
             return value
         try:
@@ -122,7 +138,7 @@
             "precondition": orders,
         }
         response = _call_control_api(
-            connections, endpoint, "POST", "/v1/order", body
+            channel, endpoint, "POST", "/v1/order", body
         )
         return response if isinstance(response, Err) else Ok(None)
 
@@ -142,7 +158,7 @@
 
 
 def _send_request(
-    connections: Connections,
+    channel: _Channel,
     endpoint: Endpoint,
     call: InboundCall,
     options: AttemptOptions,
@@ -151,7 +167,7 @@
     """Sends a request; returns a response whose body has not been read.
 
     Args:
-      connections: opens connections.
+      channel: connections, and the receiver of signals.
       endpoint: receives the request.
       call: the request.
       options: options of the attempt.
@@ -168,16 +184,30 @@
         idle_timeout_s=max(_MIN_TIMEOUT_S, options.head_timeout_s),
         fresh=True,
     )
-    exchanged = connections.start_exchange(request, options.abort)
+    exchanged = channel.connections.start_exchange(request, options.abort)
     if isinstance(exchanged, Err):
         return exchanged
     failure = _check_response(endpoint, call, exchanged.ok_value, prefill_only)
+    if failure is None or failure.kind is FailureKind.REFUSED:
+        _observe_signals(channel, endpoint, exchanged.ok_value, True)
     if failure is not None:
         exchanged.ok_value.close()
         return Err(failure)
     return exchanged
 
 
+def _observe_signals(
+    channel: _Channel,
+    endpoint: Endpoint,
+    exchange: Exchange,
+    answers_request: bool,
+) -> None:
+    """Reports the signals of an answer that the endpoint itself sent."""
+    channel.observe_signals(
+        endpoint, decode_signals(exchange.headers, answers_request)
+    )
+
+
 def _encode_headers(
     endpoint: Endpoint,
     call: InboundCall,
@@ -273,7 +303,7 @@
 
 
 def _call_control_api(
-    connections: Connections,
+    channel: _Channel,
     endpoint: Endpoint,
     method: str,
     path: str,
@@ -295,10 +325,12 @@
         idle_timeout_s=_CONTROL_TIMEOUT_S,
         fresh=True,
     )
-    exchanged = connections.start_exchange(call, AbortHandle())
+    exchanged = channel.connections.start_exchange(call, AbortHandle())
     if isinstance(exchanged, Err):
         return exchanged
     exchange = exchanged.ok_value
+    if exchange.status != _MISDIRECTED_REQUEST:
+        _observe_signals(channel, endpoint, exchange, False)
     if not 200 <= exchange.status < 300:
         exchange.close()
         kind = FailureKind.REFUSED
--- a/src/burdockspan/platform/headers.py
+++ b/src/burdockspan/platform/headers.py
@@ -20,6 +20,8 @@
 NOT_EXECUTED = "Not-Executed"
 RESPONSE_STAMP = "Response-Stamp"
 RETRY_AFTER = "Retry-After"
+# Requests per second that an endpoint takes from all VMs together.
+SERVER_LIMIT = "Server-Limit"
 STAGE = "Stage"
 # `ip:port/handle` of the KV cache that the endpoint fetches.
 KV_SOURCE = "Kv-Source"
@@ -142,6 +144,7 @@
     "REQUEST_ID",
     "RESPONSE_STAMP",
     "RETRY_AFTER",
+    "SERVER_LIMIT",
     "STAGE",
     "TOKEN_COUNT",
     "filter_request_headers",
