--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -13,6 +13,7 @@
 from burdockspan.gateway import process
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.platform.adapter import make_platform
+from burdockspan.values.clock import Clock
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import ScriptedEndpoint
 
@@ -174,6 +175,7 @@
 def run_gateway(
     document: dict[str, Any] | None = None,
     shared_store: ObjectStore | None = None,
+    clock: Clock = time.monotonic,
     **settings: Any,
 ) -> Iterator[Gateway]:
     """Yields a gateway with a configuration in force, then stops it.
@@ -181,6 +183,7 @@
     Args:
       document: configuration.
       shared_store: store of several gateways; by default it has its own.
+      clock: monotonic clock of the gateway, in seconds.
       **settings: changes of the settings.
     """
     store = shared_store or ObjectStore()
@@ -204,7 +207,7 @@
             }
         ),
         make_platform,
-        time.monotonic,
+        clock,
         log,
     )
     gateway = Gateway(components, store, [], log_events)
