Keep the limits that endpoints name, over all VMs

Callers were sent to endpoints in need far beyond the rate that these had named: 23 requests in 4 s at limits of 1.6 and 1.9 a second, where 15 and 16 were allowed.

It is one of a class of bounds that an endpoint names and all VMs keep together, while no VM sees the requests of the others. Evidence: all attempts at both endpoints were first ones, spread over all VMs by load and zone.

Endpoints without a permit are no candidates, for plain requests, reservations and prefills. If no endpoint is left, the request is refused at once with the time until the next permit.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from burdockspan.endpoints.sockets import AbortHandle
 from burdockspan.gateway import passive_health
@@ -13,6 +14,7 @@
     make_problem,
 )
 from burdockspan.gateway.values import Endpoint, InboundCall, Route
+from burdockspan.gateway.vm_heartbeats import HEARTBEAT_INTERVAL_S
 from burdockspan.values.placement import Failure, FailureKind
 
 # After these failures a request has certainly not run: the endpoint reported
@@ -214,6 +216,24 @@
         return response
 
 
+def explain_missing_endpoint(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> tuple[str, float]:
+    """Returns why no endpoint accepts a request, and when one is expected to.
+
+    Returns:
+      The reason of the refusal, and the value of Retry-After in seconds.
+    """
+    wait_s = context.state.permit_wait_s(
+        request.service, attempts.tried_incarnations
+    )
+    if not wait_s:
+        return "no endpoint", RETRY_AFTER_S
+    if math.isinf(wait_s):
+        return "endpoint limits", HEARTBEAT_INTERVAL_S
+    return "endpoint limits", max(RETRY_AFTER_S, wait_s)
+
+
 def log_attempt(
     context: Context,
     request: RoutedRequest,
@@ -222,6 +242,9 @@
 ) -> None:
     """Logs the endpoint of an attempt, and the inputs of the choice."""
     age_s = context.state.endpoints_age_s()
+    limit_per_s = context.state.rate_limits.limit_per_s(endpoint)
+    if limit_per_s is not None:
+        fields["limit_per_s"] = limit_per_s
     context.log(
         "attempt",
         request_id=request.call.request_id,
@@ -242,5 +265,6 @@
     "RETRY_AFTER_S",
     "Attempts",
     "RoutedRequest",
+    "explain_missing_endpoint",
     "log_attempt",
 ]
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -18,6 +18,7 @@
     NOT_STARTED,
     Attempts,
     RoutedRequest,
+    explain_missing_endpoint,
     log_attempt,
 )
 from burdockspan.gateway.context import Context
@@ -68,6 +69,14 @@
     response: EndpointResponse
 
 
+@dataclasses.dataclass(frozen=True)
+class _Refusal:
+    """Why no attempt started, and when a caller should return."""
+
+    reason: str
+    retry_after_s: float
+
+
 def generate(
     context: Context,
     request: RoutedRequest,
@@ -79,8 +88,9 @@
     context.demand.record_prompt(request.service, size.prompt_tokens)
     started = _start_attempt(context, request, attempts, engine, size, None)
     if isinstance(started, Err):
+        refusal = started.err_value
         return attempts.make_error_response(
-            started.err_value, _RETRY_AFTER_SHARE * request.route.timeout_s
+            refusal.reason, refusal.retry_after_s
         )
     attempt = started.ok_value
     stream = _Stream(context, request, attempts, engine, size, attempt)
@@ -97,16 +107,12 @@
     engine: EngineProperties,
     size: GenerationSize,
     after_event: str | None,
-) -> Result[_StartedAttempt, str]:
-    """Starts an attempt; the error is the reason that no attempt started."""
+) -> Result[_StartedAttempt, _Refusal]:
+    """Starts an attempt; the error says why none started."""
     while True:
         reservation = _wait_for_memory(context, request, attempts, engine, size)
         if reservation is None:
-            if not _has_engine(context, request):
-                return Err("no endpoint")
-            if not request.caller.gone:
-                context.demand.record_without_memory(request.service)
-            return Err("no memory")
+            return Err(_explain_missing_memory(context, request, attempts))
         outcome = _run_attempt(
             context, request, attempts, reservation, size, after_event
         )
@@ -114,11 +120,22 @@
             return Ok(_StartedAttempt(reservation, outcome.ok_value))
         _release_after_failure(context, reservation, outcome.err_value)
         if outcome.err_value is None or request.caller.gone:
-            return Err("no attempt left")
+            retry_after_s = _RETRY_AFTER_SHARE * request.route.timeout_s
+            return Err(_Refusal("no attempt left", retry_after_s))
 
 
-def _has_engine(context: Context, request: RoutedRequest) -> bool:
-    return bool(context.state.candidates(request.service, lambda *_: 0.0))
+def _explain_missing_memory(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> _Refusal:
+    """Returns why no engine has reserved memory for a generation."""
+    wait_s = context.state.permit_wait_s(
+        request.service, attempts.tried_incarnations
+    )
+    if wait_s or not context.state.list_usable(request.service):
+        return _Refusal(*explain_missing_endpoint(context, request, attempts))
+    if not request.caller.gone:
+        context.demand.record_without_memory(request.service)
+    return _Refusal("no memory", _RETRY_AFTER_SHARE * request.route.timeout_s)
 
 
 def _wait_for_memory(
@@ -135,7 +152,8 @@
     time until the deadline is shorter than the objective.
 
     Returns:
-      The reservation; None if the generation gave up or its caller has gone.
+      The reservation; None if the generation gave up or its caller has gone, or
+      if no engine takes a request of this VM in time.
     """
     now_s = context.clock()
     objective_s = request.route.objective_s
@@ -148,6 +166,11 @@
     if is_late:
         give_up_s = now_s + _LATE_WAIT_S
     give_up_s = min(give_up_s, request.deadline_s - objective_s)
+    permit_wait_s = context.state.permit_wait_s(
+        request.service, attempts.tried_incarnations
+    )
+    if permit_wait_s is not None and now_s + permit_wait_s > give_up_s:
+        return None
     queue = context.admission_queues.for_service(request.service)
     request.caller.notify_when_gone(queue.wake)
     return queue.wait(
@@ -241,6 +264,8 @@
     for endpoint in _choose_prefill_engines(
         context, request, attempts, reservation, size
     ):
+        if not context.state.rate_limits.try_take(endpoint):
+            continue
         if not attempts.try_prefill():
             return None
         outcome = _run_prefill(context, request, attempts, endpoint, size)
@@ -442,7 +467,9 @@
             context, request, attempts, self._engine, self._size, after_event
         )
         if isinstance(started, Err):
-            raise TruncatedError(f"{failure.detail}; {started.err_value}")
+            raise TruncatedError(
+                f"{failure.detail}; {started.err_value.reason}"
+            )
         attempt = started.ok_value
         if not attempt.response.succeeded:
             attempt.response.close()
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -13,6 +13,7 @@
     RETRY_AFTER_S,
     Attempts,
     RoutedRequest,
+    explain_missing_endpoint,
     log_attempt,
 )
 from burdockspan.gateway.context import Context
@@ -37,7 +38,7 @@
     attempts = Attempts(context, request)
     last_response: Response | None = None
     while True:
-        endpoint = _choose_endpoint(context, request, attempts)
+        endpoint = _take_endpoint(context, request, attempts)
         if endpoint is None or not attempts.try_start():
             break
         outcome = _run_attempt(context, request, attempts, endpoint)
@@ -50,19 +51,26 @@
             return last_response
     if last_response is not None:
         return last_response
-    reason = "no endpoint" if endpoint is None else "no attempt left"
-    return attempts.make_error_response(reason, RETRY_AFTER_S)
+    reason = "no attempt left"
+    retry_after_s = RETRY_AFTER_S
+    if endpoint is None:
+        reason, retry_after_s = explain_missing_endpoint(
+            context, request, attempts
+        )
+    return attempts.make_error_response(reason, retry_after_s)
 
 
-def _choose_endpoint(
+def _take_endpoint(
     context: Context, request: RoutedRequest, attempts: Attempts
 ) -> Endpoint | None:
+    """Returns the best untried endpoint, and uses a permit of its limit."""
     candidates = context.state.candidates(
         request.service, lambda endpoint, running, _: running / endpoint.slots
     )
     ranked = rank_plain(candidates, context.random_float)
     untried = exclude_tried(ranked, attempts.tried_incarnations)
-    return untried[0] if untried else None
+    rate_limits = context.state.rate_limits
+    return next(filter(rate_limits.try_take, untried), None)
 
 
 def _run_attempt(
@@ -71,7 +79,9 @@
     attempts: Attempts,
     endpoint: Endpoint,
 ) -> Result[Response, Failure]:
-    head_timeout_s = _choose_head_timeout_s(context, request, attempts)
+    head_timeout_s = _choose_head_timeout_s(
+        context, request, attempts, endpoint
+    )
     log_attempt(context, request, endpoint, wait_s=round(head_timeout_s, 3))
     end_work = context.state.begin_work(endpoint)
     started_s = context.clock()
@@ -97,14 +107,16 @@
 
 
 def _choose_head_timeout_s(
-    context: Context, request: RoutedRequest, attempts: Attempts
+    context: Context,
+    request: RoutedRequest,
+    attempts: Attempts,
+    endpoint: Endpoint,
 ) -> float:
     remaining_s = attempts.remaining_s()
+    used = {*attempts.tried_incarnations, endpoint.incarnation}
     candidates = context.state.candidates(request.service, lambda *_: 0.0)
-    other_endpoints = len(candidates) - len(attempts.tried_incarnations) - 1
-    may_run_again = (
-        attempts.run_count + 1 < request.route.max_attempts
-        and other_endpoints > 0
+    may_run_again = attempts.run_count + 1 < request.route.max_attempts and any(
+        candidate.endpoint.incarnation not in used for candidate in candidates
     )
     if not request.route.repeatable or not may_run_again:
         return remaining_s
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -26,7 +26,7 @@
 from burdockspan.gateway.messages import make_status_line
 from burdockspan.gateway.ports import ObserveSignals, Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
-from burdockspan.gateway.rate_limits import RateLimits, make_signal_observer
+from burdockspan.gateway.rate_limits import make_signal_observer
 from burdockspan.gateway.reload import LoadSettings, make_reload
 from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import GatewaySettings
@@ -104,12 +104,13 @@
       clock: monotonic clock, in seconds.
       log: writes a log event.
     """
-    state = GatewayState(settings.availability_zone, clock)
+    random_float = random.Random().random
+    state = GatewayState(settings.availability_zone, clock, random_float)
     registry = make_registry()
     platform = make_platform(
         settings.store_address,
         clock,
-        make_signal_observer(RateLimits(), log, registry),
+        make_signal_observer(state.rate_limits, log, registry),
     )
     context = Context(
         platform=platform,
@@ -124,7 +125,7 @@
         admission_queues=AdmissionQueues(clock),
         graceful_stop=GracefulStop(settings.grace_s, clock),
         clock=clock,
-        random_float=random.Random().random,
+        random_float=random_float,
         log=log,
         registry=registry,
     )
@@ -167,6 +168,7 @@
 
     def on_count(live: int, value_by_vm: Mapping[str, Any]) -> None:
         context.retry_budget.set_vm_count(live)
+        context.state.rate_limits.set_vm_count(live)
         uptime_s = context.clock() - started_s
         may_order = uptime_s >= _MIN_UPTIME_S
         balance_stages(
--- a/src/burdockspan/gateway/reservations.py
+++ b/src/burdockspan/gateway/reservations.py
@@ -106,6 +106,8 @@
             endpoint, tokens + headroom, context.clock()
         ):
             continue
+        if not context.state.rate_limits.try_take(endpoint):
+            continue
         request_count += 1
         reservation = _reserve_at(
             context, request, engine, endpoint, tokens, headroom
--- a/src/burdockspan/gateway/stage_balance.py
+++ b/src/burdockspan/gateway/stage_balance.py
@@ -44,11 +44,8 @@
         demand = stages.combine_measurements(
             [by_service.get(name) for by_service in measurements]
         )
-        candidates = context.state.candidates(
-            name, lambda *_: 0.0, Stage.PREFILL
-        )
         prefill_engines = settled_engines.update(
-            name, [candidate.endpoint for candidate in candidates]
+            name, context.state.list_usable(name, Stage.PREFILL)
         )
         chosen = stages.choose_engines_to_decode(prefill_engines, demand)
         if not chosen or not may_order:
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -5,23 +5,24 @@
 import collections
 import dataclasses
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from burdockspan.gateway import endpoint_table, passive_health
 from burdockspan.gateway.endpoint_table import EndpointTable
 from burdockspan.gateway.passive_health import Suspicion
 from burdockspan.gateway.ranking import Candidate
+from burdockspan.gateway.rate_limits import RateLimits
 from burdockspan.gateway.routing import RoutingTable, make_routing_table
 from burdockspan.gateway.values import (
     Configuration,
     Endpoint,
+    Incarnation,
     RequestLimits,
     Stage,
 )
+from burdockspan.placement.sampling import RandomFloat
 from burdockspan.values.clock import Clock
 
-Incarnation = tuple[str, int]
-
 # In force until the first configuration has been received.
 _INITIAL_LIMITS = RequestLimits(16_384, 4_194_304, 3.0, 15.0)
 
@@ -42,11 +43,20 @@
 
 
 class GatewayState:
-    """Configuration, endpoints, suspicions, and this VM's running requests."""
+    """Configuration, endpoints, suspicions, and this VM's running requests.
+
+    Attributes:
+      zone: availability zone of this VM.
+      clock: monotonic clock, in seconds.
+      rate_limits: limits that endpoints name.
+    """
 
-    def __init__(self, zone: str, clock: Clock) -> None:
+    def __init__(
+        self, zone: str, clock: Clock, random_float: RandomFloat
+    ) -> None:
         self.zone = zone
         self.clock = clock
+        self.rate_limits = RateLimits(clock, random_float)
         self._lock = threading.Lock()
         self._active: ActiveConfiguration | None = None
         self._endpoint_table = EndpointTable()
@@ -116,6 +126,7 @@
             for incarnation in list(self._suspicion_by_incarnation):
                 if incarnation not in present:
                     del self._suspicion_by_incarnation[incarnation]
+        self.rate_limits.forget_departed(present)
 
     def candidates(
         self,
@@ -123,7 +134,10 @@
         load: Callable[[Endpoint, int, int], float],
         stage: Stage | None = None,
     ) -> tuple[Candidate, ...]:
-        """Returns the endpoints of a service that accept new work.
+        """Returns the endpoints of a service that accept new work from this VM.
+
+        Endpoints are left out while this VM has no permit within the limits
+        that they name.
 
         Args:
           service: name of the service.
@@ -134,14 +148,50 @@
         """
         now_s = self.clock()
         with self._lock:
-            endpoints = endpoint_table.list_usable(
-                self._endpoint_table, service, now_s, stage
-            )
             return tuple(
                 self._make_candidate(endpoint, load, now_s)
-                for endpoint in endpoints
+                for endpoint in self.list_usable(service, stage)
+                if not self.rate_limits.wait_s(endpoint)
             )
 
+    def list_usable(
+        self, service: str, stage: Stage | None = None
+    ) -> tuple[Endpoint, ...]:
+        """Returns the endpoints of a service, whether they name a limit or not.
+
+        Args:
+          service: name of the service.
+          stage: selects the model engines of this stage; None selects all
+            endpoints.
+        """
+        return endpoint_table.list_usable(
+            self._endpoint_table, service, self.clock(), stage
+        )
+
+    def permit_wait_s(
+        self, service: str, excluded: Collection[Incarnation] = ()
+    ) -> float | None:
+        """Returns the time until an endpoint accepts a request of this VM.
+
+        Args:
+          service: name of the service.
+          excluded: endpoints that are left out, such as those that a request
+            has tried.
+
+        Returns:
+          The time in seconds; 0 if a request may be sent now, None if there is
+          no endpoint. It is infinite until the VMs have been counted.
+        """
+        return min(
+            (
+                self.rate_limits.wait_s(endpoint)
+                for endpoint in self.list_usable(service)
+                if endpoint.incarnation not in excluded
+                and endpoint.stage is not Stage.PREFILL
+            ),
+            default=None,
+        )
+
     def _make_candidate(
         self,
         endpoint: Endpoint,
--- a/src/burdockspan/gateway/values.py
+++ b/src/burdockspan/gateway/values.py
@@ -130,6 +130,10 @@
     limits: RequestLimits
 
 
+# The identity of an endpoint and the start of its process.
+Incarnation = tuple[str, int]
+
+
 @dataclasses.dataclass(frozen=True)
 class Endpoint:
     """One running endpoint, as its entry in the store describes it.
@@ -158,7 +162,7 @@
     stage: Stage | None = None
 
     @property
-    def incarnation(self) -> tuple[str, int]:
+    def incarnation(self) -> Incarnation:
         """Identity of this run of the endpoint's process."""
         return self.id, self.started_ms
 
@@ -222,6 +226,7 @@
     "EngineProperties",
     "GenerationSize",
     "InboundCall",
+    "Incarnation",
     "RequestKind",
     "RequestLimits",
     "Route",
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -3,9 +3,17 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
+import itertools
+import math
+import random
 import unittest
 from collections.abc import Callable, Iterable, Sequence
 
+from burdockspan.gateway.ports import EndpointSignals
+from burdockspan.gateway.rate_limits import RateLimits
+from burdockspan.gateway.values import Endpoint
+from burdockspan.platform.signals import decode_signals
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import (
     Received,
@@ -24,6 +32,7 @@
 # Time after an endpoint has named its limit until it must be kept.
 _GRACE_S = 3.0
 _STEP_S = 0.05
+_DURATION_S = 30.0
 
 
 def allowed_requests(limit_per_s: float) -> float:
@@ -42,6 +51,18 @@
     )
 
 
+def _make_endpoint() -> Endpoint:
+    return Endpoint(
+        id="i-1",
+        started_ms=1,
+        service="app",
+        address="10.0.0.1:80",
+        zone="zone-a",
+        leaving=False,
+        slots=6,
+    )
+
+
 class FleetCase(unittest.TestCase):
     """Four gateways that share a store and a clock."""
 
@@ -94,6 +115,146 @@
             self.now_s += _STEP_S
 
 
+def _simulate_fleet(
+    vm_count: int,
+    limit_per_s: float,
+    seed: int,
+    requests_per_s: Callable[[float], float],
+) -> list[float]:
+    """Returns when the endpoint receives requests from VMs it has told.
+
+    Args:
+      vm_count: number of VMs; each hears the limit within two seconds.
+      limit_per_s: limit that the endpoint names.
+      seed: of the random starts.
+      requests_per_s: requests of all callers a second, by time.
+    """
+    now_s = [0.0]
+    random_float = random.Random(seed).random
+    endpoint = _make_endpoint()
+    fleet = []
+    for _ in range(vm_count):
+        limits = RateLimits(lambda: now_s[0], random_float)
+        limits.set_vm_count(vm_count)
+        fleet.append(limits)
+    heard_s = [2.0 * random_float() for _ in fleet]
+    told: set[int] = set()
+    arrivals = []
+    for step in range(round(_DURATION_S / _STEP_S)):
+        now_s[0] = step * _STEP_S
+        for number, limits in enumerate(fleet):
+            if number not in told and now_s[0] >= heard_s[number]:
+                told.add(number)
+                limits.observe(endpoint, EndpointSignals(True, limit_per_s))
+        demand = requests_per_s(now_s[0]) * _STEP_S
+        for _ in range(math.floor(demand + random_float())):
+            number = math.floor(vm_count * random_float())
+            if number in told and fleet[number].try_take(endpoint):
+                arrivals.append(now_s[0])
+    return arrivals
+
+
+class TestShares(unittest.TestCase):
+    def test_shares_keep_the_limit_in_fleets_of_any_size(self) -> None:
+        """Guards against shares that add up to more than the limit."""
+        for vm_count, limit_per_s, seed in itertools.product(
+            (1, 4, 26, 78, 300), (0.5, 1.8, 6.0, 40.0), range(3)
+        ):
+            with self.subTest(vms=vm_count, limit=limit_per_s, seed=seed):
+                load = 80.0 + 10.0 * vm_count
+                arrivals = _simulate_fleet(
+                    vm_count, limit_per_s, seed, lambda _, load=load: load
+                )
+                counted = [time_s for time_s in arrivals if time_s >= _GRACE_S]
+                self.assertLessEqual(
+                    count_densest_window(counted), allowed_requests(limit_per_s)
+                )
+                # A limit is used, and not only kept.
+                used_per_s = len(counted) / (_DURATION_S - _GRACE_S)
+                if limit_per_s >= 1.0:
+                    self.assertGreater(used_per_s, 0.3 * limit_per_s)
+
+    def test_shares_unused_for_long_are_not_used_at_once(self) -> None:
+        """Guards against the permits of many idle VMs in the same second."""
+        for vm_count, seed in itertools.product((4, 78, 300), range(3)):
+            with self.subTest(vms=vm_count, seed=seed):
+                arrivals = _simulate_fleet(
+                    vm_count,
+                    1.8,
+                    seed,
+                    lambda now_s, vm_count=vm_count: (
+                        10.0 * vm_count if now_s >= 20.0 else 0.0
+                    ),
+                )
+                self.assertLessEqual(
+                    count_densest_window(arrivals), allowed_requests(1.8)
+                )
+
+    def test_vm_that_has_not_counted_the_vms_sends_nothing(self) -> None:
+        """Guards against a guessed share after a restart of all VMs."""
+        limits = RateLimits(lambda: 5.0, lambda: 0.0)
+        endpoint = _make_endpoint()
+        self.assertTrue(limits.try_take(endpoint))
+        limits.observe(endpoint, EndpointSignals(True, 40.0))
+        self.assertFalse(limits.try_take(endpoint))
+        self.assertEqual(limits.wait_s(endpoint), math.inf)
+        limits.set_vm_count(4)
+        self.assertTrue(limits.try_take(endpoint))
+
+    def test_permit_comes_sooner_under_a_higher_limit(self) -> None:
+        """Guards against a limit of the past that delays the next permit."""
+        limits = RateLimits(lambda: 5.0, lambda: 0.5)
+        limits.set_vm_count(4)
+        endpoint = _make_endpoint()
+        limits.observe(endpoint, EndpointSignals(True, 1.0))
+        first_wait_s = limits.wait_s(endpoint)
+        limits.observe(endpoint, EndpointSignals(True, 10.0))
+        self.assertAlmostEqual(limits.wait_s(endpoint), first_wait_s / 10.0)
+
+    def test_limit_ends_with_an_answer_to_a_request_without_one(self) -> None:
+        """Guards against limits that hold for ever, or end with a report."""
+        limits = RateLimits(lambda: 5.0, lambda: 0.5)
+        limits.set_vm_count(4)
+        endpoint = _make_endpoint()
+        limits.observe(endpoint, EndpointSignals(True, 1.0))
+        limits.observe(endpoint, EndpointSignals(False, None))
+        self.assertEqual(limits.limit_per_s(endpoint), 1.0)
+        limits.observe(endpoint, EndpointSignals(True, None))
+        self.assertIsNone(limits.limit_per_s(endpoint))
+        self.assertTrue(limits.try_take(endpoint))
+
+    def test_restarted_endpoint_has_no_limit(self) -> None:
+        """Guards against a limit that outlives the process that named it."""
+        limits = RateLimits(lambda: 5.0, lambda: 0.5)
+        endpoint = _make_endpoint()
+        limits.observe(endpoint, EndpointSignals(True, 1.0))
+        restarted = dataclasses.replace(endpoint, started_ms=2)
+        self.assertTrue(limits.try_take(restarted))
+
+    def test_limit_of_zero_is_probed(self) -> None:
+        """Guards against an endpoint that is never asked again."""
+        now_s = [0.0]
+        limits = RateLimits(lambda: now_s[0], lambda: 0.5)
+        limits.set_vm_count(4)
+        endpoint = _make_endpoint()
+        limits.observe(endpoint, EndpointSignals(True, 0.0))
+        self.assertTrue(0.0 < limits.wait_s(endpoint) < 60.0)
+
+
+class TestDecodedLimits(unittest.TestCase):
+    def test_malformed_limit_changes_nothing(self) -> None:
+        """Guards against limits read from values that are no rate."""
+        for value in ("", "x", "-1", "nan", "inf", "1e9", "1" * 40, "1,5"):
+            with self.subTest(value=value):
+                decoded = decode_signals({"Server-Limit": value}, True)
+                self.assertTrue(decoded.is_err())
+
+    def test_decimal_limit_is_decoded(self) -> None:
+        """Guards against limits that are cut to whole numbers."""
+        decoded = decode_signals({"Server-Limit": "1.85"}, False)
+        self.assertEqual(decoded.ok_value, EndpointSignals(False, 1.85))
+
+
 class TestLimitOfAllVms(FleetCase):
     def test_endpoint_receives_no_more_than_the_limit_it_named(self) -> None:
         """Guards against endpoints whose limit is ignored, or kept by each VM.
@@ -148,4 +309,9 @@
             self.assertEqual(refusal["runs"], 0)
 
 
-__all__ = ["FleetCase", "TestLimitOfAllVms"]
+__all__ = [
+    "FleetCase",
+    "TestDecodedLimits",
+    "TestLimitOfAllVms",
+    "TestShares",
+]
