Share limits between VMs only once the VMs are counted completely

When a fleet starts for the first time, each VM lists only the VMs that started before it, and divides the slack of the retry budget by that number until its second heartbeat. The limits of endpoints have the same divisor.

The count is now used as a divisor from the second list on, or from the first one if the store has an object of this VM from before its start. A VM whose own renewal failed counts itself too.

--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -166,15 +166,17 @@
     settled_engines = stages.SettledEngines()
     started_s = context.clock()
 
-    def on_count(live: int, value_by_vm: Mapping[str, Any]) -> None:
-        context.retry_budget.set_vm_count(live)
-        context.state.rate_limits.set_vm_count(live)
+    def on_count(_: int, value_by_vm: Mapping[str, Any]) -> None:
         uptime_s = context.clock() - started_s
         may_order = uptime_s >= _MIN_UPTIME_S
         balance_stages(
             context, order_sender, settled_engines, value_by_vm, may_order
         )
 
+    def on_settled_count(live: int) -> None:
+        context.retry_budget.set_vm_count(live)
+        context.state.rate_limits.set_vm_count(live)
+
     return VmHeartbeats(
         settings.vm,
         context.platform.store,
@@ -184,6 +186,7 @@
         },
         on_count,
         context.log,
+        on_settled_count,
     )
 
 
--- a/src/burdockspan/gateway/vm_heartbeats.py
+++ b/src/burdockspan/gateway/vm_heartbeats.py
@@ -111,6 +111,8 @@
 
     `make_value` returns what this VM's object contains. `on_count` receives the
     number of live VMs and the contents of recently renewed objects, by VM.
+    `on_settled_count` receives the number as soon as it may be used as a
+    divisor, that is, once it no longer grows because the fleet is starting.
     """
 
     def __init__(
@@ -121,17 +123,21 @@
         make_value: Callable[[], dict[str, Any]],
         on_count: Callable[[int, Mapping[str, Any]], None],
         log: WriteEvent,
+        on_settled_count: Callable[[int], None] = lambda _: None,
     ) -> None:
         self._vm = vm
         self._store = store
         self._clock = clock
         self._make_value = make_value
         self._on_count = on_count
+        self._on_settled_count = on_settled_count
         self._log = log
         self._observed_by_vm: dict[str, ObservedRevision] = {}
         self._heartbeats_sent = 0
         self._last_count = 0
         self._lists = 0
+        # Whether the store had an object of this VM at the first heartbeat.
+        self._found_own_object: bool | None = None
 
     def interval_s(self) -> float:
         """Returns the time until the next heartbeat."""
@@ -146,9 +152,13 @@
             if renewed.err_value is not StoreError.NOT_FOUND:
                 self._log_failure("renew", renewed.err_value)
             else:
+                if self._found_own_object is None:
+                    self._found_own_object = False
                 created = self._store.create(KIND, self._vm, value)
                 if isinstance(created, Err):
                     self._log_failure("create", created.err_value)
+        elif self._found_own_object is None:
+            self._found_own_object = True
         listed = self._store.list_objects(
             KIND,
             Consistency.LATEST
@@ -168,7 +178,7 @@
             self._observed_by_vm, revisions, now_s
         )
         live_vms = list_live(self._observed_by_vm, now_s)
-        live = max(1, len(live_vms))
+        live = len({self._vm, *live_vms})
         if live != self._last_count:
             self._log("vms counted", live=live, listed=len(objects))
             self._last_count = live
@@ -178,6 +188,8 @@
             for stored in objects
             if now_s - self._observed_by_vm[stored.name].changed_s <= ttl_s
         }
+        if self._is_settled():
+            self._on_settled_count(live)
         self._on_count(live, recent_values)
         if self._vm != min(live_vms, default=None):
             return
@@ -185,6 +197,16 @@
             self._log("departed vm removed", member=vm)
             self._store.remove(KIND, vm)
 
+    def _is_settled(self) -> bool:
+        """Returns whether the count includes all VMs that have started.
+
+        While a fleet starts for the first time, the first list contains only
+        the VMs that started before this one. The second list comes an interval
+        later. An object from before the start of this process shows that the
+        fleet had started earlier.
+        """
+        return self._lists > 1 or self._found_own_object is True
+
     def _log_failure(self, operation: str, error: StoreError) -> None:
         # The last count stays in force until the next interval.
         self._log("vm count failed", operation=operation, cause=error.value)
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Iterable
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,7 +11,9 @@
 from burdockspan.gateway import vm_heartbeats
 from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import RetryBudgetSettings
+from burdockspan.gateway.vm_heartbeats import VmHeartbeats
 from burdockspan.platform.store import make_store
+from burdockspan.values.clock import Clock
 from standins.object_store import ObjectStore
 
 _SETTINGS = RetryBudgetSettings(ratio=0.2, slack=58.0, window_s=10.0)
@@ -88,6 +91,76 @@
         self.assertFalse(budget.try_spend("app"))
 
 
+def _start_fleet(
+    platform: ObjectStore, vm_count: int, clock: Clock
+) -> tuple[list[RetryBudget], list[VmHeartbeats]]:
+    """Returns the budgets and the heartbeats of VMs that have just started."""
+    store = make_store(platform.address, clock)
+    budgets = [RetryBudget(_SETTINGS, clock) for _ in range(vm_count)]
+    heartbeats = [
+        VmHeartbeats(
+            f"vm-{number}",
+            store,
+            clock,
+            dict,
+            lambda live, values: None,
+            lambda event, **fields: None,
+            on_settled_count=budget.set_vm_count,
+        )
+        for number, budget in enumerate(budgets)
+    ]
+    return budgets, heartbeats
+
+
+def _spend_all(budgets: Iterable[RetryBudget]) -> int:
+    spent = 0
+    for budget in budgets:
+        while budget.try_spend("app"):
+            spent += 1
+    return spent
+
+
+class TestStartOfAllVms(unittest.TestCase):
+    def test_retries_before_the_second_heartbeat_keep_the_limit(self) -> None:
+        """Guards against shares of a number of VMs that still grows.
+
+        Each VM that starts lists only those that started before it. 78 VMs
+        granted 168 retries of a slack of 100 in this way.
+        """
+        for vm_count in (4, 78, 300):
+            with self.subTest(vm_count=vm_count):
+                platform = ObjectStore()
+                self.addCleanup(platform.close)
+                now_s = [100.0]
+                budgets, fleet = _start_fleet(
+                    platform, vm_count, lambda now_s=now_s: now_s[0]
+                )
+                spent = 0
+                for heartbeats, budget in zip(fleet, budgets, strict=True):
+                    heartbeats.send_and_count()
+                    spent += _spend_all([budget])
+                    now_s[0] += 0.3 / vm_count
+                self.assertLessEqual(spent, _SETTINGS.slack)
+                now_s[0] += vm_heartbeats.HEARTBEAT_INTERVAL_S
+                for heartbeats in fleet:
+                    heartbeats.send_and_count()
+                spent += _spend_all(budgets)
+                self.assertLessEqual(spent, _SETTINGS.slack)
+                # A share of the slack below one retry grants none.
+                if vm_count == 4:
+                    self.assertGreater(spent, 0)
+
+    def test_restarted_vm_has_its_share_after_the_first_list(self) -> None:
+        """Guards against a VM without retries after each of its restarts."""
+        platform = ObjectStore()
+        self.addCleanup(platform.close)
+        for number in range(4):
+            platform.put(vm_heartbeats.KIND, f"vm-{number}", {"beat": 7})
+        budgets, fleet = _start_fleet(platform, 4, lambda: 100.0)
+        fleet[0].send_and_count()
+        self.assertGreater(_spend_all(budgets[:1]), 0)
+
+
 class TestVmHeartbeats(unittest.TestCase):
     def test_measurements_of_a_failed_vm_are_ignored(self) -> None:
         """Guards against counting the requests of a failed VM twice."""
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
-from burdockspan.gateway import process
+from burdockspan.gateway import process, vm_heartbeats
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.platform.adapter import make_platform
 from burdockspan.values.clock import Clock
@@ -187,6 +187,10 @@
       **settings: changes of the settings.
     """
     store = shared_store or ObjectStore()
+    vm = settings.pop("vm", "vm-1")
+    # The VM of a fleet that has started earlier, which knows its share of the
+    # limits after its first list.
+    store.put(vm_heartbeats.KIND, vm, {"beat": 1})
     if document is not None:
         store.put("config", "main", document)
     log_events: list[dict[str, Any]] = []
@@ -197,7 +201,7 @@
     components = process.make_components(
         GatewaySettings(
             **{
-                "vm": "vm-1",
+                "vm": vm,
                 "availability_zone": "zone-a",
                 "caller_address": "127.0.0.1:0",
                 "ready_address": "127.0.0.1:0",
