--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -245,6 +245,9 @@
     limit_per_s = context.state.rate_limits.limit_per_s(endpoint)
     if limit_per_s is not None:
         fields["limit_per_s"] = limit_per_s
+    if request.call.last_event_id is not None:
+        fields["caller_after_event"] = request.call.last_event_id
+        fields["resumes"] = request.call.resumed_request_id
     context.log(
         "attempt",
         request_id=request.call.request_id,
@@ -254,6 +257,7 @@
         endpoint=endpoint.id,
         address=endpoint.address,
         zone=endpoint.zone,
+        version=endpoint.software_version,
         fleet_age_s=None if age_s is None else round(age_s, 2),
         **fields,
     )
--- a/src/burdockspan/gateway/discovery.py
+++ b/src/burdockspan/gateway/discovery.py
@@ -348,6 +348,7 @@
             zone=endpoint.zone,
             stage=endpoint.stage.value if endpoint.stage else None,
             leaving=endpoint.leaving,
+            version=endpoint.software_version,
             born_ms=endpoint.started_ms,
             missing=new.expires_s != float("inf"),
         )
--- a/src/burdockspan/gateway/values.py
+++ b/src/burdockspan/gateway/values.py
@@ -150,6 +150,8 @@
       slots: requests that it runs concurrently.
       stage: part of a generation that it runs; None for a plain service, or
         for an engine that runs both parts.
+      software_version: version of its software, not of the weights of its
+        model; None if its entry names none.
     """
 
     id: str
@@ -160,6 +162,7 @@
     leaving: bool
     slots: int
     stage: Stage | None = None
+    software_version: str | None = None
 
     @property
     def incarnation(self) -> Incarnation:
@@ -200,6 +203,8 @@
       arrived_s: when the request's head was complete, in monotonic seconds.
       last_event_id: last event that the caller received of a stream that it
         resumes; None if it resumes none.
+      resumed_request_id: identity of the request that brought the first event
+        of that stream; None if the caller names none.
     """
 
     method: str
@@ -213,6 +218,7 @@
     client: str
     arrived_s: float
     last_event_id: str | None = None
+    resumed_request_id: str | None = None
 
     @property
     def path(self) -> str:
--- a/src/burdockspan/platform/documents.py
+++ b/src/burdockspan/platform/documents.py
@@ -175,6 +175,9 @@
         leaving=leaving,
         slots=max(1, int(_read_number(entry, "slots", 1.0))),
         stage=stage,
+        software_version=(
+            _read_string(entry, "version") if "version" in entry else None
+        ),
     )
 
 
--- a/src/burdockspan/platform/headers.py
+++ b/src/burdockspan/platform/headers.py
@@ -14,6 +14,9 @@
 # The caller's estimate of the output tokens.
 LENGTH_HINT = "Length-Hint"
 LAST_EVENT_ID = "Last-Event-Id"
+# Request-Id of the request that brought the first event of the stream that a
+# caller resumes.
+RESUMES = "Resumes"
 EXPECT_INSTANCE = "Expect-Instance"
 INSTANCE_ID = "Instance-Id"
 # Set by an endpoint that did not start the request.
@@ -143,6 +146,7 @@
     "PROMPT_PREFIX",
     "REQUEST_ID",
     "RESPONSE_STAMP",
+    "RESUMES",
     "RETRY_AFTER",
     "SERVER_LIMIT",
     "STAGE",
--- a/src/burdockspan/platform/ingress.py
+++ b/src/burdockspan/platform/ingress.py
@@ -50,10 +50,17 @@
             last_event_id=header_names.find_first(
                 raw.headers, header_names.LAST_EVENT_ID
             ),
+            resumed_request_id=_decode_resumed_request_id(raw),
         )
     )
 
 
+def _decode_resumed_request_id(raw: RawRequest) -> str | None:
+    # A malformed identity names no request, like a missing one.
+    text = header_names.find_first(raw.headers, header_names.RESUMES) or ""
+    return text if _REQUEST_ID_PATTERN.fullmatch(text) else None
+
+
 def _decode_caller_timeout_s(raw: RawRequest) -> float | None:
     text = header_names.find_first(raw.headers, header_names.DEADLINE_MS)
     if text is None:
