Keep streams at the software version that began them

Cause: the version in an endpoint's entry was not read. A VM that resumes a stream within one response chose among all engines of the service, and so did a VM to which a caller returned; that VM had no way to learn where the stream had begun. The class of fault: a fact that one VM knows about a request, and that another VM needs for the same caller. Evidence: the one whole history is of a caller that returned to another VM; two lines 'stream resumed' are of VMs.

A stream that has begun is restricted to engines of its version, and is cut off visibly without one. Without an answer, a sole version of the last two minutes is used, or the stream is refused as not run. Resumed streams wait for memory as long as new ones, in a queue of their version. Prompts are prefilled at the version of their decode engine.

--- a/src/burdockspan/gateway/admission_queue.py
+++ b/src/burdockspan/gateway/admission_queue.py
@@ -121,20 +121,33 @@
 
 
 class AdmissionQueues:
-    """The queues of a process, by service."""
+    """The queues of a process.
+
+    Each service has a queue, and one for the resumed streams of each software
+    version.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
-        self._queue_by_service: dict[str, AdmissionQueue] = {}
+        self._queue_by_key: dict[tuple[str, str | None], AdmissionQueue] = {}
+
+    def for_service(
+        self, service: str, software_version: str | None = None
+    ) -> AdmissionQueue:
+        """Returns a queue, which is created if necessary.
 
-    def for_service(self, service: str) -> AdmissionQueue:
-        """Returns the queue of a service, which is created if necessary."""
+        Args:
+          service: name of the service.
+          software_version: version that began a stream; None for generations
+            that have not begun.
+        """
+        key = (service, software_version)
         with self._lock:
-            queue = self._queue_by_service.get(service)
+            queue = self._queue_by_key.get(key)
             if queue is None:
                 queue = AdmissionQueue(self._clock)
-                self._queue_by_service[service] = queue
+                self._queue_by_key[key] = queue
             return queue
 
 
--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -22,6 +22,7 @@
     make_problem,
 )
 from burdockspan.gateway.plain import forward
+from burdockspan.gateway.resumption import restrict_to_origin
 from burdockspan.gateway.routing import choose_service, find_route
 from burdockspan.gateway.values import InboundCall
 
@@ -112,7 +113,10 @@
     routed = _route_request(context, call, raw)
     if isinstance(routed, Err):
         return routed.err_value
-    request = routed.ok_value
+    restricted = restrict_to_origin(context, routed.ok_value)
+    if isinstance(restricted, Err):
+        return restricted.err_value
+    request = restricted.ok_value
     context.retry_budget.record_request(request.service)
     active = context.state.active_configuration()
     service = active and active.configuration.services_by_name.get(
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -42,6 +42,8 @@
       deadline_s: when the complete response is due, in monotonic seconds.
       caller: connection of its caller.
       abort: aborts its calls to endpoints.
+      software_version: version of the endpoints that it may run at, for a
+        stream that has begun there; None allows all endpoints.
     """
 
     call: InboundCall
@@ -51,6 +53,7 @@
     deadline_s: float
     caller: CallerConnection
     abort: AbortHandle
+    software_version: str | None = None
 
 
 class Attempts:
@@ -224,9 +227,12 @@
     Returns:
       The reason of the refusal, and the value of Retry-After in seconds.
     """
+    version = request.software_version
     wait_s = context.state.permit_wait_s(
-        request.service, attempts.tried_incarnations
+        request.service, attempts.tried_incarnations, version
     )
+    if wait_s is None and version is not None:
+        return "no endpoint of the version", RETRY_AFTER_S
     if not wait_s:
         return "no endpoint", RETRY_AFTER_S
     if math.isinf(wait_s):
@@ -245,7 +251,7 @@
     limit_per_s = context.state.rate_limits.limit_per_s(endpoint)
     if limit_per_s is not None:
         fields["limit_per_s"] = limit_per_s
-    if request.call.last_event_id is not None:
+    if request.software_version is not None:
         fields["caller_after_event"] = request.call.last_event_id
         fields["resumes"] = request.call.resumed_request_id
     context.log(
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -8,6 +8,7 @@
 from burdockspan.gateway.crash_records import CrashRecordStore
 from burdockspan.gateway.full_engines import FullEngines
 from burdockspan.gateway.graceful_stop import GracefulStop
+from burdockspan.gateway.origin_sharing import OriginSharing
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
 from burdockspan.gateway.retry_budget import RetryBudget
@@ -32,6 +33,8 @@
       prefill_delays: recent queueing delays at prefill engines.
       full_engines: engines that recently lacked free memory.
       admission_queues: generations that wait for decode memory, by service.
+      origins: shares the software versions that began streams.
+      endpoints_max_age_s: age above which the endpoint table may lack changes.
       graceful_stop: state of the graceful stop of this process.
       clock: monotonic clock, in seconds.
       random_float: returns uniform floats in [0, 1).
@@ -47,6 +50,8 @@
     prefill_delays: PrefillDelays
     full_engines: FullEngines
     admission_queues: AdmissionQueues
+    origins: OriginSharing
+    endpoints_max_age_s: float
     graceful_stop: GracefulStop
     clock: Clock
     random_float: RandomFloat
--- a/src/burdockspan/gateway/discovery.py
+++ b/src/burdockspan/gateway/discovery.py
@@ -37,6 +37,8 @@
 _DEFAULT_WATCH_TIMEOUT_S = 2.0
 # Longest wait that the store grants.
 _MAX_WATCH_TIMEOUT_S = 30.0
+# Time that a response of the store usually takes at most.
+_RESPONSE_MARGIN_S = 0.5
 # Share of the time limit for applying a change that a watcher lets pass before
 # its next call, so that one call returns all changes of that time. While the
 # endpoints of a large fleet start, there are dozens of changes a second.
@@ -208,6 +210,18 @@
     return min(_MAX_COLLECT_S, _COLLECT_SHARE * limit_s)
 
 
+def compute_max_age_s(limits: ChangeLimits) -> float:
+    """Returns the largest age of the endpoint table while the store responds.
+
+    An older table may lack changes that other VMs have received.
+    """
+    return (
+        compute_watch_timeout_s(limits.recovery_s)
+        + compute_collect_s(limits.leaving_endpoint_s)
+        + _RESPONSE_MARGIN_S
+    )
+
+
 def _watch_configuration(
     platform: Platform, state: GatewayState, log: WriteEvent, registry: Registry
 ) -> ObjectWatcher:
@@ -359,6 +373,7 @@
     "ObjectWatcher",
     "WatchPosition",
     "compute_collect_s",
+    "compute_max_age_s",
     "compute_watch_timeout_s",
     "make_watchers",
     "poll",
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -27,6 +27,7 @@
 from burdockspan.gateway.prefill_delays import should_decode_engine_prefill
 from burdockspan.gateway.ranking import exclude_tried, rank_prefill
 from burdockspan.gateway.reservations import Reservation, reserve_memory
+from burdockspan.gateway.resumption import publish_origin
 from burdockspan.gateway.sse import StreamProgress, split_events
 from burdockspan.gateway.values import (
     Endpoint,
@@ -93,6 +94,12 @@
             refusal.reason, refusal.retry_after_s
         )
     attempt = started.ok_value
+    if attempt.response.succeeded:
+        endpoint = attempt.reservation.endpoint
+        publish_origin(context, request, endpoint)
+        request = dataclasses.replace(
+            request, software_version=endpoint.software_version
+        )
     stream = _Stream(context, request, attempts, engine, size, attempt)
     response = attempt.response
     return Response(
@@ -129,9 +136,12 @@
 ) -> _Refusal:
     """Returns why no engine has reserved memory for a generation."""
     wait_s = context.state.permit_wait_s(
-        request.service, attempts.tried_incarnations
+        request.service, attempts.tried_incarnations, request.software_version
+    )
+    has_engine = context.state.list_usable(
+        request.service, software_version=request.software_version
     )
-    if wait_s or not context.state.list_usable(request.service):
+    if wait_s or not has_engine:
         return _Refusal(*explain_missing_endpoint(context, request, attempts))
     if not request.caller.gone:
         context.demand.record_without_memory(request.service)
@@ -151,6 +161,10 @@
     cannot, it waits for `_LATE_WAIT_S`. In either case it gives up when the
     time until the deadline is shorter than the objective.
 
+    A resumed stream waits like a generation that can still meet its objective,
+    in a queue of its version: most engines could have memory for the
+    generations behind it, but not for it.
+
     Returns:
       The reservation; None if the generation gave up or its caller has gone, or
       if no engine takes a request of this VM in time.
@@ -158,20 +172,26 @@
     now_s = context.clock()
     objective_s = request.route.objective_s
     max_wait_s = _MAX_WAIT_SHARE * objective_s
-    is_late = (
+    is_resumed = request.software_version is not None
+    is_late = not is_resumed and (
         is_retry_after_refusal(request.call, request.route)
         or now_s - request.call.arrived_s > max_wait_s
     )
-    give_up_s = request.call.arrived_s + max_wait_s
+    waits_since_s = now_s if is_resumed else request.call.arrived_s
+    give_up_s = waits_since_s + max_wait_s
     if is_late:
         give_up_s = now_s + _LATE_WAIT_S
     give_up_s = min(give_up_s, request.deadline_s - objective_s)
     permit_wait_s = context.state.permit_wait_s(
-        request.service, attempts.tried_incarnations
+        request.service, attempts.tried_incarnations, request.software_version
     )
+    if permit_wait_s is None and is_resumed:
+        return None
     if permit_wait_s is not None and now_s + permit_wait_s > give_up_s:
         return None
-    queue = context.admission_queues.for_service(request.service)
+    queue = context.admission_queues.for_service(
+        request.service, request.software_version
+    )
     request.caller.notify_when_gone(queue.wake)
     return queue.wait(
         is_late=is_late,
@@ -290,8 +310,12 @@
 
     There are none if the decode engine should prefill.
     """
+    # The KV cache that one version writes does not fit another version.
     candidates = context.state.candidates(
-        request.service, lambda _, __, tokens: float(tokens), Stage.PREFILL
+        request.service,
+        lambda _, __, tokens: float(tokens),
+        Stage.PREFILL,
+        reservation.endpoint.software_version,
     )
     ranked = rank_prefill(
         candidates, reservation.endpoint.zone, context.random_float
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -20,6 +20,7 @@
 from burdockspan.gateway.messages import Response, TruncatedError
 from burdockspan.gateway.ports import AttemptOptions, EndpointResponse
 from burdockspan.gateway.ranking import exclude_tried, rank_plain
+from burdockspan.gateway.resumption import publish_origin
 from burdockspan.gateway.values import Endpoint, RequestKind
 from burdockspan.values.placement import Failure
 
@@ -47,6 +48,8 @@
             continue
         attempts.record_run(endpoint)
         last_response = outcome.ok_value
+        if 200 <= last_response.status < 300:
+            publish_origin(context, request, endpoint)
         if last_response.status < 500 or not request.route.repeatable:
             return last_response
     if last_response is not None:
@@ -65,7 +68,9 @@
 ) -> Endpoint | None:
     """Returns the best untried endpoint, and uses a permit of its limit."""
     candidates = context.state.candidates(
-        request.service, lambda endpoint, running, _: running / endpoint.slots
+        request.service,
+        lambda endpoint, running, _: running / endpoint.slots,
+        software_version=request.software_version,
     )
     ranked = rank_plain(candidates, context.random_float)
     untried = exclude_tried(ranked, attempts.tried_incarnations)
@@ -114,7 +119,11 @@
 ) -> float:
     remaining_s = attempts.remaining_s()
     used = {*attempts.tried_incarnations, endpoint.incarnation}
-    candidates = context.state.candidates(request.service, lambda *_: 0.0)
+    candidates = context.state.candidates(
+        request.service,
+        lambda *_: 0.0,
+        software_version=request.software_version,
+    )
     may_run_again = attempts.run_count + 1 < request.route.max_attempts and any(
         candidate.endpoint.incarnation not in used for candidate in candidates
     )
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -17,6 +17,7 @@
 from burdockspan.gateway.crash_records import CrashRecordStore
 from burdockspan.gateway.discovery import (
     ObjectWatcher,
+    compute_max_age_s,
     make_watchers,
     run_watcher,
 )
@@ -24,6 +25,7 @@
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.ingress import make_ingress
 from burdockspan.gateway.messages import make_status_line
+from burdockspan.gateway.origin_sharing import open_origin_sharing
 from burdockspan.gateway.ports import ObserveSignals, Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
 from burdockspan.gateway.rate_limits import make_signal_observer
@@ -34,6 +36,7 @@
 from burdockspan.gateway.stage_orders import OrderSender
 from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.stream_origins import StreamOrigins
 from burdockspan.gateway.vm_heartbeats import (
     HEARTBEAT_INTERVAL_S,
     VmHeartbeats,
@@ -123,6 +126,10 @@
         prefill_delays=PrefillDelays(),
         full_engines=FullEngines(),
         admission_queues=AdmissionQueues(clock),
+        origins=open_origin_sharing(
+            settings.peer_address, StreamOrigins(clock), registry, log
+        ),
+        endpoints_max_age_s=compute_max_age_s(settings.change_limits),
         graceful_stop=GracefulStop(settings.grace_s, clock),
         clock=clock,
         random_float=random_float,
@@ -167,6 +174,7 @@
     started_s = context.clock()
 
     def on_count(_: int, value_by_vm: Mapping[str, Any]) -> None:
+        _apply_peer_values(context, value_by_vm)
         uptime_s = context.clock() - started_s
         may_order = uptime_s >= _MIN_UPTIME_S
         balance_stages(
@@ -182,7 +190,9 @@
         context.platform.store,
         context.clock,
         lambda: {
-            "demand": stages.encode_measurements(context.demand.measure())
+            "demand": stages.encode_measurements(context.demand.measure()),
+            "peer_address": context.origins.address,
+            "versions": context.state.version_history.encode(),
         },
         on_count,
         context.log,
@@ -190,6 +200,24 @@
     )
 
 
+def _apply_peer_values(
+    context: Context, value_by_vm: Mapping[str, Any]
+) -> None:
+    """Applies what the heartbeats say of addresses and software versions."""
+    # An object may come from a release without these fields.
+    objects_by_vm = {
+        vm: value
+        for vm, value in value_by_vm.items()
+        if isinstance(value, dict)
+    }
+    context.origins.set_peers(
+        {vm: value.get("peer_address") for vm, value in objects_by_vm.items()}
+    )
+    context.state.version_history.complete(
+        value.get("versions") for value in objects_by_vm.values()
+    )
+
+
 def start(components: Components) -> None:
     """Starts the servers, the watchers of the store, and the heartbeats."""
     context = components.context
@@ -210,6 +238,8 @@
     _start_thread(
         lambda: context.crash_records.run(components.stopped), "crashes"
     )
+    if context.origins.address is not None:
+        _start_thread(context.origins.run, "origins")
     _start_thread(
         lambda: run_heartbeats(components.vm_heartbeats, components.stopped),
         "members",
@@ -219,6 +249,7 @@
 def stop(components: Components) -> None:
     """Stops the servers and threads, and closes open connections."""
     components.stopped.set()
+    components.context.origins.close()
     for server in (components.ingress, *components.status_servers):
         server.stop()
 
--- a/src/burdockspan/gateway/reservations.py
+++ b/src/burdockspan/gateway/reservations.py
@@ -126,10 +126,15 @@
         return max(tokens / engine.kv_tokens, running / engine.slots)
 
     state = context.state
-    decode_engines = state.candidates(request.service, load, Stage.DECODE)
+    version = request.software_version
+    decode_engines = state.candidates(
+        request.service, load, Stage.DECODE, version
+    )
     if decode_engines:
         return decode_engines
-    candidates = state.candidates(request.service, load)
+    candidates = state.candidates(
+        request.service, load, software_version=version
+    )
     return tuple(
         candidate
         for candidate in candidates
--- /dev/null
+++ b/src/burdockspan/gateway/resumption.py
@@ -0,0 +1,104 @@
+"""Restricts resumed streams to the software version that began them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from result import Err, Ok, Result
+
+from burdockspan.gateway.attempts import RETRY_AFTER_S, RoutedRequest
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.messages import Response, make_problem
+from burdockspan.gateway.stream_origins import Origin
+from burdockspan.gateway.values import Endpoint, RequestKind
+
+
+def restrict_to_origin(
+    context: Context, request: RoutedRequest
+) -> Result[RoutedRequest, Response]:
+    """Returns the request, restricted to the version that began its stream.
+
+    Returns a refusal if the caller resumes a stream whose origin is unknown:
+    events of another version must not follow those that the caller has.
+    """
+    call = request.call
+    is_resumed = (call.last_event_id or call.resumed_request_id) is not None
+    if not is_resumed or request.route.kind is not RequestKind.STREAM:
+        return Ok(request)
+    origin, source = _find_origin(context, request)
+    services = {service.name for service in request.route.services}
+    context.registry.count("resumed_stream", source)
+    context.log(
+        "stream to resume",
+        request_id=call.request_id,
+        resumes=call.resumed_request_id,
+        after_event=call.last_event_id,
+        version=origin.software_version if origin else None,
+        service=origin.service if origin else None,
+        known_from=source,
+    )
+    if origin is None or origin.service not in services:
+        return Err(_refuse(context, request))
+    return Ok(
+        dataclasses.replace(
+            request,
+            service=origin.service,
+            software_version=origin.software_version,
+        )
+    )
+
+
+def publish_origin(
+    context: Context, request: RoutedRequest, endpoint: Endpoint
+) -> None:
+    """Publishes the origin of a resumable stream whose response has begun.
+
+    A stream that a caller has resumed is published under both requests: the
+    caller names the first one again if it resumes the stream once more.
+    """
+    route = request.route
+    if route.kind is not RequestKind.STREAM or not route.resumable:
+        return
+    origin = Origin(endpoint.service, endpoint.software_version)
+    call = request.call
+    for request_id in {call.request_id, call.resumed_request_id} - {None}:
+        context.origins.publish(str(request_id), origin)
+
+
+def _find_origin(
+    context: Context, request: RoutedRequest
+) -> tuple[Origin | None, str]:
+    """Returns the origin of a resumed stream, and how it is known."""
+    resumed = request.call.resumed_request_id
+    if resumed is not None:
+        origin = context.origins.find(resumed)
+        if origin is not None:
+            return origin, "record"
+    if len(request.route.services) > 1 or not _is_table_fresh(context):
+        return None, "unknown"
+    version = context.state.version_history.sole_version(request.service)
+    if version is None:
+        return None, "unknown"
+    return Origin(request.service, version), "sole_version"
+
+
+def _is_table_fresh(context: Context) -> bool:
+    """Returns whether no endpoint can be present that this VM does not know."""
+    age_s = context.state.endpoints_age_s()
+    return age_s is not None and age_s <= context.endpoints_max_age_s
+
+
+def _refuse(context: Context, request: RoutedRequest) -> Response:
+    context.registry.count("refusal", "unknown_version")
+    context.log(
+        "refused",
+        request_id=request.call.request_id,
+        status=503,
+        reason="unknown version",
+        retry_after_s=RETRY_AFTER_S,
+    )
+    detail = "no VM that answers knows at which software the stream began"
+    return make_problem(503, "not_run", detail, RETRY_AFTER_S)
+
+
+__all__ = ["publish_origin", "restrict_to_origin"]
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -71,6 +71,8 @@
       metrics_address: `ip:port` that serves counters and histograms; None
         serves none.
       store_address: `ip:port` of the platform's object store.
+      peer_address: `ip:port` for messages of the other VMs, over UDP; None
+        exchanges none.
       threads: limit of the requests in flight.
       grace_s: time from SIGTERM to the end of the process.
       lease_s: time that must pass between orders of two different VMs.
@@ -84,6 +86,7 @@
     ready_address: str
     store_address: str
     metrics_address: str | None = None
+    peer_address: str | None = None
     threads: int = 160
     grace_s: float = 8.0
     lease_s: float = 3.0
@@ -144,6 +147,9 @@
         metrics_address=read_field(
             section, "metrics_address", decode_optional_address, None
         ),
+        peer_address=read_field(
+            section, "peer_address", decode_optional_address, None
+        ),
         threads=read_field(
             section,
             "threads",
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -13,6 +13,7 @@
 from burdockspan.gateway.ranking import Candidate
 from burdockspan.gateway.rate_limits import RateLimits
 from burdockspan.gateway.routing import RoutingTable, make_routing_table
+from burdockspan.gateway.stream_origins import VersionHistory
 from burdockspan.gateway.values import (
     Configuration,
     Endpoint,
@@ -49,6 +50,7 @@
       zone: availability zone of this VM.
       clock: monotonic clock, in seconds.
       rate_limits: limits that endpoints name.
+      version_history: software versions that recently served each service.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.zone = zone
         self.clock = clock
         self.rate_limits = RateLimits(clock, random_float)
+        self.version_history = VersionHistory(clock)
         self._lock = threading.Lock()
         self._active: ActiveConfiguration | None = None
         self._endpoint_table = EndpointTable()
@@ -107,6 +110,7 @@
         """Replaces the table of endpoints by the result of `change`."""
         with self._lock:
             self._endpoint_table = change(self._endpoint_table)
+            self._observe_versions()
 
     def record_endpoints_received(self) -> None:
         """Records that the endpoints were received from the store now."""
@@ -119,6 +123,7 @@
             self._endpoint_table = endpoint_table.expire(
                 self._endpoint_table, now_s
             )
+            self._observe_versions()
             present = {
                 entry.endpoint.incarnation
                 for entry in self._endpoint_table.by_id.values()
@@ -128,11 +133,17 @@
                     del self._suspicion_by_incarnation[incarnation]
         self.rate_limits.forget_departed(present)
 
+    def _observe_versions(self) -> None:
+        self.version_history.observe(
+            entry.endpoint for entry in self._endpoint_table.by_id.values()
+        )
+
     def candidates(
         self,
         service: str,
         load: Callable[[Endpoint, int, int], float],
         stage: Stage | None = None,
+        software_version: str | None = None,
     ) -> tuple[Candidate, ...]:
         """Returns the endpoints of a service that accept new work from this VM.
 
@@ -145,17 +156,24 @@
             and of tokens that this VM runs there.
           stage: selects the model engines of this stage; None selects all
             endpoints.
+          software_version: selects the endpoints of this version; None selects
+            all endpoints.
         """
         now_s = self.clock()
         with self._lock:
             return tuple(
                 self._make_candidate(endpoint, load, now_s)
-                for endpoint in self.list_usable(service, stage)
+                for endpoint in self.list_usable(
+                    service, stage, software_version
+                )
                 if not self.rate_limits.wait_s(endpoint)
             )
 
     def list_usable(
-        self, service: str, stage: Stage | None = None
+        self,
+        service: str,
+        stage: Stage | None = None,
+        software_version: str | None = None,
     ) -> tuple[Endpoint, ...]:
         """Returns the endpoints of a service, whether they name a limit or not.
 
@@ -163,13 +181,25 @@
           service: name of the service.
           stage: selects the model engines of this stage; None selects all
             endpoints.
+          software_version: selects the endpoints of this version; None selects
+            all endpoints.
         """
-        return endpoint_table.list_usable(
+        endpoints = endpoint_table.list_usable(
             self._endpoint_table, service, self.clock(), stage
         )
+        if software_version is None:
+            return endpoints
+        return tuple(
+            endpoint
+            for endpoint in endpoints
+            if endpoint.software_version == software_version
+        )
 
     def permit_wait_s(
-        self, service: str, excluded: Collection[Incarnation] = ()
+        self,
+        service: str,
+        excluded: Collection[Incarnation] = (),
+        software_version: str | None = None,
     ) -> float | None:
         """Returns the time until an endpoint accepts a request of this VM.
 
@@ -177,6 +207,8 @@
           service: name of the service.
           excluded: endpoints that are left out, such as those that a request
             has tried.
+          software_version: selects the endpoints of this version; None selects
+            all endpoints.
 
         Returns:
           The time in seconds; 0 if a request may be sent now, None if there is
@@ -185,7 +217,9 @@
         return min(
             (
                 self.rate_limits.wait_s(endpoint)
-                for endpoint in self.list_usable(service)
+                for endpoint in self.list_usable(
+                    service, software_version=software_version
+                )
                 if endpoint.incarnation not in excluded
                 and endpoint.stage is not Stage.PREFILL
             ),
--- /dev/null
+++ b/src/burdockspan/gateway/stream_origins.py
@@ -0,0 +1,161 @@
+"""The software versions at which streams began.
+
+What two software versions write does not fit together, so that a stream may
+only go on at the version that began it. Endpoints do not check this.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import threading
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from burdockspan.gateway.values import Endpoint
+from burdockspan.values.clock import Clock
+
+# Callers resume a stream within the time that they wait for it, which is
+# seconds. A resumed stream is recorded again.
+HORIZON_S = 120.0
+# Bounds the memory: some 300 bytes each.
+_MAX_STREAMS = 20_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Origin:
+    """Where a stream began.
+
+    Attributes:
+      service: service of the endpoint.
+      software_version: version of the endpoint's software.
+    """
+
+    service: str
+    software_version: str
+
+
+class StreamOrigins:
+    """Origins of recent streams, by the request that brought the first event.
+
+    The oldest records are dropped first.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        # The origin, and when it was recorded, in monotonic seconds.
+        self._recorded_by_request: collections.OrderedDict[
+            str, tuple[Origin, float]
+        ] = collections.OrderedDict()
+
+    def record(self, request_id: str, origin: Origin) -> None:
+        """Records the origin of a stream."""
+        now_s = self._clock()
+        records = self._recorded_by_request
+        with self._lock:
+            records[request_id] = (origin, now_s)
+            records.move_to_end(request_id)
+            while records and (
+                len(records) > _MAX_STREAMS
+                or next(iter(records.values()))[1] < now_s - HORIZON_S
+            ):
+                records.popitem(last=False)
+
+    def find(self, request_id: str) -> Origin | None:
+        """Returns the origin of a stream; None if it is unknown."""
+        with self._lock:
+            recorded = self._recorded_by_request.get(request_id)
+            if recorded is None or recorded[1] < self._clock() - HORIZON_S:
+                return None
+            return recorded[0]
+
+
+class VersionHistory:
+    """The software versions that recently served each service.
+
+    The history of a process that has just started is incomplete until it has
+    read what the other VMs, or the process before it, had observed.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._is_complete = False
+        # When a version was last observed, by service and version.
+        self._seen_s: dict[tuple[str, str], float] = {}
+        self._present: frozenset[tuple[str, str]] = frozenset()
+
+    def observe(self, endpoints: Iterable[Endpoint]) -> None:
+        """Records the versions of the endpoints that are present now."""
+        present = frozenset(
+            (endpoint.service, endpoint.software_version)
+            for endpoint in endpoints
+        )
+        now_s = self._clock()
+        with self._lock:
+            for key in self._present | present:
+                self._seen_s[key] = now_s
+            self._present = present
+
+    def complete(self, values: Iterable[Any]) -> None:
+        """Adds what VMs had observed before this process started.
+
+        Only the first call has an effect: if VMs took over the observations of
+        each other again and again, no version would ever be forgotten.
+
+        Args:
+          values: results of `encode` at the VMs; malformed ones are ignored.
+        """
+        now_s = self._clock()
+        with self._lock:
+            if self._is_complete:
+                return
+            self._is_complete = True
+            for value in values:
+                for key in _decode(value):
+                    self._seen_s[key] = now_s
+
+    def encode(self) -> dict[str, list[str]]:
+        """Returns the recent versions by service, as a JSON value."""
+        encoded: dict[str, list[str]] = {}
+        for service, version in self._list_recent():
+            encoded.setdefault(service, []).append(version)
+        return encoded
+
+    def sole_version(self, service: str) -> str | None:
+        """Returns the only version that recently served a service.
+
+        Returns None if there were several, or if the history is incomplete.
+        """
+        if not self._is_complete:
+            return None
+        versions = [
+            version for name, version in self._list_recent() if name == service
+        ]
+        return versions[0] if len(versions) == 1 else None
+
+    def _list_recent(self) -> list[tuple[str, str]]:
+        oldest_s = self._clock() - HORIZON_S
+        with self._lock:
+            for key in [
+                key
+                for key, seen_s in self._seen_s.items()
+                if seen_s < oldest_s and key not in self._present
+            ]:
+                del self._seen_s[key]
+            return sorted(self._seen_s)
+
+
+def _decode(value: Any) -> Iterable[tuple[str, str]]:
+    if not isinstance(value, Mapping):
+        return
+    for service, versions in value.items():
+        if not isinstance(versions, list):
+            continue
+        for version in versions:
+            if isinstance(version, str):
+                yield service, version
+
+
+__all__ = ["HORIZON_S", "Origin", "StreamOrigins", "VersionHistory"]
--- a/src/burdockspan/gateway/values.py
+++ b/src/burdockspan/gateway/values.py
@@ -151,7 +151,7 @@
       stage: part of a generation that it runs; None for a plain service, or
         for an engine that runs both parts.
       software_version: version of its software, not of the weights of its
-        model; None if its entry names none.
+        model; empty if its entry names none.
     """
 
     id: str
@@ -162,7 +162,7 @@
     leaving: bool
     slots: int
     stage: Stage | None = None
-    software_version: str | None = None
+    software_version: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/burdockspan/platform/documents.py
+++ b/src/burdockspan/platform/documents.py
@@ -176,7 +176,7 @@
         slots=max(1, int(_read_number(entry, "slots", 1.0))),
         stage=stage,
         software_version=(
-            _read_string(entry, "version") if "version" in entry else None
+            _read_string(entry, "version") if "version" in entry else ""
         ),
     )
 
--- a/tests/gateway/test_memory_headroom.py
+++ b/tests/gateway/test_memory_headroom.py
@@ -161,7 +161,9 @@
         """Returns the started generations, and the share of memory in use."""
         started, used = 0, 0.0
         call = _Namespace(request_id="r")
-        request: Any = _Namespace(service="llm", call=call)
+        request: Any = _Namespace(
+            service="llm", call=call, software_version=None
+        )
         steps = int(_LENGTH_S / _STEP_S)
         for step in range(steps):
             self.now_s = step * _STEP_S
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -3,9 +3,29 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import threading
+import unittest
 from collections.abc import Iterable
 from typing import Any
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockspan.gateway import origin_messages
+from burdockspan.gateway.origin_messages import OriginStatement
+from burdockspan.gateway.origin_sharing import (
+    OriginSharing,
+    open_origin_sharing,
+)
+from burdockspan.gateway.stream_origins import (
+    HORIZON_S,
+    Origin,
+    StreamOrigins,
+    VersionHistory,
+)
+from burdockspan.gateway.values import Endpoint
+from burdockspan.observe.registry import make_registry
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import (
     CHUNKED_HEAD,
@@ -25,6 +45,15 @@
     wait_for,
 )
 
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: st.dictionaries(
+        st.sampled_from(("type", "request_id", "service", "software_version")),
+        inner | st.sampled_from(("origin", "origin_question")),
+        max_size=4,
+    ),
+    max_leaves=8,
+)
 _SIZES = {"Token-Count": "5200,1760", "Length-Hint": "600"}
 
 
@@ -63,8 +92,8 @@
         13 streams went on at another version than the one that began them.
         """
         first = self.add_version("i-1", "v1", _TRUNCATED, 0)
-        other = self.add_version("i-2", "v1.1", _stream(2, 3), 5_000)
-        same = self.add_version("i-3", "v1", _stream(2, 3), 20_000)
+        other = self.add_version("i-2", "v1.1", _stream(2, 3), 15_000)
+        same = self.add_version("i-3", "v1", _stream(2, 3), 30_000)
         response = self.generate("/review/x")
         self.assertEqual(len(first.runs), 1)
         self.assertEqual(other.runs, [])
@@ -75,7 +104,7 @@
     def test_stream_ends_cut_off_without_an_engine_of_its_version(self) -> None:
         """Guards against a stream that goes on at the only engine left."""
         self.add_version("i-1", "v1", _TRUNCATED, 0)
-        other = self.add_version("i-2", "v1.1", _stream(2, 3), 5_000)
+        other = self.add_version("i-2", "v1.1", _stream(2, 3), 15_000)
         response = self.generate("/review/x")
         self.assertEqual(other.runs, [])
         self.assertEqual(response.body, _event(1))
@@ -180,6 +209,53 @@
         self.assertEqual(len(self.old.runs), 1)
         self.assertEqual(response.body, _event(2) + _event(3))
 
+    def test_stream_goes_on_after_the_vm_that_began_it_has_stopped(
+        self,
+    ) -> None:
+        """Guards against an origin that is lost with its VM."""
+        self.begin("r-first")
+        self.gateways[0].components.context.origins.close()
+        response = self.resume(self.gateways[1], "r-first")
+        self.assertEqual(self.new.runs, [])
+        self.assertEqual(response.body, _event(2) + _event(3))
+
+    def test_stream_is_resumed_twice(self) -> None:
+        """Guards against a caller that names the first request again."""
+        self.begin("r-first")
+        for gateway in (self.gateways[1], self.gateways[2]):
+            response = self.resume(gateway, "r-first")
+            self.assertEqual(response.body, _event(2) + _event(3))
+        self.assertEqual(self.new.runs, [])
+
+    def test_resumed_stream_waits_for_memory_like_a_new_one(self) -> None:
+        """Guards against refusals of streams that callers have begun to read.
+
+        A caller that resumes a stream has less time left than a new one, and
+        looks like one that was refused before.
+        """
+        self.begin("r-first")
+        self.old.is_full = True
+        response = self.resume(
+            self.gateways[1], "r-first", **{"Deadline-Ms": "3900"}
+        )
+        self.assertEqual(response.status, 503)
+        refused = self.gateways[1].events_named("refused")[0]
+        self.assertEqual(refused["reason"], "no memory")
+        self.assertGreater(refused["waited_s"], 0.5)
+        self.assertEqual(self.new.reserved_tokens, [])
+
+    def test_stream_without_an_engine_of_its_version_is_refused(self) -> None:
+        """Guards against a wait for an engine that will not come."""
+        self.begin("r-first")
+        self.store.remove("servers", "i-1")
+        state = self.gateways[1].components.context.state
+        wait_for(lambda: "i-1" not in state.endpoint_table().by_id)
+        response = self.resume(self.gateways[1], "r-first")
+        self.assertEqual(response.status, 503)
+        refused = self.gateways[1].events_named("refused")[0]
+        self.assertEqual(refused["reason"], "no endpoint of the version")
+        self.assertLess(refused["waited_s"], 0.3)
+
     def test_stream_of_unknown_version_is_refused_as_not_run(self) -> None:
         """Guards against a guessed version."""
         response = self.resume(self.gateways[1], "r-never-seen")
@@ -188,4 +264,159 @@
         self.assertEqual(self.old.runs + self.new.runs, [])
 
 
-__all__ = ["TestResumeByCallers", "TestResumeWithinOneResponse"]
+class TestSoleVersion(GenerationCase):
+    """A caller resumes a stream that no VM knows, after all have restarted."""
+
+    def resume(self) -> ReceivedResponse:
+        """Resumes a stream of an unknown request."""
+        headers = {"Resumes": "r-lost", "Last-Event-Id": "1"}
+        return self.generate("/review/x", **headers)
+
+    def add_version(self, name: str, version: str) -> EngineScript:
+        """Adds an engine of a version."""
+        engine = EngineScript(_stream(2, 3))
+        self.gateway.add_endpoint(
+            ScriptedEndpoint(name, engine),
+            service="llm",
+            stage="decode",
+            version=version,
+        )
+        return engine
+
+    def test_stream_goes_on_where_only_one_version_served(self) -> None:
+        """Guards against refusals although there is only one answer."""
+        self.add_version("i-1", "v1")
+        self.gateway.components.vm_heartbeats.send_and_count()
+        self.assertEqual(self.resume().body, _event(2) + _event(3))
+
+    def test_stream_is_refused_while_another_version_is_recent(self) -> None:
+        """Guards against a stream that began at an engine that has left."""
+        self.add_version("i-1", "v1")
+        self.add_version("i-2", "v1.1")
+        self.gateway.components.vm_heartbeats.send_and_count()
+        self.gateway.store.remove("servers", "i-1")
+        state = self.gateway.components.context.state
+        wait_for(lambda: "i-1" not in state.endpoint_table().by_id)
+        self.assertEqual(self.resume().status, 503)
+
+
+def _make_version(service: str, version: str) -> Endpoint:
+    return Endpoint(
+        id=version,
+        started_ms=1,
+        service=service,
+        address="10.0.0.1:80",
+        zone="zone-a",
+        leaving=False,
+        slots=6,
+        software_version=version,
+    )
+
+
+class TestVersionHistory(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_s = 1000.0
+        self.history = VersionHistory(lambda: self.now_s)
+
+    def test_version_is_unknown_before_the_others_were_read(self) -> None:
+        """Guards against a version from before the start of the process."""
+        self.history.observe([_make_version("llm", "v2")])
+        self.assertIsNone(self.history.sole_version("llm"))
+        self.history.complete([{"llm": ["v1"]}])
+        self.assertIsNone(self.history.sole_version("llm"))
+
+    def test_version_that_left_is_forgotten_after_the_horizon(self) -> None:
+        """Guards against streams that can never be resumed again."""
+        self.history.complete([])
+        self.history.observe([_make_version("llm", "v1")])
+        self.now_s += 500.0
+        self.history.observe([_make_version("llm", "v2")])
+        self.assertIsNone(self.history.sole_version("llm"))
+        self.now_s += HORIZON_S + 1.0
+        self.history.complete([{"llm": ["v1"]}])
+        self.assertEqual(self.history.sole_version("llm"), "v2")
+
+    def test_malformed_observations_are_ignored(self) -> None:
+        """Guards against an object of another writer."""
+        self.history.complete([None, 3, {"llm": "v1"}, {"llm": [1, None]}])
+        self.history.observe([_make_version("llm", "v2")])
+        self.assertEqual(self.history.sole_version("llm"), "v2")
+
+
+class TestOriginSharing(unittest.TestCase):
+    def open_sharing(self) -> OriginSharing:
+        """Returns the sharing of one VM."""
+        sharing = open_origin_sharing(
+            "127.0.0.1:0",
+            StreamOrigins(lambda: 1000.0),
+            make_registry(),
+            lambda event, **fields: None,
+        )
+        self.addCleanup(sharing.close)
+        threading.Thread(target=sharing.run, daemon=True).start()
+        return sharing
+
+    def test_statement_of_a_foreign_sender_changes_nothing(self) -> None:
+        """Guards against forged origins."""
+        sharing = self.open_sharing()
+        statement = OriginStatement("r1", Origin("llm", "v9"))
+        datagram = origin_messages.encode(statement)
+        sharing.receive(datagram, ("127.0.0.1", 9))
+        self.assertIsNone(sharing.find("r1"))
+
+    def test_question_ends_without_the_answer_of_a_dead_vm(self) -> None:
+        """Guards against requests that wait for a VM that has gone."""
+        fleet = [self.open_sharing() for _ in range(6)]
+        addresses = {f"vm-{n}": vm.address for n, vm in enumerate(fleet)}
+        for sharing in fleet:
+            sharing.set_peers(addresses)
+        origin = Origin("llm", "v1")
+        for number in range(20):
+            fleet[0].publish(f"r{number}", origin)
+        fleet[0].close()
+        fleet[1].close()
+        for number in range(20):
+            self.assertEqual(fleet[2].find(f"r{number}"), origin)
+        self.assertIsNone(fleet[2].find("r-unknown"))
+
+    def test_vms_that_disagree_on_the_fleet_find_an_origin(self) -> None:
+        """Guards against owners that only one of two VMs knows."""
+        fleet = [self.open_sharing() for _ in range(8)]
+        addresses = {f"vm-{n}": vm.address for n, vm in enumerate(fleet)}
+        for sharing in fleet:
+            sharing.set_peers(addresses)
+        fleet[0].set_peers(dict(list(addresses.items())[:4]))
+        origin = Origin("llm", "v1")
+        for number in range(20):
+            fleet[0].publish(f"r{number}", origin)
+            self.assertEqual(fleet[7].find(f"r{number}"), origin)
+
+    @given(
+        st.binary(max_size=200) | _JSON.map(lambda v: json.dumps(v).encode())
+    )
+    def test_any_datagram_is_decoded_or_refused(self, datagram: bytes) -> None:
+        """Guards against a datagram that ends the receiving thread."""
+        decoded = origin_messages.decode(datagram)
+        if decoded.is_ok():
+            encoded = origin_messages.encode(decoded.ok_value)
+            self.assertEqual(origin_messages.decode(encoded), decoded)
+
+    def test_memory_of_origins_is_bounded(self) -> None:
+        """Guards against a process that grows with its streams."""
+        now_s = [1000.0]
+        origins = StreamOrigins(lambda: now_s[0])
+        for number in range(30_000):
+            origins.record(f"r{number}", Origin("llm", "v1"))
+        self.assertIsNone(origins.find("r0"))
+        self.assertIsNotNone(origins.find("r29999"))
+        now_s[0] += HORIZON_S + 1.0
+        self.assertIsNone(origins.find("r29999"))
+
+
+__all__ = [
+    "TestOriginSharing",
+    "TestResumeByCallers",
+    "TestResumeWithinOneResponse",
+    "TestSoleVersion",
+    "TestVersionHistory",
+]
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -206,6 +206,7 @@
                 "caller_address": "127.0.0.1:0",
                 "ready_address": "127.0.0.1:0",
                 "store_address": store.address,
+                "peer_address": "127.0.0.1:0",
                 "threads": 16,
                 **settings,
             }
