Leave endpoints alone that ask for a pause or say that they leave

Callers were refused though other endpoints served: an endpoint that answers 503 with Retry-After received the next request again, since a refusal adds no suspicion, and the retries used up the budget. An endpoint that said in its answers that it leaves received requests until its entry in the store said so too.

Cause: neither header of an answer was read. Same class as the limits: a fact that an endpoint tells each VM, for a time. Both are decoded with the limit, for any answer of any call, and kept in EndpointConditions for that process of the endpoint only.

A leaving endpoint ranks last for half of the time limit for leaving endpoints, and then receives nothing. If all endpoints pause, a request is refused at once with the time that is left.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -228,16 +228,18 @@
       The reason of the refusal, and the value of Retry-After in seconds.
     """
     version = request.software_version
-    wait_s = context.state.permit_wait_s(
+    soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, version
     )
-    if wait_s is None and version is not None:
+    if soonest is None and version is not None:
         return "no endpoint of the version", RETRY_AFTER_S
-    if not wait_s:
+    if soonest is None or soonest[1] == 0:
         return "no endpoint", RETRY_AFTER_S
+    endpoint, wait_s = soonest
     if math.isinf(wait_s):
-        return "endpoint limits", HEARTBEAT_INTERVAL_S
-    return "endpoint limits", max(RETRY_AFTER_S, wait_s)
+        wait_s = HEARTBEAT_INTERVAL_S
+    reason = context.state.conditions.explain_wait(endpoint)
+    return reason, max(RETRY_AFTER_S, wait_s)
 
 
 def log_attempt(
@@ -248,7 +250,7 @@
 ) -> None:
     """Logs the endpoint of an attempt, and the inputs of the choice."""
     age_s = context.state.endpoints_age_s()
-    limit_per_s = context.state.rate_limits.limit_per_s(endpoint)
+    limit_per_s = context.state.conditions.rate_limits.limit_per_s(endpoint)
     if limit_per_s is not None:
         fields["limit_per_s"] = limit_per_s
     if request.software_version is not None:
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -135,13 +135,13 @@
     context: Context, request: RoutedRequest, attempts: Attempts
 ) -> _Refusal:
     """Returns why no engine has reserved memory for a generation."""
-    wait_s = context.state.permit_wait_s(
+    soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, request.software_version
     )
     has_engine = context.state.list_usable(
         request.service, software_version=request.software_version
     )
-    if wait_s or not has_engine:
+    if (soonest and soonest[1] > 0) or not has_engine:
         return _Refusal(*explain_missing_endpoint(context, request, attempts))
     if not request.caller.gone:
         context.demand.record_without_memory(request.service)
@@ -182,12 +182,12 @@
     if is_late:
         give_up_s = now_s + _LATE_WAIT_S
     give_up_s = min(give_up_s, request.deadline_s - objective_s)
-    permit_wait_s = context.state.permit_wait_s(
+    soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, request.software_version
     )
-    if permit_wait_s is None and is_resumed:
+    if soonest is None and is_resumed:
         return None
-    if permit_wait_s is not None and now_s + permit_wait_s > give_up_s:
+    if soonest is not None and now_s + soonest[1] > give_up_s:
         return None
     queue = context.admission_queues.for_service(
         request.service, request.software_version
@@ -284,7 +284,7 @@
     for endpoint in _choose_prefill_engines(
         context, request, attempts, reservation, size
     ):
-        if not context.state.rate_limits.try_take(endpoint):
+        if not context.state.conditions.try_take(endpoint):
             continue
         if not attempts.try_prefill():
             return None
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -74,8 +74,7 @@
     )
     ranked = rank_plain(candidates, context.random_float)
     untried = exclude_tried(ranked, attempts.tried_incarnations)
-    rate_limits = context.state.rate_limits
-    return next(filter(rate_limits.try_take, untried), None)
+    return next(filter(context.state.conditions.try_take, untried), None)
 
 
 def _run_attempt(
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -112,14 +112,21 @@
         the signals that hold.
       limit_per_s: requests per second that it takes from all VMs together;
         None if it names no limit.
+      leaving: whether it leaves.
+      pause_s: time for which it wants nothing from this VM, in seconds; None if
+        it asks for no pause.
+      problems: descriptions of malformed signals, which are left out.
     """
 
     answers_request: bool
     limit_per_s: float | None = None
+    leaving: bool = False
+    pause_s: float | None = None
+    problems: tuple[str, ...] = ()
 
 
-# Receives the signals of each answer, or an error text if they are malformed.
-ObserveSignals = Callable[[Endpoint, Result[EndpointSignals, str]], None]
+# Receives the signals of each answer.
+ObserveSignals = Callable[[Endpoint, EndpointSignals], None]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -21,6 +21,7 @@
     make_watchers,
     run_watcher,
 )
+from burdockspan.gateway.endpoint_conditions import make_signal_observer
 from burdockspan.gateway.full_engines import FullEngines
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.ingress import make_ingress
@@ -28,7 +29,6 @@
 from burdockspan.gateway.origin_sharing import open_origin_sharing
 from burdockspan.gateway.ports import ObserveSignals, Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
-from burdockspan.gateway.rate_limits import make_signal_observer
 from burdockspan.gateway.reload import LoadSettings, make_reload
 from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import GatewaySettings
@@ -108,12 +108,17 @@
       log: writes a log event.
     """
     random_float = random.Random().random
-    state = GatewayState(settings.availability_zone, clock, random_float)
+    state = GatewayState(
+        settings.availability_zone,
+        clock,
+        random_float,
+        settings.change_limits.leaving_endpoint_s,
+    )
     registry = make_registry()
     platform = make_platform(
         settings.store_address,
         clock,
-        make_signal_observer(state.rate_limits, log, registry),
+        make_signal_observer(state.conditions, log, registry),
     )
     context = Context(
         platform=platform,
@@ -183,7 +188,7 @@
 
     def on_settled_count(live: int) -> None:
         context.retry_budget.set_vm_count(live)
-        context.state.rate_limits.set_vm_count(live)
+        context.state.conditions.rate_limits.set_vm_count(live)
 
     return VmHeartbeats(
         settings.vm,
--- a/src/burdockspan/gateway/rate_limits.py
+++ b/src/burdockspan/gateway/rate_limits.py
@@ -15,12 +15,8 @@
 import threading
 from collections.abc import Collection
 
-from result import Err, Result
-
-from burdockspan.gateway.ports import EndpointSignals, ObserveSignals
+from burdockspan.gateway.ports import EndpointSignals
 from burdockspan.gateway.values import Endpoint, Incarnation
-from burdockspan.observe.event_log import WriteEvent
-from burdockspan.observe.registry import Registry
 from burdockspan.placement.sampling import RandomFloat
 from burdockspan.values.clock import Clock
 
@@ -153,7 +149,7 @@
                 self._limit_by_incarnation[key] = signals.limit_per_s
                 if before != signals.limit_per_s:
                     self._update_schedule(key)
-            elif signals.answers_request:
+            elif signals.answers_request and not signals.problems:
                 self._forget(key)
             return before, self._limit_by_incarnation.get(key)
 
@@ -224,48 +220,12 @@
         self._schedule_by_incarnation.pop(key, None)
 
 
-def make_signal_observer(
-    rate_limits: RateLimits, log: WriteEvent, registry: Registry
-) -> ObserveSignals:
-    """Returns the receiver of what endpoints say about themselves."""
-
-    def observe(
-        endpoint: Endpoint, signals: Result[EndpointSignals, str]
-    ) -> None:
-        if isinstance(signals, Err):
-            # What is known of the endpoint stays in force.
-            registry.count("signal", "malformed")
-            log(
-                "signal ignored",
-                endpoint=endpoint.id,
-                detail=signals.err_value,
-            )
-            return
-        before, after = rate_limits.observe(endpoint, signals.ok_value)
-        if before == after:
-            return
-        registry.count("rate_limit", "ended" if after is None else "named")
-        log(
-            "endpoint limit ended"
-            if after is None
-            else "endpoint limit changed",
-            endpoint=endpoint.id,
-            address=endpoint.address,
-            zone=endpoint.zone,
-            limit_per_s=after,
-            previous_limit_per_s=before,
-        )
-
-    return observe
-
-
 __all__ = [
     "PermitSchedule",
     "RateLimits",
     "change_rate",
     "choose_used_share",
     "find_next_permit_s",
-    "make_signal_observer",
     "start_schedule",
     "take_permit",
 ]
--- a/src/burdockspan/gateway/reservations.py
+++ b/src/burdockspan/gateway/reservations.py
@@ -106,7 +106,7 @@
             endpoint, tokens + headroom, context.clock()
         ):
             continue
-        if not context.state.rate_limits.try_take(endpoint):
+        if not context.state.conditions.try_take(endpoint):
             continue
         request_count += 1
         reservation = _reserve_at(
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable, Collection, Iterable
 
 from burdockspan.gateway import endpoint_table, passive_health
+from burdockspan.gateway.endpoint_conditions import EndpointConditions
 from burdockspan.gateway.endpoint_table import EndpointTable
 from burdockspan.gateway.passive_health import Suspicion
 from burdockspan.gateway.ranking import Candidate
-from burdockspan.gateway.rate_limits import RateLimits
 from burdockspan.gateway.routing import RoutingTable, make_routing_table
 from burdockspan.gateway.stream_origins import VersionHistory
 from burdockspan.gateway.values import (
@@ -49,16 +49,22 @@
     Attributes:
       zone: availability zone of this VM.
       clock: monotonic clock, in seconds.
-      rate_limits: limits that endpoints name.
+      conditions: what endpoints say about themselves in their answers.
       version_history: software versions that recently served each service.
     """
 
     def __init__(
-        self, zone: str, clock: Clock, random_float: RandomFloat
+        self,
+        zone: str,
+        clock: Clock,
+        random_float: RandomFloat,
+        leaving_endpoint_s: float,
     ) -> None:
         self.zone = zone
         self.clock = clock
-        self.rate_limits = RateLimits(clock, random_float)
+        self.conditions = EndpointConditions(
+            clock, random_float, leaving_endpoint_s
+        )
         self.version_history = VersionHistory(clock)
         self._lock = threading.Lock()
         self._active: ActiveConfiguration | None = None
@@ -131,7 +137,7 @@
             for incarnation in list(self._suspicion_by_incarnation):
                 if incarnation not in present:
                     del self._suspicion_by_incarnation[incarnation]
-        self.rate_limits.forget_departed(present)
+        self.conditions.forget_departed(present)
 
     def _observe_versions(self) -> None:
         self.version_history.observe(
@@ -147,8 +153,8 @@
     ) -> tuple[Candidate, ...]:
         """Returns the endpoints of a service that accept new work from this VM.
 
-        Endpoints are left out while this VM has no permit within the limits
-        that they name.
+        Endpoints are left out while they have asked this VM for a pause, or
+        while it has no permit within the limits that they name.
 
         Args:
           service: name of the service.
@@ -166,7 +172,7 @@
                 for endpoint in self.list_usable(
                     service, stage, software_version
                 )
-                if not self.rate_limits.wait_s(endpoint)
+                if not self.conditions.wait_s(endpoint)
             )
 
     def list_usable(
@@ -175,7 +181,7 @@
         stage: Stage | None = None,
         software_version: str | None = None,
     ) -> tuple[Endpoint, ...]:
-        """Returns the endpoints of a service, whether they name a limit or not.
+        """Returns the endpoints of a service, also paused and limited ones.
 
         Args:
           service: name of the service.
@@ -187,21 +193,20 @@
         endpoints = endpoint_table.list_usable(
             self._endpoint_table, service, self.clock(), stage
         )
-        if software_version is None:
-            return endpoints
         return tuple(
             endpoint
             for endpoint in endpoints
-            if endpoint.software_version == software_version
+            if software_version in (None, endpoint.software_version)
+            and not self.conditions.has_left(endpoint)
         )
 
-    def permit_wait_s(
+    def find_soonest(
         self,
         service: str,
         excluded: Collection[Incarnation] = (),
         software_version: str | None = None,
-    ) -> float | None:
-        """Returns the time until an endpoint accepts a request of this VM.
+    ) -> tuple[Endpoint, float] | None:
+        """Returns the endpoint that accepts a request of this VM first.
 
         Args:
           service: name of the service.
@@ -211,20 +216,18 @@
             all endpoints.
 
         Returns:
-          The time in seconds; 0 if a request may be sent now, None if there is
-          no endpoint. It is infinite until the VMs have been counted.
+          The endpoint and the time until then in seconds, which is 0 if a
+          request may be sent now; None if there is no endpoint.
         """
-        return min(
-            (
-                self.rate_limits.wait_s(endpoint)
-                for endpoint in self.list_usable(
-                    service, software_version=software_version
-                )
-                if endpoint.incarnation not in excluded
-                and endpoint.stage is not Stage.PREFILL
-            ),
-            default=None,
+        waits = (
+            (endpoint, self.conditions.wait_s(endpoint))
+            for endpoint in self.list_usable(
+                service, software_version=software_version
+            )
+            if endpoint.incarnation not in excluded
+            and endpoint.stage is not Stage.PREFILL
         )
+        return min(waits, key=lambda wait: wait[1], default=None)
 
     def _make_candidate(
         self,
@@ -235,11 +238,15 @@
         key = endpoint.incarnation
         running = self._running_by_incarnation[key]
         tokens = self._tokens_by_incarnation[key]
-        suspicion = self._suspicion_by_incarnation.get(key)
+        suspicion = passive_health.current_weight(
+            self._suspicion_by_incarnation.get(key), now_s
+        )
+        if self.conditions.is_leaving(endpoint):
+            suspicion += passive_health.SUSPECT_WEIGHT
         return Candidate(
             endpoint=endpoint,
             load=load(endpoint, running, tokens),
-            suspicion=passive_health.current_weight(suspicion, now_s),
+            suspicion=suspicion,
             local=endpoint.zone == self.zone,
         )
 
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -204,7 +204,8 @@
 ) -> None:
     """Reports the signals of an answer that the endpoint itself sent."""
     channel.observe_signals(
-        endpoint, decode_signals(exchange.headers, answers_request)
+        endpoint,
+        decode_signals(exchange.status, exchange.headers, answers_request),
     )
 
 
--- a/src/burdockspan/platform/headers.py
+++ b/src/burdockspan/platform/headers.py
@@ -25,6 +25,8 @@
 RETRY_AFTER = "Retry-After"
 # Requests per second that an endpoint takes from all VMs together.
 SERVER_LIMIT = "Server-Limit"
+# Set by an endpoint that leaves.
+SERVER_LEAVING = "Server-Leaving"
 STAGE = "Stage"
 # `ip:port/handle` of the KV cache that the endpoint fetches.
 KV_SOURCE = "Kv-Source"
@@ -148,6 +150,7 @@
     "RESPONSE_STAMP",
     "RESUMES",
     "RETRY_AFTER",
+    "SERVER_LEAVING",
     "SERVER_LIMIT",
     "STAGE",
     "TOKEN_COUNT",
--- a/tests/gateway/test_memory_headroom.py
+++ b/tests/gateway/test_memory_headroom.py
@@ -112,7 +112,7 @@
             f"i-{number}": _SimulatedEngine() for number in range(_ENGINES)
         }
         clock = lambda: self.now_s  # noqa: E731
-        self.state = GatewayState("zone-0", clock, random.Random(1).random)
+        self.state = GatewayState("zone-0", clock, random.Random(1).random, 2.0)
         for number, engine_id in enumerate(self.engines_by_id):
             endpoint = Endpoint(
                 engine_id,
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -244,15 +244,20 @@
 class TestDecodedLimits(unittest.TestCase):
     def test_malformed_limit_changes_nothing(self) -> None:
         """Guards against limits read from values that are no rate."""
+        limits = RateLimits(lambda: 5.0, lambda: 0.5)
+        endpoint = _make_endpoint()
+        limits.observe(endpoint, EndpointSignals(True, 2.5))
         for value in ("", "x", "-1", "nan", "inf", "1e9", "1" * 40, "1,5"):
             with self.subTest(value=value):
-                decoded = decode_signals({"Server-Limit": value}, True)
-                self.assertTrue(decoded.is_err())
+                decoded = decode_signals(200, {"Server-Limit": value}, True)
+                self.assertEqual(len(decoded.problems), 1)
+                limits.observe(endpoint, decoded)
+                self.assertEqual(limits.limit_per_s(endpoint), 2.5)
 
     def test_decimal_limit_is_decoded(self) -> None:
         """Guards against limits that are cut to whole numbers."""
-        decoded = decode_signals({"Server-Limit": "1.85"}, False)
-        self.assertEqual(decoded.ok_value, EndpointSignals(False, 1.85))
+        decoded = decode_signals(200, {"Server-Limit": "1.85"}, False)
+        self.assertEqual(decoded, EndpointSignals(False, 1.85))
 
 
 class TestLimitOfAllVms(FleetCase):
