Notice a store that has come back from an older copy

After such a return, revisions are given out again, and objects are back or gone that were not. On the code before, in tests with the project's store: an endpoint that had left was used again; changes were missed by a watch from a revision that exists again; an answer of the earlier era was applied; fencing tokens went back (1 2 3 4 2 3); a lost lease was taken at once, with two holders within 0.5 s; the count of VMs fell from 4 to 1.

Measured: six tests failed before; they pass now, with one for crash records.

--- a/src/burdockspan/gateway/crash_records.py
+++ b/src/burdockspan/gateway/crash_records.py
@@ -155,8 +155,15 @@
             lambda: self._log("store regained", watching="crashes"),
             watch_timeout_s=_WATCH_TIMEOUT_S,
             consistency=Consistency.EVENTUAL,
+            on_new_era=self._write_again,
         )
 
+    def _write_again(self, era: int) -> None:
+        """Writes the records that the store may have lost."""
+        self._log("store era rose", watching="crashes", era=era)
+        for request_fingerprint in tuple(self._crash_records.by_fingerprint):
+            self._write_records(request_fingerprint)
+
     def _add_records(
         self, request_fingerprint: str, crashes: tuple[Crash, ...]
     ) -> None:
--- a/src/burdockspan/gateway/discovery.py
+++ b/src/burdockspan/gateway/discovery.py
@@ -68,6 +68,8 @@
       watch_timeout_s: longest duration of one watch.
       collect_s: delay before the next call after one that returned changes.
       consistency: consistency of the watches; a list is always the latest.
+      on_new_era: called with the store's era when it has come back from a copy,
+        before the list that follows is applied.
     """
 
     kind: str
@@ -79,6 +81,7 @@
     watch_timeout_s: float = _DEFAULT_WATCH_TIMEOUT_S
     collect_s: float = 0.0
     consistency: Consistency = Consistency.LATEST
+    on_new_era: Callable[[int], None] = lambda _: None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,10 +92,12 @@
       revision: revision that the next watch starts at; None if the next call
         lists the kind.
       failures: number of consecutive failed calls.
+      era: latest known era of the store; None before the first answer.
     """
 
     revision: int | None = None
     failures: int = 0
+    era: int | None = None
 
 
 def poll(
@@ -104,7 +109,9 @@
     """Makes one call to the store and applies its response.
 
     After a failed call the kind is listed again, since a watch may have missed
-    the removal of an object.
+    the removal of an object. The same holds for a watch from a revision of an
+    earlier era. Answers of an earlier era than the latest known one are
+    dropped.
 
     Returns:
       The new position, and the delay before the next call in seconds.
@@ -122,12 +129,23 @@
         return _handle_error(
             watcher, position, response.err_value, random_float
         )
+    era = response.ok_value.era
+    if position.era is not None and era is not None and era != position.era:
+        if era < position.era:
+            return _handle_error(
+                watcher, position, StoreError.UNAVAILABLE, random_float
+            )
+        watcher.on_new_era(era)
+        if position.revision is not None:
+            return dataclasses.replace(position, revision=None, era=era), 0.0
     if position.failures:
         watcher.on_regained()
     _apply(watcher, position, response)
     watcher.on_response()
     delay_s = watcher.collect_s if response.ok_value.objects else 0.0
-    return WatchPosition(response.ok_value.revision), delay_s
+    if era is None:
+        era = position.era
+    return WatchPosition(response.ok_value.revision, era=era), delay_s
 
 
 def _apply(
@@ -148,13 +166,13 @@
     random_float: RandomFloat,
 ) -> tuple[WatchPosition, float]:
     if error is StoreError.COMPACTED:
-        return WatchPosition(None, position.failures), 0.0
+        return dataclasses.replace(position, revision=None), 0.0
     if not position.failures:
         watcher.on_lost(error)
     limited = error is StoreError.LIMITED
     backoff = _LIMITED_BACKOFF if limited else _BACKOFF
     failures = position.failures + 1
-    return WatchPosition(None, failures), backoff_delay_s(
+    return WatchPosition(None, failures, position.era), backoff_delay_s(
         backoff, failures, random_float
     )
 
@@ -256,7 +274,13 @@
     on_lost, on_regained = _make_outage_handlers("configuration", log, registry)
     kind = platform.kinds.configuration
     return ObjectWatcher(
-        kind, apply_listing, apply_change, on_lost, on_regained
+        kind,
+        apply_listing,
+        apply_change,
+        on_lost,
+        on_regained,
+        # The list may have an older configuration, which is not activated.
+        on_new_era=make_era_log("configuration", log, registry),
     )
 
 
@@ -317,10 +341,24 @@
         )
         log_regained()
 
-    kind = platform.kinds.endpoints
-    on_response = state.record_endpoints_received
+    log_era = make_era_log("endpoints", log, registry)
+
+    def on_new_era(era: int) -> None:
+        state.change_endpoint_table(
+            lambda table: endpoint_table.start_grace_period(
+                table, clock(), restored=True
+            )
+        )
+        log_era(era)
+
     return ObjectWatcher(
-        kind, apply_listing, apply_change, on_lost, on_regained, on_response
+        platform.kinds.endpoints,
+        apply_listing,
+        apply_change,
+        on_lost,
+        on_regained,
+        on_response=state.record_endpoints_received,
+        on_new_era=on_new_era,
     )
 
 
@@ -338,6 +376,18 @@
     return on_lost, on_regained
 
 
+def make_era_log(
+    watched: str, log: WriteEvent, registry: Registry
+) -> Callable[[int], None]:
+    """Returns a function that logs that the store came back from a copy."""
+
+    def log_era(era: int) -> None:
+        registry.count("store", f"{watched}_era_rose")
+        log("store era rose", watching=watched, era=era)
+
+    return log_era
+
+
 def _log_changes(
     before: EndpointTable,
     after: EndpointTable,
@@ -375,6 +425,7 @@
     "compute_collect_s",
     "compute_max_age_s",
     "compute_watch_timeout_s",
+    "make_era_log",
     "make_watchers",
     "poll",
     "run_watcher",
--- a/src/burdockspan/gateway/endpoint_table.py
+++ b/src/burdockspan/gateway/endpoint_table.py
@@ -6,12 +6,19 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from burdockspan.gateway.values import Endpoint, Stage
+from burdockspan.gateway.values import Endpoint, Incarnation, Stage
 
 # An endpoint whose entry expired during an outage of the store renews it within
 # two seconds after the outage. If the entry is still missing then, its endpoint
 # has stopped.
 GRACE_PERIOD_S = 1.9
+# A store that comes back from a copy lists endpoints that have left since. The
+# entry of one that has stopped is removed within this time, and one that still
+# runs writes that it leaves.
+RESTORED_DELAY_S = 6.0
+# Time for which endpoints that have left are remembered. It is longer than the
+# age of a copy, some seconds, and the outage before.
+_DEPARTED_TTL_S = 120.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,10 +29,12 @@
       endpoint: the endpoint.
       expires_s: when an endpoint whose entry is missing leaves the table, in
         monotonic seconds; infinite while the store has the entry.
+      usable_from_s: when it may receive work, in monotonic seconds.
     """
 
     endpoint: Endpoint
     expires_s: float = math.inf
+    usable_from_s: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,15 +45,34 @@
       by_id: the endpoints with their entries.
       grace_until_s: end of the grace period after an outage of the store, in
         monotonic seconds. Until then, endpoints without an entry are kept.
+      departed_s: when endpoints recently left the table, in monotonic seconds.
+      is_restored: whether the store has come back from a copy, and no list has
+        been applied since.
     """
 
     by_id: Mapping[str, EndpointEntry] = dataclasses.field(default_factory=dict)
     grace_until_s: float = -math.inf
+    departed_s: Mapping[Incarnation, float] = dataclasses.field(
+        default_factory=dict
+    )
+    is_restored: bool = False
 
 
-def start_grace_period(table: EndpointTable, now_s: float) -> EndpointTable:
-    """Returns the table with a grace period that starts now."""
-    return dataclasses.replace(table, grace_until_s=now_s + GRACE_PERIOD_S)
+def start_grace_period(
+    table: EndpointTable, now_s: float, restored: bool = False
+) -> EndpointTable:
+    """Returns the table with a grace period that starts now.
+
+    Args:
+      table: the endpoints.
+      now_s: present time, in monotonic seconds.
+      restored: whether the store has come back from a copy.
+    """
+    return dataclasses.replace(
+        table,
+        grace_until_s=now_s + GRACE_PERIOD_S,
+        is_restored=table.is_restored or restored,
+    )
 
 
 def apply_listing(
@@ -53,7 +81,7 @@
     """Returns the table after a complete list of the entries."""
     listed = {endpoint.id: endpoint for endpoint in endpoints}
     by_id = {
-        endpoint_id: EndpointEntry(_choose_newer(table, endpoint))
+        endpoint_id: _make_listed_entry(table, endpoint, now_s)
         for endpoint_id, endpoint in listed.items()
     }
     for endpoint_id, entry in table.by_id.items():
@@ -64,7 +92,9 @@
         )
         if kept is not None:
             by_id[endpoint_id] = kept
-    return dataclasses.replace(table, by_id=by_id)
+    return dataclasses.replace(
+        _replace_entries(table, by_id, now_s), is_restored=False
+    )
 
 
 def apply_entry(table: EndpointTable, endpoint: Endpoint) -> EndpointTable:
@@ -86,7 +116,7 @@
         del by_id[endpoint_id]
     else:
         by_id[endpoint_id] = kept
-    return dataclasses.replace(table, by_id=by_id)
+    return _replace_entries(table, by_id, now_s)
 
 
 def expire(table: EndpointTable, now_s: float) -> EndpointTable:
@@ -98,7 +128,7 @@
         for endpoint_id, entry in table.by_id.items()
         if entry.expires_s > now_s
     }
-    return dataclasses.replace(table, by_id=by_id)
+    return _replace_entries(table, by_id, now_s)
 
 
 def list_usable(
@@ -118,7 +148,7 @@
         for entry in table.by_id.values()
         if entry.endpoint.service == service
         and not entry.endpoint.leaving
-        and entry.expires_s > now_s
+        and entry.usable_from_s <= now_s < entry.expires_s
         and (stage is None or entry.endpoint.stage is stage)
     )
 
@@ -127,15 +157,51 @@
     """Returns the endpoint as its latest process describes it.
 
     A write of an earlier process under the same identity may arrive after
-    those of the present process.
+    those of the present process. A store that comes back from a copy may have
+    an entry from before its process began to leave.
     """
     current = table.by_id.get(endpoint.id)
-    if (
-        current is not None
-        and current.endpoint.started_ms > endpoint.started_ms > 0
+    if current is None or endpoint.started_ms == 0:
+        return endpoint
+    is_older = current.endpoint.started_ms > endpoint.started_ms
+    is_from_before_leaving = (
+        current.endpoint.incarnation == endpoint.incarnation
+        and current.endpoint.leaving
+    )
+    return current.endpoint if is_older or is_from_before_leaving else endpoint
+
+
+def _make_listed_entry(
+    table: EndpointTable, endpoint: Endpoint, now_s: float
+) -> EndpointEntry:
+    """Returns the entry of an endpoint that a list contains."""
+    newest = _choose_newer(table, endpoint)
+    current = table.by_id.get(endpoint.id)
+    if current is not None and current.endpoint.incarnation == (
+        newest.incarnation
     ):
-        return current.endpoint
-    return endpoint
+        return EndpointEntry(newest, usable_from_s=current.usable_from_s)
+    has_left = newest.incarnation in table.departed_s
+    if table.is_restored and has_left:
+        return EndpointEntry(newest, usable_from_s=now_s + RESTORED_DELAY_S)
+    return EndpointEntry(newest)
+
+
+def _replace_entries(
+    table: EndpointTable, by_id: Mapping[str, EndpointEntry], now_s: float
+) -> EndpointTable:
+    """Returns the table with other entries; remembers those that left."""
+    departed_s = {
+        incarnation: left_s
+        for incarnation, left_s in table.departed_s.items()
+        if now_s - left_s < _DEPARTED_TTL_S
+    }
+    for endpoint_id, entry in table.by_id.items():
+        incarnation = entry.endpoint.incarnation
+        present = by_id.get(endpoint_id)
+        if present is None or present.endpoint.incarnation != incarnation:
+            departed_s[incarnation] = now_s
+    return dataclasses.replace(table, by_id=by_id, departed_s=departed_s)
 
 
 def _keep_within_grace(
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -210,12 +210,14 @@
       revision: the store's revision at the object's last change.
       value: contents, a JSON value.
       removed: whether a watch reports that the object was removed.
+      era: the store's era when it answered; None if it tells none.
     """
 
     name: str
     revision: int
     value: Any
     removed: bool = False
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -225,10 +227,14 @@
     Attributes:
       objects: all objects of the kind, or the changed ones.
       revision: revision that the next watch starts at.
+      era: rises each time the store comes back from a copy, which has lost the
+        latest changes; revisions of two eras cannot be compared. None if the
+        store tells none.
     """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/gateway/stage_orders.py
+++ b/src/burdockspan/gateway/stage_orders.py
@@ -30,6 +30,10 @@
 # After an order, an engine gets no second one for this time. An order that got
 # no response may still be executed within it.
 _RECENT_ORDER_S = 20.0
+# Fencing tokens of one era of the store. A store that comes back from a copy
+# may have lost the latest tokens, so that those of the next era begin above all
+# of them.
+_TOKENS_PER_ERA = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +73,9 @@
         self._log = log
         self._lease: Lease | None = None
         self._lease_observed_s = 0.0
+        self._era: int | None = None
+        # When the store came back from a copy, which may have lost a lease.
+        self._era_rose_s: float | None = None
         self._ordered_s_by_engine: dict[str, float] = {}
 
     def set_lease_s(self, lease_s: float) -> None:
@@ -78,7 +85,9 @@
     def read_lease(self) -> bool:
         """Reads the lease; returns False if the store is unavailable."""
         listing = self._store.list_objects(KIND, Consistency.LATEST)
-        if isinstance(listing, Err):
+        if isinstance(listing, Err) or not self._observe_era(
+            listing.ok_value.era
+        ):
             return False
         stored = next(
             (
@@ -99,6 +108,18 @@
                     self._ordered_s_by_engine[engine] = self._lease_observed_s
         return True
 
+    def _observe_era(self, era: int | None) -> bool:
+        """Records the era of an answer; returns False for an earlier one."""
+        if era is None or era == self._era:
+            return True
+        if self._era is not None:
+            if era < self._era:
+                return False
+            self._era_rose_s = self._boot_clock()
+            self._log("store era rose", watching="leases", era=era)
+        self._era = era
+        return True
+
     def exclude_ordered(
         self, engines: Sequence[Endpoint]
     ) -> tuple[Endpoint, ...]:
@@ -148,17 +169,24 @@
         return ordered_s is None or now_s - ordered_s > _RECENT_ORDER_S
 
     def _may_acquire(self, now_s: float) -> bool:
+        expiry_s = self._lease_s + SEND_WINDOW_S + _LEASE_MARGIN_S
+        if (
+            self._era_rose_s is not None
+            and now_s - self._era_rose_s <= expiry_s
+        ):
+            # The lease of another VM may have been lost.
+            return False
         lease = self._lease
         if lease is None or lease.holder == self._vm:
             return True
-        return (
-            now_s - self._lease_observed_s
-            > self._lease_s + SEND_WINDOW_S + _LEASE_MARGIN_S
-        )
+        return now_s - self._lease_observed_s > expiry_s
 
     def _acquire(self, engines: list[str]) -> int | None:
         lease = self._lease
-        fencing_token = 1 if lease is None else lease.fencing_token + 1
+        fencing_token = max(
+            1 if lease is None else lease.fencing_token + 1,
+            _TOKENS_PER_ERA * (self._era or 0) + 1,
+        )
         value = {"holder": self._vm, "fence": fencing_token, "engines": engines}
         if lease is None:
             outcome = self._store.create(KIND, _OBJECT_NAME, value)
@@ -171,6 +199,11 @@
             # is sent with its fencing token, however.
             self._log("lease not taken", cause=outcome.err_value.value)
             return None
+        if outcome.ok_value.era != self._era:
+            # The store has come back from a copy between the read of the lease
+            # and this write: its revisions cannot be compared.
+            self._log("lease not taken", cause="store era rose")
+            return None
         self._lease = _decode(outcome.ok_value.revision, value)
         self._lease_observed_s = self._boot_clock()
         self._log("lease taken", fence=fencing_token, engines=engines)
--- a/src/burdockspan/gateway/vm_heartbeats.py
+++ b/src/burdockspan/gateway/vm_heartbeats.py
@@ -46,31 +46,47 @@
 
 @dataclasses.dataclass(frozen=True)
 class ObservedRevision:
-    """The revision of a VM's object, and when it was first observed."""
+    """The version of a VM's object, and when it was first observed.
 
-    revision: int
+    Attributes:
+      version: era and revision, or another value that tells versions apart.
+      changed_s: when it was first observed, in monotonic seconds.
+    """
+
+    version: object
     changed_s: float
 
 
 def observe_revisions(
     observed_by_vm: Mapping[str, ObservedRevision],
-    listed: Mapping[str, int],
+    listed: Mapping[str, object],
     now_s: float,
 ) -> dict[str, ObservedRevision]:
-    """Returns the observed revisions, updated by the listed ones.
+    """Returns the observed versions, updated by the listed ones.
+
+    A VM that is not listed is kept until it would have been removed as failed:
+    a store that comes back from a copy may have lost its object.
 
     Args:
-      observed_by_vm: revisions observed so far.
-      listed: revisions in the store now, by VM.
+      observed_by_vm: versions observed so far.
+      listed: versions in the store now, by VM.
       now_s: present time, in monotonic seconds.
     """
-    updated = {}
-    for vm, revision in listed.items():
+    unlisted = {
+        vm: observed
+        for vm, observed in observed_by_vm.items()
+        if vm not in listed
+    }
+    failed = list_removable(unlisted, now_s)
+    updated = {
+        vm: observed for vm, observed in unlisted.items() if vm not in failed
+    }
+    for vm, version in listed.items():
         observed = observed_by_vm.get(vm)
-        if observed is not None and observed.revision == revision:
+        if observed is not None and observed.version == version:
             updated[vm] = observed
         else:
-            updated[vm] = ObservedRevision(revision, now_s)
+            updated[vm] = ObservedRevision(version, now_s)
     return updated
 
 
@@ -173,9 +189,11 @@
 
     def _count(self, objects: tuple[StoredObject, ...]) -> None:
         now_s = self._clock()
-        revisions = {stored.name: stored.revision for stored in objects}
+        versions = {
+            stored.name: (stored.era, stored.revision) for stored in objects
+        }
         self._observed_by_vm = observe_revisions(
-            self._observed_by_vm, revisions, now_s
+            self._observed_by_vm, versions, now_s
         )
         live_vms = list_live(self._observed_by_vm, now_s)
         live = len({self._vm, *live_vms})
@@ -193,7 +211,10 @@
         self._on_count(live, recent_values)
         if self._vm != min(live_vms, default=None):
             return
+        listed_vms = {stored.name for stored in objects}
         for vm in list_removable(self._observed_by_vm, now_s):
+            if vm not in listed_vms:
+                continue
             self._log("departed vm removed", member=vm)
             self._store.remove(KIND, vm)
 
--- a/src/burdockspan/object_api/transport.py
+++ b/src/burdockspan/object_api/transport.py
@@ -39,6 +39,7 @@
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class ExchangeFailure(enum.Enum):
@@ -151,7 +152,7 @@
         response.close()
         return Err(ExchangeFailure.NO_RESPONSE)
     response.release_conn()
-    return Ok(Response(response.status, b"".join(chunks)))
+    return Ok(Response(response.status, b"".join(chunks), response.headers))
 
 
 __all__ = [
--- a/src/burdockspan/platform/headers.py
+++ b/src/burdockspan/platform/headers.py
@@ -25,6 +25,8 @@
 RETRY_AFTER = "Retry-After"
 # Requests per second that an endpoint takes from all VMs together.
 SERVER_LIMIT = "Server-Limit"
+# In all answers of the store; rises when it comes back from a copy.
+STORE_ERA = "Store-Era"
 # Set by an endpoint that leaves.
 SERVER_LEAVING = "Server-Leaving"
 STAGE = "Stage"
@@ -153,6 +155,7 @@
     "SERVER_LEAVING",
     "SERVER_LIMIT",
     "STAGE",
+    "STORE_ERA",
     "TOKEN_COUNT",
     "filter_request_headers",
     "filter_response_headers",
--- a/src/burdockspan/platform/store.py
+++ b/src/burdockspan/platform/store.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
+import re
 import urllib.parse
+from collections.abc import Mapping
 from typing import Any
 
 from result import Err, Ok, Result
@@ -16,6 +19,7 @@
     StoreError,
 )
 from burdockspan.object_api.transport import Request, Transport, make_transport
+from burdockspan.platform import headers as header_names
 from burdockspan.values.clock import Clock
 
 _OBJECTS_PATH = "/v1/objects/"
@@ -27,6 +31,7 @@
 _WATCH_MARGIN_S = 0.6
 # Limits the pages of a list in case the store returns a cursor that repeats.
 _MAX_PAGES = 200
+_ERA_PATTERN = re.compile(r"[0-9]{1,15}")
 _ERROR_BY_STATUS = {
     404: StoreError.NOT_FOUND,
     409: StoreError.CONFLICT,
@@ -35,6 +40,14 @@
 }
 
 
+@dataclasses.dataclass(frozen=True)
+class _Answer:
+    """A JSON value of the store, and its era."""
+
+    value: Any
+    era: int | None
+
+
 def make_store(address: str, clock: Clock) -> Store:
     """Returns the client of the store at `ip:port`; it does not connect yet.
 
@@ -48,7 +61,7 @@
     ) -> Result[Listing, StoreError]:
         objects: list[StoredObject] = []
         after: str | None = None
-        revision = None
+        revision, era = None, None
         for _ in range(_MAX_PAGES):
             query = _make_read_query(consistency)
             if after is not None:
@@ -60,18 +73,23 @@
                 return page
             try:
                 items = [
-                    _decode_object(item) for item in page.ok_value["items"]
+                    _decode_object(item, page.ok_value.era)
+                    for item in page.ok_value.value["items"]
                 ]
-                page_revision = int(page.ok_value["current_rev"])
-                has_more = page.ok_value.get("has_more") is True
+                page_revision = int(page.ok_value.value["current_rev"])
+                has_more = page.ok_value.value.get("has_more") is True
             except (KeyError, TypeError, ValueError):
                 return Err(StoreError.MALFORMED)
             # The next watch starts at the revision of the first page, so that
             # it reports the changes between the pages.
-            revision = page_revision if revision is None else revision
+            if revision is None:
+                revision, era = page_revision, page.ok_value.era
+            elif page.ok_value.era != era:
+                # Pages of two eras make no list.
+                return Err(StoreError.UNAVAILABLE)
             objects.extend(items)
             if not has_more or not items:
-                return Ok(Listing(tuple(objects), revision))
+                return Ok(Listing(tuple(objects), revision, era))
             after = items[-1].name
         return Err(StoreError.MALFORMED)
 
@@ -92,11 +110,15 @@
         if isinstance(response, Err):
             return response
         try:
+            answer = response.ok_value
             changes = tuple(
-                _decode_object(event["object"], event.get("removed") is True)
-                for event in response.ok_value["events"]
+                _decode_object(
+                    event["object"], answer.era, event.get("removed") is True
+                )
+                for event in answer.value["events"]
             )
-            return Ok(Listing(changes, int(response.ok_value["current_rev"])))
+            revision = int(answer.value["current_rev"])
+            return Ok(Listing(changes, revision, answer.era))
         except (KeyError, TypeError, ValueError):
             return Err(StoreError.MALFORMED)
 
@@ -133,7 +155,9 @@
     if isinstance(response, Err):
         return response
     try:
-        return Ok(_decode_object(response.ok_value))
+        return Ok(
+            _decode_object(response.ok_value.value, response.ok_value.era)
+        )
     except (KeyError, TypeError, ValueError):
         return Err(StoreError.MALFORMED)
 
@@ -153,7 +177,7 @@
     path: str,
     body: Any = None,
     timeout_s: float = _CALL_TIMEOUT_S,
-) -> Result[Any, StoreError]:
+) -> Result[_Answer, StoreError]:
     content = None if body is None else json.dumps(body).encode()
     headers = () if body is None else _JSON_HEADERS
     exchanged = transport(Request(method, path, timeout_s, content, headers))
@@ -165,18 +189,27 @@
             _ERROR_BY_STATUS.get(response.status, StoreError.UNAVAILABLE)
         )
     try:
-        return Ok(json.loads(response.body) if response.body else {})
+        value = json.loads(response.body) if response.body else {}
     except ValueError:
         return Err(StoreError.MALFORMED)
+    return Ok(_Answer(value, _decode_era(response.headers)))
+
+
+def _decode_era(headers: Mapping[str, str]) -> int | None:
+    text = headers.get(header_names.STORE_ERA, "").strip()
+    return int(text) if _ERA_PATTERN.fullmatch(text) else None
 
 
-def _decode_object(value: Any, removed: bool = False) -> StoredObject:
+def _decode_object(
+    value: Any, era: int | None, removed: bool = False
+) -> StoredObject:
     metadata = value["metadata"]
     return StoredObject(
         name=str(metadata["name"]),
         revision=int(metadata.get("revision", 0)),
         value=value.get("spec"),
         removed=removed,
+        era=era,
     )
 
 
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -11,6 +11,7 @@
 import threading
 import time
 import urllib.parse
+from collections.abc import Callable
 from typing import Any
 
 _PREFIX = "/v1/objects/"
@@ -26,6 +27,7 @@
       unresponsive: whether requests get no response.
       compacted: whether the next watch gets 410, as after a compaction.
       calls: method and path of each request, in order.
+      era: rises each time the store comes back from a copy.
     """
 
     def __init__(self) -> None:
@@ -33,6 +35,7 @@
         self.unresponsive = False
         self.compacted = False
         self.calls: list[tuple[str, str]] = []
+        self.era = 1
         self._revision = 1
         self._changed = threading.Condition()
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
@@ -62,6 +65,26 @@
             stored = self._objects.pop((kind, name))
             self._add_event(kind, stored, removed=True)
 
+    def copy(self) -> Callable[[], None]:
+        """Copies the store; returns a function that restores the copy.
+
+        What has been written since the copy is then gone, and its revisions are
+        given out again.
+        """
+        with self._changed:
+            revision, objects = self._revision, dict(self._objects)
+
+        def restore() -> None:
+            with self._changed:
+                self.era += 1
+                self._revision, self._objects = revision, dict(objects)
+                self._events = [
+                    event for event in self._events if event[0] <= revision
+                ]
+                self._changed.notify_all()
+
+        return restore
+
     def read(self, kind: str) -> dict[str, Any]:
         """Returns the specs of the objects of a kind by name."""
         with self._changed:
@@ -136,7 +159,7 @@
         end_s = time.monotonic() + int(query["wait_ms"]) / 1000.0
         with self._changed:
             while True:
-                if self.compacted:
+                if self.compacted or after > self._revision:
                     self.compacted = False
                     return 410, {}
                 events = [
@@ -183,6 +206,7 @@
         def _send(self, status: int, content: bytes) -> None:
             self.send_response(status)
             self.send_header("Content-Type", _JSON)
+            self.send_header("Store-Era", str(store.era))
             self.send_header("Content-Length", str(len(content)))
             self.end_headers()
             self.wfile.write(content)
--- a/tests/gateway/test_stage_orders.py
+++ b/tests/gateway/test_stage_orders.py
@@ -17,13 +17,17 @@
 _LEASE_S = 3.0
 
 
-def _make_engine(name: str = "i-1") -> Endpoint:
+def make_engine(name: str = "i-1") -> Endpoint:
     return Endpoint(
         name, 1, "llm", "10.0.0.1:80", "zone-a", False, 8, Stage.PREFILL
     )
 
 
-class TestOrderSender(unittest.TestCase):
+class OrderSenderCase(unittest.TestCase):
+    """Order senders of several VMs that share a store and a clock."""
+
+    stage = Stage.DECODE
+
     def setUp(self) -> None:
         self.platform = ObjectStore()
         self.addCleanup(self.platform.close)
@@ -32,6 +36,8 @@
         self.before_load_report = lambda: None
 
     def make_sender(self, vm: str, **store: Any) -> OrderSender:
+        """Returns the sender of one VM, with changed calls to the store."""
+
         def fetch_load(_: Endpoint) -> Any:
             self.before_load_report()
             return Ok(EngineLoad(Stage.PREFILL, False, 7, 0, 0, 0, 1))
@@ -69,6 +75,8 @@
             lambda event, **fields: None,
         )
 
+
+class TestOrderSender(OrderSenderCase):
     def test_one_of_two_concurrent_vms_gets_the_lease(self) -> None:
         """Guards against two holders after a race for the lease."""
         first_sender, second_sender = (
@@ -77,8 +85,8 @@
         )
         first_sender.read_lease()
         second_sender.read_lease()
-        first_sender.send_orders([_make_engine()], Stage.DECODE)
-        second_sender.send_orders([_make_engine("i-2")], Stage.DECODE)
+        first_sender.send_orders([make_engine()], Stage.DECODE)
+        second_sender.send_orders([make_engine("i-2")], Stage.DECODE)
         self.assertEqual([order[1] for order in self.sent_orders], ["vm-1"])
 
     def test_holder_does_not_change_within_the_lease(self) -> None:
@@ -87,10 +95,10 @@
             self.make_sender("vm-1"),
             self.make_sender("vm-2"),
         )
-        first_sender.send_orders([_make_engine()], Stage.DECODE)
+        first_sender.send_orders([make_engine()], Stage.DECODE)
         for _ in range(120):
             self.now_s += 0.1
-            second_sender.send_orders([_make_engine("i-2")], Stage.DECODE)
+            second_sender.send_orders([make_engine("i-2")], Stage.DECODE)
         self.assertEqual(
             [order[1] for order in self.sent_orders], ["vm-1", "vm-2"]
         )
@@ -104,7 +112,7 @@
             self.make_sender("vm-1"),
             self.make_sender("vm-2"),
         )
-        engines = (_make_engine(), _make_engine("i-2"))
+        engines = (make_engine(), make_engine("i-2"))
         first_sender.send_orders(engines[:1], Stage.DECODE)
         for order_sender in (first_sender, second_sender):
             self.assertEqual(order_sender.exclude_ordered(engines), engines[1:])
@@ -120,7 +128,7 @@
 
         first_sender = self.make_sender("vm-1", create=write_without_response)
         self.assertEqual(
-            first_sender.send_orders([_make_engine()], Stage.DECODE), ()
+            first_sender.send_orders([make_engine()], Stage.DECODE), ()
         )
         self.assertEqual(self.sent_orders, [])
 
@@ -131,7 +139,7 @@
             self.now_s += 10.0
 
         self.before_load_report = suspend
-        self.make_sender("vm-1").send_orders([_make_engine()], Stage.DECODE)
+        self.make_sender("vm-1").send_orders([make_engine()], Stage.DECODE)
         self.assertEqual(self.sent_orders, [])
 
     def test_engine_is_not_ordered_again_soon(self) -> None:
@@ -140,16 +148,16 @@
             self.make_sender("vm-1"),
             self.make_sender("vm-2"),
         )
-        first_sender.send_orders([_make_engine()], Stage.DECODE)
+        first_sender.send_orders([make_engine()], Stage.DECODE)
         for _ in range(15):
             self.now_s += 1.0
-            first_sender.send_orders([_make_engine()], Stage.DECODE)
-            second_sender.send_orders([_make_engine()], Stage.DECODE)
+            first_sender.send_orders([make_engine()], Stage.DECODE)
+            second_sender.send_orders([make_engine()], Stage.DECODE)
         self.assertEqual(len(self.sent_orders), 1)
         self.assertEqual(self.sent_orders[0][3], 7)
 
     def test_unavailable_store_sends_no_orders(self) -> None:
         """Guards against orders without a lease."""
         self.platform.status = 503
-        self.make_sender("vm-1").send_orders([_make_engine()], Stage.DECODE)
+        self.make_sender("vm-1").send_orders([make_engine()], Stage.DECODE)
         self.assertEqual(self.sent_orders, [])
--- /dev/null
+++ b/tests/gateway/test_store_eras.py
@@ -0,0 +1,233 @@
+"""The store may come back from a copy some seconds old.
+
+What was written since is gone, and revisions are given out again.
+"""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from burdockspan.gateway import crash_records, discovery, vm_heartbeats
+from burdockspan.gateway.crash_records import CrashRecordStore
+from burdockspan.gateway.discovery import ObjectWatcher, WatchPosition
+from burdockspan.gateway.ports import StoredObject
+from burdockspan.gateway.vm_heartbeats import VmHeartbeats
+from burdockspan.platform.store import make_store
+from standins.object_store import ObjectStore
+from standins.scripted_endpoint import ScriptedEndpoint, respond
+from tests.gateway.case import GatewayCase
+from tests.gateway.test_stage_orders import OrderSenderCase, make_engine
+from tests.support.gateways import make_document, wait_for
+
+_OK = respond(200, b"done", {"Response-Stamp": "s"})
+
+
+class TestEndpoints(GatewayCase):
+    def put(self, name: str, **changes: Any) -> None:
+        """Writes an entry of the plain service, as its endpoint does."""
+        endpoint = ScriptedEndpoint(name, lambda _: _OK)
+        self.addCleanup(endpoint.close)
+        entry = endpoint.as_store_entry("app", "zone-a", **changes)
+        self.gateway.store.put("servers", name, entry)
+
+    def usable_ids(self) -> set[str]:
+        """Returns the endpoints that the gateway would send requests to."""
+        state = self.gateway.components.context.state
+        return {endpoint.id for endpoint in state.list_usable("app")}
+
+    def test_endpoint_that_left_is_not_used_again(self) -> None:
+        """Guards against requests to endpoints that the copy still lists."""
+        store = self.gateway.store
+        self.put("i-gone")
+        self.put("i-drains")
+        wait_for(lambda: self.usable_ids() == {"i-gone", "i-drains"})
+        restore = store.copy()
+        self.put("i-new")
+        self.put("i-drains", state="draining")
+        store.remove("servers", "i-gone")
+        wait_for(lambda: self.usable_ids() == {"i-new"})
+        lists = len(store.calls)
+        restore()
+        wait_for(
+            lambda: any(
+                call == ("GET", "/v1/objects/servers")
+                for call in store.calls[lists:]
+            )
+        )
+        wait_for(lambda: bool(self.gateway.events_named("store era rose")))
+        # The new endpoint, which the copy lacks, writes its entry again.
+        self.assertEqual(self.usable_ids(), {"i-new"})
+        self.put("i-new")
+        state = self.gateway.components.context.state
+        wait_for(lambda: "i-gone" in state.endpoint_table().by_id)
+        self.assertEqual(self.usable_ids(), {"i-new"})
+
+    def test_configuration_of_the_copy_does_not_replace_a_newer_one(
+        self,
+    ) -> None:
+        """Guards against a process that goes back to an older version."""
+        restore = self.gateway.store.copy()
+        self.gateway.configure(make_document(5))
+        restore()
+        wait_for(lambda: bool(self.gateway.events_named("store era rose")))
+        self.assertEqual(self.gateway.configuration_version(), 5)
+
+
+class TestWatchPositions(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = ObjectStore()
+        self.addCleanup(self.platform.close)
+        self.store = make_store(self.platform.address, lambda: 0.0)
+        self.names: set[str] = set()
+        self.eras: list[int] = []
+
+    def make_watcher(self) -> ObjectWatcher:
+        """Returns a watcher that records the present objects."""
+
+        def apply_change(stored: StoredObject) -> None:
+            self.names.add(stored.name)
+
+        def apply_listing(objects: tuple[StoredObject, ...]) -> None:
+            self.names = {stored.name for stored in objects}
+
+        return ObjectWatcher(
+            "servers",
+            apply_listing,
+            apply_change,
+            lambda _: None,
+            lambda: None,
+            watch_timeout_s=0.1,
+            on_new_era=self.eras.append,
+        )
+
+    def poll(self, position: WatchPosition) -> WatchPosition:
+        """Makes one call to the store."""
+        return discovery.poll(
+            self.store, self.make_watcher(), position, lambda: 0.0
+        )[0]
+
+    def test_revision_that_is_given_out_again_is_no_position(self) -> None:
+        """Guards against changes that a watch from such a revision misses."""
+        restore = self.platform.copy()
+        for number in range(4):
+            self.platform.put("servers", f"old-{number}", {})
+        position = self.poll(WatchPosition())
+        restore()
+        for number in range(5):
+            self.platform.put("servers", f"new-{number}", {})
+        for _ in range(3):
+            position = self.poll(position)
+        self.assertEqual(self.names, {f"new-{number}" for number in range(5)})
+        self.assertEqual(self.eras, [2])
+
+    def test_answer_of_an_earlier_era_changes_nothing(self) -> None:
+        """Guards against answers of two eras that arrive out of order."""
+        self.platform.put("servers", "i-1", {})
+        self.platform.era = 7
+        position = self.poll(WatchPosition())
+        self.platform.put("servers", "i-late", {})
+        self.platform.era = 6
+        position = self.poll(position)
+        position = self.poll(position)
+        self.assertEqual(self.names, {"i-1"})
+        self.assertEqual(position.era, 7)
+
+
+class TestVmCount(unittest.TestCase):
+    def test_vms_that_the_copy_lacks_still_share_the_limits(self) -> None:
+        """Guards against larger shares after heartbeats have been lost."""
+        platform = ObjectStore()
+        self.addCleanup(platform.close)
+        now_s = [0.0]
+        counts: list[int] = []
+        restore = platform.copy()
+        fleet = [
+            VmHeartbeats(
+                f"vm-{number}",
+                make_store(platform.address, lambda: now_s[0]),
+                lambda: now_s[0],
+                dict,
+                lambda live, values: None,
+                lambda event, **fields: None,
+                on_settled_count=counts.append,
+            )
+            for number in range(4)
+        ]
+        for _ in range(2):
+            for heartbeats in fleet:
+                heartbeats.send_and_count()
+            now_s[0] += vm_heartbeats.HEARTBEAT_INTERVAL_S
+        self.assertEqual(counts[-1], 4)
+        restore()
+        fleet[0].send_and_count()
+        self.assertEqual(counts[-1], 4)
+        now_s[0] += 60.0
+        fleet[0].send_and_count()
+        self.assertEqual(counts[-1], 1)
+
+
+class TestCrashRecords(unittest.TestCase):
+    def test_records_that_the_copy_lacks_are_written_again(self) -> None:
+        """Guards against a request that may crash endpoints once more."""
+        platform = ObjectStore()
+        self.addCleanup(platform.close)
+        store = make_store(platform.address, lambda: 0.0)
+        records = CrashRecordStore(
+            store, lambda _: False, lambda: 0.0, lambda event, **fields: None
+        )
+        watcher = records.make_watcher()
+        position, _ = discovery.poll(
+            store, watcher, WatchPosition(), lambda: 0.0
+        )
+        restore = platform.copy()
+        records.check_endpoint("f1", make_engine("i-1"))
+        written = platform.read(crash_records.KIND)
+        restore()
+        self.assertEqual(platform.read(crash_records.KIND), {})
+        discovery.poll(store, watcher, position, lambda: 0.0)
+        discovery.poll(
+            store, watcher, WatchPosition(era=position.era), lambda: 0.0
+        )
+        self.assertEqual(platform.read(crash_records.KIND), written)
+
+
+class TestOrders(OrderSenderCase):
+    def test_fencing_tokens_rise_after_a_restore(self) -> None:
+        """Guards against a token that is lower than one already seen."""
+        first, second = self.make_sender("vm-1"), self.make_sender("vm-2")
+        first.send_orders([make_engine("i-1")], self.stage)
+        restore = self.platform.copy()
+        for number in range(2, 5):
+            self.now_s += 30.0
+            first.send_orders([make_engine(f"i-{number}")], self.stage)
+        restore()
+        for _ in range(3):
+            self.now_s += 30.0
+            second.send_orders([make_engine("i-9")], self.stage)
+        tokens = [order[2] for order in self.sent_orders]
+        self.assertEqual(tokens, sorted(set(tokens)))
+        self.assertGreater(len(tokens), 4)
+
+    def test_lost_lease_is_not_taken_before_it_would_have_expired(self) -> None:
+        """Guards against two holders at a time after a lease was lost."""
+        first, second = self.make_sender("vm-1"), self.make_sender("vm-2")
+        second.read_lease()
+        restore = self.platform.copy()
+        first.send_orders([make_engine("i-1")], self.stage)
+        restore()
+        self.now_s += 0.5
+        second.send_orders([make_engine("i-2")], self.stage)
+        self.assertEqual(len(self.sent_orders), 1)
+        self.now_s += 10.0
+        second.send_orders([make_engine("i-2")], self.stage)
+        self.assertEqual(len(self.sent_orders), 2)
+
+
+__all__ = [
+    "TestCrashRecords",
+    "TestEndpoints",
+    "TestOrders",
+    "TestVmCount",
+    "TestWatchPositions",
+]
