Check watchers against histories of a store that loses writes

Random histories of writes, removals, losses of the last writes and polls end with a watcher that agrees with the store.

--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import contextlib
 import dataclasses
 import itertools
@@ -43,11 +44,11 @@
 
 
 def count_densest_window(times_s: Sequence[float]) -> int:
-    """Returns the largest number of the times within one window."""
+    """Returns the largest number of the ascending times within one window."""
     return max(
         (
-            sum(start_s <= time_s < start_s + _WINDOW_S for time_s in times_s)
-            for start_s in times_s
+            bisect.bisect_left(times_s, start_s + _WINDOW_S) - index
+            for index, start_s in enumerate(times_s)
         ),
         default=0,
     )
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -6,12 +6,22 @@
 from __future__ import annotations
 
 import unittest
-from typing import Any
+from typing import Any, cast
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok, Result
 
 from burdockspan.gateway import crash_records, discovery, vm_heartbeats
 from burdockspan.gateway.crash_records import CrashRecordStore
 from burdockspan.gateway.discovery import ObjectWatcher, WatchPosition
-from burdockspan.gateway.ports import StoredObject
+from burdockspan.gateway.ports import (
+    Consistency,
+    Listing,
+    Store,
+    StoredObject,
+    StoreError,
+)
 from burdockspan.gateway.vm_heartbeats import VmHeartbeats
 from burdockspan.platform.store import make_store
 from standins.object_store import ObjectStore
@@ -134,6 +144,114 @@
         self.assertEqual(position.era, 7)
 
 
+class _LossyStore:
+    """A store in memory that can lose its last writes."""
+
+    def __init__(self) -> None:
+        self.era = 1
+        # Name, and the value or None for a removal, by revision from 1.
+        self._history: list[tuple[str, int | None]] = []
+
+    def write(self, name: str, value: int | None) -> None:
+        """Writes an object, or removes it if the value is None."""
+        self._history.append((name, value))
+
+    def lose(self, count: int) -> None:
+        """Loses the last writes, as after a return from a copy."""
+        del self._history[max(0, len(self._history) - count) :]
+        self.era += 1
+
+    def read(self) -> dict[str, int]:
+        """Returns the present objects."""
+        values = dict(self._history)
+        return {
+            name: value for name, value in values.items() if value is not None
+        }
+
+    def list_objects(
+        self, kind: str, _: Consistency
+    ) -> Result[Listing, StoreError]:
+        """Returns the present objects of the only kind."""
+        objects = tuple(
+            StoredObject(name, 0, value, era=self.era)
+            for name, value in self.read().items()
+        )
+        return Ok(Listing(objects, len(self._history), self.era))
+
+    def watch(
+        self, kind: str, revision: int, _: float, __: Consistency
+    ) -> Result[Listing, StoreError]:
+        """Returns the changes after a revision at once."""
+        if revision > len(self._history):
+            return Err(StoreError.COMPACTED)
+        changes = tuple(
+            StoredObject(name, 0, value, value is None, self.era)
+            for name, value in self._history[revision:]
+        )
+        return Ok(Listing(changes, len(self._history), self.era))
+
+
+_STEPS = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("write"),
+            st.sampled_from(("a", "b", "c")),
+            st.none() | st.integers(0, 9),
+        ),
+        st.tuples(st.just("lose"), st.integers(0, 5), st.none()),
+        st.tuples(st.just("poll"), st.none(), st.none()),
+    ),
+    max_size=40,
+)
+
+
+class TestLossyHistories(unittest.TestCase):
+    @settings(max_examples=500)
+    @given(steps=_STEPS)
+    def test_watcher_agrees_with_the_store_after_any_history(
+        self, steps: list[tuple[str, Any, Any]]
+    ) -> None:
+        """Guards against objects that a watcher misses or keeps for ever."""
+        store = _LossyStore()
+        seen: dict[str, int] = {}
+
+        def apply_change(stored: StoredObject) -> None:
+            if stored.removed:
+                seen.pop(stored.name, None)
+            else:
+                seen[stored.name] = stored.value
+
+        def apply_listing(objects: tuple[StoredObject, ...]) -> None:
+            seen.clear()
+            seen.update({stored.name: stored.value for stored in objects})
+
+        watcher = ObjectWatcher(
+            "servers",
+            apply_listing,
+            apply_change,
+            lambda _: None,
+            lambda: None,
+        )
+        position = WatchPosition()
+
+        def poll() -> WatchPosition:
+            return discovery.poll(
+                cast(Store, store), watcher, position, lambda: 0.0
+            )[0]
+
+        for step, first, second in steps:
+            if step == "write":
+                store.write(first, second)
+            elif step == "lose":
+                store.lose(first)
+            else:
+                position = poll()
+        # A compaction and a new era each need one more call.
+        for _ in range(3):
+            position = poll()
+        self.assertEqual(seen, store.read())
+
+
 class TestVmCount(unittest.TestCase):
     def test_vms_that_the_copy_lacks_still_share_the_limits(self) -> None:
         """Guards against larger shares after heartbeats have been lost."""
@@ -227,6 +345,7 @@
 __all__ = [
     "TestCrashRecords",
     "TestEndpoints",
+    "TestLossyHistories",
     "TestOrders",
     "TestVmCount",
     "TestWatchPositions",
