Wait for a permit or the end of a pause within the objective

A plain request was refused although its endpoint would have taken it some milliseconds later: of 8 requests in turn at an endpoint with a limit of 4 a second, some got 503 at once (the test failed). It now waits once, for up to half of its objective, and is refused at once if that is not enough.

--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import threading
 from collections.abc import Iterator
 
 from result import Err, Ok, Result
@@ -32,6 +33,10 @@
 # meet the objective.
 _HEAD_TIMEOUT_SHARE = 0.6
 _MIN_HEAD_TIMEOUT_S = 0.05
+# A request waits for an endpoint that is paused or at its limit no longer than
+# this share of its objective after its arrival. The endpoint then has time to
+# meet the objective.
+_MAX_WAIT_SHARE = 0.5
 
 
 def forward(context: Context, request: RoutedRequest) -> Response:
@@ -39,7 +44,9 @@
     attempts = Attempts(context, request)
     last_response: Response | None = None
     while True:
-        endpoint = _take_endpoint(context, request, attempts)
+        endpoint = _take_endpoint(
+            context, request, attempts
+        ) or _wait_for_endpoint(context, request, attempts)
         if endpoint is None or not attempts.try_start():
             break
         outcome = _run_attempt(context, request, attempts, endpoint)
@@ -77,6 +84,29 @@
     return next(filter(context.state.conditions.try_take, untried), None)
 
 
+def _wait_for_endpoint(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> Endpoint | None:
+    """Returns an endpoint that takes the request within its objective.
+
+    It waits once. If another request takes the endpoint, there is none.
+    """
+    soonest = context.state.find_soonest(
+        request.service, attempts.tried_incarnations, request.software_version
+    )
+    if soonest is None:
+        return None
+    waited_s = context.clock() - request.call.arrived_s
+    max_wait_s = _MAX_WAIT_SHARE * request.route.objective_s - waited_s
+    if not 0.0 < soonest[1] <= max_wait_s:
+        return None
+    caller_gone = threading.Event()
+    request.caller.notify_when_gone(caller_gone.set)
+    if caller_gone.wait(soonest[1]):
+        return None
+    return _take_endpoint(context, request, attempts)
+
+
 def _run_attempt(
     context: Context,
     request: RoutedRequest,
--- a/tests/gateway/test_endpoint_conditions.py
+++ b/tests/gateway/test_endpoint_conditions.py
@@ -20,6 +20,7 @@
     Gateway,
     ReceivedResponse,
     make_document,
+    make_route,
     run_gateway,
     wait_for,
 )
@@ -41,7 +42,14 @@
         self.now_s = 1000.0
         self.gateway: Gateway = self.enterContext(
             contextlib.contextmanager(run_gateway)(
-                make_document(), clock=lambda: self.now_s
+                # No time to wait, since the clock stands still. An unsafe
+                # request has no time limit but its deadline.
+                make_document(
+                    routes=[
+                        make_route("read", kind="unsafe", target_latency_ms=1)
+                    ]
+                ),
+                clock=lambda: self.now_s,
             )
         )
         self.arrivals_by_endpoint: dict[str, list[float]] = {}
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -22,10 +22,12 @@
     Step,
     respond,
 )
+from tests.gateway.case import GatewayCase
 from tests.gateway.test_generations import GenerationCase
 from tests.support.gateways import (
     Gateway,
     make_document,
+    make_route,
     run_gateway,
     wait_for,
 )
@@ -77,7 +79,15 @@
         self.gateways: list[Gateway] = [
             self.enterContext(
                 contextlib.contextmanager(run_gateway)(
-                    make_document(),
+                    make_document(
+                        # No time to wait, since the clock stands still. An
+                        # unsafe request has no time limit but its deadline.
+                        routes=[
+                            make_route(
+                                "read", kind="unsafe", target_latency_ms=1
+                            )
+                        ]
+                    ),
                     self.store,
                     clock=lambda: self.now_s,
                     vm=f"vm-{number}",
@@ -263,6 +273,18 @@
         self.assertEqual(decoded, EndpointSignals(False, 1.85))
 
 
+class TestWaitForAPermit(GatewayCase):
+    def test_request_waits_for_a_permit_within_its_objective(self) -> None:
+        """Guards against refusals just before an endpoint takes requests."""
+        headers = {"Response-Stamp": "s", "Server-Limit": "4"}
+        self.add_endpoint(lambda _: respond(200, b"done", headers))
+        statuses = [self.gateway.call("GET", "/read/x").status]
+        statuses += [
+            self.gateway.call("GET", "/read/x").status for _ in range(7)
+        ]
+        self.assertEqual(set(statuses), {200})
+
+
 class TestLimitOfEngines(GenerationCase):
     def test_generations_keep_the_limit_of_an_engine(self) -> None:
         """Guards against reservations and runs beyond the limit of an engine.
@@ -343,4 +365,5 @@
     "TestLimitOfAllVms",
     "TestLimitOfEngines",
     "TestShares",
+    "TestWaitForAPermit",
 ]
