Prefill prompts at engines of any software version again

A version with few prefill engines makes its decode engines read prompts, which delays all their streams.

The restriction was a guess: in the record of the ORDER incident, 115 of 195 prompts were read at another version than their stream, and only the 13 streams were reported that went on at another version.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -310,12 +310,9 @@
 
     There are none if the decode engine should prefill.
     """
-    # The KV cache that one version writes does not fit another version.
+    # Only the events of a stream are bound to a software version.
     candidates = context.state.candidates(
-        request.service,
-        lambda _, __, tokens: float(tokens),
-        Stage.PREFILL,
-        reservation.endpoint.software_version,
+        request.service, lambda _, __, tokens: float(tokens), Stage.PREFILL
     )
     ranked = rank_prefill(
         candidates, reservation.endpoint.zone, context.random_float
--- a/src/burdockspan/gateway/stages.py
+++ b/src/burdockspan/gateway/stages.py
@@ -258,27 +258,13 @@
 def _choose_from_largest_zones(
     engines: Sequence[Endpoint], count: int
 ) -> tuple[Endpoint, ...]:
-    """Chooses engines one by one, each from the zone with the most engines.
-
-    The last engine of a software version is not chosen: the decode engines of
-    that version use no other KV caches.
-    """
+    """Chooses engines one by one, each from the zone with the most engines."""
     remaining = sorted(engines, key=lambda engine: engine.id)
     chosen_engines = []
     for _ in range(count):
         by_zone = collections.Counter(engine.zone for engine in remaining)
-        by_version = collections.Counter(
-            engine.software_version for engine in remaining
-        )
-        candidates = [
-            engine
-            for engine in remaining
-            if by_version[engine.software_version] > 1
-        ]
-        if not candidates:
-            break
         chosen = max(
-            candidates, key=lambda engine: (by_zone[engine.zone], engine.id)
+            remaining, key=lambda engine: (by_zone[engine.zone], engine.id)
         )
         remaining.remove(chosen)
         chosen_engines.append(chosen)
