End calls to endpoints at one deadline, whatever bytes arrive

What callers saw: no answer and no refusal while an endpoint sent 100 Continue, a header, a status line, a chunk size or trailers without end. The request kept its thread and its place among the requests in flight.

Cause: each wait had a limit since the last byte, which every byte restarted. Nothing in the call knew when the request had to end.

Change: CallTimer holds one deadline for a call, and a limit of silence that may end a wait earlier. Every read of a response goes through a reader that asks it, and every part of a request that is sent is limited by the deadline alone. Control calls to engines and prefills are bounded as a whole. keep_waiting, which was asked for the first byte only, becomes on_silence, which returns the time of the next wait; its test changed only by that.

The log line of a failed attempt and a counter name the limit that ended it.

--- a/src/burdockspan/endpoints/connections.py
+++ b/src/burdockspan/endpoints/connections.py
@@ -4,12 +4,14 @@
 
 import collections
 import dataclasses
+import math
 import socket
 import threading
 from collections.abc import Callable
 
 from result import Err, Ok, Result
 
+from burdockspan.endpoints.call_timer import CallTimer
 from burdockspan.endpoints.exchange import (
     Call,
     Exchange,
@@ -72,12 +74,18 @@
           The exchange, which must be closed, or the failure. Only
           `NOT_CONNECTED` guarantees that no byte was sent.
         """
+        timer = CallTimer(
+            self._clock,
+            call.time_limit_s,
+            call.first_byte_timeout_s,
+            call.on_silence,
+        )
         acquired = self._acquire(call)
         if isinstance(acquired, Err):
             return acquired
         connection = acquired.ok_value
         reused = connection.idle_since_s is not None
-        outcome = self._send(call, connection, abort)
+        outcome = self._send(call, connection, abort, timer)
         if (
             isinstance(outcome, Err)
             and reused
@@ -92,7 +100,11 @@
         return outcome
 
     def _send(
-        self, call: Call, connection: OpenConnection, abort: AbortHandle | None
+        self,
+        call: Call,
+        connection: OpenConnection,
+        abort: AbortHandle | None,
+        timer: CallTimer,
     ) -> Result[Exchange, Failure]:
         if abort is not None:
             abort.add(connection.sock)
@@ -102,11 +114,17 @@
                     make_not_connected(call.endpoint, "attempt was aborted")
                 )
         try:
-            response = send_call(call, connection)
+            response = send_call(call, connection, timer)
         except CALL_ERRORS as error:
             close_connection(connection, abort)
-            return Err(classify_error(call.endpoint, str(call), error))
-        return Ok(Exchange(call, connection, response, abort, self._context))
+            failure = classify_error(
+                call.endpoint, str(call), error, timer.ended_by
+            )
+            return Err(failure)
+        exchange = Exchange(
+            call, connection, response, abort, self._context, timer
+        )
+        return Ok(exchange)
 
     def accepts_connections(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint accepts a new connection."""
@@ -171,7 +189,7 @@
                 if self._is_usable(call.endpoint.address, idle):
                     return Ok(idle)
                 close_connection(idle)
-        return self._open(call.endpoint)
+        return self._open(call.endpoint, call.time_limit_s)
 
     def _pop_idle(self, address: str) -> OpenConnection | None:
         with self._lock:
@@ -188,12 +206,14 @@
         # carries bytes that belong to no call of this process.
         return connection.http_connection.is_connected
 
-    def _open(self, endpoint: Endpoint) -> Result[OpenConnection, Failure]:
+    def _open(
+        self, endpoint: Endpoint, time_limit_s: float = math.inf
+    ) -> Result[OpenConnection, Failure]:
         host, _, port = endpoint.address.rpartition(":")
         connection = WholeHeadConnection(
             host,
             int(port),
-            timeout=self._connect_timeout(),
+            timeout=min(self._connect_timeout(), time_limit_s),
             socket_options=_SOCKET_OPTIONS,
         )
         opened_s = self._clock()
--- a/src/burdockspan/endpoints/engine.py
+++ b/src/burdockspan/endpoints/engine.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints import responses
+from burdockspan.endpoints.call_timer import OnSilence
 from burdockspan.endpoints.connections import Connections
 from burdockspan.endpoints.exchange import Call, Exchange
 from burdockspan.endpoints.fetch import (
@@ -58,17 +59,16 @@
     """Timeouts of a response, as in `exchange.Call`.
 
     Attributes:
-      first_byte_timeout_s: timeout for its status line.
-      idle_timeout_s: timeout between two parts of its body.
+      first_byte_timeout_s: limit of silence before its head is complete.
+      idle_timeout_s: limit of silence in its body.
       streamed: whether it has many small parts.
-      keep_waiting: called when the first timeout expires; if it returns True,
-        the timeout starts again.
+      on_silence: decides whether a call ends that has exceeded the first limit.
     """
 
     first_byte_timeout_s: float
     idle_timeout_s: float
     streamed: bool = False
-    keep_waiting: Callable[[], bool] = lambda: False
+    on_silence: OnSilence = lambda: None
 
 
 def reserve(
@@ -141,7 +141,7 @@
         timeouts.idle_timeout_s,
         streamed=timeouts.streamed,
         fresh=True,
-        keep_waiting=timeouts.keep_waiting,
+        on_silence=timeouts.on_silence,
     )
     return _start_exchange(context, call)
 
--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -9,9 +9,8 @@
 
 import urllib3
 from result import Err, Ok, Result
-from urllib3.connection import HTTPConnection
-from urllib3.util.wait import wait_for_read
 
+from burdockspan.endpoints.call_timer import CallTimer, OnSilence
 from burdockspan.endpoints.failures import (
     CALL_ERRORS,
     EndpointError,
@@ -24,6 +23,7 @@
     MonitoredStream,
     shut_down,
 )
+from burdockspan.endpoints.strict_connection import WholeHeadConnection
 from burdockspan.values.clock import Clock
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.placement import Failure, FailureKind
@@ -41,14 +41,17 @@
       path: path and query.
       body: request body; None for no body.
       headers: request headers.
-      first_byte_timeout_s: timeout for the status line of the response.
-      idle_timeout_s: timeout between two parts of the response body.
+      first_byte_timeout_s: limit of the endpoint's silence before the head of
+        the response is complete.
+      idle_timeout_s: limit of its silence afterwards.
       fresh: whether the call must use a new connection, which is closed after
         the response.
       streamed: whether the response has many small parts. Its idle timeout is
         then enforced by an `IdleTimeoutMonitor` instead of the socket.
-      keep_waiting: called whenever `first_byte_timeout_s` passes without a
-        response; if it returns True, the timeout starts again.
+      on_silence: decides whether a call ends whose endpoint has been silent
+        for the limit; not asked during the body of a streamed response.
+      time_limit_s: time for the whole call, from before the connection is
+        opened to the end of the body.
     """
 
     endpoint: Endpoint
@@ -60,7 +63,8 @@
     idle_timeout_s: float = 10.0
     fresh: bool = False
     streamed: bool = False
-    keep_waiting: Callable[[], bool] = lambda: False
+    on_silence: OnSilence = lambda: None
+    time_limit_s: float = math.inf
 
     def __str__(self) -> str:
         return f"{self.method} {self.path}"
@@ -98,9 +102,13 @@
         response: urllib3.BaseHTTPResponse,
         abort: AbortHandle | None,
         context: ExchangeContext,
+        timer: CallTimer,
     ) -> None:
         self._context = context
-        self._stream = MonitoredStream(connection.sock, call.idle_timeout_s)
+        self._timer = timer
+        self._stream = MonitoredStream(
+            connection.sock, call.idle_timeout_s, timer.deadline_s
+        )
         self._connection = connection
         self._abort = abort
         self._complete = False
@@ -125,10 +133,12 @@
         try:
             yield from parts()
         except CALL_ERRORS as error:
-            failure = classify_error(self.call.endpoint, str(self.call), error)
-            if self._stream.expired:
-                kind = FailureKind.UNRESPONSIVE
-                failure = dataclasses.replace(failure, kind=kind)
+            failure = classify_error(
+                self.call.endpoint,
+                str(self.call),
+                error,
+                self._stream.ended_by or self._timer.ended_by,
+            )
             raise EndpointError(failure) from error
         self._complete = True
 
@@ -142,7 +152,9 @@
 
     def _iterate_monitored(self) -> Iterator[bytes]:
         stream, clock = self._stream, self._context.clock
-        self._connection.sock.settimeout(None)
+        # The monitor ends the waits for data.
+        self._timer.silence_limit_s = math.inf
+        self._timer.deadline_s = math.inf
         self._context.monitor.add(stream)
         stream.waiting_since_s = clock()
         for part in self._iterate_body():
@@ -151,12 +163,14 @@
             stream.waiting_since_s = clock()
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
-        """Changes the timeout between two parts of the response body."""
+        """Changes the limit of silence in the response body."""
         self._stream.limit_s = idle_timeout_s
-        # The socket may be closed already: a body without a stated length ends
-        # with its connection, which is closed after the last byte is read.
-        if not self.call.streamed and self._connection.sock.fileno() >= 0:
-            self._connection.sock.settimeout(idle_timeout_s)
+        if not self.call.streamed:
+            self._timer.silence_limit_s = idle_timeout_s
+
+    def set_on_silence(self, on_silence: OnSilence) -> None:
+        """Changes who decides whether a silent response body ends."""
+        self._timer.on_silence = on_silence
 
     def read(self, limit_bytes: int) -> Result[bytes, Failure]:
         """Reads the whole body and closes the exchange."""
@@ -202,7 +216,9 @@
 
     def _is_reusable(self) -> bool:
         return (
-            self._complete and not self.call.fresh and not self._stream.expired
+            self._complete
+            and not self.call.fresh
+            and self._stream.ended_by is None
         )
 
 
@@ -218,24 +234,27 @@
       idle_since_s: when its last response ended; None before the first.
     """
 
-    http_connection: HTTPConnection
+    http_connection: WholeHeadConnection
     sock: socket.socket
     opened_s: float
     idle_since_s: float | None = None
 
 
 def send_call(
-    call: Call, connection: OpenConnection
+    call: Call, connection: OpenConnection, timer: CallTimer
 ) -> urllib3.BaseHTTPResponse:
     """Sends a call and returns its response, whose body is not read yet.
 
+    Args:
+      call: the call.
+      connection: where to send it.
+      timer: time limits of the call.
+
     Raises:
       Exception: one of CALL_ERRORS.
     """
     http_connection = connection.http_connection
-    http_connection.timeout = call.first_byte_timeout_s
-    # The socket still has the connect timeout, which must not limit sending.
-    connection.sock.settimeout(call.first_byte_timeout_s)
+    http_connection.start_call(timer)
     http_connection.request(
         call.method,
         call.path,
@@ -244,11 +263,8 @@
         preload_content=False,
         decode_content=False,
     )
-    while not wait_for_read(connection.sock, call.first_byte_timeout_s):
-        if not call.keep_waiting():
-            raise TimeoutError("no answer in time")
     response = http_connection.getresponse()
-    connection.sock.settimeout(call.idle_timeout_s)
+    timer.silence_limit_s = call.idle_timeout_s
     return response
 
 
--- a/src/burdockspan/endpoints/failures.py
+++ b/src/burdockspan/endpoints/failures.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import http.client
 
 import urllib3
 
+from burdockspan.endpoints.call_timer import TimeLimit
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.placement import Failure, FailureKind
 
@@ -31,14 +33,28 @@
     return Failure(kind, endpoint.name, detail)
 
 
-def classify_error(endpoint: Endpoint, call: str, error: Exception) -> Failure:
-    """Returns the failure of a call that may have been sent in part."""
+def classify_error(
+    endpoint: Endpoint,
+    call: str,
+    error: Exception,
+    ended_by: TimeLimit | None = None,
+) -> Failure:
+    """Returns the failure of a call that may have been sent in part.
+
+    Args:
+      endpoint: endpoint that was called.
+      call: description of the call.
+      error: what ended the call.
+      ended_by: the limit that ended it; None if none did.
+    """
     timeouts = (TimeoutError, urllib3.exceptions.TimeoutError)
     kind = FailureKind.CONNECTION_LOST
-    if isinstance(error, timeouts):
+    if ended_by is not None or isinstance(error, timeouts):
         kind = FailureKind.UNRESPONSIVE
     detail = f"{call}: {type(error).__name__}: {error}"
-    return make_failure(endpoint, kind, detail)
+    failure = make_failure(endpoint, kind, detail)
+    limit = ended_by.value if ended_by is not None else ""
+    return dataclasses.replace(failure, limit=limit)
 
 
 def make_not_connected(endpoint: Endpoint, detail: str) -> Failure:
--- a/src/burdockspan/endpoints/sockets.py
+++ b/src/burdockspan/endpoints/sockets.py
@@ -1,4 +1,4 @@
-"""Shutdown of sockets by other threads: aborts and idle timeouts."""
+"""Shutdown of sockets by other threads: aborts and time limits."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import socket
 import threading
 
+from burdockspan.endpoints.call_timer import TimeLimit
 from burdockspan.values.clock import Clock
 
 _CHECK_INTERVAL_S = 0.1
@@ -41,25 +42,45 @@
 
 
 class MonitoredStream:
-    """A stream with an idle timeout.
+    """A stream with an idle timeout and a deadline.
 
     Attributes:
       sock: its socket.
       limit_s: idle timeout in seconds.
+      deadline_s: when it ends at the latest, in monotonic seconds.
       waiting_since_s: when its reader began to wait for data; infinite while
         the reader does something else, such as writing to a slow caller.
-      expired: whether the stream was shut down by its idle timeout.
+      ended_by: the limit that it was shut down by; None before.
     """
 
-    def __init__(self, sock: socket.socket, limit_s: float) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        limit_s: float,
+        deadline_s: float = math.inf,
+    ) -> None:
         self.sock = sock
         self.limit_s = limit_s
+        self.deadline_s = deadline_s
         self.waiting_since_s = math.inf
-        self.expired = False
+        self.ended_by: TimeLimit | None = None
+
+    @property
+    def expired(self) -> bool:
+        """Whether the stream was shut down by one of its limits."""
+        return self.ended_by is not None
+
+    def find_exceeded_limit(self, now_s: float) -> TimeLimit | None:
+        """Returns the limit that the stream exceeds; None if it keeps both."""
+        if now_s > self.deadline_s:
+            return TimeLimit.DEADLINE
+        if now_s - self.waiting_since_s > self.limit_s:
+            return TimeLimit.SILENCE
+        return None
 
 
 class IdleTimeoutMonitor:
-    """Shuts down streams that exceed their idle timeout.
+    """Shuts down streams that exceed one of their limits.
 
     A socket timeout costs an additional system call for each read, and a
     stream reads once per token. Instead, one thread checks all streams ten
@@ -100,11 +121,12 @@
                 streams = list(self._streams)
                 now_s = self._clock()
                 for stream in streams:
-                    if now_s - stream.waiting_since_s > stream.limit_s:
+                    exceeded = stream.find_exceeded_limit(now_s)
+                    if exceeded is not None:
                         # `remove` waits for the lock until the shutdown is
                         # done. A removed stream's socket may be back in the
                         # connection pool, where it must not be shut down.
-                        stream.expired = True
+                        stream.ended_by = exceeded
                         self._streams.discard(stream)
                         shut_down(stream.sock)
 
--- a/src/burdockspan/endpoints/strict_connection.py
+++ b/src/burdockspan/endpoints/strict_connection.py
@@ -1,17 +1,22 @@
-"""Connections that reject a response with an incomplete header section.
+"""Connections that read responses strictly, and within their time limits.
 
-The standard library treats the end of the connection as the end of the header
-section. A response that lost some of its headers then looks complete: without
-Content-Length, its body seems to end with the connection.
+A response with an incomplete header section is rejected: the standard library
+treats the end of the connection as the end of the header section. A response
+that lost some of its headers then looks complete: without Content-Length, its
+body seems to end with the connection.
 """
 
 from __future__ import annotations
 
+import functools
 import http.client
 from typing import Any
 
 from urllib3.connection import HTTPConnection
 
+from burdockspan.endpoints.call_timer import CallTimer
+from burdockspan.endpoints.timed_reader import make_timed_reader
+
 _EMPTY_LINES = (b"\r\n", b"\n")
 
 
@@ -31,6 +36,12 @@
 
 
 class _StrictHTTPResponse(http.client.HTTPResponse):
+    def __init__(
+        self, sock: Any, *args: Any, timer: CallTimer, **kwargs: Any
+    ) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.fp = make_timed_reader(sock, self.fp, timer)
+
     def begin(self) -> None:
         recorder = _LastLineRecorder(self.fp)
         self.fp = recorder  # type: ignore[assignment]
@@ -51,7 +62,19 @@
     class into its errors, which the details of refusals and log lines quote.
     """
 
-    response_class = _StrictHTTPResponse
+    timer: CallTimer
+
+    def start_call(self, timer: CallTimer) -> None:
+        """Sets the time limits of the next request and its response."""
+        self.timer = timer
+        self.response_class = functools.partial(  # type: ignore[assignment]
+            _StrictHTTPResponse, timer=timer
+        )
+
+    def send(self, data: Any) -> None:
+        """Sends a part of the request."""
+        self.sock.settimeout(self.timer.send_limit_s())
+        super().send(data)
 
 
 __all__ = ["WholeHeadConnection"]
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -173,6 +173,8 @@
                     request.call, endpoint
                 )
         context.registry.count("attempt", failure.kind.value)
+        if failure.limit:
+            context.registry.count("call_limit", failure.limit)
         context.log(
             event,
             request_id=request.call.request_id,
@@ -180,6 +182,7 @@
             address=endpoint.address,
             zone=endpoint.zone,
             kind=failure.kind.value,
+            limit=failure.limit or None,
             detail=failure.detail,
             caller_gone=request.caller.gone,
         )
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -231,7 +231,7 @@
     remaining_s = attempts.remaining_s()
     options = AttemptOptions(
         remaining_s=remaining_s,
-        head_timeout_s=remaining_s,
+        head_silence_limit_s=remaining_s,
         abort=request.abort,
         cache=cache,
         reservation=reservation.name,
@@ -445,7 +445,7 @@
         while True:
             try:
                 for part in self._current.response.iterate(
-                    self._idle_timeout_s
+                    self._idle_timeout_s, lambda: None
                 ):
                     if not self._is_resumable:
                         yield part
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -189,7 +189,7 @@
 def _buffer_response(
     attempts: Attempts, response: EndpointResponse, limit_bytes: int
 ) -> Result[Response, Failure]:
-    parts = response.iterate(attempts.remaining_s)
+    parts = response.iterate(attempts.remaining_s, lambda: None)
     buffered: list[bytes] = []
     size_bytes = 0
     try:
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -9,6 +9,7 @@
 
 from result import Result
 
+from burdockspan.endpoints.call_timer import OnSilence
 from burdockspan.endpoints.sockets import AbortHandle
 from burdockspan.gateway.messages import RawRequest
 from burdockspan.gateway.values import (
@@ -28,14 +29,16 @@
       status: HTTP status.
       headers: headers to forward, with Content-Length if there is one.
       iterate: yields the parts of the body as they arrive; raises
-        `endpoints.failures.EndpointError` if the body is truncated. Its
-        argument returns the time limit for the next part, in seconds.
+        `endpoints.failures.EndpointError` if the body is truncated, or has not
+        ended when the time of the attempt has. Its arguments return the limit
+        of silence before the next part, in seconds, and decide whether a silent
+        attempt ends.
       close: closes the connection.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    iterate: Callable[[Callable[[], float]], Iterator[bytes]]
+    iterate: Callable[[Callable[[], float], OnSilence], Iterator[bytes]]
     close: Callable[[], None]
 
     @property
@@ -62,21 +65,26 @@
     """Options of one attempt at an endpoint.
 
     Attributes:
-      remaining_s: time until the request's deadline.
-      head_timeout_s: time limit for the head of the response.
+      remaining_s: time until the request's deadline; the attempt ends then,
+        whatever its endpoint sends.
+      head_silence_limit_s: limit of silence before the head of the response is
+        complete.
       abort: lets another thread abort the attempt.
       cache: KV cache of the prompt at a prefill engine.
       reservation: name of the memory reservation at the endpoint.
       after_event: id of the last event that the caller received of a stream
         that this attempt resumes.
+      on_silence: decides whether the attempt ends when its endpoint has been
+        silent for `head_silence_limit_s`.
     """
 
     remaining_s: float
-    head_timeout_s: float
+    head_silence_limit_s: float
     abort: AbortHandle
     cache: KvCache | None = None
     reservation: str | None = None
     after_event: str | None = None
+    on_silence: OnSilence = lambda: None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/http/attempts.py
+++ b/src/burdockspan/http/attempts.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints import engine
+from burdockspan.endpoints.call_timer import OnSilence
 from burdockspan.endpoints.crashes import confirm_crash
 from burdockspan.endpoints.engine import EngineContext, ResponseTimeouts
 from burdockspan.endpoints.exchange import Exchange
@@ -174,17 +175,22 @@
         return Err(AttemptStopped())
     job = run.job
     idle_timeout_s = job.policy.stream_silence_s
-    keep_waiting: Callable[[], bool] = lambda: False  # noqa: E731
+    first_byte_timeout_s = _first_byte_timeout_s(run)
+
+    def wait_for_whole_response() -> float | None:
+        return first_byte_timeout_s if _is_running(run, endpoint) else None
+
+    on_silence: OnSilence = lambda: None  # noqa: E731
     if not job.prompt.streamed:
         # A response that is not streamed starts after the last token, so a
         # late first byte is no failure while the attempt is running.
-        keep_waiting = lambda: _is_running(run, endpoint)  # noqa: E731
+        on_silence = wait_for_whole_response
         idle_timeout_s = job.policy.first_byte_timeout_s
     timeouts = ResponseTimeouts(
-        _first_byte_timeout_s(run),
+        first_byte_timeout_s,
         idle_timeout_s,
         job.prompt.streamed,
-        keep_waiting,
+        on_silence,
     )
     return _call_engine(
         run,
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -10,6 +10,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from burdockspan.endpoints.call_timer import OnSilence
 from burdockspan.endpoints.connections import Connections, make_connections
 from burdockspan.endpoints.exchange import Call, Exchange
 from burdockspan.endpoints.failures import make_failure
@@ -35,8 +36,6 @@
 _CONNECT_TIMEOUT_S = 0.25
 # Control calls, such as reservations and load reports, take some milliseconds.
 _CONTROL_TIMEOUT_S = 0.5
-# A socket timeout of 0 would mean non-blocking mode.
-_MIN_TIMEOUT_S = 0.001
 _CONTROL_RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
 _MISDIRECTED_REQUEST = 421
 
@@ -174,15 +173,21 @@
       prefill_only: whether the endpoint only prefills.
     """
     headers = _encode_headers(endpoint, call, options, prefill_only)
+    time_limit_s = options.remaining_s
+    if prefill_only:
+        # Its response has no body that would be forwarded as it arrives.
+        time_limit_s = min(time_limit_s, options.head_silence_limit_s)
     request = Call(
         endpoint=_to_transport(endpoint),
         method=call.method,
         path=call.target,
         body=call.body or None,
         headers=headers,
-        first_byte_timeout_s=max(_MIN_TIMEOUT_S, options.head_timeout_s),
-        idle_timeout_s=max(_MIN_TIMEOUT_S, options.head_timeout_s),
+        first_byte_timeout_s=options.head_silence_limit_s,
+        idle_timeout_s=options.head_silence_limit_s,
         fresh=True,
+        on_silence=options.on_silence,
+        time_limit_s=time_limit_s,
     )
     exchanged = channel.connections.start_exchange(request, options.abort)
     if isinstance(exchanged, Err):
@@ -289,11 +294,14 @@
 
 
 def _make_response(exchange: Exchange) -> EndpointResponse:
-    def iterate(timeout_s: Callable[[], float]) -> Iterator[bytes]:
-        exchange.set_idle_timeout(max(_MIN_TIMEOUT_S, timeout_s()))
+    def iterate(
+        silence_limit_s: Callable[[], float], on_silence: OnSilence
+    ) -> Iterator[bytes]:
+        exchange.set_on_silence(on_silence)
+        exchange.set_idle_timeout(silence_limit_s())
         for part in exchange.iterate():
             yield part
-            exchange.set_idle_timeout(max(_MIN_TIMEOUT_S, timeout_s()))
+            exchange.set_idle_timeout(silence_limit_s())
 
     return EndpointResponse(
         status=exchange.status,
@@ -325,6 +333,7 @@
         first_byte_timeout_s=_CONTROL_TIMEOUT_S,
         idle_timeout_s=_CONTROL_TIMEOUT_S,
         fresh=True,
+        time_limit_s=_CONTROL_TIMEOUT_S,
     )
     exchanged = channel.connections.start_exchange(call, AbortHandle())
     if isinstance(exchanged, Err):
--- a/src/burdockspan/values/placement.py
+++ b/src/burdockspan/values/placement.py
@@ -83,12 +83,14 @@
       detail: one sentence for operators and callers.
       boot: boot identity that the endpoint reported after its connection was
         lost; empty if it was not queried or did not respond.
+      limit: name of the time limit that ended the call; empty if none did.
     """
 
     kind: FailureKind
     endpoint: str
     detail: str = ""
     boot: str = ""
+    limit: str = ""
 
 
 __all__ = ["AttemptEvent", "Failure", "FailureKind", "Placement"]
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -103,20 +103,22 @@
         assert failure is not None
         self.assertEqual(failure.kind, FailureKind.UNRESPONSIVE)
 
-    def test_late_response_is_awaited_while_keep_waiting_is_true(self) -> None:
+    def test_late_response_is_awaited_while_on_silence_returns_a_time(
+        self,
+    ) -> None:
         # An endpoint that is healthy but slow must not count as unresponsive.
         timed_out = threading.Event()
 
-        def keep_waiting() -> bool:
+        def wait_on() -> float:
             timed_out.set()
-            return True
+            return 0.02
 
         def respond_late(handler: Handler) -> None:
             timed_out.wait(WAIT_S)
             handler.send(200, b"late")
 
         self.fake.scripts["GET /"] = respond_late
-        call = self.call(first_byte_timeout_s=0.02, keep_waiting=keep_waiting)
+        call = self.call(first_byte_timeout_s=0.02, on_silence=wait_on)
         self.assertEqual(self.fetch(call), b"late")
 
     def test_truncated_response_is_a_connection_loss(self) -> None:
