Move the attempts of generations into a module of their own

No change of behavior. A stream that prepares its next attempt while the present one goes on needs the steps of an attempt apart from the relay of its events.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -1,83 +1,31 @@
-"""Runs generations at model engines.
-
-A generation first reserves memory at a decode engine, then a prefill engine
-computes the KV cache of its prompt, and then the decode engine streams events.
-"""
+"""Generations: streams of events that model engines send."""
 
 from __future__ import annotations
 
 import dataclasses
 from collections.abc import Iterator
 
-from result import Err, Ok, Result
+from result import Err
 
 from burdockspan.endpoints.failures import EndpointError
-from burdockspan.gateway import passive_health
-from burdockspan.gateway.admission_queue import is_retry_after_refusal
-from burdockspan.gateway.attempts import (
-    NOT_STARTED,
-    Attempts,
-    RoutedRequest,
-    explain_missing_endpoint,
-    log_attempt,
-)
+from burdockspan.gateway.attempts import Attempts, RoutedRequest
 from burdockspan.gateway.context import Context
+from burdockspan.gateway.generation_attempts import (
+    StartedAttempt,
+    start_attempt,
+)
 from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.ports import AttemptOptions, EndpointResponse, KvCache
-from burdockspan.gateway.prefill_delays import should_decode_engine_prefill
-from burdockspan.gateway.ranking import exclude_tried, rank_prefill
-from burdockspan.gateway.reservations import Reservation, reserve_memory
 from burdockspan.gateway.resumption import publish_origin
 from burdockspan.gateway.sse import StreamProgress, split_events
-from burdockspan.gateway.values import (
-    Endpoint,
-    EngineProperties,
-    GenerationSize,
-    Stage,
-)
-from burdockspan.values.placement import Failure, FailureKind
+from burdockspan.gateway.values import EngineProperties, GenerationSize
+from burdockspan.values.placement import Failure
 
-# A generation that waits for memory no longer than this share of its objective
-# can still meet it: the prefill and the transfer of a prompt of usual size take
-# the rest.
-_MAX_WAIT_SHARE = 0.5
-# A generation that can no longer meet its objective waits for this time, which
-# is enough for about two requests for memory, and is then refused. During an
-# overload, released memory goes to generations that can still meet theirs.
-_LATE_WAIT_S = 0.2
-# Bursts last for some seconds. A caller that retries after this share of the
-# route's timeout arrives after the burst that it was refused in.
-_RETRY_AFTER_SHARE = 0.2
-# If a prefill takes longer, the decode engine prefills the prompt itself. The
-# limit is so high that only unresponsive engines exceed it: taking a prompt out
-# of a prefill engine's queue during a burst would waste what the engine has
-# done, and delay the streams of the decode engine.
-_PREFILL_TIMEOUT_S = 1.5
-# Limit of the prefill engines that a prompt is sent to. A second call costs
-# less than a prefill at the decode engine, which delays all streams there.
-_MAX_PREFILL_ENGINES = 2
 # A resumable stream is resumed at another engine if no event arrives for this
 # multiple of the route's gap objective, or for the minimum if that is longer.
 _IDLE_TIMEOUT_GAPS = 4.0
 _MIN_IDLE_TIMEOUT_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class _StartedAttempt:
-    """An attempt whose response has begun."""
-
-    reservation: Reservation
-    response: EndpointResponse
-
-
-@dataclasses.dataclass(frozen=True)
-class _Refusal:
-    """Why no attempt started, and when a caller should return."""
-
-    reason: str
-    retry_after_s: float
-
-
 def generate(
     context: Context,
     request: RoutedRequest,
@@ -87,7 +35,7 @@
     """Returns the response of a decode engine, or an error response."""
     attempts = Attempts(context, request)
     context.demand.record_prompt(request.service, size.prompt_tokens)
-    started = _start_attempt(context, request, attempts, engine, size, None)
+    started = start_attempt(context, request, attempts, engine, size, None)
     if isinstance(started, Err):
         refusal = started.err_value
         return attempts.make_error_response(
@@ -107,307 +55,6 @@
     )
 
 
-def _start_attempt(
-    context: Context,
-    request: RoutedRequest,
-    attempts: Attempts,
-    engine: EngineProperties,
-    size: GenerationSize,
-    after_event: str | None,
-) -> Result[_StartedAttempt, _Refusal]:
-    """Starts an attempt; the error says why none started."""
-    while True:
-        reservation = _wait_for_memory(context, request, attempts, engine, size)
-        if reservation is None:
-            return Err(_explain_missing_memory(context, request, attempts))
-        outcome = _run_attempt(
-            context, request, attempts, reservation, size, after_event
-        )
-        if isinstance(outcome, Ok):
-            return Ok(_StartedAttempt(reservation, outcome.ok_value))
-        _release_after_failure(context, reservation, outcome.err_value)
-        if outcome.err_value is None or request.caller.gone:
-            retry_after_s = _RETRY_AFTER_SHARE * request.route.timeout_s
-            return Err(_Refusal("no attempt left", retry_after_s))
-
-
-def _explain_missing_memory(
-    context: Context, request: RoutedRequest, attempts: Attempts
-) -> _Refusal:
-    """Returns why no engine has reserved memory for a generation."""
-    soonest = context.state.find_soonest(
-        request.service, attempts.tried_incarnations, request.software_version
-    )
-    has_engine = context.state.list_usable(
-        request.service, software_version=request.software_version
-    )
-    if (soonest and soonest[1] > 0) or not has_engine:
-        return _Refusal(*explain_missing_endpoint(context, request, attempts))
-    if not request.caller.gone:
-        context.demand.record_without_memory(request.service)
-    return _Refusal("no memory", _RETRY_AFTER_SHARE * request.route.timeout_s)
-
-
-def _wait_for_memory(
-    context: Context,
-    request: RoutedRequest,
-    attempts: Attempts,
-    engine: EngineProperties,
-    size: GenerationSize,
-) -> Reservation | None:
-    """Waits in the queue of the service until memory is reserved.
-
-    A generation waits until it can no longer meet its objective. If it already
-    cannot, it waits for `_LATE_WAIT_S`. In either case it gives up when the
-    time until the deadline is shorter than the objective.
-
-    A resumed stream waits like a generation that can still meet its objective,
-    in a queue of its version: most engines could have memory for the
-    generations behind it, but not for it.
-
-    Returns:
-      The reservation; None if the generation gave up or its caller has gone, or
-      if no engine takes a request of this VM in time.
-    """
-    now_s = context.clock()
-    objective_s = request.route.objective_s
-    max_wait_s = _MAX_WAIT_SHARE * objective_s
-    is_resumed = request.software_version is not None
-    is_late = not is_resumed and (
-        is_retry_after_refusal(request.call, request.route)
-        or now_s - request.call.arrived_s > max_wait_s
-    )
-    waits_since_s = now_s if is_resumed else request.call.arrived_s
-    give_up_s = waits_since_s + max_wait_s
-    if is_late:
-        give_up_s = now_s + _LATE_WAIT_S
-    give_up_s = min(give_up_s, request.deadline_s - objective_s)
-    soonest = context.state.find_soonest(
-        request.service, attempts.tried_incarnations, request.software_version
-    )
-    if soonest is None and is_resumed:
-        return None
-    if soonest is not None and now_s + soonest[1] > give_up_s:
-        return None
-    queue = context.admission_queues.for_service(
-        request.service, request.software_version
-    )
-    request.caller.notify_when_gone(queue.wake)
-    return queue.wait(
-        is_late=is_late,
-        arrived_s=request.call.arrived_s,
-        give_up_s=give_up_s,
-        try_reserve=lambda: reserve_memory(
-            context, request, engine, size, attempts.tried_incarnations
-        ),
-        has_gone=lambda: request.caller.gone,
-    )
-
-
-def _run_attempt(
-    context: Context,
-    request: RoutedRequest,
-    attempts: Attempts,
-    reservation: Reservation,
-    size: GenerationSize,
-    after_event: str | None,
-) -> Result[EndpointResponse, Failure | None]:
-    cache = _prefill(context, request, attempts, reservation, size)
-    if not attempts.try_start():
-        if cache is not None:
-            context.platform.endpoints.release_cache(cache)
-        return Err(None)
-    endpoint = reservation.endpoint
-    log_attempt(
-        context,
-        request,
-        endpoint,
-        tokens=reservation.tokens,
-        reserved=reservation.name is not None,
-        prefilled=cache.endpoint.id if cache else None,
-        after_event=after_event,
-        waited_s=round(context.clock() - request.call.arrived_s, 3),
-    )
-    remaining_s = attempts.remaining_s()
-    options = AttemptOptions(
-        remaining_s=remaining_s,
-        head_silence_limit_s=remaining_s,
-        abort=request.abort,
-        cache=cache,
-        reservation=reservation.name,
-        after_event=after_event,
-    )
-    outcome = context.platform.endpoints.run(endpoint, request.call, options)
-    if isinstance(outcome, Err):
-        attempts.record_failure(endpoint, outcome.err_value)
-        if outcome.err_value.kind is FailureKind.REFUSED:
-            _record_refused_generation(context, reservation, cache)
-        if cache is not None and outcome.err_value.kind in NOT_STARTED:
-            context.platform.endpoints.release_cache(cache)
-        return outcome
-    attempts.record_run(endpoint)
-    return outcome
-
-
-def _record_refused_generation(
-    context: Context, reservation: Reservation, cache: KvCache | None
-) -> None:
-    """Records a generation that was refused despite its reservation.
-
-    Either the prefill engine lost the KV cache, or the decode engine accepts no
-    work. The suspicion against both rises. Later failures, which only the
-    engine at fault causes, tell them apart. Without a KV cache, only the decode
-    engine can be at fault, and the suspicion against it rises twice.
-    """
-    for endpoint in (
-        reservation.endpoint,
-        cache.endpoint if cache else reservation.endpoint,
-    ):
-        context.state.record_failure(
-            endpoint, passive_health.REFUSED_GENERATION_WEIGHT
-        )
-
-
-def _prefill(
-    context: Context,
-    request: RoutedRequest,
-    attempts: Attempts,
-    reservation: Reservation,
-    size: GenerationSize,
-) -> KvCache | None:
-    """Returns the KV cache from a prefill engine.
-
-    Returns None if the decode engine has to prefill the prompt.
-    """
-    if reservation.endpoint.stage is None:
-        return None
-    for endpoint in _choose_prefill_engines(
-        context, request, attempts, reservation, size
-    ):
-        if not context.state.conditions.try_take(endpoint):
-            continue
-        if not attempts.try_prefill():
-            return None
-        outcome = _run_prefill(context, request, attempts, endpoint, size)
-        if isinstance(outcome, Ok):
-            return outcome.ok_value
-        if (
-            outcome.err_value.kind is FailureKind.UNRESPONSIVE
-            or request.caller.gone
-        ):
-            return None
-    return None
-
-
-def _choose_prefill_engines(
-    context: Context,
-    request: RoutedRequest,
-    attempts: Attempts,
-    reservation: Reservation,
-    size: GenerationSize,
-) -> list[Endpoint]:
-    """Returns the prefill engines to try in turn.
-
-    There are none if the decode engine should prefill.
-    """
-    # Only the events of a stream are bound to a software version.
-    candidates = context.state.candidates(
-        request.service, lambda _, __, tokens: float(tokens), Stage.PREFILL
-    )
-    ranked = rank_prefill(
-        candidates, reservation.endpoint.zone, context.random_float
-    )
-    untried = exclude_tried(ranked, attempts.tried_incarnations)[
-        :_MAX_PREFILL_ENGINES
-    ]
-    now_s = context.clock()
-    delay_s = min(
-        (
-            context.prefill_delays.expected_delay_s(endpoint, now_s)
-            for endpoint in untried
-        ),
-        default=0.0,
-    )
-    engine_tokens_per_s = context.demand.engine_tokens_per_s(request.service)
-    if not should_decode_engine_prefill(
-        request.route, size.prompt_tokens, engine_tokens_per_s, delay_s
-    ):
-        return untried
-    context.registry.count("prefill", "left_to_decoder")
-    context.log(
-        "prefill left to decoder",
-        request_id=request.call.request_id,
-        queued_s=round(delay_s, 3),
-        tokens=size.prompt_tokens,
-    )
-    return []
-
-
-def _run_prefill(
-    context: Context,
-    request: RoutedRequest,
-    attempts: Attempts,
-    endpoint: Endpoint,
-    size: GenerationSize,
-) -> Result[KvCache, Failure]:
-    end_work = context.state.begin_work(endpoint, size.prompt_tokens)
-    started_s = context.clock()
-    head_timeout_s = min(_PREFILL_TIMEOUT_S, attempts.remaining_s())
-    try:
-        options = AttemptOptions(
-            attempts.remaining_s(), head_timeout_s, request.abort
-        )
-        outcome = context.platform.endpoints.prefill(
-            endpoint, request.call, options
-        )
-    finally:
-        end_work()
-    duration_s = context.clock() - started_s
-    engine_tokens_per_s = context.demand.engine_tokens_per_s(request.service)
-    if engine_tokens_per_s > 0:
-        delay_s = max(
-            0.0, duration_s - size.prompt_tokens / engine_tokens_per_s
-        )
-        context.prefill_delays.record(endpoint, delay_s, context.clock())
-    context.registry.observe("prefill", duration_s)
-    if isinstance(outcome, Err):
-        attempts.record_prefill_failure(endpoint, outcome.err_value)
-        return outcome
-    attempts.record_prefill()
-    context.state.record_success(endpoint)
-    context.demand.record_prefill(
-        request.service, size.prompt_tokens, duration_s
-    )
-    context.log(
-        "prefilled",
-        request_id=request.call.request_id,
-        endpoint=endpoint.id,
-        zone=endpoint.zone,
-        tokens=size.prompt_tokens,
-        taken_s=round(duration_s, 3),
-    )
-    return outcome
-
-
-def _release_after_failure(
-    context: Context, reservation: Reservation, failure: Failure | None
-) -> None:
-    """Releases a reservation after its attempt failed or did not start.
-
-    The engine is called only if it can be reached and has not started the
-    request, so that the reservation there is still unused.
-    """
-    reservation.release()
-    is_unused = failure is None or failure.kind in NOT_STARTED
-    is_unreachable = (
-        failure is not None and failure.kind is FailureKind.NOT_CONNECTED
-    )
-    if reservation.name is not None and is_unused and not is_unreachable:
-        context.platform.endpoints.release_reservation(
-            reservation.endpoint, reservation.name
-        )
-
-
 class _Stream:
     """The event stream of a generation across its attempts."""
 
@@ -418,7 +65,7 @@
         attempts: Attempts,
         engine: EngineProperties,
         size: GenerationSize,
-        attempt: _StartedAttempt,
+        attempt: StartedAttempt,
     ) -> None:
         self._context = context
         self._request = request
@@ -484,7 +131,7 @@
         attempts.record_truncated_stream(endpoint, failure)
         if request.caller.gone or not self._is_resumable:
             raise TruncatedError(failure.detail)
-        started = _start_attempt(
+        started = start_attempt(
             context, request, attempts, self._engine, self._size, after_event
         )
         if isinstance(started, Err):
