Leave a silent service only for an endpoint that takes the request

What callers saw: 504 with most of their time left, while a sound endpoint was silent for 1.3 s and then answered.

Cause: a safe request was cut off after 0.6 of its objective if the route and the endpoint table allowed another attempt. Retry budget, permits and pauses were asked only after the cut; when they refused, the answer was lost.

Change: at the limit, the attempt first holds a retry and an endpoint above suspicion, and is given up only then. Otherwise it waits and looks again every 0.1 s. The silent endpoint becomes suspect once, not with each request that waits for it. A line, endpoint silent, says what was decided and why.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -84,11 +84,46 @@
         An attempt is a retry if an earlier call of the request has been
         counted in `call_count`. A retry is paid from the retry budget.
         """
-        if self._request.caller.gone or self.remaining_s() < MIN_ATTEMPT_S:
-            return False
-        if self.run_count and not self._may_run_again():
-            return False
-        return self._spend_retry()
+        return self.explain_no_run() is None and self.try_pay()
+
+    def explain_no_run(self, runs_in_progress: int = 0) -> str | None:
+        """Returns why no further run may start, or None if one may.
+
+        Args:
+          runs_in_progress: runs that have started and are not recorded yet.
+        """
+        route = self._request.route
+        runs = self.run_count + runs_in_progress
+        if self._request.caller.gone:
+            return "caller gone"
+        if self.remaining_s() < MIN_ATTEMPT_S:
+            return "no time left"
+        if runs and not (route.repeatable and runs < route.max_attempts):
+            return "no run left"
+        return None
+
+    def try_pay(self, calls: int = 1) -> bool:
+        """Returns whether calls are paid for; all but the first are retries.
+
+        Args:
+          calls: number of calls to come, and of those that have been sent and
+            are not recorded yet.
+        """
+        while self._retries_spent < self.call_count + calls - 1:
+            if not self._context.retry_budget.try_spend(self._request.service):
+                return False
+            self._retries_spent += 1
+        return True
+
+    def refund(self, calls: int = 0) -> None:
+        """Returns what was paid for calls that will not be made.
+
+        Args:
+          calls: number of calls that have been sent and are not recorded yet.
+        """
+        while self._retries_spent > max(0, self.call_count + calls - 1):
+            self._context.retry_budget.refund(self._request.service)
+            self._retries_spent -= 1
 
     def try_prefill(self) -> bool:
         """Returns whether a prefill may start, and pays for a retry.
@@ -97,19 +132,12 @@
         is then not counted as a call, for example because the connection could
         not be opened, the next call of the request needs no further payment.
         """
-        return self._spend_retry()
-
-    def _spend_retry(self) -> bool:
-        if self._retries_spent >= self.call_count:
-            return True
-        if not self._context.retry_budget.try_spend(self._request.service):
-            return False
-        self._retries_spent += 1
-        return True
+        return self.try_pay()
 
-    def _may_run_again(self) -> bool:
-        route = self._request.route
-        return route.repeatable and self.run_count < route.max_attempts
+    @property
+    def has_prefilled(self) -> bool:
+        """Whether a prefill has been completed; another counts as a call."""
+        return self._has_prefilled
 
     def remaining_s(self) -> float:
         """Returns the time until the complete response is due."""
@@ -245,6 +273,27 @@
     return reason, max(RETRY_AFTER_S, wait_s)
 
 
+def log_silence(
+    context: Context,
+    request: RoutedRequest,
+    endpoint: Endpoint,
+    silent_s: float,
+    moves: bool,
+    reason: str,
+) -> None:
+    """Logs whether a request leaves an endpoint that is silent, and why."""
+    decision = "moves" if moves else "waits"
+    context.registry.count("silence", decision)
+    context.log(
+        "endpoint silent",
+        request_id=request.call.request_id,
+        endpoint=endpoint.id,
+        silent_s=round(silent_s, 3),
+        decision=decision,
+        reason=reason,
+    )
+
+
 def log_attempt(
     context: Context,
     request: RoutedRequest,
@@ -282,4 +331,5 @@
     "RoutedRequest",
     "explain_missing_endpoint",
     "log_attempt",
+    "log_silence",
 ]
--- a/src/burdockspan/gateway/passive_health.py
+++ b/src/burdockspan/gateway/passive_health.py
@@ -37,6 +37,10 @@
 REFUSED_PROMPT_WEIGHT = 2.0
 # An engine accepts no work for some seconds after an order to change its stage.
 STAGE_ORDER_WEIGHT = 5.0
+# An endpoint has been silent for longer than its requests usually take, and the
+# request waits on. The weight is reached once, not added by each request: many
+# requests may wait at an endpoint that is silent for a second.
+SILENCE_WEIGHT = 1.5
 # A success multiplies the weight by this factor.
 _SUCCESS_FACTOR = 0.7
 
@@ -74,6 +78,12 @@
     return Suspicion(current_weight(suspicion, now_s) + weight, now_s)
 
 
+def add_silence(suspicion: Suspicion | None, now_s: float) -> Suspicion:
+    """Returns the suspicion after a silence."""
+    weight = max(current_weight(suspicion, now_s), SILENCE_WEIGHT)
+    return Suspicion(weight, now_s)
+
+
 def add_success(suspicion: Suspicion | None, now_s: float) -> Suspicion:
     """Returns the suspicion after a success."""
     return Suspicion(current_weight(suspicion, now_s) * _SUCCESS_FACTOR, now_s)
@@ -83,10 +93,12 @@
     "FAILED_RESPONSE_WEIGHT",
     "REFUSED_GENERATION_WEIGHT",
     "REFUSED_PROMPT_WEIGHT",
+    "SILENCE_WEIGHT",
     "STAGE_ORDER_WEIGHT",
     "SUSPECT_WEIGHT",
     "Suspicion",
     "add_failure",
+    "add_silence",
     "add_success",
     "current_weight",
     "failure_weight",
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import threading
 from collections.abc import Iterator
 
@@ -16,6 +17,7 @@
     RoutedRequest,
     explain_missing_endpoint,
     log_attempt,
+    log_silence,
 )
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.messages import Response, TruncatedError
@@ -31,8 +33,11 @@
 # Share of the objective after which a request that may run more than once goes
 # to another endpoint if it has no response. The other endpoint then has time to
 # meet the objective.
-_HEAD_TIMEOUT_SHARE = 0.6
-_MIN_HEAD_TIMEOUT_S = 0.05
+_SILENCE_SHARE = 0.6
+_MIN_SILENCE_LIMIT_S = 0.05
+# Time after which a request that waits for a silent endpoint looks for another
+# one again.
+_LOOK_AGAIN_S = 0.1
 # A request waits for an endpoint that is paused or at its limit no longer than
 # this share of its objective after its arrival. The endpoint then has time to
 # meet the objective.
@@ -43,13 +48,18 @@
     """Returns the response of an endpoint, or an error response."""
     attempts = Attempts(context, request)
     last_response: Response | None = None
+    successor: Endpoint | None = None
     while True:
-        endpoint = _take_endpoint(
-            context, request, attempts
-        ) or _wait_for_endpoint(context, request, attempts)
+        endpoint = (
+            successor
+            or _take_endpoint(context, request, attempts)
+            or _wait_for_endpoint(context, request, attempts)
+        )
         if endpoint is None or not attempts.try_start():
             break
-        outcome = _run_attempt(context, request, attempts, endpoint)
+        silence = _Silence(context, request, attempts, endpoint)
+        outcome = _run_attempt(context, request, attempts, endpoint, silence)
+        successor = silence.successor
         if isinstance(outcome, Err):
             attempts.record_failure(endpoint, outcome.err_value)
             continue
@@ -71,16 +81,35 @@
 
 
 def _take_endpoint(
-    context: Context, request: RoutedRequest, attempts: Attempts
+    context: Context,
+    request: RoutedRequest,
+    attempts: Attempts,
+    successor_of: Endpoint | None = None,
 ) -> Endpoint | None:
-    """Returns the best untried endpoint, and uses a permit of its limit."""
+    """Returns the best untried endpoint, and uses a permit of its limit.
+
+    Args:
+      context: dependencies.
+      request: the request.
+      attempts: its attempts.
+      successor_of: endpoint that is left for another one, which must then be
+        above suspicion; None if none is left.
+    """
     candidates = context.state.candidates(
         request.service,
         lambda endpoint, running, _: running / endpoint.slots,
         software_version=request.software_version,
     )
+    tried = attempts.tried_incarnations
+    if successor_of is not None:
+        tried = {*tried, successor_of.incarnation}
+        candidates = tuple(
+            candidate
+            for candidate in candidates
+            if candidate.suspicion < passive_health.SUSPECT_WEIGHT
+        )
     ranked = rank_plain(candidates, context.random_float)
-    untried = exclude_tried(ranked, attempts.tried_incarnations)
+    untried = exclude_tried(ranked, tried)
     return next(filter(context.state.conditions.try_take, untried), None)
 
 
@@ -107,21 +136,88 @@
     return _take_endpoint(context, request, attempts)
 
 
+class _Silence:
+    """Decides whether an attempt at a silent endpoint is given up.
+
+    It is given up only once everything that the next attempt needs is held: a
+    run of the route, a retry of the budget, and an endpoint that takes it.
+
+    Attributes:
+      successor: endpoint of the next attempt; None if none is held.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        request: RoutedRequest,
+        attempts: Attempts,
+        endpoint: Endpoint,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._attempts = attempts
+        self._endpoint = endpoint
+        self._started_s = context.clock()
+        self._has_waited = False
+        self.successor: Endpoint | None = None
+
+    def decide(self) -> float | None:
+        """Returns the time to wait on, in seconds; None to give up."""
+        attempts = self._attempts
+        reason = attempts.explain_no_run(runs_in_progress=1)
+        if reason is not None:
+            self._record_wait(reason)
+            return math.inf
+        # The call in progress and the next one.
+        if not attempts.try_pay(calls=2):
+            self._record_wait("retry budget")
+            return _LOOK_AGAIN_S
+        self.successor = _take_endpoint(
+            self._context, self._request, attempts, self._endpoint
+        )
+        if self.successor is None:
+            attempts.refund(calls=1)
+            self._record_wait("no endpoint")
+            return _LOOK_AGAIN_S
+        self._log(True, "held " + self.successor.id)
+        return None
+
+    def _record_wait(self, reason: str) -> None:
+        if self._has_waited:
+            return
+        self._has_waited = True
+        self._context.state.record_silence(self._endpoint)
+        self._log(False, reason)
+
+    def _log(self, moves: bool, reason: str) -> None:
+        silent_s = self._context.clock() - self._started_s
+        log_silence(
+            self._context,
+            self._request,
+            self._endpoint,
+            silent_s,
+            moves,
+            reason,
+        )
+
+
 def _run_attempt(
     context: Context,
     request: RoutedRequest,
     attempts: Attempts,
     endpoint: Endpoint,
+    silence: _Silence,
 ) -> Result[Response, Failure]:
-    head_timeout_s = _choose_head_timeout_s(
-        context, request, attempts, endpoint
-    )
-    log_attempt(context, request, endpoint, wait_s=round(head_timeout_s, 3))
+    silence_limit_s = _choose_silence_limit_s(request, attempts)
+    log_attempt(context, request, endpoint, wait_s=round(silence_limit_s, 3))
     end_work = context.state.begin_work(endpoint)
     started_s = context.clock()
     try:
         options = AttemptOptions(
-            attempts.remaining_s(), head_timeout_s, request.abort
+            attempts.remaining_s(),
+            silence_limit_s,
+            request.abort,
+            on_silence=silence.decide,
         )
         outcome = context.platform.endpoints.run(
             endpoint, request.call, options
@@ -140,31 +236,14 @@
     return response
 
 
-def _choose_head_timeout_s(
-    context: Context,
-    request: RoutedRequest,
-    attempts: Attempts,
-    endpoint: Endpoint,
+def _choose_silence_limit_s(
+    request: RoutedRequest, attempts: Attempts
 ) -> float:
     remaining_s = attempts.remaining_s()
-    used = {*attempts.tried_incarnations, endpoint.incarnation}
-    candidates = context.state.candidates(
-        request.service,
-        lambda *_: 0.0,
-        software_version=request.software_version,
-    )
-    may_run_again = attempts.run_count + 1 < request.route.max_attempts and any(
-        candidate.endpoint.incarnation not in used for candidate in candidates
-    )
-    if not request.route.repeatable or not may_run_again:
+    if not request.route.repeatable:
         return remaining_s
-    return min(
-        remaining_s,
-        max(
-            _MIN_HEAD_TIMEOUT_S,
-            _HEAD_TIMEOUT_SHARE * request.route.objective_s,
-        ),
-    )
+    limit_s = _SILENCE_SHARE * request.route.objective_s
+    return min(remaining_s, max(_MIN_SILENCE_LIMIT_S, limit_s))
 
 
 def _record_outcome(
--- a/src/burdockspan/gateway/retry_budget.py
+++ b/src/burdockspan/gateway/retry_budget.py
@@ -70,6 +70,13 @@
             self._retries_by_service[service].append(now_s)
             return True
 
+    def refund(self, service: str) -> None:
+        """Returns a retry that was spent and then not made."""
+        with self._lock:
+            retries = self._retries_by_service[service]
+            if retries:
+                retries.pop()
+
     def _count_allowed(self, requests: int, now_s: float) -> float:
         settings = self._settings
         slack = self._slack_share()
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -287,6 +287,10 @@
             ),
         )
 
+    def record_silence(self, endpoint: Endpoint) -> None:
+        """Suspects an endpoint that a request waits for longer than usual."""
+        self._change_suspicion(endpoint, passive_health.add_silence)
+
     def record_success(self, endpoint: Endpoint) -> None:
         """Lowers the suspicion against an endpoint after a success."""
         if endpoint.incarnation in self._suspicion_by_incarnation:
