Leave a silent engine only once the next attempt is prepared

What callers saw: resumable streams that broke off in the middle, or 503, while a sound engine was silent for 1.3 s.

Cause: after a gap of four gap objectives the stream's connection was closed, and only then the VM asked for a run, a retry, memory and a prefill. Without one of them the stream was lost, though its engine went on.

Change: a silent stream prepares its next attempt in a thread and keeps reading. It moves once a run, a retry, memory and the prompt's KV cache are held, and closes the old connection first, so that two engines never work on it. If the engine goes on, what was prepared is released and the retry returned. The limit of silence is also no longer shorter than what callers' patience allows.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterator
+import threading
+from collections.abc import Callable, Iterator
 
-from result import Err
+from result import Err, Ok, Result
 
 from burdockspan.endpoints.failures import EndpointError
-from burdockspan.gateway.attempts import Attempts, RoutedRequest
+from burdockspan.gateway.attempts import (
+    Attempts,
+    RoutedRequest,
+    log_silence,
+)
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.generation_attempts import (
+    PreparedAttempt,
     StartedAttempt,
+    prepare_attempt,
+    release_prepared,
     start_attempt,
+    start_prepared,
 )
 from burdockspan.gateway.messages import Response, TruncatedError
 from burdockspan.gateway.resumption import publish_origin
@@ -20,10 +29,24 @@
 from burdockspan.gateway.values import EngineProperties, GenerationSize
 from burdockspan.values.placement import Failure
 
-# A resumable stream is resumed at another engine if no event arrives for this
-# multiple of the route's gap objective, or for the minimum if that is longer.
-_IDLE_TIMEOUT_GAPS = 4.0
-_MIN_IDLE_TIMEOUT_S = 1.0
+# A resumable stream is prepared to go on at another engine if no event arrives
+# for this multiple of the route's gap objective, or for the minimum if that is
+# longer.
+_SILENCE_GAPS = 4.0
+_MIN_SILENCE_LIMIT_S = 1.0
+# Callers abandon a stream after the longest of these gaps: a fixed one, and
+# multiples of the objective for the first event and of the gap objective.
+_CALLER_PATIENCE_S = 2.0
+_CALLER_PATIENCE_OBJECTIVES = 4.0
+_CALLER_PATIENCE_GAPS = 8.0
+# Time to prepare an attempt and to receive its first event.
+_MOVE_TIME_S = 1.5
+# A stream moves no later than after this share of the time that it has left.
+_MAX_SILENCE_SHARE = 0.5
+# How often a silent stream checks whether its next attempt is prepared.
+_CHECK_INTERVAL_S = 0.02
+# Time until a silent stream tries again to prepare an attempt.
+_PREPARE_AGAIN_S = 0.5
 
 
 def generate(
@@ -55,6 +78,65 @@
     )
 
 
+class _Preparation:
+    """The next attempt of a stream, prepared while the present one is silent.
+
+    It is prepared in a thread of its own, since the stream goes on as soon as
+    its engine sends an event.
+    """
+
+    def __init__(
+        self,
+        prepare: Callable[[Callable[[], bool]], Result[PreparedAttempt, str]],
+        release: Callable[[PreparedAttempt], None],
+    ) -> None:
+        self._prepare = prepare
+        self._release = release
+        self._lock = threading.Lock()
+        self._done = threading.Event()
+        self._wanted = True
+        self._outcome: Result[PreparedAttempt, str] | None = None
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        outcome: Result[PreparedAttempt, str] = Err("failed")
+        try:
+            outcome = self._prepare(lambda: self._wanted)
+        finally:
+            with self._lock:
+                self._outcome = outcome
+                self._done.set()
+                is_released = not self._wanted
+            if is_released and isinstance(outcome, Ok):
+                self._release(outcome.ok_value)
+
+    @property
+    def is_wanted(self) -> bool:
+        """Whether the attempt is still for its stream to use."""
+        return self._wanted
+
+    def outcome(self) -> Result[PreparedAttempt, str] | None:
+        """Returns the outcome; None while it is being prepared."""
+        return self._outcome
+
+    def abandon(self) -> None:
+        """Releases the attempt, now or as soon as it is prepared."""
+        with self._lock:
+            was_wanted, self._wanted = self._wanted, False
+            outcome = self._outcome
+        if was_wanted and isinstance(outcome, Ok):
+            self._release(outcome.ok_value)
+
+    def take(self) -> PreparedAttempt | None:
+        """Waits for the prepared attempt, which the caller then owns."""
+        self._done.wait()
+        with self._lock:
+            was_wanted, self._wanted = self._wanted, False
+        if was_wanted and isinstance(self._outcome, Ok):
+            return self._outcome.ok_value
+        return None
+
+
 class _Stream:
     """The event stream of a generation across its attempts."""
 
@@ -76,9 +158,16 @@
         self._is_resumable = (
             request.route.repeatable and attempt.response.succeeded
         )
+        self._preparation: _Preparation | None = None
+        self._last_part_s = context.clock()
+        self._logged_reason: str | None = None
 
     def close(self) -> None:
-        """Ends the current attempt."""
+        """Ends the current attempt, and abandons the preparation of another."""
+        self._end_silence()
+        self._close_current()
+
+    def _close_current(self) -> None:
         self._current.response.close()
         self._current.reservation.release()
 
@@ -92,8 +181,9 @@
         while True:
             try:
                 for part in self._current.response.iterate(
-                    self._idle_timeout_s, lambda: None
+                    self._silence_limit_s, self._decide_on_silence
                 ):
+                    self._end_silence()
                     if not self._is_resumable:
                         yield part
                         continue
@@ -110,14 +200,89 @@
                 self._resume(error.failure, progress.last_event_id)
                 progress = dataclasses.replace(progress, partial_event=b"")
 
-    def _idle_timeout_s(self) -> float:
+    def _silence_limit_s(self) -> float:
+        self._last_part_s = self._context.clock()
         remaining_s = self._attempts.remaining_s()
         if not self._is_resumable:
             return remaining_s
-        idle_timeout_s = (
-            _IDLE_TIMEOUT_GAPS * self._request.route.gap_objective_s
+        route = self._request.route
+        patience_s = max(
+            _CALLER_PATIENCE_S,
+            _CALLER_PATIENCE_OBJECTIVES * route.objective_s,
+            _CALLER_PATIENCE_GAPS * route.gap_objective_s,
+        )
+        limit_s = max(
+            _MIN_SILENCE_LIMIT_S,
+            _SILENCE_GAPS * route.gap_objective_s,
+            patience_s - _MOVE_TIME_S,
+        )
+        return min(limit_s, _MAX_SILENCE_SHARE * remaining_s)
+
+    def _decide_on_silence(self) -> float | None:
+        """Returns the time to wait on, in seconds; None to leave the engine.
+
+        The stream leaves a silent engine only once the next attempt is
+        prepared. Until then the engine may go on.
+        """
+        if not self._is_resumable:
+            return None
+        if self._preparation is None:
+            self._preparation = self._start_preparation()
+            return _CHECK_INTERVAL_S
+        outcome = self._preparation.outcome()
+        if outcome is None:
+            return _CHECK_INTERVAL_S
+        if not self._preparation.is_wanted:
+            # It was abandoned when an earlier silence ended.
+            self._preparation = None
+            return _CHECK_INTERVAL_S
+        if isinstance(outcome, Ok):
+            engine = outcome.ok_value.reservation.endpoint
+            self._log_silence(True, "prepared at " + engine.id)
+            return None
+        self._preparation = None
+        self._log_silence(False, outcome.err_value)
+        return _PREPARE_AGAIN_S
+
+    def _start_preparation(self) -> _Preparation:
+        context, attempts = self._context, self._attempts
+        context.state.record_silence(self._current.reservation.endpoint)
+        return _Preparation(
+            lambda is_wanted: prepare_attempt(
+                context,
+                self._request,
+                attempts,
+                self._engine,
+                self._size,
+                is_wanted,
+            ),
+            lambda prepared: release_prepared(context, attempts, prepared),
         )
-        return min(remaining_s, max(_MIN_IDLE_TIMEOUT_S, idle_timeout_s))
+
+    def _end_silence(self) -> None:
+        self._logged_reason = None
+        if self._preparation is None:
+            return
+        self._preparation.abandon()
+        if self._preparation.outcome() is not None:
+            self._preparation = None
+
+    def _log_silence(self, moves: bool, reason: str) -> None:
+        if reason == self._logged_reason:
+            return
+        self._logged_reason = reason
+        log_silence(
+            self._context,
+            self._request,
+            self._current.reservation.endpoint,
+            self._context.clock() - self._last_part_s,
+            moves,
+            reason,
+        )
+
+    def _take_prepared(self) -> PreparedAttempt | None:
+        preparation, self._preparation = self._preparation, None
+        return None if preparation is None else preparation.take()
 
     def _resume(self, failure: Failure, after_event: str | None) -> None:
         """Resumes the stream at another engine, after the last sent event."""
@@ -127,18 +292,20 @@
             self._attempts,
         )
         endpoint = self._current.reservation.endpoint
-        self.close()
+        prepared = self._take_prepared()
+        self._close_current()
         attempts.record_truncated_stream(endpoint, failure)
         if request.caller.gone or not self._is_resumable:
+            if prepared is not None:
+                release_prepared(context, attempts, prepared)
             raise TruncatedError(failure.detail)
-        started = start_attempt(
-            context, request, attempts, self._engine, self._size, after_event
-        )
-        if isinstance(started, Err):
-            raise TruncatedError(
-                f"{failure.detail}; {started.err_value.reason}"
+        attempt = None
+        if prepared is not None:
+            attempt = start_prepared(
+                context, request, attempts, prepared, after_event
             )
-        attempt = started.ok_value
+        if attempt is None:
+            attempt = self._start_attempt(failure, after_event)
         if not attempt.response.succeeded:
             attempt.response.close()
             attempt.reservation.release()
@@ -152,5 +319,22 @@
             after_event=after_event,
         )
 
+    def _start_attempt(
+        self, failure: Failure, after_event: str | None
+    ) -> StartedAttempt:
+        started = start_attempt(
+            self._context,
+            self._request,
+            self._attempts,
+            self._engine,
+            self._size,
+            after_event,
+        )
+        if isinstance(started, Err):
+            raise TruncatedError(
+                f"{failure.detail}; {started.err_value.reason}"
+            )
+        return started.ok_value
+
 
 __all__ = ["generate"]
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
@@ -61,6 +62,19 @@
     response: EndpointResponse
 
 
+@dataclasses.dataclass(frozen=True)
+class PreparedAttempt:
+    """An attempt that holds all that it needs, and has not been sent.
+
+    Attributes:
+      reservation: decode memory of the attempt.
+      cache: KV cache of its prompt; None if the decode engine prefills.
+    """
+
+    reservation: Reservation
+    cache: KvCache | None
+
+
 @dataclasses.dataclass(frozen=True)
 class Refusal:
     """Why no attempt started, and when a caller should return."""
@@ -179,6 +193,88 @@
         if cache is not None:
             context.platform.endpoints.release_cache(cache)
         return Err(None)
+    prepared = PreparedAttempt(reservation, cache)
+    return _send(context, request, attempts, prepared, after_event)
+
+
+def prepare_attempt(
+    context: Context,
+    request: RoutedRequest,
+    attempts: Attempts,
+    engine: EngineProperties,
+    size: GenerationSize,
+    is_wanted: Callable[[], bool],
+) -> Result[PreparedAttempt, str]:
+    """Prepares the next attempt of a stream that goes on meanwhile.
+
+    Args:
+      context: dependencies.
+      request: the generation.
+      attempts: its attempts.
+      engine: properties of the service's engines.
+      size: size of the generation.
+      is_wanted: returns whether the attempt may still be needed.
+
+    Returns:
+      The prepared attempt, or why there is none.
+    """
+    reason = attempts.explain_no_run()
+    if reason is not None:
+        return Err(reason)
+    # A prefill after the first one counts as a call, like the run.
+    if not attempts.try_pay(calls=2 if attempts.has_prefilled else 1):
+        attempts.refund()
+        return Err("retry budget")
+    reservation = reserve_memory(
+        context, request, engine, size, attempts.tried_incarnations
+    )
+    if reservation is None:
+        attempts.refund()
+        return Err("no memory")
+    cache = None
+    if is_wanted():
+        cache = _prefill(context, request, attempts, reservation, size)
+    prepared = PreparedAttempt(reservation, cache)
+    if is_wanted() and attempts.try_start():
+        return Ok(prepared)
+    release_prepared(context, attempts, prepared)
+    return Err("not needed" if not is_wanted() else "retry budget")
+
+
+def release_prepared(
+    context: Context, attempts: Attempts, prepared: PreparedAttempt
+) -> None:
+    """Releases what a prepared attempt holds that will not be sent."""
+    if prepared.cache is not None:
+        context.platform.endpoints.release_cache(prepared.cache)
+    _release_after_failure(context, prepared.reservation, None)
+    attempts.refund()
+
+
+def start_prepared(
+    context: Context,
+    request: RoutedRequest,
+    attempts: Attempts,
+    prepared: PreparedAttempt,
+    after_event: str | None,
+) -> StartedAttempt | None:
+    """Sends a prepared attempt; returns None if it failed."""
+    outcome = _send(context, request, attempts, prepared, after_event)
+    if isinstance(outcome, Ok):
+        return StartedAttempt(prepared.reservation, outcome.ok_value)
+    _release_after_failure(context, prepared.reservation, outcome.err_value)
+    return None
+
+
+def _send(
+    context: Context,
+    request: RoutedRequest,
+    attempts: Attempts,
+    prepared: PreparedAttempt,
+    after_event: str | None,
+) -> Result[EndpointResponse, Failure | None]:
+    """Sends an attempt to its decode engine, and waits for the head."""
+    reservation, cache = prepared.reservation, prepared.cache
     endpoint = reservation.endpoint
     log_attempt(
         context,
@@ -370,4 +466,12 @@
         )
 
 
-__all__ = ["Refusal", "StartedAttempt", "start_attempt"]
+__all__ = [
+    "PreparedAttempt",
+    "Refusal",
+    "StartedAttempt",
+    "prepare_attempt",
+    "release_prepared",
+    "start_attempt",
+    "start_prepared",
+]
--- /dev/null
+++ b/tests/gateway/test_silent_streams.py
@@ -0,0 +1,231 @@
+"""Sound engines that fall silent for a second or so and then go on."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import threading
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from burdockspan.gateway.settings import RetryBudgetSettings
+from standins.scripted_endpoint import (
+    CHUNKED_HEAD,
+    LAST_CHUNK,
+    Action,
+    Received,
+    ScriptedEndpoint,
+    Step,
+    chunk,
+    respond_json,
+)
+from tests.gateway.case import GatewayCase
+from tests.support.gateways import (
+    ReceivedResponse,
+    make_document,
+    make_route,
+    wait_for,
+)
+
+_SIZES = {"Token-Count": "160,40", "Length-Hint": "20"}
+_SILENCE_S = 1.3
+_EVENTS = 6
+
+
+def _pause(seconds: float) -> None:
+    threading.Event().wait(seconds)
+
+
+def _events(first: int = 1, last: int = _EVENTS) -> bytes:
+    numbers = range(first, last + 1)
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in numbers)
+
+
+class SilentEngine:
+    """The script of an engine that is silent in the middle of its streams.
+
+    Attributes:
+      silent_after: number of the event after which it is silent.
+      silence_s: duration of the silence; None for ever.
+      runs: requests that it ran.
+      released: paths of what was released.
+      reservations: number of reservations that it granted.
+      reserve_allowed: set unless reservations are to wait.
+    """
+
+    def __init__(self, silent_after: int, silence_s: float | None) -> None:
+        self.silent_after = silent_after
+        self.silence_s = silence_s
+        self.runs: list[Received] = []
+        self.released: list[str] = []
+        self.reservations = 0
+        self.reserve_allowed = threading.Event()
+        self.reserve_allowed.set()
+
+    def __call__(self, received: Received) -> Iterable[Step]:
+        """Returns what the engine sends for one request."""
+        if received.target == "/v1/hold-take":
+            self.reserve_allowed.wait(5.0)
+            self.reservations += 1
+            return respond_json(200, {"hold": f"h{self.reservations}"})
+        if received.method == "DELETE":
+            self.released.append(received.target)
+            return respond_json(200, {})
+        if received.header("Stage") == "prefill":
+            value = {"handle": "k1", "tokens": 160, "version": 1}
+            return respond_json(200, value)
+        self.runs.append(received)
+        return self._stream(int(received.header("Last-Event-Id") or 0) + 1)
+
+    def _stream(self, first: int) -> Iterator[Step]:
+        yield CHUNKED_HEAD
+        for number in range(first, _EVENTS + 1):
+            yield chunk(_events(number, number))
+            if number == self.silent_after:
+                if self.silence_s is None:
+                    yield Action.WAIT_FOR_CALLER
+                else:
+                    _pause(self.silence_s)
+        yield LAST_CHUNK
+
+
+class SilenceCase(GatewayCase):
+    """A gateway with routes of short objectives."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.gateway.configure(_make_document(2))
+
+    def spend_retry_budget(self) -> None:
+        """Leaves nothing of the retry budget."""
+        budget = self.gateway.components.context.retry_budget
+        budget.set_settings(RetryBudgetSettings(0.0, 0.0, 10.0))
+
+    def add_engine(
+        self,
+        name: str,
+        silent_after: int = 0,
+        silence_s: float | None = None,
+        stage: str = "decode",
+        **entry: Any,
+    ) -> SilentEngine:
+        """Adds a model engine; returns its script."""
+        engine = SilentEngine(silent_after, silence_s)
+        self.gateway.add_endpoint(
+            ScriptedEndpoint(name, engine), service="llm", stage=stage, **entry
+        )
+        return engine
+
+    def review(self, number: int = 1) -> ReceivedResponse:
+        """Sends a request for a resumable stream."""
+        headers = {**_SIZES, "Request-Id": f"r{number}", "Deadline-Ms": "9000"}
+        return self.gateway.call("POST", "/review/x", b"prompt", headers)
+
+    def attempts(self) -> list[dict[str, Any]]:
+        """Returns the attempts that began a stream."""
+        events = self.gateway.events_named("attempt")
+        return [event for event in events if event["after_event"] is None]
+
+    def check_complete(self, response: ReceivedResponse) -> None:
+        """Checks that a caller received the whole stream."""
+        self.assertEqual(response.status, 200, response.body)
+        self.assertTrue(response.complete, response.body)
+        self.assertEqual(response.body, _events())
+
+
+def _make_document(version: int) -> dict[str, Any]:
+    return make_document(
+        version,
+        routes=[
+            make_route(
+                "review",
+                kind="streaming",
+                service="llm",
+                resumable=True,
+                target_latency_ms=200,
+                gap_aim_ms=100,
+                timeout_ms=9000,
+            ),
+        ],
+    )
+
+
+class TestSilentStreams(SilenceCase):
+    def test_stream_of_the_only_engine_goes_on(self) -> None:
+        """Guards against a stream that is cut off with nowhere to go on."""
+        self.add_engine("i-1", 2, _SILENCE_S)
+        self.check_complete(self.review())
+
+    def test_stream_goes_on_when_the_retry_budget_is_spent(self) -> None:
+        """Guards against a stream cut off for a retry that is not paid."""
+        self.spend_retry_budget()
+        for number in (1, 2, 3):
+            self.add_engine(f"i-{number}", 2, _SILENCE_S)
+        self.check_complete(self.review())
+
+    def test_silence_of_all_engines_costs_no_stream(self) -> None:
+        """Guards against broken streams beside a change of configuration.
+
+        Neither the silence of a sound engine nor a configuration is a reason to
+        end an answer.
+        """
+        for number, silent_after in enumerate((2, 3, 4)):
+            self.add_engine(f"i-{number}", silent_after, _SILENCE_S)
+        with concurrent.futures.ThreadPoolExecutor(12) as executor:
+            futures = []
+            for number in range(12):
+                futures.append(executor.submit(self.review, number))
+                # One after the other, so that none waits for a reservation.
+                wait_for(lambda: len(self.attempts()) == len(futures))
+            self.gateway.configure(_make_document(3))
+            for future in futures:
+                self.check_complete(future.result())
+
+    def test_stream_of_a_dead_engine_moves(self) -> None:
+        """Guards against a stream that waits for an engine that is gone."""
+        self.add_engine("i-1", 2, None)
+        self.add_engine("i-2", 2, None)
+        sound = self.add_engine("i-3")
+        for number in range(3):
+            self.check_complete(self.review(number))
+        self.assertTrue(sound.runs)
+
+    def test_moved_stream_does_not_run_at_two_engines(self) -> None:
+        """Guards against two engines that work on the same stream."""
+        silent_script = self.add_engine("i-1", 2, None)
+        silent = self.gateway.endpoints[0]
+        sound = SilentEngine(0, None)
+
+        def script(received: Received) -> Iterable[Step]:
+            if received.header("Last-Event-Id"):
+                closed.append(silent.caller_closed.wait(5.0))
+            return sound(received)
+
+        closed: list[bool] = []
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(silent_script.runs))
+            self.gateway.add_endpoint(
+                ScriptedEndpoint("i-2", script), service="llm", stage="decode"
+            )
+            self.check_complete(future.result())
+        self.assertEqual(closed, [True])
+
+    def test_prepared_attempt_is_released_when_the_stream_goes_on(
+        self,
+    ) -> None:
+        """Guards against memory and retries kept by an unused preparation."""
+        budget = self.gateway.components.context.retry_budget
+        budget.set_settings(RetryBudgetSettings(0.0, 4.0, 10.0))
+        silent = self.add_engine("i-1", 2, 1.6)
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(silent.runs))
+            spare = self.add_engine("i-2")
+            spare.reserve_allowed.clear()
+            self.check_complete(future.result())
+            spare.reserve_allowed.set()
+            wait_for(lambda: spare.reservations == len(spare.released))
+        self.assertEqual(spare.runs, [])
+        # The share of the slack that a VM spends in its first window is less
+        # than two retries, so that one is left only if the unused is returned.
+        wait_for(lambda: budget.try_spend("llm"))
