Answer streams that break off before their first event

What callers saw: a whole request whose connection was closed without one byte, neither an answer nor a refusal.

Cause: generate() returned the engine's 200 as soon as its head had come. The server writes a head together with the first part of the body, so a failure before that part could only close the connection.

Change: the first part is awaited before the response is returned; a failure until then becomes 502 or 504, which says that the request may have run.

Evidence: test_failure_before_the_first_event_is_answered failed before: the caller's connection was reset without a byte, for an engine that resets after its head and for one that resets within its first event.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -10,6 +10,7 @@
 
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway.attempts import (
+    RETRY_AFTER_S,
     Attempts,
     RoutedRequest,
     log_silence,
@@ -72,12 +73,29 @@
             request, software_version=endpoint.software_version
         )
     stream = _Stream(context, request, attempts, engine, size, attempt)
+    parts = stream.iterate()
+    # The caller receives the head together with the first part. Before that, a
+    # failure can still be answered.
+    try:
+        first_part = next(parts, None)
+    except TruncatedError:
+        stream.close()
+        return attempts.make_error_response("stream broke off", RETRY_AFTER_S)
     response = attempt.response
     return Response(
-        response.status, response.headers, stream.iterate(), stream.close
+        response.status,
+        response.headers,
+        _prepend(first_part, parts),
+        stream.close,
     )
 
 
+def _prepend(first: bytes | None, rest: Iterator[bytes]) -> Iterator[bytes]:
+    if first is not None:
+        yield first
+    yield from rest
+
+
 class _Preparation:
     """The next attempt of a stream, prepared while the present one is silent.
 
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -13,6 +13,7 @@
     LAST_CHUNK,
     Action,
     Received,
+    Script,
     ScriptedEndpoint,
     Step,
     chunk,
@@ -88,6 +89,18 @@
         yield LAST_CHUNK
 
 
+def _grant_and_run(steps: Iterable[Step]) -> Script:
+    """Returns the script of an engine whose runs send a head and `steps`."""
+    engine = SilentEngine(0, None)
+
+    def script(received: Received) -> Iterable[Step]:
+        if received.target.startswith("/v1/"):
+            return engine(received)
+        return [CHUNKED_HEAD, *steps]
+
+    return script
+
+
 class SilenceCase(GatewayCase):
     """A gateway with routes of short objectives."""
 
@@ -189,6 +202,21 @@
             self.check_complete(self.review(number))
         self.assertTrue(sound.runs)
 
+    def test_failure_before_the_first_event_is_answered(self) -> None:
+        """Guards against a connection closed without an answer or a refusal.
+
+        The head of a response is sent with the first part of its body, so that
+        a stream that breaks off before would leave the caller with nothing.
+        """
+        endpoint = ScriptedEndpoint("i-1", _grant_and_run([]))
+        self.gateway.add_endpoint(endpoint, service="llm", stage="decode")
+        for steps in ([Action.RESET], [chunk(b"id"), Action.RESET]):
+            endpoint.script = _grant_and_run(steps)
+            with self.subTest(steps):
+                response = self.review()
+                self.assertEqual(response.status, 502)
+                self.assertTrue(response.complete)
+
     def test_moved_stream_does_not_run_at_two_engines(self) -> None:
         """Guards against two engines that work on the same stream."""
         silent_script = self.add_engine("i-1", 2, None)
