Count the silence of an endpoint from the last whole part

What callers saw: a resumable stream that got no event for the rest of its time, because its engine sent bytes that completed none (a chunk size without end). Callers abandon such a stream after seconds.

Cause: the limit of silence started again with each byte, so that the stream was never taken to another engine.

Change: the limit counts from the last part that could be forwarded, or from the start of the call for a head. Time that the reader of a part takes does not count. A process that was suspended meanwhile first has 50 ms to read what has arrived.

Evidence: test_bytes_without_an_event_do_not_keep_a_stream failed before: the caller got the first event only.

--- a/src/burdockspan/endpoints/call_timer.py
+++ b/src/burdockspan/endpoints/call_timer.py
@@ -10,9 +10,13 @@
 
 # A socket timeout of 0 would mean non-blocking mode.
 _MIN_WAIT_S = 0.001
+# A process that was suspended for longer than the limit of silence may have
+# data to read. It has this time to read a part before the endpoint counts as
+# silent.
+_CATCH_UP_S = 0.05
 
 OnSilence = Callable[[], float | None]
-"""Called when an endpoint has sent nothing for the limit of silence.
+"""Called when an endpoint has sent no whole part for the limit of silence.
 
 Returns the time to wait on before it is called again, in seconds; None to end
 the call.
@@ -23,7 +27,7 @@
     """Which limit ended a call.
 
     DEADLINE: the time for the whole call.
-    SILENCE: the time without a byte of the endpoint.
+    SILENCE: the time without a whole part of the response.
     """
 
     DEADLINE = "deadline"
@@ -34,11 +38,11 @@
     """Bounds all waits of one call.
 
     Every wait ends at the deadline, whatever the endpoint sends meanwhile. A
-    wait for data may end earlier, after a limit of silence.
+    wait for data may end earlier, if no whole part of the response, that is its
+    head or a part of its body, has come within a limit of silence.
 
     Attributes:
       deadline_s: when the call ends at the latest, in monotonic seconds.
-      silence_limit_s: limit of the time without a byte, in seconds.
       on_silence: decides whether a silent call ends.
       ended_by: the limit that has ended the call; None before.
     """
@@ -52,10 +56,19 @@
     ) -> None:
         self._clock = clock
         self.deadline_s = clock() + time_limit_s
-        self.silence_limit_s = silence_limit_s
+        self.restart_silence(silence_limit_s)
         self.on_silence = on_silence
         self.ended_by: TimeLimit | None = None
 
+    def restart_silence(self, limit_s: float) -> None:
+        """Waits for the next part, for at most a limit in seconds."""
+        self._silent_since_s = self._clock()
+        self._wait_on(limit_s)
+
+    def _wait_on(self, limit_s: float) -> None:
+        self._silence_ends_s = self._clock() + limit_s
+        self._catches_up = False
+
     def remaining_s(self) -> float:
         """Returns the time until the deadline, in seconds.
 
@@ -91,21 +104,30 @@
         Raises:
           TimeoutError: the call has ended.
         """
-        silence_limit_s = self.silence_limit_s
         while True:
             remaining_s = self.remaining_s()
-            limit_s = min(remaining_s, max(_MIN_WAIT_S, silence_limit_s))
-            try:
-                return wait(None if math.isinf(limit_s) else limit_s)
-            except TimeoutError:
-                if limit_s == remaining_s:
-                    continue
-                next_limit_s = self.on_silence()
+            silence_s = self._silence_remaining_s()
+            if silence_s > 0:
+                limit_s = min(remaining_s, max(_MIN_WAIT_S, silence_s))
+                try:
+                    return wait(None if math.isinf(limit_s) else limit_s)
+                except TimeoutError:
+                    if limit_s == remaining_s:
+                        continue
+            next_limit_s = self.on_silence()
             if next_limit_s is None:
-                raise self._end(
-                    TimeLimit.SILENCE, f"no data for {silence_limit_s:.3g} s"
-                )
-            silence_limit_s = next_limit_s
+                silent_s = self._clock() - self._silent_since_s
+                detail = f"no part of the response for {silent_s:.3g} s"
+                raise self._end(TimeLimit.SILENCE, detail)
+            self._wait_on(next_limit_s)
+
+    def _silence_remaining_s(self) -> float:
+        remaining_s = self._silence_ends_s - self._clock()
+        if remaining_s <= 0 and not self._catches_up:
+            self._catches_up = True
+            self._silence_ends_s = self._clock() + _CATCH_UP_S
+            return _CATCH_UP_S
+        return remaining_s
 
     def _end(self, limit: TimeLimit, detail: str) -> TimeoutError:
         self.ended_by = limit
--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -128,7 +128,7 @@
         parts = (
             self._iterate_monitored
             if self.call.streamed
-            else self._iterate_body
+            else self._iterate_timed
         )
         try:
             yield from parts()
@@ -150,10 +150,17 @@
         while part := response.read1(READ_BYTES, decode_content=False):
             yield part
 
+    def _iterate_timed(self) -> Iterator[bytes]:
+        self._timer.restart_silence(self._stream.limit_s)
+        for part in self._iterate_body():
+            yield part
+            # The time that the reader took for the part does not count.
+            self._timer.restart_silence(self._stream.limit_s)
+
     def _iterate_monitored(self) -> Iterator[bytes]:
         stream, clock = self._stream, self._context.clock
         # The monitor ends the waits for data.
-        self._timer.silence_limit_s = math.inf
+        self._timer.restart_silence(math.inf)
         self._timer.deadline_s = math.inf
         self._context.monitor.add(stream)
         stream.waiting_since_s = clock()
@@ -163,10 +170,8 @@
             stream.waiting_since_s = clock()
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
-        """Changes the limit of silence in the response body."""
+        """Sets the limit of silence before the next part of the body."""
         self._stream.limit_s = idle_timeout_s
-        if not self.call.streamed:
-            self._timer.silence_limit_s = idle_timeout_s
 
     def set_on_silence(self, on_silence: OnSilence) -> None:
         """Changes who decides whether a silent response body ends."""
@@ -264,7 +269,7 @@
         decode_content=False,
     )
     response = http_connection.getresponse()
-    timer.silence_limit_s = call.idle_timeout_s
+    timer.restart_silence(call.idle_timeout_s)
     return response
 
 
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+import itertools
 import threading
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -96,7 +97,7 @@
     def script(received: Received) -> Iterable[Step]:
         if received.target.startswith("/v1/"):
             return engine(received)
-        return [CHUNKED_HEAD, *steps]
+        return itertools.chain([CHUNKED_HEAD], steps)
 
     return script
 
@@ -217,6 +218,25 @@
                 self.assertEqual(response.status, 502)
                 self.assertTrue(response.complete)
 
+    def test_bytes_without_an_event_do_not_keep_a_stream(self) -> None:
+        """Guards against a stream held by bytes that complete no event."""
+
+        def send_chunk_size_without_end() -> Iterator[Step]:
+            yield chunk(_events(1, 1))
+            while True:
+                yield b"0"
+                _pause(0.05)
+
+        endless = ScriptedEndpoint(
+            "i-1", _grant_and_run(send_chunk_size_without_end())
+        )
+        self.gateway.add_endpoint(endless, service="llm", stage="decode")
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(self.attempts()))
+            self.add_engine("i-2")
+            self.check_complete(future.result())
+
     def test_moved_stream_does_not_run_at_two_engines(self) -> None:
         """Guards against two engines that work on the same stream."""
         silent_script = self.add_engine("i-1", 2, None)
