Ask engines for a stream that breaks off shortly before its deadline

Cause: a wait for memory ends an objective before the deadline. For a stream that has begun, that moment may have passed, and then no engine was asked.

Change: engines are asked once in any case; the stream does not wait longer.

Evidence: test_stream_is_resumed_with_less_time_left_than_its_objective failed before: the caller got two events of six.

--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -158,6 +158,9 @@
     if is_late:
         give_up_s = now_s + _LATE_WAIT_S
     give_up_s = min(give_up_s, request.deadline_s - objective_s)
+    if is_resumed:
+        # The objective was for the first event: engines are asked all the same.
+        give_up_s = max(give_up_s, now_s)
     soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, request.software_version
     )
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -146,7 +146,7 @@
         self.assertEqual(response.body, _events())
 
 
-def _make_document(version: int) -> dict[str, Any]:
+def _make_document(version: int, **changes: Any) -> dict[str, Any]:
     return make_document(
         version,
         routes=[
@@ -155,9 +155,12 @@
                 kind="streaming",
                 service="llm",
                 resumable=True,
-                target_latency_ms=200,
-                gap_aim_ms=100,
-                timeout_ms=9000,
+                **{
+                    "target_latency_ms": 200,
+                    "gap_aim_ms": 100,
+                    "timeout_ms": 9000,
+                    **changes,
+                },
             ),
         ],
     )
@@ -237,6 +240,25 @@
             self.add_engine("i-2")
             self.check_complete(future.result())
 
+    def test_stream_is_resumed_with_less_time_left_than_its_objective(
+        self,
+    ) -> None:
+        """Guards against a stream that is given up without asking an engine."""
+        self.gateway.configure(_make_document(3, target_latency_ms=8500))
+
+        def break_off() -> Iterator[Step]:
+            yield chunk(_events(1, 2))
+            _pause(0.8)
+            yield Action.RESET
+
+        broken = ScriptedEndpoint("i-1", _grant_and_run(break_off()))
+        self.gateway.add_endpoint(broken, service="llm", stage="decode")
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(self.attempts()))
+            self.add_engine("i-2")
+            self.check_complete(future.result())
+
     def test_moved_stream_does_not_run_at_two_engines(self) -> None:
         """Guards against two engines that work on the same stream."""
         silent_script = self.add_engine("i-1", 2, None)
