Let generations pass one that waits for a silent engine

Cause: only the first generation of the queue asks for memory. An engine that is silent kept it for 0.5 s, longer than the others may wait for memory.

Change: a generation that has been asking for more than 0.1 s no longer counts as the first of the queue.

Evidence: test_silent_engine_does_not_hold_up_the_queue failed before: the second generation got nothing in 2 s.

--- a/src/burdockspan/gateway/admission_queue.py
+++ b/src/burdockspan/gateway/admission_queue.py
@@ -15,6 +15,9 @@
 # Memory that other VMs release is found by polling; the end of a generation of
 # this VM wakes the queue at once.
 _POLL_INTERVAL_S = 0.1
+# A request for memory takes some milliseconds. One that has taken longer waits
+# for a silent engine, and no longer keeps the others from asking other engines.
+_TURN_S = 0.1
 # On its first attempt, a caller waits for most of the route's timeout. A caller
 # that waits for less than this share of the timeout was refused before: it has
 # spent the rest on its first wait and on the delay before the retry.
@@ -49,12 +52,17 @@
 
 
 class AdmissionQueue:
-    """The queue of one service; only its first generation requests memory."""
+    """The queue of one service; only its first generation requests memory.
+
+    While the first one waits for an engine that is silent, the next one counts
+    as the first.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._changed = threading.Condition()
         self._queued: dict[int, QueuedGeneration] = {}
+        self._asking_since_s_by_number: dict[int, float] = {}
         self._last_number = 0
 
     def wait(
@@ -82,7 +90,7 @@
         try:
             while not has_gone():
                 if self._is_first(queued):
-                    result = try_reserve()
+                    result = self._ask(queued, try_reserve)
                     if result is not None:
                         return result
                 remaining_s = give_up_s - self._clock()
@@ -96,6 +104,18 @@
                 del self._queued[queued.number]
                 self._changed.notify_all()
 
+    def _ask(
+        self, queued: QueuedGeneration, try_reserve: Callable[[], T | None]
+    ) -> T | None:
+        since_s_by_number = self._asking_since_s_by_number
+        with self._changed:
+            since_s_by_number[queued.number] = self._clock()
+        try:
+            return try_reserve()
+        finally:
+            with self._changed:
+                del since_s_by_number[queued.number]
+
     def wake(self) -> None:
         """Wakes the queue after memory was released or a caller has gone."""
         with self._changed:
@@ -113,10 +133,13 @@
             return queued
 
     def _is_first(self, queued: QueuedGeneration) -> bool:
+        now_s = self._clock()
         with self._changed:
-            queued_generations = self._queued.values()
             return all(
-                queued.rank <= other.rank for other in queued_generations
+                queued.rank <= other.rank
+                or now_s - self._asking_since_s_by_number.get(number, now_s)
+                > _TURN_S
+                for number, other in self._queued.items()
             )
 
 
--- a/tests/gateway/test_bursts.py
+++ b/tests/gateway/test_bursts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import threading
 import time
 import unittest
@@ -116,6 +117,39 @@
         self.assertIsNone(reservation)
         self.assertEqual(queue.length(), 0)
 
+    def test_silent_engine_does_not_hold_up_the_queue(self) -> None:
+        """Guards against refusals while one request waits for an engine."""
+        queue = AdmissionQueue(time.monotonic)
+        give_up_s = time.monotonic() + 20.0
+        is_silent = threading.Event()
+        answered = threading.Event()
+
+        def wait_for_engine() -> str:
+            is_silent.set()
+            answered.wait(20.0)
+            return "late"
+
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            first = executor.submit(
+                queue.wait,
+                False,
+                1.0,
+                give_up_s,
+                wait_for_engine,
+                lambda: False,
+            )
+            is_silent.wait(20.0)
+            second = queue.wait(
+                False,
+                2.0,
+                time.monotonic() + 2.0,
+                lambda: "memory",
+                lambda: False,
+            )
+            answered.set()
+            self.assertEqual(first.result(), "late")
+        self.assertEqual(second, "memory")
+
 
 class TestMemory(unittest.TestCase):
     def test_reservation_covers_the_prompt_and_half_of_the_output(
