Wait for engines that do not say whether they have memory

Cause: an engine that does not answer a reservation was treated like one without memory, and the wait for memory ended after half of the objective.

Change: if no engine has said anything, the generation waits on, for at most 2.5 s after its arrival. One engine that says that it is full ends this.

Evidence: test_generation_waits_for_engines_that_do_not_say_their_memory failed before: 503, no memory.

--- a/src/burdockspan/gateway/admission_queue.py
+++ b/src/burdockspan/gateway/admission_queue.py
@@ -72,6 +72,7 @@
         give_up_s: float,
         try_reserve: Callable[[], T | None],
         has_gone: Callable[[], bool],
+        may_wait_on: Callable[[], bool] = lambda: False,
     ) -> T | None:
         """Waits until memory has been reserved.
 
@@ -81,6 +82,7 @@
           give_up_s: when to stop waiting, in monotonic seconds.
           try_reserve: reserves memory; returns None if there is none.
           has_gone: returns whether the caller has gone.
+          may_wait_on: returns whether the request waits beyond `give_up_s`.
 
         Returns:
           What `try_reserve` returned; None after `give_up_s`, or if the caller
@@ -95,7 +97,9 @@
                         return result
                 remaining_s = give_up_s - self._clock()
                 if remaining_s <= 0:
-                    return None
+                    if not may_wait_on():
+                        return None
+                    remaining_s = _POLL_INTERVAL_S
                 with self._changed:
                     self._changed.wait(min(_POLL_INTERVAL_S, remaining_s))
             return None
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -41,6 +42,11 @@
 # is enough for about two requests for memory, and is then refused. During an
 # overload, released memory goes to generations that can still meet theirs.
 _LATE_WAIT_S = 0.2
+# While engines do not answer whether they have memory, a generation waits for
+# this time after its arrival. A sound engine may be silent for a second or two.
+_SILENCE_PATIENCE_S = 2.5
+# Requests for memory to a silent engine take up to half a second each.
+_SILENCE_MEMORY_S = 1.0
 # Bursts last for some seconds. A caller that retries after this share of the
 # route's timeout arrives after the burst that it was refused in.
 _RETRY_AFTER_SHARE = 0.2
@@ -137,6 +143,9 @@
     cannot, it waits for `_LATE_WAIT_S`. In either case it gives up when the
     time until the deadline is shorter than the objective.
 
+    While engines do not answer whether they have memory, it waits on, for at
+    most `_SILENCE_PATIENCE_S` after its arrival.
+
     A resumed stream waits like a generation that can still meet its objective,
     in a queue of its version: most engines could have memory for the
     generations behind it, but not for it.
@@ -172,14 +181,34 @@
         request.service, request.software_version
     )
     request.caller.notify_when_gone(queue.wake)
+    silence = {"last_s": -math.inf}
+    patience_ends_s = min(
+        request.call.arrived_s + _SILENCE_PATIENCE_S,
+        request.deadline_s - objective_s,
+    )
+
+    def record_silence() -> None:
+        silence["last_s"] = context.clock()
+
+    def may_wait_on() -> bool:
+        now_s = context.clock()
+        is_silent = now_s - silence["last_s"] < _SILENCE_MEMORY_S
+        return is_silent and now_s < patience_ends_s
+
     return queue.wait(
         is_late=is_late,
         arrived_s=request.call.arrived_s,
         give_up_s=give_up_s,
         try_reserve=lambda: reserve_memory(
-            context, request, engine, size, attempts.tried_incarnations
+            context,
+            request,
+            engine,
+            size,
+            attempts.tried_incarnations,
+            record_silence,
         ),
         has_gone=lambda: request.caller.gone,
+        may_wait_on=may_wait_on,
     )
 
 
--- a/src/burdockspan/gateway/reservations.py
+++ b/src/burdockspan/gateway/reservations.py
@@ -77,6 +77,7 @@
     engine: EngineProperties,
     size: GenerationSize,
     excluded: set[Incarnation],
+    record_silence: Callable[[], None] = lambda: None,
 ) -> Reservation | None:
     """Reserves memory at the first engine in rank order that grants it.
 
@@ -86,6 +87,7 @@
       engine: properties of the service's engines.
       size: size of the generation.
       excluded: engines to skip.
+      record_silence: called if no engine said whether it has memory.
 
     Returns:
       The reservation; None if no engine granted one.
@@ -96,6 +98,7 @@
         _list_candidates(context, request, engine), context.random_float
     )
     request_count = 0
+    failure_kinds: set[FailureKind] = set()
     for endpoint in ranked:
         if (
             endpoint.incarnation in excluded
@@ -105,6 +108,7 @@
         if context.full_engines.is_full_for(
             endpoint, tokens + headroom, context.clock()
         ):
+            failure_kinds.add(FailureKind.REFUSED)
             continue
         if not context.state.conditions.try_take(endpoint):
             continue
@@ -112,8 +116,11 @@
         reservation = _reserve_at(
             context, request, engine, endpoint, tokens, headroom
         )
-        if reservation is not None:
-            return reservation
+        if isinstance(reservation, Ok):
+            return reservation.ok_value
+        failure_kinds.add(reservation.err_value.kind)
+    if failure_kinds == {FailureKind.UNRESPONSIVE}:
+        record_silence()
     return None
 
 
@@ -149,7 +156,7 @@
     endpoint: Endpoint,
     tokens: int,
     headroom: int,
-) -> Reservation | None:
+) -> Result[Reservation, Failure]:
     end_work = context.state.begin_work(endpoint, tokens)
 
     def release() -> None:
@@ -158,7 +165,7 @@
         context.admission_queues.for_service(request.service).wake()
 
     if engine.reservation_ttl_s <= 0:
-        return Reservation(endpoint, None, tokens, release)
+        return Ok(Reservation(endpoint, None, tokens, release))
     if context.state.conditions.rate_limits.limit_per_s(endpoint) is not None:
         # An engine in need receives as few calls as possible.
         headroom = 0
@@ -166,7 +173,7 @@
         context, engine, endpoint, tokens, headroom
     )
     if isinstance(reserved, Ok):
-        return Reservation(endpoint, reserved.ok_value, tokens, release)
+        return Ok(Reservation(endpoint, reserved.ok_value, tokens, release))
     failure = reserved.err_value
     end_work()
     is_full = failure.kind is FailureKind.REFUSED
@@ -186,7 +193,7 @@
         kind="full" if is_full else failure.kind.value,
         detail=failure.detail,
     )
-    return None
+    return reserved
 
 
 def _reserve_below_headroom(
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -259,6 +259,21 @@
             self.add_engine("i-2")
             self.check_complete(future.result())
 
+    def test_generation_waits_for_engines_that_do_not_say_their_memory(
+        self,
+    ) -> None:
+        """Guards against a refusal for lack of memory that nobody reported."""
+        engines = [self.add_engine(f"i-{number}") for number in range(3)]
+        for engine in engines:
+            engine.reserve_allowed.clear()
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            # The engines are silent for more than a second.
+            wait_for(lambda: len(self.gateway.events_named("no room")) > 2)
+            for engine in engines:
+                engine.reserve_allowed.set()
+            self.check_complete(future.result())
+
     def test_moved_stream_does_not_run_at_two_engines(self) -> None:
         """Guards against two engines that work on the same stream."""
         silent_script = self.add_engine("i-1", 2, None)
