Return exactly the retry that was not made

What callers could see: nothing; the budget over all VMs was exceeded. A refund removed the newest retry of the window. If others had been paid since, one of them then counted from the earlier time and expired too soon: 5 retries within 5.5 s where 4 are allowed in 10 s (found in review, a scratch test).

Change: a payment is an object, and a refund removes this one only.

Evidence: test_refund_returns_the_retry_that_was_not_made; the refund of before made 5.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -13,6 +13,7 @@
     Response,
     make_problem,
 )
+from burdockspan.gateway.retry_budget import SpentRetry
 from burdockspan.gateway.values import Endpoint, InboundCall, Route
 from burdockspan.gateway.vm_heartbeats import HEARTBEAT_INTERVAL_S
 from burdockspan.values.placement import Failure, FailureKind
@@ -73,7 +74,7 @@
         self._request = request
         self.run_count = 0
         self.call_count = 0
-        self._retries_spent = 0
+        self._retries: list[SpentRetry] = []
         self._has_prefilled = False
         self.tried_incarnations: set[tuple[str, int]] = set()
         self.last_failure: Failure | None = None
@@ -109,10 +110,12 @@
           calls: number of calls to come, and of those that have been sent and
             are not recorded yet.
         """
-        while self._retries_spent < self.call_count + calls - 1:
-            if not self._context.retry_budget.try_spend(self._request.service):
+        budget, service = self._context.retry_budget, self._request.service
+        while len(self._retries) < self.call_count + calls - 1:
+            retry = budget.try_spend(service)
+            if retry is None:
                 return False
-            self._retries_spent += 1
+            self._retries.append(retry)
         return True
 
     def refund(self, calls: int = 0) -> None:
@@ -121,9 +124,9 @@
         Args:
           calls: number of calls that have been sent and are not recorded yet.
         """
-        while self._retries_spent > max(0, self.call_count + calls - 1):
-            self._context.retry_budget.refund(self._request.service)
-            self._retries_spent -= 1
+        budget, service = self._context.retry_budget, self._request.service
+        while len(self._retries) > max(0, self.call_count + calls - 1):
+            budget.refund(service, self._retries.pop())
 
     def try_prefill(self) -> bool:
         """Returns whether a prefill may start, and pays for a retry.
--- a/src/burdockspan/gateway/retry_budget.py
+++ b/src/burdockspan/gateway/retry_budget.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import threading
 
 from burdockspan.gateway.settings import RetryBudgetSettings
@@ -21,6 +22,17 @@
 _START_SHARE = 0.5
 
 
+@dataclasses.dataclass(frozen=True)
+class SpentRetry:
+    """A retry that was paid from the budget.
+
+    Attributes:
+      spent_s: when it was paid, in monotonic seconds.
+    """
+
+    spent_s: float
+
+
 class RetryBudget:
     """This VM's share of the retry budget, by service."""
 
@@ -55,8 +67,8 @@
         with self._lock:
             self._requests_by_service[service].append(self._clock())
 
-    def try_spend(self, service: str) -> bool:
-        """Spends one retry of the budget; returns False if none is left."""
+    def try_spend(self, service: str) -> SpentRetry | None:
+        """Spends one retry of the budget; returns None if none is left."""
         now_s = self._clock()
         with self._lock:
             requests = self._count_recent(
@@ -66,16 +78,19 @@
                 self._retries_by_service[service], now_s
             )
             if retries + 1 > self._count_allowed(requests, now_s):
-                return False
+                return None
             self._retries_by_service[service].append(now_s)
-            return True
+            return SpentRetry(now_s)
+
+    def refund(self, service: str, retry: SpentRetry) -> None:
+        """Returns a retry that was spent and then not made.
 
-    def refund(self, service: str) -> None:
-        """Returns a retry that was spent and then not made."""
+        Nothing else is returned if its window has passed.
+        """
         with self._lock:
             retries = self._retries_by_service[service]
-            if retries:
-                retries.pop()
+            if retry.spent_s in retries:
+                retries.remove(retry.spent_s)
 
     def _count_allowed(self, requests: int, now_s: float) -> float:
         settings = self._settings
@@ -103,4 +118,4 @@
         return len(times)
 
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "SpentRetry"]
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -54,6 +54,22 @@
         clock[0] = 10.1
         self.assertTrue(budget.try_spend("app"))
 
+    def test_refund_returns_the_retry_that_was_not_made(self) -> None:
+        """Guards against more retries in a window than the budget allows."""
+        clock = [0.0]
+        settings = RetryBudgetSettings(0.0, 4.0 / 0.85, 10.0)
+        budget = RetryBudget(settings, lambda: clock[0], 1)
+        clock[0] = 100.0
+        early = budget.try_spend("app")
+        assert early is not None
+        clock[0] = 105.0
+        made = sum(bool(budget.try_spend("app")) for _ in range(3))
+        budget.refund("app", early)
+        clock[0] = 110.5
+        while budget.try_spend("app"):
+            made += 1
+        self.assertLessEqual(made, 4)
+
     def test_services_have_separate_budgets(self) -> None:
         """Guards against refusals because of faults of another service."""
         budget = RetryBudget(_SETTINGS, lambda: 20.0, 4)
