Ask no engine for a stream past its deadline or without a run left

What callers saw: a stream whose time had passed was held for up to 2.4 s more, while engines that were silent were asked for memory for it (found in review).

Cause: after a stream broke off, engines were asked before it was known whether another run may start, and calls for reservations did not know the deadline.

Change: a request without a run, a caller or time left asks no engine. Calls for reservations end with the request's time, and an engine that is silent for 0.1 s becomes suspect at once, so that others are asked first. An abandoned preparation has released what it holds before its stream goes on with the same counters.

Evidence: test_stream_at_its_deadline_asks_no_engine and test_stream_without_a_run_left_asks_no_engine. In review the first situation took 3.9 s of a route of 1.5 s, the second two reservations and a prefill.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -123,11 +123,11 @@
         finally:
             with self._lock:
                 self._outcome = outcome
-                self._done.set()
                 is_released = not self._wanted
             if is_released and isinstance(outcome, Ok):
                 self._release(outcome.ok_value)
 
+            self._done.set()
     @property
     def is_wanted(self) -> bool:
         """Whether the attempt is still for its stream to use."""
@@ -313,10 +313,11 @@
         prepared = self._take_prepared()
         self._close_current()
         attempts.record_truncated_stream(endpoint, failure)
-        if request.caller.gone or not self._is_resumable:
-            if prepared is not None:
-                release_prepared(context, attempts, prepared)
-            raise TruncatedError(failure.detail)
+        reason = attempts.explain_no_run()
+        if reason is not None or not self._is_resumable:
+            self.close()
+            attempts.record_truncated_stream(endpoint, failure)
+            raise TruncatedError(f"{failure.detail}; {reason or 'no resume'}")
         attempt = None
         if prepared is not None:
             attempt = start_prepared(
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -99,6 +99,8 @@
 ) -> Result[StartedAttempt, Refusal]:
     """Starts an attempt; the error says why none started."""
     while True:
+        if attempts.explain_no_run() is not None:
+            return Err(_explain_no_attempt(request))
         reservation = _wait_for_memory(context, request, attempts, engine, size)
         if reservation is None:
             return Err(_explain_missing_memory(context, request, attempts))
@@ -109,8 +111,12 @@
             return Ok(StartedAttempt(reservation, outcome.ok_value))
         _release_after_failure(context, reservation, outcome.err_value)
         if outcome.err_value is None or request.caller.gone:
-            retry_after_s = _RETRY_AFTER_SHARE * request.route.timeout_s
-            return Err(Refusal("no attempt left", retry_after_s))
+            return Err(_explain_no_attempt(request))
+
+
+def _explain_no_attempt(request: RoutedRequest) -> Refusal:
+    retry_after_s = _RETRY_AFTER_SHARE * request.route.timeout_s
+    return Refusal("no attempt left", retry_after_s)
 
 
 def _explain_missing_memory(
@@ -206,6 +212,7 @@
             size,
             attempts.tried_incarnations,
             record_silence,
+            lambda: not request.caller.gone,
         ),
         has_gone=lambda: request.caller.gone,
         may_wait_on=may_wait_on,
@@ -258,7 +265,12 @@
         attempts.refund()
         return Err("retry budget")
     reservation = reserve_memory(
-        context, request, engine, size, attempts.tried_incarnations
+        context,
+        request,
+        engine,
+        size,
+        attempts.tried_incarnations,
+        is_wanted=is_wanted,
     )
     if reservation is None:
         attempts.refund()
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -150,7 +150,9 @@
       prefill: makes a prefill engine compute and keep the KV cache of a
         request's prompt.
       reserve: reserves memory for a number of tokens and a time in seconds;
-        returns the name of the reservation.
+        returns the name of the reservation. The call ends after a further time
+        in seconds; a function is called if the engine is silent for longer than
+        such a call takes.
       release_reservation: releases reserved memory.
       release_cache: frees a KV cache.
       fetch_load: fetches a load report.
@@ -167,7 +169,9 @@
     prefill: Callable[
         [Endpoint, InboundCall, AttemptOptions], Result[KvCache, Failure]
     ]
-    reserve: Callable[[Endpoint, int, float], Result[str, Failure]]
+    reserve: Callable[
+        [Endpoint, int, float, float, Callable[[], None]], Result[str, Failure]
+    ]
     release_reservation: Callable[[Endpoint, str], None]
     release_cache: Callable[[KvCache], None]
     fetch_load: Callable[[Endpoint], Result[EngineLoad, Failure]]
--- a/src/burdockspan/gateway/reservations.py
+++ b/src/burdockspan/gateway/reservations.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.gateway import passive_health
-from burdockspan.gateway.attempts import RoutedRequest
+from burdockspan.gateway.attempts import MIN_ATTEMPT_S, RoutedRequest
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.ranking import Candidate, rank_decode
 from burdockspan.gateway.state import Incarnation
@@ -78,6 +78,7 @@
     size: GenerationSize,
     excluded: set[Incarnation],
     record_silence: Callable[[], None] = lambda: None,
+    is_wanted: Callable[[], bool] = lambda: True,
 ) -> Reservation | None:
     """Reserves memory at the first engine in rank order that grants it.
 
@@ -88,6 +89,7 @@
       size: size of the generation.
       excluded: engines to skip.
       record_silence: called if no engine said whether it has memory.
+      is_wanted: returns whether the reservation may still be needed.
 
     Returns:
       The reservation; None if no engine granted one.
@@ -102,6 +104,8 @@
     for endpoint in ranked:
         if (
             endpoint.incarnation in excluded
+            or not is_wanted()
+            or request.deadline_s - context.clock() < MIN_ATTEMPT_S
             or request_count >= _MAX_RESERVATION_REQUESTS
         ):
             continue
@@ -170,7 +174,7 @@
         # An engine in need receives as few calls as possible.
         headroom = 0
     reserved = _reserve_below_headroom(
-        context, engine, endpoint, tokens, headroom
+        context, request, engine, endpoint, tokens, headroom
     )
     if isinstance(reserved, Ok):
         return Ok(Reservation(endpoint, reserved.ok_value, tokens, release))
@@ -198,6 +202,7 @@
 
 def _reserve_below_headroom(
     context: Context,
+    request: RoutedRequest,
     engine: EngineProperties,
     endpoint: Endpoint,
     tokens: int,
@@ -210,13 +215,22 @@
     until the generation ends.
     """
     endpoints = context.platform.endpoints
-    ttl_s = engine.reservation_ttl_s
+
+    def reserve(size_tokens: int) -> Result[str, Failure]:
+        return endpoints.reserve(
+            endpoint,
+            size_tokens,
+            engine.reservation_ttl_s,
+            request.deadline_s - context.clock(),
+            lambda: context.state.record_silence(endpoint),
+        )
+
     if headroom > 0:
-        probe = endpoints.reserve(endpoint, tokens + headroom, ttl_s)
+        probe = reserve(tokens + headroom)
         if isinstance(probe, Err):
             return probe
         endpoints.release_reservation(endpoint, probe.ok_value)
-    return endpoints.reserve(endpoint, tokens, ttl_s)
+    return reserve(tokens)
 
 
 __all__ = [
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -36,6 +36,7 @@
 _CONNECT_TIMEOUT_S = 0.25
 # Control calls, such as reservations and load reports, take some milliseconds.
 _CONTROL_TIMEOUT_S = 0.5
+_CONTROL_SILENCE_S = 0.1
 _CONTROL_RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
 _MISDIRECTED_REQUEST = 421
 
@@ -88,11 +89,27 @@
         return Ok(KvCache(endpoint, handle))
 
     def reserve(
-        endpoint: Endpoint, tokens: int, ttl_s: float
+        endpoint: Endpoint,
+        tokens: int,
+        ttl_s: float,
+        remaining_s: float,
+        record_silence: Callable[[], None],
     ) -> Result[str, Failure]:
         body = {"tokens": tokens, "ttl_ms": int(ttl_s * 1000)}
+        time_limit_s = min(_CONTROL_TIMEOUT_S, remaining_s)
+
+        def wait_on() -> float:
+            record_silence()
+            return time_limit_s
+
         value = _call_control_api(
-            channel, endpoint, "POST", "/v1/hold-take", body
+            channel,
+            endpoint,
+            "POST",
+            "/v1/hold-take",
+            body,
+            time_limit_s,
+            wait_on,
         )
         if isinstance(value, Err):
             return value
@@ -317,6 +334,8 @@
     method: str,
     path: str,
     body: Any = None,
+    time_limit_s: float = _CONTROL_TIMEOUT_S,
+    on_silence: OnSilence = lambda: _CONTROL_TIMEOUT_S,
 ) -> Result[Mapping[str, Any], Failure]:
     content = None if body is None else json.dumps(body).encode()
     headers = urllib3.HTTPHeaderDict()
@@ -330,10 +349,11 @@
         path=path,
         body=content,
         headers=headers,
-        first_byte_timeout_s=_CONTROL_TIMEOUT_S,
+        first_byte_timeout_s=_CONTROL_SILENCE_S,
         idle_timeout_s=_CONTROL_TIMEOUT_S,
         fresh=True,
-        time_limit_s=_CONTROL_TIMEOUT_S,
+        on_silence=on_silence,
+        time_limit_s=time_limit_s,
     )
     exchanged = channel.connections.start_exchange(call, AbortHandle())
     if isinstance(exchanged, Err):
--- a/tests/gateway/test_memory_headroom.py
+++ b/tests/gateway/test_memory_headroom.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import unittest
 from typing import Any
@@ -144,7 +145,7 @@
         """Writes no log."""
 
     def reserve(
-        self, endpoint: Endpoint, tokens: int, _: float
+        self, endpoint: Endpoint, tokens: int, *_: Any
     ) -> Result[str, Failure]:
         """Reserves memory at a simulated engine."""
         self.names += 1
@@ -162,7 +163,10 @@
         started, used = 0, 0.0
         call = _Namespace(request_id="r")
         request: Any = _Namespace(
-            service="llm", call=call, software_version=None
+            service="llm",
+            call=call,
+            software_version=None,
+            deadline_s=math.inf,
         )
         steps = int(_LENGTH_S / _STEP_S)
         for step in range(steps):
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -50,6 +50,7 @@
       silence_s: duration of the silence; None for ever.
       runs: requests that it ran.
       released: paths of what was released.
+      asked: number of reservations that it was asked for.
       reservations: number of reservations that it granted.
       reserve_allowed: set unless reservations are to wait.
     """
@@ -59,6 +60,7 @@
         self.silence_s = silence_s
         self.runs: list[Received] = []
         self.released: list[str] = []
+        self.asked = 0
         self.reservations = 0
         self.reserve_allowed = threading.Event()
         self.reserve_allowed.set()
@@ -66,6 +68,7 @@
     def __call__(self, received: Received) -> Iterable[Step]:
         """Returns what the engine sends for one request."""
         if received.target == "/v1/hold-take":
+            self.asked += 1
             self.reserve_allowed.wait(5.0)
             self.reservations += 1
             return respond_json(200, {"hold": f"h{self.reservations}"})
@@ -274,6 +277,45 @@
                 engine.reserve_allowed.set()
             self.check_complete(future.result())
 
+    def test_stream_at_its_deadline_asks_no_engine(self) -> None:
+        """Guards against a caller held past its time by silent engines."""
+        self.gateway.configure(_make_document(3, timeout_ms=1500))
+
+        def send_events_without_end() -> Iterator[Step]:
+            for number in itertools.count(1):
+                yield chunk(_events(number, number))
+                _pause(0.1)
+
+        endless = ScriptedEndpoint(
+            "i-1", _grant_and_run(send_events_without_end())
+        )
+        self.gateway.add_endpoint(endless, service="llm", stage="decode")
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(self.attempts()))
+            others = [self.add_engine(f"i-{number}") for number in (2, 3, 4)]
+            for engine in others:
+                engine.reserve_allowed.clear()
+            self.assertFalse(future.result().complete)
+        (answered,) = self.gateway.events_named("answered")
+        self.assertLess(answered["total_s"], 1.5 + 0.5)
+        self.assertEqual([engine.asked for engine in others], [0, 0, 0])
+
+    def test_stream_without_a_run_left_asks_no_engine(self) -> None:
+        """Guards against prefills of attempts that may not start."""
+        self.gateway.configure(_make_document(3, max_attempts=1))
+        known = threading.Event()
+        steps = [chunk(_events(1, 2)), known, Action.RESET]
+        broken = ScriptedEndpoint("i-1", _grant_and_run(steps))
+        self.gateway.add_endpoint(broken, service="llm", stage="decode")
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(self.attempts()))
+            other = self.add_engine("i-2")
+            known.set()
+            self.assertFalse(future.result().complete)
+        self.assertEqual(other.asked, 0)
+
     def test_moved_stream_does_not_run_at_two_engines(self) -> None:
         """Guards against two engines that work on the same stream."""
         silent_script = self.add_engine("i-1", 2, None)
