Count the silence of a stream from its last event

What callers saw: one event and then nothing until the deadline, from an engine that sent parts which completed no event. The other way round, a stream with usual pauses left its engine shortly before its deadline, for one that could not finish in time (both found in review).

Cause: each part ended the silence, also one without an event; and the limit of silence shrank with the time left, below the pauses that the route expects.

Change: only an event ends the silence, and its limit is never below four gap objectives and one second.

Evidence: test_parts_without_an_event_do_not_keep_a_stream and test_stream_with_usual_pauses_stays_at_its_engine.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -42,7 +42,8 @@
 _CALLER_PATIENCE_GAPS = 8.0
 # Time to prepare an attempt and to receive its first event.
 _MOVE_TIME_S = 1.5
-# A stream moves no later than after this share of the time that it has left.
+# A stream moves after no more than this share of the time that it has left, but
+# not before the limits above have passed.
 _MAX_SILENCE_SHARE = 0.5
 # How often a silent stream checks whether its next attempt is prepared.
 _CHECK_INTERVAL_S = 0.02
@@ -126,8 +127,8 @@
                 is_released = not self._wanted
             if is_released and isinstance(outcome, Ok):
                 self._release(outcome.ok_value)
-
             self._done.set()
+
     @property
     def is_wanted(self) -> bool:
         """Whether the attempt is still for its stream to use."""
@@ -177,7 +178,7 @@
             request.route.repeatable and attempt.response.succeeded
         )
         self._preparation: _Preparation | None = None
-        self._last_part_s = context.clock()
+        self._last_event_s = context.clock()
         self._logged_reason: str | None = None
 
     def close(self) -> None:
@@ -201,13 +202,14 @@
                 for part in self._current.response.iterate(
                     self._silence_limit_s, self._decide_on_silence
                 ):
-                    self._end_silence()
                     if not self._is_resumable:
                         yield part
                         continue
                     progress, events = split_events(progress, part)
                     if events:
+                        self._end_silence()
                         yield events
+                        self._last_event_s = self._context.clock()
                 if progress.partial_event:
                     yield progress.partial_event
                 self._context.state.record_success(
@@ -219,7 +221,7 @@
                 progress = dataclasses.replace(progress, partial_event=b"")
 
     def _silence_limit_s(self) -> float:
-        self._last_part_s = self._context.clock()
+        """Returns the time until the engine counts as silent, in seconds."""
         remaining_s = self._attempts.remaining_s()
         if not self._is_resumable:
             return remaining_s
@@ -229,12 +231,13 @@
             _CALLER_PATIENCE_OBJECTIVES * route.objective_s,
             _CALLER_PATIENCE_GAPS * route.gap_objective_s,
         )
-        limit_s = max(
-            _MIN_SILENCE_LIMIT_S,
-            _SILENCE_GAPS * route.gap_objective_s,
-            patience_s - _MOVE_TIME_S,
+        shortest_s = max(
+            _MIN_SILENCE_LIMIT_S, _SILENCE_GAPS * route.gap_objective_s
         )
-        return min(limit_s, _MAX_SILENCE_SHARE * remaining_s)
+        silent_s = self._context.clock() - self._last_event_s
+        share_s = _MAX_SILENCE_SHARE * (remaining_s + silent_s)
+        limit_s = max(shortest_s, min(patience_s - _MOVE_TIME_S, share_s))
+        return max(0.0, limit_s - silent_s)
 
     def _decide_on_silence(self) -> float | None:
         """Returns the time to wait on, in seconds; None to leave the engine.
@@ -293,7 +296,7 @@
             self._context,
             self._request,
             self._current.reservation.endpoint,
-            self._context.clock() - self._last_part_s,
+            self._context.clock() - self._last_event_s,
             moves,
             reason,
         )
@@ -310,14 +313,14 @@
             self._attempts,
         )
         endpoint = self._current.reservation.endpoint
-        prepared = self._take_prepared()
-        self._close_current()
-        attempts.record_truncated_stream(endpoint, failure)
         reason = attempts.explain_no_run()
         if reason is not None or not self._is_resumable:
             self.close()
             attempts.record_truncated_stream(endpoint, failure)
             raise TruncatedError(f"{failure.detail}; {reason or 'no resume'}")
+        prepared = self._take_prepared()
+        self._close_current()
+        attempts.record_truncated_stream(endpoint, failure)
         attempt = None
         if prepared is not None:
             attempt = start_prepared(
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -277,6 +277,43 @@
                 engine.reserve_allowed.set()
             self.check_complete(future.result())
 
+    def test_parts_without_an_event_do_not_keep_a_stream(self) -> None:
+        """Guards against a stream held by parts that complete no event."""
+
+        def send_half_an_event() -> Iterator[Step]:
+            yield chunk(_events(1, 1))
+            while True:
+                yield chunk(b"x")
+                _pause(0.05)
+
+        endless = ScriptedEndpoint("i-1", _grant_and_run(send_half_an_event()))
+        self.gateway.add_endpoint(endless, service="llm", stage="decode")
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(self.attempts()))
+            self.add_engine("i-2")
+            self.check_complete(future.result())
+
+    def test_stream_with_usual_pauses_stays_at_its_engine(self) -> None:
+        """Guards against a move of a stream on time shortly before its end."""
+        self.gateway.configure(
+            _make_document(3, timeout_ms=2000, gap_aim_ms=400)
+        )
+
+        def send_slowly() -> Iterator[Step]:
+            for number in itertools.count(1):
+                yield chunk(_events(number, number))
+                _pause(0.3)
+
+        slow = ScriptedEndpoint("i-1", _grant_and_run(send_slowly()))
+        self.gateway.add_endpoint(slow, service="llm", stage="decode")
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(self.attempts()))
+            other = self.add_engine("i-2")
+            future.result()
+        self.assertEqual(other.asked, 0)
+
     def test_stream_at_its_deadline_asks_no_engine(self) -> None:
         """Guards against a caller held past its time by silent engines."""
         self.gateway.configure(_make_document(3, timeout_ms=1500))
