Return to a silent endpoint if its successor refuses

Cause: an endpoint that has been tried is never tried again. The one that was held for the next attempt could still refuse it, and then none was left.

Change: if the successor refuses without starting the request, the endpoint that was left for it may be tried again, within the runs and retries of the request.

Evidence: test_successor_that_refuses_does_not_cost_the_answer got 502 before, and test_prepared_engine_that_refuses_does_not_cost_the_stream two of six events.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -10,6 +10,7 @@
 
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway.attempts import (
+    NOT_STARTED,
     RETRY_AFTER_S,
     Attempts,
     RoutedRequest,
@@ -91,6 +92,10 @@
     )
 
 
+def _has_refused(failure: Failure | None) -> bool:
+    return failure is not None and failure.kind in NOT_STARTED
+
+
 def _prepend(first: bytes | None, rest: Iterator[bytes]) -> Iterator[bytes]:
     if first is not None:
         yield first
@@ -326,6 +331,9 @@
             attempt = start_prepared(
                 context, request, attempts, prepared, after_event
             )
+            if attempt is None and _has_refused(attempts.last_failure):
+                # The engine that was left for this one may go on after all.
+                attempts.tried_incarnations.discard(endpoint.incarnation)
         if attempt is None:
             attempt = self._start_attempt(failure, after_event)
         if not attempt.response.succeeded:
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -12,6 +12,7 @@
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway import passive_health
 from burdockspan.gateway.attempts import (
+    NOT_STARTED,
     RETRY_AFTER_S,
     Attempts,
     RoutedRequest,
@@ -49,6 +50,7 @@
     attempts = Attempts(context, request)
     last_response: Response | None = None
     successor: Endpoint | None = None
+    left: Endpoint | None = None
     while True:
         endpoint = (
             successor
@@ -62,6 +64,10 @@
         successor = silence.successor
         if isinstance(outcome, Err):
             attempts.record_failure(endpoint, outcome.err_value)
+            if left is not None and outcome.err_value.kind in NOT_STARTED:
+                # The endpoint that was left for this one may answer after all.
+                attempts.tried_incarnations.discard(left.incarnation)
+            left = endpoint if successor is not None else None
             continue
         attempts.record_run(endpoint)
         last_response = outcome.ok_value
--- a/tests/gateway/test_silent_services.py
+++ b/tests/gateway/test_silent_services.py
@@ -68,6 +68,13 @@
         for number in range(3):
             self.assertEqual(self.read(number).status, 200)
 
+    def test_successor_that_refuses_does_not_cost_the_answer(self) -> None:
+        """Guards against a 502 while the silent endpoint would answer."""
+        self.add_endpoint(self.answer_after(_SILENCE_S), "i-1")
+        refusal = respond(503, b"", {"Not-Executed": "1"})
+        self.add_endpoint(lambda _: refusal, "i-2", zone="zone-b")
+        self.assertEqual(self.read().status, 200)
+
     def test_silent_endpoint_is_left_for_one_that_answers(self) -> None:
         """Guards against waiting for an endpoint that never answers."""
         self.add_endpoint(lambda _: [Action.WAIT_FOR_CALLER], "i-1")
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -18,6 +18,7 @@
     ScriptedEndpoint,
     Step,
     chunk,
+    respond,
     respond_json,
 )
 from tests.gateway.case import GatewayCase
@@ -314,6 +315,28 @@
             future.result()
         self.assertEqual(other.asked, 0)
 
+    def test_prepared_engine_that_refuses_does_not_cost_the_stream(
+        self,
+    ) -> None:
+        """Guards against a stream cut off while its silent engine goes on."""
+        self.add_engine("i-1", 2, _SILENCE_S)
+        granting = SilentEngine(0, None)
+
+        def refuse_runs(received: Received) -> Iterable[Step]:
+            if received.target.startswith("/v1/"):
+                return granting(received)
+            return respond(503, b"", {"Not-Executed": "1"})
+
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(self.attempts()))
+            self.gateway.add_endpoint(
+                ScriptedEndpoint("i-2", refuse_runs),
+                service="llm",
+                stage="decode",
+            )
+            self.check_complete(future.result())
+
     def test_stream_at_its_deadline_asks_no_engine(self) -> None:
         """Guards against a caller held past its time by silent engines."""
         self.gateway.configure(_make_document(3, timeout_ms=1500))
