Let a broken stream wait for memory for as long as its caller does

Cause: the wait for memory was half of the objective for the first event, which says nothing about a stream that has begun.

Change: such a stream waits until its caller would abandon it, counted from its last event, or until its deadline.

Evidence: test_broken_stream_waits_for_memory_while_its_caller_does failed before: the stream was cut off after the first refusals.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -20,6 +20,8 @@
 from burdockspan.gateway.generation_attempts import (
     PreparedAttempt,
     StartedAttempt,
+    StreamPosition,
+    caller_patience_s,
     prepare_attempt,
     release_prepared,
     start_attempt,
@@ -36,11 +38,6 @@
 # longer.
 _SILENCE_GAPS = 4.0
 _MIN_SILENCE_LIMIT_S = 1.0
-# Callers abandon a stream after the longest of these gaps: a fixed one, and
-# multiples of the objective for the first event and of the gap objective.
-_CALLER_PATIENCE_S = 2.0
-_CALLER_PATIENCE_OBJECTIVES = 4.0
-_CALLER_PATIENCE_GAPS = 8.0
 # Time to prepare an attempt and to receive its first event.
 _MOVE_TIME_S = 1.5
 # A stream moves after no more than this share of the time that it has left, but
@@ -61,7 +58,7 @@
     """Returns the response of a decode engine, or an error response."""
     attempts = Attempts(context, request)
     context.demand.record_prompt(request.service, size.prompt_tokens)
-    started = start_attempt(context, request, attempts, engine, size, None)
+    started = start_attempt(context, request, attempts, engine, size)
     if isinstance(started, Err):
         refusal = started.err_value
         return attempts.make_error_response(
@@ -231,11 +228,7 @@
         if not self._is_resumable:
             return remaining_s
         route = self._request.route
-        patience_s = max(
-            _CALLER_PATIENCE_S,
-            _CALLER_PATIENCE_OBJECTIVES * route.objective_s,
-            _CALLER_PATIENCE_GAPS * route.gap_objective_s,
-        )
+        patience_s = caller_patience_s(route)
         shortest_s = max(
             _MIN_SILENCE_LIMIT_S, _SILENCE_GAPS * route.gap_objective_s
         )
@@ -358,7 +351,7 @@
             self._attempts,
             self._engine,
             self._size,
-            after_event,
+            StreamPosition(after_event, self._last_event_s),
         )
         if isinstance(started, Err):
             raise TruncatedError(
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -30,6 +30,7 @@
     Endpoint,
     EngineProperties,
     GenerationSize,
+    Route,
     Stage,
 )
 from burdockspan.values.placement import Failure, FailureKind
@@ -50,6 +51,11 @@
 # Bursts last for some seconds. A caller that retries after this share of the
 # route's timeout arrives after the burst that it was refused in.
 _RETRY_AFTER_SHARE = 0.2
+# Callers abandon a stream after the longest of these gaps: a fixed one, and
+# multiples of the objective for the first event and of the gap objective.
+_CALLER_PATIENCE_S = 2.0
+_CALLER_PATIENCE_OBJECTIVES = 4.0
+_CALLER_PATIENCE_GAPS = 8.0
 # If a prefill takes longer, the decode engine prefills the prompt itself. The
 # limit is so high that only unresponsive engines exceed it: taking a prompt out
 # of a prefill engine's queue during a burst would waste what the engine has
@@ -68,6 +74,19 @@
     response: EndpointResponse
 
 
+@dataclasses.dataclass(frozen=True)
+class StreamPosition:
+    """Where a stream that broke off within its response goes on.
+
+    Attributes:
+      after_event: id of the last event that was sent; None before the first.
+      event_s: when it was sent, or the stream began, in monotonic seconds.
+    """
+
+    after_event: str | None
+    event_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class PreparedAttempt:
     """An attempt that holds all that it needs, and has not been sent.
@@ -95,13 +114,25 @@
     attempts: Attempts,
     engine: EngineProperties,
     size: GenerationSize,
-    after_event: str | None,
+    position: StreamPosition | None = None,
 ) -> Result[StartedAttempt, Refusal]:
-    """Starts an attempt; the error says why none started."""
+    """Starts an attempt; the error says why none started.
+
+    Args:
+      context: dependencies.
+      request: the generation.
+      attempts: its attempts.
+      engine: properties of the service's engines.
+      size: size of the generation.
+      position: where a stream that broke off goes on; None for its begin.
+    """
+    after_event = position.after_event if position else None
     while True:
         if attempts.explain_no_run() is not None:
             return Err(_explain_no_attempt(request))
-        reservation = _wait_for_memory(context, request, attempts, engine, size)
+        reservation = _wait_for_memory(
+            context, request, attempts, engine, size, position
+        )
         if reservation is None:
             return Err(_explain_missing_memory(context, request, attempts))
         outcome = _run_attempt(
@@ -136,12 +167,64 @@
     return Refusal("no memory", _RETRY_AFTER_SHARE * request.route.timeout_s)
 
 
+@dataclasses.dataclass(frozen=True)
+class _MemoryWait:
+    """How long a generation waits for memory; times in monotonic seconds.
+
+    Attributes:
+      is_late: whether it can no longer meet its objective.
+      give_up_s: when it gives up.
+      silence_ends_s: when it gives up while engines say nothing.
+    """
+
+    is_late: bool
+    give_up_s: float
+    silence_ends_s: float
+
+
+def _choose_memory_wait(
+    request: RoutedRequest, position: StreamPosition | None, now_s: float
+) -> _MemoryWait:
+    route, call = request.route, request.call
+    if position is not None:
+        give_up_s = min(
+            position.event_s + caller_patience_s(route), request.deadline_s
+        )
+        return _MemoryWait(False, max(now_s, give_up_s), give_up_s)
+    max_wait_s = _MAX_WAIT_SHARE * route.objective_s
+    is_resumed = request.software_version is not None
+    is_late = not is_resumed and (
+        is_retry_after_refusal(call, route)
+        or now_s - call.arrived_s > max_wait_s
+    )
+    waits_since_s = now_s if is_resumed else call.arrived_s
+    give_up_s = waits_since_s + max_wait_s
+    if is_late:
+        give_up_s = now_s + _LATE_WAIT_S
+    latest_s = request.deadline_s - route.objective_s
+    return _MemoryWait(
+        is_late,
+        min(give_up_s, latest_s),
+        min(call.arrived_s + _SILENCE_PATIENCE_S, latest_s),
+    )
+
+
+def caller_patience_s(route: Route) -> float:
+    """Returns the gap after which callers abandon a stream, in seconds."""
+    return max(
+        _CALLER_PATIENCE_S,
+        _CALLER_PATIENCE_OBJECTIVES * route.objective_s,
+        _CALLER_PATIENCE_GAPS * route.gap_objective_s,
+    )
+
+
 def _wait_for_memory(
     context: Context,
     request: RoutedRequest,
     attempts: Attempts,
     engine: EngineProperties,
     size: GenerationSize,
+    position: StreamPosition | None,
 ) -> Reservation | None:
     """Waits in the queue of the service until memory is reserved.
 
@@ -152,46 +235,30 @@
     While engines do not answer whether they have memory, it waits on, for at
     most `_SILENCE_PATIENCE_S` after its arrival.
 
-    A resumed stream waits like a generation that can still meet its objective,
-    in a queue of its version: most engines could have memory for the
-    generations behind it, but not for it.
+    A stream that broke off within its response waits for as long as its caller
+    does. One that its caller resumes waits like a generation that can still
+    meet its objective. Both wait in a queue of their version: most engines
+    could have memory for the generations behind them, but not for them.
 
     Returns:
       The reservation; None if the generation gave up or its caller has gone, or
       if no engine takes a request of this VM in time.
     """
     now_s = context.clock()
-    objective_s = request.route.objective_s
-    max_wait_s = _MAX_WAIT_SHARE * objective_s
     is_resumed = request.software_version is not None
-    is_late = not is_resumed and (
-        is_retry_after_refusal(request.call, request.route)
-        or now_s - request.call.arrived_s > max_wait_s
-    )
-    waits_since_s = now_s if is_resumed else request.call.arrived_s
-    give_up_s = waits_since_s + max_wait_s
-    if is_late:
-        give_up_s = now_s + _LATE_WAIT_S
-    give_up_s = min(give_up_s, request.deadline_s - objective_s)
-    if is_resumed:
-        # The objective was for the first event: engines are asked all the same.
-        give_up_s = max(give_up_s, now_s)
+    wait = _choose_memory_wait(request, position, now_s)
     soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, request.software_version
     )
     if soonest is None and is_resumed:
         return None
-    if soonest is not None and now_s + soonest[1] > give_up_s:
+    if soonest is not None and now_s + soonest[1] > wait.give_up_s:
         return None
     queue = context.admission_queues.for_service(
         request.service, request.software_version
     )
     request.caller.notify_when_gone(queue.wake)
     silence = {"last_s": -math.inf}
-    patience_ends_s = min(
-        request.call.arrived_s + _SILENCE_PATIENCE_S,
-        request.deadline_s - objective_s,
-    )
 
     def record_silence() -> None:
         silence["last_s"] = context.clock()
@@ -199,12 +266,12 @@
     def may_wait_on() -> bool:
         now_s = context.clock()
         is_silent = now_s - silence["last_s"] < _SILENCE_MEMORY_S
-        return is_silent and now_s < patience_ends_s
+        return is_silent and now_s < wait.silence_ends_s
 
     return queue.wait(
-        is_late=is_late,
+        is_late=wait.is_late,
         arrived_s=request.call.arrived_s,
-        give_up_s=give_up_s,
+        give_up_s=wait.give_up_s,
         try_reserve=lambda: reserve_memory(
             context,
             request,
@@ -514,6 +581,8 @@
     "PreparedAttempt",
     "Refusal",
     "StartedAttempt",
+    "StreamPosition",
+    "caller_patience_s",
     "prepare_attempt",
     "release_prepared",
     "start_attempt",
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -337,6 +337,35 @@
             )
             self.check_complete(future.result())
 
+    def test_broken_stream_waits_for_memory_while_its_caller_does(
+        self,
+    ) -> None:
+        """Guards against a stream cut off while memory is about to be free."""
+        known, is_full = threading.Event(), threading.Event()
+        is_full.set()
+        steps = [chunk(_events(1, 2)), known, Action.RESET]
+        broken = ScriptedEndpoint("i-1", _grant_and_run(steps))
+        self.gateway.add_endpoint(broken, service="llm", stage="decode")
+        sound = SilentEngine(0, None)
+
+        def refuse_while_full(received: Received) -> Iterable[Step]:
+            if received.target == "/v1/hold-take" and is_full.is_set():
+                return respond(503)
+            return sound(received)
+
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(self.attempts()))
+            self.gateway.add_endpoint(
+                ScriptedEndpoint("i-2", refuse_while_full),
+                service="llm",
+                stage="decode",
+            )
+            known.set()
+            wait_for(lambda: len(self.gateway.events_named("no room")) > 3)
+            is_full.clear()
+            self.check_complete(future.result())
+
     def test_stream_at_its_deadline_asks_no_engine(self) -> None:
         """Guards against a caller held past its time by silent engines."""
         self.gateway.configure(_make_document(3, timeout_ms=1500))
