Give a silent prefill up only if the run after it is paid

What callers saw: 503 after 1.5 s of 9 s while a sound prefill engine was silent for 1.8 s and the retry budget was spent (found in review).

Cause: a prefill that is given up counts as a call, so that the run after it is a retry. The budget was asked only then.

Change: the retry is held before the prefill is given up; without it the prefill goes on until the deadline.

Evidence: test_silent_prefill_is_left_only_if_the_run_is_paid got 503 before.

--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -61,6 +61,9 @@
 # of a prefill engine's queue during a burst would waste what the engine has
 # done, and delay the streams of the decode engine.
 _PREFILL_TIMEOUT_S = 1.5
+# A prefill that is not given up for want of a retry asks for one again after
+# this time.
+_LOOK_AGAIN_S = 0.1
 # Limit of the prefill engines that a prompt is sent to. A second call costs
 # less than a prefill at the decode engine, which delays all streams there.
 _MAX_PREFILL_ENGINES = 2
@@ -521,10 +524,17 @@
 ) -> Result[KvCache, Failure]:
     end_work = context.state.begin_work(endpoint, size.prompt_tokens)
     started_s = context.clock()
-    head_timeout_s = min(_PREFILL_TIMEOUT_S, attempts.remaining_s())
+
+    def decide_on_silence() -> float | None:
+        # Given up, the prefill counts as a call, so that the run is a retry.
+        return None if attempts.try_pay(calls=2) else _LOOK_AGAIN_S
+
     try:
         options = AttemptOptions(
-            attempts.remaining_s(), head_timeout_s, request.abort
+            attempts.remaining_s(),
+            _PREFILL_TIMEOUT_S,
+            request.abort,
+            on_silence=decide_on_silence,
         )
         outcome = context.platform.endpoints.prefill(
             endpoint, request.call, options
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -190,10 +190,6 @@
       prefill_only: whether the endpoint only prefills.
     """
     headers = _encode_headers(endpoint, call, options, prefill_only)
-    time_limit_s = options.remaining_s
-    if prefill_only:
-        # Its response has no body that would be forwarded as it arrives.
-        time_limit_s = min(time_limit_s, options.head_silence_limit_s)
     request = Call(
         endpoint=_to_transport(endpoint),
         method=call.method,
@@ -204,7 +200,7 @@
         idle_timeout_s=options.head_silence_limit_s,
         fresh=True,
         on_silence=options.on_silence,
-        time_limit_s=time_limit_s,
+        time_limit_s=options.remaining_s,
     )
     exchanged = channel.connections.start_exchange(request, options.abort)
     if isinstance(exchanged, Err):
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -366,6 +366,24 @@
             is_full.clear()
             self.check_complete(future.result())
 
+    def test_silent_prefill_is_left_only_if_the_run_is_paid(self) -> None:
+        """Guards against a refusal while a sound prefill engine is silent."""
+        self.spend_retry_budget()
+        self.add_engine("i-1")
+        is_answered = SilentEngine(0, None)
+
+        def prefill_late(received: Received) -> Iterable[Step]:
+            if received.header("Stage") == "prefill":
+                _pause(1.8)
+            return is_answered(received)
+
+        self.gateway.add_endpoint(
+            ScriptedEndpoint("i-p", prefill_late),
+            service="llm",
+            stage="prefill",
+        )
+        self.check_complete(self.review())
+
     def test_stream_at_its_deadline_asks_no_engine(self) -> None:
         """Guards against a caller held past its time by silent engines."""
         self.gateway.configure(_make_document(3, timeout_ms=1500))
