Send the buffered part of a body at once

Cause: up to 1 MiB of a body is read before its head is forwarded. It was kept in as many parts as it came in, 262,144 here, and each was written by itself. The deadline is asked by reads from the endpoint only.

Change: the buffered part is joined.

--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -275,15 +275,15 @@
     attempts: Attempts, response: EndpointResponse, limit_bytes: int
 ) -> Result[Response, Failure]:
     parts = response.iterate(attempts.remaining_s, lambda: None)
-    buffered: list[bytes] = []
-    size_bytes = 0
+    # Joined, since the server writes each part by itself: a body may have many
+    # parts of a few bytes.
+    buffered = bytearray()
     try:
         for part in parts:
-            buffered.append(part)
-            size_bytes += len(part)
-            if size_bytes > limit_bytes:
+            buffered += part
+            if len(buffered) > limit_bytes:
                 rest = _iterate_rest(parts)
-                body = itertools.chain(buffered, rest)
+                body = itertools.chain([bytes(buffered)], rest)
                 return Ok(
                     Response(
                         response.status, response.headers, body, response.close
@@ -296,8 +296,8 @@
     return Ok(
         Response(
             response.status,
-            _replace_content_length(response, size_bytes),
-            buffered,
+            _replace_content_length(response, len(buffered)),
+            [bytes(buffered)],
         )
     )
 
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 import time
 from collections.abc import Iterator
@@ -82,6 +83,20 @@
         """Guards against a limit that each part of a body restarts."""
         self.check_request_ends(_repeat(chunk(b"x"), CHUNKED_HEAD))
 
+    def test_body_of_small_chunks_is_given_up(self) -> None:
+        """Guards against buffered parts that are sent one by one.
+
+        The buffer holds many thousand of them; sending them by themselves took
+        longer than the time of the request.
+        """
+        part = chunk(b"abcd") * 1000
+        self.add_endpoint(_repeat(part, CHUNKED_HEAD, 0.0), "i-1")
+        with contextlib.suppress(OSError):
+            self.gateway.call("POST", "/pay/x", b"1", {"Deadline-Ms": "3000"})
+        wait_for(lambda: bool(self.gateway.events_named("answered")))
+        (answered,) = self.gateway.events_named("answered")
+        self.assertLess(answered["total_s"], 3.0 + _TOLERANCE_S)
+
     def test_chunk_size_that_never_ends_is_given_up(self) -> None:
         """Guards against a limit that each byte of a chunk size restarts."""
         self.check_request_ends(_repeat(b"0", CHUNKED_HEAD))
