Suspect an endpoint for its silences, not for the time of its callers

Change: a stream that is cut at its deadline adds nothing; silences add up to 3.0 at most, which falls below the threshold within 4.2 s.

Evidence: test_stream_cut_at_its_deadline_casts_no_suspicion found 1.5 before.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 
+from burdockspan.endpoints.call_timer import TimeLimit
 from burdockspan.endpoints.sockets import AbortHandle
 from burdockspan.gateway import passive_health
 from burdockspan.gateway.context import Context
@@ -183,10 +184,22 @@
     def record_truncated_stream(
         self, endpoint: Endpoint, failure: Failure
     ) -> None:
-        """Records the failure of a stream that is already counted as a run."""
-        self._record("stream broke off", endpoint, failure)
+        """Records the failure of a stream that is already counted as a run.
 
-    def _record(self, event: str, endpoint: Endpoint, failure: Failure) -> None:
+        A stream that is cut at its deadline says nothing about its endpoint.
+        """
+        at_deadline = failure.limit == TimeLimit.DEADLINE.value
+        self._record(
+            "stream broke off", endpoint, failure, is_blamed=not at_deadline
+        )
+
+    def _record(
+        self,
+        event: str,
+        endpoint: Endpoint,
+        failure: Failure,
+        is_blamed: bool = True,
+    ) -> None:
         """Logs and counts a failure.
 
         While the caller is connected, the failure also adds to the suspicion
@@ -196,9 +209,12 @@
         """
         context, request = self._context, self._request
         self.last_failure = failure
-        if not request.caller.gone:
-            weight = passive_health.failure_weight(failure.kind)
-            context.state.record_failure(endpoint, weight)
+        if is_blamed and not request.caller.gone:
+            if failure.limit == TimeLimit.SILENCE.value:
+                context.state.record_silence(endpoint, was_left=True)
+            else:
+                weight = passive_health.failure_weight(failure.kind)
+                context.state.record_failure(endpoint, weight)
             if failure.kind is FailureKind.CONNECTION_LOST:
                 context.crash_records.report_suspected_crash(
                     request.call, endpoint
--- a/src/burdockspan/gateway/passive_health.py
+++ b/src/burdockspan/gateway/passive_health.py
@@ -41,6 +41,9 @@
 # request waits on. The weight is reached once, not added by each request: many
 # requests may wait at an endpoint that is silent for a second.
 SILENCE_WEIGHT = 1.5
+# Limit of the weight that silences add up to, so that an endpoint that was
+# silent once for a second is not avoided for long.
+_MAX_SILENCES_WEIGHT = 3.0
 # A success multiplies the weight by this factor.
 _SUCCESS_FACTOR = 0.7
 
@@ -78,10 +81,19 @@
     return Suspicion(current_weight(suspicion, now_s) + weight, now_s)
 
 
-def add_silence(suspicion: Suspicion | None, now_s: float) -> Suspicion:
-    """Returns the suspicion after a silence."""
-    weight = max(current_weight(suspicion, now_s), SILENCE_WEIGHT)
-    return Suspicion(weight, now_s)
+def add_silence(
+    suspicion: Suspicion | None, now_s: float, was_left: bool
+) -> Suspicion:
+    """Returns the suspicion after a silence.
+
+    Args:
+      suspicion: suspicion before; None if there was none.
+      now_s: the present time, in monotonic seconds.
+      was_left: whether a request left the endpoint because of it.
+    """
+    current = current_weight(suspicion, now_s)
+    added = current + SILENCE_WEIGHT if was_left else SILENCE_WEIGHT
+    return Suspicion(max(current, min(added, _MAX_SILENCES_WEIGHT)), now_s)
 
 
 def add_success(suspicion: Suspicion | None, now_s: float) -> Suspicion:
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -287,9 +287,21 @@
             ),
         )
 
-    def record_silence(self, endpoint: Endpoint) -> None:
-        """Suspects an endpoint that a request waits for longer than usual."""
-        self._change_suspicion(endpoint, passive_health.add_silence)
+    def record_silence(
+        self, endpoint: Endpoint, was_left: bool = False
+    ) -> None:
+        """Suspects an endpoint that a request waits for longer than usual.
+
+        Args:
+          endpoint: the endpoint.
+          was_left: whether the request left it because of that.
+        """
+        self._change_suspicion(
+            endpoint,
+            lambda current, now_s: passive_health.add_silence(
+                current, now_s, was_left
+            ),
+        )
 
     def record_success(self, endpoint: Endpoint) -> None:
         """Lowers the suspicion against an endpoint after a success."""
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -384,6 +384,24 @@
         )
         self.check_complete(self.review())
 
+    def test_stream_cut_at_its_deadline_casts_no_suspicion(self) -> None:
+        """Guards against avoiding an engine for the time of a caller."""
+        self.gateway.configure(_make_document(3, timeout_ms=1200))
+
+        def send_events_without_end() -> Iterator[Step]:
+            for number in itertools.count(1):
+                yield chunk(_events(number, number))
+                _pause(0.05)
+
+        endless = ScriptedEndpoint(
+            "i-1", _grant_and_run(send_events_without_end())
+        )
+        self.gateway.add_endpoint(endless, service="llm", stage="decode")
+        self.assertFalse(self.review().complete)
+        state = self.gateway.components.context.state
+        (candidate,) = state.candidates("llm", lambda *_: 0.0)
+        self.assertEqual(candidate.suspicion, 0.0)
+
     def test_stream_at_its_deadline_asks_no_engine(self) -> None:
         """Guards against a caller held past its time by silent engines."""
         self.gateway.configure(_make_document(3, timeout_ms=1500))
