Serve a request by the configuration that routed it

What callers could see: a generation that was sent without its reservation, when a configuration without its service came into force between its routing and its run (found in review; the wait for the origin of a stream takes up to 0.2 s).

Cause: the services were read from the active configuration a second time.

Change: the request carries the services of the configuration that routed it.

Evidence: test_configuration_does_not_change_a_request_that_is_routed found a run without Kv-Hold before.

--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -118,10 +118,7 @@
         return restricted.err_value
     request = restricted.ok_value
     context.retry_budget.record_request(request.service)
-    active = context.state.active_configuration()
-    service = active and active.configuration.services_by_name.get(
-        request.service
-    )
+    service = request.services_by_name.get(request.service)
     if (
         service
         and service.engine is not None
@@ -161,6 +158,7 @@
             route=route,
             service=choose_service(route, context.random_float),
             configuration_version=active.configuration.version,
+            services_by_name=active.configuration.services_by_name,
             deadline_s=deadline_s,
             caller=raw.caller,
             abort=abort,
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+from collections.abc import Mapping
 
 from burdockspan.endpoints.call_timer import TimeLimit
 from burdockspan.endpoints.sockets import AbortHandle
@@ -15,7 +16,7 @@
     make_problem,
 )
 from burdockspan.gateway.retry_budget import SpentRetry
-from burdockspan.gateway.values import Endpoint, InboundCall, Route
+from burdockspan.gateway.values import Endpoint, InboundCall, Route, Service
 from burdockspan.gateway.vm_heartbeats import HEARTBEAT_INTERVAL_S
 from burdockspan.values.placement import Failure, FailureKind
 
@@ -41,6 +42,7 @@
       service: name of the chosen service.
       configuration_version: version of the configuration in force when it
         arrived.
+      services_by_name: services of that configuration.
       deadline_s: when the complete response is due, in monotonic seconds.
       caller: connection of its caller.
       abort: aborts its calls to endpoints.
@@ -52,6 +54,7 @@
     route: Route
     service: str
     configuration_version: int
+    services_by_name: Mapping[str, Service]
     deadline_s: float
     caller: CallerConnection
     abort: AbortHandle
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -5,9 +5,11 @@
 import concurrent.futures
 import itertools
 import threading
+import unittest.mock
 from collections.abc import Iterable, Iterator
 from typing import Any
 
+from burdockspan.gateway import application
 from burdockspan.gateway.settings import RetryBudgetSettings
 from standins.scripted_endpoint import (
     CHUNKED_HEAD,
@@ -402,6 +404,25 @@
         (candidate,) = state.candidates("llm", lambda *_: 0.0)
         self.assertEqual(candidate.suspicion, 0.0)
 
+    def test_configuration_does_not_change_a_request_that_is_routed(
+        self,
+    ) -> None:
+        """Guards against a generation that runs without reserved memory."""
+        engine = self.add_engine("i-1")
+        restrict = application.restrict_to_origin
+
+        def configure_and_restrict(*arguments: Any) -> Any:
+            document = _make_document(3)
+            document["services"] = [{"name": "app", "health_path": "/health"}]
+            self.gateway.configure(document)
+            return restrict(*arguments)
+
+        with unittest.mock.patch.object(
+            application, "restrict_to_origin", configure_and_restrict
+        ):
+            self.check_complete(self.review())
+        self.assertIsNotNone(engine.runs[0].header("Kv-Hold"))
+
     def test_stream_at_its_deadline_asks_no_engine(self) -> None:
         """Guards against a caller held past its time by silent engines."""
         self.gateway.configure(_make_document(3, timeout_ms=1500))
