Name the limit that ended a call correctly

The log said silence for calls that ended at their deadline: where no silence ends a wait, its limit was the time left, which passes a moment before the deadline. Texts of limits in a body were replaced by those of the library. A stream is also closed if its first part fails otherwise than by its engine.

--- a/src/burdockspan/endpoints/failures.py
+++ b/src/burdockspan/endpoints/failures.py
@@ -47,6 +47,9 @@
       error: what ended the call.
       ended_by: the limit that ended it; None if none did.
     """
+    if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+        # urllib3 drops the text that says which limit has passed.
+        error = _find_cause(error)
     timeouts = (TimeoutError, urllib3.exceptions.TimeoutError)
     kind = FailureKind.CONNECTION_LOST
     if ended_by is not None or isinstance(error, timeouts):
@@ -57,6 +60,11 @@
     return dataclasses.replace(failure, limit=limit)
 
 
+def _find_cause(error: Exception) -> Exception:
+    cause = error.__cause__
+    return cause if isinstance(cause, TimeoutError) else error
+
+
 def make_not_connected(endpoint: Endpoint, detail: str) -> Failure:
     """Returns the failure of a call that was not sent at all."""
     return make_failure(endpoint, FailureKind.NOT_CONNECTED, detail)
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 from collections.abc import Callable, Iterator
 
@@ -75,11 +76,16 @@
     parts = stream.iterate()
     # The caller receives the head together with the first part. Before that, a
     # failure can still be answered.
+    first_part = None
+    has_failed = True
     try:
         first_part = next(parts, None)
+        has_failed = False
     except TruncatedError:
-        stream.close()
         return attempts.make_error_response("stream broke off", RETRY_AFTER_S)
+    finally:
+        if has_failed:
+            stream.close()
     response = attempt.response
     return Response(
         response.status,
@@ -224,9 +230,9 @@
 
     def _silence_limit_s(self) -> float:
         """Returns the time until the engine counts as silent, in seconds."""
-        remaining_s = self._attempts.remaining_s()
         if not self._is_resumable:
-            return remaining_s
+            return math.inf
+        remaining_s = self._attempts.remaining_s()
         route = self._request.route
         patience_s = caller_patience_s(route)
         shortest_s = max(
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -403,7 +403,7 @@
     remaining_s = attempts.remaining_s()
     options = AttemptOptions(
         remaining_s=remaining_s,
-        head_silence_limit_s=remaining_s,
+        head_silence_limit_s=math.inf,
         abort=request.abort,
         cache=cache,
         reservation=reservation.name,
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -214,8 +214,9 @@
     endpoint: Endpoint,
     silence: _Silence,
 ) -> Result[Response, Failure]:
-    silence_limit_s = _choose_silence_limit_s(request, attempts)
-    log_attempt(context, request, endpoint, wait_s=round(silence_limit_s, 3))
+    silence_limit_s = _choose_silence_limit_s(request)
+    wait_s = min(silence_limit_s, attempts.remaining_s())
+    log_attempt(context, request, endpoint, wait_s=round(wait_s, 3))
     end_work = context.state.begin_work(endpoint)
     started_s = context.clock()
     try:
@@ -231,7 +232,7 @@
         if isinstance(outcome, Err):
             return outcome
         response = _buffer_response(
-            attempts, outcome.ok_value, _choose_buffer_limit(request)
+            outcome.ok_value, _choose_buffer_limit(request)
         )
     finally:
         end_work()
@@ -242,14 +243,10 @@
     return response
 
 
-def _choose_silence_limit_s(
-    request: RoutedRequest, attempts: Attempts
-) -> float:
-    remaining_s = attempts.remaining_s()
+def _choose_silence_limit_s(request: RoutedRequest) -> float:
     if not request.route.repeatable:
-        return remaining_s
-    limit_s = _SILENCE_SHARE * request.route.objective_s
-    return min(remaining_s, max(_MIN_SILENCE_LIMIT_S, limit_s))
+        return math.inf
+    return max(_MIN_SILENCE_LIMIT_S, _SILENCE_SHARE * request.route.objective_s)
 
 
 def _record_outcome(
@@ -272,9 +269,9 @@
 
 
 def _buffer_response(
-    attempts: Attempts, response: EndpointResponse, limit_bytes: int
+    response: EndpointResponse, limit_bytes: int
 ) -> Result[Response, Failure]:
-    parts = response.iterate(attempts.remaining_s, lambda: None)
+    parts = response.iterate(lambda: math.inf, lambda: None)
     # Joined, since the server writes each part by itself: a body may have many
     # parts of a few bytes.
     buffered = bytearray()
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -131,3 +131,10 @@
         self.check_request_ends(_repeat(b"x", _OK_HEAD + b"X-Slow: "))
         (failed,) = self.gateway.events_named("attempt failed")
         self.assertEqual(failed["limit"], "deadline")
+        self.assertIn("exceeded its time", failed["detail"])
+
+    def test_log_names_the_limit_that_ended_a_body(self) -> None:
+        """Guards against a text of the library that names no limit."""
+        self.check_request_ends(_repeat(chunk(b"x"), CHUNKED_HEAD))
+        (failed,) = self.gateway.events_named("attempt failed")
+        self.assertIn("exceeded its time", failed["detail"])
