Close no connection whose socket holds unread bytes

What callers saw: a request that reached the VM just before its connection was closed for idleness got neither an answer nor a refusal, and a request whose last bytes had arrived could get 408.

Cause: the check marked a connection, and the next pass of the event loop closed it, whatever had arrived in between.

Change: the check looks into the socket without taking bytes out, and closes the connection at once if there are none. With bytes there, the event loop reads them first. A request that is still on its way in the network crosses the close: TCP does not tell.

--- a/src/burdockspan/gateway/channel_reaper.py
+++ b/src/burdockspan/gateway/channel_reaper.py
@@ -7,6 +7,7 @@
 
 from burdockspan.gateway.channel import RequestError
 from burdockspan.gateway.values import RequestLimits
+from burdockspan.http.listener import has_unread_bytes
 from burdockspan.values.clock import Clock
 
 _CHECK_INTERVAL_S = 0.25
@@ -41,11 +42,17 @@
             if channel.request is not None:
                 _end_slow_request(channel, limits, now_s)
                 continue
-            idle_s = now_s - channel.idle_since_s
-            # A caller that has not seen the present limit follows the earlier.
-            limit_s = max(channel.idle_limit_s, limits.idle_timeout_s)
-            if idle_s > _IDLE_TIMEOUT_FACTOR * limit_s:
-                channel.will_close = True
+            is_expired = _is_idle(channel, limits, now_s)
+            if is_expired and not has_unread_bytes(channel):
+                channel.handle_close()
+
+
+def _is_idle(channel: Any, limits: RequestLimits, now_s: float) -> bool:
+    """Returns whether the idle timeout and its margin have passed."""
+    # A caller that has not seen the present limit follows the earlier one.
+    limit_s: float = max(channel.idle_limit_s, limits.idle_timeout_s)
+    idle_s: float = now_s - channel.idle_since_s
+    return idle_s > _IDLE_TIMEOUT_FACTOR * limit_s
 
 
 def _end_slow_request(
@@ -58,7 +65,7 @@
         if request.headers_finished
         else limits.header_timeout_s
     )
-    if elapsed_s <= limit_s:
+    if elapsed_s <= limit_s or has_unread_bytes(channel):
         return
     with channel.requests_lock:
         if channel.requests or channel.request is not request:
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -57,6 +57,16 @@
     stop: Callable[[], None]
 
 
+def has_unread_bytes(channel: Any) -> bool:
+    """Returns whether bytes of a caller wait in the connection's socket."""
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    try:
+        return bool(channel.socket.recv(1, flags))
+    except OSError:
+        # Nothing has arrived, or the connection is lost.
+        return False
+
+
 def make_server(
     application: WsgiApplication,
     address: str,
@@ -224,6 +234,7 @@
     "GrowingTaskDispatcher",
     "Server",
     "WsgiApplication",
+    "has_unread_bytes",
     "make_server",
     "send_error_response",
 ]
--- a/tests/gateway/test_kept_connections.py
+++ b/tests/gateway/test_kept_connections.py
@@ -4,13 +4,15 @@
 
 import contextlib
 import socket
+import threading
 import unittest
 from typing import Any
+from unittest import mock
 
 from burdockspan.gateway.channel_reaper import ChannelReaper
 from burdockspan.gateway.values import RequestLimits
 from standins.scripted_endpoint import ScriptedEndpoint, respond
-from tests.support.gateways import HOST, make_document, run_gateway
+from tests.support.gateways import HOST, make_document, run_gateway, wait_for
 
 _REQUEST = (
     f"GET /read/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r1\r\n\r\n"
@@ -20,16 +22,31 @@
 _CHECK_INTERVAL_S = 0.25
 
 
+class _SilentSocket:
+    """A socket without unread bytes."""
+
+    def recv(self, *_: int) -> bytes:
+        """Raises what a socket raises instead of waiting."""
+        raise BlockingIOError
+
+
 class _FakeChannel:
     """An idle connection, as the reaper sees one."""
 
     def __init__(self, now_s: float) -> None:
         self.requests: list[Any] = []
-        self.request = None
+        self.request: Any = None
+        self.requests_lock = threading.Lock()
+        self.server = mock.Mock()
         self.total_outbufs_len = 0
         self.idle_since_s = now_s
         self.idle_limit_s = 0.0
         self.will_close = False
+        self.socket: socket.socket | _SilentSocket = _SilentSocket()
+
+    def handle_close(self) -> None:
+        """Records that the connection is closed."""
+        self.will_close = True
 
 
 class TestIdleTime(unittest.TestCase):
@@ -72,6 +89,34 @@
             self.check([channel])
         self.assertFalse(channel.will_close)
 
+    def test_connection_with_unread_bytes_stays_open(self) -> None:
+        """Guards against dropping a request that has reached the socket."""
+        near, far = socket.socketpair()
+        with near, far:
+            channel = _FakeChannel(self.now_s)
+            channel.socket = near
+            far.sendall(b"G")
+            for _ in range(20):
+                self.check([channel])
+            self.assertFalse(channel.will_close)
+            near.recv(1)
+            self.check([channel])
+            self.assertTrue(channel.will_close)
+
+    def test_half_read_request_with_unread_bytes_is_not_refused(self) -> None:
+        """Guards against a timeout for a request that has arrived."""
+        near, far = socket.socketpair()
+        with near, far:
+            channel = _FakeChannel(self.now_s)
+            channel.socket = near
+            request = mock.Mock(started_s=self.now_s, error=None)
+            request.headers_finished = False
+            channel.request = request
+            far.sendall(b"\r\n")
+            for _ in range(5):
+                self.check([channel])
+            self.assertIsNone(request.error)
+
 
 class TestCallers(unittest.TestCase):
     def setUp(self) -> None:
@@ -98,6 +143,8 @@
             part = caller.recv(65_536)
             self.assertNotEqual(part, b"", "connection was closed")
             received += part
+        # The connection is idle once the server has counted the answer.
+        wait_for(lambda: not self.gateway.components.ingress.busy())
         return received
 
     def configure_idle_timeout(self, timeout_ms: int) -> None:
