Measure inactive connections in monotonic time

What callers saw: a step of the time of day closed all connections without a request in progress at once, and an idle timeout above two minutes was cut short.

Cause: waitress closes connections without activity for 120 s in the time of day, whatever the operator's limit is.

Change: waitress no longer does. Both roles' connections record their last activity by the monotonic clock. The gateway closes a connection by the operator's limit, or when its caller has not read any byte of an answer for 120 s, as before; other servers close one after 120 s without a byte, as before.

Evidence: without the change, the gateway's caller read b'' ("connection was closed") after a step of the time of day and after 1,800 s of an idle timeout of 3,600 s; the caller of a plain server got RemoteDisconnected. The test of the 120 s had no clock to advance before (ValueError: Unknown adjustment 'clock'), and that of an answer that is not read guards the bound that waitress had kept.

--- a/src/burdockspan/gateway/channel.py
+++ b/src/burdockspan/gateway/channel.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import waitress.channel
 import waitress.parser
 import waitress.task
 import waitress.utilities
@@ -27,7 +26,7 @@
     make_status_line,
 )
 from burdockspan.gateway.values import RequestLimits
-from burdockspan.http.listener import send_error_response
+from burdockspan.http.listener import Channel, send_error_response
 from burdockspan.values.clock import Clock
 
 RAW_KEY = "burdockspan.raw"
@@ -50,7 +49,7 @@
 
 def make_channel_class(
     limits: Callable[[], RequestLimits], clock: Clock
-) -> type:
+) -> type[Channel]:
     """Returns the class of the connections of one server.
 
     Args:
@@ -159,7 +158,7 @@
                 self, status, response.headers, b"".join(response.body)
             )
 
-    class CallerChannel(waitress.channel.HTTPChannel):
+    class CallerChannel(Channel):
         """A caller's connection.
 
         Attributes:
--- a/src/burdockspan/gateway/channel_reaper.py
+++ b/src/burdockspan/gateway/channel_reaper.py
@@ -7,7 +7,7 @@
 
 from burdockspan.gateway.channel import RequestError
 from burdockspan.gateway.values import RequestLimits
-from burdockspan.http.listener import has_unread_bytes
+from burdockspan.http.listener import INACTIVITY_TIMEOUT_S, has_unread_bytes
 from burdockspan.values.clock import Clock
 
 _CHECK_INTERVAL_S = 0.25
@@ -37,16 +37,26 @@
         self._next_check_s = now_s + _CHECK_INTERVAL_S
         limits = self._limits()
         for channel in channels:
-            if channel.requests or channel.total_outbufs_len:
+            # A worker thread adds output before it removes the request.
+            if channel.requests:
                 continue
-            if channel.request is not None:
+            if channel.total_outbufs_len:
+                is_expired = _is_stalled(channel, now_s)
+            elif channel.request is not None:
                 _end_slow_request(channel, limits, now_s)
                 continue
-            is_expired = _is_idle(channel, limits, now_s)
+            else:
+                is_expired = _is_idle(channel, limits, now_s)
             if is_expired and not has_unread_bytes(channel):
                 channel.handle_close()
 
 
+def _is_stalled(channel: Any, now_s: float) -> bool:
+    """Returns whether the caller does not read the rest of an answer."""
+    inactive_s: float = now_s - channel.last_activity
+    return inactive_s > INACTIVITY_TIMEOUT_S
+
+
 def _is_idle(channel: Any, limits: RequestLimits, now_s: float) -> bool:
     """Returns whether the idle timeout and its margin have passed."""
     # A caller that has not seen the present limit follows the earlier one.
--- a/src/burdockspan/gateway/ingress.py
+++ b/src/burdockspan/gateway/ingress.py
@@ -67,6 +67,7 @@
         # Endpoints get the headers as received.
         clear_untrusted_proxy_headers=False,
         housekeeping=reaper.close_expired,
+        clock=clock,
     )
 
 
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import socket
 import threading
 from collections.abc import Callable, Iterable
@@ -13,6 +14,8 @@
 import waitress.task
 import waitress.wasyncore
 
+from burdockspan.values.clock import Clock, make_monotonic_clock
+
 _MEBIBYTE = 1024 * 1024
 # VMs have no disks, so no buffer may overflow to a temporary file.
 _BUFFER_OVERFLOW_BYTES = 1024 * _MEBIBYTE
@@ -22,6 +25,8 @@
 _CONNECTION_LIMIT_COUNT = 20_000
 HEADER_LIMIT_BYTES = 64 * 1024
 _POLL_TIMEOUT_S = 1.0
+INACTIVITY_TIMEOUT_S = 120.0
+"""Time without a byte after which a connection outside a call is closed."""
 
 WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
@@ -57,6 +62,22 @@
     stop: Callable[[], None]
 
 
+class Channel(waitress.channel.HTTPChannel):
+    """A connection of a caller."""
+
+    @property
+    def last_activity(self) -> float:
+        """When a byte was last sent or received, in monotonic seconds.
+
+        waitress assigns the time of day, which may step.
+        """
+        return self._last_activity_s
+
+    @last_activity.setter
+    def last_activity(self, _: float) -> None:
+        self._last_activity_s: float = self.server.clock()
+
+
 def has_unread_bytes(channel: Any) -> bool:
     """Returns whether bytes of a caller wait in the connection's socket."""
     flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
@@ -71,8 +92,9 @@
     application: WsgiApplication,
     address: str,
     threads: int,
-    channel_class: type = waitress.channel.HTTPChannel,
+    channel_class: type[Channel] = Channel,
     housekeeping: Callable[[Iterable[Any]], None] | None = None,
+    clock: Clock | None = None,
     **adjustments: Any,
 ) -> Server:
     """Returns a server, listening but not yet serving.
@@ -83,7 +105,9 @@
       threads: limit of the threads that run the application.
       channel_class: class of the connections of callers.
       housekeeping: called with the open connections in each iteration of the
-        event loop.
+        event loop, to close idle ones; by default, those without a byte for
+        `INACTIVITY_TIMEOUT_S`.
+      clock: monotonic clock, in seconds; by default, that of the process.
       adjustments: settings of waitress that override those set here.
     """
     host, _, port = address.rpartition(":")
@@ -113,7 +137,12 @@
     )
     server.adj.socket_options = CALLER_SOCKET_OPTIONS
     server.channel_class = channel_class
-    loop = _EventLoop(server, sockets, housekeeping)
+    server.clock = clock or make_monotonic_clock()
+    # waitress would close connections by the time of day.
+    server.next_channel_cleanup = math.inf
+    loop = _EventLoop(
+        server, sockets, housekeeping or _make_housekeeping(server.clock)
+    )
     return Server(
         address=f"{server.effective_host}:{server.effective_port}",
         run=loop.run,
@@ -125,6 +154,20 @@
     )
 
 
+def _make_housekeeping(clock: Clock) -> Callable[[Iterable[Any]], None]:
+    def close_inactive(channels: Iterable[Any]) -> None:
+        now_s = clock()
+        for channel in channels:
+            if (
+                not channel.requests
+                and now_s - channel.last_activity > INACTIVITY_TIMEOUT_S
+                and not has_unread_bytes(channel)
+            ):
+                channel.handle_close()
+
+    return close_inactive
+
+
 def _is_busy(sockets: dict[int, Any]) -> bool:
     return any(
         bool(channel.requests) or channel.total_outbufs_len > 0
@@ -192,7 +235,7 @@
         self,
         server: Any,
         sockets: dict[int, Any],
-        housekeeping: Callable[[Iterable[Any]], None] | None,
+        housekeeping: Callable[[Iterable[Any]], None],
     ) -> None:
         self._server = server
         self._sockets = sockets
@@ -205,8 +248,7 @@
         """Serves until `stop` is called."""
         while not self._stopping:
             waitress.wasyncore.poll2(_POLL_TIMEOUT_S, self._sockets)
-            if self._housekeeping is not None:
-                self._housekeeping(_channels(self._sockets))
+            self._housekeeping(_channels(self._sockets))
         for channel in _channels(self._sockets):
             channel.handle_close()
         waitress.wasyncore.dispatcher.close(self._server)
@@ -231,6 +273,8 @@
 __all__ = [
     "CALLER_SOCKET_OPTIONS",
     "HEADER_LIMIT_BYTES",
+    "INACTIVITY_TIMEOUT_S",
+    "Channel",
     "GrowingTaskDispatcher",
     "Server",
     "WsgiApplication",
--- a/src/burdockspan/http/server.py
+++ b/src/burdockspan/http/server.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import waitress.channel
 import waitress.parser
 import waitress.task
 from result import Err
@@ -16,6 +15,7 @@
 from burdockspan.http.listener import (
     CALLER_SOCKET_OPTIONS,
     HEADER_LIMIT_BYTES,
+    Channel,
     Server,
     make_server,
     send_error_response,
@@ -80,7 +80,7 @@
     )
 
 
-def _make_channel_class(body_limit: Callable[[], int]) -> type:
+def _make_channel_class(body_limit: Callable[[], int]) -> type[Channel]:
     class Parser(waitress.parser.HTTPRequestParser):
         """Rejects conflicting headers and applies the current size limit."""
 
@@ -109,13 +109,13 @@
             status = make_status_line(response.status)
             send_error_response(self, status, headers, b"".join(response.body))
 
-    class Channel(waitress.channel.HTTPChannel):
+    class CallerChannel(Channel):
         """A connection of a caller."""
 
         parser_class = Parser
         error_task_class = RefusalTask
 
-    return Channel
+    return CallerChannel
 
 
 def _check_headers(header: bytes) -> None:
--- a/tests/gateway/test_kept_connections.py
+++ b/tests/gateway/test_kept_connections.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import threading
+import time
 import unittest
 from typing import Any
 from unittest import mock
@@ -41,6 +42,7 @@
         self.total_outbufs_len = 0
         self.idle_since_s = now_s
         self.idle_limit_s = 0.0
+        self.last_activity = now_s
         self.will_close = False
         self.socket: socket.socket | _SilentSocket = _SilentSocket()
 
@@ -89,6 +91,17 @@
             self.check([channel])
         self.assertFalse(channel.will_close)
 
+    def test_answer_that_is_not_read_ends_its_connection(self) -> None:
+        """Guards against memory for callers that stopped reading."""
+        channel = _FakeChannel(self.now_s)
+        channel.total_outbufs_len = 1
+        self.now_s += 119.0
+        self.check([channel])
+        self.assertFalse(channel.will_close)
+        self.now_s += 1.0
+        self.check([channel])
+        self.assertTrue(channel.will_close)
+
     def test_connection_with_unread_bytes_stays_open(self) -> None:
         """Guards against dropping a request that has reached the socket."""
         near, far = socket.socketpair()
@@ -169,6 +182,29 @@
             self.run_check()
         self.assertEqual(len(self.endpoint.received), 80)
 
+    def test_step_of_the_time_of_day_closes_no_connection(self) -> None:
+        """Guards against idle times that are measured in the time of day."""
+        caller = self.connect()
+        self.send(caller)
+        for days in (365, 730):
+            later_s = time.time() + days * 86_400
+            with mock.patch("time.time", lambda now_s=later_s: now_s):
+                self.run_check()
+                self.run_check()
+        self.send(caller)
+
+    def test_long_idle_timeout_of_the_operator_holds(self) -> None:
+        """Guards against a fixed idle timeout below the operator's."""
+        self.configure_idle_timeout(3_600_000)
+        caller = self.connect()
+        self.send(caller)
+        later_s = time.time() + 1800
+        with mock.patch("time.time", lambda: later_s):
+            self.now_s += 1800
+            self.run_check()
+            self.run_check()
+        self.send(caller)
+
     def test_lowered_limit_spares_callers_of_the_earlier_one(self) -> None:
         """Guards against a configuration that closes connections in use."""
         caller, silent_caller = self.connect(), self.connect()
