Close connections at a stop in the event loop

What callers saw: during a planned stop, a request on a kept connection was read and passed on, and its connection ended without an answer. A request that was still arriving, or waited to be accepted, ended the same way.

Cause: the main thread asked the server whether it was busy, and told it to close all connections afterwards. What the event loop read in between was cut. A half read request did not count as busy.

Change: the event loop itself closes the connections, at a moment when none is in use: no call, no part of a request, nothing unread in a socket, no connection that waits to be accepted. A half read request counts until its time limit. In the last 0.3 s before the deadline, connections are closed one by one as they become idle, so that a VM that is never idle cuts no one. What is left in progress at the deadline is cut, as before. The line "stopped" is now written after the connections are closed. The entry role still asks whether its server is busy.

The tests of the server use its new functions (AttributeError before).

--- a/src/burdockspan/gateway/graceful_stop.py
+++ b/src/burdockspan/gateway/graceful_stop.py
@@ -16,6 +16,9 @@
 _STREAM_ACCEPT_S = 2.5
 # Part of the grace period for closing connections and writing the log.
 _CLOSE_RESERVE_S = 0.5
+# Last part of the stop, in which connections close after their next answer even
+# if others are in use.
+_LAST_ANSWERS_S = 0.3
 
 
 class GracefulStop:
@@ -52,6 +55,10 @@
         """Returns whether the load balancer has taken this VM out."""
         return self._clock() >= self._started_s + LEAVE_ROTATION_S
 
+    def has_last_answers(self) -> bool:
+        """Returns whether connections close as soon as they are idle."""
+        return self._clock() >= self.deadline_s - _LAST_ANSWERS_S
+
     def accepts(self, route: Route, deadline_s: float) -> bool:
         """Returns whether a new request can end before the process does.
 
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -309,8 +309,8 @@
     context.graceful_stop.begin()
     log.write("stopping", running=components.in_flight.count)
     _drain(components, run_periodic_tasks)
-    log.write("stopped", running=components.in_flight.count)
     stop(components)
+    log.write("stopped", running=components.in_flight.count)
     log.close()
     return _EXIT_OK
 
@@ -337,14 +337,19 @@
 def _drain(
     components: Components, run_periodic_tasks: Callable[[], None]
 ) -> None:
-    """Serves until all requests have ended or the grace period is over."""
+    """Serves until all connections are closed or the grace period is over."""
     context = components.context
     graceful_stop = context.graceful_stop
+    ingress = components.ingress
     waiter = threading.Event()
-    while context.clock() < graceful_stop.deadline_s and (
-        not graceful_stop.has_left_rotation() or components.ingress.busy()
-    ):
+    while context.clock() < graceful_stop.deadline_s:
         run_periodic_tasks()
+        if graceful_stop.has_last_answers():
+            ingress.close_idle()
+        elif graceful_stop.has_left_rotation():
+            ingress.close_when_idle()
+        if ingress.has_closed():
+            break
         waiter.wait(_POLL_INTERVAL_S)
 
 
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import math
+import select
 import socket
 import threading
 from collections.abc import Callable, Iterable
@@ -25,6 +27,8 @@
 _CONNECTION_LIMIT_COUNT = 20_000
 HEADER_LIMIT_BYTES = 64 * 1024
 _POLL_TIMEOUT_S = 1.0
+_CLOSING_POLL_TIMEOUT_S = 0.1
+_BACKLOG_COUNT = 4096
 INACTIVITY_TIMEOUT_S = 120.0
 """Time without a byte after which a connection outside a call is closed."""
 
@@ -52,13 +56,24 @@
       stop_accepting: closes the listening socket; open connections remain.
       busy: whether a call is in progress, or part of its response is not yet
         written to the socket. The response to a slow reader outlasts its call.
-      stop: closes all connections, so that `run` returns.
+      close_when_idle: makes the server close all connections at a moment when
+        none is in use, so that `run` returns. Until then it serves as before.
+      close_idle: stops accepting, and closes each connection as soon as it is
+        not in use; `run` returns once all are closed.
+      has_closed: whether all connections are closed.
+      stop: closes all connections, also those in use, so that `run` returns.
+
+    A connection is in use while it carries a call, a part of a request has
+    arrived, or a part of a response is not yet written to the socket.
     """
 
     address: str
     run: Callable[[], None]
     stop_accepting: Callable[[], None]
     busy: Callable[[], bool]
+    close_when_idle: Callable[[], None]
+    close_idle: Callable[[], None]
+    has_closed: Callable[[], bool]
     stop: Callable[[], None]
 
 
@@ -114,7 +129,7 @@
     sockets: dict[int, Any] = {}
     settings: dict[str, Any] = {
         "ident": None,
-        "backlog": 4096,
+        "backlog": _BACKLOG_COUNT,
         "connection_limit": _CONNECTION_LIMIT_COUNT,
         "asyncore_use_poll": True,
         # waitress detects a disconnected caller during a call only if it
@@ -149,8 +164,11 @@
         stop_accepting=lambda: loop.call_soon(
             lambda: waitress.wasyncore.dispatcher.close(server)
         ),
-        busy=lambda: _is_busy(sockets),
-        stop=loop.stop,
+        busy=lambda: any(map(_is_busy, _channels(sockets))),
+        close_when_idle=lambda: loop.advance(_Phase.CLOSING_WHEN_IDLE),
+        close_idle=lambda: loop.advance(_Phase.CLOSING_IDLE),
+        has_closed=lambda: loop.has_closed,
+        stop=lambda: loop.advance(_Phase.STOPPED),
     )
 
 
@@ -168,13 +186,28 @@
     return close_inactive
 
 
-def _is_busy(sockets: dict[int, Any]) -> bool:
-    return any(
-        bool(channel.requests) or channel.total_outbufs_len > 0
-        for channel in _channels(sockets)
+def _is_busy(channel: Any) -> bool:
+    # A worker thread adds output before it removes the request.
+    return bool(channel.requests) or channel.total_outbufs_len > 0
+
+
+def _is_in_use(channel: Any) -> bool:
+    return (
+        _is_busy(channel)
+        or channel.request is not None
+        or has_unread_bytes(channel)
     )
 
 
+def _has_waiting_connections(server: Any) -> bool:
+    """Returns whether connections wait to be accepted."""
+    if not server.accepting:
+        return False
+    pollster = select.poll()
+    pollster.register(server.socket, select.POLLIN)
+    return bool(pollster.poll(0))
+
+
 def _channels(sockets: dict[int, Any]) -> list[Any]:
     return [
         channel
@@ -223,12 +256,27 @@
             self.start_new_thread(self.handler_thread, self._last_thread)
 
 
+class _Phase(enum.IntEnum):
+    """Phases of an event loop, in their order."""
+
+    SERVING = 0
+    CLOSING_WHEN_IDLE = 1
+    CLOSING_IDLE = 2
+    STOPPED = 3
+
+
 class _EventLoop:
     """The event loop of a server.
 
+    The loop itself closes connections, so that no request is read between the
+    last look at a connection and its close.
+
     waitress closes the descriptor that wakes its loop while worker threads may
     still write to it; by then its number may belong to another connection.
     This loop closes it after the worker threads have ended.
+
+    Attributes:
+      has_closed: whether all connections are closed.
     """
 
     def __init__(
@@ -241,26 +289,54 @@
         self._sockets = sockets
         self._housekeeping = housekeeping
         self._lock = threading.Lock()
-        self._stopping = False
+        self._phase = _Phase.SERVING
         self._ended = False
+        self.has_closed = False
 
     def run(self) -> None:
-        """Serves until `stop` is called."""
-        while not self._stopping:
-            waitress.wasyncore.poll2(_POLL_TIMEOUT_S, self._sockets)
+        """Serves until the loop is stopped or has closed all connections."""
+        while self._phase < _Phase.STOPPED:
+            is_serving = self._phase is _Phase.SERVING
+            waitress.wasyncore.poll2(
+                _POLL_TIMEOUT_S if is_serving else _CLOSING_POLL_TIMEOUT_S,
+                self._sockets,
+            )
             self._housekeeping(_channels(self._sockets))
+            if (
+                self._phase is _Phase.CLOSING_WHEN_IDLE
+                and not _has_waiting_connections(self._server)
+                and not any(map(_is_in_use, _channels(self._sockets)))
+            ):
+                self.advance(_Phase.CLOSING_IDLE)
+            if self._phase is _Phase.CLOSING_IDLE:
+                self._close_idle()
         for channel in _channels(self._sockets):
             channel.handle_close()
         waitress.wasyncore.dispatcher.close(self._server)
+        self.has_closed = True
         self._server.task_dispatcher.shutdown()
         with self._lock:
             self._ended = True
             if not self._server.task_dispatcher.threads:
                 self._server.trigger.close()
 
-    def stop(self) -> None:
-        """Makes `run` return."""
-        self._stopping = True
+    def _close_idle(self) -> None:
+        # Closing the listening socket resets the connections that wait there.
+        for _ in range(_BACKLOG_COUNT):
+            if not _has_waiting_connections(self._server):
+                break
+            self._server.handle_accept()
+        waitress.wasyncore.dispatcher.close(self._server)
+        for channel in _channels(self._sockets):
+            if not _is_in_use(channel):
+                channel.handle_close()
+        if not _channels(self._sockets):
+            self.advance(_Phase.STOPPED)
+
+    def advance(self, phase: _Phase) -> None:
+        """Enters a phase, unless the loop has reached it or a later one."""
+        with self._lock:
+            self._phase = max(self._phase, phase)
         self.call_soon(None)
 
     def call_soon(self, function: Callable[[], None] | None) -> None:
--- a/tests/http/test_listener_connections.py
+++ b/tests/http/test_listener_connections.py
@@ -4,14 +4,15 @@
 
 import contextlib
 import http.client
+import socket
 import threading
 import time
 import unittest
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 from unittest import mock
 
-from burdockspan.http.listener import make_server
+from burdockspan.http.listener import Server, make_server
 from tests.support.gateways import wait_for
 
 
@@ -74,5 +75,55 @@
         wait_for(lambda: sock.recv(1) == b"")
 
 
+class TestStop(unittest.TestCase):
+    def connect(self, server: Server) -> socket.socket:
+        """Opens a connection that no one has accepted yet."""
+        host, _, port = server.address.rpartition(":")
+        address = (host, int(port))
+        return self.enterContext(socket.create_connection(address, 20))
+
+    def run_server(self, server: Server) -> None:
+        """Runs a server until it has closed its connections."""
+        thread = threading.Thread(target=server.run, daemon=True)
+        thread.start()
+        thread.join(20)
+        server.stop()
+        self.assertFalse(thread.is_alive())
+        self.assertTrue(server.has_closed())
+
+    def check_waiting_requests(
+        self, server: Server, close: Callable[[], None]
+    ) -> None:
+        """Checks that requests sent before the close are answered."""
+        callers = [self.connect(server) for _ in range(20)]
+        for caller in callers:
+            caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        close()
+        self.run_server(server)
+        for caller in callers:
+            self.assertIn(b" 200 OK", caller.recv(65_536))
+            self.assertEqual(caller.recv(1), b"")
+
+    def test_waiting_requests_are_answered_before_the_close(self) -> None:
+        """Guards against requests that a stopping server never reads."""
+        server = make_server(_answer, "127.0.0.1:0", 2)
+        self.check_waiting_requests(server, server.close_when_idle)
+
+    def test_waiting_requests_are_answered_before_connections_close(
+        self,
+    ) -> None:
+        """Guards against requests in the queue of a closed listener."""
+        server = make_server(_answer, "127.0.0.1:0", 2)
+        self.check_waiting_requests(server, server.close_idle)
+
+    def test_server_without_a_request_closes_at_once(self) -> None:
+        """Guards against a stop that waits although nothing is in use."""
+        server = make_server(_answer, "127.0.0.1:0", 2)
+        idle_caller = self.connect(server)
+        server.close_when_idle()
+        self.run_server(server)
+        self.assertEqual(idle_caller.recv(1), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
