Stop a gateway process under callers that do not stop

Four callers use their connections until the process is gone. What an endpoint has run must have been answered.

--- a/tests/system/test_gateway_process.py
+++ b/tests/system/test_gateway_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -164,6 +165,55 @@
         self.assertIn("stopping", events)
         self.assertEqual(events[-1], "stopped")
 
+    def test_stop_answers_each_request_that_an_endpoint_has_run(self) -> None:
+        """Guards against answers that the end of the process cuts off.
+
+        Callers use their connections until the process is gone.
+        """
+        self.store.put("config", "main", make_document())
+        runs: set[str] = set()
+
+        def script(received: Received) -> list[Any]:
+            runs.add(received.target)
+            return list(_OK)  # type: ignore[arg-type]
+
+        self.register_endpoint(script)
+        process = self.start()
+        self.wait_until_ready()
+        answered: set[str] = set()
+
+        def call_repeatedly(caller: int) -> None:
+            connection = http.client.HTTPConnection(
+                "127.0.0.1", self.caller_port, timeout=20
+            )
+            headers = {"Host": HOST, "Deadline-Ms": "300"}
+            for count in itertools.count():
+                target = f"/read/{caller}/{count}"
+                headers["Request-Id"] = f"r-{caller}-{count}"
+                try:
+                    connection.request("GET", target, headers=headers)
+                    response = connection.getresponse()
+                    if response.read() == b"done":
+                        answered.add(target)
+                except ConnectionRefusedError:
+                    return
+                except OSError:
+                    # The request crossed the close of its connection.
+                    connection.close()
+
+        callers = [
+            threading.Thread(target=call_repeatedly, args=(index,))
+            for index in range(4)
+        ]
+        for caller in callers:
+            caller.start()
+        wait_for(lambda: len(answered) > 20)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(timeout=20), 0)
+        for caller in callers:
+            caller.join()
+        self.assertEqual(runs - answered, set())
+
     def test_payment_during_changes_of_settings_runs_once(self) -> None:
         """Guards against a second payment after SIGHUP ended the first one.
 
