Log and count the connections that the gateway closes

Cause: neither a line nor a counter said that a caller's connection was closed, or why, so that the logs of the incident could not tell its hypotheses apart.

Change: each close has a line with its reason, the time waited and the limit, and counts in connection_closed.

Evidence: the four new tests need the lines, which did not exist before.

--- a/src/burdockspan/gateway/channel_reaper.py
+++ b/src/burdockspan/gateway/channel_reaper.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from burdockspan.gateway.channel import RequestError
+from burdockspan.gateway.connection_log import (
+    ClosedConnection,
+    CloseReason,
+    RecordClosed,
+)
 from burdockspan.gateway.values import RequestLimits
-from burdockspan.http.listener import INACTIVITY_TIMEOUT_S, has_unread_bytes
+from burdockspan.http.listener import (
+    INACTIVITY_TIMEOUT_S,
+    has_unread_bytes,
+)
 from burdockspan.values.clock import Clock
 
 _CHECK_INTERVAL_S = 0.25
@@ -20,10 +28,14 @@
     """Checks the connections of a server at intervals."""
 
     def __init__(
-        self, limits: Callable[[], RequestLimits], clock: Clock
+        self,
+        limits: Callable[[], RequestLimits],
+        clock: Clock,
+        record_closed: RecordClosed,
     ) -> None:
         self._limits = limits
         self._clock = clock
+        self._record_closed = record_closed
         self._next_check_s = 0.0
 
     def close_expired(self, channels: Iterable[Any]) -> None:
@@ -36,57 +48,73 @@
             return
         self._next_check_s = now_s + _CHECK_INTERVAL_S
         limits = self._limits()
+        closed = []
         for channel in channels:
-            # A worker thread adds output before it removes the request.
-            if channel.requests:
+            expired = _find_expired(channel, limits, now_s)
+            if expired is None or has_unread_bytes(channel):
                 continue
-            if channel.total_outbufs_len:
-                is_expired = _is_stalled(channel, now_s)
-            elif channel.request is not None:
-                _end_slow_request(channel, limits, now_s)
-                continue
-            else:
-                is_expired = _is_idle(channel, limits, now_s)
-            if is_expired and not has_unread_bytes(channel):
+            if channel.request is None or channel.total_outbufs_len:
                 channel.handle_close()
+            elif not _end_slow_request(channel, expired):
+                continue
+            closed.append(expired)
+        self._record_closed(closed)
 
-
-def _is_stalled(channel: Any, now_s: float) -> bool:
-    """Returns whether the caller does not read the rest of an answer."""
-    inactive_s: float = now_s - channel.last_activity
-    return inactive_s > INACTIVITY_TIMEOUT_S
-
-
-def _is_idle(channel: Any, limits: RequestLimits, now_s: float) -> bool:
-    """Returns whether the idle timeout and its margin have passed."""
-    # A caller that has not seen the present limit follows the earlier one.
-    limit_s: float = max(channel.idle_limit_s, limits.idle_timeout_s)
-    idle_s: float = now_s - channel.idle_since_s
-    return idle_s > _IDLE_TIMEOUT_FACTOR * limit_s
+    def record_stop(self, channels: Sequence[Any], were_in_use: bool) -> None:
+        """Records connections that the end of the process has closed."""
+        reason = CloseReason.CUT_OFF if were_in_use else CloseReason.STOP
+        now_s = self._clock()
+        self._record_closed(
+            ClosedConnection(
+                reason, channel.addr[0], now_s - channel.idle_since_s, None
+            )
+            for channel in channels
+        )
 
 
-def _end_slow_request(
+def _find_expired(
     channel: Any, limits: RequestLimits, now_s: float
-) -> None:
+) -> ClosedConnection | None:
+    """Returns what to record if a limit of a connection has passed."""
+    # A worker thread adds output before it removes the request.
+    if channel.requests:
+        return None
     request = channel.request
-    elapsed_s = now_s - request.started_s
-    limit_s = (
-        limits.idle_timeout_s
-        if request.headers_finished
-        else limits.header_timeout_s
-    )
-    if elapsed_s <= limit_s or has_unread_bytes(channel):
-        return
+    factor = 1.0
+    if channel.total_outbufs_len:
+        reason, since_s = CloseReason.NOT_READ, channel.last_activity
+        limit_s = INACTIVITY_TIMEOUT_S
+    elif request is None:
+        reason, since_s = CloseReason.IDLE, channel.idle_since_s
+        # A caller that has not seen the present limit follows the earlier one.
+        limit_s = max(channel.idle_limit_s, limits.idle_timeout_s)
+        factor = _IDLE_TIMEOUT_FACTOR
+    elif request.headers_finished:
+        reason, since_s = CloseReason.BODY_TIME, request.started_s
+        limit_s = limits.idle_timeout_s
+    else:
+        reason, since_s = CloseReason.HEADER_TIME, request.started_s
+        limit_s = limits.header_timeout_s
+    waited_s = now_s - since_s
+    if waited_s <= factor * limit_s:
+        return None
+    return ClosedConnection(reason, channel.addr[0], waited_s, limit_s)
+
+
+def _end_slow_request(channel: Any, expired: ClosedConnection) -> bool:
+    """Refuses a request that is not complete; returns whether it did."""
     with channel.requests_lock:
-        if channel.requests or channel.request is not request:
-            return
+        request = channel.request
+        if channel.requests or request is None:
+            return False
         request.error = RequestError(
-            408, f"request was not complete after {limit_s:g} s"
+            408, f"request was not complete after {expired.limit_s:g} s"
         )
         request.completed = True
         channel.requests.append(request)
         channel.request = None
         channel.server.add_task(channel)
+    return True
 
 
 __all__ = ["ChannelReaper"]
--- a/src/burdockspan/gateway/ingress.py
+++ b/src/burdockspan/gateway/ingress.py
@@ -14,6 +14,7 @@
     make_channel_class,
 )
 from burdockspan.gateway.channel_reaper import ChannelReaper
+from burdockspan.gateway.connection_log import RecordClosed
 from burdockspan.gateway.messages import RawRequest, Response, make_status_line
 from burdockspan.gateway.values import RequestLimits
 from burdockspan.http.listener import Server, make_server
@@ -33,6 +34,7 @@
     limits: Callable[[], RequestLimits],
     should_close: Callable[[], bool],
     clock: Clock,
+    record_closed: RecordClosed,
 ) -> Server:
     """Returns the server for callers, listening but not yet serving.
 
@@ -44,6 +46,7 @@
       should_close: returns whether connections close after their next
         response.
       clock: monotonic clock, in seconds.
+      record_closed: logs and counts the connections that the server closes.
     """
 
     def application(
@@ -57,7 +60,7 @@
         start_response(status, list(response.headers))
         return _UnsizedBody(response.body, response.close)
 
-    reaper = ChannelReaper(limits, clock)
+    reaper = ChannelReaper(limits, clock, record_closed)
     return make_server(
         application,
         address,
@@ -67,6 +70,7 @@
         # Endpoints get the headers as received.
         clear_untrusted_proxy_headers=False,
         housekeeping=reaper.close_expired,
+        record_stop=reaper.record_stop,
         clock=clock,
     )
 
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -7,12 +7,14 @@
 import signal
 import sys
 import threading
+import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from burdockspan.gateway import stages
 from burdockspan.gateway.admission_queue import AdmissionQueues
 from burdockspan.gateway.application import InFlightRequests, make_handler
+from burdockspan.gateway.connection_log import make_close_recorder
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.crash_records import CrashRecordStore
 from burdockspan.gateway.discovery import (
@@ -59,6 +61,9 @@
 _REFUSAL_THREADS = 4
 _STATUS_THREADS = 1
 _POLL_INTERVAL_S = 0.1
+# Less than the part of the grace period that is left after the deadline.
+_CLOSE_TIMEOUT_S = 0.2
+_CLOSE_POLL_INTERVAL_S = 0.01
 # A VM sends orders to engines only after it has listed the engines in at least
 # two heartbeat intervals.
 _MIN_UPTIME_S = 2.5 * HEARTBEAT_INTERVAL_S
@@ -150,6 +155,7 @@
         state.limits,
         lambda: graceful_stop.has_begun,
         clock,
+        make_close_recorder(log, registry),
     )
     status_servers = _make_status_servers(settings, context)
     order_sender = OrderSender(
@@ -310,6 +316,7 @@
     log.write("stopping", running=components.in_flight.count)
     _drain(components, run_periodic_tasks)
     stop(components)
+    _wait_until_closed(components.ingress)
     log.write("stopped", running=components.in_flight.count)
     log.close()
     return _EXIT_OK
@@ -353,6 +360,14 @@
         waiter.wait(_POLL_INTERVAL_S)
 
 
+def _wait_until_closed(ingress: Server) -> None:
+    """Waits until the event loop has closed and logged its connections."""
+    waiter = threading.Event()
+    end_s = time.monotonic() + _CLOSE_TIMEOUT_S
+    while not ingress.has_closed() and time.monotonic() < end_s:
+        waiter.wait(_CLOSE_POLL_INTERVAL_S)
+
+
 def is_ready(context: Context) -> bool:
     """Returns whether the load balancer should send callers to this VM."""
     active = context.state.active_configuration()
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -8,7 +8,7 @@
 import select
 import socket
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import waitress.channel
@@ -33,6 +33,7 @@
 """Time without a byte after which a connection outside a call is closed."""
 
 WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
+RecordStop = Callable[[Sequence[Any], bool], None]
 
 # Keep-alive detects a lost caller while nothing is sent to it; while data is
 # unacknowledged, TCP_USER_TIMEOUT does. Both take 20 s.
@@ -103,12 +104,22 @@
         return False
 
 
+def is_in_use(channel: Any) -> bool:
+    """Returns whether a connection must not be closed; see `Server`."""
+    return (
+        _is_busy(channel)
+        or channel.request is not None
+        or has_unread_bytes(channel)
+    )
+
+
 def make_server(
     application: WsgiApplication,
     address: str,
     threads: int,
     channel_class: type[Channel] = Channel,
     housekeeping: Callable[[Iterable[Any]], None] | None = None,
+    record_stop: RecordStop = lambda *_: None,
     clock: Clock | None = None,
     **adjustments: Any,
 ) -> Server:
@@ -122,6 +133,8 @@
       housekeeping: called with the open connections in each iteration of the
         event loop, to close idle ones; by default, those without a byte for
         `INACTIVITY_TIMEOUT_S`.
+      record_stop: called with connections that a stop has closed, and whether
+        they were in use.
       clock: monotonic clock, in seconds; by default, that of the process.
       adjustments: settings of waitress that override those set here.
     """
@@ -156,7 +169,10 @@
     # waitress would close connections by the time of day.
     server.next_channel_cleanup = math.inf
     loop = _EventLoop(
-        server, sockets, housekeeping or _make_housekeeping(server.clock)
+        server,
+        sockets,
+        housekeeping or _make_housekeeping(server.clock),
+        record_stop,
     )
     return Server(
         address=f"{server.effective_host}:{server.effective_port}",
@@ -191,14 +207,6 @@
     return bool(channel.requests) or channel.total_outbufs_len > 0
 
 
-def _is_in_use(channel: Any) -> bool:
-    return (
-        _is_busy(channel)
-        or channel.request is not None
-        or has_unread_bytes(channel)
-    )
-
-
 def _has_waiting_connections(server: Any) -> bool:
     """Returns whether connections wait to be accepted."""
     if not server.accepting:
@@ -284,10 +292,12 @@
         server: Any,
         sockets: dict[int, Any],
         housekeeping: Callable[[Iterable[Any]], None],
+        record_stop: RecordStop,
     ) -> None:
         self._server = server
         self._sockets = sockets
         self._housekeeping = housekeeping
+        self._record_stop = record_stop
         self._lock = threading.Lock()
         self._phase = _Phase.SERVING
         self._ended = False
@@ -305,13 +315,16 @@
             if (
                 self._phase is _Phase.CLOSING_WHEN_IDLE
                 and not _has_waiting_connections(self._server)
-                and not any(map(_is_in_use, _channels(self._sockets)))
+                and not any(map(is_in_use, _channels(self._sockets)))
             ):
                 self.advance(_Phase.CLOSING_IDLE)
             if self._phase is _Phase.CLOSING_IDLE:
                 self._close_idle()
-        for channel in _channels(self._sockets):
+        self._close_idle_channels()
+        cut_off = _channels(self._sockets)
+        for channel in cut_off:
             channel.handle_close()
+        self._record_stop(cut_off, True)
         waitress.wasyncore.dispatcher.close(self._server)
         self.has_closed = True
         self._server.task_dispatcher.shutdown()
@@ -327,12 +340,18 @@
                 break
             self._server.handle_accept()
         waitress.wasyncore.dispatcher.close(self._server)
-        for channel in _channels(self._sockets):
-            if not _is_in_use(channel):
-                channel.handle_close()
+        self._close_idle_channels()
         if not _channels(self._sockets):
             self.advance(_Phase.STOPPED)
 
+    def _close_idle_channels(self) -> None:
+        closed = []
+        for channel in _channels(self._sockets):
+            if not is_in_use(channel):
+                channel.handle_close()
+                closed.append(channel)
+        self._record_stop(closed, False)
+
     def advance(self, phase: _Phase) -> None:
         """Enters a phase, unless the loop has reached it or a later one."""
         with self._lock:
@@ -352,9 +371,11 @@
     "INACTIVITY_TIMEOUT_S",
     "Channel",
     "GrowingTaskDispatcher",
+    "RecordStop",
     "Server",
     "WsgiApplication",
     "has_unread_bytes",
+    "is_in_use",
     "make_server",
     "send_error_response",
 ]
--- a/tests/gateway/test_kept_connections.py
+++ b/tests/gateway/test_kept_connections.py
@@ -11,7 +11,9 @@
 from unittest import mock
 
 from burdockspan.gateway.channel_reaper import ChannelReaper
+from burdockspan.gateway.connection_log import make_close_recorder
 from burdockspan.gateway.values import RequestLimits
+from burdockspan.observe.registry import make_registry
 from standins.scripted_endpoint import ScriptedEndpoint, respond
 from tests.support.gateways import HOST, make_document, run_gateway, wait_for
 
@@ -44,6 +46,7 @@
         self.idle_limit_s = 0.0
         self.last_activity = now_s
         self.will_close = False
+        self.addr = ("192.0.2.1", 80)
         self.socket: socket.socket | _SilentSocket = _SilentSocket()
 
     def handle_close(self) -> None:
@@ -55,7 +58,13 @@
     def setUp(self) -> None:
         self.now_s = 100.0
         self.limits = RequestLimits(4096, 4096, 1.0, 2.0)
-        self.reaper = ChannelReaper(lambda: self.limits, lambda: self.now_s)
+        self.log = mock.Mock()
+        self.registry = make_registry()
+        self.reaper = ChannelReaper(
+            lambda: self.limits,
+            lambda: self.now_s,
+            make_close_recorder(self.log, self.registry),
+        )
 
     def check(self, channels: list[_FakeChannel]) -> None:
         """Advances the clock to the next check, and runs it."""
@@ -91,6 +100,42 @@
             self.check([channel])
         self.assertFalse(channel.will_close)
 
+    def test_closed_connection_is_logged_and_counted(self) -> None:
+        """Guards against a close that no line explains."""
+        channel = _FakeChannel(self.now_s)
+        channel.idle_limit_s = 4.0
+        self.now_s += 6.0
+        self.check([channel])
+        self.log.assert_called_once_with(
+            "connection closed",
+            reason="idle",
+            client="192.0.2.1",
+            waited_s=6.25,
+            limit_s=4.0,
+        )
+        self.assertIn(
+            b'burdockspan_events_total{event="connection_closed",'
+            b'outcome="idle"} 1.0',
+            self.registry.render(),
+        )
+
+    def test_many_closed_connections_share_a_line(self) -> None:
+        """Guards against a log that is full of closed connections."""
+        channels = [
+            _FakeChannel(self.now_s + index / _CHANNELS)
+            for index in range(_CHANNELS)
+        ]
+        self.now_s += 4.0
+        self.check(channels)
+        self.log.assert_called_once_with(
+            "connections closed",
+            reason="idle",
+            count=_CHANNELS,
+            shortest_waited_s=3.25,
+            longest_waited_s=4.25,
+            limit_s=2.0,
+        )
+
     def test_answer_that_is_not_read_ends_its_connection(self) -> None:
         """Guards against memory for callers that stopped reading."""
         channel = _FakeChannel(self.now_s)
@@ -182,6 +227,39 @@
             self.run_check()
         self.assertEqual(len(self.endpoint.received), 80)
 
+    def test_slow_request_is_logged(self) -> None:
+        """Guards against a refused request without the limit that ended it."""
+        self.connect().sendall(_REQUEST[:-2])
+        ingress = self.gateway.components.ingress
+
+        def is_logged() -> bool:
+            self.now_s += 0.1
+            self.gateway.call("GET", "/nowhere")
+            return bool(self.gateway.events_named("connection closed"))
+
+        wait_for(is_logged)
+        event = self.gateway.events_named("connection closed")[0]
+        self.assertEqual(event["reason"], "header_time")
+        self.assertEqual(event["limit_s"], 0.3)
+        wait_for(lambda: not ingress.busy())
+
+    def test_connections_that_a_stop_closes_are_logged(self) -> None:
+        """Guards against a stop that does not say what it cut off."""
+        ended = threading.Event()
+        self.addCleanup(ended.set)
+        self.send(self.connect())
+        self.answer = [ended, *_OK]
+        self.connect().sendall(_REQUEST)
+        wait_for(lambda: len(self.endpoint.received) == 2)
+        ingress = self.gateway.components.ingress
+        ingress.stop()
+        wait_for(ingress.has_closed)
+        reasons = [
+            event["reason"]
+            for event in self.gateway.events_named("connection closed")
+        ]
+        self.assertEqual(reasons, ["stop", "cut_off"])
+
     def test_step_of_the_time_of_day_closes_no_connection(self) -> None:
         """Guards against idle times that are measured in the time of day."""
         caller = self.connect()
