--- a/tests/gateway/test_graceful_stop.py
+++ b/tests/gateway/test_graceful_stop.py
@@ -180,6 +180,8 @@
         process._drain(self.components, lambda: None)
         late_s = time.monotonic() - self.graceful_stop.deadline_s
         self.assertTrue(0.0 <= late_s < 0.5, late_s)
+        # Well before the request in progress reaches its own deadline.
+        idle_caller.settimeout(0.2)
         self.assertEqual(idle_caller.recv(1), b"")
 
 
--- a/tests/gateway/test_kept_connections.py
+++ b/tests/gateway/test_kept_connections.py
@@ -309,6 +309,25 @@
         self.configure_idle_timeout(999)
         self.assertNotIn(b"Keep-Alive", self.send(caller))
 
+    def test_limit_lowered_during_an_answer_is_not_applied_to_it(self) -> None:
+        """Guards against a shorter limit than the answer has stated."""
+        body = b"x" * 16_000_000 + b"done"
+        self.answer = respond(200, body, {"Response-Stamp": "s"})
+        caller = self.connect()
+        caller.sendall(_REQUEST)
+        received = caller.recv(1000)
+        self.assertIn(b"Keep-Alive: timeout=15\r\n", received)
+        self.configure_idle_timeout(2000)
+        self.assertTrue(self.gateway.components.ingress.busy())
+        while not received.endswith(b"done"):
+            received = received[-4:] + caller.recv(1_000_000)
+        wait_for(lambda: not self.gateway.components.ingress.busy())
+        self.answer = _OK
+        for _ in range(2):
+            self.now_s += 2.0
+            self.run_check()
+        self.assertIn(b"done", self.send(caller))
+
     def test_keep_alive_of_an_endpoint_is_not_forwarded(self) -> None:
         """Guards against two Keep-Alive headers in one answer."""
         self.answer = respond(
--- a/tests/http/test_listener_connections.py
+++ b/tests/http/test_listener_connections.py
@@ -116,6 +116,35 @@
         server = make_server(_answer, "127.0.0.1:0", 2)
         self.check_waiting_requests(server, server.close_idle)
 
+    def test_connections_are_served_while_another_is_in_use(self) -> None:
+        """Guards against callers that are refused before the server ends."""
+        entered, proceed = threading.Event(), threading.Event()
+        self.addCleanup(proceed.set)
+
+        def answer(environ: dict[str, Any], start_response: Any) -> Any:
+            if environ["PATH_INFO"] == "/slow":
+                entered.set()
+                proceed.wait(20)
+            return _answer(environ, start_response)
+
+        server = make_server(answer, "127.0.0.1:0", 2)
+        thread = threading.Thread(target=server.run)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(server.stop)
+        slow_caller = self.connect(server)
+        slow_caller.sendall(b"GET /slow HTTP/1.1\r\n\r\n")
+        self.assertTrue(entered.wait(20))
+        idle_caller = self.connect(server)
+        server.close_when_idle()
+        for _ in range(3):
+            for caller in (idle_caller, self.connect(server)):
+                caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+                self.assertIn(b" 200 OK", caller.recv(65_536))
+        proceed.set()
+        self.assertIn(b" 200 OK", slow_caller.recv(65_536))
+        wait_for(server.has_closed)
+
     def test_server_without_a_request_closes_at_once(self) -> None:
         """Guards against a stop that waits although nothing is in use."""
         server = make_server(_answer, "127.0.0.1:0", 2)
