--- a/src/burdockspan/gateway/channel.py
+++ b/src/burdockspan/gateway/channel.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import http
+import math
 import re
 import socket
 import struct
 from collections.abc import Callable
 from typing import Any
 
-import waitress.channel
 import waitress.parser
 import waitress.task
 import waitress.utilities
@@ -26,7 +26,7 @@
     make_status_line,
 )
 from burdockspan.gateway.values import RequestLimits
-from burdockspan.http.listener import send_error_response
+from burdockspan.http.listener import Channel, send_error_response
 from burdockspan.values.clock import Clock
 
 RAW_KEY = "burdockspan.raw"
@@ -34,6 +34,7 @@
 CLOSE_KEY = "burdockspan.close"
 """Key of the function that closes the connection after the response."""
 
+_LINE_END = b"\r\n"
 _UNREPEATABLE_HEADERS = ("Content-Length", "Host", "Transfer-Encoding")
 
 
@@ -48,7 +49,7 @@
 
 def make_channel_class(
     limits: Callable[[], RequestLimits], clock: Clock
-) -> type:
+) -> type[Channel]:
     """Returns the class of the connections of one server.
 
     Args:
@@ -115,6 +116,22 @@
             self.environ = environ
             return environ
 
+        def build_response_header(self) -> bytes:
+            """Returns the head, with the idle timeout if the caller may stay.
+
+            The version of the request and the framing of the body decide in
+            the base class whether the connection closes.
+            """
+            head: bytes = super().build_response_header()
+            timeout_s = limits().idle_timeout_s
+            self.channel.stated_idle_limit_s = timeout_s
+            if self.close_on_finish or timeout_s < 1.0:
+                return head
+            keep_alive = f"Keep-Alive: timeout={math.floor(timeout_s)}"
+            return head.removesuffix(_LINE_END) + (
+                keep_alive.encode() + 2 * _LINE_END
+            )
+
         def execute(self) -> None:
             try:
                 super().execute()
@@ -141,14 +158,37 @@
                 self, status, response.headers, b"".join(response.body)
             )
 
-    class CallerChannel(waitress.channel.HTTPChannel):
-        """A caller's connection."""
+    class CallerChannel(Channel):
+        """A caller's connection.
+
+        Attributes:
+          idle_since_s: when the last answer was written to the socket, or the
+            connection was accepted, in monotonic seconds.
+          idle_limit_s: the idle timeout that was in force then.
+          stated_idle_limit_s: the idle timeout when the head of the last
+            answer was written.
+        """
 
         parser_class = RequestParser
         task_class = RequestTask
         error_task_class = ErrorResponseTask
         caller: CallerConnection | None = None
 
+        def __init__(self, *args: Any, **options: Any) -> None:
+            self.idle_since_s = clock()
+            self.idle_limit_s = limits().idle_timeout_s
+            self.stated_idle_limit_s = self.idle_limit_s
+            super().__init__(*args, **options)
+
+        def _flush_some(self, do_close: bool = True) -> bool:
+            has_sent: bool = super()._flush_some(do_close)
+            if has_sent and not self.total_outbufs_len:
+                self.idle_since_s = clock()
+                self.idle_limit_s = max(
+                    self.stated_idle_limit_s, limits().idle_timeout_s
+                )
+            return has_sent
+
         def handle_close(self) -> None:
             super().handle_close()
             if self.caller is not None:
--- a/src/burdockspan/gateway/channel_reaper.py
+++ b/src/burdockspan/gateway/channel_reaper.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from burdockspan.gateway.channel import RequestError
+from burdockspan.gateway.connection_log import (
+    ClosedConnection,
+    CloseReason,
+    RecordClosed,
+)
 from burdockspan.gateway.values import RequestLimits
+from burdockspan.http.listener import (
+    INACTIVITY_TIMEOUT_S,
+    has_unread_bytes,
+)
 from burdockspan.values.clock import Clock
 
 _CHECK_INTERVAL_S = 0.25
@@ -19,12 +28,15 @@
     """Checks the connections of a server at intervals."""
 
     def __init__(
-        self, limits: Callable[[], RequestLimits], clock: Clock
+        self,
+        limits: Callable[[], RequestLimits],
+        clock: Clock,
+        record_closed: RecordClosed,
     ) -> None:
         self._limits = limits
         self._clock = clock
+        self._record_closed = record_closed
         self._next_check_s = 0.0
-        self._idle_since_s_by_channel: dict[int, float] = {}
 
     def close_expired(self, channels: Iterable[Any]) -> None:
         """Times out slow requests, and closes idle connections.
@@ -36,45 +48,73 @@
             return
         self._next_check_s = now_s + _CHECK_INTERVAL_S
         limits = self._limits()
-        idle_since_s_by_channel: dict[int, float] = {}
+        closed = []
         for channel in channels:
-            if channel.requests or channel.total_outbufs_len:
+            expired = _find_expired(channel, limits, now_s)
+            if expired is None or has_unread_bytes(channel):
                 continue
-            if channel.request is not None:
-                _end_slow_request(channel, limits, now_s)
+            if channel.request is None or channel.total_outbufs_len:
+                channel.handle_close()
+            elif not _end_slow_request(channel, expired):
                 continue
-            idle_since_s = self._idle_since_s_by_channel.get(id(channel), now_s)
-            idle_since_s_by_channel[id(channel)] = idle_since_s
-            if (
-                now_s - idle_since_s
-                > _IDLE_TIMEOUT_FACTOR * limits.idle_timeout_s
-            ):
-                channel.will_close = True
-        self._idle_since_s_by_channel = idle_since_s_by_channel
+            closed.append(expired)
+        self._record_closed(closed)
+
+    def record_stop(self, channels: Sequence[Any], were_in_use: bool) -> None:
+        """Records connections that the end of the process has closed."""
+        reason = CloseReason.CUT_OFF if were_in_use else CloseReason.STOP
+        now_s = self._clock()
+        self._record_closed(
+            ClosedConnection(
+                reason, channel.addr[0], now_s - channel.idle_since_s, None
+            )
+            for channel in channels
+        )
 
 
-def _end_slow_request(
+def _find_expired(
     channel: Any, limits: RequestLimits, now_s: float
-) -> None:
+) -> ClosedConnection | None:
+    """Returns what to record if a limit of a connection has passed."""
+    # A worker thread adds output before it removes the request.
+    if channel.requests:
+        return None
     request = channel.request
-    elapsed_s = now_s - request.started_s
-    limit_s = (
-        limits.idle_timeout_s
-        if request.headers_finished
-        else limits.header_timeout_s
-    )
-    if elapsed_s <= limit_s:
-        return
+    factor = 1.0
+    if channel.total_outbufs_len:
+        reason, since_s = CloseReason.NOT_READ, channel.last_activity
+        limit_s = INACTIVITY_TIMEOUT_S
+    elif request is None:
+        reason, since_s = CloseReason.IDLE, channel.idle_since_s
+        # A caller that has not seen the present limit follows the earlier one.
+        limit_s = max(channel.idle_limit_s, limits.idle_timeout_s)
+        factor = _IDLE_TIMEOUT_FACTOR
+    elif request.headers_finished:
+        reason, since_s = CloseReason.BODY_TIME, request.started_s
+        limit_s = limits.idle_timeout_s
+    else:
+        reason, since_s = CloseReason.HEADER_TIME, request.started_s
+        limit_s = limits.header_timeout_s
+    waited_s = now_s - since_s
+    if waited_s <= factor * limit_s:
+        return None
+    return ClosedConnection(reason, channel.addr[0], waited_s, limit_s)
+
+
+def _end_slow_request(channel: Any, expired: ClosedConnection) -> bool:
+    """Refuses a request that is not complete; returns whether it did."""
     with channel.requests_lock:
-        if channel.requests or channel.request is not request:
-            return
+        request = channel.request
+        if channel.requests or request is None:
+            return False
         request.error = RequestError(
-            408, f"request was not complete after {limit_s:g} s"
+            408, f"request was not complete after {expired.limit_s:g} s"
         )
         request.completed = True
         channel.requests.append(request)
         channel.request = None
         channel.server.add_task(channel)
+    return True
 
 
 __all__ = ["ChannelReaper"]
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
+import math
+import select
 import socket
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import waitress.channel
@@ -13,6 +16,8 @@
 import waitress.task
 import waitress.wasyncore
 
+from burdockspan.values.clock import Clock, make_monotonic_clock
+
 _MEBIBYTE = 1024 * 1024
 # VMs have no disks, so no buffer may overflow to a temporary file.
 _BUFFER_OVERFLOW_BYTES = 1024 * _MEBIBYTE
@@ -22,8 +27,13 @@
 _CONNECTION_LIMIT_COUNT = 20_000
 HEADER_LIMIT_BYTES = 64 * 1024
 _POLL_TIMEOUT_S = 1.0
+_CLOSING_POLL_TIMEOUT_S = 0.1
+_BACKLOG_COUNT = 4096
+INACTIVITY_TIMEOUT_S = 120.0
+"""Time without a byte after which a connection outside a call is closed."""
 
 WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
+RecordStop = Callable[[Sequence[Any], bool], None]
 
 # Keep-alive detects a lost caller while nothing is sent to it; while data is
 # unacknowledged, TCP_USER_TIMEOUT does. Both take 20 s.
@@ -47,22 +57,70 @@
       stop_accepting: closes the listening socket; open connections remain.
       busy: whether a call is in progress, or part of its response is not yet
         written to the socket. The response to a slow reader outlasts its call.
-      stop: closes all connections, so that `run` returns.
+      close_when_idle: makes the server close all connections at a moment when
+        none is in use, so that `run` returns. Until then it serves as before.
+      close_idle: stops accepting, and closes each connection as soon as it is
+        not in use; `run` returns once all are closed.
+      has_closed: whether all connections are closed.
+      stop: closes all connections, also those in use, so that `run` returns.
+
+    A connection is in use while it carries a call, a part of a request has
+    arrived, or a part of a response is not yet written to the socket.
     """
 
     address: str
     run: Callable[[], None]
     stop_accepting: Callable[[], None]
     busy: Callable[[], bool]
+    close_when_idle: Callable[[], None]
+    close_idle: Callable[[], None]
+    has_closed: Callable[[], bool]
     stop: Callable[[], None]
 
 
+class Channel(waitress.channel.HTTPChannel):
+    """A connection of a caller."""
+
+    @property
+    def last_activity(self) -> float:
+        """When a byte was last sent or received, in monotonic seconds.
+
+        waitress assigns the time of day, which may step.
+        """
+        return self._last_activity_s
+
+    @last_activity.setter
+    def last_activity(self, _: float) -> None:
+        self._last_activity_s: float = self.server.clock()
+
+
+def has_unread_bytes(channel: Any) -> bool:
+    """Returns whether bytes of a caller wait in the connection's socket."""
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    try:
+        return bool(channel.socket.recv(1, flags))
+    except OSError:
+        # Nothing has arrived, or the connection is lost.
+        return False
+
+
+def is_in_use(channel: Any) -> bool:
+    """Returns whether a connection must not be closed; see `Server`."""
+    return (
+        _is_busy(channel)
+        or channel.request is not None
+        or has_unread_bytes(channel)
+    )
+
+
 def make_server(
     application: WsgiApplication,
     address: str,
     threads: int,
-    channel_class: type = waitress.channel.HTTPChannel,
+    channel_class: type[Channel] = Channel,
     housekeeping: Callable[[Iterable[Any]], None] | None = None,
+    record_stop: RecordStop = lambda *_: None,
+    clock: Clock | None = None,
     **adjustments: Any,
 ) -> Server:
     """Returns a server, listening but not yet serving.
@@ -73,14 +131,18 @@
       threads: limit of the threads that run the application.
       channel_class: class of the connections of callers.
       housekeeping: called with the open connections in each iteration of the
-        event loop.
+        event loop, to close idle ones; by default, those without a byte for
+        `INACTIVITY_TIMEOUT_S`.
+      record_stop: called with connections that a stop has closed, and whether
+        they were in use.
+      clock: monotonic clock, in seconds; by default, that of the process.
       adjustments: settings of waitress that override those set here.
     """
     host, _, port = address.rpartition(":")
     sockets: dict[int, Any] = {}
     settings: dict[str, Any] = {
         "ident": None,
-        "backlog": 4096,
+        "backlog": _BACKLOG_COUNT,
         "connection_limit": _CONNECTION_LIMIT_COUNT,
         "asyncore_use_poll": True,
         # waitress detects a disconnected caller during a call only if it
@@ -103,23 +165,55 @@
     )
     server.adj.socket_options = CALLER_SOCKET_OPTIONS
     server.channel_class = channel_class
-    loop = _EventLoop(server, sockets, housekeeping)
+    server.clock = clock or make_monotonic_clock()
+    # waitress would close connections by the time of day.
+    server.next_channel_cleanup = math.inf
+    loop = _EventLoop(
+        server,
+        sockets,
+        housekeeping or _make_housekeeping(server.clock),
+        record_stop,
+    )
     return Server(
         address=f"{server.effective_host}:{server.effective_port}",
         run=loop.run,
         stop_accepting=lambda: loop.call_soon(
             lambda: waitress.wasyncore.dispatcher.close(server)
         ),
-        busy=lambda: _is_busy(sockets),
-        stop=loop.stop,
+        busy=lambda: any(map(_is_busy, _channels(sockets))),
+        close_when_idle=lambda: loop.advance(_Phase.CLOSING_WHEN_IDLE),
+        close_idle=lambda: loop.advance(_Phase.CLOSING_IDLE),
+        has_closed=lambda: loop.has_closed,
+        stop=lambda: loop.advance(_Phase.STOPPED),
     )
 
 
-def _is_busy(sockets: dict[int, Any]) -> bool:
-    return any(
-        bool(channel.requests) or channel.total_outbufs_len > 0
-        for channel in _channels(sockets)
-    )
+def _make_housekeeping(clock: Clock) -> Callable[[Iterable[Any]], None]:
+    def close_inactive(channels: Iterable[Any]) -> None:
+        now_s = clock()
+        for channel in channels:
+            if (
+                not channel.requests
+                and now_s - channel.last_activity > INACTIVITY_TIMEOUT_S
+                and not has_unread_bytes(channel)
+            ):
+                channel.handle_close()
+
+    return close_inactive
+
+
+def _is_busy(channel: Any) -> bool:
+    # A worker thread adds output before it removes the request.
+    return bool(channel.requests) or channel.total_outbufs_len > 0
+
+
+def _has_waiting_connections(server: Any) -> bool:
+    """Returns whether connections wait to be accepted."""
+    if not server.accepting:
+        return False
+    pollster = select.poll()
+    pollster.register(server.socket, select.POLLIN)
+    return bool(pollster.poll(0))
 
 
 def _channels(sockets: dict[int, Any]) -> list[Any]:
@@ -170,45 +264,98 @@
             self.start_new_thread(self.handler_thread, self._last_thread)
 
 
+class _Phase(enum.IntEnum):
+    """Phases of an event loop, in their order."""
+
+    SERVING = 0
+    CLOSING_WHEN_IDLE = 1
+    CLOSING_IDLE = 2
+    STOPPED = 3
+
+
 class _EventLoop:
     """The event loop of a server.
 
+    The loop itself closes connections, so that no request is read between the
+    last look at a connection and its close.
+
     waitress closes the descriptor that wakes its loop while worker threads may
     still write to it; by then its number may belong to another connection.
     This loop closes it after the worker threads have ended.
+
+    Attributes:
+      has_closed: whether all connections are closed.
     """
 
     def __init__(
         self,
         server: Any,
         sockets: dict[int, Any],
-        housekeeping: Callable[[Iterable[Any]], None] | None,
+        housekeeping: Callable[[Iterable[Any]], None],
+        record_stop: RecordStop,
     ) -> None:
         self._server = server
         self._sockets = sockets
         self._housekeeping = housekeeping
+        self._record_stop = record_stop
         self._lock = threading.Lock()
-        self._stopping = False
+        self._phase = _Phase.SERVING
         self._ended = False
+        self.has_closed = False
 
     def run(self) -> None:
-        """Serves until `stop` is called."""
-        while not self._stopping:
-            waitress.wasyncore.poll2(_POLL_TIMEOUT_S, self._sockets)
-            if self._housekeeping is not None:
-                self._housekeeping(_channels(self._sockets))
-        for channel in _channels(self._sockets):
+        """Serves until the loop is stopped or has closed all connections."""
+        while self._phase < _Phase.STOPPED:
+            is_serving = self._phase is _Phase.SERVING
+            waitress.wasyncore.poll2(
+                _POLL_TIMEOUT_S if is_serving else _CLOSING_POLL_TIMEOUT_S,
+                self._sockets,
+            )
+            self._housekeeping(_channels(self._sockets))
+            if (
+                self._phase is _Phase.CLOSING_WHEN_IDLE
+                and not _has_waiting_connections(self._server)
+                and not any(map(is_in_use, _channels(self._sockets)))
+            ):
+                self.advance(_Phase.CLOSING_IDLE)
+            if self._phase is _Phase.CLOSING_IDLE:
+                self._close_idle()
+        self._close_idle_channels()
+        cut_off = _channels(self._sockets)
+        for channel in cut_off:
             channel.handle_close()
+        self._record_stop(cut_off, True)
         waitress.wasyncore.dispatcher.close(self._server)
+        self.has_closed = True
         self._server.task_dispatcher.shutdown()
         with self._lock:
             self._ended = True
             if not self._server.task_dispatcher.threads:
                 self._server.trigger.close()
 
-    def stop(self) -> None:
-        """Makes `run` return."""
-        self._stopping = True
+    def _close_idle(self) -> None:
+        # Closing the listening socket resets the connections that wait there.
+        for _ in range(_BACKLOG_COUNT):
+            if not _has_waiting_connections(self._server):
+                break
+            self._server.handle_accept()
+        waitress.wasyncore.dispatcher.close(self._server)
+        self._close_idle_channels()
+        if not _channels(self._sockets):
+            self.advance(_Phase.STOPPED)
+
+    def _close_idle_channels(self) -> None:
+        closed = []
+        for channel in _channels(self._sockets):
+            if not is_in_use(channel):
+                channel.handle_close()
+                closed.append(channel)
+        self._record_stop(closed, False)
+
+    def advance(self, phase: _Phase) -> None:
+        """Enters a phase, unless the loop has reached it or a later one."""
+        with self._lock:
+            self._phase = max(self._phase, phase)
         self.call_soon(None)
 
     def call_soon(self, function: Callable[[], None] | None) -> None:
@@ -221,9 +368,14 @@
 __all__ = [
     "CALLER_SOCKET_OPTIONS",
     "HEADER_LIMIT_BYTES",
+    "INACTIVITY_TIMEOUT_S",
+    "Channel",
     "GrowingTaskDispatcher",
+    "RecordStop",
     "Server",
     "WsgiApplication",
+    "has_unread_bytes",
+    "is_in_use",
     "make_server",
     "send_error_response",
 ]
