Name the era of the platform's store in all responses

Cause: after the store had come back from an older copy, a watch waited at its old version until that version was given out again, and missed what was written until then. Nothing in the object API told a client of the return.

Change: each response names the era of the store in Platform-Era. The stand-in can be copied and restored, and refuses a watch from a version that it lacks with 410. The client keeps the latest era and counts a response of an earlier one as none; the watch begins again in a new era.

Evidence: test_reader_sees_configurations_after_a_restore timed out after 15 s at generation 10 without the era.

--- a/src/burdockspan/node/platform_reader.py
+++ b/src/burdockspan/node/platform_reader.py
@@ -81,6 +81,7 @@
         (commit.OBJECT_KIND,),
         lambda events: _deliver(events, send_to_node),
         random_float,
+        latest_era=client.eras.latest,
     )
     reader = threading.Thread(
         target=_read_periodically,
--- a/src/burdockspan/object_api/client.py
+++ b/src/burdockspan/object_api/client.py
@@ -12,6 +12,7 @@
 from result import Result
 
 from burdockspan.object_api.calls import CallCounts, CallLimiter
+from burdockspan.object_api.eras import EraTracker
 from burdockspan.object_api.exchange import (
     CallContext,
     TimeLimits,
@@ -56,6 +57,7 @@
       list_vms: reads the VM list.
       get_weights: reads the weights of a version of a model.
       counts: returns the counts of the calls made so far.
+      eras: the latest era of the store.
     """
 
     get: Callable[[str, str], Result[VersionedObject, PlatformError]]
@@ -73,6 +75,7 @@
     list_vms: Callable[[], Result[VmList, PlatformError]]
     get_weights: Callable[[str, str], Result[Weights, PlatformError]]
     counts: Callable[[], CallCounts]
+    eras: EraTracker
 
 
 def make_platform_client(
@@ -96,7 +99,7 @@
     """
     limits = time_limits or TimeLimits()
     context = CallContext(
-        transport, limiter, clock, random_float, limits, sleep
+        transport, limiter, clock, random_float, limits, sleep, EraTracker()
     )
     bind = functools.partial
     return PlatformClient(
@@ -109,6 +112,7 @@
         list_vms=bind(_list_vms, context),
         get_weights=bind(_get_weights, context),
         counts=limiter.counts,
+        eras=context.eras,
     )
 
 
--- a/src/burdockspan/object_api/exchange.py
+++ b/src/burdockspan/object_api/exchange.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.object_api.calls import Budget, CallLimiter
+from burdockspan.object_api.eras import EraTracker, parse_era
 from burdockspan.object_api.objects import (
     PlatformError,
     VersionedObject,
@@ -52,6 +53,7 @@
     random_float: RandomFloat
     time_limits: TimeLimits
     sleep: Callable[[float], None]
+    eras: EraTracker
 
 
 def send_read(
@@ -98,21 +100,24 @@
 def send_once(
     context: CallContext, operation: str, kind: str, request: Request
 ) -> Result[bytes, PlatformError]:
-    """Performs one call under the rate limit and counts it; no retries."""
+    """Performs one call under the rate limit and counts it; no retries.
+
+    A response of an earlier era than the latest known one counts as none.
+    """
     writing = request.method != "GET"
     budget = Budget.WRITE if writing else Budget.READ
     if not context.limiter.admit(operation, budget, kind):
         return Err(PlatformError.LIMITED)
-    outcome = _exchange(context.transport, request, writing)
+    outcome = _exchange(context, request, writing)
     error = outcome.err()
     context.limiter.record(error.value if error else "ok")
     return outcome
 
 
 def _exchange(
-    transport: Transport, request: Request, writing: bool
+    context: CallContext, request: Request, writing: bool
 ) -> Result[bytes, PlatformError]:
-    exchanged = transport(request)
+    exchanged = context.transport(request)
     no_response = (
         PlatformError.UNCERTAIN if writing else PlatformError.UNAVAILABLE
     )
@@ -120,6 +125,8 @@
         not_sent = exchanged.err_value is ExchangeFailure.NOT_SENT
         return Err(PlatformError.UNAVAILABLE if not_sent else no_response)
     response = exchanged.ok_value
+    if not context.eras.observe(parse_era(response.headers)):
+        return Err(no_response)
     if response.status == _HTTP_OK:
         return Ok(response.body)
     if response.status >= 500:
--- a/src/burdockspan/object_api/watch.py
+++ b/src/burdockspan/object_api/watch.py
@@ -24,10 +24,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class WatchState:
-    """Last version received by a watch, and its consecutive failures."""
+    """Position of a watch.
+
+    Attributes:
+      after: last version received.
+      failures: consecutive failures.
+      era: era of the store in which that version was given out; None before
+        the first response that names one.
+    """
 
     after: int = 0
     failures: int = 0
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,19 +72,36 @@
     state: WatchState,
     outcome: Result[WatchBatch, PlatformError],
     random_float: RandomFloat,
+    era: int | None = None,
 ) -> WatchStep:
-    """Returns the result of one watch call; the version never goes back."""
+    """Returns the result of one watch call.
+
+    The version never goes back within an era of the store. In a new era the
+    watch begins again, since versions are given out again.
+
+    Args:
+      state: the state before the call.
+      outcome: response of the platform.
+      random_float: jitter of the backoff.
+      era: latest known era of the store.
+    """
+    if era is None:
+        era = state.era
+    if state.era is not None and era != state.era:
+        return WatchStep(WatchState(era=era), (), _MIN_INTERVAL_S)
     if isinstance(outcome, Err) or outcome.ok_value.version < state.after:
         failures = state.failures + 1
         delay_s = backoff_delay_s(WATCH_BACKOFF, failures, random_float)
-        return WatchStep(WatchState(state.after, failures), (), delay_s)
+        return WatchStep(WatchState(state.after, failures, era), (), delay_s)
     batch = outcome.ok_value
     new_events = [
         event for event in batch.events if event.version > state.after
     ]
     new_events.sort(key=lambda event: event.version)
     after = max([batch.version, *(event.version for event in new_events)])
-    return WatchStep(WatchState(after), tuple(new_events), _MIN_INTERVAL_S)
+    return WatchStep(
+        WatchState(after, 0, era), tuple(new_events), _MIN_INTERVAL_S
+    )
 
 
 def make_watch(
@@ -87,6 +112,7 @@
     deliver: Callable[[tuple[WatchEvent, ...]], None],
     random_float: RandomFloat,
     poll_s: float = _POLL_TIMEOUT_S,
+    latest_era: Callable[[], int | None] = lambda: None,
 ) -> Watch:
     """Returns a watch that is not started yet.
 
@@ -96,15 +122,15 @@
       deliver: called with new events, on the thread of the watch.
       random_float: jitter of the backoff.
       poll_s: how long one call waits for changes.
+      latest_era: returns the latest known era of the store.
     """
     stopping = threading.Event()
     current = [WatchState()]
 
     def run() -> None:
         while not stopping.is_set():
-            step = advance(
-                current[0], poll(kinds, current[0].after, poll_s), random_float
-            )
+            outcome = poll(kinds, current[0].after, poll_s)
+            step = advance(current[0], outcome, random_float, latest_era())
             current[0] = step.state
             if step.events and not stopping.is_set():
                 deliver(step.events)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,10 @@
 
 `PUT /control/vms {"vms": [...]}` sets the VM list,
 `PUT /control/weights/<model>/<version>` stores weights, `GET /calls` returns
-the number of calls by kind and by caller.
+the number of calls by kind and by caller. `PUT /control/copy` copies the store,
+and `PUT /control/restore` lets it come back from that copy: what was written
+since is gone, its versions are given out again, and `Platform-Era`, in all
+answers, rises by one.
 
 Faults in addition to those of all stand-ins: `down` (true closes connections,
 "error" responds with 503), `cut_off` (list of VM names whose calls hang and are
@@ -14,6 +17,7 @@
 import argparse
 import base64
 import collections
+import dataclasses
 import json
 import threading
 import time
@@ -33,7 +37,21 @@
     def __init__(self) -> None:
         self.changed = threading.Condition(threading.RLock())
         self.version = 0
+        self.era = 1
         self._objects: dict[tuple[str, str], tuple[int, Any]] = {}
+        self._copy = (0, dict(self._objects))
+
+    def copy(self) -> None:
+        """Copies the contents, to come back from them later."""
+        with self.changed:
+            self._copy = (self.version, dict(self._objects))
+
+    def restore(self) -> None:
+        """Comes back from the last copy."""
+        with self.changed:
+            self.version, self._objects = self._copy[0], dict(self._copy[1])
+            self.era += 1
+            self.changed.notify_all()
 
     def get(self, kind: str, name: str) -> tuple[int, Any] | None:
         """Returns version and value, None if the object does not exist."""
@@ -115,7 +133,19 @@
         )
 
     def handle(self, request: Request) -> Response | None:
-        """Handles one call."""
+        """Handles one call; the answer names the era in which it arrived.
+
+        So a write that an answer of an era confirms is not lost by the rise to
+        that era.
+        """
+        era = ("Platform-Era", str(self.store.era))
+        response = self._answer(request)
+        if response is None:
+            return None
+        headers = (*response.headers, era)
+        return dataclasses.replace(response, headers=headers)
+
+    def _answer(self, request: Request) -> Response | None:
         if request.path == "/calls":
             return json_response(200, self._calls_json())
         if request.path.startswith("/control/"):
@@ -181,6 +211,8 @@
     def _handle_watch(self, request: Request) -> Response:
         kinds = request.query.get("kinds", "").split(",")
         after = int(request.query.get("after", "0"))
+        if after > self.store.version:
+            return json_response(410, {})
         self.store.wait(
             kinds, after, float(request.query.get("timeout_s", "0"))
         )
@@ -195,6 +227,12 @@
             data = base64.b64encode(request.body).decode()
             self.weights["/".join(parts[3:])] = {"bytes": data}
             return json_response(200, {})
+        if parts[2] == "copy":
+            self.store.copy()
+            return json_response(200, {})
+        if parts[2] == "restore":
+            self.store.restore()
+            return json_response(200, {})
         value = request.json()
         lag_s = self.faults.get_seconds("vm_list_lag_s")
         if lag_s:
--- a/tests/node/test_platform_reader.py
+++ b/tests/node/test_platform_reader.py
@@ -3,11 +3,18 @@
 import random
 import unittest
 
+from bench.document_fixtures import make_configuration
+from burdockspan.configuration.codec import encode_configuration
+from burdockspan.node import messages
 from burdockspan.node.platform_reader import (
     initial_elapsed_s,
+    make_platform_reader,
     poll_interval_s,
     vm_list_interval_s,
 )
+from burdockspan.object_api.connection import connect_platform
+from standins.launcher import put_configuration, wait_until
+from tests.support.processes import running_standin
 
 _VM_BYTES = 140
 _BUDGET_BYTES_PER_S = 29_000
@@ -27,6 +34,37 @@
         self.assertEqual(vm_list_interval_s(True, 50), 1.0)
 
 
+class RestoredPlatformTest(unittest.TestCase):
+    def test_reader_sees_configurations_after_a_restore(self) -> None:
+        """Guards against a watch that waits until old versions are passed."""
+        platform = self.enterContext(running_standin("platform"))
+        generations: set[int] = set()
+
+        def receive(message: object) -> None:
+            if isinstance(message, messages.ConfigurationReceived):
+                configuration = message.configuration
+                if configuration is not None:
+                    generations.add(configuration.generation)
+
+        def write(generation: int) -> None:
+            configuration = make_configuration(generation)
+            put_configuration(platform, encode_configuration(configuration))
+
+        client = connect_platform(f"http://{platform.address}", "vm-1")
+        reader = make_platform_reader(
+            client, receive, lambda: True, lambda: 2, lambda: 0.0
+        )
+        reader.start()
+        self.addCleanup(reader.stop)
+        platform.call("PUT", "/control/copy")
+        for generation in range(1, 10):
+            write(generation)
+        wait_until(lambda: 9 in generations, "the watch is at version 9")
+        platform.call("PUT", "/control/restore")
+        write(10)
+        wait_until(lambda: 10 in generations, "generation 10", 15.0)
+
+
 class PollIntervalTest(unittest.TestCase):
     def test_small_zone_polls_in_time_for_a_change(self) -> None:
         # Target P8 allows 6 s for a change when only the watchers are cut off
