Take the VM list of a new era as newer

Cause: a node ignores a VM list whose version is not higher than that of its list. After the store had come back from an older copy, this held for each new list until the old version was passed.

Change: the client's version of the list rises with the era, too. A list that is read while the era rises counts as unavailable, since it may be of either era.

Evidence: test_vm_list_of_a_new_era_is_newer failed without the era in the version (1 not greater than 3).

--- a/src/burdockspan/object_api/client.py
+++ b/src/burdockspan/object_api/client.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Result
+from result import Err, Ok, Result
 
 from burdockspan.object_api.calls import CallCounts, CallLimiter
-from burdockspan.object_api.eras import EraTracker
+from burdockspan.object_api.eras import EraTracker, combine_version
 from burdockspan.object_api.exchange import (
     CallContext,
     TimeLimits,
@@ -54,7 +54,7 @@
       list_objects: reads the objects of a kind whose names have a prefix.
       watch: waits for changes of objects of some kinds after a version, up to
         a number of seconds.
-      list_vms: reads the VM list.
+      list_vms: reads the VM list, whose version also rises across eras.
       get_weights: reads the weights of a version of a model.
       counts: returns the counts of the calls made so far.
       eras: the latest era of the store.
@@ -170,9 +170,19 @@
 
 
 def _list_vms(context: CallContext) -> Result[VmList, PlatformError]:
-    return send_read(
+    era_before = context.eras.latest()
+    listed = send_read(
         context, "vms", "", "/vms", lambda v: parse_vm_list(v).ok()
     )
+    if isinstance(listed, Err):
+        return listed
+    era = context.eras.latest()
+    if era_before is not None and era != era_before:
+        # The list may be of either era.
+        return Err(PlatformError.UNAVAILABLE)
+    vm_list = listed.ok_value
+    version = combine_version(era, vm_list.version)
+    return Ok(dataclasses.replace(vm_list, version=version))
 
 
 def _get_weights(
--- a/src/burdockspan/object_api/eras.py
+++ b/src/burdockspan/object_api/eras.py
@@ -13,6 +13,8 @@
 ERA_HEADER = "Platform-Era"
 FIRST_ERA = 1
 """Era of a store that has never come back from a copy."""
+# Larger than any version of a store; lets versions of two eras be compared.
+_VERSIONS_PER_ERA = 10**12
 _ERA_PATTERN = re.compile(r"[1-9][0-9]{0,8}")
 
 EraListener = Callable[[int], None]
@@ -67,10 +69,26 @@
     return int(text) if _ERA_PATTERN.fullmatch(text) else None
 
 
+def combine_version(era: int | None, version: int) -> int:
+    """Returns a number that rises with each version, also across eras.
+
+    In the first era, and while no era is known, it is the version itself.
+    """
+    return ((era or FIRST_ERA) - FIRST_ERA) * _VERSIONS_PER_ERA + version
+
+
+def split_version(combined: int) -> tuple[int, int]:
+    """Returns the era and the version that a combined version is made of."""
+    eras, version = divmod(combined, _VERSIONS_PER_ERA)
+    return eras + FIRST_ERA, version
+
+
 __all__ = [
     "ERA_HEADER",
     "FIRST_ERA",
     "EraListener",
     "EraTracker",
+    "combine_version",
     "parse_era",
+    "split_version",
 ]
--- a/tests/object_api/test_eras.py
+++ b/tests/object_api/test_eras.py
@@ -55,6 +55,19 @@
         again = self.client.create("k", "other", 1).unwrap()
         self.assertEqual(again.version, lost.version)
 
+    def test_vm_list_of_a_new_era_is_newer(self) -> None:
+        """Guards against VM lists ignored until old versions are passed."""
+        self.platform.call("PUT", "/control/copy")
+        for _ in range(3):
+            self.platform.call("PUT", "/control/vms", {"vms": []})
+        before = self.client.list_vms().unwrap()
+        self.restore()
+        self.platform.call("PUT", "/control/vms", {"vms": []})
+        # The era rises during the first read.
+        self.client.list_vms()
+        after = self.client.list_vms().unwrap()
+        self.assertGreater(after.version, before.version)
+
     def test_all_responses_name_the_era(self) -> None:
         """Guards against errors that hide a rise of the era."""
         self.restore()
