Run actions at most once when the store has lost their claims

Cause: after the platform's store had come back from an older copy, a key whose claim was lost looked as if no call had used it. Another VM claimed it and the action ran a second time; a claim that the copy still showed as given up was taken again or reported as not_run; fencing tokens went back.

Change: when the era of the store has risen, a key that may have been claimed before is not claimed any more. Such calls are refused as unknown, or get what the VM or the store knows of the key. The version that is sent as the fencing token rises with the era.

--- a/bench/claims_histories.py
+++ b/bench/claims_histories.py
@@ -28,6 +28,7 @@
         result = run_history(rng.randrange)
         counts["dispatched"] += bool(result.dispatches)
         counts["told not_run"] += bool(result.not_run)
+        counts["losses"] += bool(result.losses)
         for violation in result.violations:
             counts["violations"] += 1
             print(f"history {options.seed}:{number}: {violation}")
@@ -35,6 +36,7 @@
         f"{options.histories} histories, seed {options.seed}, "
         f"{counts['dispatched']} with a dispatch, "
         f"{counts['told not_run']} with a claim holder's not_run, "
+        f"{counts['losses']} with lost writes, "
         f"{counts['violations']} violations"
     )
     return 1 if counts["violations"] else 0
--- a/bench/claims_model.py
+++ b/bench/claims_model.py
@@ -1,5 +1,8 @@
 """Random histories of entry processes whose calls have the same key.
 
+In some histories the store loses its latest writes, as if it had come back from
+an older copy.
+
 Invariants: the key is dispatched at most once. A caller gets the answer
 `not_run` only if no dispatch happened before, and none can happen later except
 by another call that claims the key after the claim was given up.
@@ -30,12 +33,14 @@
 from burdockspan.values.refusal import Execution, Refusal
 
 CLIENT = "client"
-KEY = "key"
+# A key without a creation time, and one that was created at time 0.
+KEYS = ("key", "00000000-0000-7000-8000-000000000000")
 _PROCESSES = 4
 _CALLS = 2
 _RETRY_PASSES = 3
 _RETRY_PASS_S = 100.0
 _RETENTION_S = 7 * 86400.0
+_LOST_WRITES_LIMIT = 4
 _BODIES = ("body", "body", "body", "other body")
 
 MakeClaims = Callable[[PlatformClient, WriteRetries], Claims]
@@ -56,12 +61,14 @@
       dispatches: the claims under which a first byte was sent, in order.
       not_run: the claims whose callers got the answer `not_run`, in order.
       refused_digests: digests of the bodies that were refused as `not_run`.
+      losses: how often the store lost its latest writes.
       violations: violated invariants, as sentences.
     """
 
     dispatches: list[HeldClaim] = dataclasses.field(default_factory=list)
     not_run: list[HeldClaim] = dataclasses.field(default_factory=list)
     refused_digests: set[str] = dataclasses.field(default_factory=set)
+    losses: int = 0
     violations: list[str] = dataclasses.field(default_factory=list)
 
     def check(self, condition: bool, violation: str) -> None:
@@ -78,6 +85,8 @@
         self._interleaver = Interleaver()
         self._platform = SimulatedPlatform(choose, self._interleaver.pause)
         self._now_s = 0.0
+        self._loses_writes = choose(2) == 1
+        self.key = KEYS[choose(len(KEYS))]
         self.record = HistoryRecord()
         for number in range(1 + choose(_PROCESSES)):
             write_retries = make_write_retries(lambda: self._now_s, lambda: 0.5)
@@ -92,10 +101,14 @@
         last_resumed = 0
         # Of 32 actions one kills a process, one starts or ends an outage, four
         # apply a write in flight if there is one, and the rest resume a
-        # process.
+        # process. A store that can lose writes does so in one more.
+        actions = 33 if self._loses_writes else 32
         while live_processes := self._interleaver.live_processes():
-            action = self._choose(32)
-            if action == 31:
+            action = self._choose(actions)
+            if action == 32:
+                self._platform.lose_writes(1 + self._choose(_LOST_WRITES_LIMIT))
+                self.record.losses += 1
+            elif action == 31:
                 self._interleaver.kill(
                     live_processes[self._choose(len(live_processes))]
                 )
@@ -190,7 +203,7 @@
         body = _BODIES[history.choose(len(_BODIES))].encode()
         digest = hashlib.sha256(body).hexdigest()
         holder = AttemptId(self._vm, 1, next(self._sequence))
-        claimed = self._claims.claim(CLIENT, KEY, digest, holder)
+        claimed = self._claims.claim(CLIENT, history.key, digest, holder)
         if isinstance(claimed, Err):
             self._check_refusal(claimed.err_value, digest)
             return
@@ -232,7 +245,7 @@
 
     def _look_up(self) -> None:
         dispatches_before = len(self._history.record.dispatches)
-        looked_up = self._claims.look_up(CLIENT, KEY)
+        looked_up = self._claims.look_up(CLIENT, self._history.key)
         if looked_up.is_err() or looked_up.ok() is None:
             return
         claim = looked_up.unwrap()
@@ -261,7 +274,7 @@
 __all__ = [
     "CLIENT",
     "HistoryRecord",
-    "KEY",
+    "KEYS",
     "MakeClaims",
     "make_real_claims",
     "run_history",
--- a/src/burdockspan/claims/record.py
+++ b/src/burdockspan/claims/record.py
@@ -30,12 +30,15 @@
     GIVEN_UP: the holder did not dispatch the call and never will.
     DONE: the call ran and its response was received.
     UNKNOWN: the call was dispatched and may have run.
+    LOST: the store may have lost an earlier claim of the key, whose call may
+      have run.
     """
 
     HELD = "held"
     GIVEN_UP = "given_up"
     DONE = "done"
     UNKNOWN = "unknown"
+    LOST = "lost"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,7 +86,8 @@
     Attributes:
       client: name of the client account.
       key: idempotency key.
-      version: version of the stored object; sent as the fencing token.
+      version: version of the stored object, combined with the era in which it
+        was written; sent as the fencing token.
       record: the claim as it was written.
     """
 
@@ -136,6 +140,7 @@
         ClaimState.GIVEN_UP: Execution.NOT_RUN,
         ClaimState.DONE: Execution.RAN,
         ClaimState.UNKNOWN: Execution.UNKNOWN,
+        ClaimState.LOST: Execution.UNKNOWN,
     }[record.state]
 
 
--- a/src/burdockspan/claims/refusals.py
+++ b/src/burdockspan/claims/refusals.py
@@ -83,6 +83,19 @@
     )
 
 
+def claim_lost() -> Refusal:
+    """Refusal of a call whose claim the store may have lost."""
+    return Refusal(
+        409,
+        Execution.UNKNOWN,
+        Reason.KEY_OUTCOME_UNKNOWN,
+        "The store has lost its latest writes. A call with this idempotency "
+        "key may have run before; a call that was not sent before needs a new "
+        "key.",
+        field=KEY_HEADER,
+    )
+
+
 def key_invalid(detail: str, limit: str | None = None) -> Refusal:
     """Refusal of a malformed key, with which no call can have run."""
     return Refusal(
@@ -113,6 +126,7 @@
     "KEY_HEADER",
     "PLATFORM_RETRY_AFTER_S",
     "answer_not_stored",
+    "claim_lost",
     "claim_unreadable",
     "key_expired",
     "key_in_progress",
--- a/tests/claims/test_protocol.py
+++ b/tests/claims/test_protocol.py
@@ -83,6 +83,19 @@
         with_both = [h for h in histories if h.not_run and h.dispatches]
         self.assertGreater(len(with_both), 0)
 
+    def test_protocol_holds_when_the_store_loses_its_latest_writes(
+        self,
+    ) -> None:
+        """Guards against a second run, or `not_run`, after a lost claim."""
+        histories = [
+            run_history(random.Random(f"1:{seed}").randrange)
+            for seed in range(400)
+        ]
+        self.assertEqual([h.violations for h in histories if h.violations], [])
+        lossy = [h for h in histories if h.losses]
+        self.assertGreater(sum(len(h.dispatches) for h in lossy), 20)
+        self.assertGreater(sum(len(h.not_run) for h in lossy), 10)
+
     def test_protocol_invariant_fails_for_a_lease(self) -> None:
         """Guards against an invariant too weak to reject an expiring lease."""
         counterexample = hypothesis.find(
