Lose accepted configurations in the histories of documents

Change: the simulated platform loses its last one to three configurations now and then; the operator writes the newest one again before any other. Processes watch by the product's watch positions, and at the end of each history each of them must receive the newest configuration.

--- a/bench/document_checks.py
+++ b/bench/document_checks.py
@@ -14,6 +14,7 @@
 from burdockspan.membership.table import make_members
 from burdockspan.node import effects, messages
 from burdockspan.node.tables import Tables
+from burdockspan.object_api.watch import WatchState
 
 
 @dataclasses.dataclass
@@ -23,6 +24,7 @@
     Attributes:
       accepted: configurations that the platform accepted.
       activated: configurations that a process activated.
+      losses: returns of the platform from an older copy.
       restarts: restarts of a process.
       placed: calls that were placed.
       refused: calls that were refused.
@@ -34,6 +36,7 @@
 
     accepted: int = 0
     activated: int = 0
+    losses: int = 0
     restarts: int = 0
     placed: int = 0
     refused: int = 0
@@ -52,6 +55,7 @@
       started_s: start of the process.
       queried_sources: sources from which it has requested a configuration.
       observer: the reports that were delivered to it.
+      watch: position of its watch of the platform.
     """
 
     def __init__(self, number: int, now_s: float) -> None:
@@ -72,6 +76,7 @@
         self.started_s = now_s
         self.queried_sources: set[str] = set()
         self.observer = EndpointObserver()
+        self.watch = WatchState()
 
     @property
     def initial_sources(self) -> set[str]:
@@ -115,6 +120,17 @@
     process.generation = active
 
 
+def check_convergence(
+    process: Process, newest: int, now_s: float, counts: HistoryCounts
+) -> None:
+    """Checks that a process has seen the newest generation."""
+    stored = generation_of(process.tables.adoption.stored)
+    if stored != newest:
+        _add_violation(
+            process, now_s, counts, f"missed generation {newest} at {stored}"
+        )
+
+
 def check_answer(
     process: Process,
     effect: effects.Answer,
@@ -144,4 +160,10 @@
     counts.violations.append(f"{vm} at {now_s:.2f} s: {problem}")
 
 
-__all__ = ["HistoryCounts", "Process", "check_answer", "check_process"]
+__all__ = [
+    "HistoryCounts",
+    "Process",
+    "check_answer",
+    "check_convergence",
+    "check_process",
+]
--- a/bench/document_histories.py
+++ b/bench/document_histories.py
@@ -18,6 +18,7 @@
 _COUNT_NAMES = (
     "accepted",
     "activated",
+    "losses",
     "restarts",
     "late_starts",
     "placed",
--- a/bench/document_model.py
+++ b/bench/document_model.py
@@ -2,12 +2,15 @@
 
 Each node is the tables of one process; all processes share a simulated clock.
 The model collects the effects of a node as values, and answers them later in
-any order or drops them.
+any order or drops them. The platform can lose the configurations that it
+accepted last, as if it had come back from an older copy; the operator writes
+the newest one again before any other.
 
 Invariants: the active generation of a process never decreases. A process
 serves nothing before it has a configuration. A process places no call on an
 endpoint that is leaving according to the messages that it has received, or
-whose newest received report is older than 2 s.
+whose newest received report is older than 2 s. At the end of a history, with
+the platform up, each process receives the newest configuration by its watch.
 """
 
 from __future__ import annotations
@@ -20,6 +23,7 @@
 from bench import document_fixtures
 from bench.document_checks import HistoryCounts, Process
 from bench.document_fixtures import ENDPOINTS, VMS
+from bench.document_store import ConfigurationStore
 from burdockspan.configuration.adoption import (
     INITIAL_FETCH_TIMEOUT_S,
     generation_of,
@@ -33,6 +37,10 @@
 """Returns a whole number from 0 to below its argument."""
 
 _STEPS = 120
+_LOST_WRITES_LIMIT = 3
+_OTHER_WRITES_LIMIT = 3
+# The first watch call may end with a new era, the second reads everything.
+_FINAL_WATCH_CALLS = 3
 _TICK_INTERVALS_S = (0.01, 0.01, 0.05, 0.05, 0.05, 0.25, 0.6, 1.1, 2.1)
 
 
@@ -43,7 +51,7 @@
         self.choose = choose
         self.now_s = 1000.0
         self.platform_up = True
-        self.configuration = document_fixtures.make_configuration(1)
+        self.store = ConfigurationStore(document_fixtures.make_configuration(1))
         self.boots = dict.fromkeys(ENDPOINTS, 1)
         self.leaving: set[str] = set()
         self.vm_list_version = 1
@@ -62,6 +70,7 @@
             *(self._submit,) * 8,
             *(self._report,) * 8,
             self._accept,
+            self._lose_writes,
             self._restart,
             self._toggle_platform,
             self._change_endpoint,
@@ -74,13 +83,14 @@
             action = actions[self.choose(len(actions))]
             self.counts.steps.append(action.__name__.strip("_"))
             action()
+        self._check_convergence()
         return self.counts
 
     def _warm_up(self) -> None:
         """Starts all processes with the first configuration and VM list."""
         vm_list = document_fixtures.make_vm_list(1, frozenset())
         first = messages.ConfigurationReceived(
-            messages.PLATFORM_SOURCE, self.configuration
+            messages.PLATFORM_SOURCE, self.store.current
         )
         for process in self.processes:
             self.handle(process, messages.Tick())
@@ -120,15 +130,26 @@
     def _accept(self) -> None:
         if not self.platform_up:
             return
-        generation = self.configuration.generation + 1
+        if self.store.has_lost_newest:
+            self._write(self.store.newest)
+            return
         drained = self.choose(len(ENDPOINTS) + 2)
-        self.configuration = document_fixtures.make_configuration(
-            generation,
+        configuration = document_fixtures.make_configuration(
+            self.store.current.generation + 1,
             ENDPOINTS[drained : drained + 1],
             self.now_s + self.choose(4) - 1.0,
         )
+        self._write(configuration)
         self.counts.accepted += 1
 
+    def _write(self, configuration: Configuration) -> None:
+        self.store.write(configuration, self.choose(_OTHER_WRITES_LIMIT))
+
+    def _lose_writes(self) -> None:
+        if self.choose(2):
+            self.store.lose_writes(1 + self.choose(_LOST_WRITES_LIMIT))
+            self.counts.losses += 1
+
     def _restart(self) -> None:
         if self.choose(4):
             return
@@ -185,9 +206,39 @@
 
     def _watch(self) -> None:
         if self.platform_up:
-            process, configuration = self._choose_process(), self.configuration
-            self._deliver_configuration(
-                process, messages.PLATFORM_SOURCE, configuration, False
+            process = self._choose_process()
+            for configuration in self._advance_watch(process):
+                self._deliver_configuration(
+                    process, messages.PLATFORM_SOURCE, configuration, False
+                )
+
+    def _advance_watch(self, process: Process) -> list[Configuration]:
+        """Makes one call of a watch; returns the new configurations."""
+        step = self.store.watch(process.watch)
+        process.watch = step.state
+        return [event.value for event in step.events]
+
+    def _check_convergence(self) -> None:
+        """Accepts a last configuration, which each watch must deliver."""
+        self.platform_up = True
+        while self.store.has_lost_newest:
+            self._accept()
+        self._accept()
+        newest = self.store.current
+        for process in self.processes:
+            self.handle(process, messages.Tick())
+            for _ in range(_FINAL_WATCH_CALLS):
+                for configuration in self._advance_watch(process):
+                    message = messages.ConfigurationReceived(
+                        messages.PLATFORM_SOURCE, configuration
+                    )
+                    self.handle(process, message)
+        # Ends the initial fetch of processes that have just started.
+        self.now_s += INITIAL_FETCH_TIMEOUT_S
+        for process in self.processes:
+            self.handle(process, messages.Tick())
+            checks.check_convergence(
+                process, newest.generation, self.now_s, self.counts
             )
 
     def _offer_stale(self) -> None:
@@ -215,7 +266,7 @@
         if isinstance(effect, effects.Answer):
             checks.check_answer(process, effect, self.now_s, self.counts)
         elif isinstance(effect, effects.ReadPlatform):
-            configuration = self.configuration if self.platform_up else None
+            configuration = self.store.current if self.platform_up else None
             source = messages.PLATFORM_SOURCE
             process.queried_sources.add(source)
             self._deliver_configuration(
--- a/tests/node/test_document_histories.py
+++ b/tests/node/test_document_histories.py
@@ -14,6 +14,7 @@
 from burdockspan.configuration import adoption
 from burdockspan.node import endpoint_table
 from burdockspan.node.endpoint_table import EndpointRow
+from burdockspan.object_api import watch
 
 _SETTINGS = hypothesis.settings(
     derandomize=True, database=None, deadline=None, max_examples=150
@@ -22,6 +23,7 @@
     strategies.integers(0, 255), min_size=150, max_size=500
 )
 _HISTORIES = 60
+_COUNTED = ("accepted", "activated", "losses", "restarts", "placed")
 
 
 class DocumentHistoriesTest(unittest.TestCase):
@@ -37,7 +39,7 @@
         """Guards against histories too short for placements and restarts."""
         totals = _run_seeded()
         self.assertEqual(totals["violations"], 0)
-        for name in ("accepted", "activated", "restarts", "placed"):
+        for name in _COUNTED:
             self.assertGreater(totals[name], 10, name)
 
 
@@ -50,6 +52,17 @@
             mock.patch.object(adoption, "choose_newer", lambda _old, new: new)
         )
 
+    def test_histories_detect_a_watch_that_ignores_the_era(self) -> None:
+        """Guards against a model that misses reused versions."""
+        original = watch.advance
+
+        def advance(
+            state: Any, outcome: Any, random_float: Any, _: int | None
+        ) -> Any:
+            return original(state, outcome, random_float)
+
+        self._check_detected(mock.patch.object(watch, "advance", advance))
+
     def test_histories_detect_work_for_unresponsive_endpoints(self) -> None:
         """Guards against a model that misses an unresponsive endpoint."""
         self._check_detected(
@@ -101,13 +114,11 @@
 
 
 def _run_seeded() -> dict[str, int]:
-    totals = dict.fromkeys(
-        ("accepted", "activated", "restarts", "placed", "violations"), 0
-    )
+    totals = dict.fromkeys((*_COUNTED, "violations"), 0)
     for number in range(_HISTORIES):
         choose: Callable[[int], int] = random.Random(number).randrange
         counts = run_history(choose)
         totals["violations"] += len(counts.violations)
-        for name in ("accepted", "activated", "restarts", "placed"):
+        for name in _COUNTED:
             totals[name] += getattr(counts, name)
     return totals
