Poll endpoints of a service that exists in bench.polls

Cause: the VM list named the service models, which the configuration lacks, so there were no endpoints and the median of no ages ended in an IndexError.

--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -51,7 +51,7 @@
 _SEED = 1
 # By rendezvous hashing, entry-0 owns the pool of this service for all numbers
 # of peers below, and entry-0 is the measured node.
-_SERVICE = "models-53"
+SERVICE = "models-53"
 _MODEL = "m"
 
 SIZES = {
@@ -180,7 +180,7 @@
             Client(f"client-{number}", f"{number:064x}", 10.0, 10)
             for number in range(clients)
         ),
-        services=(Service(_SERVICE, models=(Model(_MODEL, 100_000),)),),
+        services=(Service(SERVICE, models=(Model(_MODEL, 100_000),)),),
     )
 
 
@@ -221,7 +221,7 @@
 def _make_vm(number: int) -> Vm:
     role = VmRole.PREFILL if number % 3 == 0 else VmRole.DECODE
     address = f"127.0.0.1:{10_000 + number}"
-    return Vm(f"engine-{number}", "zone", address, _SERVICE, role, False)
+    return Vm(f"engine-{number}", "zone", address, SERVICE, role, False)
 
 
 def refresh_reports(tables: Tables, now_s: float, free_pieces: int = 0) -> None:
--- a/bench/polls.py
+++ b/bench/polls.py
@@ -21,7 +21,7 @@
 from result import Ok
 
 from bench.loop import EventLoop
-from bench.node_cost import make_configuration
+from bench.node_cost import SERVICE, make_configuration
 from burdockspan.configuration.adoption import Adoption
 from burdockspan.membership import wire
 from burdockspan.membership.merge import merge_members
@@ -144,7 +144,7 @@
                 f"engine-{index:03d}",
                 _ZONES[index % 3],
                 f"10.1.{index // 250}.{index % 250 + 1}:8000",
-                "models",
+                SERVICE,
                 VmRole.PREFILL if index % 7 == 0 else VmRole.DECODE,
                 False,
             )
