Measure VM lists and placements of a service that exists

Cause: the VM lists of the capacity figures named the service models, which the configuration lacks, so that all their VMs were ignored; and the check that a submission is placed at once looked at the queue of that service.

Change: both use the service of the configuration; the check wants a placement among the effects.

--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -27,7 +27,7 @@
 from burdockspan.claims.write_retries import make_write_retries
 from burdockspan.endpoints import engine, reports
 from burdockspan.endpoints.connections import make_connections
-from burdockspan.node import call_admission, messages
+from burdockspan.node import call_admission, effects, messages
 from burdockspan.node.context import Context
 from burdockspan.node.endpoint_table import EndpointRow
 from burdockspan.object_api.calls import Budget, CallLimit, make_call_limiter
@@ -185,12 +185,16 @@
             max_tokens=100,
         )
         message = messages.Submit(submission, lambda: False, future)
+        following: list[object] = []
         spent_ms += processor_ms(
-            lambda message=message: call_admission.submit(
-                tables, message, context
+            lambda message=message, following=following: following.extend(
+                call_admission.submit(tables, message, context)
             )
         )
-        if tables.waiting_by_service.get("models"):
+        if not any(
+            isinstance(effect, effects.Answer) and effect.outcome.is_ok()
+            for effect in following
+        ):
             raise RuntimeError("a submission was not placed at once")
         clock.now_s += 0.01
     return spent_ms / count
--- a/bench/capacity_documents.py
+++ b/bench/capacity_documents.py
@@ -7,6 +7,7 @@
 import random
 
 from bench.node_cost import (
+    SERVICE,
     ManualClock,
     TableSizes,
     make_configuration,
@@ -38,7 +39,7 @@
             f"vm-{number:04d}",
             f"nl-west-{'abc'[number % 3]}",
             f"10.0.{number // 250}.{number % 250 + 1}:8000",
-            "models",
+            SERVICE,
             VmRole.DECODE if number % _VMS_PER_ENTRY_VM else VmRole.ENTRY,
             False,
         )
