Compare generated routes with the longest declared prefix

Cause: the property of generate wanted a route for each call that a listed action covers by its path. With / for GET, /a for POST and GET / listed as never repeated, GET /a has none: the longest declared prefix, /a, lacks GET.

Change: a route exists if and only if the longest declared prefix has the method, where the test wanted only one direction before. A call that matches a route is still never repeated if a listed action covers it. The case has its own test.

--- a/tests/configuration/test_generate.py
+++ b/tests/configuration/test_generate.py
@@ -84,14 +84,18 @@
         self, values: dict[str, Any], method: str, path: str
     ) -> None:
         # Guards against a route with a longer or shorter prefix that lets a
-        # listed action run again, and against two routes that match the same
-        # call.
+        # listed action run again, against calls that run or are refused
+        # although the longest declared prefix says otherwise, and against two
+        # routes that match the same call.
         service = generate(parse_values(values)).services[0]
         route = match(service, method, path)
         for action in values["work"]["never_repeat"]:
             listed_method, _, listed_path = split_action(action)
-            if method == listed_method and path.startswith(listed_path):
-                assert route is not None
+            if (
+                route is not None
+                and method == listed_method
+                and path.startswith(listed_path)
+            ):
                 self.assertFalse(route.idempotent)
         declared = max(
             (
@@ -102,11 +106,29 @@
             key=lambda r: len(r["prefix"]),
             default=None,
         )
-        if declared is not None and method in declared["methods"]:
-            self.assertIsNotNone(route)
+        is_declared = declared is not None and method in declared["methods"]
+        self.assertEqual(route is not None, is_declared)
         keys = [(r.prefix, m) for r in service.routes for m in r.methods]
         self.assertEqual(len(keys), len(set(keys)))
 
+    def test_generate_lists_no_method_that_the_longest_prefix_lacks(
+        self,
+    ) -> None:
+        # Guards against a call that runs by a listed action of a shorter
+        # prefix, where the declared routes refuse it.
+        values = make_values()
+        values["plain_services"][0]["routes"] = [
+            {"prefix": "/", "methods": ["GET"]},
+            {"prefix": "/a", "methods": ["POST"]},
+        ]
+        values["work"]["never_repeat"] = ["GET hajz-app/", "POST hajz-app/a"]
+        values["work"]["may_repeat"] = []
+        service = generate(parse_values(values)).services[0]
+        self.assertIsNone(match(service, "GET", "/a"))
+        listed = match(service, "GET", "/b")
+        assert listed is not None
+        self.assertFalse(listed.idempotent)
+
     def test_generate_keeps_drains_and_counts_generations(self) -> None:
         questionnaire = parse_values(make_values())
         first = dataclasses.replace(
