Define RandomFloat once

Change: the type of the random numbers stands in values/randomness; the copies of membership, placement and the object API are gone.

--- a/bench/choices.py
+++ b/bench/choices.py
@@ -9,9 +9,9 @@
 from bench.workload import SERVICE, Call
 from burdockspan.placement.decode import choose_decode
 from burdockspan.placement.prefill import choose_prefill, with_short_queue
-from burdockspan.placement.sampling import RandomFloat
 from burdockspan.placement.transfer import arrives_before_expiry
 from burdockspan.values.endpoint import EndpointView
+from burdockspan.values.randomness import RandomFloat
 from burdockspan.values.submission import Priority
 
 
--- a/src/burdockspan/claims/write_retries.py
+++ b/src/burdockspan/claims/write_retries.py
@@ -9,8 +9,9 @@
 from result import Err, Result
 
 from burdockspan.object_api.objects import PlatformError
-from burdockspan.object_api.retries import Backoff, RandomFloat, backoff_delay_s
+from burdockspan.object_api.retries import Backoff, backoff_delay_s
 from burdockspan.values.clock import Clock
+from burdockspan.values.randomness import RandomFloat
 
 WRITE_RETRY_BACKOFF = Backoff(0.2, 5.0)
 WAITING_WRITES_LIMIT = 10_000
--- a/src/burdockspan/membership/probing.py
+++ b/src/burdockspan/membership/probing.py
@@ -7,7 +7,6 @@
 from burdockspan.membership.gossip import compose
 from burdockspan.membership.merge import put_member
 from burdockspan.membership.random_members import (
-    RandomFloat,
     next_member,
     next_sequence,
     random_index,
@@ -26,6 +25,7 @@
     MessageKind,
     Outgoing,
 )
+from burdockspan.values.randomness import RandomFloat
 
 _INDIRECT_PROBES = 3
 _CONTACT_INTERVAL_S = 1.0
--- a/src/burdockspan/membership/random_members.py
+++ b/src/burdockspan/membership/random_members.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
 
 from burdockspan.membership import shared
 from burdockspan.membership.table import GONE_RETENTION_S, Members
 from burdockspan.membership.values import Member
-
-RandomFloat = Callable[[], float]
-"""Returns uniform floats in [0, 1)."""
+from burdockspan.values.randomness import RandomFloat
 
 
 def next_member(
@@ -124,7 +121,6 @@
 
 
 __all__ = [
-    "RandomFloat",
     "random_index",
     "next_member",
     "next_sequence",
--- a/src/burdockspan/membership/swim.py
+++ b/src/burdockspan/membership/swim.py
@@ -18,7 +18,6 @@
     start_incarnation,
 )
 from burdockspan.membership.random_members import (
-    RandomFloat,
     next_sequence,
     sample_live,
 )
@@ -35,6 +34,7 @@
     Outgoing,
     precedence,
 )
+from burdockspan.values.randomness import RandomFloat
 
 _TICK_S = 0.05
 # A longer interval between ticks means that the process was delayed or paused.
--- a/src/burdockspan/node/context.py
+++ b/src/burdockspan/node/context.py
@@ -4,9 +4,9 @@
 
 import dataclasses
 
-from burdockspan.placement.sampling import RandomFloat
 from burdockspan.settings import Settings
 from burdockspan.values.clock import Clock
+from burdockspan.values.randomness import RandomFloat
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/node/platform_reader.py
+++ b/src/burdockspan/node/platform_reader.py
@@ -22,7 +22,7 @@
 from burdockspan.object_api.objects import PlatformError, WatchBatch, WatchEvent
 from burdockspan.object_api.watch import Watch, make_watch
 from burdockspan.observe.logs import log_change, log_fault
-from burdockspan.placement.sampling import RandomFloat
+from burdockspan.values.randomness import RandomFloat
 
 _MIN_VM_LIST_INTERVAL_S = 1.0
 # The platform returns the whole list, about 140 bytes per VM. An interval in
--- a/src/burdockspan/object_api/client.py
+++ b/src/burdockspan/object_api/client.py
@@ -31,11 +31,11 @@
     parse_listing,
     parse_versioned,
 )
-from burdockspan.object_api.retries import RandomFloat
 from burdockspan.object_api.transport import Request, Transport
 from burdockspan.object_api.vms import VmList, parse_vm_list
 from burdockspan.object_api.weights import Weights, parse_weights
 from burdockspan.values.clock import Clock
+from burdockspan.values.randomness import RandomFloat
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/object_api/connection.py
+++ b/src/burdockspan/object_api/connection.py
@@ -7,8 +7,8 @@
 from burdockspan.object_api.calls import make_call_limiter
 from burdockspan.object_api.client import PlatformClient, make_platform_client
 from burdockspan.object_api.transport import VM_HEADER, make_transport
-from burdockspan.placement.sampling import RandomFloat
 from burdockspan.values.clock import Clock, make_monotonic_clock
+from burdockspan.values.randomness import RandomFloat
 
 
 def connect_platform(
--- a/src/burdockspan/object_api/exchange.py
+++ b/src/burdockspan/object_api/exchange.py
@@ -17,9 +17,10 @@
     VersionedObject,
     parse_versioned,
 )
-from burdockspan.object_api.retries import RandomFloat, retry_read
+from burdockspan.object_api.retries import retry_read
 from burdockspan.object_api.transport import ExchangeFailure, Request, Transport
 from burdockspan.values.clock import Clock
+from burdockspan.values.randomness import RandomFloat
 
 T = TypeVar("T")
 _HTTP_OK = 200
--- a/src/burdockspan/object_api/retries.py
+++ b/src/burdockspan/object_api/retries.py
@@ -10,10 +10,9 @@
 
 from burdockspan.object_api.objects import PlatformError, VersionedObject
 from burdockspan.values.clock import Clock
+from burdockspan.values.randomness import RandomFloat
 
 T = TypeVar("T")
-RandomFloat = Callable[[], float]
-"""Returns uniform floats in [0, 1)."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/object_api/watch.py
+++ b/src/burdockspan/object_api/watch.py
@@ -9,7 +9,8 @@
 from result import Err, Result
 
 from burdockspan.object_api.objects import PlatformError, WatchBatch, WatchEvent
-from burdockspan.object_api.retries import Backoff, RandomFloat, backoff_delay_s
+from burdockspan.object_api.retries import Backoff, backoff_delay_s
+from burdockspan.values.randomness import RandomFloat
 
 # The longest delay of 4 s spreads the calls of all watchers after an outage,
 # and still lets a new configuration arrive within 6 s.
--- a/src/burdockspan/placement/decode.py
+++ b/src/burdockspan/placement/decode.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Sequence
 
-from burdockspan.placement.sampling import RandomFloat, sample_two
+from burdockspan.placement.sampling import sample_two
 from burdockspan.values.endpoint import EndpointView
+from burdockspan.values.randomness import RandomFloat
 
 # A millisecond of network distance costs as much as 2 % more of the engine's
 # memory in use, so distance decides only between similarly loaded engines.
--- a/src/burdockspan/placement/pair.py
+++ b/src/burdockspan/placement/pair.py
@@ -9,9 +9,9 @@
 from burdockspan.configuration.document import Service
 from burdockspan.placement.decode import choose_decode
 from burdockspan.placement.prefill import choose_prefill, with_short_queue
-from burdockspan.placement.sampling import RandomFloat
 from burdockspan.placement.transfer import arrives_before_expiry
 from burdockspan.values.endpoint import Endpoint, EndpointView
+from burdockspan.values.randomness import RandomFloat
 from burdockspan.values.submission import Priority
 
 
--- a/src/burdockspan/placement/prefill.py
+++ b/src/burdockspan/placement/prefill.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Sequence
 
-from burdockspan.placement.sampling import RandomFloat, sample_two
+from burdockspan.placement.sampling import sample_two
 from burdockspan.values.endpoint import EndpointView
+from burdockspan.values.randomness import RandomFloat
 
 # Converts network distance to prompt tokens: an engine with 20,000 tokens/s
 # computes this many in a millisecond.
--- a/src/burdockspan/placement/sampling.py
+++ b/src/burdockspan/placement/sampling.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import TypeVar
 
-RandomFloat = Callable[[], float]
-"""Returns uniform floats in [0, 1)."""
+from burdockspan.values.randomness import RandomFloat
 
 _Item = TypeVar("_Item")
 
--- a/src/burdockspan/placement/service.py
+++ b/src/burdockspan/placement/service.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Sequence
 
-from burdockspan.placement.sampling import RandomFloat, sample_two
+from burdockspan.placement.sampling import sample_two
 from burdockspan.values.endpoint import EndpointView
+from burdockspan.values.randomness import RandomFloat
 
 # Cost of a millisecond of network distance. A call takes tens of milliseconds,
 # so a few milliseconds of distance cost less than one more outstanding call.
