Remove a measure of the capacity bench that nothing runs

Evidence: measure_platform_read has had no caller since it was added. A scan of src, bench and standins without gateway, endpoints and http finds no other name that is used nowhere, except those that frameworks call.

--- a/bench/capacity_documents.py
+++ b/bench/capacity_documents.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import json
 import random
 
 from bench.node_cost import (
@@ -16,7 +15,6 @@
 )
 from bench.slopes import processor_ms
 from burdockspan.configuration.codec import (
-    decode_configuration,
     dump_configuration,
     load_configuration,
 )
@@ -64,12 +62,6 @@
     return processor_ms(lambda: make_catalog(load_configuration(data).unwrap()))
 
 
-def measure_platform_read(clients: int) -> float:
-    """Returns processor ms to decode a configuration of a platform response."""
-    data = dump_configuration(make_configuration(clients))
-    return processor_ms(lambda: decode_configuration(json.loads(data)).unwrap())
-
-
 def measure_vm_list_read(count: int) -> float:
     """Returns processor ms to decode a VM list from JSON."""
     data = dump_vm_list(make_vm_list(count))
@@ -138,7 +130,6 @@
     "measure_adoption",
     "measure_fetch_response",
     "measure_ownership",
-    "measure_platform_read",
     "measure_vm_list_change",
     "measure_vm_list_read",
     "vm_list_bytes",
