--- a/src/burdockspan/object_api/client.py
+++ b/src/burdockspan/object_api/client.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Result
+from result import Err, Ok, Result
 
 from burdockspan.object_api.calls import CallCounts, CallLimiter
+from burdockspan.object_api.eras import EraTracker, combine_version
 from burdockspan.object_api.exchange import (
     CallContext,
     TimeLimits,
@@ -30,11 +31,11 @@
     parse_listing,
     parse_versioned,
 )
-from burdockspan.object_api.retries import RandomFloat
 from burdockspan.object_api.transport import Request, Transport
 from burdockspan.object_api.vms import VmList, parse_vm_list
 from burdockspan.object_api.weights import Weights, parse_weights
 from burdockspan.values.clock import Clock
+from burdockspan.values.randomness import RandomFloat
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,9 +54,10 @@
       list_objects: reads the objects of a kind whose names have a prefix.
       watch: waits for changes of objects of some kinds after a version, up to
         a number of seconds.
-      list_vms: reads the VM list.
+      list_vms: reads the VM list, whose version also rises across eras.
       get_weights: reads the weights of a version of a model.
       counts: returns the counts of the calls made so far.
+      eras: the latest era of the store.
     """
 
     get: Callable[[str, str], Result[VersionedObject, PlatformError]]
@@ -73,6 +75,7 @@
     list_vms: Callable[[], Result[VmList, PlatformError]]
     get_weights: Callable[[str, str], Result[Weights, PlatformError]]
     counts: Callable[[], CallCounts]
+    eras: EraTracker
 
 
 def make_platform_client(
@@ -96,7 +99,7 @@
     """
     limits = time_limits or TimeLimits()
     context = CallContext(
-        transport, limiter, clock, random_float, limits, sleep
+        transport, limiter, clock, random_float, limits, sleep, EraTracker()
     )
     bind = functools.partial
     return PlatformClient(
@@ -109,6 +112,7 @@
         list_vms=bind(_list_vms, context),
         get_weights=bind(_get_weights, context),
         counts=limiter.counts,
+        eras=context.eras,
     )
 
 
@@ -166,9 +170,19 @@
 
 
 def _list_vms(context: CallContext) -> Result[VmList, PlatformError]:
-    return send_read(
+    era_before = context.eras.latest()
+    listed = send_read(
         context, "vms", "", "/vms", lambda v: parse_vm_list(v).ok()
     )
+    if isinstance(listed, Err):
+        return listed
+    era = context.eras.latest()
+    if era_before is not None and era != era_before:
+        # The list may be of either era.
+        return Err(PlatformError.UNAVAILABLE)
+    vm_list = listed.ok_value
+    version = combine_version(era, vm_list.version)
+    return Ok(dataclasses.replace(vm_list, version=version))
 
 
 def _get_weights(
