End the calls of the entry role by the deadline of their request

What callers saw: no answer and no refusal while an engine or a service sent 100 Continue, a header, a status line, a chunk size, trailers or comments of a stream without end. A complete stream did not end while chunks or trailers followed its last event. Polls, cancellations and orders of the node held their threads in the same way.

Cause: the calls of this role passed limits of silence only, and every byte restarts those. The wait for the end of a complete stream was bounded by silence too.

Change: every call passes its time. A call that is repeated on another connection keeps its timer, an idempotent one that is repeated by the engine client gets the time that is left, and checks that are made while a completion is late get no more than it has. ResponseTimeouts requires a time, so that none can be left out. A stream that does not end after its last event is logged instead of dropped silently.

--- a/src/burdockspan/endpoints/connections.py
+++ b/src/burdockspan/endpoints/connections.py
@@ -4,7 +4,6 @@
 
 import collections
 import dataclasses
-import math
 import socket
 import threading
 from collections.abc import Callable
@@ -49,12 +48,16 @@
 
 
 class Connections:
-    """Connection pool for endpoints, keyed by address."""
+    """Connection pool for endpoints, keyed by address.
+
+    Attributes:
+      clock: monotonic clock, in seconds.
+    """
 
     def __init__(
         self, clock: Clock, connect_timeout: Callable[[], float]
     ) -> None:
-        self._clock = clock
+        self.clock = clock
         self._connect_timeout = connect_timeout
         self._lock = threading.Lock()
         self._idle_by_address: dict[str, collections.deque[OpenConnection]] = {}
@@ -75,12 +78,17 @@
           `NOT_CONNECTED` guarantees that no byte was sent.
         """
         timer = CallTimer(
-            self._clock,
+            self.clock,
             call.time_limit_s,
             call.first_byte_timeout_s,
             call.on_silence,
         )
-        acquired = self._acquire(call)
+        return self._start_exchange(call, abort, timer)
+
+    def _start_exchange(
+        self, call: Call, abort: AbortHandle | None, timer: CallTimer
+    ) -> Result[Exchange, Failure]:
+        acquired = self._acquire(call, timer)
         if isinstance(acquired, Err):
             return acquired
         connection = acquired.ok_value
@@ -94,8 +102,8 @@
         ):
             # The endpoint probably closed the idle connection while the call
             # was sent. These methods are idempotent, so the call is repeated.
-            return self.start_exchange(
-                dataclasses.replace(call, fresh=True), abort
+            return self._start_exchange(
+                dataclasses.replace(call, fresh=True), abort, timer
             )
         return outcome
 
@@ -128,7 +136,7 @@
 
     def accepts_connections(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint accepts a new connection."""
-        opened = self._open(endpoint)
+        opened = self._open(endpoint, CallTimer(self.clock))
         if isinstance(opened, Err):
             return False
         close_connection(opened.ok_value)
@@ -139,7 +147,7 @@
         if connection.http_connection.sock is None:
             close_connection(connection)
             return
-        now_s = self._clock()
+        now_s = self.clock()
         kept = dataclasses.replace(connection, idle_since_s=now_s)
         with self._lock:
             idle = self._idle_by_address.setdefault(
@@ -170,7 +178,7 @@
         Idle connections are closed at once, the others after their response.
         """
         with self._lock:
-            self._retired_s_by_address[address] = self._clock()
+            self._retired_s_by_address[address] = self.clock()
             idle = self._idle_by_address.pop(address, collections.deque())
         for connection in idle:
             close_connection(connection)
@@ -183,13 +191,15 @@
         for address in addresses:
             self.retire_connections(address)
 
-    def _acquire(self, call: Call) -> Result[OpenConnection, Failure]:
+    def _acquire(
+        self, call: Call, timer: CallTimer
+    ) -> Result[OpenConnection, Failure]:
         if not call.fresh:
             while (idle := self._pop_idle(call.endpoint.address)) is not None:
                 if self._is_usable(call.endpoint.address, idle):
                     return Ok(idle)
                 close_connection(idle)
-        return self._open(call.endpoint, call.time_limit_s)
+        return self._open(call.endpoint, timer)
 
     def _pop_idle(self, address: str) -> OpenConnection | None:
         with self._lock:
@@ -200,24 +210,24 @@
         retired_s = self._retired_s_by_address.get(address)
         if retired_s is not None and connection.opened_s <= retired_s:
             return False
-        if _is_expired(connection, self._clock()):
+        if _is_expired(connection, self.clock()):
             return False
         # An idle connection that is readable was closed by the endpoint or
         # carries bytes that belong to no call of this process.
         return connection.http_connection.is_connected
 
     def _open(
-        self, endpoint: Endpoint, time_limit_s: float = math.inf
+        self, endpoint: Endpoint, timer: CallTimer
     ) -> Result[OpenConnection, Failure]:
         host, _, port = endpoint.address.rpartition(":")
         connection = WholeHeadConnection(
-            host,
-            int(port),
-            timeout=min(self._connect_timeout(), time_limit_s),
-            socket_options=_SOCKET_OPTIONS,
+            host, int(port), socket_options=_SOCKET_OPTIONS
         )
-        opened_s = self._clock()
+        opened_s = self.clock()
         try:
+            connection.timeout = min(
+                self._connect_timeout(), timer.remaining_s()
+            )
             connection.connect()
         except CALL_ERRORS as error:
             connection.close()
--- a/src/burdockspan/endpoints/engine.py
+++ b/src/burdockspan/endpoints/engine.py
@@ -59,12 +59,14 @@
     """Timeouts of a response, as in `exchange.Call`.
 
     Attributes:
+      time_limit_s: time for the whole call.
       first_byte_timeout_s: limit of silence before its head is complete.
       idle_timeout_s: limit of silence in its body.
       streamed: whether it has many small parts.
       on_silence: decides whether a call ends that has exceeded the first limit.
     """
 
+    time_limit_s: float
     first_byte_timeout_s: float
     idle_timeout_s: float
     streamed: bool = False
@@ -142,6 +144,7 @@
         streamed=timeouts.streamed,
         fresh=True,
         on_silence=timeouts.on_silence,
+        time_limit_s=timeouts.time_limit_s,
     )
     return _start_exchange(context, call)
 
@@ -161,6 +164,7 @@
         timeouts.idle_timeout_s,
         fresh=True,
         streamed=True,
+        time_limit_s=timeouts.time_limit_s,
     )
     return _start_exchange(context, call)
 
@@ -174,6 +178,7 @@
         path,
         first_byte_timeout_s=CONTROL_TIMEOUT_S,
         idle_timeout_s=CONTROL_TIMEOUT_S,
+        time_limit_s=CONTROL_TIMEOUT_S,
     )
     return fetch(context.connections, call, context.abort).and_then(
         lambda raw: responses.expect_success(
@@ -183,12 +188,14 @@
 
 
 def list_attempts(
-    connections: Connections, endpoint: Endpoint
+    connections: Connections,
+    endpoint: Endpoint,
+    time_limit_s: float = CONTROL_TIMEOUT_S,
 ) -> Result[tuple[str, tuple[EngineAttempt, ...]], Failure]:
     """Returns the boot identity and the attempts of an engine."""
-    return fetch_json(connections, endpoint, "/attempts").and_then(
-        lambda value: responses.parse_attempts(endpoint, value)
-    )
+    return fetch_json(
+        connections, endpoint, "/attempts", time_limit_s
+    ).and_then(lambda value: responses.parse_attempts(endpoint, value))
 
 
 def check_health(
@@ -203,7 +210,7 @@
     Args:
       connections: connections of the process.
       endpoint: the endpoint.
-      timeout_s: timeout for the first byte, and between two parts.
+      timeout_s: time for the whole check.
       fresh: whether to use a new connection, which distinguishes a stalled
         connection from an endpoint that is down.
     """
@@ -214,6 +221,7 @@
         first_byte_timeout_s=timeout_s,
         idle_timeout_s=timeout_s,
         fresh=fresh,
+        time_limit_s=timeout_s,
     )
     return (
         fetch(connections, call, None)
@@ -237,8 +245,9 @@
 
     If the response on a reused connection violates the protocol, it may be
     the delayed response to an earlier call. The call is then repeated on a new
-    connection.
+    connection, in the time that is left.
     """
+    started_s = context.connections.clock()
     response = _post(context, path, message, timeout_s)
     outcome = response.and_then(check)
     if (
@@ -247,7 +256,8 @@
         and isinstance(outcome, Err)
         and outcome.err_value.kind is FailureKind.ENDPOINT_ERROR
     ):
-        repeated = _post(context, path, message, timeout_s, fresh=True)
+        left_s = timeout_s - (context.connections.clock() - started_s)
+        repeated = _post(context, path, message, left_s, fresh=True)
         return repeated.and_then(check)
     return outcome
 
@@ -268,6 +278,7 @@
         timeout_s,
         timeout_s,
         fresh,
+        time_limit_s=timeout_s,
     )
     return fetch(context.connections, call, context.abort)
 
--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -168,6 +168,13 @@
         if not self.call.streamed:
             self._timer.silence_limit_s = idle_timeout_s
 
+    def limit_remaining_time(self, time_limit_s: float) -> None:
+        """Ends the call after a time from now, if it would not end before."""
+        deadline_s = self._context.clock() + time_limit_s
+        self._stream.deadline_s = min(self._stream.deadline_s, deadline_s)
+        if not self.call.streamed:
+            self._timer.deadline_s = min(self._timer.deadline_s, deadline_s)
+
     def set_on_silence(self, on_silence: OnSilence) -> None:
         """Changes who decides whether a silent response body ends."""
         self._timer.on_silence = on_silence
--- a/src/burdockspan/endpoints/fetch.py
+++ b/src/burdockspan/endpoints/fetch.py
@@ -15,6 +15,7 @@
 from burdockspan.values.placement import Failure
 
 RESPONSE_LIMIT_BYTES = 16 * 1024 * 1024
+# Time for a whole control call, such as a load report.
 CONTROL_TIMEOUT_S = 2.0
 
 
@@ -32,15 +33,19 @@
 
 
 def fetch_json(
-    connections: Connections, endpoint: Endpoint, path: str
+    connections: Connections,
+    endpoint: Endpoint,
+    path: str,
+    time_limit_s: float = CONTROL_TIMEOUT_S,
 ) -> Result[dict[str, Any], Failure]:
     """Fetches the JSON object at a path of an endpoint."""
     call = Call(
         endpoint,
         "GET",
         path,
-        first_byte_timeout_s=CONTROL_TIMEOUT_S,
-        idle_timeout_s=CONTROL_TIMEOUT_S,
+        first_byte_timeout_s=time_limit_s,
+        idle_timeout_s=time_limit_s,
+        time_limit_s=time_limit_s,
     )
     return fetch(connections, call, None).and_then(
         lambda raw: responses.expect_object(endpoint, raw, 200)
--- a/src/burdockspan/endpoints/orders.py
+++ b/src/burdockspan/endpoints/orders.py
@@ -94,6 +94,7 @@
         _TIMEOUT_S,
         _TIMEOUT_S,
         fresh=True,
+        time_limit_s=_TIMEOUT_S,
     )
     started = connections.start_exchange(call)
     if isinstance(started, Err):
--- a/src/burdockspan/http/attempts.py
+++ b/src/burdockspan/http/attempts.py
@@ -13,6 +13,7 @@
 from burdockspan.endpoints.crashes import confirm_crash
 from burdockspan.endpoints.engine import EngineContext, ResponseTimeouts
 from burdockspan.endpoints.exchange import Exchange
+from burdockspan.endpoints.fetch import CONTROL_TIMEOUT_S
 from burdockspan.endpoints.responses import PrefillResult, may_have_run
 from burdockspan.http.completion_run import (
     MIN_TIMEOUT_S,
@@ -187,6 +188,7 @@
         on_silence = wait_for_whole_response
         idle_timeout_s = job.policy.first_byte_timeout_s
     timeouts = ResponseTimeouts(
+        run.remaining_s(),
         first_byte_timeout_s,
         idle_timeout_s,
         job.prompt.streamed,
@@ -206,7 +208,9 @@
     if run.is_past_deadline() or run.abort.aborted or run.placement is None:
         return False
     attempt = run.placement.attempt
-    listed = engine.list_attempts(run.job.context.connections, endpoint)
+    listed = engine.list_attempts(
+        run.job.context.connections, endpoint, _control_limit_s(run)
+    )
     if isinstance(listed, Err):
         return False
     _, engine_attempts = listed.ok_value
@@ -253,7 +257,9 @@
       older connections to the endpoint are not reused.
     """
     connections = run.job.context.connections
-    healthy = engine.check_health(connections, endpoint).is_ok()
+    healthy = engine.check_health(
+        connections, endpoint, _control_limit_s(run)
+    ).is_ok()
     if healthy:
         connections.retire_connections(endpoint.address)
     return healthy
@@ -263,6 +269,10 @@
     return isinstance(problem, Failure) and not may_have_run(problem)
 
 
+def _control_limit_s(run: CompletionRun) -> float:
+    return min(CONTROL_TIMEOUT_S, run.remaining_s())
+
+
 def _first_byte_timeout_s(run: CompletionRun) -> float:
     return min(run.job.policy.first_byte_timeout_s, run.remaining_s())
 
--- a/src/burdockspan/http/relay.py
+++ b/src/burdockspan/http/relay.py
@@ -13,6 +13,7 @@
 from burdockspan.endpoints.responses import make_protocol_failure
 from burdockspan.http.completion_run import CompletionRun, make_engine_context
 from burdockspan.http.event_stream import EventFilter, StreamError
+from burdockspan.observe.logs import log_change
 from burdockspan.values.endpoint import Endpoint
 from burdockspan.values.placement import Failure, FailureKind
 
@@ -76,12 +77,17 @@
                     return
 
     def _drain(self) -> None:
-        self._exchange.set_idle_timeout(_DRAIN_TIMEOUT_S)
+        self._exchange.limit_remaining_time(_DRAIN_TIMEOUT_S)
         try:
             for _ in self._parts:
                 pass
-        except EndpointError:
-            pass
+        except EndpointError as error:
+            log_change(
+                "stream did not end after its last event",
+                endpoint=self._endpoint.name,
+                limit=error.failure.limit or None,
+                detail=error.failure.detail,
+            )
         self.close()
 
     def _resume(self, failure: Failure) -> None:
@@ -103,7 +109,9 @@
             resumed = engine.resume(
                 make_engine_context(run, self._endpoint),
                 self._filter.last_index,
-                ResponseTimeouts(idle_timeout_s, idle_timeout_s),
+                ResponseTimeouts(
+                    run.remaining_s(), idle_timeout_s, idle_timeout_s
+                ),
             )
             if not isinstance(resumed, Err):
                 self._exchange = resumed.ok_value
--- a/src/burdockspan/http/services.py
+++ b/src/burdockspan/http/services.py
@@ -217,6 +217,7 @@
         timeout_s,
         timeout_s,
         fresh=not route.idempotent,
+        time_limit_s=timeout_s,
     )
 
 
--- a/tests/endpoints/test_engine.py
+++ b/tests/endpoints/test_engine.py
@@ -3,8 +3,11 @@
 import json
 import time
 import unittest
+from collections.abc import Callable
 from typing import Any
 
+from result import Result
+
 from burdockspan.endpoints import engine
 from burdockspan.endpoints.connections import make_connections
 from burdockspan.endpoints.engine import EngineContext
@@ -21,11 +24,17 @@
 )
 from burdockspan.values.endpoint import Endpoint, Pool
 from burdockspan.values.ids import AttemptId
-from burdockspan.values.placement import FailureKind
+from burdockspan.values.placement import Failure, FailureKind
 from tests.support.caller import WAIT_S
-from tests.support.endpoint_fake import EndpointFake, Handler, script_engine
+from tests.support.endpoint_fake import (
+    EndpointFake,
+    Handler,
+    repeat,
+    script_engine,
+)
 
 _ATTEMPT = AttemptId("entry-1", 1, 2)
+_CLOCK_SPEED = 20.0
 _ENDPOINT = Endpoint("e", "127.0.0.1:1", "lm", Pool.DECODE, "zone-a")
 _LOAD = {
     "boot": "b",
@@ -194,6 +203,44 @@
         self.assertEqual(superseded.unwrap(), OrderOutcome.SUPERSEDED)
 
 
+class EndlessControlAnswersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fake = EndpointFake()
+        self.addCleanup(self.fake.stop)
+        self.fake.scripts = dict.fromkeys(
+            ("GET /", "POST /", "DELETE /"),
+            repeat(b"x", b"HTTP/1.1 200 OK\r\nX-Slow: "),
+        )
+        # A clock that runs fast; bytes without end never reach a limit of
+        # silence, which is measured in real time.
+        self.connections = make_connections(
+            lambda: time.monotonic() * _CLOCK_SPEED, lambda: WAIT_S
+        )
+        self.addCleanup(self.connections.close)
+
+    def test_control_calls_end_at_their_time_limit(self) -> None:
+        """Guards against a thread of the node that an engine holds for ever."""
+        endpoint = self.fake.as_endpoint(Pool.DECODE)
+        context = EngineContext(self.connections, endpoint, _ATTEMPT)
+        order = Order(OrderKind.LOAD_MODEL, 4, (("model", "m1"),))
+        calls: dict[str, Callable[[], Result[Any, Failure]]] = {
+            "health": lambda: engine.check_health(self.connections, endpoint),
+            "attempts": lambda: engine.list_attempts(
+                self.connections, endpoint
+            ),
+            "cancel": lambda: engine.cancel(context),
+            "load": lambda: fetch_load(self.connections, endpoint, lambda: 0.0),
+            "order": lambda: send_order(self.connections, endpoint, order),
+            "reservation": lambda: engine.reserve(context, 1, 2.0),
+            "import": lambda: engine.import_cache(context, "s", "c", 2.0),
+        }
+        for name, call in calls.items():
+            with self.subTest(name):
+                failure = call().unwrap_err()
+                self.assertEqual(failure.kind, FailureKind.UNRESPONSIVE)
+                self.assertEqual(failure.limit, "deadline")
+
+
 class ReportsTest(unittest.TestCase):
     def test_malformed_load_report_is_a_failure(self) -> None:
         self.assertTrue(parse_load(_ENDPOINT, _LOAD, 1.0).is_ok())
--- a/tests/support/endpoint_fake.py
+++ b/tests/support/endpoint_fake.py
@@ -13,6 +13,8 @@
 
 Script = Callable[["Handler"], None]
 TOKENS = 5
+# The start of the head of a chunked response.
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,6 +159,24 @@
         return Endpoint(self.name, address, "lm", pool, "zone-a")
 
 
+def repeat(part: bytes, first: bytes = b"", pause_s: float = 0.02) -> Script:
+    """Returns a script that sends `first`, then `part` without end.
+
+    Args:
+      part: sent again and again.
+      first: sent once.
+      pause_s: pause between two parts.
+    """
+
+    def script(handler: Handler) -> None:
+        handler.close_connection = True
+        handler.wfile.write(first)
+        while not handler.server.closing.wait(pause_s):
+            handler.wfile.write(part)
+
+    return script
+
+
 def make_token_event(index: int) -> bytes:
     """Returns the server-sent event of one token of a text completion."""
     choice = {"index": 0, "text": f"t{index} ", "finish_reason": None}
@@ -213,10 +233,12 @@
 
 
 __all__ = [
+    "CHUNKED_HEAD",
     "TOKENS",
     "EndpointFake",
     "Handler",
     "make_completion",
     "make_token_event",
+    "repeat",
     "script_engine",
 ]
