End calls to the store and the object API within their time

What was seen: a store that sent 100 Continue, a header, a status line, a chunk size, trailers or a body with a length one byte after the other held its caller for as long as it sent: a watcher that did not notice the outage, a heartbeat or a lease that was not renewed.

Cause: the time limit was given to urllib3 as a read timeout, which each byte restarts, and was looked at between two parts of 64 KiB of a body only.

Change: the transport uses the connections of endpoints/, whose CallTimer bounds every wait, instead of a pool of its own. A response whose head is cut off now counts as no response.

--- a/src/burdockspan/object_api/transport.py
+++ b/src/burdockspan/object_api/transport.py
@@ -4,22 +4,19 @@
 
 import dataclasses
 import enum
-import threading
 from collections.abc import Callable, Mapping
 
-import urllib3
-from result import Err, Ok, Result
+from result import Err, Result
 
+from burdockspan.endpoints.connections import make_connections
+from burdockspan.endpoints.exchange import Call
 from burdockspan.values.clock import Clock
+from burdockspan.values.endpoint import Endpoint, Pool
+from burdockspan.values.placement import FailureKind
 
 VM_HEADER = "Burdockspan-VM"
 _CONNECT_TIMEOUT_S = 0.5
-# A connection can fail unnoticed while it is idle. The next call on it would
-# wait for its whole time limit.
-_IDLE_LIMIT_S = 5.0
-_CHUNK_BYTES = 65_536
 _RESPONSE_LIMIT_BYTES = 256 * 1024 * 1024
-_CONNECTIONS = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,40 +50,12 @@
 """Performs one exchange, without retries."""
 
 
-class _Pool:
-    """A connection pool that is replaced when it has been idle too long."""
-
-    def __init__(self, address: str, clock: Clock, idle_limit_s: float) -> None:
-        self._host, _, self._port = address.rpartition(":")
-        self._clock = clock
-        self._idle_limit_s = idle_limit_s
-        self._lock = threading.Lock()
-        self._last_used_s = clock()
-        self._pool = self._make()
-
-    def get(self) -> urllib3.HTTPConnectionPool:
-        """Returns the pool for a call, a new one after an idle period."""
-        now_s = self._clock()
-        with self._lock:
-            if now_s - self._last_used_s >= self._idle_limit_s:
-                # Calls in progress keep their connections. The closed pool
-                # closes each connection when it is returned.
-                self._pool.close()
-                self._pool = self._make()
-            self._last_used_s = now_s
-            return self._pool
-
-    def _make(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.HTTPConnectionPool(
-            self._host, int(self._port), maxsize=_CONNECTIONS
-        )
-
-
 def make_transport(
     address: str,
     headers: Mapping[str, str],
     clock: Clock,
-    idle_limit_s: float = _IDLE_LIMIT_S,
+    *,
+    keeps_connections: bool = True,
 ) -> Transport:
     """Returns a transport to `ip:port`.
 
@@ -94,67 +63,44 @@
       address: `ip:port` of the platform.
       headers: sent with each call.
       clock: monotonic clock, in seconds.
-      idle_limit_s: time after which an idle connection is not used again; 0
-        opens a new connection for each call.
+      keeps_connections: whether later calls use a connection again; otherwise
+        each call opens a new one.
     """
-    pool = _Pool(address, clock, idle_limit_s)
+    connections = make_connections(clock, lambda: _CONNECT_TIMEOUT_S)
+    platform = Endpoint("platform", address, "", Pool.SERVICE, "")
 
     def exchange(request: Request) -> Result[Response, ExchangeFailure]:
-        end_s = clock() + request.timeout_s
-        try:
-            response = _send(pool.get(), headers, request)
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-            urllib3.exceptions.ClosedPoolError,
-        ):
-            return Err(ExchangeFailure.NOT_SENT)
-        except (urllib3.exceptions.HTTPError, OSError):
-            return Err(ExchangeFailure.NO_RESPONSE)
-        return _receive(response, lambda: clock() > end_s)
+        call = Call(
+            platform,
+            request.method,
+            request.path,
+            request.body,
+            {**headers, **dict(request.headers)},
+            first_byte_timeout_s=request.timeout_s,
+            idle_timeout_s=request.timeout_s,
+            # A write on an idle connection that the platform has closed may
+            # have been sent, and is never repeated.
+            fresh=request.method == "DELETE" or not keeps_connections,
+            time_limit_s=request.timeout_s,
+        )
+        started = connections.start_exchange(call)
+        if isinstance(started, Err):
+            not_sent = started.err_value.kind is FailureKind.NOT_CONNECTED
+            return Err(
+                ExchangeFailure.NOT_SENT
+                if not_sent
+                else ExchangeFailure.NO_RESPONSE
+            )
+        received = started.ok_value
+        return (
+            received.read(_RESPONSE_LIMIT_BYTES)
+            .map(lambda body: Response(received.status, body, received.headers))
+            .map_err(lambda failure: ExchangeFailure.NO_RESPONSE)
+        )
 
     return exchange
 
 
-def _send(
-    pool: urllib3.HTTPConnectionPool,
-    headers: Mapping[str, str],
-    request: Request,
-) -> urllib3.BaseHTTPResponse:
-    return pool.urlopen(
-        request.method,
-        request.path,
-        body=request.body,
-        headers={**headers, **dict(request.headers)},
-        retries=False,
-        redirect=False,
-        timeout=urllib3.Timeout(
-            connect=min(_CONNECT_TIMEOUT_S, request.timeout_s),
-            read=request.timeout_s,
-        ),
-        preload_content=False,
-    )
-
-
-def _receive(
-    response: urllib3.BaseHTTPResponse, expired: Callable[[], bool]
-) -> Result[Response, ExchangeFailure]:
-    chunks = []
-    size = 0
-    try:
-        for chunk in response.stream(_CHUNK_BYTES):
-            chunks.append(chunk)
-            size += len(chunk)
-            if expired() or size > _RESPONSE_LIMIT_BYTES:
-                response.close()
-                return Err(ExchangeFailure.NO_RESPONSE)
-    except (urllib3.exceptions.HTTPError, OSError):
-        response.close()
-        return Err(ExchangeFailure.NO_RESPONSE)
-    response.release_conn()
-    return Ok(Response(response.status, b"".join(chunks), response.headers))
-
-
 __all__ = [
     "VM_HEADER",
     "ExchangeFailure",
--- a/src/burdockspan/platform/store.py
+++ b/src/burdockspan/platform/store.py
@@ -54,7 +54,7 @@
     Each call opens a new connection, since an idle one may have become
     unresponsive.
     """
-    transport = make_transport(address, {}, clock, idle_limit_s=0.0)
+    transport = make_transport(address, {}, clock, keeps_connections=False)
 
     def list_objects(
         kind: str, consistency: Consistency
--- a/tests/gateway/test_store_calls.py
+++ b/tests/gateway/test_store_calls.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+import time
 import unittest
+from collections.abc import Callable
+from typing import Any
 
-from result import Ok
+from result import Ok, Result
 
 from burdockspan.gateway import discovery, vm_heartbeats
 from burdockspan.gateway.discovery import ObjectWatcher, WatchPosition
@@ -18,11 +21,13 @@
     Listing,
     Store,
     StoredObject,
+    StoreError,
 )
 from burdockspan.gateway.settings import ChangeLimits
 from burdockspan.gateway.vm_heartbeats import VmHeartbeats
 from burdockspan.platform.store import make_store
 from standins.object_store import ObjectStore
+from tests.support.endpoint_fake import EndpointFake, repeat
 
 
 class _FleetStart:
@@ -103,6 +108,52 @@
                 )
 
 
+class TestEndlessStore(unittest.TestCase):
+    """A store whose responses never end."""
+
+    def setUp(self) -> None:
+        self.fake = EndpointFake()
+        self.addCleanup(self.fake.stop)
+        self.fake.scripts = dict.fromkeys(
+            ("GET /", "POST /", "PUT /", "DELETE /"),
+            repeat(b"x", b"HTTP/1.1 200 OK\r\nX-Slow: "),
+        )
+        port = self.fake.server_address[1]
+        # A clock that runs fast; bytes without end never reach a limit of
+        # silence, which is measured in real time.
+        self.store = make_store(
+            f"127.0.0.1:{port}", lambda: time.monotonic() * 20.0
+        )
+
+    def test_watcher_notices_a_store_that_never_ends_its_answers(self) -> None:
+        """Guards against a watcher that goes on with an old table unaware."""
+        for revision in (None, 4):
+            with self.subTest(revision=revision):
+                lost: list[StoreError] = []
+                watcher = ObjectWatcher(
+                    "servers",
+                    lambda objects: None,
+                    lambda stored: None,
+                    lost.append,
+                    lambda: None,
+                )
+                discovery.poll(
+                    self.store, watcher, WatchPosition(revision), lambda: 0.5
+                )
+                self.assertEqual(lost, [StoreError.UNAVAILABLE])
+
+    def test_writes_end_within_their_time(self) -> None:
+        """Guards against a heartbeat or a lease that is never renewed."""
+        calls: dict[str, Callable[[], Result[Any, StoreError]]] = {
+            "create": lambda: self.store.create("k", "n", 1),
+            "replace": lambda: self.store.replace("k", "n", 1, 2),
+            "remove": lambda: self.store.remove("k", "n"),
+        }
+        for name, call in calls.items():
+            with self.subTest(name):
+                self.assertIs(call().err(), StoreError.UNAVAILABLE)
+
+
 class TestHeartbeats(unittest.TestCase):
     def test_heartbeats_of_all_vms_are_limited(self) -> None:
         """Guards against writes that grow with the number of VMs."""
