Reject responses that break off inside a line

What callers saw: a truncated body as a complete one, if the connection ended in a chunk's size with leading zeros, as in 0a: what had arrived, 0, looked like the last chunk.

Cause: at the end of the connection readline returns the start of a line, and the parsers of heads and chunks do not look for its end.

Change: the reader of responses raises IncompleteRead for a line without an end.

--- a/src/burdockspan/endpoints/timed_reader.py
+++ b/src/burdockspan/endpoints/timed_reader.py
@@ -42,7 +42,7 @@
 
 
 class _LimitedReader(io.BufferedReader):
-    """A buffered reader that limits how many lines follow each other."""
+    """A buffered reader of whole lines, of which few follow each other."""
 
     def __init__(self, raw: io.RawIOBase) -> None:
         super().__init__(raw)
@@ -51,7 +51,11 @@
     def readline(self, size: int | None = -1, /) -> bytes:
         left = _LINES_LIMIT_BYTES - self._lines_bytes + 1
         limited = size is None or size < 0 or size > left
-        line = super().readline(left if limited else size)
+        limit = left if limited else size
+        line = super().readline(limit)
+        if line and len(line) != limit and not line.endswith(b"\n"):
+            # The start of a line may look like another valid one.
+            raise http.client.IncompleteRead(line)
         self._lines_bytes += len(line)
         if self._lines_bytes > _LINES_LIMIT_BYTES:
             raise http.client.HTTPException(
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -10,7 +10,7 @@
 from burdockspan.values.endpoint import Endpoint, Pool
 from burdockspan.values.placement import FailureKind
 from tests.support.caller import WAIT_S, wait_until
-from tests.support.endpoint_fake import EndpointFake, Handler
+from tests.support.endpoint_fake import CHUNKED_HEAD, EndpointFake, Handler
 
 
 class ConnectionsTest(unittest.TestCase):
@@ -133,6 +133,24 @@
         assert failure is not None
         self.assertEqual(failure.kind, FailureKind.CONNECTION_LOST)
 
+    def check_lost(self, response: bytes) -> None:
+        """Checks that a response that then ends is no complete one."""
+
+        def close_early(handler: Handler) -> None:
+            handler.wfile.write(response)
+            handler.close_early()
+
+        self.fake.scripts["GET /"] = close_early
+        outcome = self.connections.start_exchange(self.call()).and_then(
+            lambda exchange: exchange.read(1000)
+        )
+        failure = outcome.unwrap_err()
+        self.assertEqual(failure.kind, FailureKind.CONNECTION_LOST)
+
+    def test_chunk_size_that_breaks_off_is_a_connection_loss(self) -> None:
+        """Guards against a truncated body whose next size begins with 0."""
+        self.check_lost(CHUNKED_HEAD + b"\r\n1\r\nx\r\n0")
+
     def test_response_over_the_limit_is_an_endpoint_error(self) -> None:
         # A response without end must not use up the memory of the process.
         exchange = self.connections.start_exchange(self.call()).unwrap()
