Reject responses with malformed headers

What callers saw: a truncated body as a complete one, if a line without a colon stood before Content-Length or Transfer-Encoding.

Cause: the parser of the standard library stops at such a line, and urllib3 only logs a warning. Without a length, the body seems to end with the connection.

Change: the strict response checks the parsed head and raises HeaderParsingError.

--- a/src/burdockspan/endpoints/strict_connection.py
+++ b/src/burdockspan/endpoints/strict_connection.py
@@ -3,7 +3,8 @@
 A response with an incomplete header section is rejected: the standard library
 treats the end of the connection as the end of the header section. A response
 that lost some of its headers then looks complete: without Content-Length, its
-body seems to end with the connection.
+body seems to end with the connection. So does one with a malformed header,
+which hides those that follow it.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from typing import Any
 
 from urllib3.connection import HTTPConnection
+from urllib3.util.response import assert_header_parsing
 
 from burdockspan.endpoints.call_timer import CallTimer
 from burdockspan.endpoints.timed_reader import make_timed_reader
@@ -52,14 +54,19 @@
                 self.fp = recorder.raw
         if recorder.last_line not in _EMPTY_LINES:
             raise http.client.IncompleteRead(recorder.last_line)
+        # The parser of the standard library drops the lines that follow a
+        # malformed one.
+        assert_header_parsing(self.msg)
 
 
 class WholeHeadConnection(HTTPConnection):
     """A connection whose responses have complete header sections.
 
     Reading a response raises `http.client.IncompleteRead` if the connection
-    ends before the empty line after the headers. urllib3 writes the name of the
-    class into its errors, which the details of refusals and log lines quote.
+    ends before the empty line after the headers, and
+    `urllib3.exceptions.HeaderParsingError` if a header is malformed. urllib3
+    writes the name of the class into its errors, which the details of refusals
+    and log lines quote.
     """
 
     timer: CallTimer
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -151,6 +151,12 @@
         """Guards against a truncated body whose next size begins with 0."""
         self.check_lost(CHUNKED_HEAD + b"\r\n1\r\nx\r\n0")
 
+    def test_malformed_header_is_a_connection_loss(self) -> None:
+        """Guards against a length that is lost with the lines after it."""
+        self.check_lost(
+            b"HTTP/1.1 200 OK\r\nno header\r\nContent-Length: 9\r\n\r\nshort"
+        )
+
     def test_response_over_the_limit_is_an_endpoint_error(self) -> None:
         # A response without end must not use up the memory of the process.
         exchange = self.connections.start_exchange(self.call()).unwrap()
