Skip all interim responses of endpoints

What callers saw: 102 or 103 without a body as the answer of a plain service, or a failed attempt, if the endpoint sent an interim response before its answer.

Cause: the standard library skips interim responses with status 100 only.

Change: the strict response skips all of them but 101, which ends HTTP on the connection.

--- a/src/burdockspan/endpoints/strict_connection.py
+++ b/src/burdockspan/endpoints/strict_connection.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import functools
+import http
 import http.client
 from typing import Any
 
@@ -58,6 +59,15 @@
         # malformed one.
         assert_header_parsing(self.msg)
 
+    def _read_status(self) -> tuple[str, int, str]:
+        # The standard library skips interim responses with status 100 only.
+        while True:
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            is_interim = 100 < status < 200
+            if not is_interim or status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                return version, status, reason
+            http.client.parse_headers(self.fp)
+
 
 class WholeHeadConnection(HTTPConnection):
     """A connection whose responses have complete header sections.
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -157,6 +157,20 @@
             b"HTTP/1.1 200 OK\r\nno header\r\nContent-Length: 9\r\n\r\nshort"
         )
 
+    def test_interim_responses_precede_the_response(self) -> None:
+        """Guards against an interim response that passes for the answer."""
+
+        def send(handler: Handler) -> None:
+            for status in (100, 102, 103):
+                head = b"HTTP/1.1 %d X\r\nLink: x\r\n\r\n" % status
+                handler.wfile.write(head)
+            handler.send(200, b"ok")
+
+        self.fake.scripts["GET /"] = send
+        exchange = self.connections.start_exchange(self.call()).unwrap()
+        self.assertEqual(exchange.status, 200)
+        self.assertEqual(exchange.read(1000).unwrap(), b"ok")
+
     def test_response_over_the_limit_is_an_endpoint_error(self) -> None:
         # A response without end must not use up the memory of the process.
         exchange = self.connections.start_exchange(self.call()).unwrap()
