Keep the body limit of a request that is being read

What callers could see: 413 for a chunked body that was allowed when its request began, once any other request arrived under a configuration with a lower limit (found in review). Callers do not repeat a request after 413.

Cause: the parser of each request wrote the limit in force into the settings that all parsers of the server share.

Change: each parser has a copy.

Evidence: test_lowered_body_limit_spares_a_body_that_is_being_read got 413 before.

--- a/src/burdockspan/gateway/channel.py
+++ b/src/burdockspan/gateway/channel.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import copy
 import http
 import math
 import re
@@ -68,8 +69,11 @@
             self.started_s = clock()
             self.arrived_s = self.started_s
             self._header_bytes = current_limits.header_bytes
-            adj.max_request_body_size = current_limits.body_bytes + 1
-            super().__init__(adj)
+            # A copy, since the limits in force may change while other requests
+            # are read.
+            own_adj = copy.copy(adj)
+            own_adj.max_request_body_size = current_limits.body_bytes + 1
+            super().__init__(own_adj)
 
         def received(self, data: bytes) -> int:
             consumed = super().received(data)
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -6,7 +6,7 @@
 
 from standins.scripted_endpoint import ScriptedEndpoint, respond
 from tests.gateway.case import GatewayCase
-from tests.support.gateways import wait_for
+from tests.support.gateways import make_document, wait_for
 
 _OK = respond(200, b"done", {"Response-Stamp": "s"})
 _HEAD = b"Host: app.example\r\nRequest-Id: r1\r\n"
@@ -77,6 +77,25 @@
         head = b"POST /pay/x HTTP/1.1\r\n" + _HEAD
         self.assert_refused(head + b"Content-Length: 200001\r\n\r\n", 413)
 
+    def test_lowered_body_limit_spares_a_body_that_is_being_read(self) -> None:
+        """Guards against a refusal of a body that was allowed at its start."""
+        with self.gateway.connect() as caller:
+            caller.sendall(
+                b"POST /pay/x HTTP/1.1\r\n"
+                + _HEAD
+                + b"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                + b"5\r\nfirst\r\n"
+            )
+            document = make_document(2)
+            document["limits"]["max_body_bytes"] = 8
+            self.gateway.configure(document)
+            self.assertEqual(self.gateway.call("GET", "/read/x").status, 200)
+            caller.sendall(b"6\r\nsecond\r\n0\r\n\r\n")
+            received = b""
+            while part := caller.recv(65_536):
+                received += part
+        self.assertIn(b"HTTP/1.1 200", received)
+
     def test_slow_head_times_out(self) -> None:
         """Guards against connections whose head never ends."""
         self.assert_refused(b"GET /read/x HTTP/1.1\r\nHost: app", 408)
