Add a fault soak of the gateway role

A seed draws a schedule of configurations, signals, cut links, a store that is down or silent, and endpoints that fall silent, send bytes without end, reset, restart and drain. Checkers are functions of the recorded history.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak of the gateway role: real processes, faults from outside."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,250 @@
+"""Callers of a soak, which keep connections open until they end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import math
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from soak import limits, wire
+from soak.documents import HOST
+from soak.history import History, Kind, Outcome, Request
+from soak.vms import Vm
+
+_KINDS = (Kind.READ, Kind.READ, Kind.PAY, Kind.PAY, Kind.DRAFT, Kind.REVIEW)
+# A caller reuses a connection that has been idle for this share of the idle
+# timeout.
+_IDLE_SHARE = 0.8
+_USUAL_PAUSE_S = 0.1
+_LONG_PAUSE_PROBABILITY = 0.15
+_LONGEST_PAUSE_S = 4.0
+_DEADLINE_S = (2.0, 6.0)
+_PROBE_INTERVAL_S = 0.2
+_PROBE_DEADLINE_S = 2.0
+_BODY_REPEATS = 50
+_UNAVAILABLE_PAUSE_S = 0.2
+
+
+@dataclasses.dataclass
+class _Connection:
+    """An open connection to a VM."""
+
+    vm: Vm
+    incarnation: int
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    idle_since_s: float
+    keep_alive_s: float = math.inf
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerContext:
+    """What all callers share.
+
+    Attributes:
+      vms: all VMs.
+      history: records the requests.
+      stopping: set when callers send no more requests.
+      numbers: numbers of the requests.
+    """
+
+    vms: Sequence[Vm]
+    history: History
+    stopping: asyncio.Event
+    numbers: itertools.count[int] = dataclasses.field(
+        default_factory=itertools.count
+    )
+
+
+class Caller:
+    """A caller with at most one connection."""
+
+    def __init__(
+        self, context: CallerContext, home: Vm, rng: random.Random
+    ) -> None:
+        self._context = context
+        self._home = home
+        self._rng = rng
+        self._connection: _Connection | None = None
+
+    async def run(self) -> None:
+        """Sends requests of all kinds until the soak stops."""
+        rng = self._rng
+        while not self._context.stopping.is_set():
+            kind = rng.choice(_KINDS)
+            deadline_s = round(rng.uniform(*_DEADLINE_S), 2)
+            pause_s = rng.expovariate(1 / _USUAL_PAUSE_S)
+            if rng.random() < _LONG_PAUSE_PROBABILITY:
+                pause_s = rng.uniform(0.0, _LONGEST_PAUSE_S)
+            await self._send(kind, deadline_s, self._choose_vm())
+            await asyncio.sleep(pause_s)
+        self._close()
+
+    async def probe(self, newest_version: Callable[[], int]) -> None:
+        """Requests the route of the newest version from the home VM.
+
+        Args:
+          newest_version: returns the version in the store.
+        """
+        while not self._context.stopping.is_set():
+            version = newest_version()
+            await self._send(Kind.PROBE, _PROBE_DEADLINE_S, self._home, version)
+            await asyncio.sleep(_PROBE_INTERVAL_S)
+        self._close()
+
+    def _choose_vm(self) -> Vm:
+        ready = [vm for vm in self._context.vms if vm.is_ready]
+        if self._home in ready or not ready:
+            return self._home
+        return self._rng.choice(ready)
+
+    async def _send(
+        self, kind: Kind, deadline_s: float, vm: Vm, version: int = 0
+    ) -> None:
+        connection = await self._take_connection(vm)
+        if connection is None:
+            await asyncio.sleep(_UNAVAILABLE_PAUSE_S)
+            return
+        now_s = self._context.history.now_s
+        request_id = f"{kind.value}-{next(self._context.numbers)}"
+        response = _Response(Outcome.NOT_SENT)
+        sent_s = now_s()
+        with contextlib.suppress(OSError):
+            connection.writer.write(
+                _encode(request_id, kind, deadline_s, version)
+            )
+            await connection.writer.drain()
+            sent_s = now_s()
+            response = await _receive(connection.reader, deadline_s)
+        is_same = connection.incarnation == connection.vm.incarnation
+        self._context.history.requests.append(
+            Request(
+                id=request_id,
+                kind=kind,
+                vm=connection.vm.name,
+                incarnation=connection.incarnation if is_same else None,
+                sent_s=sent_s,
+                ended_s=now_s(),
+                deadline_s=deadline_s,
+                outcome=response.outcome,
+                status=response.status,
+                stamp=response.headers.get("response-stamp"),
+                body=response.body,
+                version=version,
+            )
+        )
+        connection.idle_since_s = now_s()
+        await self._follow(response, deadline_s, connection)
+
+    async def _follow(
+        self, response: _Response, deadline_s: float, connection: _Connection
+    ) -> None:
+        """Follows Connection, Keep-Alive and Retry-After of a response."""
+        headers = response.headers
+        keep_alive = headers.get("keep-alive", "")
+        if keep_alive.startswith("timeout="):
+            text = keep_alive.removeprefix("timeout=").split(",")[0]
+            connection.keep_alive_s = float(text)
+        is_last = headers.get("connection", "").lower() == "close"
+        retry_after = headers.get("retry-after")
+        if response.outcome is not Outcome.COMPLETE or is_last or retry_after:
+            self._close()
+        if retry_after is not None:
+            await asyncio.sleep(min(float(retry_after), deadline_s / 3))
+
+    async def _take_connection(self, vm: Vm) -> _Connection | None:
+        """Returns the open connection, or a new one if it may not be used.
+
+        An idle connection is used while the idle timeouts of all configurations
+        that may be in force allow it.
+        """
+        history, kept = self._context.history, self._connection
+        now_s = history.now_s()
+        if kept is not None:
+            known_s = now_s - limits.CONFIGURATION_LIMIT_S - limits.STABLE_S
+            limit_s = _IDLE_SHARE * min(
+                write.idle_timeout_s
+                for write in history.configurations_since(known_s)
+            )
+            idle_s = now_s - kept.idle_since_s
+            if not kept.reader.at_eof() and idle_s <= min(
+                limit_s, kept.keep_alive_s
+            ):
+                return kept
+            self._close()
+        incarnation = vm.incarnation
+        try:
+            reader, writer = await wire.connect(vm.callers.port)
+        except OSError:
+            return None
+        self._connection = _Connection(vm, incarnation, reader, writer, now_s)
+        return self._connection
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.writer.close()
+            self._connection = None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Response:
+    """What a caller has received."""
+
+    outcome: Outcome
+    status: int = 0
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+
+
+async def _receive(
+    reader: asyncio.StreamReader, deadline_s: float
+) -> _Response:
+    # The caller waits a little longer than the checker allows.
+    wait_s = deadline_s + limits.ANSWER_SLACK_S + limits.BUSY_TOLERANCE_S
+    parts: list[bytes] = []
+    head = None
+    outcome = Outcome.COMPLETE
+    try:
+        async with asyncio.timeout(wait_s + _UNAVAILABLE_PAUSE_S):
+            head = await wire.read_head(reader)
+            if head is None:
+                return _Response(Outcome.CLOSED)
+            async for part in wire.iterate_body(reader, head):
+                parts.append(part)
+    except TimeoutError:
+        outcome = Outcome.GAVE_UP
+    except (OSError, wire.CutError):
+        outcome = Outcome.CUT if head else Outcome.CLOSED
+    if head is None:
+        return _Response(outcome)
+    status = int(head.start[1])
+    return _Response(outcome, status, head.headers, b"".join(parts))
+
+
+def _encode(
+    request_id: str, kind: Kind, deadline_s: float, version: int
+) -> bytes:
+    headers = {
+        "Host": HOST,
+        "Request-Id": request_id,
+        "Deadline-Ms": str(int(deadline_s * 1000)),
+    }
+    if kind.is_stream:
+        headers |= {
+            "Model": "m",
+            "Token-Count": "100,40",
+            "Prompt-Prefix": f"{request_id.encode().hex()}:100",
+        }
+    path = f"/p{version}/x" if kind is Kind.PROBE else f"/{kind.value}/x"
+    if kind in (Kind.READ, Kind.PROBE):
+        return wire.make_head(f"GET {path} HTTP/1.1", headers)
+    body = request_id.encode() * _BODY_REPEATS
+    headers["Content-Length"] = str(len(body))
+    return wire.make_head(f"POST {path} HTTP/1.1", headers) + body
+
+
+__all__ = ["Caller", "CallerContext"]
--- /dev/null
+++ b/soak/checkers.py
@@ -0,0 +1,393 @@
+"""Checks of the promises, as functions of a recorded history."""
+
+from __future__ import annotations
+
+import bisect
+import dataclasses
+from collections.abc import Callable, Iterable, Iterator, Sequence
+
+from soak import limits
+from soak.history import (
+    EVENT_GAP_S,
+    History,
+    Kind,
+    Outcome,
+    Request,
+    Trouble,
+    count_events,
+    make_stream,
+)
+
+# A connection that closes this soon after a request was sent may have been
+# closed before the request was read.
+_CROSSING_S = 0.25
+# A response may be ended this much before its limit.
+_EARLY_END_S = 0.25
+# The router ends long responses in the last part of the grace period.
+_GRACE_SHARE = 5 / 6
+# Work of an endpoint and of the router for one request, without its events.
+_WORK_S = 0.5
+# Suspicion against a broken endpoint lasts for several half-lives.
+_RECOVERY_S = 6.0
+_REFUSAL_STATUSES = (408, 421, 429, 503)
+_VM_TROUBLES = frozenset((Trouble.DOWN, Trouble.FROZEN, Trouble.CUT))
+_NOT_IN_TOUCH = _VM_TROUBLES | {Trouble.STORE, Trouble.STOPPING}
+
+
+@dataclasses.dataclass(frozen=True)
+class Violation:
+    """A broken promise.
+
+    Attributes:
+      checker: name of the checker.
+      detail: what was seen, with its time in seconds.
+      request: the request, if one is concerned.
+    """
+
+    checker: str
+    detail: str
+    request: Request | None = None
+
+
+Checker = Callable[[History], Iterable[Violation]]
+
+
+def find_timeouts_s(history: History, request: Request) -> list[float]:
+    """Returns the route's timeouts that may have applied to a request.
+
+    These are the timeout of the newest configuration that must be in force
+    when the request is sent, and those of all newer configurations. For a VM
+    out of touch, the timeouts of all configurations may apply.
+    """
+    since_s = request.sent_s - limits.CONFIGURATION_LIMIT_S - limits.STABLE_S
+    if history.overlaps(
+        _NOT_IN_TOUCH,
+        request.vm,
+        request.sent_s - 2 * limits.STABLE_S,
+        request.sent_s,
+    ):
+        since_s = 0.0
+    return [
+        write.timeout_s
+        for write in history.configurations_since(since_s)
+        if write.acknowledged_s <= request.ended_s + _CROSSING_S
+    ] or [0.0]
+
+
+def find_lost(history: History) -> Iterator[Violation]:
+    """Finds requests without a complete answer or refusal in time."""
+    for request in history.requests:
+        if request.outcome is Outcome.NOT_SENT or history.overlaps(
+            _VM_TROUBLES,
+            request.vm,
+            request.sent_s - _CROSSING_S,
+            request.ended_s,
+        ):
+            continue
+        detail = _describe_loss(history, request)
+        if detail:
+            yield Violation("LOST", detail, request)
+
+
+def _describe_loss(history: History, request: Request) -> str:
+    waited_s = request.ended_s - request.sent_s
+    timeouts_s = find_timeouts_s(history, request)
+    latest_s = min(request.deadline_s, max(timeouts_s))
+    bound_s = latest_s + limits.ANSWER_SLACK_S + limits.BUSY_TOLERANCE_S
+    if request.outcome is Outcome.CUT:
+        earliest_s = min(request.deadline_s, *timeouts_s) - _EARLY_END_S
+        if waited_s < earliest_s and not _may_end_early(history, request):
+            return f"response cut off after {waited_s:.2f} s"
+    elif request.outcome is Outcome.CLOSED:
+        if request.id in history.arrivals_by_request:
+            return f"closed after {waited_s:.2f} s, reached an endpoint"
+        if waited_s > _CROSSING_S:
+            return f"closed after {waited_s:.2f} s, reached no endpoint"
+    if waited_s > bound_s:
+        return f"no complete answer in {waited_s:.2f} s of {latest_s:.2f} s"
+    return ""
+
+
+def _may_end_early(history: History, request: Request) -> bool:
+    """Returns whether an endpoint or the grace period ended a response."""
+    runs = history.runs_by_request.get(request.id, ())
+    if any(run.stamp in history.broken_stamps for run in runs):
+        return True
+    return any(
+        window.trouble is Trouble.STOPPING
+        and window.subject == request.vm
+        and window.start_s + _GRACE_SHARE * limits.GRACE_S
+        <= request.ended_s
+        <= window.end_s + _CROSSING_S
+        for window in history.windows
+    )
+
+
+def find_twice(history: History) -> Iterator[Violation]:
+    """Finds requests that are not repeatable and ran more than once."""
+    for request in history.requests:
+        runs = history.runs_by_request.get(request.id, ())
+        if len(runs) > 1 and not request.kind.is_repeatable:
+            endpoints = ", ".join(run.endpoint for run in runs)
+            yield Violation("TWICE", f"ran at {endpoints}", request)
+
+
+def find_refused(history: History) -> Iterator[Violation]:
+    """Finds requests that are not repeatable, were refused, and ran."""
+    for request in history.requests:
+        if request.status not in _REFUSAL_STATUSES:
+            continue
+        runs = history.runs_by_request.get(request.id)
+        if runs and not request.kind.is_repeatable:
+            after_s = runs[0].started_s - request.ended_s
+            yield Violation(
+                "REFUSED",
+                f"{request.status}, ran {after_s:+.2f} s from its end",
+                request,
+            )
+
+
+def find_mixed(history: History) -> Iterator[Violation]:
+    """Finds successes that are not the endpoint's response."""
+    for request in history.requests:
+        if not 200 <= request.status < 300:
+            continue
+        runs = history.runs_by_request.get(request.id, ())
+        run = next((r for r in runs if r.stamp == request.stamp), None)
+        if run is None:
+            yield Violation("MIXED", "response of no run of it", request)
+        elif not request.kind.is_stream and not _is_part(
+            request.body,
+            run.body,
+            request.outcome is Outcome.COMPLETE,
+            run.stamp in history.broken_stamps,
+        ):
+            detail = f"{len(request.body)} of {len(run.body)} bytes, or others"
+            yield Violation("MIXED", detail, request)
+
+
+def find_disorder(history: History) -> Iterator[Violation]:
+    """Finds streams with missing, repeated or foreign events."""
+    for request in history.requests:
+        if not request.kind.is_stream or not 200 <= request.status < 300:
+            continue
+        runs = history.runs_by_request.get(request.id, ())
+        is_broken = any(run.stamp in history.broken_stamps for run in runs)
+        whole = make_stream(request.id)
+        is_complete = request.outcome is Outcome.COMPLETE
+        if not _is_part(request.body, whole, is_complete, is_broken):
+            yield Violation("ORDER", f"ends {request.body[-60:]!r}", request)
+
+
+def _is_part(
+    body: bytes, whole: bytes, is_complete: bool, is_broken: bool
+) -> bool:
+    """Returns whether a body is what an endpoint has sent.
+
+    Args:
+      body: the received part.
+      whole: the whole body of the endpoint.
+      is_complete: whether the response ended as complete.
+      is_broken: whether the endpoint sent other bytes after a part of it.
+    """
+    if is_complete:
+        return body == whole
+    return is_broken or whole.startswith(body)
+
+
+def find_costly_silence(history: History) -> Iterator[Violation]:
+    """Finds answers that a silence of sound endpoints alone has cost."""
+    for request in history.requests:
+        silent_s = _sum_silence_s(history, request)
+        if not silent_s or request.kind is Kind.PROBE:
+            continue
+        failed = request.outcome is not Outcome.COMPLETE or (
+            request.status >= 500 and request.stamp is None
+        )
+        needed_s = silent_s + _WORK_S
+        if request.kind.is_stream:
+            needed_s += count_events(request.id) * EVENT_GAP_S
+        time_s = min(request.deadline_s, *find_timeouts_s(history, request))
+        if failed and needed_s <= time_s and _is_sound(history, request):
+            yield Violation(
+                "SILENCE",
+                f"{request.outcome.value} {request.status} after "
+                f"{request.ended_s - request.sent_s:.2f} s of {time_s:.2f} s, "
+                f"endpoints silent for {silent_s:.2f} s",
+                request,
+            )
+
+
+def _sum_silence_s(history: History, request: Request) -> float:
+    """Returns how long endpoints are silent within the time of a request.
+
+    Silences that overlap count once for each endpoint, since a request may meet
+    them one after the other.
+    """
+    end_s = request.sent_s + request.deadline_s
+    return sum(
+        max(0.0, min(end_s, window.end_s) - max(request.sent_s, window.start_s))
+        for window in history.windows
+        if window.trouble is Trouble.SILENT
+        and window.subject == request.kind.service
+        and window.start_s <= request.ended_s
+    )
+
+
+def _is_sound(history: History, request: Request) -> bool:
+    """Returns whether nothing but silence was wrong around a request."""
+    start_s = request.sent_s - _RECOVERY_S
+    return not history.overlaps(
+        _NOT_IN_TOUCH, request.vm, start_s, request.ended_s
+    ) and not history.overlaps(
+        frozenset((Trouble.BROKEN,)),
+        request.kind.service,
+        start_s,
+        request.ended_s,
+    )
+
+
+def find_excess_retries(history: History) -> Iterator[Violation]:
+    """Finds windows in which all VMs together exceed the retry budget."""
+    for service in sorted({arrival.service for arrival in history.arrivals}):
+        sent_s = sorted(
+            request.sent_s
+            for request in history.requests
+            if request.kind.service == service
+        )
+        extra_s = _list_extra_arrivals_s(history, service)
+        for index, start_s in enumerate(extra_s):
+            end_s = start_s + limits.RETRY_WINDOW_S
+            extra = bisect.bisect_right(extra_s, end_s) - index
+            requests = max(
+                _count_between(sent_s, start_s - shift_s, end_s - shift_s)
+                for shift_s in (
+                    0.0,
+                    limits.RETRY_WINDOW_S / 2,
+                    limits.RETRY_WINDOW_S,
+                )
+            )
+            allowed = limits.RETRY_RATIO * requests + limits.RETRY_SLACK
+            if extra > allowed:
+                yield Violation(
+                    "BUDGET",
+                    f"{service}: {extra} retries from {start_s:.2f} s on, "
+                    f"{allowed:.1f} allowed for {requests} requests",
+                )
+                break
+
+
+def _list_extra_arrivals_s(history: History, service: str) -> list[float]:
+    """Returns the times of the arrivals that are retries."""
+    extra_s = []
+    for arrivals in history.arrivals_by_request.values():
+        ordered = sorted(arrivals, key=lambda arrival: arrival.at_s)
+        first_prefill = next((a for a in ordered if a.is_prefill), None)
+        counted = [
+            arrival.at_s
+            for arrival in ordered
+            if arrival.service == service and arrival is not first_prefill
+        ]
+        extra_s += counted[1:]
+    return sorted(extra_s)
+
+
+def _count_between(times: Sequence[float], start: float, end: float) -> int:
+    return bisect.bisect_right(times, end) - bisect.bisect_left(times, start)
+
+
+def find_drain(history: History) -> Iterator[Violation]:
+    """Finds requests that reached an endpoint after its drain time."""
+    for request in history.requests:
+        for arrival in history.arrivals_by_request.get(request.id, ()):
+            draining_s = history.draining_s_by_endpoint.get(arrival.endpoint)
+            if draining_s is None or arrival.misdirected:
+                continue
+            late_s = request.sent_s - draining_s - limits.DRAIN_LIMIT_S
+            if late_s > 0 and not history.overlaps(
+                _NOT_IN_TOUCH,
+                request.vm,
+                draining_s - limits.STABLE_S,
+                arrival.at_s,
+            ):
+                detail = f"{arrival.endpoint}, sent {late_s:.2f} s too late"
+                yield Violation("DRAIN", detail, request)
+
+
+def find_rollbacks(history: History) -> Iterator[Violation]:
+    """Finds processes that went back to an older configuration."""
+    newest_by_process: dict[tuple[str, int], list[Request]] = {}
+    probes = [
+        request
+        for request in history.requests
+        if request.kind is Kind.PROBE
+        and request.status == 200
+        and request.incarnation is not None
+    ]
+    for probe in sorted(probes, key=lambda request: request.ended_s):
+        process = (probe.vm, probe.incarnation or 0)
+        earlier = newest_by_process.setdefault(process, [])
+        for other in earlier:
+            if other.version > probe.version and other.ended_s < probe.sent_s:
+                yield Violation(
+                    "CONFIG",
+                    f"{probe.vm}: version {probe.version} after "
+                    f"{other.version}, at {probe.sent_s:.2f} s",
+                    probe,
+                )
+                break
+        if not earlier or probe.version > earlier[-1].version:
+            earlier.append(probe)
+
+
+def find_stale(history: History) -> Iterator[Violation]:
+    """Finds VMs that do not have a configuration in force in time."""
+    for request in history.requests:
+        if request.kind is not Kind.PROBE or request.status != 404:
+            continue
+        index, write = next(
+            (index, write)
+            for index, write in enumerate(history.configurations)
+            if write.version == request.version
+        )
+        replaced = any(
+            later.acknowledged_s <= request.ended_s + _CROSSING_S
+            for later in history.configurations[index + 1 :]
+        )
+        late_s = (
+            request.sent_s - write.acknowledged_s - limits.CONFIGURATION_LIMIT_S
+        )
+        if (
+            late_s > 0
+            and not replaced
+            and not history.overlaps(
+                _NOT_IN_TOUCH,
+                request.vm,
+                write.acknowledged_s - limits.STABLE_S,
+                request.ended_s,
+            )
+        ):
+            detail = f"version {write.version} missing {late_s:.2f} s too late"
+            yield Violation("CONFIG", detail, request)
+
+
+CHECKERS: tuple[Checker, ...] = (
+    find_lost,
+    find_twice,
+    find_refused,
+    find_mixed,
+    find_disorder,
+    find_costly_silence,
+    find_excess_retries,
+    find_drain,
+    find_rollbacks,
+    find_stale,
+)
+
+
+def check(history: History) -> list[Violation]:
+    """Returns what all checkers find."""
+    return [violation for checker in CHECKERS for violation in checker(history)]
+
+
+__all__ = ["CHECKERS", "Checker", "Violation", "check", "find_timeouts_s"]
--- /dev/null
+++ b/soak/endpoints.py
@@ -0,0 +1,344 @@
+"""Endpoints of a soak: a plain service and model engines, with faults.
+
+They run in the event loop of the soak and speak the parts of the platform's
+protocol that the gateway uses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import itertools
+import json
+from collections.abc import Callable
+from typing import Any
+
+from soak import wire
+from soak.history import (
+    EVENT_GAP_S,
+    Arrival,
+    History,
+    Run,
+    make_body,
+    make_event,
+    make_stream,
+)
+
+_WORK_S = 0.02
+_PAUSE_CHECK_S = 0.01
+_KV_TOKENS = 1_000_000
+# A fast endless answer sends 4 MB/s, a slow one 2 kB/s.
+_FAST_BYTES, _FAST_INTERVAL_S = 65_536, 0.016
+_SLOW_BYTES, _SLOW_INTERVAL_S = 100, 0.05
+_OK = "HTTP/1.1 200 OK"
+
+
+class Place(enum.Enum):
+    """A part of a response: its head, or its body."""
+
+    HEAD = "head"
+    BODY = "body"
+
+
+class Endless(enum.Enum):
+    """Where an answer consists of bytes without end."""
+
+    CONTINUE = "continue"
+    HEADER = "header"
+    GARBAGE = "garbage"
+    CHUNK_SIZE = "chunk_size"
+    TRAILERS = "trailers"
+    BODY = "body"
+
+
+# What comes before the endless bytes, and the unit that they repeat. The body
+# of a response may come before endless trailers.
+_UNIT_BY_ENDLESS = {
+    Endless.CONTINUE: b"HTTP/1.1 100 Continue\r\n\r\n",
+    Endless.HEADER: b"X-More: more\r\n",
+    Endless.GARBAGE: b"\x00\xffgarbage",
+    Endless.CHUNK_SIZE: b"0",
+    Endless.TRAILERS: b"X-More: more\r\n",
+    Endless.BODY: wire.make_chunk(b"id: 0\ndata: more\n\n"),
+}
+_HEADLESS = (Endless.CONTINUE, Endless.HEADER, Endless.GARBAGE)
+
+
+@dataclasses.dataclass
+class Faults:
+    """The faults of an endpoint that are in force.
+
+    Attributes:
+      silent_until_s_by_place: until when nothing is sent in a part.
+      endless: what new runs send instead of a response.
+      is_fast: whether the endless bytes come fast.
+      resets: whether new runs are reset.
+    """
+
+    silent_until_s_by_place: dict[Place, float] = dataclasses.field(
+        default_factory=dict
+    )
+    endless: Endless | None = None
+    is_fast: bool = False
+    resets: bool = False
+
+
+class Endpoint:
+    """An endpoint on 127.0.0.1.
+
+    Attributes:
+      id: endpoint ID.
+      service: its service.
+      stage: its stage; None for a plain service.
+      port: port that it listens on.
+      faults: faults in force.
+    """
+
+    _stamps = itertools.count(1)
+
+    def __init__(
+        self, id: str, service: str, stage: str | None, history: History
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.stage = stage
+        self.port = 0
+        self.faults = Faults()
+        self._history = history
+        self._server: asyncio.Server | None = None
+        self._stamp_by_writer: dict[asyncio.StreamWriter, str | None] = {}
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def as_store_entry(self, state: str = "ready") -> dict[str, Any]:
+        """Returns the entry of this endpoint in the object store."""
+        entry: dict[str, Any] = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 32,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "seq": 1,
+            "born": 1_700_000_000_000,
+        }
+        return entry if self.stage is None else {**entry, "stage": self.stage}
+
+    def reset_connections(self) -> None:
+        """Resets all connections, and so breaks off all runs."""
+        for writer, stamp in list(self._stamp_by_writer.items()):
+            if stamp is not None:
+                self._history.broken_stamps.add(stamp)
+            wire.reset(writer)
+
+    def close(self) -> None:
+        """Stops listening and resets all connections, like a crash."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_connections()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._stamp_by_writer[writer] = None
+        with contextlib.suppress(
+            ConnectionError, asyncio.IncompleteReadError, wire.CutError
+        ):
+            while head := await wire.read_head(reader):
+                parts = [p async for p in wire.iterate_body(reader, head)]
+                await self._handle(head, b"".join(parts), writer)
+                self._stamp_by_writer[writer] = None
+        self._stamp_by_writer.pop(writer, None)
+        writer.close()
+
+    async def _send(
+        self, writer: asyncio.StreamWriter, content: bytes, place: Place
+    ) -> None:
+        """Sends bytes once the endpoint is not silent."""
+        until_s_by_place = self.faults.silent_until_s_by_place
+        while self._history.now_s() < until_s_by_place.get(place, 0.0):
+            await asyncio.sleep(_PAUSE_CHECK_S)
+        writer.write(content)
+        await writer.drain()
+
+    async def _send_json(
+        self,
+        writer: asyncio.StreamWriter,
+        value: Any,
+        start: str = _OK,
+        **headers: str,
+    ) -> None:
+        content = json.dumps(value).encode()
+        named = {name.replace("_", "-"): v for name, v in headers.items()}
+        head = wire.make_head(
+            start,
+            {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(content)),
+                **named,
+            },
+        )
+        await self._send(writer, head + content, Place.HEAD)
+
+    async def _handle(
+        self, head: wire.Head, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        _, target, _ = head.start
+        request_id = head.headers.get("request-id")
+        expected = head.headers.get("expect-instance", self.id)
+        is_prefill = head.headers.get("stage") == "prefill"
+        if request_id is not None:
+            self._history.arrivals.append(
+                Arrival(
+                    request_id,
+                    self.id,
+                    self.service,
+                    self._history.now_s(),
+                    is_prefill,
+                    expected != self.id,
+                )
+            )
+        if expected != self.id:
+            start = "HTTP/1.1 421 Misdirected Request"
+            await self._send_json(writer, {}, start, Not_Executed="1")
+        elif target.startswith("/v1/"):
+            await self._control(target, writer)
+        elif request_id is None:
+            await self._send_json(writer, {}, Instance_Id=self.id)
+        elif is_prefill:
+            await asyncio.sleep(_WORK_S)
+            handle = {"handle": f"k{request_id}", "tokens": 1, "version": 1}
+            await self._send_json(writer, handle, Request_Id=request_id)
+        else:
+            await self._run(request_id, head, writer)
+
+    async def _control(self, target: str, writer: asyncio.StreamWriter) -> None:
+        if target == "/v1/hold-take":
+            name = f"h{next(self._stamps)}"
+            await self._send_json(writer, {"hold": name})
+        elif target == "/v1/order":
+            # The stages are fixed; an order meets another one in progress.
+            await self._send_json(writer, {}, "HTTP/1.1 409 Conflict")
+        elif target == "/v1/report":
+            report = {
+                "stage": self.stage,
+                "busy": False,
+                "seq": 1,
+                "waiting": 0,
+                "running": 0,
+                "kv_used": 0,
+                "kv_total": _KV_TOKENS,
+            }
+            await self._send_json(writer, report)
+        else:
+            await self._send_json(writer, {})
+
+    async def _run(
+        self, request_id: str, head: wire.Head, writer: asyncio.StreamWriter
+    ) -> None:
+        after = int(head.headers.get("last-event-id") or 0)
+        stamp = f"{self.id}.{next(self._stamps)}"
+        is_stream = self.stage is not None
+        whole = (
+            make_stream(request_id, after)
+            if is_stream
+            else make_body(request_id, stamp)
+        )
+        now_s = self._history.now_s()
+        self._history.runs.append(Run(request_id, self.id, now_s, stamp, whole))
+        self._stamp_by_writer[writer] = stamp
+        if self.faults.resets or self.faults.endless is not None:
+            self._history.broken_stamps.add(stamp)
+        if self.faults.resets:
+            wire.reset(writer)
+            return
+        headers = {"Request-Id": request_id, "Response-Stamp": stamp}
+        if self.faults.endless is not None:
+            await self._send_endless(self.faults.endless, headers, writer)
+            return
+        await asyncio.sleep(_WORK_S)
+        if is_stream:
+            await self._send_stream(request_id, after, headers, writer)
+            return
+        headers["Content-Length"] = str(len(whole))
+        half = len(whole) // 2
+        start = wire.make_head(_OK, headers)
+        await self._send(writer, start + whole[:half], Place.HEAD)
+        await asyncio.sleep(_WORK_S)
+        await self._send(writer, whole[half:], Place.BODY)
+
+    async def _send_stream(
+        self,
+        request_id: str,
+        after: int,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await self._send(writer, _make_chunked_head(headers), Place.HEAD)
+        # The body without its events is what a resumed stream still lacks.
+        left = make_stream(request_id, after).count(b"\n\n")
+        for number in range(after + 1, after + left + 1):
+            event = wire.make_chunk(make_event(request_id, number))
+            await self._send(writer, event, Place.BODY)
+            await asyncio.sleep(EVENT_GAP_S)
+        await self._send(writer, b"0\r\n\r\n", Place.BODY)
+
+    async def _send_endless(
+        self,
+        endless: Endless,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Sends bytes that are no answer until the connection ends."""
+        if endless is Endless.HEADER:
+            writer.write(_OK.encode() + b"\r\n")
+        elif endless not in _HEADLESS:
+            writer.write(_make_chunked_head(headers))
+        if endless is Endless.TRAILERS:
+            writer.write(b"0\r\n")
+        unit = _UNIT_BY_ENDLESS[endless]
+        is_fast = self.faults.is_fast
+        size = _FAST_BYTES if is_fast else _SLOW_BYTES
+        interval_s = _FAST_INTERVAL_S if is_fast else _SLOW_INTERVAL_S
+        part = unit * (size // len(unit))
+        while not writer.is_closing():
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(interval_s)
+
+
+def _make_chunked_head(headers: dict[str, str]) -> bytes:
+    return wire.make_head(_OK, {**headers, "Transfer-Encoding": "chunked"})
+
+
+MakeEndpoint = Callable[[str, str | None], Endpoint]
+
+
+def make_endpoint_factory(history: History) -> MakeEndpoint:
+    """Returns a function that makes endpoints with new IDs.
+
+    Args:
+      history: records what reaches the endpoints.
+    """
+    numbers = itertools.count(1)
+
+    def make(service: str, stage: str | None) -> Endpoint:
+        return Endpoint(f"{service}-{next(numbers)}", service, stage, history)
+
+    return make
+
+
+__all__ = [
+    "Endless",
+    "Endpoint",
+    "Faults",
+    "MakeEndpoint",
+    "Place",
+    "make_endpoint_factory",
+]
--- /dev/null
+++ b/soak/limits.py
@@ -0,0 +1,34 @@
+"""The stated targets that the soak checks, and its own tolerances."""
+
+from __future__ import annotations
+
+ANSWER_SLACK_S = 1.0
+"""Time after the limit of a request by which it must be answered."""
+BUSY_TOLERANCE_S = 1.0
+"""Further time that a caller waits, for a machine that does other work too."""
+CONFIGURATION_LIMIT_S = 2.0
+"""Time after which an acknowledged configuration is in force."""
+DRAIN_LIMIT_S = 2.0
+"""Time after which a draining endpoint receives nothing more."""
+GRACE_S = 8.0
+"""Time from SIGTERM to SIGKILL."""
+RETRY_RATIO = 0.2
+"""Retries of all VMs together that each request of a service allows."""
+RETRY_SLACK = 10.0
+"""Retries that are allowed in each window in addition."""
+RETRY_WINDOW_S = 10.0
+"""Length of the windows in which retries are counted."""
+STABLE_S = 3.0
+"""Time after a fault during which a VM or service still counts as affected."""
+
+__all__ = [
+    "ANSWER_SLACK_S",
+    "BUSY_TOLERANCE_S",
+    "CONFIGURATION_LIMIT_S",
+    "DRAIN_LIMIT_S",
+    "GRACE_S",
+    "RETRY_RATIO",
+    "RETRY_SLACK",
+    "RETRY_WINDOW_S",
+    "STABLE_S",
+]
