--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 
-from soak.run import Options, Result, describe, make_report, run_soak
+from soak.run import Options, Result, make_report, run_soak
 from soak.schedule import make_schedule
 
 _EXIT_VIOLATIONS = 1
@@ -40,7 +40,7 @@
         arguments.report.write_text(report + "\n")
     print(report)
     for violation in result.violations:
-        print(describe(violation), file=sys.stderr)
+        print(violation, file=sys.stderr)
     return _EXIT_VIOLATIONS if result.violations else 0
 
 
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -48,6 +48,16 @@
     detail: str
     request: Request | None = None
 
+    def __str__(self) -> str:
+        text = f"{self.checker}: {self.detail}"
+        if self.request is None:
+            return text
+        r = self.request
+        return (
+            f"{text}; {r.id} at {r.vm}.{r.incarnation}, sent {r.sent_s:.2f} s, "
+            f"ended {r.ended_s:.2f} s, {r.outcome.value} {r.status}"
+        )
+
 
 Checker = Callable[[History], Iterable[Violation]]
 
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -8,11 +8,10 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import enum
 import itertools
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from soak import wire
@@ -33,6 +32,8 @@
 _FAST_BYTES, _FAST_INTERVAL_S = 65_536, 0.016
 _SLOW_BYTES, _SLOW_INTERVAL_S = 100, 0.05
 _OK = "HTTP/1.1 200 OK"
+_REFUSED = "HTTP/1.1 421 Misdirected Request"
+_BUSY = "HTTP/1.1 409 Conflict"
 
 
 class Place(enum.Enum):
@@ -66,25 +67,6 @@
 _HEADLESS = (Endless.CONTINUE, Endless.HEADER, Endless.GARBAGE)
 
 
-@dataclasses.dataclass
-class Faults:
-    """The faults of an endpoint that are in force.
-
-    Attributes:
-      silent_until_s_by_place: until when nothing is sent in a part.
-      endless: what new runs send instead of a response.
-      is_fast: whether the endless bytes come fast.
-      resets: whether new runs are reset.
-    """
-
-    silent_until_s_by_place: dict[Place, float] = dataclasses.field(
-        default_factory=dict
-    )
-    endless: Endless | None = None
-    is_fast: bool = False
-    resets: bool = False
-
-
 class Endpoint:
     """An endpoint on 127.0.0.1.
 
@@ -93,7 +75,9 @@
       service: its service.
       stage: its stage; None for a plain service.
       port: port that it listens on.
-      faults: faults in force.
+      endless: what new runs send instead of a response.
+      is_fast: whether the endless bytes come fast.
+      resets: whether new runs are reset.
     """
 
     _stamps = itertools.count(1)
@@ -105,7 +89,10 @@
         self.service = service
         self.stage = stage
         self.port = 0
-        self.faults = Faults()
+        self.endless: Endless | None = None
+        self.is_fast = False
+        self.resets = False
+        self._silent_until_s_by_place = dict.fromkeys(Place, 0.0)
         self._history = history
         self._server: asyncio.Server | None = None
         self._stamp_by_writer: dict[asyncio.StreamWriter, str | None] = {}
@@ -115,7 +102,7 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def as_store_entry(self, state: str = "ready") -> dict[str, Any]:
+    def as_store_entry(self) -> dict[str, Any]:
         """Returns the entry of this endpoint in the object store."""
         entry: dict[str, Any] = {
             "service": self.service,
@@ -123,13 +110,23 @@
             "zone": "zone-a",
             "version": "v1",
             "slots": 32,
-            "state": state,
+            "state": "ready",
             "cold_remaining_ms": 0,
             "seq": 1,
             "born": 1_700_000_000_000,
         }
         return entry if self.stage is None else {**entry, "stage": self.stage}
 
+    def fall_silent(self, places: Iterable[Place], duration_s: float) -> None:
+        """Sends nothing in some parts of responses for a time.
+
+        A silence that lasts already does not become longer.
+        """
+        now_s = self._history.now_s()
+        for place in places:
+            if self._silent_until_s_by_place[place] <= now_s:
+                self._silent_until_s_by_place[place] = now_s + duration_s
+
     def reset_connections(self) -> None:
         """Resets all connections, and so breaks off all runs."""
         for writer, stamp in list(self._stamp_by_writer.items()):
@@ -161,8 +158,7 @@
         self, writer: asyncio.StreamWriter, content: bytes, place: Place
     ) -> None:
         """Sends bytes once the endpoint is not silent."""
-        until_s_by_place = self.faults.silent_until_s_by_place
-        while self._history.now_s() < until_s_by_place.get(place, 0.0):
+        while self._history.now_s() < self._silent_until_s_by_place[place]:
             await asyncio.sleep(_PAUSE_CHECK_S)
         writer.write(content)
         await writer.drain()
@@ -176,14 +172,8 @@
     ) -> None:
         content = json.dumps(value).encode()
         named = {name.replace("_", "-"): v for name, v in headers.items()}
-        head = wire.make_head(
-            start,
-            {
-                "Content-Type": "application/json",
-                "Content-Length": str(len(content)),
-                **named,
-            },
-        )
+        named["Content-Length"] = str(len(content))
+        head = wire.make_head(start, named)
         await self._send(writer, head + content, Place.HEAD)
 
     async def _handle(
@@ -205,10 +195,12 @@
                 )
             )
         if expected != self.id:
-            start = "HTTP/1.1 421 Misdirected Request"
-            await self._send_json(writer, {}, start, Not_Executed="1")
+            await self._send_json(writer, {}, _REFUSED, Not_Executed="1")
+        elif target == "/v1/order":
+            # The stages are fixed; an order meets another one in progress.
+            await self._send_json(writer, {}, _BUSY)
         elif target.startswith("/v1/"):
-            await self._control(target, writer)
+            await self._send_json(writer, self._control(target))
         elif request_id is None:
             await self._send_json(writer, {}, Instance_Id=self.id)
         elif is_prefill:
@@ -218,26 +210,13 @@
         else:
             await self._run(request_id, head, writer)
 
-    async def _control(self, target: str, writer: asyncio.StreamWriter) -> None:
+    def _control(self, target: str) -> dict[str, Any]:
         if target == "/v1/hold-take":
-            name = f"h{next(self._stamps)}"
-            await self._send_json(writer, {"hold": name})
-        elif target == "/v1/order":
-            # The stages are fixed; an order meets another one in progress.
-            await self._send_json(writer, {}, "HTTP/1.1 409 Conflict")
-        elif target == "/v1/report":
-            report = {
-                "stage": self.stage,
-                "busy": False,
-                "seq": 1,
-                "waiting": 0,
-                "running": 0,
-                "kv_used": 0,
-                "kv_total": _KV_TOKENS,
-            }
-            await self._send_json(writer, report)
-        else:
-            await self._send_json(writer, {})
+            return {"hold": f"h{next(self._stamps)}"}
+        if target != "/v1/report":
+            return {}
+        load = dict.fromkeys(("seq", "waiting", "running", "kv_used"), 0)
+        return {**load, "stage": self.stage, "kv_total": _KV_TOKENS}
 
     async def _run(
         self, request_id: str, head: wire.Head, writer: asyncio.StreamWriter
@@ -253,14 +232,14 @@
         now_s = self._history.now_s()
         self._history.runs.append(Run(request_id, self.id, now_s, stamp, whole))
         self._stamp_by_writer[writer] = stamp
-        if self.faults.resets or self.faults.endless is not None:
+        if self.resets or self.endless is not None:
             self._history.broken_stamps.add(stamp)
-        if self.faults.resets:
+        if self.resets:
             wire.reset(writer)
             return
         headers = {"Request-Id": request_id, "Response-Stamp": stamp}
-        if self.faults.endless is not None:
-            await self._send_endless(self.faults.endless, headers, writer)
+        if self.endless is not None:
+            await self._send_endless(self.endless, headers, writer)
             return
         await asyncio.sleep(_WORK_S)
         if is_stream:
@@ -303,7 +282,7 @@
         if endless is Endless.TRAILERS:
             writer.write(b"0\r\n")
         unit = _UNIT_BY_ENDLESS[endless]
-        is_fast = self.faults.is_fast
+        is_fast = self.is_fast
         size = _FAST_BYTES if is_fast else _SLOW_BYTES
         interval_s = _FAST_INTERVAL_S if is_fast else _SLOW_INTERVAL_S
         part = unit * (size // len(unit))
@@ -337,7 +316,6 @@
 __all__ = [
     "Endless",
     "Endpoint",
-    "Faults",
     "MakeEndpoint",
     "Place",
     "make_endpoint_factory",
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -4,18 +4,20 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import os
 import pathlib
 import signal
 import subprocess
 import sys
+from collections.abc import Sequence
 
 import burdockspan
 from soak import limits, wire
 from soak.history import History, Trouble
 from soak.proxy import Proxy
 
+PORTS_PER_VM = 4
+"""Ports for callers, readiness checks, metrics, and other VMs."""
 _POLL_S = 0.05
 _READY_POLL_S = 0.25
 _READY_TIMEOUT_S = 0.5
@@ -24,16 +26,6 @@
 _SOURCE_FOLDER = pathlib.Path(burdockspan.__file__).parent.parent
 
 
-@dataclasses.dataclass(frozen=True)
-class VmPorts:
-    """Ports of a gateway process."""
-
-    caller: int
-    ready: int
-    metrics: int
-    peer: int
-
-
 class Vm:
     """A VM with one gateway process at a time.
 
@@ -49,7 +41,7 @@
     def __init__(
         self,
         name: str,
-        ports: VmPorts,
+        ports: Sequence[int],
         store_port: int,
         folder: pathlib.Path,
         history: History,
@@ -57,11 +49,12 @@
         self.name = name
         self.incarnation = 0
         self.is_ready = False
-        self.callers = Proxy(ports.caller)
+        self.callers = Proxy(ports[0])
         self.store_link = Proxy(store_port)
         self.unexpected_exits: list[str] = []
         self._ports = ports
         self._folder = folder
+        self._settings_path = folder / f"{name}.yaml"
         self._history = history
         self._process: subprocess.Popen[bytes] | None = None
         self._was_told_to_end = False
@@ -82,11 +75,10 @@
             while process is not None and process.poll() is None:
                 await asyncio.sleep(_POLL_S)
             self.is_ready = False
-            if process is not None and not self._was_told_to_end:
-                self.unexpected_exits.append(
-                    f"{self.name}: process {self.incarnation} ended with "
-                    f"{process.returncode} at {self._history.now_s():.2f} s"
-                )
+            if not self._was_told_to_end:
+                now_s = self._history.now_s()
+                text = f"{self.name}.{self.incarnation} ended at {now_s:.2f} s"
+                self.unexpected_exits.append(text)
             await asyncio.sleep(_RESTART_S)
 
     async def poll_readiness(self) -> None:
@@ -173,47 +165,41 @@
             self._process = subprocess.Popen(
                 [
                     *(sys.executable, "-m", "burdockspan", "gateway"),
-                    *("--settings", str(self._settings_path())),
+                    *("--settings", str(self._settings_path)),
                 ],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONPATH": str(_SOURCE_FOLDER)},
             )
 
-    def _settings_path(self) -> pathlib.Path:
-        return self._folder / f"{self.name}.yaml"
-
     def _write_settings(self) -> None:
-        ports = self._ports
-        lines = (
-            f"vm: {self.name}",
-            "availability_zone: zone-a",
-            f"caller_address: 127.0.0.1:{ports.caller}",
-            f"ready_address: 127.0.0.1:{ports.ready}",
-            f"metrics_address: 127.0.0.1:{ports.metrics}",
-            f"peer_address: 127.0.0.1:{ports.peer}",
-            f"store_address: 127.0.0.1:{self.store_link.port}",
-            f"grace_s: {limits.GRACE_S} s",
-            f"lease_s: {self._lease_s} s",
-            f"retry_budget: {{ratio: {limits.RETRY_RATIO}, "
-            f"slack: {limits.RETRY_SLACK}, "
-            f"window_s: {limits.RETRY_WINDOW_S} s}}",
-        )
-        self._settings_path().write_text("\n".join(lines) + "\n")
+        caller, ready, metrics, peer = (f"127.0.0.1:{p}" for p in self._ports)
+        text = f"""\
+vm: {self.name}
+availability_zone: zone-a
+caller_address: {caller}
+ready_address: {ready}
+metrics_address: {metrics}
+peer_address: {peer}
+store_address: 127.0.0.1:{self.store_link.port}
+grace_s: {limits.GRACE_S} s
+lease_s: {self._lease_s} s
+retry_budget:
+  ratio: {limits.RETRY_RATIO}
+  slack: {limits.RETRY_SLACK}
+  window_s: {limits.RETRY_WINDOW_S} s
+"""
+        self._settings_path.write_text(text)
 
     async def _responds_ready(self) -> bool:
-        request = b"GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n"
-        try:
+        with contextlib.suppress(OSError, TimeoutError, wire.CutError):
             async with asyncio.timeout(_READY_TIMEOUT_S):
-                reader, writer = await wire.connect(self._ports.ready)
-                try:
-                    writer.write(request)
-                    head = await wire.read_head(reader)
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError, wire.CutError):
-            return False
-        return head is not None and head.start[1] == "200"
-
-
-__all__ = ["Vm", "VmPorts"]
+                reader, writer = await wire.connect(self._ports[1])
+                writer.write(b"GET /v1/ready HTTP/1.0\r\n\r\n")
+                head = await wire.read_head(reader)
+                writer.close()
+                return head is not None and head.start[1] == "200"
+        return False
+
+
+__all__ = ["PORTS_PER_VM", "Vm"]
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -7,7 +7,7 @@
 import tempfile
 import unittest
 
-from soak.run import Options, describe, run_soak
+from soak.run import Options, run_soak
 
 _SEED = 1
 _SECONDS = 30.0
@@ -21,7 +21,7 @@
         with tempfile.TemporaryDirectory() as folder:
             options = Options(_SEED, _SECONDS, _VMS, pathlib.Path(folder))
             result = asyncio.run(run_soak(options))
-        found = [describe(violation) for violation in result.violations]
+        found = [str(violation) for violation in result.violations]
         self.assertEqual(found, [])
         # Without these, the checks would have nothing to check.
         self.assertGreater(len(result.history.runs), _MIN_RUNS)
