--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -133,28 +133,18 @@
     )
 
 
-def find_twice(history: History) -> Iterator[Violation]:
-    """Finds requests that are not repeatable and ran more than once."""
+def find_untrue_promises(history: History) -> Iterator[Violation]:
+    """Finds requests that ran twice, or were refused and ran nevertheless."""
     for request in history.requests:
         runs = history.runs_by_request.get(request.id, ())
-        if len(runs) > 1 and not request.kind.is_repeatable:
+        if request.kind.is_repeatable or not runs:
+            continue
+        if len(runs) > 1:
             endpoints = ", ".join(run.endpoint for run in runs)
             yield Violation("TWICE", f"ran at {endpoints}", request)
-
-
-def find_refused(history: History) -> Iterator[Violation]:
-    """Finds requests that are not repeatable, were refused, and ran."""
-    for request in history.requests:
-        if request.status not in _REFUSAL_STATUSES:
-            continue
-        runs = history.runs_by_request.get(request.id)
-        if runs and not request.kind.is_repeatable:
+        if request.status in _REFUSAL_STATUSES:
             after_s = runs[0].started_s - request.ended_s
-            yield Violation(
-                "REFUSED",
-                f"{request.status}, ran {after_s:+.2f} s from its end",
-                request,
-            )
+            yield Violation("REFUSED", f"ran {after_s:+.2f} s later", request)
 
 
 def find_mixed(history: History) -> Iterator[Violation]:
@@ -350,48 +340,15 @@
             earlier.append(probe)
 
 
-def find_stale(history: History) -> Iterator[Violation]:
-    """Finds VMs that do not have a configuration in force in time."""
-    for request in history.requests:
-        if request.kind is not Kind.PROBE or request.status != 404:
-            continue
-        index, write = next(
-            (index, write)
-            for index, write in enumerate(history.configurations)
-            if write.version == request.version
-        )
-        replaced = any(
-            later.acknowledged_s <= request.ended_s + _CROSSING_S
-            for later in history.configurations[index + 1 :]
-        )
-        late_s = (
-            request.sent_s - write.acknowledged_s - limits.CONFIGURATION_LIMIT_S
-        )
-        if (
-            late_s > 0
-            and not replaced
-            and not history.overlaps(
-                _NOT_IN_TOUCH,
-                request.vm,
-                write.acknowledged_s - limits.STABLE_S,
-                request.ended_s,
-            )
-        ):
-            detail = f"version {write.version} missing {late_s:.2f} s too late"
-            yield Violation("CONFIG", detail, request)
-
-
 CHECKERS: tuple[Checker, ...] = (
     find_lost,
-    find_twice,
-    find_refused,
+    find_untrue_promises,
     find_mixed,
     find_disorder,
     find_costly_silence,
     find_excess_retries,
     find_drain,
     find_rollbacks,
-    find_stale,
 )
 
 
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -11,7 +11,7 @@
 import enum
 import itertools
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 from soak import wire
@@ -21,16 +21,15 @@
     History,
     Run,
     make_body,
-    make_event,
     make_stream,
 )
 
 _WORK_S = 0.02
 _PAUSE_CHECK_S = 0.01
 _KV_TOKENS = 1_000_000
-# A fast endless answer sends 4 MB/s, a slow one 2 kB/s.
-_FAST_BYTES, _FAST_INTERVAL_S = 65_536, 0.016
-_SLOW_BYTES, _SLOW_INTERVAL_S = 100, 0.05
+# Bytes that an endless answer sends at intervals in seconds: 4 MB/s or 2 kB/s.
+_FAST = (65_536, 0.016)
+_SLOW = (100, 0.05)
 _OK = "HTTP/1.1 200 OK"
 _REFUSED = "HTTP/1.1 421 Misdirected Request"
 _BUSY = "HTTP/1.1 409 Conflict"
@@ -54,15 +53,14 @@
     BODY = "body"
 
 
-# What comes before the endless bytes, and the unit that they repeat. The body
-# of a response may come before endless trailers.
+# What the endless bytes repeat.
 _UNIT_BY_ENDLESS = {
     Endless.CONTINUE: b"HTTP/1.1 100 Continue\r\n\r\n",
     Endless.HEADER: b"X-More: more\r\n",
     Endless.GARBAGE: b"\x00\xffgarbage",
     Endless.CHUNK_SIZE: b"0",
     Endless.TRAILERS: b"X-More: more\r\n",
-    Endless.BODY: wire.make_chunk(b"id: 0\ndata: more\n\n"),
+    Endless.BODY: wire.make_chunk(b"more"),
 }
 _HEADLESS = (Endless.CONTINUE, Endless.HEADER, Endless.GARBAGE)
 
@@ -71,7 +69,7 @@
     """An endpoint on 127.0.0.1.
 
     Attributes:
-      id: endpoint ID.
+      id: endpoint ID, unique in this process.
       service: its service.
       stage: its stage; None for a plain service.
       port: port that it listens on.
@@ -80,12 +78,12 @@
       resets: whether new runs are reset.
     """
 
-    _stamps = itertools.count(1)
+    _numbers = itertools.count(1)
 
     def __init__(
-        self, id: str, service: str, stage: str | None, history: History
+        self, service: str, stage: str | None, history: History
     ) -> None:
-        self.id = id
+        self.id = f"{service}-{next(self._numbers)}"
         self.service = service
         self.stage = stage
         self.port = 0
@@ -148,8 +146,9 @@
             ConnectionError, asyncio.IncompleteReadError, wire.CutError
         ):
             while head := await wire.read_head(reader):
-                parts = [p async for p in wire.iterate_body(reader, head)]
-                await self._handle(head, b"".join(parts), writer)
+                async for _ in wire.iterate_body(reader, head):
+                    pass
+                await self._handle(head, writer)
                 self._stamp_by_writer[writer] = None
         self._stamp_by_writer.pop(writer, None)
         writer.close()
@@ -164,55 +163,44 @@
         await writer.drain()
 
     async def _send_json(
-        self,
-        writer: asyncio.StreamWriter,
-        value: Any,
-        start: str = _OK,
-        **headers: str,
+        self, writer: asyncio.StreamWriter, value: Any, start: str = _OK
     ) -> None:
         content = json.dumps(value).encode()
-        named = {name.replace("_", "-"): v for name, v in headers.items()}
-        named["Content-Length"] = str(len(content))
-        head = wire.make_head(start, named)
+        headers = {"Content-Length": str(len(content)), "Instance-Id": self.id}
+        head = wire.make_head(start, headers)
         await self._send(writer, head + content, Place.HEAD)
 
     async def _handle(
-        self, head: wire.Head, body: bytes, writer: asyncio.StreamWriter
+        self, head: wire.Head, writer: asyncio.StreamWriter
     ) -> None:
         _, target, _ = head.start
         request_id = head.headers.get("request-id")
         expected = head.headers.get("expect-instance", self.id)
         is_prefill = head.headers.get("stage") == "prefill"
         if request_id is not None:
-            self._history.arrivals.append(
-                Arrival(
-                    request_id,
-                    self.id,
-                    self.service,
-                    self._history.now_s(),
-                    is_prefill,
-                    expected != self.id,
-                )
-            )
+            now_s = self._history.now_s()
+            place = (request_id, self.id, self.service, now_s)
+            is_other = expected != self.id
+            self._history.arrivals.append(Arrival(*place, is_prefill, is_other))
         if expected != self.id:
-            await self._send_json(writer, {}, _REFUSED, Not_Executed="1")
+            await self._send_json(writer, {}, _REFUSED)
         elif target == "/v1/order":
             # The stages are fixed; an order meets another one in progress.
             await self._send_json(writer, {}, _BUSY)
         elif target.startswith("/v1/"):
             await self._send_json(writer, self._control(target))
         elif request_id is None:
-            await self._send_json(writer, {}, Instance_Id=self.id)
+            await self._send_json(writer, {})
         elif is_prefill:
             await asyncio.sleep(_WORK_S)
             handle = {"handle": f"k{request_id}", "tokens": 1, "version": 1}
-            await self._send_json(writer, handle, Request_Id=request_id)
+            await self._send_json(writer, handle)
         else:
             await self._run(request_id, head, writer)
 
     def _control(self, target: str) -> dict[str, Any]:
         if target == "/v1/hold-take":
-            return {"hold": f"h{next(self._stamps)}"}
+            return {"hold": f"h{next(self._numbers)}"}
         if target != "/v1/report":
             return {}
         load = dict.fromkeys(("seq", "waiting", "running", "kv_used"), 0)
@@ -221,102 +209,59 @@
     async def _run(
         self, request_id: str, head: wire.Head, writer: asyncio.StreamWriter
     ) -> None:
-        after = int(head.headers.get("last-event-id") or 0)
-        stamp = f"{self.id}.{next(self._stamps)}"
-        is_stream = self.stage is not None
-        whole = (
-            make_stream(request_id, after)
-            if is_stream
-            else make_body(request_id, stamp)
-        )
-        now_s = self._history.now_s()
-        self._history.runs.append(Run(request_id, self.id, now_s, stamp, whole))
+        stamp = f"{self.id}.{next(self._numbers)}"
+        if self.stage is None:
+            whole = make_body(request_id, stamp)
+            parts = [whole[: len(whole) // 2], whole[len(whole) // 2 :]]
+        else:
+            after = int(head.headers.get("last-event-id") or 0)
+            whole = make_stream(request_id, after)
+            parts = [event + b"\n\n" for event in whole.split(b"\n\n")[:-1]]
+        run = Run(request_id, self.id, self._history.now_s(), stamp, whole)
+        self._history.runs.append(run)
         self._stamp_by_writer[writer] = stamp
         if self.resets or self.endless is not None:
             self._history.broken_stamps.add(stamp)
         if self.resets:
             wire.reset(writer)
-            return
-        headers = {"Request-Id": request_id, "Response-Stamp": stamp}
-        if self.endless is not None:
-            await self._send_endless(self.endless, headers, writer)
-            return
-        await asyncio.sleep(_WORK_S)
-        if is_stream:
-            await self._send_stream(request_id, after, headers, writer)
-            return
-        headers["Content-Length"] = str(len(whole))
-        half = len(whole) // 2
-        start = wire.make_head(_OK, headers)
-        await self._send(writer, start + whole[:half], Place.HEAD)
-        await asyncio.sleep(_WORK_S)
-        await self._send(writer, whole[half:], Place.BODY)
-
-    async def _send_stream(
-        self,
-        request_id: str,
-        after: int,
-        headers: dict[str, str],
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        await self._send(writer, _make_chunked_head(headers), Place.HEAD)
-        # The body without its events is what a resumed stream still lacks.
-        left = make_stream(request_id, after).count(b"\n\n")
-        for number in range(after + 1, after + left + 1):
-            event = wire.make_chunk(make_event(request_id, number))
-            await self._send(writer, event, Place.BODY)
-            await asyncio.sleep(EVENT_GAP_S)
-        await self._send(writer, b"0\r\n\r\n", Place.BODY)
+        elif self.endless is not None:
+            await self._send_endless(self.endless, run, writer)
+        else:
+            await asyncio.sleep(_WORK_S)
+            await self._send(writer, _make_chunked_head(run), Place.HEAD)
+            for part in parts:
+                await self._send(writer, wire.make_chunk(part), Place.BODY)
+                await asyncio.sleep(EVENT_GAP_S)
+            await self._send(writer, wire.LAST_CHUNK, Place.BODY)
 
     async def _send_endless(
-        self,
-        endless: Endless,
-        headers: dict[str, str],
-        writer: asyncio.StreamWriter,
+        self, endless: Endless, run: Run, writer: asyncio.StreamWriter
     ) -> None:
         """Sends bytes that are no answer until the connection ends."""
         if endless is Endless.HEADER:
             writer.write(_OK.encode() + b"\r\n")
         elif endless not in _HEADLESS:
-            writer.write(_make_chunked_head(headers))
+            sent = run.body
+            if endless is not Endless.TRAILERS:
+                sent = sent[: len(sent) // 2]
+            writer.write(_make_chunked_head(run) + wire.make_chunk(sent))
         if endless is Endless.TRAILERS:
             writer.write(b"0\r\n")
+        size, interval_s = _FAST if self.is_fast else _SLOW
         unit = _UNIT_BY_ENDLESS[endless]
-        is_fast = self.is_fast
-        size = _FAST_BYTES if is_fast else _SLOW_BYTES
-        interval_s = _FAST_INTERVAL_S if is_fast else _SLOW_INTERVAL_S
-        part = unit * (size // len(unit))
         while not writer.is_closing():
-            writer.write(part)
+            writer.write(unit * (size // len(unit)))
             await writer.drain()
             await asyncio.sleep(interval_s)
 
 
-def _make_chunked_head(headers: dict[str, str]) -> bytes:
-    return wire.make_head(_OK, {**headers, "Transfer-Encoding": "chunked"})
-
-
-MakeEndpoint = Callable[[str, str | None], Endpoint]
-
-
-def make_endpoint_factory(history: History) -> MakeEndpoint:
-    """Returns a function that makes endpoints with new IDs.
-
-    Args:
-      history: records what reaches the endpoints.
-    """
-    numbers = itertools.count(1)
-
-    def make(service: str, stage: str | None) -> Endpoint:
-        return Endpoint(f"{service}-{next(numbers)}", service, stage, history)
-
-    return make
+def _make_chunked_head(run: Run) -> bytes:
+    headers = {
+        "Request-Id": run.request_id,
+        "Response-Stamp": run.stamp,
+        "Transfer-Encoding": "chunked",
+    }
+    return wire.make_head(_OK, headers)
 
 
-__all__ = [
-    "Endless",
-    "Endpoint",
-    "MakeEndpoint",
-    "Place",
-    "make_endpoint_factory",
-]
+__all__ = ["Endless", "Endpoint", "Place"]
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from soak.documents import Configuration, make_document
-from soak.endpoints import Endpoint, MakeEndpoint
+from soak.endpoints import Endpoint
 from soak.history import ConfigurationWrite, History, Trouble
 from soak.proxy import Direction
 from soak.schedule import Action, Fault
@@ -29,7 +29,6 @@
       history: records faults and what they change.
       store: the object store.
       vms: all VMs.
-      make_endpoint: makes an endpoint with a new ID.
       endpoints: endpoints that are registered, in the order of their start.
       configuration: newest configuration in the store.
     """
@@ -37,7 +36,6 @@
     history: History
     store: ObjectStore
     vms: list[Vm]
-    make_endpoint: MakeEndpoint
     endpoints: list[Endpoint] = dataclasses.field(default_factory=list)
     configuration: Configuration = dataclasses.field(
         default_factory=Configuration
@@ -59,7 +57,7 @@
 
 async def add_endpoint(world: World, service: str, stage: str | None) -> None:
     """Starts an endpoint and registers it."""
-    endpoint = world.make_endpoint(service, stage)
+    endpoint = Endpoint(service, stage, world.history)
     await endpoint.start()
     world.endpoints.append(endpoint)
     world.store.put("servers", endpoint.id, endpoint.as_store_entry())
@@ -106,7 +104,7 @@
         if fault.action is Action.LINK_SLOW:
             directions = ()
             link.is_slow = True
-        async with link.cutting(*directions):
+        with link.cutting(*directions):
             await asyncio.sleep(fault.duration_s)
         link.is_slow = False
 
@@ -120,7 +118,7 @@
 
 async def _silence_store(world: World, fault: Fault) -> None:
     async def silence(vm: Vm) -> None:
-        async with vm.store_link.cutting(*Direction):
+        with vm.store_link.cutting(*Direction):
             await asyncio.sleep(fault.duration_s)
 
     with world.history.window(Trouble.STORE, _ALL_VMS):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,12 +5,13 @@
 import asyncio
 import contextlib
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import Iterator
 
 from soak import wire
 
 _READ_BYTES = 65_536
-_LONGEST_DELAY_S = 0.1
+_DELAY_S = 0.1
+_POLL_S = 0.01
 
 
 class Direction(enum.Enum):
@@ -35,7 +36,6 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._cuts = dict.fromkeys(Direction, 0)
-        self._changed = asyncio.Condition()
         self.port = 0
         self.is_slow = False
 
@@ -44,18 +44,16 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    @contextlib.asynccontextmanager
-    async def cutting(self, *directions: Direction) -> AsyncIterator[None]:
+    @contextlib.contextmanager
+    def cutting(self, *directions: Direction) -> Iterator[None]:
         """Holds back the bytes of some directions during the block."""
         for direction in directions:
             self._cuts[direction] += 1
         try:
             yield
         finally:
-            async with self._changed:
-                for direction in directions:
-                    self._cuts[direction] -= 1
-                self._changed.notify_all()
+            for direction in directions:
+                self._cuts[direction] -= 1
 
     def reset_connections(self) -> None:
         """Resets all connections on both sides."""
@@ -103,12 +101,9 @@
         while True:
             part = await reader.read(_READ_BYTES)
             if self.is_slow:
-                await asyncio.sleep(_LONGEST_DELAY_S)
-            if self._cuts[direction]:
-                async with self._changed:
-                    await self._changed.wait_for(
-                        lambda: not self._cuts[direction]
-                    )
+                await asyncio.sleep(_DELAY_S)
+            while self._cuts[direction]:
+                await asyncio.sleep(_POLL_S)
             if not part:
                 return
             writer.write(part)
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,7 +15,6 @@
 
 from soak.callers import Caller, CallerContext
 from soak.checkers import Violation, check
-from soak.endpoints import make_endpoint_factory
 from soak.history import History
 from soak.injector import World, add_endpoint, inject, write_configuration
 from soak.schedule import Fault, make_schedule
@@ -74,7 +73,7 @@
     schedule = make_schedule(options.seed, options.seconds)
     store, history = ObjectStore(), History()
     vms = _make_vms(options, store, history)
-    world = World(history, store, vms, make_endpoint_factory(history))
+    world = World(history, store, vms)
     tasks: list[asyncio.Task[None]] = []
     lags_s = [0.0]
     try:
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -8,6 +8,8 @@
 import struct
 from collections.abc import AsyncIterator, Mapping
 
+LAST_CHUNK = b"0\r\n\r\n"
+"""The end of a chunked body without trailers."""
 _LIMIT_BYTES = 256 * 1024
 _READ_BYTES = 65_536
 
@@ -101,6 +103,7 @@
 
 
 __all__ = [
+    "LAST_CHUNK",
     "CutError",
     "Head",
     "connect",
