--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,15 +5,15 @@
 import asyncio
 import contextlib
 import dataclasses
-import itertools
 import math
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping
 
 from soak import limits, wire
 from soak.documents import HOST
-from soak.history import History, Kind, Outcome, Request
+from soak.history import Kind, Outcome, Request
 from soak.vms import Vm
+from soak.world import World
 
 _KINDS = (Kind.READ, Kind.READ, Kind.PAY, Kind.PAY, Kind.DRAFT, Kind.REVIEW)
 # A caller reuses a connection that has been idle for this share of the idle
@@ -41,32 +41,11 @@
     keep_alive_s: float = math.inf
 
 
-@dataclasses.dataclass(frozen=True)
-class CallerContext:
-    """What all callers share.
-
-    Attributes:
-      vms: all VMs.
-      history: records the requests.
-      stopping: set when callers send no more requests.
-      numbers: numbers of the requests.
-    """
-
-    vms: Sequence[Vm]
-    history: History
-    stopping: asyncio.Event
-    numbers: itertools.count[int] = dataclasses.field(
-        default_factory=itertools.count
-    )
-
-
 class Caller:
     """A caller with at most one connection."""
 
-    def __init__(
-        self, context: CallerContext, home: Vm, rng: random.Random
-    ) -> None:
-        self._context = context
+    def __init__(self, world: World, home: Vm, rng: random.Random) -> None:
+        self._world = world
         self._home = home
         self._rng = rng
         self._connection: _Connection | None = None
@@ -74,7 +53,7 @@
     async def run(self) -> None:
         """Sends requests of all kinds until the soak stops."""
         rng = self._rng
-        while not self._context.stopping.is_set():
+        while not self._world.stopping.is_set():
             kind = rng.choice(_KINDS)
             deadline_s = round(rng.uniform(*_DEADLINE_S), 2)
             pause_s = rng.expovariate(1 / _USUAL_PAUSE_S)
@@ -84,20 +63,16 @@
             await asyncio.sleep(pause_s)
         self._close()
 
-    async def probe(self, newest_version: Callable[[], int]) -> None:
-        """Requests the route of the newest version from the home VM.
-
-        Args:
-          newest_version: returns the version in the store.
-        """
-        while not self._context.stopping.is_set():
-            version = newest_version()
+    async def probe(self) -> None:
+        """Requests the route of the newest version from the home VM."""
+        while not self._world.stopping.is_set():
+            version = self._world.configuration.version
             await self._send(Kind.PROBE, _PROBE_DEADLINE_S, self._home, version)
             await asyncio.sleep(_PROBE_INTERVAL_S)
         self._close()
 
     def _choose_vm(self) -> Vm:
-        ready = [vm for vm in self._context.vms if vm.is_ready]
+        ready = [vm for vm in self._world.vms if vm.is_ready]
         if self._home in ready or not ready:
             return self._home
         return self._rng.choice(ready)
@@ -109,8 +84,8 @@
         if connection is None:
             await asyncio.sleep(_UNAVAILABLE_PAUSE_S)
             return
-        now_s = self._context.history.now_s
-        request_id = f"{kind.value}-{next(self._context.numbers)}"
+        now_s = self._world.history.now_s
+        request_id = f"{kind.value}-{next(self._world.request_numbers)}"
         response = _Response(Outcome.NOT_SENT)
         sent_s = now_s()
         with contextlib.suppress(OSError):
@@ -121,22 +96,21 @@
             sent_s = now_s()
             response = await _receive(connection.reader, deadline_s)
         is_same = connection.incarnation == connection.vm.incarnation
-        self._context.history.requests.append(
-            Request(
-                id=request_id,
-                kind=kind,
-                vm=connection.vm.name,
-                incarnation=connection.incarnation if is_same else None,
-                sent_s=sent_s,
-                ended_s=now_s(),
-                deadline_s=deadline_s,
-                outcome=response.outcome,
-                status=response.status,
-                stamp=response.headers.get("response-stamp"),
-                body=response.body,
-                version=version,
-            )
+        request = Request(
+            id=request_id,
+            kind=kind,
+            vm=connection.vm.name,
+            incarnation=connection.incarnation if is_same else None,
+            sent_s=sent_s,
+            ended_s=now_s(),
+            deadline_s=deadline_s,
+            outcome=response.outcome,
+            status=response.status,
+            stamp=response.headers.get("response-stamp"),
+            body=response.body,
+            version=version,
         )
+        self._world.history.requests.append(request)
         connection.idle_since_s = now_s()
         await self._follow(response, deadline_s, connection)
 
@@ -162,7 +136,7 @@
         An idle connection is used while the idle timeouts of all configurations
         that may be in force allow it.
         """
-        history, kept = self._context.history, self._connection
+        history, kept = self._world.history, self._connection
         now_s = history.now_s()
         if kept is not None:
             known_s = now_s - limits.CONFIGURATION_LIMIT_S - limits.STABLE_S
@@ -247,4 +221,4 @@
     return wire.make_head(f"POST {path} HTTP/1.1", headers) + body
 
 
-__all__ = ["Caller", "CallerContext"]
+__all__ = ["Caller"]
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,11 +8,11 @@
 
 from soak.documents import Configuration, make_document
 from soak.endpoints import Endpoint
-from soak.history import ConfigurationWrite, History, Trouble
+from soak.history import ConfigurationWrite, Trouble
 from soak.proxy import Direction
 from soak.schedule import Action, Fault
 from soak.vms import Vm
-from standins.object_store import ObjectStore
+from soak.world import World
 
 # A draining endpoint serves for this time, in which late requests are noticed.
 _DRAIN_S = 4.0
@@ -21,27 +21,6 @@
 _ALL_VMS = "*"
 
 
-@dataclasses.dataclass
-class World:
-    """Everything that faults act on.
-
-    Attributes:
-      history: records faults and what they change.
-      store: the object store.
-      vms: all VMs.
-      endpoints: endpoints that are registered, in the order of their start.
-      configuration: newest configuration in the store.
-    """
-
-    history: History
-    store: ObjectStore
-    vms: list[Vm]
-    endpoints: list[Endpoint] = dataclasses.field(default_factory=list)
-    configuration: Configuration = dataclasses.field(
-        default_factory=Configuration
-    )
-
-
 def write_configuration(world: World, configuration: Configuration) -> None:
     """Writes a configuration to the store."""
     world.store.put("config", "main", make_document(configuration))
@@ -188,4 +167,4 @@
     Action.ENDPOINT_DRAIN: _drain,
 }
 
-__all__ = ["World", "add_endpoint", "inject", "write_configuration"]
+__all__ = ["add_endpoint", "inject", "write_configuration"]
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,12 +13,13 @@
 from collections.abc import Coroutine, Iterator
 from typing import Any
 
-from soak.callers import Caller, CallerContext
+from soak.callers import Caller
 from soak.checkers import Violation, check
 from soak.history import History
-from soak.injector import World, add_endpoint, inject, write_configuration
+from soak.injector import add_endpoint, inject, write_configuration
 from soak.schedule import Fault, make_schedule
 from soak.vms import PORTS_PER_VM, Vm
+from soak.world import World
 from standins.object_store import ObjectStore
 
 _CALLERS_PER_VM = 6
@@ -117,9 +118,7 @@
     async with asyncio.timeout(_START_TIMEOUT_S):
         while not all(vm.is_ready for vm in world.vms):
             await asyncio.sleep(_POLL_S)
-    stopping = asyncio.Event()
-    context = CallerContext(world.vms, world.history, stopping)
-    works = [*map(start, _make_callers(world, context, options.seed))]
+    works = [*map(start, _make_callers(world, options.seed))]
     begun_s = world.history.now_s()
 
     async def wait_until(at_s: float) -> None:
@@ -129,20 +128,19 @@
         await wait_until(fault.at_s)
         works.append(start(inject(world, fault)))
     await wait_until(options.seconds)
-    stopping.set()
+    world.stopping.set()
     async with asyncio.timeout(_LAST_RESPONSES_S):
         await asyncio.gather(*works)
 
 
 def _make_callers(
-    world: World, context: CallerContext, seed: int
+    world: World, seed: int
 ) -> Iterator[Coroutine[Any, Any, None]]:
     for vm in world.vms:
         for number in range(_CALLERS_PER_VM):
             rng = random.Random(f"{seed}/{vm.name}/{number}")
-            yield Caller(context, vm, rng).run()
-        prober = Caller(context, vm, random.Random(seed))
-        yield prober.probe(lambda: world.configuration.version)
+            yield Caller(world, vm, rng).run()
+        yield Caller(world, vm, random.Random(seed)).probe()
 
 
 def _make_vms(
