Find a configuration that a process drops after it was in force

What: the rollback checker also uses a refused probe: 404 for the newest version after a success of it in the same process.

Why: only the route of the newest version is probed, so a process that went back would not have been seen by successes alone.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -317,29 +317,37 @@
 
 
 def find_rollbacks(history: History) -> Iterator[Violation]:
-    """Finds processes that went back to an older configuration."""
-    newest_by_process: dict[tuple[str, int], list[Request]] = {}
-    probes = [
-        request
-        for request in history.requests
-        if request.kind is Kind.PROBE
-        and request.status == 200
-        and request.incarnation is not None
-    ]
-    for probe in sorted(probes, key=lambda request: request.ended_s):
-        process = (probe.vm, probe.incarnation or 0)
-        earlier = newest_by_process.setdefault(process, [])
-        for other in earlier:
-            if other.version > probe.version and other.ended_s < probe.sent_s:
-                yield Violation(
-                    "CONFIG",
-                    f"{probe.vm}: version {probe.version} after "
-                    f"{other.version}, at {probe.sent_s:.2f} s",
-                    probe,
-                )
-                break
-        if not earlier or probe.version > earlier[-1].version:
-            earlier.append(probe)
+    """Finds processes that went back to an older configuration.
+
+    Each version has a route that no other version has. A process that has
+    served it must not serve that of an older version later, nor deny it before
+    a newer version has been written.
+    """
+    served_by_process: dict[tuple[str, int], list[Request]] = {}
+    for probe in sorted(history.requests, key=lambda request: request.ended_s):
+        if probe.kind is not Kind.PROBE or probe.incarnation is None:
+            continue
+        process = (probe.vm, probe.incarnation)
+        served = served_by_process.setdefault(process, [])
+        before = [r.version for r in served if r.ended_s < probe.sent_s]
+        newest = max(before, default=0)
+        if (probe.status == 200 and probe.version < newest) or (
+            probe.status == 404
+            and probe.version == newest
+            and not _is_replaced(history, probe)
+        ):
+            detail = f"status {probe.status} of version {probe.version} "
+            yield Violation("CONFIG", f"{detail} after {newest}", probe)
+        if probe.status == 200:
+            served.append(probe)
+
+
+def _is_replaced(history: History, probe: Request) -> bool:
+    return any(
+        write.version > probe.version
+        and write.acknowledged_s <= probe.ended_s + _CROSSING_S
+        for write in history.configurations
+    )
 
 
 CHECKERS: tuple[Checker, ...] = (
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -311,6 +311,24 @@
         history = _make_history(*probes[:2], restarted, runs=runs)
         self.assertEqual(_find(history), [])
 
+    def test_denied_route_of_a_version_that_was_served_is_found(self) -> None:
+        """Guards against a process that drops its newest configuration."""
+        served = _make_request(kind=Kind.PROBE, version=2)
+        denied = _make_request(
+            id="r2",
+            kind=Kind.PROBE,
+            version=2,
+            sent_s=_SENT_S + 1.0,
+            ended_s=_SENT_S + 1.1,
+            status=404,
+            stamp=None,
+            body=b"",
+        )
+        history = _make_history(served, denied, runs=[_make_run()])
+        self.assertEqual(_find(history), ["CONFIG"])
+        history.configurations.append(ConfigurationWrite(3, _SENT_S + 1.0, 3.0))
+        self.assertEqual(_find(history), [])
+
 
 if __name__ == "__main__":
     unittest.main()
