--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,14 +19,22 @@
 # A caller reuses a connection that has been idle for this share of the idle
 # timeout.
 _IDLE_SHARE = 0.8
+# Mean pause between two requests of a caller.
 _USUAL_PAUSE_S = 0.1
+# Some pauses are long, so that connections stay idle up to their limit.
 _LONG_PAUSE_PROBABILITY = 0.15
 _LONGEST_PAUSE_S = 4.0
+# Shortest and longest deadline: below and above the timeouts of the routes.
 _DEADLINE_S = (2.0, 6.0)
 _PROBE_INTERVAL_S = 0.2
 _PROBE_DEADLINE_S = 2.0
+# The body of a request repeats its ID this often.
 _BODY_REPEATS = 50
+# Pause before another connection is opened after none could be opened.
 _UNAVAILABLE_PAUSE_S = 0.2
+# A caller waits longer than the checker allows, so that a late answer is
+# recorded with its time.
+_FURTHER_WAIT_S = 0.2
 
 
 @dataclasses.dataclass
@@ -177,13 +185,12 @@
 async def _receive(
     reader: asyncio.StreamReader, deadline_s: float
 ) -> _Response:
-    # The caller waits a little longer than the checker allows.
     wait_s = deadline_s + limits.ANSWER_SLACK_S + limits.BUSY_TOLERANCE_S
     parts: list[bytes] = []
     head = None
     outcome = Outcome.COMPLETE
     try:
-        async with asyncio.timeout(wait_s + _UNAVAILABLE_PAUSE_S):
+        async with asyncio.timeout(wait_s + _FURTHER_WAIT_S):
             head = await wire.read_head(reader)
             if head is None:
                 return _Response(Outcome.CLOSED)
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -24,6 +24,7 @@
     make_stream,
 )
 
+# Work for a prompt, and before the head of a response.
 _WORK_S = 0.02
 _PAUSE_CHECK_S = 0.01
 _KV_TOKENS = 1_000_000
--- a/tests/soak/test_interrupt.py
+++ b/tests/soak/test_interrupt.py
@@ -26,20 +26,21 @@
         """Guards against gateway processes that outlive their soak."""
         for number in (signal.SIGINT, signal.SIGTERM):
             with self.subTest(signal=number):
-                soak = subprocess.Popen(
-                    _COMMAND,
-                    stdout=subprocess.DEVNULL,
-                    stderr=subprocess.DEVNULL,
-                )
-                self.addCleanup(soak.wait)
-                self.addCleanup(soak.kill)
-                wait_for(lambda pid=soak.pid: len(_read_children(pid)) == _VMS)
-                children = _read_children(soak.pid)
-                soak.send_signal(number)
-                self.assertNotEqual(soak.wait(_END_TIMEOUT_S), 0)
-                for child in children:
-                    with self.assertRaises(ProcessLookupError):
-                        os.kill(child, 0)
+                self._check_interrupt(number)
+
+    def _check_interrupt(self, number: signal.Signals) -> None:
+        soak = subprocess.Popen(
+            _COMMAND, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+        )
+        self.addCleanup(soak.wait)
+        self.addCleanup(soak.kill)
+        wait_for(lambda: len(_read_children(soak.pid)) == _VMS)
+        children = _read_children(soak.pid)
+        soak.send_signal(number)
+        self.assertNotEqual(soak.wait(_END_TIMEOUT_S), 0)
+        for child in children:
+            with self.assertRaises(ProcessLookupError):
+                os.kill(child, 0)
 
 
 if __name__ == "__main__":
