Keep the failure of a call whose repetition was not sent

What could happen (read from the code): a reservation stays at an engine. If the answer on a reused connection violated the protocol and the repeated call found no connection, or no time, the failure said that nothing was sent, and the attempt released no reservation.

Cause: the failure of the repetition replaced that of the first call, which may have run.

Change: a repetition that was not sent leaves the first failure.

Evidence: test_repeated_call_that_was_not_sent_tells_nothing_of_the_first; on the parent commit the kind was NOT_CONNECTED instead of ENDPOINT_ERROR.

--- a/src/burdockspan/endpoints/engine.py
+++ b/src/burdockspan/endpoints/engine.py
@@ -258,7 +258,12 @@
     ):
         left_s = timeout_s - (context.connections.clock() - started_s)
         repeated = _post(context, path, message, left_s, fresh=True)
-        return repeated.and_then(check)
+        if (
+            isinstance(repeated, Ok)
+            or repeated.err_value.kind is not FailureKind.NOT_CONNECTED
+        ):
+            return repeated.and_then(check)
+        # The first call may have run.
     return outcome
 
 
--- a/tests/endpoints/test_engine.py
+++ b/tests/endpoints/test_engine.py
@@ -146,6 +146,21 @@
             prefilled = engine.prefill(context, "/v1/completions", body, 1.0)
             self.assertEqual(prefilled.unwrap().cache, str(attempt))
 
+    def test_repeated_call_that_was_not_sent_tells_nothing_of_the_first(
+        self,
+    ) -> None:
+        """Guards against a reservation that is taken for one never made."""
+        self.assertTrue(engine.reserve(self.context, 1, WAIT_S).is_ok())
+
+        def stop_after_the_call(handler: Handler) -> None:
+            self.fake.shutdown()
+            self.fake.server_close()
+            handler.send(200, {})
+
+        self.fake.scripts["POST /reservations"] = stop_after_the_call
+        failure = engine.reserve(self.context, 1, WAIT_S).unwrap_err()
+        self.assertEqual(failure.kind, FailureKind.ENDPOINT_ERROR)
+
     def test_health_uses_a_new_connection(self) -> None:
         # A new connection distinguishes a stalled connection from an endpoint
         # that is down.
