Give an engine that takes a stream time for its first event

What callers could see: a stream with three or more attempts left each engine at once, as the silence of the earlier engine was counted for the next one.

Change: the silence of an engine counts from its last event or from its begin.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -187,6 +187,8 @@
         )
         self._preparation: _Preparation | None = None
         self._last_event_s = context.clock()
+        # When the current engine sent its last event, or began.
+        self._silent_since_s = self._last_event_s
         self._logged_reason: str | None = None
 
     def close(self) -> None:
@@ -218,6 +220,7 @@
                         self._end_silence()
                         yield events
                         self._last_event_s = self._context.clock()
+                        self._silent_since_s = self._last_event_s
                 if progress.partial_event:
                     yield progress.partial_event
                 self._context.state.record_success(
@@ -238,7 +241,7 @@
         shortest_s = max(
             _MIN_SILENCE_LIMIT_S, _SILENCE_GAPS * route.gap_objective_s
         )
-        silent_s = self._context.clock() - self._last_event_s
+        silent_s = self._context.clock() - self._silent_since_s
         share_s = _MAX_SILENCE_SHARE * (remaining_s + silent_s)
         limit_s = max(shortest_s, min(patience_s - _MOVE_TIME_S, share_s))
         return max(0.0, limit_s - silent_s)
@@ -300,7 +303,7 @@
             self._context,
             self._request,
             self._current.reservation.endpoint,
-            self._context.clock() - self._last_event_s,
+            self._context.clock() - self._silent_since_s,
             moves,
             reason,
         )
@@ -340,6 +343,7 @@
             attempt.reservation.release()
             raise TruncatedError(f"resumed with {attempt.response.status}")
         self._current = attempt
+        self._silent_since_s = context.clock()
         context.registry.count("stream", "resumed")
         context.log(
             "stream resumed",
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -423,6 +423,39 @@
             self.check_complete(self.review())
         self.assertIsNotNone(engine.runs[0].header("Kv-Hold"))
 
+    def test_engine_that_takes_a_stream_has_time_for_its_first_event(
+        self,
+    ) -> None:
+        """Guards against a stream that leaves each engine at once."""
+        self.gateway.configure(_make_document(3, max_attempts=3))
+        silent = self.add_engine("i-1", 2, None)
+        slow = SilentEngine(0, None)
+
+        def resume_late(received: Received) -> Iterable[Step]:
+            if received.header("Last-Event-Id"):
+                slow.runs.append(received)
+                return itertools.chain(
+                    [CHUNKED_HEAD], _send_late(), [LAST_CHUNK]
+                )
+            return slow(received)
+
+        def _send_late() -> Iterator[Step]:
+            _pause(0.6)
+            yield chunk(_events(3))
+
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            future = executor.submit(self.review)
+            wait_for(lambda: bool(silent.runs))
+            self.gateway.add_endpoint(
+                ScriptedEndpoint("i-2", resume_late),
+                service="llm",
+                stage="decode",
+            )
+            wait_for(lambda: bool(slow.runs))
+            other = self.add_engine("i-3")
+            self.check_complete(future.result())
+        self.assertEqual(other.asked, 0)
+
     def test_stream_at_its_deadline_asks_no_engine(self) -> None:
         """Guards against a caller held past its time by silent engines."""
         self.gateway.configure(_make_document(3, timeout_ms=1500))
