--- a/bench/endless_answers.py
+++ b/bench/endless_answers.py
@@ -23,6 +23,7 @@
 import time
 from collections.abc import Iterator
 
+from burdockspan.platform import headers
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import (
     CHUNKED_HEAD,
@@ -42,7 +43,7 @@
 _WARM_UP_S = 1.0
 _SERVICE_TIME_S = 0.02
 _PAUSE_S = 0.02
-_OK_HEAD = b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n"
+_OK_HEAD = f"HTTP/1.1 200 OK\r\n{headers.RESPONSE_STAMP}: s\r\n".encode()
 # What precedes bytes without end, and the bytes.
 _ENDLESS = (
     (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
@@ -133,7 +134,9 @@
             if received.target != "/health":
                 over.wait(_SERVICE_TIME_S)
             yield from respond(
-                200, b"done", {"Response-Stamp": "s", "Served-By": str(number)}
+                200,
+                b"done",
+                {headers.RESPONSE_STAMP: "s", "Served-By": str(number)},
             )
             return
         first, part = next(endless)
