--- a/soak/injector.py
+++ b/soak/injector.py
@@ -133,6 +133,9 @@
     """Crashes endpoints, which start again under new IDs."""
     with world.history.window(Trouble.BROKEN, fault.service):
         for endpoint in _choose_endpoints(world, fault):
+            if endpoint not in world.endpoints:
+                # An overlapping fault has replaced it meanwhile.
+                continue
             world.endpoints.remove(endpoint)
             endpoint.close()
             await asyncio.sleep(_CRASHED_S)
@@ -145,6 +148,9 @@
     """Replaces endpoints after they have been marked as draining."""
     with world.history.window(Trouble.BROKEN, fault.service):
         for endpoint in _choose_endpoints(world, fault):
+            if endpoint not in world.endpoints:
+                # An overlapping fault has replaced it meanwhile.
+                continue
             world.endpoints.remove(endpoint)
             await add_endpoint(world, endpoint.service, endpoint.stage)
             entry = {**endpoint.as_store_entry(), "state": "draining"}
