--- a/tests/endpoints/test_call_properties.py
+++ b/tests/endpoints/test_call_properties.py
@@ -270,15 +270,13 @@
         return Message(head + body, len(head), body, size, True)
     head += b"Transfer-Encoding: chunked\r\n\r\n"
     width = draw(st.integers(1, 4))
-    encoded = b"".join(
+    encoded = [
         f"{len(part):0{width}x}".encode() + b"\r\n" + part + b"\r\n"
         for part in chunks
-    )
-    data = head + encoded + b"0" * width + b"\r\n"
+    ]
+    data = head + b"".join(encoded) + b"0" * width + b"\r\n"
     trailers = draw(_lines) + b"\r\n"
-    ends = itertools.accumulate(
-        (width + 2 + len(part) + 2 for part in chunks), initial=len(head)
-    )
+    ends = itertools.accumulate(map(len, encoded), initial=len(head))
     chunk_ends = (*list(ends)[1:], len(data + trailers))
     return Message(
         data + trailers, len(head), body, len(data), False, chunk_ends
