--- a/tests/endpoints/test_call_properties.py
+++ b/tests/endpoints/test_call_properties.py
@@ -331,8 +331,8 @@
     (_OK + b"Content-Length: 99999999\r\n\r\n", b"x"),
     (_OK + b"\r\n", b"x"),
 )
-# Each byte of these is a part of a body.
-_ENDLESS_PARTS = _ENDLESS[-2:]
+# These are parts of a body, each of which ends a silence.
+_ENDLESS_PARTS = (_ENDLESS[7], *_ENDLESS[-2:])
 
 
 class CallPropertiesTest(unittest.TestCase):
