--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import math
 import socket
 from collections.abc import Callable, Iterator, Mapping
@@ -70,6 +71,14 @@
         return f"{self.method} {self.path}"
 
 
+class Framing(enum.Enum):
+    """What marks the end of a response body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 @dataclasses.dataclass(frozen=True)
 class ExchangeContext:
     """What all exchanges of the process share.
@@ -92,6 +101,7 @@
       call: the call.
       status: HTTP status of the response.
       headers: headers of the response.
+      framing: what marks the end of its body.
       reused: whether the connection has carried an earlier call.
     """
 
@@ -117,6 +127,7 @@
         self.call = call
         self.status = response.status
         self.headers = response.headers
+        self.framing = _find_framing(response)
         self.reused = connection.idle_since_s is not None
 
     def iterate(self) -> Iterator[bytes]:
@@ -252,6 +263,14 @@
     idle_since_s: float | None = None
 
 
+def _find_framing(response: urllib3.BaseHTTPResponse) -> Framing:
+    if getattr(response, "chunked", False):
+        return Framing.CHUNKS
+    if getattr(response, "length_remaining", None) is None:
+        return Framing.CONNECTION
+    return Framing.LENGTH
+
+
 def send_call(
     call: Call, connection: OpenConnection, timer: CallTimer
 ) -> urllib3.BaseHTTPResponse:
@@ -294,6 +313,7 @@
     "Call",
     "Exchange",
     "ExchangeContext",
+    "Framing",
     "OpenConnection",
     "close_connection",
     "send_call",
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 
 from burdockspan.endpoints.call_timer import TimeLimit
+from burdockspan.endpoints.event_bounds import EventBounds
 from burdockspan.endpoints.sockets import AbortHandle
 from burdockspan.gateway import passive_health
 from burdockspan.gateway.context import Context
@@ -15,6 +16,7 @@
     Response,
     make_problem,
 )
+from burdockspan.gateway.ports import EndpointResponse
 from burdockspan.gateway.retry_budget import SpentRetry
 from burdockspan.gateway.values import Endpoint, InboundCall, Route, Service
 from burdockspan.gateway.vm_heartbeats import HEARTBEAT_INTERVAL_S
@@ -316,6 +318,25 @@
     )
 
 
+def log_stream_end(
+    context: Context,
+    request: RoutedRequest,
+    endpoint: Endpoint,
+    response: EndpointResponse,
+    bounds: EventBounds,
+) -> None:
+    """Logs how a stream ended that its endpoint did not break off."""
+    context.log(
+        "stream ended",
+        request_id=request.call.request_id,
+        endpoint=endpoint.id,
+        status=response.status,
+        framing=response.framing.value,
+        inside_event=bounds.is_inside_event,
+        empty=bounds.is_empty,
+    )
+
+
 def log_attempt(
     context: Context,
     request: RoutedRequest,
@@ -354,4 +375,5 @@
     "explain_missing_endpoint",
     "log_attempt",
     "log_silence",
+    "log_stream_end",
 ]
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from burdockspan.endpoints.event_bounds import EventBounds
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway.attempts import (
     NOT_STARTED,
@@ -16,6 +17,7 @@
     Attempts,
     RoutedRequest,
     log_silence,
+    log_stream_end,
 )
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.generation_attempts import (
@@ -208,10 +210,12 @@
         """
         progress = StreamProgress()
         while True:
+            bounds = EventBounds()
             try:
                 for part in self._current.response.iterate(
                     self._silence_limit_s, self._decide_on_silence
                 ):
+                    bounds.feed(part)
                     if not self._is_resumable:
                         yield part
                         continue
@@ -223,9 +227,15 @@
                         self._silent_since_s = self._last_event_s
                 if progress.partial_event:
                     yield progress.partial_event
-                self._context.state.record_success(
-                    self._current.reservation.endpoint
+                endpoint = self._current.reservation.endpoint
+                log_stream_end(
+                    self._context,
+                    self._request,
+                    endpoint,
+                    self._current.response,
+                    bounds,
                 )
+                self._context.state.record_success(endpoint)
                 return
             except EndpointError as error:
                 self._resume(error.failure, progress.last_event_id)
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from burdockspan.endpoints.event_bounds import EventBounds
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway import passive_health
 from burdockspan.gateway.attempts import (
@@ -19,6 +20,7 @@
     explain_missing_endpoint,
     log_attempt,
     log_silence,
+    log_stream_end,
 )
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.messages import Response, TruncatedError
@@ -232,7 +234,7 @@
         if isinstance(outcome, Err):
             return outcome
         response = _buffer_response(
-            outcome.ok_value, _choose_buffer_limit(request)
+            context, request, endpoint, outcome.ok_value
         )
     finally:
         end_work()
@@ -268,10 +270,31 @@
     )
 
 
+def _iterate_response(
+    context: Context,
+    request: RoutedRequest,
+    endpoint: Endpoint,
+    response: EndpointResponse,
+) -> Iterator[bytes]:
+    parts = response.iterate(lambda: math.inf, lambda: None)
+    if request.route.kind is not RequestKind.STREAM:
+        yield from parts
+        return
+    bounds = EventBounds()
+    for part in parts:
+        bounds.feed(part)
+        yield part
+    log_stream_end(context, request, endpoint, response, bounds)
+
+
 def _buffer_response(
-    response: EndpointResponse, limit_bytes: int
+    context: Context,
+    request: RoutedRequest,
+    endpoint: Endpoint,
+    response: EndpointResponse,
 ) -> Result[Response, Failure]:
-    parts = response.iterate(lambda: math.inf, lambda: None)
+    parts = _iterate_response(context, request, endpoint, response)
+    limit_bytes = _choose_buffer_limit(request)
     # Joined, since the server writes each part by itself: a body may have many
     # parts of a few bytes.
     buffered = bytearray()
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from burdockspan.endpoints.call_timer import OnSilence
+from burdockspan.endpoints.exchange import Framing
 from burdockspan.endpoints.sockets import AbortHandle
 from burdockspan.gateway.messages import RawRequest
 from burdockspan.gateway.values import (
@@ -28,6 +29,7 @@
     Attributes:
       status: HTTP status.
       headers: headers to forward, with Content-Length if there is one.
+      framing: what marks the end of the body.
       iterate: yields the parts of the body as they arrive; raises
         `endpoints.failures.EndpointError` if the body is truncated, or has not
         ended when the time of the attempt has. Its arguments return the limit
@@ -38,6 +40,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    framing: Framing
     iterate: Callable[[Callable[[], float], OnSilence], Iterator[bytes]]
     close: Callable[[], None]
 
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -319,6 +319,7 @@
     return EndpointResponse(
         status=exchange.status,
         headers=header_names.filter_response_headers(exchange.headers.items()),
+        framing=exchange.framing,
         iterate=iterate,
         close=exchange.close,
     )
