Take an answer for whole only where its events and its framing end

Callers got streams that had been broken off, framed as complete: the engine had crashed, and its operating system closed the connection in an orderly way in the middle of an event. Whoever read a body took its last byte for its end. Where a body has neither a length nor chunks, that is the end of the connection, and the VM forwarded the part of the event and its own last chunk.

Exchange, which reads all bodies of both roles, now decides whether one is whole: - a stream of events that ends inside an event is broken off, also with a last chunk, and so is one without framing that has no event; - a body that ends with its connection is broken off if this process has shut the connection down, at a limit or because the call was aborted.

A stream is resumed after its last event, with line ends of all three kinds. It is not resumed inside an event of over 1 MB, of which a part has been sent, nor before a later event with an id: another run would repeat the event or add half of it.

--- a/src/burdockspan/endpoints/exchange.py
+++ b/src/burdockspan/endpoints/exchange.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints.call_timer import CallTimer, OnSilence
+from burdockspan.endpoints.event_bounds import EventBounds
 from burdockspan.endpoints.failures import (
     CALL_ERRORS,
     EndpointError,
@@ -30,6 +31,8 @@
 from burdockspan.values.placement import Failure, FailureKind
 
 READ_BYTES = 65_536
+EVENT_STREAM_TYPE = "text/event-stream"
+"""Media type of streams of server-sent events."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,6 +56,8 @@
         for the limit; not asked during the body of a streamed response.
       time_limit_s: time for the whole call, from before the connection is
         opened to the end of the body.
+      expects_events: whether a successful response that names no media type is
+        a stream of events.
     """
 
     endpoint: Endpoint
@@ -66,6 +71,7 @@
     streamed: bool = False
     on_silence: OnSilence = lambda: None
     time_limit_s: float = math.inf
+    expects_events: bool = False
 
     def __str__(self) -> str:
         return f"{self.method} {self.path}"
@@ -133,16 +139,24 @@
     def iterate(self) -> Iterator[bytes]:
         """Yields the parts of the body as they arrive.
 
+        It ends without an error only if the body is whole.
+
         Raises:
-          EndpointError: the connection was lost, or the idle timeout expired.
+          EndpointError: the connection was lost, or the idle timeout expired,
+            or the body ended too early.
         """
         parts = (
             self._iterate_monitored
             if self.call.streamed
             else self._iterate_timed
         )
+        bounds = EventBounds() if self._is_event_stream() else None
         try:
-            yield from parts()
+            for part in parts():
+                if bounds is not None:
+                    bounds.feed(part)
+                yield part
+            self._check_end(bounds)
         except CALL_ERRORS as error:
             failure = classify_error(
                 self.call.endpoint,
@@ -153,6 +167,37 @@
             raise EndpointError(failure) from error
         self._complete = True
 
+    def _is_event_stream(self) -> bool:
+        if not 200 <= self.status < 300:
+            return False
+        media_type = self.headers.get("Content-Type", "").partition(";")[0]
+        if not media_type.strip():
+            return self.call.expects_events
+        return media_type.strip().lower() == EVENT_STREAM_TYPE
+
+    def _check_end(self, bounds: EventBounds | None) -> None:
+        """Checks that a body whose last byte has been read is whole.
+
+        Args:
+          bounds: boundaries of its events; None if it has none.
+
+        Raises:
+          ConnectionError: the body was cut off.
+        """
+        if self.framing is Framing.CONNECTION:
+            # A shutdown by this process looks like the end of the body.
+            if self._stream.expired:
+                raise ConnectionAbortedError("the call exceeded a limit")
+            if self._abort is not None and self._abort.aborted:
+                raise ConnectionAbortedError("the call was aborted")
+            if bounds is not None and bounds.is_empty:
+                raise ConnectionResetError("the stream ended without an event")
+        if bounds is not None and bounds.is_inside_event:
+            raise ConnectionResetError(
+                "the stream ended inside an event, its framing is "
+                + self.framing.value
+            )
+
     def _iterate_body(self) -> Iterator[bytes]:
         response = self._response
         if getattr(response, "chunked", False):
@@ -310,6 +355,7 @@
 
 
 __all__ = [
+    "EVENT_STREAM_TYPE",
     "Call",
     "Exchange",
     "ExchangeContext",
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -7,7 +7,6 @@
 from collections.abc import Mapping
 
 from burdockspan.endpoints.call_timer import TimeLimit
-from burdockspan.endpoints.event_bounds import EventBounds
 from burdockspan.endpoints.sockets import AbortHandle
 from burdockspan.gateway import passive_health
 from burdockspan.gateway.context import Context
@@ -323,17 +322,14 @@
     request: RoutedRequest,
     endpoint: Endpoint,
     response: EndpointResponse,
-    bounds: EventBounds,
 ) -> None:
-    """Logs how a stream ended that its endpoint did not break off."""
+    """Logs the end of a stream that its endpoint did not break off."""
     context.log(
         "stream ended",
         request_id=request.call.request_id,
         endpoint=endpoint.id,
         status=response.status,
         framing=response.framing.value,
-        inside_event=bounds.is_inside_event,
-        empty=bounds.is_empty,
     )
 
 
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -9,7 +9,6 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.endpoints.event_bounds import EventBounds
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway.attempts import (
     NOT_STARTED,
@@ -210,12 +209,10 @@
         """
         progress = StreamProgress()
         while True:
-            bounds = EventBounds()
             try:
                 for part in self._current.response.iterate(
                     self._silence_limit_s, self._decide_on_silence
                 ):
-                    bounds.feed(part)
                     if not self._is_resumable:
                         yield part
                         continue
@@ -233,13 +230,12 @@
                     self._request,
                     endpoint,
                     self._current.response,
-                    bounds,
                 )
                 self._context.state.record_success(endpoint)
                 return
             except EndpointError as error:
-                self._resume(error.failure, progress.last_event_id)
-                progress = dataclasses.replace(progress, partial_event=b"")
+                self._resume(error.failure, progress)
+                progress = StreamProgress(last_event_id=progress.last_event_id)
 
     def _silence_limit_s(self) -> float:
         """Returns the time until the engine counts as silent, in seconds."""
@@ -322,8 +318,9 @@
         preparation, self._preparation = self._preparation, None
         return None if preparation is None else preparation.take()
 
-    def _resume(self, failure: Failure, after_event: str | None) -> None:
+    def _resume(self, failure: Failure, progress: StreamProgress) -> None:
         """Resumes the stream at another engine, after the last sent event."""
+        after_event = progress.last_event_id
         context, request, attempts = (
             self._context,
             self._request,
@@ -331,6 +328,8 @@
         )
         endpoint = self._current.reservation.endpoint
         reason = attempts.explain_no_run()
+        if not progress.is_resumable:
+            reason = "a large event was sent in pieces"
         if reason is not None or not self._is_resumable:
             self.close()
             attempts.record_truncated_stream(endpoint, failure)
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -408,6 +408,7 @@
         cache=cache,
         reservation=reservation.name,
         after_event=after_event,
+        expects_events=True,
     )
     outcome = context.platform.endpoints.run(endpoint, request.call, options)
     if isinstance(outcome, Err):
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -9,7 +9,6 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.endpoints.event_bounds import EventBounds
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway import passive_health
 from burdockspan.gateway.attempts import (
@@ -227,6 +226,7 @@
             silence_limit_s,
             request.abort,
             on_silence=silence.decide,
+            expects_events=request.route.kind is RequestKind.STREAM,
         )
         outcome = context.platform.endpoints.run(
             endpoint, request.call, options
@@ -276,15 +276,9 @@
     endpoint: Endpoint,
     response: EndpointResponse,
 ) -> Iterator[bytes]:
-    parts = response.iterate(lambda: math.inf, lambda: None)
-    if request.route.kind is not RequestKind.STREAM:
-        yield from parts
-        return
-    bounds = EventBounds()
-    for part in parts:
-        bounds.feed(part)
-        yield part
-    log_stream_end(context, request, endpoint, response, bounds)
+    yield from response.iterate(lambda: math.inf, lambda: None)
+    if request.route.kind is RequestKind.STREAM:
+        log_stream_end(context, request, endpoint, response)
 
 
 def _buffer_response(
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -32,9 +32,10 @@
       framing: what marks the end of the body.
       iterate: yields the parts of the body as they arrive; raises
         `endpoints.failures.EndpointError` if the body is truncated, or has not
-        ended when the time of the attempt has. Its arguments return the limit
-        of silence before the next part, in seconds, and decide whether a silent
-        attempt ends.
+        ended when the time of the attempt has. A stream of events that ends
+        inside an event is truncated, whatever its framing. The arguments return
+        the limit of silence before the next part, in seconds, and decide
+        whether a silent attempt ends.
       close: closes the connection.
     """
 
@@ -79,6 +80,8 @@
         that this attempt resumes.
       on_silence: decides whether the attempt ends when its endpoint has been
         silent for `head_silence_limit_s`.
+      expects_events: whether a successful response that names no media type is
+        a stream of events.
     """
 
     remaining_s: float
@@ -88,6 +91,7 @@
     reservation: str | None = None
     after_event: str | None = None
     on_silence: OnSilence = lambda: None
+    expects_events: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -201,6 +201,7 @@
         fresh=True,
         on_silence=options.on_silence,
         time_limit_s=options.remaining_s,
+        expects_events=options.expects_events and not prefill_only,
     )
     exchanged = channel.connections.start_exchange(request, options.abort)
     if isinstance(exchanged, Err):
--- a/tests/gateway/test_stream_ends.py
+++ b/tests/gateway/test_stream_ends.py
@@ -179,6 +179,15 @@
         self.assertFalse(response.complete)
         self.assertNotIn(b"t4", response.body)
 
+    def test_stream_goes_on_after_a_large_event(self) -> None:
+        """Guards against a large event that a resumed stream repeats."""
+        steps: list[Step] = [_UNFRAMED_HEAD, _large_event(1) + _event(2)]
+        engines = self.add_engines([*steps, b"id: 3\nda", Action.CLOSE])
+        response = self.generate("/review/x")
+        events = [_large_event(1), _event(2), _event(3), _event(4)]
+        self.assertEqual(response.body, b"".join(events))
+        self.assertEqual(engines[1].runs[0].header("Last-Event-Id"), "2")
+
     def test_second_attempt_that_is_cut_inside_event_is_not_complete(
         self,
     ) -> None:
