Reject responses whose end is unknown

A caller got a part of the body as the whole one, or the framing of the chunks as the body.

test_response_with_malformed_framing_is_a_failure failed before (200, 502 expected) and passes.

--- a/src/burdockspan/endpoints/strict_connection.py
+++ b/src/burdockspan/endpoints/strict_connection.py
@@ -4,7 +4,7 @@
 treats the end of the connection as the end of the header section. A response
 that lost some of its headers then looks complete: without Content-Length, its
 body seems to end with the connection. So does one with a malformed header,
-which hides those that follow it.
+which hides those that follow it, or with a malformed length.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import functools
 import http
 import http.client
+import re
 from typing import Any
 
 from urllib3.connection import HTTPConnection
@@ -20,6 +21,7 @@
 from burdockspan.endpoints.call_timer import CallTimer
 from burdockspan.endpoints.timed_reader import make_timed_reader
 
+_QUOTED_LENGTH = 100
 _EMPTY_LINES = (b"\r\n", b"\n")
 
 
@@ -58,6 +60,7 @@
         # The parser of the standard library drops the lines that follow a
         # malformed one.
         assert_header_parsing(self.msg)
+        _check_framing(self.msg)
 
     def _read_status(self) -> tuple[str, int, str]:
         # The standard library skips interim responses with status 100 only.
@@ -69,6 +72,27 @@
             http.client.parse_headers(self.fp)
 
 
+def _check_framing(headers: http.client.HTTPMessage) -> None:
+    """Checks the headers that say where the body ends.
+
+    Raises:
+      http.client.HTTPException: the end of the body is unknown. The standard
+        library would take the end of the connection for it.
+    """
+    for length in headers.get_all("Content-Length", []):
+        if not re.fullmatch(r"[0-9]+", length.strip()):
+            raise http.client.HTTPException(
+                f"malformed Content-Length: {length[:_QUOTED_LENGTH]!r}"
+            )
+    codings = headers.get_all("Transfer-Encoding", [])
+    if codings and [coding.strip().lower() for coding in codings] != [
+        "chunked"
+    ]:
+        raise http.client.HTTPException(
+            f"unknown Transfer-Encoding: {codings[0][:_QUOTED_LENGTH]!r}"
+        )
+
+
 class WholeHeadConnection(HTTPConnection):
     """A connection whose responses have complete header sections.
 
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -9,6 +9,7 @@
     CHUNKED_HEAD,
     Action,
     Received,
+    Step,
     chunk,
     respond,
 )
@@ -130,6 +131,26 @@
         self.add_endpoint(lambda _: [head + b"part", Action.CLOSE])
         self.assertEqual(self.gateway.call("POST", "/pay/x").status, 502)
 
+    def test_response_with_malformed_framing_is_a_failure(self) -> None:
+        """Guards against a malformed length that counts as none at all.
+
+        The body would then seem to end where its connection does.
+        """
+        framings = (
+            "Content-Length: 9x",
+            "Content-Length: -9",
+            "Content-Length: 4, 9",
+            "Transfer-Encoding: gzip, chunked",
+            "Transfer-Encoding: unknown",
+        )
+        steps: list[Step] = []
+        self.add_endpoint(lambda _: steps)
+        for framing in framings:
+            head = f"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n{framing}\r\n\r\n"
+            steps[:] = [head.encode() + b"part", Action.CLOSE]
+            status = self.gateway.call("POST", "/pay/x", b"1").status
+            self.assertEqual(status, 502, framing)
+
     def test_response_delimited_by_a_close_is_complete(self) -> None:
         """Guards against rejecting a response without a length."""
         head = b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\n"
