--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -28,6 +28,8 @@
 )
 # With less time until the deadline, no attempt can succeed.
 MIN_ATTEMPT_S = 0.02
+# How many parts of a prompt a log line names.
+_LOGGED_PARTS = 16
 # Value of Retry-After. After this delay, the suspicion against an endpoint that
 # has crashed keeps requests away from it, so that a retry is likely to succeed.
 RETRY_AFTER_S = 1.0
@@ -72,6 +74,8 @@
         call but the first is a retry in the retry budget.
       tried_incarnations: endpoints that attempts were sent to.
       last_failure: failure of the latest failed attempt.
+      writing_since_s: when the run in progress sent its first event, in
+        monotonic seconds; None before, and for other requests.
     """
 
     def __init__(self, context: Context, request: RoutedRequest) -> None:
@@ -83,6 +87,7 @@
         self._has_prefilled = False
         self.tried_incarnations: set[tuple[str, int]] = set()
         self.last_failure: Failure | None = None
+        self.writing_since_s: float | None = None
 
     def try_start(self) -> bool:
         """Returns whether an attempt may start, and pays for a retry.
@@ -151,6 +156,17 @@
         """Returns the time until the complete response is due."""
         return self._request.deadline_s - self._context.clock()
 
+    def record_event(self) -> None:
+        """Records that the run in progress has sent an event."""
+        if self.writing_since_s is None:
+            self.writing_since_s = self._context.clock()
+
+    def _writing_s(self) -> float | None:
+        """Returns how long the run in progress has sent events."""
+        if self.writing_since_s is None:
+            return None
+        return self._context.clock() - self.writing_since_s
+
     def record_run(self, endpoint: Endpoint) -> None:
         """Records a response of an endpoint: the request has run there."""
         self.call_count += 1
@@ -226,6 +242,7 @@
         context.registry.count("attempt", failure.kind.value)
         if failure.limit:
             context.registry.count("call_limit", failure.limit)
+        writing_s = self._writing_s()
         context.log(
             event,
             request_id=request.call.request_id,
@@ -236,7 +253,10 @@
             limit=failure.limit or None,
             detail=failure.detail,
             caller_gone=request.caller.gone,
+            parts=list(request.call.shared_parts[:_LOGGED_PARTS]),
+            writing_s=None if writing_s is None else round(writing_s, 3),
         )
+        self.writing_since_s = None
 
     def make_error_response(
         self, reason: str, retry_after_s: float
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -214,10 +214,12 @@
                     self._silence_limit_s, self._decide_on_silence
                 ):
                     if not self._is_resumable:
+                        self._attempts.record_event()
                         yield part
                         continue
                     progress, events = split_events(progress, part)
                     if events:
+                        self._attempts.record_event()
                         self._end_silence()
                         yield events
                         self._last_event_s = self._context.clock()
--- a/src/burdockspan/gateway/values.py
+++ b/src/burdockspan/gateway/values.py
@@ -205,6 +205,9 @@
         resumes; None if it resumes none.
       resumed_request_id: identity of the request that brought the first event
         of that stream; None if the caller names none.
+      shared_parts: identities of the parts of its prompt that other prompts may
+        have as well, in their order. The last part, which belongs to the
+        request or to its session, is not among them.
     """
 
     method: str
@@ -219,6 +222,7 @@
     arrived_s: float
     last_event_id: str | None = None
     resumed_request_id: str | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/burdockspan/platform/headers.py
+++ b/src/burdockspan/platform/headers.py
@@ -10,6 +10,7 @@
 MODEL = "Model"
 # Two numbers: the tokens of the prompt, and the limit of the output tokens.
 TOKEN_COUNT = "Token-Count"
+# The parts of the prompt in their order, as `id:tokens`, separated by commas.
 PROMPT_PREFIX = "Prompt-Prefix"
 # The caller's estimate of the output tokens.
 LENGTH_HINT = "Length-Hint"
--- a/src/burdockspan/platform/ingress.py
+++ b/src/burdockspan/platform/ingress.py
@@ -16,6 +16,8 @@
 _MAX_CALLER_TIMEOUT_MS = 86_400_000
 _DECIMAL_PATTERN = re.compile(r"[0-9]{1,12}(?:\.[0-9]{1,6})?")
 _REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,256}")
+# Longest identity of a part that is told apart from others.
+_PART_ID_LENGTH = 64
 _INTEGER_PATTERN = re.compile(r"[0-9]{1,9}")
 
 
@@ -51,6 +53,7 @@
                 raw.headers, header_names.LAST_EVENT_ID
             ),
             resumed_request_id=_decode_resumed_request_id(raw),
+            shared_parts=_decode_shared_parts(raw),
         )
     )
 
@@ -61,6 +64,18 @@
     return text if _REQUEST_ID_PATTERN.fullmatch(text) else None
 
 
+def _decode_shared_parts(raw: RawRequest) -> tuple[str, ...]:
+    lines = [
+        value
+        for name, value in raw.headers
+        if name.lower() == header_names.PROMPT_PREFIX.lower()
+    ]
+    entries = ",".join(lines).split(",")[:-1]
+    parts = (entry.partition(":")[0].strip().lower() for entry in entries)
+    # Endpoints judge malformed entries; no known part has an empty identity.
+    return tuple(part[:_PART_ID_LENGTH] for part in parts if part)
+
+
 def _decode_caller_timeout_s(raw: RawRequest) -> float | None:
     text = header_names.find_first(raw.headers, header_names.DEADLINE_MS)
     if text is None:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -82,6 +82,18 @@
         assert size is not None
         self.assertEqual(size.expected_output_tokens, 8)
 
+    def test_shared_parts_of_a_prompt_are_decoded(self) -> None:
+        """Guards against parts that are missed, or a request's own part."""
+        for text, parts in (
+            ("5C1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+            (" 5c1e : 800 , 91bd", ("5c1e",)),
+            ("e440:250", ()),
+            ("", ()),
+            (",,:1,a:2", ()),
+        ):
+            call = decode_call(_raw(Request_Id="r", Prompt_Prefix=text))
+            self.assertEqual(call.unwrap().shared_parts, parts, text)
+
     @given(st.text(max_size=40), st.text(max_size=40), st.text(max_size=40))
     def test_any_header_decodes_or_is_refused(
         self, deadline: str, count: str, hint: str
