Refuse parts of prompts that crash the engines that write on them

Callers saw drafts fail while engines ended one after the other: requests with one part of a prompt in common crash each engine that begins to write on it.

A part is now evidence of its own. A crash is blamed on the parts of the runs that had sent events for less than 0.5 s, unless another run with the part has lasted since, or within 10 s before. VMs share the crashes and the proofs of the contrary through the store, in the kind that they watch already. From the third crash on, a request with the part is refused at once, as not run; one that waits for memory, for its prompt or for another engine is refused before its next call. After 120 s, and then at intervals that double up to an hour, the VM whose conditional write succeeds tries one request. An operator clears a part by deleting its object.

--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 import traceback
 from collections.abc import Iterator
@@ -10,7 +11,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints.sockets import AbortHandle
-from burdockspan.gateway.attempts import RoutedRequest
+from burdockspan.gateway.attempts import CRASHES_ENDPOINTS, RoutedRequest
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.crash_records import RECORD_TTL_S
 from burdockspan.gateway.generation import generate
@@ -25,6 +26,7 @@
 from burdockspan.gateway.resumption import restrict_to_origin
 from burdockspan.gateway.routing import choose_service, find_route
 from burdockspan.gateway.values import InboundCall
+from burdockspan.resilience.crash_evidence import TRIAL_INTERVAL_S
 
 # A process has a configuration within a few calls to the store after its start.
 _UNREADY_RETRY_AFTER_S = 1.0
@@ -109,14 +111,17 @@
         return make_problem(400, "malformed", decoded.err_value)
     call = decoded.ok_value
     if context.crash_records.is_quarantined(call):
-        return _refuse_quarantined(context, call)
+        return _refuse_quarantined(context, call, RECORD_TTL_S)
     routed = _route_request(context, call, raw)
     if isinstance(routed, Err):
         return routed.err_value
     restricted = restrict_to_origin(context, routed.ok_value)
     if isinstance(restricted, Err):
         return restricted.err_value
-    request = restricted.ok_value
+    checked = _check_parts(context, restricted.ok_value)
+    if isinstance(checked, Err):
+        return checked.err_value
+    request = checked.ok_value
     context.retry_budget.record_request(request.service)
     service = request.services_by_name.get(request.service)
     if (
@@ -166,16 +171,35 @@
     )
 
 
-def _refuse_quarantined(context: Context, call: InboundCall) -> Response:
+def _check_parts(
+    context: Context, request: RoutedRequest
+) -> Result[RoutedRequest, Response]:
+    """Refuses a request with a part of its prompt that crashes engines."""
+    refused = context.part_quarantine.find_refused(request.parts)
+    if not refused:
+        return Ok(request)
+    if context.part_quarantine.try_start_trial(refused):
+        return Ok(dataclasses.replace(request, tries_part=True))
+    return Err(
+        _refuse_quarantined(
+            context, request.call, TRIAL_INTERVAL_S, part=refused[0].id
+        )
+    )
+
+
+def _refuse_quarantined(
+    context: Context, call: InboundCall, retry_after_s: float, **fields: object
+) -> Response:
     context.registry.count("refusal", "crashes_endpoints")
     context.log(
         "refused",
         request_id=call.request_id,
         status=503,
-        reason="crashes endpoints",
+        reason=CRASHES_ENDPOINTS,
+        **fields,
     )
-    detail = "this request has crashed the endpoints that ran it"
-    return make_problem(503, "not_run", detail, RECORD_TTL_S)
+    detail = "requests like this one have crashed the endpoints that ran them"
+    return make_problem(503, "not_run", detail, retry_after_s)
 
 
 def _refuse_stopping(context: Context, call: InboundCall) -> Response:
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -15,10 +15,12 @@
     Response,
     make_problem,
 )
+from burdockspan.gateway.part_quarantine import Part, list_parts
 from burdockspan.gateway.ports import EndpointResponse
 from burdockspan.gateway.retry_budget import SpentRetry
 from burdockspan.gateway.values import Endpoint, InboundCall, Route, Service
 from burdockspan.gateway.vm_heartbeats import HEARTBEAT_INTERVAL_S
+from burdockspan.resilience.crash_evidence import SURVIVAL_S
 from burdockspan.values.placement import Failure, FailureKind
 
 # After these failures a request has certainly not run: the endpoint reported
@@ -28,6 +30,8 @@
 )
 # With less time until the deadline, no attempt can succeed.
 MIN_ATTEMPT_S = 0.02
+CRASHES_ENDPOINTS = "crashes endpoints"
+"""Reason of the refusal of a request in quarantine."""
 # How many parts of a prompt a log line names.
 _LOGGED_PARTS = 16
 # Value of Retry-After. After this delay, the suspicion against an endpoint that
@@ -51,6 +55,8 @@
       abort: aborts its calls to endpoints.
       software_version: version of the endpoints that it may run at, for a
         stream that has begun there; None allows all endpoints.
+      tries_part: whether it is the one request that tries a refused part of
+        prompts again.
     """
 
     call: InboundCall
@@ -62,6 +68,12 @@
     caller: CallerConnection
     abort: AbortHandle
     software_version: str | None = None
+    tries_part: bool = False
+
+    @property
+    def parts(self) -> tuple[Part, ...]:
+        """The parts of its prompt that other prompts may have as well."""
+        return list_parts(self.service, self.call.shared_parts)
 
 
 class Attempts:
@@ -83,6 +95,8 @@
         self._request = request
         self.run_count = 0
         self.call_count = 0
+        self._parts = request.parts
+        self._has_survived = False
         self._retries: list[SpentRetry] = []
         self._has_prefilled = False
         self.tried_incarnations: set[tuple[str, int]] = set()
@@ -107,12 +121,20 @@
         runs = self.run_count + runs_in_progress
         if self._request.caller.gone:
             return "caller gone"
+        if self.is_quarantined():
+            return CRASHES_ENDPOINTS
         if self.remaining_s() < MIN_ATTEMPT_S:
             return "no time left"
         if runs and not (route.repeatable and runs < route.max_attempts):
             return "no run left"
         return None
 
+    def is_quarantined(self) -> bool:
+        """Returns whether a part of the prompt crashes endpoints."""
+        if self._request.tries_part and not self.run_count:
+            return False
+        return bool(self._context.part_quarantine.find_refused(self._parts))
+
     def try_pay(self, calls: int = 1) -> bool:
         """Returns whether calls are paid for; all but the first are retries.
 
@@ -145,7 +167,7 @@
         is then not counted as a call, for example because the connection could
         not be opened, the next call of the request needs no further payment.
         """
-        return self.try_pay()
+        return not self.is_quarantined() and self.try_pay()
 
     @property
     def has_prefilled(self) -> bool:
@@ -160,6 +182,18 @@
         """Records that the run in progress has sent an event."""
         if self.writing_since_s is None:
             self.writing_since_s = self._context.clock()
+        elif not self._has_survived and not self._has_just_begun():
+            self._record_survival()
+
+    def record_end(self) -> None:
+        """Records that the run in progress has ended well."""
+        if not self._has_survived:
+            self._record_survival()
+
+    def _record_survival(self) -> None:
+        self._has_survived = True
+        if self._parts:
+            self._context.part_quarantine.record_survival(self._parts)
 
     def _writing_s(self) -> float | None:
         """Returns how long the run in progress has sent events."""
@@ -167,6 +201,10 @@
             return None
         return self._context.clock() - self.writing_since_s
 
+    def _has_just_begun(self) -> bool:
+        writing_s = self._writing_s()
+        return writing_s is None or writing_s < SURVIVAL_S
+
     def record_run(self, endpoint: Endpoint) -> None:
         """Records a response of an endpoint: the request has run there."""
         self.call_count += 1
@@ -199,7 +237,7 @@
             self._context.state.record_failure(
                 endpoint, passive_health.REFUSED_PROMPT_WEIGHT
             )
-        self._record("prefill failed", endpoint, failure)
+        self._record("prefill failed", endpoint, failure, is_run=False)
 
     def record_truncated_stream(
         self, endpoint: Endpoint, failure: Failure
@@ -219,6 +257,7 @@
         endpoint: Endpoint,
         failure: Failure,
         is_blamed: bool = True,
+        is_run: bool = True,
     ) -> None:
         """Logs and counts a failure.
 
@@ -226,6 +265,13 @@
         against the endpoint, and a lost connection is reported as a suspected
         crash. Once the caller has gone, its calls to endpoints are aborted, so
         that a failure says nothing about the endpoint.
+
+        Args:
+          event: name of the log line.
+          endpoint: the endpoint.
+          failure: the failure.
+          is_blamed: whether the failure says something about the endpoint.
+          is_run: whether a run failed, and not the prefill of its prompt.
         """
         context, request = self._context, self._request
         self.last_failure = failure
@@ -236,8 +282,11 @@
                 weight = passive_health.failure_weight(failure.kind)
                 context.state.record_failure(endpoint, weight)
             if failure.kind is FailureKind.CONNECTION_LOST:
+                is_suspected = is_run and self._has_just_begun()
                 context.crash_records.report_suspected_crash(
-                    request.call, endpoint
+                    request.call,
+                    endpoint,
+                    self._parts if is_suspected else (),
                 )
         context.registry.count("attempt", failure.kind.value)
         if failure.limit:
@@ -256,7 +305,9 @@
             parts=list(request.call.shared_parts[:_LOGGED_PARTS]),
             writing_s=None if writing_s is None else round(writing_s, 3),
         )
-        self.writing_since_s = None
+        if is_run:
+            self.writing_since_s = None
+            self._has_survived = False
 
     def make_error_response(
         self, reason: str, retry_after_s: float
@@ -383,6 +434,7 @@
 
 
 __all__ = [
+    "CRASHES_ENDPOINTS",
     "MIN_ATTEMPT_S",
     "NOT_STARTED",
     "RETRY_AFTER_S",
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -9,6 +9,7 @@
 from burdockspan.gateway.full_engines import FullEngines
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.origin_sharing import OriginSharing
+from burdockspan.gateway.part_quarantine import PartQuarantine
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
 from burdockspan.gateway.retry_budget import RetryBudget
@@ -29,6 +30,7 @@
       state: configuration, endpoints and load, as this process knows them.
       retry_budget: limits repeated calls to endpoints.
       crash_records: finds requests that crash endpoints.
+      part_quarantine: finds parts of prompts that crash engines.
       demand: measures the prompts that arrive at this VM.
       prefill_delays: recent queueing delays at prefill engines.
       full_engines: engines that recently lacked free memory.
@@ -46,6 +48,7 @@
     state: GatewayState
     retry_budget: RetryBudget
     crash_records: CrashRecordStore
+    part_quarantine: PartQuarantine
     demand: DemandMeter
     prefill_delays: PrefillDelays
     full_engines: FullEngines
--- a/src/burdockspan/gateway/crash_records.py
+++ b/src/burdockspan/gateway/crash_records.py
@@ -2,10 +2,13 @@
 
 When an endpoint crashes while it runs a request, a record of this is written to
 the store, which all VMs watch. After three records the request is refused.
+Parts of prompts have records of their own (`part_quarantine`).
 """
 
 from __future__ import annotations
 
+import contextlib
+import dataclasses
 import hashlib
 import queue
 import threading
@@ -14,13 +17,18 @@
 from result import Err
 
 from burdockspan.gateway.discovery import ObjectWatcher
+from burdockspan.gateway.part_quarantine import (
+    NAME_PREFIX,
+    Part,
+    PartQuarantine,
+)
 from burdockspan.gateway.ports import (
     Consistency,
     Store,
     StoredObject,
     StoreError,
 )
-from burdockspan.gateway.values import Endpoint, InboundCall
+from burdockspan.gateway.values import Endpoint, InboundCall, Incarnation
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.resilience import quarantine
 from burdockspan.resilience.quarantine import Crash, CrashRecords, Decision
@@ -41,6 +49,19 @@
 _WATCH_TIMEOUT_S = 6.0
 
 
+# Interval of the work that is not urgent.
+_IDLE_S = 0.5
+# The requests that are lost with an endpoint end within this time.
+_CONFIRMED_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _SuspectedCrash:
+    request_fingerprint: str
+    endpoint: Endpoint
+    parts: tuple[Part, ...]
+
+
 def compute_fingerprint(call: InboundCall) -> str:
     """Returns a digest that is the same for all retries of a request."""
     digest = hashlib.sha256()
@@ -59,16 +80,21 @@
         is_reachable: Callable[[Endpoint], bool],
         clock: Clock,
         log: WriteEvent,
+        part_quarantine: PartQuarantine,
     ) -> None:
         self._store = store
+        self._part_quarantine = part_quarantine
         self._is_reachable = is_reachable
         self._clock = clock
         self._log = log
         self._lock = threading.Lock()
         self._crash_records = CrashRecords()
-        self._suspected_crashes: queue.Queue[tuple[str, Endpoint]] = (
+        # None wakes the thread for other work.
+        self._suspected_crashes: queue.Queue[_SuspectedCrash | None] = (
             queue.Queue(_MAX_QUEUED_CRASHES)
         )
+        part_quarantine.notify_of_news(self._wake)
+        self._confirmed_until_s: dict[Incarnation, float] = {}
 
     def is_quarantined(self, call: InboundCall) -> bool:
         """Returns whether a request has crashed too many endpoints."""
@@ -83,12 +109,23 @@
         return decision is Decision.REFUSE
 
     def report_suspected_crash(
-        self, call: InboundCall, endpoint: Endpoint
+        self,
+        call: InboundCall,
+        endpoint: Endpoint,
+        suspected_parts: tuple[Part, ...] = (),
     ) -> None:
-        """Reports that an endpoint lost the connection during a request."""
+        """Reports that an endpoint lost the connection during a request.
+
+        Args:
+          call: the request.
+          endpoint: the endpoint.
+          suspected_parts: parts of the request's prompt that may be the cause.
+        """
         try:
             self._suspected_crashes.put_nowait(
-                (compute_fingerprint(call), endpoint)
+                _SuspectedCrash(
+                    compute_fingerprint(call), endpoint, suspected_parts
+                )
             )
         except queue.Full:
             self._log("crash not checked", request_id=call.request_id)
@@ -97,35 +134,71 @@
         """Checks suspected crashes until `stopped` is set."""
         while not stopped.is_set():
             try:
-                request_fingerprint, endpoint = self._suspected_crashes.get(
-                    timeout=0.5
-                )
+                suspected = self._suspected_crashes.get(timeout=_IDLE_S)
             except queue.Empty:
                 self._prune()
+                suspected = None
+            if suspected is None:
+                self._part_quarantine.maintain()
                 continue
-            self.check_endpoint(request_fingerprint, endpoint)
+            self.check_endpoint(
+                suspected.request_fingerprint,
+                suspected.endpoint,
+                suspected.parts,
+            )
+
+    def _wake(self) -> None:
+        # A full queue keeps the thread awake.
+        with contextlib.suppress(queue.Full):
+            self._suspected_crashes.put_nowait(None)
 
     def check_endpoint(
-        self, request_fingerprint: str, endpoint: Endpoint
+        self,
+        request_fingerprint: str,
+        endpoint: Endpoint,
+        suspected_parts: tuple[Part, ...] = (),
     ) -> None:
         """Checks whether an endpoint is reachable; if not, records a crash.
 
         An endpoint that is still reachable lost only a connection, for example
         by a reset in the network.
         """
-        if self._is_reachable(endpoint):
+        if not self._has_crashed(endpoint):
             return
         crash = (endpoint.id, str(endpoint.started_ms))
+        self._part_quarantine.record_crash(suspected_parts, crash)
         self._add_records(request_fingerprint, (crash,))
         self._log(
             "crash noted", fingerprint=request_fingerprint, endpoint=endpoint.id
         )
         self._write_records(request_fingerprint)
 
+    def _has_crashed(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint is gone.
+
+        It is checked once for all the requests that are lost with it, since a
+        check takes long if the endpoint's machine does not answer.
+        """
+        now_s = self._clock()
+        self._confirmed_until_s = {
+            incarnation: until_s
+            for incarnation, until_s in self._confirmed_until_s.items()
+            if until_s > now_s
+        }
+        if endpoint.incarnation in self._confirmed_until_s:
+            return True
+        if self._is_reachable(endpoint):
+            return False
+        self._confirmed_until_s[endpoint.incarnation] = now_s + _CONFIRMED_S
+        return True
+
     def make_watcher(self) -> ObjectWatcher:
         """Returns the watcher that adds the records of other VMs."""
 
         def apply_change(stored: StoredObject) -> None:
+            if stored.name.startswith(NAME_PREFIX):
+                self._part_quarantine.apply_change(stored)
+                return
             crashes = _decode(stored)
             if stored.removed or not crashes:
                 return
@@ -161,6 +234,7 @@
     def _write_again(self, era: int) -> None:
         """Writes the records that the store may have lost."""
         self._log("store era rose", watching="crashes", era=era)
+        self._part_quarantine.write_all()
         for request_fingerprint in tuple(self._crash_records.by_fingerprint):
             self._write_records(request_fingerprint)
 
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -214,7 +214,8 @@
                     self._silence_limit_s, self._decide_on_silence
                 ):
                     if not self._is_resumable:
-                        self._attempts.record_event()
+                        if self._current.response.succeeded:
+                            self._attempts.record_event()
                         yield part
                         continue
                     progress, events = split_events(progress, part)
@@ -234,6 +235,8 @@
                     self._current.response,
                 )
                 self._context.state.record_success(endpoint)
+                if self._current.response.succeeded:
+                    self._attempts.record_end()
                 return
             except EndpointError as error:
                 self._resume(error.failure, progress)
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -15,6 +15,7 @@
 from burdockspan.gateway import passive_health
 from burdockspan.gateway.admission_queue import is_retry_after_refusal
 from burdockspan.gateway.attempts import (
+    CRASHES_ENDPOINTS,
     NOT_STARTED,
     Attempts,
     RoutedRequest,
@@ -33,6 +34,7 @@
     Route,
     Stage,
 )
+from burdockspan.resilience.crash_evidence import TRIAL_INTERVAL_S
 from burdockspan.values.placement import Failure, FailureKind
 
 # A generation that waits for memory no longer than this share of its objective
@@ -132,7 +134,7 @@
     after_event = position.after_event if position else None
     while True:
         if attempts.explain_no_run() is not None:
-            return Err(_explain_no_attempt(request))
+            return Err(_explain_no_attempt(request, attempts))
         reservation = _wait_for_memory(
             context, request, attempts, engine, size, position
         )
@@ -145,10 +147,12 @@
             return Ok(StartedAttempt(reservation, outcome.ok_value))
         _release_after_failure(context, reservation, outcome.err_value)
         if outcome.err_value is None or request.caller.gone:
-            return Err(_explain_no_attempt(request))
+            return Err(_explain_no_attempt(request, attempts))
 
 
-def _explain_no_attempt(request: RoutedRequest) -> Refusal:
+def _explain_no_attempt(request: RoutedRequest, attempts: Attempts) -> Refusal:
+    if attempts.is_quarantined():
+        return Refusal(CRASHES_ENDPOINTS, TRIAL_INTERVAL_S)
     retry_after_s = _RETRY_AFTER_SHARE * request.route.timeout_s
     return Refusal("no attempt left", retry_after_s)
 
@@ -157,6 +161,8 @@
     context: Context, request: RoutedRequest, attempts: Attempts
 ) -> Refusal:
     """Returns why no engine has reserved memory for a generation."""
+    if attempts.is_quarantined():
+        return Refusal(CRASHES_ENDPOINTS, TRIAL_INTERVAL_S)
     soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, request.software_version
     )
@@ -261,6 +267,10 @@
         request.service, request.software_version
     )
     request.caller.notify_when_gone(queue.wake)
+
+    def has_gone() -> bool:
+        return request.caller.gone or attempts.is_quarantined()
+
     silence = {"last_s": -math.inf}
 
     def record_silence() -> None:
@@ -282,9 +292,9 @@
             size,
             attempts.tried_incarnations,
             record_silence,
-            lambda: not request.caller.gone,
+            lambda: not has_gone(),
         ),
-        has_gone=lambda: request.caller.gone,
+        has_gone=has_gone,
         may_wait_on=may_wait_on,
     )
 
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from burdockspan.gateway import stages
+from burdockspan.gateway import crash_records, stages
 from burdockspan.gateway.admission_queue import AdmissionQueues
 from burdockspan.gateway.application import InFlightRequests, make_handler
 from burdockspan.gateway.connection_log import make_close_recorder
@@ -29,6 +29,7 @@
 from burdockspan.gateway.ingress import make_ingress
 from burdockspan.gateway.messages import make_status_line
 from burdockspan.gateway.origin_sharing import open_origin_sharing
+from burdockspan.gateway.part_quarantine import PartQuarantine
 from burdockspan.gateway.ports import ObserveSignals, Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
 from burdockspan.gateway.reload import LoadSettings, make_reload
@@ -125,13 +126,21 @@
         clock,
         make_signal_observer(state.conditions, log, registry),
     )
+    part_quarantine = PartQuarantine(
+        crash_records.KIND, platform.store, clock, random_float, log, registry
+    )
     context = Context(
         platform=platform,
         state=state,
         retry_budget=RetryBudget(settings.retry_budget, clock),
         crash_records=CrashRecordStore(
-            platform.store, platform.endpoints.is_reachable, clock, log
+            platform.store,
+            platform.endpoints.is_reachable,
+            clock,
+            log,
+            part_quarantine,
         ),
+        part_quarantine=part_quarantine,
         demand=DemandMeter(clock),
         prefill_delays=PrefillDelays(),
         full_engines=FullEngines(),
@@ -195,6 +204,7 @@
     def on_settled_count(live: int) -> None:
         context.retry_budget.set_vm_count(live)
         context.state.conditions.rate_limits.set_vm_count(live)
+        context.part_quarantine.set_vm_count(live)
 
     return VmHeartbeats(
         settings.vm,
--- a/tests/gateway/test_crash_records.py
+++ b/tests/gateway/test_crash_records.py
@@ -11,7 +11,9 @@
     compute_fingerprint,
 )
 from burdockspan.gateway.discovery import WatchPosition, poll
+from burdockspan.gateway.part_quarantine import PartQuarantine
 from burdockspan.gateway.values import Endpoint, InboundCall
+from burdockspan.observe.registry import make_registry
 from burdockspan.platform.store import make_store
 from standins.object_store import ObjectStore
 
@@ -44,11 +46,16 @@
 
     def make_records(self, is_reachable: bool = False) -> CrashRecordStore:
         clock = lambda: self.now_s  # noqa: E731
+        log = lambda event, **fields: self.log_events.append((event, fields))  # noqa: E731
+        store = make_store(self.platform.address, clock)
         return CrashRecordStore(
-            make_store(self.platform.address, clock),
+            store,
             lambda _: is_reachable,
             clock,
-            lambda event, **fields: self.log_events.append((event, fields)),
+            log,
+            PartQuarantine(
+                KIND, store, clock, lambda: 0.0, log, make_registry()
+            ),
         )
 
     def test_third_crash_quarantines_the_request_at_all_vms(self) -> None:
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -15,6 +15,7 @@
 from burdockspan.gateway import crash_records, discovery, vm_heartbeats
 from burdockspan.gateway.crash_records import CrashRecordStore
 from burdockspan.gateway.discovery import ObjectWatcher, WatchPosition
+from burdockspan.gateway.part_quarantine import Part, PartQuarantine
 from burdockspan.gateway.ports import (
     Consistency,
     Listing,
@@ -23,6 +24,7 @@
     StoreError,
 )
 from burdockspan.gateway.vm_heartbeats import VmHeartbeats
+from burdockspan.observe.registry import make_registry
 from burdockspan.platform.store import make_store
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import ScriptedEndpoint, respond
@@ -291,16 +293,20 @@
         platform = ObjectStore()
         self.addCleanup(platform.close)
         store = make_store(platform.address, lambda: 0.0)
-        records = CrashRecordStore(
-            store, lambda _: False, lambda: 0.0, lambda event, **fields: None
+        log = lambda event, **fields: None  # noqa: E731
+        clock = lambda: 0.0  # noqa: E731
+        parts = PartQuarantine(
+            crash_records.KIND, store, clock, clock, log, make_registry()
         )
+        records = CrashRecordStore(store, lambda _: False, clock, log, parts)
         watcher = records.make_watcher()
         position, _ = discovery.poll(
             store, watcher, WatchPosition(), lambda: 0.0
         )
         restore = platform.copy()
-        records.check_endpoint("f1", make_engine("i-1"))
+        records.check_endpoint("f1", make_engine("i-1"), (Part("llm", "bad0"),))
         written = platform.read(crash_records.KIND)
+        self.assertEqual(len(written), 2)
         restore()
         self.assertEqual(platform.read(crash_records.KIND), {})
         discovery.poll(store, watcher, position, lambda: 0.0)
