Soak: break streams off inside events, and crash engines by parts of prompts

A quarter of all responses end with their connection. Checker PART: at most three requests with a part reach engines later than 3 s after the fifth crash. Checker BLAMED: no sound request is refused as one that crashes. The seeds that have failed keep their faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,11 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--vms", type=int, default=2)
+    parser.add_argument(
+        "--streams",
+        action="store_true",
+        help="also breaks streams off, and crashes engines by prompts",
+    )
     parser.add_argument("--report", type=pathlib.Path)
     parser.add_argument(
         "--folder", type=pathlib.Path, help="keeps settings and logs here"
@@ -30,9 +35,15 @@
         folder = arguments.folder or pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         options = Options(
-            arguments.seed, arguments.seconds, arguments.vms, folder
+            arguments.seed,
+            arguments.seconds,
+            arguments.vms,
+            folder,
+            arguments.streams,
         )
-        for fault in make_schedule(options.seed, options.seconds):
+        for fault in make_schedule(
+            options.seed, options.seconds, options.with_streams
+        ):
             print(fault)
         result = asyncio.run(_run_until_signal(options))
     report = make_report(options, result)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,6 +28,10 @@
 _DEADLINE_S = (2.0, 6.0)
 _PROBE_INTERVAL_S = 0.2
 _PROBE_DEADLINE_S = 2.0
+# First part of all prompts.
+_SHARED_PART = "5a"
+# Share of the streams that hold a part that crashes engines.
+_CRASHING_PROBABILITY = 0.3
 # The body of a request repeats its ID this often.
 _BODY_REPEATS = 50
 # Pause before another connection is opened after none could be opened.
@@ -94,11 +98,14 @@
             return
         now_s = self._world.history.now_s
         request_id = f"{kind.value}-{next(self._world.request_numbers)}"
+        part = ""
+        if kind.is_stream and self._rng.random() < _CRASHING_PROBABILITY:
+            part = self._world.crashing_part
         response = _Response(Outcome.NOT_SENT)
         sent_s = now_s()
         with contextlib.suppress(OSError):
             connection.writer.write(
-                _encode(request_id, kind, deadline_s, version)
+                _encode(request_id, kind, deadline_s, version, part)
             )
             await connection.writer.drain()
             sent_s = now_s()
@@ -117,6 +124,7 @@
             stamp=response.headers.get("response-stamp"),
             body=response.body,
             version=version,
+            part=part,
         )
         self._world.history.requests.append(request)
         connection.idle_since_s = now_s()
@@ -207,7 +215,7 @@
 
 
 def _encode(
-    request_id: str, kind: Kind, deadline_s: float, version: int
+    request_id: str, kind: Kind, deadline_s: float, version: int, part: str
 ) -> bytes:
     headers = {
         "Host": HOST,
@@ -215,10 +223,12 @@
         "Deadline-Ms": str(int(deadline_s * 1000)),
     }
     if kind.is_stream:
+        own_part = request_id.encode().hex()
+        parts = filter(None, (_SHARED_PART, part, own_part))
         headers |= {
             "Model": "m",
             "Token-Count": "100,40",
-            "Prompt-Prefix": f"{request_id.encode().hex()}:100",
+            "Prompt-Prefix": ",".join(f"{id}:30" for id in parts),
         }
     path = f"/p{version}/x" if kind is Kind.PROBE else f"/{kind.value}/x"
     if kind in (Kind.READ, Kind.PROBE):
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -29,6 +29,8 @@
 _WORK_S = 0.5
 # Suspicion against a broken endpoint lasts for several half-lives.
 _RECOVERY_S = 6.0
+# Part of the detail of a refusal in quarantine.
+_BLAMED = b"have crashed the endpoints"
 _REFUSAL_STATUSES = (408, 421, 429, 503)
 _VM_TROUBLES = frozenset((Trouble.DOWN, Trouble.FROZEN, Trouble.CUT))
 _NOT_IN_TOUCH = _VM_TROUBLES | {Trouble.STORE, Trouble.STOPPING}
@@ -350,6 +352,45 @@
     )
 
 
+def find_crashing_parts(history: History) -> Iterator[Violation]:
+    """Finds parts that reach engines though they have crashed five."""
+    for part in sorted({crash.part for crash in history.part_crashes}):
+        crashes_s = sorted(
+            crash.at_s for crash in history.part_crashes if crash.part == part
+        )
+        if len(crashes_s) < limits.PART_CRASHES:
+            continue
+        known_s = crashes_s[limits.PART_CRASHES - 1] + limits.STABLE_S
+        late = [
+            request
+            for request in history.requests
+            if request.part == part
+            and any(
+                arrival.at_s > known_s
+                and not history.overlaps(
+                    _NOT_IN_TOUCH,
+                    request.vm,
+                    arrival.at_s - limits.STABLE_S,
+                    arrival.at_s,
+                )
+                for arrival in history.arrivals_by_request.get(request.id, ())
+            )
+        ]
+        if len(late) > limits.PART_REQUESTS:
+            detail = (
+                f"{len(late)} requests with {part} after {known_s:.2f} s, "
+                f"{len(crashes_s)} crashes"
+            )
+            yield Violation("PART", detail, late[limits.PART_REQUESTS])
+
+
+def find_blamed(history: History) -> Iterator[Violation]:
+    """Finds sound requests that are refused as if they crashed engines."""
+    for request in history.requests:
+        if not request.part and _BLAMED in request.body:
+            yield Violation("BLAMED", "sound, but refused", request)
+
+
 CHECKERS: tuple[Checker, ...] = (
     find_lost,
     find_untrue_promises,
@@ -359,6 +400,8 @@
     find_excess_retries,
     find_drain,
     find_rollbacks,
+    find_crashing_parts,
+    find_blamed,
 )
 
 
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -19,11 +19,18 @@
     EVENT_GAP_S,
     Arrival,
     History,
+    PartCrash,
     Run,
+    is_unframed,
     make_body,
     make_stream,
 )
 
+CRASHING_PREFIX = "bad"
+"""Begins the identities of parts that crash engines."""
+
+# Time from the begin of a run to the crash that its prompt causes.
+_CRASH_S = 0.05
 # Work for a prompt, and before the head of a response.
 _WORK_S = 0.02
 _PAUSE_CHECK_S = 0.01
@@ -77,6 +84,9 @@
       endless: what new runs send instead of a response.
       is_fast: whether the endless bytes come fast.
       resets: whether new runs are reset.
+      breaks_off: whether new runs of an engine end inside an event; None if
+        they do not, or whether they then have a last chunk.
+      has_crashed: whether a part of a prompt has crashed it.
     """
 
     _numbers = itertools.count(1)
@@ -91,6 +101,8 @@
         self.endless: Endless | None = None
         self.is_fast = False
         self.resets = False
+        self.breaks_off: bool | None = None
+        self.has_crashed = False
         self._silent_until_s_by_place = dict.fromkeys(Place, 0.0)
         self._history = history
         self._server: asyncio.Server | None = None
@@ -221,6 +233,10 @@
         run = Run(request_id, self.id, self._history.now_s(), stamp, whole)
         self._history.runs.append(run)
         self._stamp_by_writer[writer] = stamp
+        crashing = _find_crashing_part(head)
+        if crashing is not None:
+            await self._crash(crashing)
+            return
         if self.resets or self.endless is not None:
             self._history.broken_stamps.add(stamp)
         if self.resets:
@@ -228,12 +244,36 @@
         elif self.endless is not None:
             await self._send_endless(self.endless, run, writer)
         else:
-            await asyncio.sleep(_WORK_S)
-            await self._send(writer, _make_chunked_head(run), Place.HEAD)
-            for part in parts:
-                await self._send(writer, wire.make_chunk(part), Place.BODY)
-                await asyncio.sleep(EVENT_GAP_S)
+            await self._send_parts(run, parts, writer)
+
+    async def _send_parts(
+        self, run: Run, parts: list[bytes], writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends the response of a run, broken off if the endpoint does so."""
+        is_chunked = not is_unframed(run.request_id)
+        if self.stage is not None and self.breaks_off is not None:
+            self._history.broken_stamps.add(run.stamp)
+            is_chunked = self.breaks_off
+            cut = parts[len(parts) // 2]
+            parts = [*parts[: len(parts) // 2], cut[: len(cut) // 2]]
+        await asyncio.sleep(_WORK_S)
+        await self._send(writer, _make_head(run, is_chunked), Place.HEAD)
+        for part in parts:
+            content = wire.make_chunk(part) if is_chunked else part
+            await self._send(writer, content, Place.BODY)
+            await asyncio.sleep(EVENT_GAP_S)
+        if is_chunked:
             await self._send(writer, wire.LAST_CHUNK, Place.BODY)
+        else:
+            writer.close()
+
+    async def _crash(self, part: str) -> None:
+        await asyncio.sleep(_CRASH_S)
+        if not self.has_crashed:
+            self.has_crashed = True
+            crash = PartCrash(part, self._history.now_s())
+            self._history.part_crashes.append(crash)
+        self.close()
 
     async def _send_endless(
         self, endless: Endless, run: Run, writer: asyncio.StreamWriter
@@ -245,7 +285,7 @@
             sent = run.body
             if endless is not Endless.TRAILERS:
                 sent = sent[: len(sent) // 2]
-            writer.write(_make_chunked_head(run) + wire.make_chunk(sent))
+            writer.write(_make_head(run, True) + wire.make_chunk(sent))
         if endless is Endless.TRAILERS:
             writer.write(b"0\r\n")
         size, interval_s = _FAST if self.is_fast else _SLOW
@@ -256,13 +296,17 @@
             await asyncio.sleep(interval_s)
 
 
-def _make_chunked_head(run: Run) -> bytes:
-    headers = {
-        "Request-Id": run.request_id,
-        "Response-Stamp": run.stamp,
-        "Transfer-Encoding": "chunked",
-    }
+def _find_crashing_part(head: wire.Head) -> str | None:
+    entries = head.headers.get("prompt-prefix", "").split(",")[:-1]
+    ids = (entry.partition(":")[0] for entry in entries)
+    return next((id for id in ids if id.startswith(CRASHING_PREFIX)), None)
+
+
+def _make_head(run: Run, is_chunked: bool) -> bytes:
+    headers = {"Request-Id": run.request_id, "Response-Stamp": run.stamp}
+    if is_chunked:
+        headers["Transfer-Encoding"] = "chunked"
     return wire.make_head(_OK, headers)
 
 
-__all__ = ["Endless", "Endpoint", "Place"]
+__all__ = ["CRASHING_PREFIX", "Endless", "Endpoint", "Place"]
--- a/soak/history.py
+++ b/soak/history.py
@@ -17,6 +17,8 @@
 
 EVENT_GAP_S = 0.04
 """Pause between the events of a stream, without faults."""
+# One in so many responses ends with its connection.
+_UNFRAMED_EACH = 4
 _BODY_BYTES = (100, 5_000, 60_000)
 
 
@@ -86,6 +88,7 @@
       stamp: Response-Stamp; None if the router itself has responded.
       body: the received part of the body.
       version: configuration version whose route a probe asks for.
+      part: part of its prompt that crashes engines; empty for none.
     """
 
     id: str
@@ -100,6 +103,20 @@
     stamp: str | None = None
     body: bytes = b""
     version: int = 0
+    part: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class PartCrash:
+    """A crash of an engine under a part of a prompt.
+
+    Attributes:
+      part: the part.
+      at_s: when it crashed.
+    """
+
+    part: str
+    at_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -210,6 +227,7 @@
       arrivals: calls that reached endpoints.
       runs: requests that endpoints have begun to work on.
       broken_stamps: stamps of the runs that their endpoint itself broke off.
+      part_crashes: crashes of engines under parts of prompts.
       windows: times of faults.
       configurations: configurations in the order of their writes.
       draining_s_by_endpoint: when the store acknowledged that an endpoint is
@@ -221,6 +239,7 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
     broken_stamps: set[str] = dataclasses.field(default_factory=set)
+    part_crashes: list[PartCrash] = dataclasses.field(default_factory=list)
     windows: list[Window] = dataclasses.field(default_factory=list)
     configurations: list[ConfigurationWrite] = dataclasses.field(
         default_factory=list
@@ -290,6 +309,11 @@
     return 5 + zlib.crc32(request_id.encode()) % 16
 
 
+def is_unframed(request_id: str) -> bool:
+    """Returns whether the responses to a request end with their connection."""
+    return zlib.crc32(request_id.encode()) % _UNFRAMED_EACH == 0
+
+
 def make_event(request_id: str, number: int) -> bytes:
     """Returns one event of a stream."""
     return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
@@ -314,11 +338,13 @@
     "History",
     "Kind",
     "Outcome",
+    "PartCrash",
     "Request",
     "Run",
     "Trouble",
     "Window",
     "count_events",
+    "is_unframed",
     "make_body",
     "make_event",
     "make_stream",
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from soak.documents import Configuration, make_document
-from soak.endpoints import Endpoint
+from soak.endpoints import CRASHING_PREFIX, Endpoint
 from soak.history import ConfigurationWrite, Trouble
 from soak.proxy import Direction
 from soak.schedule import Action, Fault
@@ -18,6 +18,9 @@
 _DRAIN_S = 4.0
 # Time until a crashed endpoint is replaced, and until its entry is removed.
 _CRASHED_S = 0.5
+# Time until an engine that a prompt has crashed is back.
+_RESTART_S = 1.5
+_POLL_S = 0.05
 _ALL_VMS = "*"
 
 
@@ -114,19 +117,22 @@
 
 
 async def _break(world: World, fault: Fault) -> None:
-    """Makes endpoints reset connections, or send bytes without end."""
+    """Makes endpoints reset connections, break off, or never end."""
     endpoints = _choose_endpoints(world, fault)
     with world.history.window(Trouble.BROKEN, fault.service):
         for endpoint in endpoints:
             endpoint.is_fast = fault.is_fast
             if fault.action is Action.ENDPOINT_ENDLESS:
                 endpoint.endless = fault.endless
+            elif fault.action is Action.ENDPOINT_BREAK_OFF:
+                endpoint.breaks_off = fault.is_framed
             else:
                 endpoint.resets = True
                 endpoint.reset_connections()
         await asyncio.sleep(fault.duration_s)
         for endpoint in endpoints:
             endpoint.endless, endpoint.resets = None, False
+            endpoint.breaks_off = None
 
 
 async def _replace(world: World, fault: Fault) -> None:
@@ -144,6 +150,33 @@
             world.store.remove("servers", endpoint.id)
 
 
+async def _crash_by_part(world: World, fault: Fault) -> None:
+    """Lets callers send a part that crashes engines, which start again."""
+    if world.crashing_part:
+        return
+    world.crashing_part = f"{CRASHING_PREFIX}{fault.target}"
+    now_s = world.history.now_s
+    end_s = now_s() + fault.duration_s
+    replacements: list[asyncio.Task[None]] = []
+    with world.history.window(Trouble.BROKEN, fault.service):
+        # Requests that are on their way at the end may crash engines as well.
+        while now_s() < end_s + _RESTART_S:
+            if now_s() >= end_s:
+                world.crashing_part = ""
+            for endpoint in [e for e in world.endpoints if e.has_crashed]:
+                world.endpoints.remove(endpoint)
+                work = _start_again(world, endpoint)
+                replacements.append(asyncio.ensure_future(work))
+            await asyncio.sleep(_POLL_S)
+        await asyncio.gather(*replacements)
+
+
+async def _start_again(world: World, endpoint: Endpoint) -> None:
+    await asyncio.sleep(_RESTART_S)
+    await add_endpoint(world, endpoint.service, endpoint.stage)
+    world.store.remove("servers", endpoint.id)
+
+
 async def _drain(world: World, fault: Fault) -> None:
     """Replaces endpoints after they have been marked as draining."""
     with world.history.window(Trouble.BROKEN, fault.service):
@@ -171,6 +204,8 @@
     Action.ENDPOINT_RESET: _break,
     Action.ENDPOINT_REPLACE: _replace,
     Action.ENDPOINT_DRAIN: _drain,
+    Action.ENDPOINT_BREAK_OFF: _break,
+    Action.PART_CRASHES: _crash_by_part,
 }
 
 __all__ = ["add_endpoint", "inject", "write_configuration"]
--- a/soak/limits.py
+++ b/soak/limits.py
@@ -21,6 +21,10 @@
 """Retries that are allowed in each window in addition."""
 RETRY_WINDOW_S = 10.0
 """Length of the windows in which retries are counted."""
+PART_CRASHES = 5
+"""Crashes after which all VMs must refuse a part of prompts."""
+PART_REQUESTS = 3
+"""Requests with such a part that may still reach engines."""
 STABLE_S = 3.0
 """Time after a fault during which a VM or service still counts as affected."""
 
@@ -30,6 +34,8 @@
     "CONFIGURATION_LIMIT_S",
     "DRAIN_LIMIT_S",
     "GRACE_S",
+    "PART_CRASHES",
+    "PART_REQUESTS",
     "RETRY_RATIO",
     "RETRY_SLACK",
     "RETRY_WINDOW_S",
--- a/soak/run.py
+++ b/soak/run.py
@@ -43,12 +43,15 @@
       seconds: duration of the faults.
       vms: number of gateway processes.
       folder: folder for settings and logs.
+      with_streams: whether streams are also broken off, and prompts crash
+        engines.
     """
 
     seed: int
     seconds: float
     vms: int
     folder: pathlib.Path
+    with_streams: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,7 +74,9 @@
 
 async def run_soak(options: Options) -> Result:
     """Runs a soak; ends everything that it has started in any case."""
-    schedule = make_schedule(options.seed, options.seconds)
+    schedule = make_schedule(
+        options.seed, options.seconds, options.with_streams
+    )
     store, history = ObjectStore(), History()
     vms = _make_vms(options, store, history)
     world = World(history, store, vms)
@@ -187,6 +192,7 @@
         "faults": _count(fault.action.value for fault in result.schedule),
         "requests": _count(outcomes),
         "runs": len(history.runs),
+        "part_crashes": len(history.part_crashes),
         "longest_lag_s": round(result.longest_lag_s, 3),
         "violations": [*map(str, result.violations)],
     }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import random
+from collections.abc import Iterator
 
 from soak.documents import Configuration
 from soak.endpoints import Endless, Place
@@ -40,6 +41,8 @@
     ENDPOINT_RESET = "endpoint_reset"
     ENDPOINT_REPLACE = "endpoint_replace"
     ENDPOINT_DRAIN = "endpoint_drain"
+    ENDPOINT_BREAK_OFF = "endpoint_break_off"
+    PART_CRASHES = "part_crashes"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +63,7 @@
         that of its callers.
       directions: directions in which a link is cut.
       configuration: configuration to write; its version is a step.
+      is_framed: whether streams that are broken off have a last chunk.
     """
 
     at_s: float
@@ -74,6 +78,7 @@
     is_store_link: bool
     directions: tuple[Direction, ...]
     configuration: Configuration
+    is_framed: bool = False
 
     def __str__(self) -> str:
         words = [f"{self.at_s:.2f} s", self.action.value]
@@ -98,16 +103,24 @@
     Action.ENDPOINT_RESET: _ENDPOINT_FIELDS,
     Action.ENDPOINT_REPLACE: _ENDPOINT_FIELDS,
     Action.ENDPOINT_DRAIN: _ENDPOINT_FIELDS,
+    Action.ENDPOINT_BREAK_OFF: (*_ENDPOINT_FIELDS, "is_framed"),
 }
 _IN_SERIES = (Action.CONFIGURE, Action.VM_HUP, Action.VM_TERM, Action.VM_FREEZE)
 _CALM = (
     *(Action.CONFIGURE, Action.VM_HUP),
     *(Action.ENDPOINT_SILENT, Action.ENDPOINT_SILENT),
 )
-_MIXED = tuple(Action)
+_FURTHER = (Action.ENDPOINT_BREAK_OFF, Action.PART_CRASHES)
+_MIXED = tuple(action for action in Action if action not in _FURTHER)
+# A part crashes engines for so long that requests with it come after the fifth
+# crash and the time in which all VMs must know it.
+_PART_S = 12.0
+_BREAK_OFFS_PER_S = 0.1
 
 
-def make_schedule(seed: int, seconds: float) -> tuple[Fault, ...]:
+def make_schedule(
+    seed: int, seconds: float, with_streams: bool = False
+) -> tuple[Fault, ...]:
     """Returns the faults of a seed, in the order of their begin.
 
     Episodes with all kinds of faults follow episodes in which endpoints only
@@ -116,6 +129,8 @@
     Args:
       seed: seed of the schedule.
       seconds: duration of the soak.
+      with_streams: whether streams are also broken off, and prompts crash
+        engines.
     """
     rng = random.Random(seed)
     faults: list[Fault] = []
@@ -132,9 +147,30 @@
                 faults.append(_draw(rng, action, min(at_s, end_s)))
                 at_s += rng.uniform(*_SERIES_INTERVAL_S)
         start_s, is_mixed = end_s, not is_mixed
+    if with_streams:
+        faults += _draw_further(seed, seconds)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
+def _draw_further(seed: int, seconds: float) -> Iterator[Fault]:
+    """Yields faults of streams and prompts.
+
+    They have a generator of their own, so that seeds keep their other faults.
+    """
+    rng = random.Random(f"{seed}/further")
+    last_s = seconds - _LAST_S
+    for _ in range(max(1, round(seconds * _BREAK_OFFS_PER_S))):
+        at_s = rng.uniform(_FIRST_S, last_s)
+        fault = _draw(rng, Action.ENDPOINT_BREAK_OFF, at_s)
+        yield dataclasses.replace(
+            fault, service="llm", is_framed=rng.random() < 0.5
+        )
+    duration_s = min(_PART_S, last_s - _FIRST_S)
+    at_s = rng.uniform(_FIRST_S, last_s - duration_s)
+    fault = _draw(rng, Action.PART_CRASHES, at_s)
+    yield dataclasses.replace(fault, service="llm", duration_s=duration_s)
+
+
 def _draw(rng: random.Random, action: Action, at_s: float) -> Fault:
     is_silence = action is Action.ENDPOINT_SILENT
     counts = (1, 2, _ALL) if is_silence else (1, 1, 2)
--- a/soak/world.py
+++ b/soak/world.py
@@ -24,6 +24,7 @@
       vms: all VMs.
       endpoints: endpoints that are registered, in the order of their start.
       configuration: newest configuration in the store.
+      crashing_part: part of prompts that crashes engines; empty for none.
       request_numbers: numbers of the callers' requests.
       stopping: set when callers send no more requests.
     """
@@ -35,6 +36,7 @@
     configuration: Configuration = dataclasses.field(
         default_factory=Configuration
     )
+    crashing_part: str = ""
     request_numbers: itertools.count[int] = dataclasses.field(
         default_factory=itertools.count
     )
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -13,6 +13,7 @@
     History,
     Kind,
     Outcome,
+    PartCrash,
     Request,
     Run,
     Trouble,
@@ -330,5 +331,37 @@
         self.assertEqual(_find(history), [])
 
 
+class PartTest(unittest.TestCase):
+    def _make_history(self, late: int, crashes: int = 5) -> History:
+        """Returns a history with requests that reach engines too late."""
+        requests = [
+            _make_request(id=f"r{n}", kind=Kind.DRAFT, part="bad1", status=502)
+            for n in range(late)
+        ]
+        return _make_history(
+            *requests,
+            part_crashes=[PartCrash("bad1", float(n)) for n in range(crashes)],
+            arrivals=[
+                Arrival(request.id, "llm-1", "llm", _SENT_S)
+                for request in requests
+            ],
+        )
+
+    def test_fourth_request_after_five_crashes_is_a_violation(self) -> None:
+        """Guards against parts that go on to crash engines unnoticed."""
+        self.assertEqual(_find(self._make_history(late=3)), [])
+        self.assertEqual(_find(self._make_history(late=4)), ["PART"])
+        self.assertEqual(_find(self._make_history(late=4, crashes=4)), [])
+
+    def test_sound_request_that_is_blamed_is_a_violation(self) -> None:
+        """Guards against a quarantine of what all prompts share."""
+        refused = _make_request(
+            status=503, stamp=None, body=b"requests have crashed the endpoints"
+        )
+        self.assertEqual(_find(_make_history(refused)), ["BLAMED"])
+        bad = dataclasses.replace(refused, part="bad1")
+        self.assertEqual(_find(_make_history(bad)), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -21,12 +21,21 @@
             make_schedule(1, _SECONDS), make_schedule(2, _SECONDS)
         )
 
+    def test_seed_keeps_its_faults_beside_those_of_streams(self) -> None:
+        """Guards against seeds that no longer play what once failed."""
+        for seed in _SEEDS:
+            usual = make_schedule(seed, _SECONDS)
+            more = make_schedule(seed, _SECONDS, with_streams=True)
+            self.assertEqual(
+                [fault for fault in more if fault in usual], [*usual]
+            )
+
     def test_some_seed_plays_each_fault(self) -> None:
         """Guards against faults that are never played."""
         played = {
             fault.action
             for seed in _SEEDS
-            for fault in make_schedule(seed, _SECONDS)
+            for fault in make_schedule(seed, _SECONDS, with_streams=True)
         }
         self.assertEqual(played, set(Action))
 
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -7,9 +7,10 @@
 import tempfile
 import unittest
 
-from soak.run import Options, run_soak
+from soak.run import Options, Result, run_soak
 
 _SEED = 221
+_STREAMS_SEED = 3401
 _SECONDS = 30.0
 _VMS = 2
 _MIN_RUNS = 100
@@ -18,14 +19,30 @@
 class ShortRunTest(unittest.TestCase):
     def test_promises_hold_beside_faults(self) -> None:
         """Guards against broken promises that neither fakes nor days show."""
+        self._check(_SEED, with_streams=False)
+
+    def test_promises_hold_beside_broken_streams_and_prompts(self) -> None:
+        """Guards against streams that seem whole, and engines that go on dying.
+
+        These are the incidents of streams that are broken off, and of prompts
+        that crash engines.
+        """
+        result = self._check(_STREAMS_SEED, with_streams=True)
+        self.assertTrue(result.history.part_crashes)
+
+    def _check(self, seed: int, with_streams: bool) -> Result:
+        """Runs a soak and checks that it has broken no promise."""
         with tempfile.TemporaryDirectory() as folder:
-            options = Options(_SEED, _SECONDS, _VMS, pathlib.Path(folder))
+            options = Options(
+                seed, _SECONDS, _VMS, pathlib.Path(folder), with_streams
+            )
             result = asyncio.run(run_soak(options))
         found = [str(violation) for violation in result.violations]
         self.assertEqual(found, [])
         # Without these, the checks would have nothing to check.
         self.assertGreater(len(result.history.runs), _MIN_RUNS)
         self.assertGreater(len(result.schedule), 10)
+        return result
 
 
 if __name__ == "__main__":
