--- a/tests/resilience/test_crash_evidence.py
+++ b/tests/resilience/test_crash_evidence.py
@@ -10,6 +10,7 @@
     CRASHES_TO_REFUSE,
     MAX_TRIAL_INTERVAL_S,
     SAME_CAUSE_S,
+    SURVIVAL_S,
     SUSPICION_S,
     TRIAL_INTERVAL_S,
     TRUST_S,
@@ -22,6 +23,8 @@
 )
 from burdockspan.resilience.quarantine import Decision
 
+# From the begin of a run until it has proved its parts sound.
+_YOUNG_S = SURVIVAL_S + 0.1
 _APART_S = 2.0 * SAME_CAUSE_S
 
 
@@ -164,7 +167,12 @@
             young = [run for run in young if run[2] != lost]
         # Part 0 is in a third of the prompts, the last ones in a few.
         part = min(int(rng.expovariate(0.35)), parts - 1)
-        run = (rng.randrange(vms), part, rng.randrange(engines), now_s + 0.6)
+        run = (
+            rng.randrange(vms),
+            part,
+            rng.randrange(engines),
+            now_s + _YOUNG_S,
+        )
         young.append(run)
         for vm in range(vms):
             for part in range(parts):
