Let a silent watch of crash records end within the recovery time

A VM whose watch had become silent, as after a cut, learned of the crashes of other VMs up to 6 s late, while it counts as in touch 3 s after the cut: it could send requests with a part that all others refuse. The watch now ends as soon as those of the configuration and the endpoints.

test_silent_watch_of_crashes_ends_within_the_recovery_time failed before (6,000 ms of 3,000).

--- a/src/burdockspan/gateway/crash_records.py
+++ b/src/burdockspan/gateway/crash_records.py
@@ -44,9 +44,6 @@
 # than a single request, and need no check.
 _MAX_QUEUED_CRASHES = 64
 _MAX_WRITE_ATTEMPTS = 3
-# Longer than for watches of endpoints, since changes of crash records are less
-# urgent.
-_WATCH_TIMEOUT_S = 6.0
 
 
 # Interval of the work that is not urgent.
@@ -226,7 +223,6 @@
                 "store lost", watching="crashes", cause=error.value
             ),
             lambda: self._log("store regained", watching="crashes"),
-            watch_timeout_s=_WATCH_TIMEOUT_S,
             consistency=Consistency.EVENTUAL,
             on_new_era=self._write_again,
         )
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -20,6 +20,7 @@
 from burdockspan.gateway.discovery import (
     ObjectWatcher,
     compute_max_age_s,
+    compute_watch_timeout_s,
     make_watchers,
     run_watcher,
 )
@@ -253,9 +254,12 @@
         context.registry,
     ):
         _start_watcher(context, watcher, components.stopped)
-    _start_watcher(
-        context, context.crash_records.make_watcher(), components.stopped
+    recovery_s = components.settings.change_limits.recovery_s
+    crash_watcher = dataclasses.replace(
+        context.crash_records.make_watcher(),
+        watch_timeout_s=compute_watch_timeout_s(recovery_s),
     )
+    _start_watcher(context, crash_watcher, components.stopped)
     _start_thread(
         lambda: context.crash_records.run(components.stopped), "crashes"
     )
--- a/tests/gateway/test_crash_records.py
+++ b/tests/gateway/test_crash_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+import unittest.mock
 from typing import Any
 
 from burdockspan.gateway.crash_records import (
@@ -12,10 +13,13 @@
 )
 from burdockspan.gateway.discovery import WatchPosition, poll
 from burdockspan.gateway.part_quarantine import PartQuarantine
+from burdockspan.gateway.settings import ChangeLimits
 from burdockspan.gateway.values import Endpoint, InboundCall
 from burdockspan.observe.registry import make_registry
 from burdockspan.platform.store import make_store
 from standins.object_store import ObjectStore
+from tests.gateway.case import GatewayCase
+from tests.support.gateways import wait_for
 
 
 def _call(target: str = "/pay/x", body: bytes = b"1") -> InboundCall:
@@ -115,3 +119,27 @@
             store, records.make_watcher(), WatchPosition(), lambda: 0.0
         )
         self.assertIsNotNone(position.revision)
+
+
+class TestWatch(GatewayCase):
+    def test_silent_watch_of_crashes_ends_within_the_recovery_time(
+        self,
+    ) -> None:
+        """Guards against a VM that learns late what crashes endpoints.
+
+        After a cut its watch may be silent, although the store answers again.
+        """
+        waits_ms: list[int] = []
+        store = self.gateway.store
+        watch = store._watch
+
+        def record(kind: str, query: dict[str, str]) -> tuple[int, Any]:
+            if kind == KIND:
+                waits_ms.append(int(query["wait_ms"]))
+            return watch(kind, query)
+
+        with unittest.mock.patch.object(store, "_watch", record):
+            store.put(KIND, "f1", {"crashes": [["i-1", "1"]]})
+            wait_for(lambda: bool(waits_ms))
+        recovery_s = ChangeLimits().recovery_s
+        self.assertLess(max(waits_ms), recovery_s * 1000)
