Forget the crashes of a request that an endpoint has answered

Callers got 503 for up to 120 s for a read that all of them send: it was running when three endpoints crashed, and so counted as what had crashed them. An answer now clears the request, here at once and at the other VMs through the removal of its object.

Before, test_request_that_all_callers_send_is_not_refused failed; now it passes.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -187,6 +187,7 @@
 
     def record_end(self) -> None:
         """Records that the run in progress has ended well."""
+        self._context.crash_records.record_answer(self._request.call)
         if not self._has_survived:
             self._record_survival()
 
--- a/src/burdockspan/gateway/crash_records.py
+++ b/src/burdockspan/gateway/crash_records.py
@@ -91,6 +91,8 @@
             queue.Queue(_MAX_QUEUED_CRASHES)
         )
         part_quarantine.notify_of_news(self._wake)
+        # Requests whose records are forgotten here, and not yet in the store.
+        self._answered: set[str] = set()
         self._confirmed_until_s: dict[Incarnation, float] = {}
 
     def is_quarantined(self, call: InboundCall) -> bool:
@@ -105,6 +107,39 @@
         )
         return decision is Decision.REFUSE
 
+    def record_answer(self, call: InboundCall) -> None:
+        """Records that an endpoint has answered a request.
+
+        Its crash records are forgotten: it was only there when endpoints
+        crashed. Many callers may send the same request.
+        """
+        if not self._crash_records.by_fingerprint:
+            return
+        request_fingerprint = compute_fingerprint(call)
+        if self._forget(request_fingerprint, "answered"):
+            self._answered.add(request_fingerprint)
+            self._wake()
+
+    def _forget(self, request_fingerprint: str, cause: str) -> bool:
+        """Forgets the crashes of a request; returns whether there were any."""
+        with self._lock:
+            if request_fingerprint not in self._crash_records.by_fingerprint:
+                return False
+            self._crash_records = quarantine.forget(
+                self._crash_records, request_fingerprint
+            )
+        self._log(
+            "crashes forgotten", fingerprint=request_fingerprint, cause=cause
+        )
+        return True
+
+    def _share_answers(self) -> None:
+        """Lets the other VMs forget the crashes of answered requests."""
+        for request_fingerprint in tuple(self._answered):
+            if self._part_quarantine.is_to_share():
+                self._answered.discard(request_fingerprint)
+                self._store.remove(KIND, request_fingerprint)
+
     def report_suspected_crash(
         self,
         call: InboundCall,
@@ -137,6 +172,7 @@
                 suspected = None
             if suspected is None:
                 self._part_quarantine.maintain()
+                self._share_answers()
                 continue
             self.check_endpoint(
                 suspected.request_fingerprint,
@@ -196,8 +232,12 @@
             if stored.name.startswith(NAME_PREFIX):
                 self._part_quarantine.apply_change(stored)
                 return
+            if stored.removed:
+                self._answered.discard(stored.name)
+                self._forget(stored.name, "removed")
+                return
             crashes = _decode(stored)
-            if stored.removed or not crashes:
+            if not crashes:
                 return
             known = self._crash_records.by_fingerprint.get(stored.name, {})
             new_crashes = tuple(
--- a/src/burdockspan/gateway/part_quarantine.py
+++ b/src/burdockspan/gateway/part_quarantine.py
@@ -92,6 +92,10 @@
         """Sets the number of live VMs."""
         self._vm_count = max(1, vm_count)
 
+    def is_to_share(self) -> bool:
+        """Returns whether this VM tells the others what all VMs may know."""
+        return self._random_float() < _CONTRADICTING_VMS / self._vm_count
+
     def notify_of_news(self, listener: Callable[[], None]) -> None:
         """Calls `listener` when `maintain` has something to share at once."""
         self._has_news = listener
@@ -224,12 +228,11 @@
         now_s = self._clock()
         with self._lock:
             items = tuple(self._evidence_by_part.items())
-        share = _CONTRADICTING_VMS / self._vm_count
         for part, evidence in items:
             if part in self._blamed and crash_evidence.is_contradicted(
                 evidence
             ):
-                if self._random_float() < share:
+                if self.is_to_share():
                     self._share_soundness(part)
             elif crash_evidence.is_expired(evidence, now_s):
                 self._expire(part)
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -240,6 +240,8 @@
         end_work()
     if isinstance(response, Ok):
         _record_outcome(context, endpoint, outcome.ok_value)
+        if request.route.kind is not RequestKind.STREAM:
+            context.crash_records.record_answer(request.call)
         duration_s = context.clock() - started_s
         context.registry.observe("plain_attempt", duration_s)
     return response
--- a/src/burdockspan/resilience/quarantine.py
+++ b/src/burdockspan/resilience/quarantine.py
@@ -84,6 +84,17 @@
     )
 
 
+def forget(crash_records: CrashRecords, fingerprint: str) -> CrashRecords:
+    """Returns the crash records without those of a request."""
+    return CrashRecords(
+        {
+            name: crashes
+            for name, crashes in crash_records.by_fingerprint.items()
+            if name != fingerprint
+        }
+    )
+
+
 def decide(
     crash_records: CrashRecords,
     fingerprint: str,
@@ -111,6 +122,7 @@
     "Decision",
     "add",
     "decide",
+    "forget",
     "merge",
     "prune",
 ]
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -34,6 +34,7 @@
 _BAD_PART = "bad0"
 _SOUND_PARTS = "aa01:200"
 _EVENTS = b"".join(b"id: %d\ndata: t\n\n" % number for number in range(1, 4))
+_READ = respond(200, b"done", {"Response-Stamp": "s"})
 # Crashes until the part is refused, and those of requests on their way then.
 _CRASH_LIMIT = 5
 
@@ -221,6 +222,37 @@
             ]
             self.assertNotIn("crashes endpoints", reasons)
 
+    def test_request_that_all_callers_send_is_not_refused(self) -> None:
+        """Guards against blaming a common read for the crashes around it."""
+        for round_number in range(6):
+            name = f"app-{round_number}"
+            crashing = ScriptedEndpoint(name, lambda _: [])
+            crashing.script = self._make_crash(crashing)
+            sound = ScriptedEndpoint(f"sound-{round_number}", lambda _: _READ)
+            for endpoint in (crashing, sound):
+                entry = endpoint.as_store_entry("app", "zone-a")
+                self.store.put("servers", endpoint.id, entry)
+                self.gateways[0].endpoints.append(endpoint)
+            for gateway in self.gateways:
+                table = gateway.components.context.state.endpoint_table
+                wait_for(lambda name=name, table=table: name in table().by_id)  # type: ignore[misc]
+                for number in range(4):
+                    headers = {"Request-Id": f"{round_number}-{number}"}
+                    response = gateway.call("GET", "/read/x", b"", headers)
+                    self.assertNotEqual(response.status, 503, response.body)
+        crashes = sum(
+            len(gateway.events_named("crash noted"))
+            for gateway in self.gateways
+        )
+        self.assertGreaterEqual(crashes, 3)
+
+    def _make_crash(self, endpoint: ScriptedEndpoint) -> Script:
+        def script(_: Received) -> Iterator[Step]:
+            endpoint.close()
+            yield Action.RESET
+
+        return script
+
 
 if __name__ == "__main__":
     unittest.main()
