--- a/src/burdockspan/gateway/part_quarantine.py
+++ b/src/burdockspan/gateway/part_quarantine.py
@@ -236,6 +236,11 @@
                     self._share_soundness(part)
             elif crash_evidence.is_expired(evidence, now_s):
                 self._expire(part)
+        with self._lock:
+            blamed = tuple(self._blamed)
+        self._registry.set_gauge(
+            "refused_parts", float(len(self.find_refused(blamed)))
+        )
 
     def write_all(self) -> None:
         """Writes the crashes that a store from a copy may have lost."""
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/test_part_quarantine.py
@@ -32,8 +32,9 @@
         clock = lambda: case.now_s  # noqa: E731
         log = lambda event, **fields: case.events.append((event, fields))  # noqa: E731
         self.store = make_store(case.platform.address, clock)
+        self.registry = make_registry()
         self.parts = PartQuarantine(
-            KIND, self.store, clock, lambda: 0.0, log, make_registry()
+            KIND, self.store, clock, lambda: 0.0, log, self.registry
         )
         records = CrashRecordStore(
             self.store, lambda _: False, clock, log, self.parts
@@ -103,6 +104,15 @@
         poll(vm.store, vm._watcher, position, lambda: 0.0)
         self.assertFalse(self.is_refused(vm))
 
+    def test_refused_parts_are_counted(self) -> None:
+        """Guards against a quarantine that no metric shows."""
+        vm = self.vms[0]
+        for refused in (0, 1):
+            vm.parts.maintain()
+            line = f'burdockspan_state{{name="refused_parts"}} {refused}.0'
+            self.assertIn(line, vm.registry.render().decode())
+            self.quarantine()
+
     def test_soundness_travels_before_the_verdict(self) -> None:
         """Guards against blaming a sound part at VMs that rarely see it."""
         for number in range(6):
