Remove the proofs that blamed parts are sound from the store

Each part that had been blamed and cleared left an object in the store for ever. A new crash takes the object over.

test_proofs_of_sound_parts_leave_the_store failed before (one object left).

--- a/src/burdockspan/gateway/part_quarantine.py
+++ b/src/burdockspan/gateway/part_quarantine.py
@@ -85,6 +85,8 @@
         self._unwritten: set[Part] = set()
         self._part_by_object: dict[str, Part] = {}
         self._revision_by_part: dict[Part, int] = {}
+        # When this VM removes the objects that say that a part is sound.
+        self._removal_s_by_object: dict[str, float] = {}
         self._vm_count = 1
         self._has_news: Callable[[], None] = lambda: None
 
@@ -188,6 +190,7 @@
         """Applies a change of a part's object in the store."""
         if stored.removed:
             part = self._part_by_object.get(stored.name)
+            self._removal_s_by_object.pop(stored.name, None)
             if part is not None:
                 self._forget(part, "removed")
             return
@@ -196,11 +199,16 @@
             self._log("part not read", name=stored.name)
             return
         now_s = self._clock()
+        part = decoded.part
         if decoded.is_sound:
-            self._forget(decoded.part, "sound")
-            self.record_survival((decoded.part,))
+            self._forget(part, "sound")
+            self.record_survival((part,))
+            # The VM that wrote it removes it earlier, if it lives.
+            self._removal_s_by_object.setdefault(
+                stored.name, now_s + crash_evidence.SUSPICION_S
+            )
             return
-        part = decoded.part
+        self._removal_s_by_object.pop(stored.name, None)
         with self._lock:
             before = self._evidence_by_part.get(part, CrashEvidence())
             evidence = crash_evidence.learn_crashes(
@@ -236,12 +244,20 @@
                     self._share_soundness(part)
             elif crash_evidence.is_expired(evidence, now_s):
                 self._expire(part)
+        self._remove_proofs(now_s)
         with self._lock:
             blamed = tuple(self._blamed)
         self._registry.set_gauge(
             "refused_parts", float(len(self.find_refused(blamed)))
         )
 
+    def _remove_proofs(self, now_s: float) -> None:
+        """Removes objects of sound parts, which all VMs have read by now."""
+        for name, removal_s in tuple(self._removal_s_by_object.items()):
+            if now_s >= removal_s:
+                self._removal_s_by_object.pop(name, None)
+                self._store.remove(self._kind, name)
+
     def write_all(self) -> None:
         """Writes the crashes that a store from a copy may have lost."""
         with self._lock:
@@ -300,6 +316,8 @@
             self._log_unwritten(part, outcome.err_value)
             return
         self._forget(part, "run lasted")
+        removal_s = self._clock() + crash_evidence.TRUST_S
+        self._removal_s_by_object[part.object_name] = removal_s
 
     def _write(self, part: Part) -> None:
         """Writes the crashes that a part is blamed for; `maintain` retries."""
@@ -309,6 +327,7 @@
             self._unwritten.discard(part)
             return
         value = _encode(part, evidence)
+        self._removal_s_by_object.pop(part.object_name, None)
         outcome = self._store.create(self._kind, part.object_name, value)
         if (
             isinstance(outcome, Err)
--- a/src/burdockspan/resilience/crash_evidence.py
+++ b/src/burdockspan/resilience/crash_evidence.py
@@ -162,6 +162,7 @@
 __all__ = [
     "CRASHES_TO_REFUSE",
     "SAME_CAUSE_S",
+    "SUSPICION_S",
     "SURVIVAL_S",
     "TRIAL_INTERVAL_S",
     "TRUST_S",
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/test_part_quarantine.py
@@ -16,6 +16,7 @@
 from burdockspan.observe.registry import make_registry
 from burdockspan.platform.store import make_store
 from burdockspan.resilience.crash_evidence import (
+    SUSPICION_S,
     TRIAL_INTERVAL_S,
     TRUST_S,
 )
@@ -159,6 +160,34 @@
         late.learn()
         self.assertTrue(self.is_refused(late))
 
+    def test_proofs_of_sound_parts_leave_the_store(self) -> None:
+        """Guards against a store that keeps an object for each cleared part."""
+        for sharer_lives in (True, False):
+            self.quarantine()
+            self.vms[0].parts.record_survival((_BAD,))
+            self.vms[0].parts.maintain()
+            for vm in self.vms:
+                vm.learn()
+            self.assertEqual(len(self.platform.read(KIND)), 1)
+            self.now_s += SUSPICION_S + TRUST_S
+            self.vms[0 if sharer_lives else 1].parts.maintain()
+            self.assertEqual(self.platform.read(KIND), {})
+
+    def test_new_crash_is_not_removed_with_an_old_proof(self) -> None:
+        """Guards against evidence that vanishes after a part was sound."""
+        self.quarantine()
+        self.vms[0].parts.record_survival((_BAD,))
+        self.vms[0].parts.maintain()
+        for vm in self.vms:
+            vm.learn()
+        self.now_s += SUSPICION_S
+        self.quarantine()
+        self.now_s += 10.0
+        for vm in self.vms:
+            vm.parts.maintain()
+            self.assertTrue(self.is_refused(vm))
+        self.assertEqual(len(self.platform.read(KIND)), 1)
+
     def test_malformed_objects_are_ignored(self) -> None:
         """Guards against a malformed object that stops the watcher."""
         name = _BAD.object_name
