--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -56,10 +56,12 @@
 
 
 async def _run_until_signal(options: Options) -> Result:
-    """Runs a soak; SIGTERM cancels it, as SIGINT does."""
+    """Runs a soak; SIGINT and SIGTERM cancel it."""
     task = asyncio.ensure_future(run_soak(options))
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    # A shell starts processes in the background with SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
     return await task
 
 
