--- a/soak/run.py
+++ b/soak/run.py
@@ -78,14 +78,19 @@
         options.seed, options.seconds, options.with_streams
     )
     store, history = ObjectStore(), History()
-    vms = _make_vms(options, store, history)
+    ports = contextlib.ExitStack()
+    vms = _make_vms(options, store, history, ports)
     world = World(history, store, vms)
     tasks: list[asyncio.Task[None]] = []
     lags_s = [0.0]
     try:
         tasks.append(asyncio.ensure_future(_measure_lag(lags_s)))
+        await _listen(world)
+        # Links and endpoints have other ports than the processes.
+        ports.close()
         await _play(world, schedule, options, tasks)
     finally:
+        ports.close()
         for task in tasks:
             task.cancel()
         for vm in vms:
@@ -101,6 +106,14 @@
     return Result(schedule, history, found, max(lags_s))
 
 
+async def _listen(world: World) -> None:
+    """Starts the endpoints, and the links of the VMs."""
+    for service, stage in _FLEET:
+        await add_endpoint(world, service, stage)
+    for vm in world.vms:
+        await vm.start_links()
+
+
 async def _play(
     world: World,
     schedule: tuple[Fault, ...],
@@ -114,10 +127,7 @@
         return tasks[-1]
 
     write_configuration(world, world.configuration)
-    for service, stage in _FLEET:
-        await add_endpoint(world, service, stage)
     for vm in world.vms:
-        await vm.start_links()
         start(vm.run())
         start(vm.poll_readiness())
     async with asyncio.timeout(_START_TIMEOUT_S):
@@ -149,15 +159,18 @@
 
 
 def _make_vms(
-    options: Options, store: ObjectStore, history: History
+    options: Options,
+    store: ObjectStore,
+    history: History,
+    reserved: contextlib.ExitStack,
 ) -> list[Vm]:
+    """Returns the VMs; their ports are taken until `reserved` is closed."""
     store_port = int(store.address.rpartition(":")[2])
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-            for _ in range(PORTS_PER_VM * options.vms)
-        ]
-        ports = iter([sock.getsockname()[1] for sock in sockets])
+    sockets = [
+        reserved.enter_context(socket.create_server(("127.0.0.1", 0)))
+        for _ in range(PORTS_PER_VM * options.vms)
+    ]
+    ports = iter([sock.getsockname()[1] for sock in sockets])
     return [
         Vm(
             f"vm-{number + 1}",
