--- a/tests/gateway/test_generations.py
+++ b/tests/gateway/test_generations.py
@@ -30,7 +30,7 @@
     return b"id: %d\ndata: t%d\n\n" % (number, number)
 
 
-def _stream(*numbers: int) -> list[Step]:
+def make_stream(*numbers: int) -> list[Step]:
     events = [chunk(_event(number)) for number in numbers]
     return [CHUNKED_HEAD, *events, LAST_CHUNK]
 
@@ -91,7 +91,7 @@
     def test_memory_is_reserved_before_the_prefill(self) -> None:
         """Guards against prefills without memory for the decoding."""
         prefill = self.add_engine("i-p", [], "prefill")
-        decode = self.add_engine("i-d", _stream(1, 2))
+        decode = self.add_engine("i-d", make_stream(1, 2))
         response = self.generate()
         self.assertEqual(response.body, _event(1) + _event(2))
         self.assertTrue(response.complete)
@@ -109,7 +109,7 @@
     def test_no_prefill_without_decode_memory(self) -> None:
         """Guards against prefills of generations that are then refused."""
         prefill = self.add_engine("i-p", [], "prefill")
-        decode = self.add_engine("i-d", _stream(1))
+        decode = self.add_engine("i-d", make_stream(1))
         decode.is_full = True
         response = self.generate(**{"Deadline-Ms": "2500"})
         self.assertEqual(response.status, 503)
@@ -118,7 +118,7 @@
 
     def test_refusal_comes_before_the_deadline(self) -> None:
         """Guards against refusals that come late."""
-        decode = self.add_engine("i-d", _stream(1))
+        decode = self.add_engine("i-d", make_stream(1))
         decode.is_full = True
         self.assertEqual(self.generate().status, 503)
         waited_s = self.gateway.events_named("refused")[0]["waited_s"]
@@ -129,7 +129,7 @@
 
         Released memory goes to generations that can still meet their objective.
         """
-        self.add_engine("i-d", _stream(1)).is_full = True
+        self.add_engine("i-d", make_stream(1)).is_full = True
         self.assertEqual(self.generate(**{"Deadline-Ms": "3900"}).status, 503)
         waited_s = self.gateway.events_named("refused")[0]["waited_s"]
         self.assertLess(waited_s, 0.45)
@@ -139,7 +139,7 @@
         self.add_endpoint(
             lambda _: [Action.RESET], "i-p", service="llm", stage="prefill"
         )
-        decode = self.add_engine("i-d", _stream(1))
+        decode = self.add_engine("i-d", make_stream(1))
         self.assertEqual(self.generate().body, _event(1))
         self.assertIsNone(decode.runs[0].header("Kv-Source"))
 
@@ -156,7 +156,7 @@
 
     def test_queued_generation_reserves_released_memory(self) -> None:
         """Guards against a refusal shortly before memory is released."""
-        decode = self.add_engine("i-d", _stream(1))
+        decode = self.add_engine("i-d", make_stream(1))
         decode.is_full = True
         queue = self.gateway.components.context.admission_queues.for_service(
             "llm"
@@ -176,7 +176,7 @@
     def test_decode_engine_prefills_during_a_long_queue(self) -> None:
         """Guards against late first events behind an overloaded engine."""
         prefill = self.add_engine("i-p", [], "prefill")
-        decode = self.add_engine("i-d", _stream(1))
+        decode = self.add_engine("i-d", make_stream(1))
         context = self.gateway.components.context
         context.demand.record_prefill("llm", 5_200, 0.1)
         engine = context.state.endpoint_table().by_id["i-p"].endpoint
@@ -188,7 +188,7 @@
     def test_queueing_delay_is_measured_from_own_prompts(self) -> None:
         """Guards against a queue that stays undetected."""
         prefill = self.add_engine("i-p", [], "prefill")
-        self.add_engine("i-d", _stream(1))
+        self.add_engine("i-d", make_stream(1))
         context = self.gateway.components.context
         context.demand.record_prefill("llm", 5_200, 0.001)
         prefill.prefill_duration_s = 0.3
@@ -212,7 +212,7 @@
         self.refusing = self.add_engine("i-p1", [], "prefill")
         self.refusing.refuses_prompts = True
         self.prefill = self.add_engine("i-p2", [], "prefill")
-        self.decode = self.add_engine("i-d", _stream(1))
+        self.decode = self.add_engine("i-d", make_stream(1))
         state = self.gateway.components.context.state
         state.begin_work(state.endpoint_table().by_id["i-p2"].endpoint, 10_000)
 
@@ -262,7 +262,7 @@
             Action.RESET,
         ]
         first = self.add_engine("i-1", truncated)
-        second = self.add_engine("i-2", _stream(3, 4))
+        second = self.add_engine("i-2", make_stream(3, 4))
         # The load at i-2 makes i-1, whose stream is truncated, rank first.
         state = self.gateway.components.context.state
         state.begin_work(state.endpoint_table().by_id["i-2"].endpoint, 10_000)
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -176,6 +176,7 @@
     document: dict[str, Any] | None = None,
     shared_store: ObjectStore | None = None,
     clock: Clock = time.monotonic,
+    make_platform: process.MakePlatform = make_platform,
     **settings: Any,
 ) -> Iterator[Gateway]:
     """Yields a gateway with a configuration in force, then stops it.
@@ -184,6 +185,7 @@
       document: configuration.
       shared_store: store of several gateways; by default it has its own.
       clock: monotonic clock of the gateway, in seconds.
+      make_platform: returns its adapter to the platform.
       **settings: changes of the settings.
     """
     store = shared_store or ObjectStore()
