Log which services a VM reaches

A VM logged each failed connection, but not what it made of them: whether any endpoint of a service had answered meanwhile, and since when none had. A service is now out of reach once calls to all of its endpoints, or to four, have failed on the way and none that began later was answered. A few endpoints are probed at once after such a failure, unless a request is answered within 50 ms, and each 0.5 s until one answers. Nothing depends on the belief yet.

Calls count by their begin: a connection that was opened before a partition may outlive it, and one that was tried before its end may fail later.

--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -12,6 +12,7 @@
 from burdockspan.gateway.part_quarantine import PartQuarantine
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
+from burdockspan.gateway.reachability import Reachability
 from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.state import GatewayState
@@ -28,6 +29,7 @@
     Attributes:
       platform: adapter to the platform.
       state: configuration, endpoints and load, as this process knows them.
+      reachability: services that this VM reaches.
       retry_budget: limits repeated calls to endpoints.
       crash_records: finds requests that crash endpoints.
       part_quarantine: finds parts of prompts that crash engines.
@@ -46,6 +48,7 @@
 
     platform: Platform
     state: GatewayState
+    reachability: Reachability
     retry_budget: RetryBudget
     crash_records: CrashRecordStore
     part_quarantine: PartQuarantine
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -167,6 +167,8 @@
         holder, its fencing token, and the number of orders that the engine
         must have accepted before.
       is_reachable: whether an endpoint accepts connections.
+      probe: calls an endpoint at a path; a failure of kind REFUSED is an answer
+        as well.
     """
 
     run: Callable[
@@ -186,6 +188,7 @@
         [Endpoint, Stage, str, int, int], Result[None, Failure]
     ]
     is_reachable: Callable[[Endpoint], bool]
+    probe: Callable[[Endpoint, str], Result[None, Failure]]
 
 
 class StoreError(enum.Enum):
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -33,6 +33,8 @@
 from burdockspan.gateway.part_quarantine import PartQuarantine
 from burdockspan.gateway.ports import ObserveSignals, Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
+from burdockspan.gateway.reachability import Reachability, observe_calls
+from burdockspan.gateway.reachability_probes import run_probes
 from burdockspan.gateway.reload import LoadSettings, make_reload
 from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import GatewaySettings
@@ -127,12 +129,18 @@
         clock,
         make_signal_observer(state.conditions, log, registry),
     )
+    reachability = Reachability(state.list_usable, clock, log, registry)
+    platform = dataclasses.replace(
+        platform,
+        endpoints=observe_calls(platform.endpoints, reachability, clock),
+    )
     part_quarantine = PartQuarantine(
         crash_records.KIND, platform.store, clock, random_float, log, registry
     )
     context = Context(
         platform=platform,
         state=state,
+        reachability=reachability,
         retry_budget=RetryBudget(settings.retry_budget, clock),
         crash_records=CrashRecordStore(
             platform.store,
@@ -263,6 +271,15 @@
     _start_thread(
         lambda: context.crash_records.run(components.stopped), "crashes"
     )
+    _start_thread(
+        lambda: run_probes(
+            context.reachability,
+            context.platform.endpoints,
+            context.state,
+            components.stopped,
+        ),
+        "probes",
+    )
     if context.origins.address is not None:
         _start_thread(context.origins.run, "origins")
     _start_thread(
--- /dev/null
+++ b/src/burdockspan/gateway/reachability.py
@@ -0,0 +1,260 @@
+"""Which services this VM reaches, as its calls to their endpoints show.
+
+A service is out of reach when calls to several of its endpoints have failed on
+the way, and none has been answered since. Whether the VM is cut off or the
+endpoints are gone cannot be told apart here; another VM may know.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from result import Err, Result
+
+from burdockspan.gateway.ports import AttemptOptions, EndpointClient
+from burdockspan.gateway.values import Endpoint, InboundCall, Incarnation
+from burdockspan.observe.event_log import WriteEvent
+from burdockspan.observe.registry import Registry
+from burdockspan.values.clock import Clock
+from burdockspan.values.placement import Failure, FailureKind
+
+SAMPLE_SIZE = 4
+"""Endpoints of a service that must have failed; with fewer, all of them."""
+# Older failures say nothing about the present.
+_FAILURE_TTL_S = 5.0
+# A connection attempt that had less time than this proves nothing.
+_MIN_ATTEMPT_S = 0.25
+# These failures happen before an endpoint answers.
+_ON_THE_WAY = frozenset(
+    (FailureKind.NOT_CONNECTED, FailureKind.CONNECTION_LOST)
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Evidence:
+    """What calls to the endpoints of a service have shown.
+
+    Attributes:
+      reached_s: when the latest answered call began, in monotonic seconds;
+        None if none was answered.
+      failed_s_by_incarnation: when later calls began that failed on the way.
+    """
+
+    reached_s: float | None = None
+    failed_s_by_incarnation: Mapping[Incarnation, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+_NO_EVIDENCE = _Evidence()
+
+
+class Reachability:
+    """Evidence by service, and the beliefs that follow from it."""
+
+    def __init__(
+        self,
+        list_endpoints: Callable[[str], Sequence[Endpoint]],
+        clock: Clock,
+        log: WriteEvent,
+        registry: Registry,
+    ) -> None:
+        self._list_endpoints = list_endpoints
+        self._clock = clock
+        self._log = log
+        self._registry = registry
+        self._lock = threading.Lock()
+        self._evidence_by_service: dict[str, _Evidence] = {}
+        self._lost: set[str] = set()
+        # Set while a failure has not been followed by an answer.
+        self.in_doubt = threading.Event()
+
+    def record_answer(self, endpoint: Endpoint, began_s: float) -> None:
+        """Records that an endpoint answered a call.
+
+        Args:
+          endpoint: the endpoint.
+          began_s: when the call began, in monotonic seconds. Connections that
+            were opened before a partition may outlive it.
+        """
+        service = endpoint.service
+        with self._lock:
+            evidence = self._find_evidence(service)
+            if evidence.reached_s is not None and began_s < evidence.reached_s:
+                return
+            failed_s = evidence.failed_s_by_incarnation
+            self._evidence_by_service[service] = _Evidence(
+                began_s,
+                {
+                    incarnation: failed_at_s
+                    for incarnation, failed_at_s in failed_s.items()
+                    if failed_at_s > began_s
+                },
+            )
+        if failed_s:
+            self.update(service)
+
+    def record_failure(self, endpoint: Endpoint, began_s: float) -> None:
+        """Records that a call failed before its endpoint answered."""
+        service = endpoint.service
+        with self._lock:
+            evidence = self._find_evidence(service)
+            if evidence.reached_s is not None and began_s <= evidence.reached_s:
+                return
+            failed_s = dict(evidence.failed_s_by_incarnation)
+            failed_s[endpoint.incarnation] = max(
+                began_s, failed_s.get(endpoint.incarnation, began_s)
+            )
+            self._evidence_by_service[service] = dataclasses.replace(
+                evidence, failed_s_by_incarnation=failed_s
+            )
+        self.update(service)
+        self.in_doubt.set()
+
+    def is_out_of_reach(self, service: str) -> bool:
+        """Returns whether no endpoint of a service can be reached from here."""
+        if not self._find_evidence(service).failed_s_by_incarnation:
+            return False
+        return self.update(service)
+
+    def list_doubtful(self) -> tuple[str, ...]:
+        """Returns the services with failures that no answer has followed."""
+        services = tuple(self._evidence_by_service)
+        return tuple(
+            service for service in services if self._list_failed(service)
+        )
+
+    def list_least_known(self, service: str) -> tuple[Endpoint, ...]:
+        """Returns the endpoints of a service to probe, the least known first.
+
+        At most `SAMPLE_SIZE` of them: those without a recent failure, then
+        those whose failures are the oldest.
+        """
+        failed_s = self._find_evidence(service).failed_s_by_incarnation
+        ranked = sorted(
+            self._list_endpoints(service),
+            key=lambda endpoint: failed_s.get(endpoint.incarnation, 0.0),
+        )
+        return tuple(ranked[:SAMPLE_SIZE])
+
+    def has_reached_since(self, service: str, since_s: float) -> bool:
+        """Returns whether an endpoint of a service answered a recent call.
+
+        Args:
+          service: name of the service.
+          since_s: when the call began at the earliest, in monotonic seconds.
+        """
+        reached_s = self._find_evidence(service).reached_s
+        return reached_s is not None and reached_s >= since_s
+
+    def update(self, service: str) -> bool:
+        """Returns whether a service is out of reach; logs a change of that."""
+        failed = self._list_failed(service)
+        endpoints = self._list_endpoints(service)
+        needed = min(len(endpoints), SAMPLE_SIZE)
+        is_lost = 0 < needed <= len(failed)
+        with self._lock:
+            if is_lost == (service in self._lost):
+                return is_lost
+            self._lost ^= {service}
+        self._log_change(service, is_lost, len(failed), len(endpoints))
+        return is_lost
+
+    def _find_evidence(self, service: str) -> _Evidence:
+        return self._evidence_by_service.get(service, _NO_EVIDENCE)
+
+    def _list_failed(self, service: str) -> list[Endpoint]:
+        """Returns the present endpoints whose latest evidence is a failure."""
+        failed_s = self._find_evidence(service).failed_s_by_incarnation
+        if not failed_s:
+            return []
+        oldest_s = self._clock() - _FAILURE_TTL_S
+        return [
+            endpoint
+            for endpoint in self._list_endpoints(service)
+            if failed_s.get(endpoint.incarnation, oldest_s) > oldest_s
+        ]
+
+    def _log_change(
+        self, service: str, is_lost: bool, failed: int, endpoints: int
+    ) -> None:
+        reached_s = self._find_evidence(service).reached_s
+        age_s = None if reached_s is None else self._clock() - reached_s
+        self._registry.count("service", "lost" if is_lost else "reached")
+        self._log(
+            "service out of reach" if is_lost else "service reached",
+            service=service,
+            failed=failed,
+            endpoints=endpoints,
+            reached_age_s=None if age_s is None else round(age_s, 3),
+        )
+
+
+def observe_calls(
+    client: EndpointClient, reachability: Reachability, clock: Clock
+) -> EndpointClient:
+    """Returns a client that records which of its calls are answered.
+
+    Args:
+      client: makes the calls.
+      reachability: receives the evidence.
+      clock: monotonic clock, in seconds.
+    """
+
+    def record(
+        endpoint: Endpoint, began_s: float, outcome: Result[Any, Failure]
+    ) -> None:
+        kind = outcome.err_value.kind if isinstance(outcome, Err) else None
+        if kind in _ON_THE_WAY:
+            reachability.record_failure(endpoint, began_s)
+        elif kind is not FailureKind.UNRESPONSIVE:
+            reachability.record_answer(endpoint, began_s)
+
+    def observe(call: Callable[..., Any]) -> Callable[..., Any]:
+        def observed(endpoint: Endpoint, *args: Any) -> Any:
+            began_s = clock()
+            outcome = call(endpoint, *args)
+            record(endpoint, began_s, outcome)
+            return outcome
+
+        return observed
+
+    def observe_attempt(call: Callable[..., Any]) -> Callable[..., Any]:
+        def observed(
+            endpoint: Endpoint, request: InboundCall, options: AttemptOptions
+        ) -> Any:
+            began_s = clock()
+            outcome = call(endpoint, request, options)
+            has_failed = isinstance(outcome, Err)
+            is_cut_short = (
+                options.abort.aborted or options.remaining_s < _MIN_ATTEMPT_S
+            )
+            if not (has_failed and is_cut_short):
+                record(endpoint, began_s, outcome)
+            return outcome
+
+        return observed
+
+    def is_reachable(endpoint: Endpoint) -> bool:
+        began_s = clock()
+        accepted = client.is_reachable(endpoint)
+        if not accepted:
+            reachability.record_failure(endpoint, began_s)
+        return accepted
+
+    return dataclasses.replace(
+        client,
+        run=observe_attempt(client.run),
+        prefill=observe_attempt(client.prefill),
+        reserve=observe(client.reserve),
+        fetch_load=observe(client.fetch_load),
+        order_stage=observe(client.order_stage),
+        probe=observe(client.probe),
+        is_reachable=is_reachable,
+    )
+
+
+__all__ = ["SAMPLE_SIZE", "Reachability", "observe_calls"]
--- /dev/null
+++ b/src/burdockspan/gateway/reachability_probes.py
@@ -0,0 +1,78 @@
+"""Probes the endpoints of services that may be out of reach."""
+
+from __future__ import annotations
+
+import threading
+
+from burdockspan.gateway.ports import EndpointClient
+from burdockspan.gateway.reachability import Reachability
+from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.values import Endpoint
+
+# Requests that are answered within this time make a probe unnecessary.
+_GRACE_S = 0.05
+_INTERVAL_S = 0.5
+# Any answer shows that an endpoint is reached, also a 404.
+_DEFAULT_PATH = "/"
+
+
+def run_probes(
+    reachability: Reachability,
+    endpoints: EndpointClient,
+    state: GatewayState,
+    stopped: threading.Event,
+) -> None:
+    """Probes services after failures, until each is reached again.
+
+    Args:
+      reachability: says which services are in doubt, and learns from the
+        probes.
+      endpoints: makes the probes.
+      state: knows the configuration.
+      stopped: ends the probes.
+    """
+    while not stopped.is_set():
+        if not reachability.in_doubt.wait(_INTERVAL_S):
+            continue
+        reachability.in_doubt.clear()
+        stopped.wait(_GRACE_S)
+        doubtful = reachability.list_doubtful()
+        for service in doubtful:
+            probe_service(reachability, endpoints, state, service)
+            reachability.update(service)
+        if reachability.list_doubtful():
+            stopped.wait(_INTERVAL_S)
+            reachability.in_doubt.set()
+
+
+def probe_service(
+    reachability: Reachability,
+    endpoints: EndpointClient,
+    state: GatewayState,
+    service: str,
+) -> None:
+    """Probes a few endpoints of a service at the same time."""
+    path = _find_health_path(state, service)
+
+    def probe(endpoint: Endpoint) -> None:
+        endpoints.probe(endpoint, path)
+
+    threads = [
+        threading.Thread(target=probe, args=(endpoint,), daemon=True)
+        for endpoint in reachability.list_least_known(service)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _find_health_path(state: GatewayState, service: str) -> str:
+    active = state.active_configuration()
+    if active is None:
+        return _DEFAULT_PATH
+    known = active.configuration.services_by_name.get(service)
+    return known.health_path if known is not None else _DEFAULT_PATH
+
+
+__all__ = ["probe_service", "run_probes"]
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -161,6 +161,10 @@
     def is_reachable(endpoint: Endpoint) -> bool:
         return connections.accepts_connections(_to_transport(endpoint))
 
+    def probe(endpoint: Endpoint, path: str) -> Result[None, Failure]:
+        answer = _call_control_api(channel, endpoint, "GET", path)
+        return answer if isinstance(answer, Err) else Ok(None)
+
     return EndpointClient(
         run=run,
         prefill=prefill,
@@ -170,6 +174,7 @@
         fetch_load=fetch_load,
         order_stage=order_stage,
         is_reachable=is_reachable,
+        probe=probe,
     )
 
 
--- a/tests/gateway/test_stage_orders.py
+++ b/tests/gateway/test_stage_orders.py
@@ -64,6 +64,7 @@
             fetch_load=fetch_load,
             order_stage=order_stage,
             is_reachable=unused,
+            probe=unused,
         )
         store_client = make_store(self.platform.address, lambda: self.now_s)
         return OrderSender(
