Relay requests to another VM while a service is out of reach

Cause: a VM took its own connections for the only way to an endpoint. It learned from the store that the endpoints live, tried each for 0.25 s, and answered for the whole system that no endpoint could be used.

A request whose service is out of reach is now sent to another VM, over HTTP on the internal port, as the caller sent it and with the time that is left. The other VM serves it like a caller's own, and counts it in the retry budget; it relays nothing itself, and declines what it cannot reach, what a newer configuration has routed, and everything while it stops. Only a request that has reached no endpoint is relayed, and only a declined one goes to a further VM, so that an unsafe request runs at most once. Relayed requests take at most half of the threads of a VM.

Ruled out: readiness. A zone with one VM, or with most VMs cut off, keeps getting callers from the load balancer, and kept connections stay where they are.

--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -23,14 +23,16 @@
     make_problem,
 )
 from burdockspan.gateway.plain import forward
+from burdockspan.gateway.relay_messages import make_declined, split_note
 from burdockspan.gateway.resumption import restrict_to_origin
 from burdockspan.gateway.routing import choose_service, find_route
-from burdockspan.gateway.values import InboundCall
+from burdockspan.gateway.values import InboundCall, RelayNote
 from burdockspan.resilience.crash_evidence import TRIAL_INTERVAL_S
 
 # A process has a configuration within a few calls to the store after its start.
 _UNREADY_RETRY_AFTER_S = 1.0
 _OVERLOADED_RETRY_AFTER_S = 1.0
+_OVERLOADED = "this router serves as many requests as it can"
 # Time that a process takes to restart after it has stopped.
 _RESTART_DELAY_S = 0.5
 
@@ -73,24 +75,65 @@
         if not in_flight.try_enter():
             context.registry.count("refusal", "overloaded")
             return make_problem(
-                503,
-                "not_run",
-                "this router serves as many requests as it can",
-                _OVERLOADED_RETRY_AFTER_S,
+                503, "not_run", _OVERLOADED, _OVERLOADED_RETRY_AFTER_S
             )
-        try:
-            decoded = context.platform.decode_call(raw)
-            response = _handle_safely(context, raw, decoded)
-        except BaseException:
-            in_flight.leave()
-            raise
-        call = decoded.ok()
-        request_id = call.request_id if call is not None else None
-        return _with_accounting(context, raw, request_id, response, in_flight)
+        return _handle_counted(context, raw, in_flight)
+
+    return handle
+
+
+def make_relay_handler(
+    context: Context, in_flight: InFlightRequests
+) -> Handler:
+    """Returns the handler of requests that other VMs relay.
+
+    Args:
+      context: dependencies.
+      in_flight: counts the relayed requests in flight.
+    """
+
+    def handle(raw: RawRequest) -> Response:
+        note, headers = split_note(raw.headers)
+        reason = _explain_decline(context, note)
+        if reason is None and not in_flight.try_enter():
+            reason = _OVERLOADED
+        if reason is not None:
+            context.registry.count("relay", "declined_here")
+            context.log("relayed request declined", reason=reason)
+            return make_declined(reason, _OVERLOADED_RETRY_AFTER_S)
+        context.registry.count("relay", "taken")
+        relayed = dataclasses.replace(raw, headers=headers, relay=note)
+        return _handle_counted(context, relayed, in_flight)
 
     return handle
 
 
+def _explain_decline(context: Context, note: RelayNote) -> str | None:
+    """Returns why this VM takes no relayed request; None if it takes one."""
+    if context.graceful_stop.has_begun:
+        return "this router is stopping"
+    active = context.state.active_configuration()
+    version = active.configuration.version if active is not None else 0
+    if active is None or version < note.configuration_version:
+        return f"configuration {version} is older than that of the request"
+    return None
+
+
+def _handle_counted(
+    context: Context, raw: RawRequest, in_flight: InFlightRequests
+) -> Response:
+    """Handles a request that has been counted, until its response ends."""
+    try:
+        decoded = context.platform.decode_call(raw)
+        response = _handle_safely(context, raw, decoded)
+    except BaseException:
+        in_flight.leave()
+        raise
+    call = decoded.ok()
+    request_id = call.request_id if call is not None else None
+    return _with_accounting(context, raw, request_id, response, in_flight)
+
+
 def _handle_safely(
     context: Context, raw: RawRequest, decoded: Result[InboundCall, str]
 ) -> Response:
@@ -122,7 +165,8 @@
     if isinstance(checked, Err):
         return checked.err_value
     request = checked.ok_value
-    context.retry_budget.record_request(request.service)
+    if not (request.relay and request.relay.runs):
+        context.retry_budget.record_request(request.service)
     service = request.services_by_name.get(request.service)
     if (
         service
@@ -167,6 +211,7 @@
             deadline_s=deadline_s,
             caller=raw.caller,
             abort=abort,
+            relay=raw.relay,
         )
     )
 
@@ -280,10 +325,11 @@
             first_byte_s=round(first_byte_s, 3),
             total_s=round(total_s, 3),
             caller_gone=raw.caller.gone,
+            relayed=raw.relay is not None,
             **stats,
         )
 
     return Response(response.status, response.headers, iterate(), close)
 
 
-__all__ = ["InFlightRequests", "make_handler"]
+__all__ = ["InFlightRequests", "make_handler", "make_relay_handler"]
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -16,9 +16,16 @@
     make_problem,
 )
 from burdockspan.gateway.part_quarantine import Part, list_parts
+from burdockspan.gateway.peers import Peer
 from burdockspan.gateway.ports import EndpointResponse
 from burdockspan.gateway.retry_budget import SpentRetry
-from burdockspan.gateway.values import Endpoint, InboundCall, Route, Service
+from burdockspan.gateway.values import (
+    Endpoint,
+    InboundCall,
+    RelayNote,
+    Route,
+    Service,
+)
 from burdockspan.gateway.vm_heartbeats import HEARTBEAT_INTERVAL_S
 from burdockspan.resilience.crash_evidence import SURVIVAL_S
 from burdockspan.values.placement import Failure, FailureKind
@@ -57,6 +64,7 @@
         stream that has begun there; None allows all endpoints.
       tries_part: whether it is the one request that tries a refused part of
         prompts again.
+      relay: note of the VM that relayed it; None if it came from a caller.
     """
 
     call: InboundCall
@@ -69,6 +77,7 @@
     abort: AbortHandle
     software_version: str | None = None
     tries_part: bool = False
+    relay: RelayNote | None = None
 
     @property
     def parts(self) -> tuple[Part, ...]:
@@ -80,12 +89,14 @@
     """Counts the attempts of one request, and spends the retry budget on them.
 
     Attributes:
-      run_count: number of attempts that may have run.
+      run_count: number of attempts that may have run, here or at the VM that
+        relayed the request.
       call_count: number of calls that reached an endpoint. The first completed
         prefill is not counted, since every generation needs one. Each counted
         call but the first is a retry in the retry budget.
       tried_incarnations: endpoints that attempts were sent to.
       last_failure: failure of the latest failed attempt.
+      asked_peers: VMs that were asked to serve the request.
       writing_since_s: when the run in progress sent its first event, in
         monotonic seconds; None before, and for other requests.
     """
@@ -93,14 +104,17 @@
     def __init__(self, context: Context, request: RoutedRequest) -> None:
         self._context = context
         self._request = request
-        self.run_count = 0
-        self.call_count = 0
+        earlier_runs = request.relay.runs if request.relay else 0
+        self._earlier_runs = earlier_runs
+        self.run_count = earlier_runs
+        self.call_count = earlier_runs
         self._parts = request.parts
         self._has_survived = False
         self._retries: list[SpentRetry] = []
         self._has_prefilled = False
         self.tried_incarnations: set[tuple[str, int]] = set()
         self.last_failure: Failure | None = None
+        self.asked_peers: set[str] = set()
         self.writing_since_s: float | None = None
 
     def try_start(self) -> bool:
@@ -174,6 +188,11 @@
         """Whether a prefill has been completed; another counts as a call."""
         return self._has_prefilled
 
+    @property
+    def has_called_here(self) -> bool:
+        """Whether a call of this VM may have reached an endpoint."""
+        return self.call_count > self._earlier_runs or self._has_prefilled
+
     def remaining_s(self) -> float:
         """Returns the time until the complete response is due."""
         return self._request.deadline_s - self._context.clock()
@@ -240,6 +259,29 @@
             )
         self._record("prefill failed", endpoint, failure, is_run=False)
 
+    def record_relay_failure(self, peer: Peer, failure: Failure) -> None:
+        """Records that another VM did not serve the request.
+
+        It counts as a run if the other VM may have begun one.
+        """
+        self.last_failure = failure
+        if failure.kind not in NOT_STARTED:
+            self.call_count += 1
+            self.run_count += 1
+        has_declined = failure.kind is FailureKind.REFUSED
+        self._context.registry.count(
+            "relay", "declined" if has_declined else failure.kind.value
+        )
+        self._context.log(
+            "relay failed",
+            request_id=self._request.call.request_id,
+            peer=peer.vm,
+            kind=failure.kind.value,
+            limit=failure.limit or None,
+            detail=failure.detail,
+            caller_gone=self._request.caller.gone,
+        )
+
     def record_truncated_stream(
         self, endpoint: Endpoint, failure: Failure
     ) -> None:
@@ -354,6 +396,8 @@
       The reason of the refusal, and the value of Retry-After in seconds.
     """
     version = request.software_version
+    if context.reachability.is_out_of_reach(request.service):
+        return "service out of reach", RETRY_AFTER_S
     soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, version
     )
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -10,6 +10,7 @@
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.origin_sharing import OriginSharing
 from burdockspan.gateway.part_quarantine import PartQuarantine
+from burdockspan.gateway.peers import Peers
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
 from burdockspan.gateway.reachability import Reachability
@@ -30,6 +31,7 @@
       platform: adapter to the platform.
       state: configuration, endpoints and load, as this process knows them.
       reachability: services that this VM reaches.
+      peers: the other VMs that may serve a request.
       retry_budget: limits repeated calls to endpoints.
       crash_records: finds requests that crash endpoints.
       part_quarantine: finds parts of prompts that crash engines.
@@ -49,6 +51,7 @@
     platform: Platform
     state: GatewayState
     reachability: Reachability
+    peers: Peers
     retry_budget: RetryBudget
     crash_records: CrashRecordStore
     part_quarantine: PartQuarantine
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -30,6 +30,7 @@
     start_prepared,
 )
 from burdockspan.gateway.messages import Response, TruncatedError
+from burdockspan.gateway.peer_relay import hand_over
 from burdockspan.gateway.resumption import publish_origin
 from burdockspan.gateway.sse import StreamProgress, split_events
 from burdockspan.gateway.values import EngineProperties, GenerationSize
@@ -59,9 +60,15 @@
 ) -> Response:
     """Returns the response of a decode engine, or an error response."""
     attempts = Attempts(context, request)
+    relayed = hand_over(context, request, attempts)
+    if relayed is not None:
+        return relayed
     context.demand.record_prompt(request.service, size.prompt_tokens)
     started = start_attempt(context, request, attempts, engine, size)
     if isinstance(started, Err):
+        relayed = hand_over(context, request, attempts)
+        if relayed is not None:
+            return relayed
         refusal = started.err_value
         return attempts.make_error_response(
             refusal.reason, refusal.retry_after_s
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/generation_attempts.py
@@ -23,6 +23,7 @@
     log_attempt,
 )
 from burdockspan.gateway.context import Context
+from burdockspan.gateway.peer_relay import can_hand_over
 from burdockspan.gateway.ports import AttemptOptions, EndpointResponse, KvCache
 from burdockspan.gateway.prefill_delays import should_decode_engine_prefill
 from burdockspan.gateway.ranking import exclude_tried, rank_prefill
@@ -163,6 +164,8 @@
     """Returns why no engine has reserved memory for a generation."""
     if attempts.is_quarantined():
         return Refusal(CRASHES_ENDPOINTS, TRIAL_INTERVAL_S)
+    if context.reachability.is_out_of_reach(request.service):
+        return Refusal(*explain_missing_endpoint(context, request, attempts))
     soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, request.software_version
     )
@@ -269,7 +272,11 @@
     request.caller.notify_when_gone(queue.wake)
 
     def has_gone() -> bool:
-        return request.caller.gone or attempts.is_quarantined()
+        return (
+            request.caller.gone
+            or attempts.is_quarantined()
+            or can_hand_over(context, request, attempts)
+        )
 
     silence = {"last_s": -math.inf}
 
--- a/src/burdockspan/gateway/messages.py
+++ b/src/burdockspan/gateway/messages.py
@@ -8,6 +8,8 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from burdockspan.gateway.values import RelayNote
+
 _PROBLEM_TYPE = "application/problem+json"
 
 
@@ -62,6 +64,7 @@
       client: IP address of the caller.
       arrived_s: when the request's head was complete, in monotonic seconds.
       caller: the caller's connection.
+      relay: note of the VM that relayed it; None if it came from a caller.
     """
 
     method: str
@@ -71,6 +74,7 @@
     client: str
     arrived_s: float
     caller: CallerConnection
+    relay: RelayNote | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/src/burdockspan/gateway/peer_relay.py
@@ -0,0 +1,160 @@
+"""Relays requests to other VMs while a service is out of reach here."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+
+from result import Err
+
+from burdockspan.endpoints.failures import EndpointError
+from burdockspan.gateway import passive_health
+from burdockspan.gateway.attempts import (
+    NOT_STARTED,
+    RETRY_AFTER_S,
+    Attempts,
+    RoutedRequest,
+)
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.messages import Response, TruncatedError
+from burdockspan.gateway.peers import Peer
+from burdockspan.gateway.ports import EndpointResponse, RelayOptions
+from burdockspan.gateway.relay_messages import make_declined
+from burdockspan.gateway.values import RelayNote, RequestKind
+from burdockspan.values.placement import FailureKind
+
+# VMs that are asked for one request. A VM that cannot serve it says so within
+# a round trip.
+_MAX_PEERS = 8
+OUT_OF_REACH = "service out of reach"
+"""Reason why a VM does not serve a request."""
+
+
+def can_hand_over(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> bool:
+    """Returns whether `hand_over` would find a VM for a request.
+
+    A request that has reached an endpoint stays here. One that another VM has
+    relayed goes back to that VM, and is never relayed twice.
+    """
+    if not context.reachability.is_out_of_reach(request.service):
+        return False
+    if attempts.has_called_here:
+        return False
+    if request.relay is not None:
+        return True
+    return _choose_peer(context, request, attempts) is not None
+
+
+def hand_over(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> Response | None:
+    """Lets another VM serve a request whose service is out of reach here.
+
+    Returns:
+      The response of the other VM; None if the request stays here, because the
+      service is in reach or no VM takes the request.
+    """
+    if not can_hand_over(context, request, attempts):
+        return None
+    if request.relay is not None:
+        context.registry.count("relay", "declined_here")
+        context.log(
+            "relayed request declined",
+            request_id=request.call.request_id,
+            service=request.service,
+            reason=OUT_OF_REACH,
+        )
+        return make_declined(OUT_OF_REACH, RETRY_AFTER_S)
+    while (peer := _choose_peer(context, request, attempts)) is not None:
+        if attempts.explain_no_run() is not None:
+            return None
+        attempts.asked_peers.add(peer.vm)
+        response = _ask(context, request, attempts, peer)
+        if response is not None:
+            return response
+    return None
+
+
+def _choose_peer(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> Peer | None:
+    if len(attempts.asked_peers) >= _MAX_PEERS:
+        return None
+    return context.peers.choose(request.service, attempts.asked_peers)
+
+
+def _ask(
+    context: Context,
+    request: RoutedRequest,
+    attempts: Attempts,
+    peer: Peer,
+) -> Response | None:
+    """Returns the response of a VM; None if it did not take the request."""
+    context.log(
+        "relay",
+        request_id=request.call.request_id,
+        service=request.service,
+        peer=peer.vm,
+        address=peer.address,
+        asked=len(attempts.asked_peers),
+        waited_s=round(context.clock() - request.call.arrived_s, 3),
+    )
+    options = RelayOptions(
+        remaining_s=attempts.remaining_s(),
+        abort=request.abort,
+        note=RelayNote(request.configuration_version, attempts.run_count),
+        expects_events=request.route.kind is RequestKind.STREAM,
+    )
+    end_work = context.peers.begin_work(peer)
+    outcome = context.platform.relay(peer, request.call, options)
+    if isinstance(outcome, Err):
+        end_work()
+        failure = outcome.err_value
+        attempts.record_relay_failure(peer, failure)
+        if failure.kind is FailureKind.REFUSED:
+            context.peers.record_declined(peer, request.service)
+        elif not request.caller.gone:
+            weight = passive_health.failure_weight(failure.kind)
+            context.peers.record_failure(peer, weight)
+        if failure.kind in NOT_STARTED:
+            return None
+        return attempts.make_error_response("relay failed", RETRY_AFTER_S)
+    context.peers.record_served(peer)
+    context.registry.count("relay", "served")
+    # The other VM counts the request.
+    context.retry_budget.withdraw_request(request.service)
+    return _make_response(context, request, peer, outcome.ok_value, end_work)
+
+
+def _make_response(
+    context: Context,
+    request: RoutedRequest,
+    peer: Peer,
+    answer: EndpointResponse,
+    end_work: Callable[[], None],
+) -> Response:
+    def iterate() -> Iterator[bytes]:
+        try:
+            yield from answer.iterate(lambda: math.inf, lambda: None)
+        except EndpointError as error:
+            context.registry.count("relay", "broke_off")
+            context.log(
+                "relay broke off",
+                request_id=request.call.request_id,
+                peer=peer.vm,
+                kind=error.failure.kind.value,
+                detail=error.failure.detail,
+                caller_gone=request.caller.gone,
+            )
+            raise TruncatedError(error.failure.detail) from error
+
+    def close() -> None:
+        answer.close()
+        end_work()
+
+    return Response(answer.status, answer.headers, iterate(), close)
+
+
+__all__ = ["OUT_OF_REACH", "can_hand_over", "hand_over"]
--- /dev/null
+++ b/src/burdockspan/gateway/peers.py
@@ -0,0 +1,151 @@
+"""The other VMs that may serve a request which this VM cannot."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections import Counter
+from collections.abc import Callable, Collection, Mapping
+
+from burdockspan.gateway import passive_health
+from burdockspan.gateway.passive_health import Suspicion
+from burdockspan.placement.sampling import RandomFloat
+from burdockspan.values.clock import Clock
+
+# A VM that declined a request for a service is not asked again for this time.
+_DECLINED_S = 1.0
+# A VM that served a relayed request within this time is preferred once another
+# one has declined.
+_SERVED_S = 5.0
+# In requests in flight. A VM of another zone ranks like one of this zone that
+# serves one more request of this VM.
+_OTHER_ZONE_PENALTY = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Peer:
+    """Another VM.
+
+    Attributes:
+      vm: its name.
+      address: `ip:port` for relayed requests.
+      zone: its availability zone; empty if unknown.
+    """
+
+    vm: str
+    address: str
+    zone: str = ""
+
+
+class Peers:
+    """The other VMs, with what this VM has learned of them by relaying."""
+
+    def __init__(
+        self, vm: str, zone: str, clock: Clock, random_float: RandomFloat
+    ) -> None:
+        self._vm = vm
+        self._zone = zone
+        self._clock = clock
+        self._random_float = random_float
+        self._lock = threading.Lock()
+        self._peer_by_vm: dict[str, Peer] = {}
+        self._suspicion_by_vm: dict[str, Suspicion] = {}
+        self._in_flight_by_vm: Counter[str] = Counter()
+        self._declined_s_by_key: dict[tuple[str, str], float] = {}
+        self._served_s_by_vm: dict[str, float] = {}
+
+    def set_values(
+        self, value_by_vm: Mapping[str, Mapping[str, object]]
+    ) -> None:
+        """Sets the VMs from their heartbeats; malformed ones are left out."""
+        peers = {}
+        for vm, value in value_by_vm.items():
+            address, zone = value.get("relay_address"), value.get("zone")
+            if vm != self._vm and isinstance(address, str) and ":" in address:
+                peers[vm] = Peer(
+                    vm, address, zone if isinstance(zone, str) else ""
+                )
+        with self._lock:
+            self._peer_by_vm = peers
+            for vm in self._suspicion_by_vm.keys() - peers.keys():
+                del self._suspicion_by_vm[vm]
+
+    def choose(self, service: str, tried: Collection[str]) -> Peer | None:
+        """Returns the VM to ask next, the least loaded by this VM first.
+
+        Args:
+          service: service of the request.
+          tried: VMs that have been asked already.
+        """
+        now_s = self._clock()
+        with self._lock:
+            peers = [
+                peer
+                for vm, peer in self._peer_by_vm.items()
+                if vm not in tried and self._may_serve(vm, service, now_s)
+            ]
+            return min(
+                peers,
+                key=lambda peer: self._rank(peer, bool(tried), now_s),
+                default=None,
+            )
+
+    def _may_serve(self, vm: str, service: str, now_s: float) -> bool:
+        declined_s = self._declined_s_by_key.get((vm, service))
+        if declined_s is not None and now_s - declined_s < _DECLINED_S:
+            return False
+        weight = passive_health.current_weight(
+            self._suspicion_by_vm.get(vm), now_s
+        )
+        return weight < passive_health.SUSPECT_WEIGHT
+
+    def _rank(
+        self, peer: Peer, prefers_proven: bool, now_s: float
+    ) -> tuple[bool, float, float]:
+        served_s = self._served_s_by_vm.get(peer.vm)
+        is_proven = served_s is not None and now_s - served_s < _SERVED_S
+        load = float(self._in_flight_by_vm[peer.vm])
+        if peer.zone != self._zone:
+            load += _OTHER_ZONE_PENALTY
+        return prefers_proven and not is_proven, load, self._random_float()
+
+    def begin_work(self, peer: Peer) -> Callable[[], None]:
+        """Counts a request in flight at a VM.
+
+        Returns:
+          A function that records its end; only the first call has an effect.
+        """
+        with self._lock:
+            self._in_flight_by_vm[peer.vm] += 1
+        ended = threading.Lock()
+
+        def end() -> None:
+            if not ended.acquire(blocking=False):
+                return
+            with self._lock:
+                self._in_flight_by_vm[peer.vm] -= 1
+                if self._in_flight_by_vm[peer.vm] <= 0:
+                    del self._in_flight_by_vm[peer.vm]
+
+        return end
+
+    def record_served(self, peer: Peer) -> None:
+        """Records that a VM took a request."""
+        with self._lock:
+            self._served_s_by_vm[peer.vm] = self._clock()
+
+    def record_declined(self, peer: Peer, service: str) -> None:
+        """Records that a VM cannot serve requests for a service either."""
+        with self._lock:
+            self._declined_s_by_key[peer.vm, service] = self._clock()
+            self._served_s_by_vm.pop(peer.vm, None)
+
+    def record_failure(self, peer: Peer, weight: float) -> None:
+        """Raises the suspicion against a VM by a weight."""
+        with self._lock:
+            self._suspicion_by_vm[peer.vm] = passive_health.add_failure(
+                self._suspicion_by_vm.get(peer.vm), weight, self._clock()
+            )
+
+
+__all__ = ["Peer", "Peers"]
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -23,6 +23,7 @@
 )
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.messages import Response, TruncatedError
+from burdockspan.gateway.peer_relay import hand_over
 from burdockspan.gateway.ports import AttemptOptions, EndpointResponse
 from burdockspan.gateway.ranking import exclude_tried, rank_plain
 from burdockspan.gateway.resumption import publish_origin
@@ -53,6 +54,9 @@
     successor: Endpoint | None = None
     left: Endpoint | None = None
     while True:
+        relayed = hand_over(context, request, attempts)
+        if relayed is not None:
+            return relayed
         endpoint = (
             successor
             or _take_endpoint(context, request, attempts)
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -13,10 +13,12 @@
 from burdockspan.endpoints.exchange import Framing
 from burdockspan.endpoints.sockets import AbortHandle
 from burdockspan.gateway.messages import RawRequest
+from burdockspan.gateway.peers import Peer
 from burdockspan.gateway.values import (
     Configuration,
     Endpoint,
     InboundCall,
+    RelayNote,
     Stage,
 )
 from burdockspan.values.placement import Failure
@@ -191,6 +193,36 @@
     probe: Callable[[Endpoint, str], Result[None, Failure]]
 
 
+@dataclasses.dataclass(frozen=True)
+class RelayOptions:
+    """Options of a request that is sent to another VM.
+
+    Attributes:
+      remaining_s: time until the request's deadline.
+      abort: lets another thread abort the call.
+      note: what the other VM must know about the request.
+      expects_events: whether a successful response that names no media type is
+        a stream of events.
+      after_event: id of the last event that the caller received, if the stream
+        goes on there; None for its begin.
+      resumed_request_id: request that began the stream; None for its begin.
+    """
+
+    remaining_s: float
+    abort: AbortHandle
+    note: RelayNote
+    expects_events: bool = False
+    after_event: str | None = None
+    resumed_request_id: str | None = None
+
+
+# A `Failure` of kind NOT_CONNECTED or REFUSED means that the other VM did not
+# take the request.
+RelayRequest = Callable[
+    [Peer, InboundCall, RelayOptions], Result[EndpointResponse, Failure]
+]
+
+
 class StoreError(enum.Enum):
     """Why a call to the store failed.
 
@@ -299,6 +331,7 @@
     Attributes:
       store: its object store.
       endpoints: calls its endpoints.
+      relay: sends a request to another VM.
       kinds: kinds of its objects.
       decode_call: decodes a caller's request.
       decode_configuration: decodes an object that holds a configuration.
@@ -307,6 +340,7 @@
 
     store: Store
     endpoints: EndpointClient
+    relay: RelayRequest
     kinds: ObjectKinds
     decode_call: Callable[[RawRequest], Result[InboundCall, str]]
     decode_configuration: Callable[[StoredObject], Result[Configuration, str]]
@@ -325,6 +359,8 @@
     "ObjectKinds",
     "ObserveSignals",
     "Platform",
+    "RelayOptions",
+    "RelayRequest",
     "Store",
     "StoreError",
     "StoredObject",
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -13,7 +13,11 @@
 
 from burdockspan.gateway import crash_records, stages
 from burdockspan.gateway.admission_queue import AdmissionQueues
-from burdockspan.gateway.application import InFlightRequests, make_handler
+from burdockspan.gateway.application import (
+    InFlightRequests,
+    make_handler,
+    make_relay_handler,
+)
 from burdockspan.gateway.connection_log import make_close_recorder
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.crash_records import CrashRecordStore
@@ -31,6 +35,7 @@
 from burdockspan.gateway.messages import make_status_line
 from burdockspan.gateway.origin_sharing import open_origin_sharing
 from burdockspan.gateway.part_quarantine import PartQuarantine
+from burdockspan.gateway.peers import Peers
 from burdockspan.gateway.ports import ObserveSignals, Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
 from burdockspan.gateway.reachability import Reachability, observe_calls
@@ -43,6 +48,7 @@
 from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.stream_origins import StreamOrigins
+from burdockspan.gateway.values import RequestLimits
 from burdockspan.gateway.vm_heartbeats import (
     HEARTBEAT_INTERVAL_S,
     VmHeartbeats,
@@ -65,6 +71,8 @@
 _REFUSAL_THREADS = 4
 _STATUS_THREADS = 1
 _POLL_INTERVAL_S = 0.1
+# Room for the headers that a VM adds to a request that it relays.
+_RELAY_HEADER_BYTES = 1024
 # Less than the part of the grace period that is left after the deadline.
 _CLOSE_TIMEOUT_S = 0.2
 _CLOSE_POLL_INTERVAL_S = 0.01
@@ -84,6 +92,7 @@
       settings: settings of the process.
       context: dependencies of the request handlers.
       ingress: server for callers.
+      relay_server: server for requests that other VMs relay.
       status_servers: servers for the readiness check and metrics.
       order_sender: orders engines to change their stage.
       vm_heartbeats: counts the live VMs.
@@ -94,6 +103,7 @@
     settings: GatewaySettings
     context: Context
     ingress: Server
+    relay_server: Server | None
     status_servers: tuple[Server, ...]
     order_sender: OrderSender
     vm_heartbeats: VmHeartbeats
@@ -141,6 +151,9 @@
         platform=platform,
         state=state,
         reachability=reachability,
+        peers=Peers(
+            settings.vm, settings.availability_zone, clock, random_float
+        ),
         retry_budget=RetryBudget(settings.retry_budget, clock),
         crash_records=CrashRecordStore(
             platform.store,
@@ -175,6 +188,7 @@
         clock,
         make_close_recorder(log, registry),
     )
+    relay_server = _make_relay_server(settings, context)
     status_servers = _make_status_servers(settings, context)
     order_sender = OrderSender(
         settings.vm,
@@ -188,16 +202,52 @@
         settings,
         context,
         ingress,
+        relay_server,
         status_servers,
         order_sender,
-        _make_vm_heartbeats(settings, context, order_sender),
+        _make_vm_heartbeats(settings, context, order_sender, relay_server),
         in_flight,
         threading.Event(),
     )
 
 
+def _make_relay_server(
+    settings: GatewaySettings, context: Context
+) -> Server | None:
+    """Returns the server for relayed requests, if there is an address for it.
+
+    Relayed requests take at most half of the threads, so that they leave room
+    for this VM's own callers.
+    """
+    if settings.peer_address is None:
+        return None
+    limit = max(1, settings.threads // 2)
+
+    def relay_limits() -> RequestLimits:
+        limits = context.state.limits()
+        return dataclasses.replace(
+            limits,
+            header_bytes=limits.header_bytes + _RELAY_HEADER_BYTES,
+            # The VM that relays a request may know a larger limit.
+            body_bytes=2 * limits.body_bytes,
+        )
+
+    return make_ingress(
+        make_relay_handler(context, InFlightRequests(limit)),
+        settings.peer_address,
+        limit + _REFUSAL_THREADS,
+        relay_limits,
+        lambda: True,
+        context.clock,
+        make_close_recorder(context.log, context.registry),
+    )
+
+
 def _make_vm_heartbeats(
-    settings: GatewaySettings, context: Context, order_sender: OrderSender
+    settings: GatewaySettings,
+    context: Context,
+    order_sender: OrderSender,
+    relay_server: Server | None,
 ) -> VmHeartbeats:
     settled_engines = stages.SettledEngines()
     started_s = context.clock()
@@ -222,6 +272,8 @@
         lambda: {
             "demand": stages.encode_measurements(context.demand.measure()),
             "peer_address": context.origins.address,
+            "relay_address": relay_server.address if relay_server else None,
+            "zone": settings.availability_zone,
             "versions": context.state.version_history.encode(),
         },
         on_count,
@@ -243,6 +295,7 @@
     context.origins.set_peers(
         {vm: value.get("peer_address") for vm, value in objects_by_vm.items()}
     )
+    context.peers.set_values(objects_by_vm)
     context.state.version_history.complete(
         value.get("versions") for value in objects_by_vm.values()
     )
@@ -251,7 +304,7 @@
 def start(components: Components) -> None:
     """Starts the servers, the watchers of the store, and the heartbeats."""
     context = components.context
-    for server in (components.ingress, *components.status_servers):
+    for server in _list_servers(components):
         _start_thread(server.run, "server")
     for watcher in make_watchers(
         context.platform,
@@ -292,10 +345,17 @@
     """Stops the servers and threads, and closes open connections."""
     components.stopped.set()
     components.context.origins.close()
-    for server in (components.ingress, *components.status_servers):
+    for server in _list_servers(components):
         server.stop()
 
 
+def _list_servers(components: Components) -> list[Server]:
+    servers = [components.ingress, *components.status_servers]
+    if components.relay_server is not None:
+        servers.append(components.relay_server)
+    return servers
+
+
 def run_gateway(
     settings: GatewaySettings,
     make_platform: MakePlatform,
@@ -379,6 +439,9 @@
     context = components.context
     graceful_stop = context.graceful_stop
     ingress = components.ingress
+    relay_server = components.relay_server
+    if relay_server is not None:
+        relay_server.close_idle()
     waiter = threading.Event()
     while context.clock() < graceful_stop.deadline_s:
         run_periodic_tasks()
@@ -386,7 +449,9 @@
             ingress.close_idle()
         elif graceful_stop.has_left_rotation():
             ingress.close_when_idle()
-        if ingress.has_closed():
+        if ingress.has_closed() and (
+            relay_server is None or relay_server.has_closed()
+        ):
             break
         waiter.wait(_POLL_INTERVAL_S)
 
--- a/src/burdockspan/gateway/retry_budget.py
+++ b/src/burdockspan/gateway/retry_budget.py
@@ -67,6 +67,13 @@
         with self._lock:
             self._requests_by_service[service].append(self._clock())
 
+    def withdraw_request(self, service: str) -> None:
+        """Takes back the latest count of a request that another VM counts."""
+        with self._lock:
+            requests = self._requests_by_service[service]
+            if requests:
+                requests.pop()
+
     def try_spend(self, service: str) -> SpentRetry | None:
         """Spends one retry of the budget; returns None if none is left."""
         now_s = self._clock()
--- a/src/burdockspan/gateway/values.py
+++ b/src/burdockspan/gateway/values.py
@@ -230,6 +230,19 @@
         return self.target.partition("?")[0]
 
 
+@dataclasses.dataclass(frozen=True)
+class RelayNote:
+    """What the VM that relays a request to another one says about it.
+
+    Attributes:
+      configuration_version: version of the configuration that routed it there.
+      runs: number of its runs that may have begun so far.
+    """
+
+    configuration_version: int = 0
+    runs: int = 0
+
+
 __all__ = [
     "Configuration",
     "Endpoint",
@@ -237,6 +250,7 @@
     "GenerationSize",
     "InboundCall",
     "Incarnation",
+    "RelayNote",
     "RequestKind",
     "RequestLimits",
     "Route",
--- a/src/burdockspan/platform/adapter.py
+++ b/src/burdockspan/platform/adapter.py
@@ -14,6 +14,7 @@
 from burdockspan.platform import documents
 from burdockspan.platform.endpoint_client import make_endpoint_client
 from burdockspan.platform.ingress import decode_call
+from burdockspan.platform.relay_client import make_relay_client
 from burdockspan.platform.store import make_store
 from burdockspan.values.clock import Clock
 
@@ -31,6 +32,7 @@
     return Platform(
         store=make_store(store_address, clock),
         endpoints=make_endpoint_client(clock, observe_signals),
+        relay=make_relay_client(clock),
         kinds=ObjectKinds(
             documents.CONFIGURATION_KIND, documents.ENDPOINT_KIND
         ),
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -33,7 +33,8 @@
 
 # The first packet of a connection takes 3 ms between zones. A lost one is
 # retransmitted only after a second, which is too long to wait for.
-_CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_S = 0.25
+"""Time limit for opening a connection within a region."""
 # Control calls, such as reservations and load reports, take some milliseconds.
 _CONTROL_TIMEOUT_S = 0.5
 _CONTROL_SILENCE_S = 0.1
@@ -61,14 +62,14 @@
       clock: monotonic clock, in seconds.
       observe_signals: receives the signals of each answer.
     """
-    connections = make_connections(clock, lambda: _CONNECT_TIMEOUT_S)
+    connections = make_connections(clock, lambda: CONNECT_TIMEOUT_S)
     channel = _Channel(connections, observe_signals)
 
     def run(
         endpoint: Endpoint, call: InboundCall, options: AttemptOptions
     ) -> Result[EndpointResponse, Failure]:
         exchanged = _send_request(channel, endpoint, call, options)
-        return exchanged.map(_make_response)
+        return exchanged.map(make_response)
 
     def prefill(
         endpoint: Endpoint, call: InboundCall, options: AttemptOptions
@@ -258,11 +259,12 @@
         headers.add(header_names.KV_HOLD, options.reservation)
     if prefill_only:
         headers.add(header_names.STAGE, "prefill")
-    _skip_library_headers(headers)
+    skip_library_headers(headers)
     return headers
 
 
-def _skip_library_headers(headers: urllib3.HTTPHeaderDict) -> None:
+def skip_library_headers(headers: urllib3.HTTPHeaderDict) -> None:
+    """Keeps urllib3 from adding headers that the caller did not send."""
     for name in ("Accept-Encoding", "User-Agent"):
         if name not in headers:
             headers[name] = urllib3.util.SKIP_HEADER
@@ -312,7 +314,9 @@
     return None
 
 
-def _make_response(exchange: Exchange) -> EndpointResponse:
+def make_response(exchange: Exchange) -> EndpointResponse:
+    """Returns a response whose body is read from an exchange."""
+
     def iterate(
         silence_limit_s: Callable[[], float], on_silence: OnSilence
     ) -> Iterator[bytes]:
@@ -345,7 +349,7 @@
     if content is not None:
         headers.add("Content-Type", "application/json")
     headers.add(header_names.EXPECT_INSTANCE, endpoint.id)
-    _skip_library_headers(headers)
+    skip_library_headers(headers)
     call = Call(
         endpoint=_to_transport(endpoint),
         method=method,
@@ -421,4 +425,9 @@
     )
 
 
-__all__ = ["make_endpoint_client"]
+__all__ = [
+    "CONNECT_TIMEOUT_S",
+    "make_endpoint_client",
+    "make_response",
+    "skip_library_headers",
+]
