Report no crashes that a VM without a path cannot see

A lost connection to an endpoint that takes no new one counted as its crash, and three of them quarantine a request at all VMs.

An endpoint now counts as crashed only if this VM reaches another one, of the same service if there is any, in a call that began after the loss, and if the endpoint is still out of reach after that. Otherwise the store decides: the crash is noted once the endpoint's entry is gone or tells a later start, and dropped after 8 s.

--- a/src/burdockspan/gateway/crash_records.py
+++ b/src/burdockspan/gateway/crash_records.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import dataclasses
+import enum
 import hashlib
 import queue
 import threading
@@ -50,6 +51,17 @@
 _IDLE_S = 0.5
 # The requests that are lost with an endpoint end within this time.
 _CONFIRMED_S = 1.0
+# The entry of an endpoint that has crashed is gone from the store within this
+# time.
+_UNDECIDED_S = 8.0
+
+
+class _Verdict(enum.Enum):
+    """Whether an endpoint that lost a connection has crashed."""
+
+    CRASHED = "crashed"
+    ALIVE = "alive"
+    UNDECIDED = "undecided"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,7 +90,27 @@
         clock: Clock,
         log: WriteEvent,
         part_quarantine: PartQuarantine,
+        reaches_others: Callable[[Endpoint, float], bool] = lambda *_: True,
+        is_registered: Callable[[Endpoint], bool] = lambda _: True,
     ) -> None:
+        """Creates an empty store of records.
+
+        Args:
+          store: the platform's store.
+          is_reachable: returns whether an endpoint accepts connections.
+          clock: monotonic clock, in seconds.
+          log: writes a log event.
+          part_quarantine: records of parts of prompts.
+          reaches_others: returns whether this VM has reached an endpoint other
+            than the given one, in a call that began since the given time in
+            monotonic seconds.
+          is_registered: returns whether the store has an entry of an endpoint's
+            present incarnation.
+        """
+        self._reaches_others = reaches_others
+        self._is_registered = is_registered
+        # With the time until which each may be decided, in monotonic seconds.
+        self._undecided: list[tuple[_SuspectedCrash, float]] = []
         self._store = store
         self._part_quarantine = part_quarantine
         self._is_reachable = is_reachable
@@ -169,6 +201,7 @@
                 suspected = self._suspected_crashes.get(timeout=_IDLE_S)
             except queue.Empty:
                 self._prune()
+                self.decide_pending()
                 suspected = None
             if suspected is None:
                 self._part_quarantine.maintain()
@@ -194,20 +227,47 @@
         """Checks whether an endpoint is reachable; if not, records a crash.
 
         An endpoint that is still reachable lost only a connection, for example
-        by a reset in the network.
+        by a reset in the network. While this VM reaches no other endpoint
+        either, the store's entry decides.
         """
-        if not self._has_crashed(endpoint):
-            return
-        crash = (endpoint.id, str(endpoint.started_ms))
-        self._part_quarantine.record_crash(suspected_parts, crash)
-        self._add_records(request_fingerprint, (crash,))
-        self._log(
-            "crash noted", fingerprint=request_fingerprint, endpoint=endpoint.id
+        suspected = _SuspectedCrash(
+            request_fingerprint, endpoint, suspected_parts
         )
-        self._write_records(request_fingerprint)
+        verdict = self._judge(endpoint)
+        if verdict is _Verdict.CRASHED:
+            self._record_crash(suspected)
+        elif verdict is _Verdict.UNDECIDED:
+            until_s = self._clock() + _UNDECIDED_S
+            self._undecided.append((suspected, until_s))
+
+    def decide_pending(self) -> None:
+        """Decides the suspicions for which the store has evidence by now."""
+        now_s = self._clock()
+        pending, self._undecided = self._undecided, []
+        for suspected, until_s in pending:
+            if not self._is_registered(suspected.endpoint):
+                self._record_crash(suspected)
+            elif now_s < until_s:
+                self._undecided.append((suspected, until_s))
+            else:
+                self._log(
+                    "crash not noted",
+                    fingerprint=suspected.request_fingerprint,
+                    endpoint=suspected.endpoint.id,
+                    cause="no endpoint was reached, and its entry stays",
+                )
+
+    def _record_crash(self, suspected: _SuspectedCrash) -> None:
+        endpoint = suspected.endpoint
+        fingerprint = suspected.request_fingerprint
+        crash = (endpoint.id, str(endpoint.started_ms))
+        self._part_quarantine.record_crash(suspected.parts, crash)
+        self._add_records(fingerprint, (crash,))
+        self._log("crash noted", fingerprint=fingerprint, endpoint=endpoint.id)
+        self._write_records(fingerprint)
 
-    def _has_crashed(self, endpoint: Endpoint) -> bool:
-        """Returns whether an endpoint is gone.
+    def _judge(self, endpoint: Endpoint) -> _Verdict:
+        """Returns whether an endpoint has crashed, as seen from this VM.
 
         It is checked once for all the requests that are lost with it, since a
         check takes long if the endpoint's machine does not answer.
@@ -219,11 +279,16 @@
             if until_s > now_s
         }
         if endpoint.incarnation in self._confirmed_until_s:
-            return True
+            return _Verdict.CRASHED
         if self._is_reachable(endpoint):
-            return False
+            return _Verdict.ALIVE
+        if not self._reaches_others(endpoint, now_s):
+            return _Verdict.UNDECIDED
+        # A partition of this VM may have ended between the two checks.
+        if self._is_reachable(endpoint):
+            return _Verdict.ALIVE
         self._confirmed_until_s[endpoint.incarnation] = now_s + _CONFIRMED_S
-        return True
+        return _Verdict.CRASHED
 
     def make_watcher(self) -> ObjectWatcher:
         """Returns the watcher that adds the records of other VMs."""
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -39,7 +39,7 @@
 from burdockspan.gateway.ports import ObserveSignals, Platform
 from burdockspan.gateway.prefill_delays import PrefillDelays
 from burdockspan.gateway.reachability import Reachability, observe_calls
-from burdockspan.gateway.reachability_probes import run_probes
+from burdockspan.gateway.reachability_probes import make_path_check, run_probes
 from burdockspan.gateway.reload import LoadSettings, make_reload
 from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import GatewaySettings
@@ -161,6 +161,8 @@
             clock,
             log,
             part_quarantine,
+            make_path_check(reachability, platform.endpoints, state),
+            state.is_registered,
         ),
         part_quarantine=part_quarantine,
         demand=DemandMeter(clock),
--- a/src/burdockspan/gateway/reachability_probes.py
+++ b/src/burdockspan/gateway/reachability_probes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 from burdockspan.gateway.ports import EndpointClient
 from burdockspan.gateway.reachability import Reachability
@@ -67,6 +68,44 @@
         thread.join()
 
 
+def make_path_check(
+    reachability: Reachability, endpoints: EndpointClient, state: GatewayState
+) -> Callable[[Endpoint, float], bool]:
+    """Returns a check whether this VM reaches any endpoint but a given one.
+
+    The other endpoints of its service decide; if there are none, those of the
+    other services. Without any other endpoint, the path counts as sound.
+    """
+
+    def reaches_others(endpoint: Endpoint, since_s: float) -> bool:
+        services = _choose_services(state, endpoint)
+        if any(
+            reachability.has_reached_since(service, since_s)
+            for service in services
+        ):
+            return True
+        for service in services:
+            probe_service(reachability, endpoints, state, service)
+            if reachability.has_reached_since(service, since_s):
+                return True
+        return not services
+
+    return reaches_others
+
+
+def _choose_services(state: GatewayState, besides: Endpoint) -> list[str]:
+    """Returns the services whose endpoints show whether a path is sound."""
+    others = [
+        entry.endpoint
+        for entry in state.endpoint_table().by_id.values()
+        if entry.endpoint.incarnation != besides.incarnation
+    ]
+    services = {endpoint.service for endpoint in others}
+    if besides.service in services:
+        return [besides.service]
+    return sorted(services)
+
+
 def _find_health_path(state: GatewayState, service: str) -> str:
     active = state.active_configuration()
     if active is None:
@@ -75,4 +114,4 @@
     return known.health_path if known is not None else _DEFAULT_PATH
 
 
-__all__ = ["probe_service", "run_probes"]
+__all__ = ["make_path_check", "probe_service", "run_probes"]
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -105,6 +105,14 @@
         """Returns the current table of endpoints."""
         return self._endpoint_table
 
+    def is_registered(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint is in the table, not yet restarted."""
+        entry = self._endpoint_table.by_id.get(endpoint.id)
+        return (
+            entry is not None
+            and entry.endpoint.incarnation == endpoint.incarnation
+        )
+
     def endpoints_age_s(self) -> float | None:
         """Returns the age of the endpoint table; None before the first list."""
         received_s = self._endpoints_received_s
--- a/tests/gateway/test_cut_off_vms.py
+++ b/tests/gateway/test_cut_off_vms.py
@@ -156,3 +156,26 @@
         for endpoint in context.state.list_usable("app"):
             context.crash_records.check_endpoint("request-1", endpoint)
         self.assertEqual(self.vm.events_named("crash noted"), [])
+
+    def test_crash_is_noted_once_the_store_drops_the_endpoint(self) -> None:
+        """Guards against a crash that a VM without a path never reports."""
+        endpoints = self.add_plain_endpoints()
+        context = self.vm.components.context
+        (suspect, *_) = context.state.list_usable("app")
+        self.partition.cut = Cut.REFUSE
+        context.crash_records.check_endpoint("request-1", suspect)
+        context.crash_records.decide_pending()
+        self.assertEqual(self.vm.events_named("crash noted"), [])
+        self.other.store.remove("servers", suspect.id)
+        wait_for(lambda: bool(self.vm.events_named("crash noted")))
+        self.assertEqual(len(endpoints), 3)
+
+    def test_crash_of_one_endpoint_is_noted_at_once(self) -> None:
+        """Guards against a check that waits although the path is sound."""
+        endpoints = self.add_plain_endpoints()
+        context = self.vm.components.context
+        by_id = {item.id: item for item in context.state.list_usable("app")}
+        endpoints[0].close()
+        suspect = by_id[endpoints[0].id]
+        context.crash_records.check_endpoint("request-1", suspect)
+        self.assertEqual(len(self.vm.events_named("crash noted")), 1)
