Let another VM go on with what a partition interrupts

Reads that waited for an endpoint got a 502 or 504.

A request that may run more than once now goes to another VM also after its calls have reached endpoints here. The other VM is told its runs and calls so far, so that max_attempts and the retry budget hold over both, and the event after which a stream goes on. Only what is out of reach leaves a silent endpoint this way.

--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/application.py
@@ -165,7 +165,7 @@
     if isinstance(checked, Err):
         return checked.err_value
     request = checked.ok_value
-    if not (request.relay and request.relay.runs):
+    if not (request.relay and request.relay.calls):
         context.retry_budget.record_request(request.service)
     service = request.services_by_name.get(request.service)
     if (
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -91,9 +91,9 @@
     Attributes:
       run_count: number of attempts that may have run, here or at the VM that
         relayed the request.
-      call_count: number of calls that reached an endpoint. The first completed
-        prefill is not counted, since every generation needs one. Each counted
-        call but the first is a retry in the retry budget.
+      call_count: number of calls that reached an endpoint, likewise. The first
+        completed prefill is not counted, since every generation needs one. Each
+        counted call but the first is a retry in the retry budget.
       tried_incarnations: endpoints that attempts were sent to.
       last_failure: failure of the latest failed attempt.
       asked_peers: VMs that were asked to serve the request.
@@ -104,14 +104,16 @@
     def __init__(self, context: Context, request: RoutedRequest) -> None:
         self._context = context
         self._request = request
-        earlier_runs = request.relay.runs if request.relay else 0
-        self._earlier_runs = earlier_runs
-        self.run_count = earlier_runs
-        self.call_count = earlier_runs
+        earlier = request.relay or RelayNote()
+        self._earlier_calls = earlier.calls
+        self.run_count = earlier.runs
+        self.call_count = earlier.calls
         self._parts = request.parts
         self._has_survived = False
         self._retries: list[SpentRetry] = []
-        self._has_prefilled = False
+        # A prefill at the VM that relayed the request is not told, so that any
+        # further one counts as a call.
+        self._has_prefilled = earlier.calls > 0
         self.tried_incarnations: set[tuple[str, int]] = set()
         self.last_failure: Failure | None = None
         self.asked_peers: set[str] = set()
@@ -190,8 +192,9 @@
 
     @property
     def has_called_here(self) -> bool:
-        """Whether a call of this VM may have reached an endpoint."""
-        return self.call_count > self._earlier_runs or self._has_prefilled
+        """Whether a call of this VM has reached an endpoint."""
+        has_prefilled_here = self._has_prefilled and not self._earlier_calls
+        return self.call_count > self._earlier_calls or has_prefilled_here
 
     def remaining_s(self) -> float:
         """Returns the time until the complete response is due."""
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -30,7 +30,11 @@
     start_prepared,
 )
 from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peer_relay import hand_over
+from burdockspan.gateway.peer_relay import (
+    OUT_OF_REACH,
+    can_hand_over,
+    hand_over,
+)
 from burdockspan.gateway.resumption import publish_origin
 from burdockspan.gateway.sse import StreamProgress, split_events
 from burdockspan.gateway.values import EngineProperties, GenerationSize
@@ -194,6 +198,8 @@
             request.route.repeatable and attempt.response.succeeded
         )
         self._preparation: _Preparation | None = None
+        # The rest of the stream at another VM.
+        self._relayed: Response | None = None
         self._last_event_s = context.clock()
         # When the current engine sent its last event, or began.
         self._silent_since_s = self._last_event_s
@@ -203,6 +209,8 @@
         """Ends the current attempt, and abandons the preparation of another."""
         self._end_silence()
         self._close_current()
+        if self._relayed is not None:
+            self._relayed.close()
 
     def _close_current(self) -> None:
         self._current.response.close()
@@ -247,6 +255,9 @@
                 return
             except EndpointError as error:
                 self._resume(error.failure, progress)
+                if self._relayed is not None:
+                    yield from self._relayed.body
+                    return
                 progress = StreamProgress(last_event_id=progress.last_event_id)
 
     def _silence_limit_s(self) -> float:
@@ -272,6 +283,9 @@
         """
         if not self._is_resumable:
             return None
+        if can_hand_over(self._context, self._request, self._attempts):
+            self._log_silence(True, OUT_OF_REACH)
+            return None
         if self._preparation is None:
             self._preparation = self._start_preparation()
             return _CHECK_INTERVAL_S
@@ -357,8 +371,12 @@
             if attempt is None and _has_refused(attempts.last_failure):
                 # The engine that was left for this one may go on after all.
                 attempts.tried_incarnations.discard(endpoint.incarnation)
+        if attempt is None and self._try_relay(after_event):
+            return
         if attempt is None:
             attempt = self._start_attempt(failure, after_event)
+        if attempt is None:
+            return
         if not attempt.response.succeeded:
             attempt.response.close()
             attempt.reservation.release()
@@ -375,7 +393,8 @@
 
     def _start_attempt(
         self, failure: Failure, after_event: str | None
-    ) -> StartedAttempt:
+    ) -> StartedAttempt | None:
+        """Returns the next attempt; None if another VM goes on instead."""
         started = start_attempt(
             self._context,
             self._request,
@@ -384,11 +403,24 @@
             self._size,
             StreamPosition(after_event, self._last_event_s),
         )
-        if isinstance(started, Err):
-            raise TruncatedError(
-                f"{failure.detail}; {started.err_value.reason}"
-            )
-        return started.ok_value
+        if isinstance(started, Ok):
+            return started.ok_value
+        if self._try_relay(after_event):
+            return None
+        raise TruncatedError(f"{failure.detail}; {started.err_value.reason}")
+
+    def _try_relay(self, after_event: str | None) -> bool:
+        """Lets another VM go on with the stream; returns whether one does."""
+        context, request = self._context, self._request
+        relayed = hand_over(context, request, self._attempts, after_event)
+        if relayed is None:
+            return False
+        if not 200 <= relayed.status < 300:
+            relayed.close()
+            raise TruncatedError(f"resumed with {relayed.status}")
+        self._relayed = relayed
+        context.registry.count("stream", "relayed")
+        return True
 
 
 __all__ = ["generate"]
--- a/src/burdockspan/gateway/peer_relay.py
+++ b/src/burdockspan/gateway/peer_relay.py
@@ -35,23 +35,34 @@
 ) -> bool:
     """Returns whether `hand_over` would find a VM for a request.
 
-    A request that has reached an endpoint stays here. One that another VM has
-    relayed goes back to that VM, and is never relayed twice.
+    A request that may have run goes to another VM only if it may run again. One
+    that another VM has relayed goes back to that VM, unless it has reached an
+    endpoint, and is never relayed twice.
     """
     if not context.reachability.is_out_of_reach(request.service):
         return False
-    if attempts.has_called_here:
-        return False
     if request.relay is not None:
-        return True
+        return not attempts.has_called_here
+    if attempts.explain_no_run() is not None:
+        return False
     return _choose_peer(context, request, attempts) is not None
 
 
 def hand_over(
-    context: Context, request: RoutedRequest, attempts: Attempts
+    context: Context,
+    request: RoutedRequest,
+    attempts: Attempts,
+    after_event: str | None = None,
 ) -> Response | None:
     """Lets another VM serve a request whose service is out of reach here.
 
+    Args:
+      context: dependencies.
+      request: the request.
+      attempts: its attempts.
+      after_event: id of the last event that its caller has received in this
+        response; None if it has received none.
+
     Returns:
       The response of the other VM; None if the request stays here, because the
       service is in reach or no VM takes the request.
@@ -71,7 +82,7 @@
         if attempts.explain_no_run() is not None:
             return None
         attempts.asked_peers.add(peer.vm)
-        response = _ask(context, request, attempts, peer)
+        response = _ask(context, request, attempts, peer, after_event)
         if response is not None:
             return response
     return None
@@ -90,6 +101,7 @@
     request: RoutedRequest,
     attempts: Attempts,
     peer: Peer,
+    after_event: str | None,
 ) -> Response | None:
     """Returns the response of a VM; None if it did not take the request."""
     context.log(
@@ -99,13 +111,21 @@
         peer=peer.vm,
         address=peer.address,
         asked=len(attempts.asked_peers),
+        runs=attempts.run_count,
+        after_event=after_event,
         waited_s=round(context.clock() - request.call.arrived_s, 3),
     )
     options = RelayOptions(
         remaining_s=attempts.remaining_s(),
         abort=request.abort,
-        note=RelayNote(request.configuration_version, attempts.run_count),
+        note=RelayNote(
+            request.configuration_version,
+            attempts.run_count,
+            attempts.call_count,
+        ),
         expects_events=request.route.kind is RequestKind.STREAM,
+        after_event=after_event,
+        resumed_request_id=_find_first_request(request, after_event),
     )
     end_work = context.peers.begin_work(peer)
     outcome = context.platform.relay(peer, request.call, options)
@@ -123,11 +143,21 @@
         return attempts.make_error_response("relay failed", RETRY_AFTER_S)
     context.peers.record_served(peer)
     context.registry.count("relay", "served")
-    # The other VM counts the request.
-    context.retry_budget.withdraw_request(request.service)
+    if not attempts.call_count:
+        # The other VM counts the request.
+        context.retry_budget.withdraw_request(request.service)
     return _make_response(context, request, peer, outcome.ok_value, end_work)
 
 
+def _find_first_request(
+    request: RoutedRequest, after_event: str | None
+) -> str | None:
+    """Returns the request that began the stream which goes on elsewhere."""
+    if after_event is None:
+        return None
+    return request.call.resumed_request_id or request.call.request_id
+
+
 def _make_response(
     context: Context,
     request: RoutedRequest,
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -23,7 +23,11 @@
 )
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peer_relay import hand_over
+from burdockspan.gateway.peer_relay import (
+    OUT_OF_REACH,
+    can_hand_over,
+    hand_over,
+)
 from burdockspan.gateway.ports import AttemptOptions, EndpointResponse
 from burdockspan.gateway.ranking import exclude_tried, rank_plain
 from burdockspan.gateway.resumption import publish_origin
@@ -188,6 +192,9 @@
         )
         if self.successor is None:
             attempts.refund(calls=1)
+            if can_hand_over(self._context, self._request, attempts):
+                self._log(True, OUT_OF_REACH)
+                return None
             self._record_wait("no endpoint")
             return _LOOK_AGAIN_S
         self._log(True, "held " + self.successor.id)
--- a/src/burdockspan/gateway/relay_messages.py
+++ b/src/burdockspan/gateway/relay_messages.py
@@ -18,6 +18,7 @@
 _PREFIX = "burdockspan-"
 _CONFIGURATION = "Burdockspan-Configuration"
 _RUNS = "Burdockspan-Runs"
+_CALLS = "Burdockspan-Calls"
 _DECLINED = "Burdockspan-Declined"
 _INTEGER_PATTERN = re.compile(r"[0-9]{1,15}")
 
@@ -27,6 +28,7 @@
     return (
         (_CONFIGURATION, str(note.configuration_version)),
         (_RUNS, str(note.runs)),
+        (_CALLS, str(note.calls)),
     )
 
 
@@ -43,6 +45,7 @@
     note = RelayNote(
         _read_integer(value_by_name.get(_CONFIGURATION.lower(), "")),
         _read_integer(value_by_name.get(_RUNS.lower(), "")),
+        _read_integer(value_by_name.get(_CALLS.lower(), "")),
     )
     return note, others
 
--- a/src/burdockspan/gateway/values.py
+++ b/src/burdockspan/gateway/values.py
@@ -237,10 +237,12 @@
     Attributes:
       configuration_version: version of the configuration that routed it there.
       runs: number of its runs that may have begun so far.
+      calls: number of its calls that have reached an endpoint so far.
     """
 
     configuration_version: int = 0
     runs: int = 0
+    calls: int = 0
 
 
 __all__ = [
--- a/tests/gateway/test_cut_off_vms.py
+++ b/tests/gateway/test_cut_off_vms.py
@@ -37,6 +37,7 @@
         make_route("read", **changes),
         make_route("pay", kind="unsafe", max_attempts=1, **changes),
         make_route("draft", kind="streaming", service="llm", max_attempts=1),
+        make_route("review", kind="streaming", service="llm", resumable=True),
     ]
     return document
 
--- a/tests/gateway/test_peer_relay.py
+++ b/tests/gateway/test_peer_relay.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import socket
 import threading
 import time
 import unittest
+from collections.abc import Iterable
 
 from burdockspan.gateway.peers import Peers
 from burdockspan.gateway.relay_messages import (
@@ -20,11 +22,12 @@
     Action,
     Received,
     ScriptedEndpoint,
+    Step,
     respond,
 )
 from tests.gateway.test_cut_off_vms import CutOffCase
 from tests.gateway.test_generations import EngineScript, make_stream
-from tests.support.gateways import HOST, wait_for
+from tests.support.gateways import HOST, ReceivedResponse, wait_for
 from tests.support.partitions import Cut
 
 _OK = respond(200, b"done", {"Response-Stamp": "s"})
@@ -185,6 +188,94 @@
         self.assertEqual(ids.count("r2"), 1)
 
 
+class TestWorkThatAPartitionInterrupts(CutOffCase):
+    def call_until_cut(
+        self, started: threading.Event, target: str, **headers: str
+    ) -> ReceivedResponse:
+        """Sends a request, and cuts the VM off once it has started."""
+        with concurrent.futures.ThreadPoolExecutor(2) as executor:
+            call = executor.submit(self.send, 7, target, **headers)
+            self.assertTrue(started.wait(5.0))
+            self.partition.cut = Cut.HANG
+            while not call.done():
+                self.send(8, target, **headers)
+            return call.result()
+
+    def test_stream_goes_on_at_another_vm(self) -> None:
+        """Guards against streams that end with the path to their engine."""
+        started = threading.Event()
+
+        def script(received: Received) -> Iterable[Step]:
+            if received.header("Request-Id") != "r7":
+                return make_stream(1)
+            if received.header("Last-Event-Id") == "2":
+                return make_stream(3, 4)
+            head = make_stream(1, 2)[:-1]
+            started.set()
+            return [*head, Action.WAIT_FOR_CALLER]
+
+        engine = EngineScript([])
+        answer_other = engine.__call__
+
+        def answer(received: Received) -> Iterable[Step]:
+            if received.header("Deadline-Ms") is None:
+                return answer_other(received)
+            if received.header("Stage") == "prefill":
+                return answer_other(received)
+            return script(received)
+
+        self.add_endpoint("i-d", answer, service="llm", stage="decode")
+        sizes = {**_SIZES, "Deadline-Ms": "5000"}
+        response = self.call_until_cut(started, "/review/x", **sizes)
+        self.assertEqual(response.status, 200)
+        self.assertTrue(response.complete)
+        events = b"".join(
+            b"id: %d\ndata: t%d\n\n" % (number, number)
+            for number in range(1, 5)
+        )
+        self.assertEqual(response.body, events)
+        self.assertTrue(
+            any(
+                event["after_event"] == "2" and event["runs"] == 1
+                for event in self.vm.events_named("relay")
+            )
+        )
+
+    def test_read_goes_on_at_another_vm(self) -> None:
+        """Guards against reads that wait for an endpoint behind the cut."""
+        started = threading.Event()
+
+        def script(received: Received) -> Iterable[Step]:
+            if received.header("Request-Id") != "r7" or started.is_set():
+                return _OK
+            started.set()
+            return [Action.WAIT_FOR_CALLER]
+
+        for number in range(3):
+            self.add_endpoint(f"i-{number}", script)
+        response = self.call_until_cut(started, "/read/x")
+        self.assertEqual(response.status, 200)
+
+    def test_payment_is_not_sent_to_another_vm(self) -> None:
+        """Guards against a second run of a request that may have run."""
+        started = threading.Event()
+        runs = []
+
+        def script(received: Received) -> Iterable[Step]:
+            if received.header("Request-Id") != "r7":
+                return _OK
+            runs.append(received)
+            started.set()
+            return [Action.WAIT_FOR_CALLER]
+
+        for number in range(3):
+            self.add_endpoint(f"i-{number}", script)
+        deadline = {"Deadline-Ms": "1500"}
+        response = self.call_until_cut(started, "/pay/x", **deadline)
+        self.assertEqual(response.status, 504)
+        self.assertEqual(len(runs), 1)
+
+
 class TestVmsThatDecline(RelayCase):
     def test_request_is_not_relayed_twice(self) -> None:
         """Guards against requests that circle between VMs."""
