Take no lease for orders while the engines are out of reach

test_vm_without_a_path_takes_no_lease_for_orders fails without the check (no line "stages not balanced") and passes.

--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/attempts.py
@@ -18,6 +18,7 @@
 from burdockspan.gateway.part_quarantine import Part, list_parts
 from burdockspan.gateway.peers import Peer
 from burdockspan.gateway.ports import EndpointResponse
+from burdockspan.gateway.reachability import OUT_OF_REACH
 from burdockspan.gateway.retry_budget import SpentRetry
 from burdockspan.gateway.values import (
     Endpoint,
@@ -400,7 +401,7 @@
     """
     version = request.software_version
     if context.reachability.is_out_of_reach(request.service):
-        return "service out of reach", RETRY_AFTER_S
+        return OUT_OF_REACH, RETRY_AFTER_S
     soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, version
     )
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -30,11 +30,8 @@
     start_prepared,
 )
 from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peer_relay import (
-    OUT_OF_REACH,
-    can_hand_over,
-    hand_over,
-)
+from burdockspan.gateway.peer_relay import can_hand_over, hand_over
+from burdockspan.gateway.reachability import OUT_OF_REACH
 from burdockspan.gateway.resumption import publish_origin
 from burdockspan.gateway.sse import StreamProgress, split_events
 from burdockspan.gateway.values import EngineProperties, GenerationSize
--- a/src/burdockspan/gateway/peer_relay.py
+++ b/src/burdockspan/gateway/peer_relay.py
@@ -19,6 +19,7 @@
 from burdockspan.gateway.messages import Response, TruncatedError
 from burdockspan.gateway.peers import Peer
 from burdockspan.gateway.ports import EndpointResponse, RelayOptions
+from burdockspan.gateway.reachability import OUT_OF_REACH
 from burdockspan.gateway.relay_messages import make_declined
 from burdockspan.gateway.values import RelayNote, RequestKind
 from burdockspan.values.placement import FailureKind
@@ -26,8 +27,6 @@
 # VMs that are asked for one request. A VM that cannot serve it says so within
 # a round trip.
 _MAX_PEERS = 8
-OUT_OF_REACH = "service out of reach"
-"""Reason why a VM does not serve a request."""
 
 
 def can_hand_over(
@@ -187,4 +186,4 @@
     return Response(answer.status, answer.headers, iterate(), close)
 
 
-__all__ = ["OUT_OF_REACH", "can_hand_over", "hand_over"]
+__all__ = ["can_hand_over", "hand_over"]
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -23,13 +23,10 @@
 )
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peer_relay import (
-    OUT_OF_REACH,
-    can_hand_over,
-    hand_over,
-)
+from burdockspan.gateway.peer_relay import can_hand_over, hand_over
 from burdockspan.gateway.ports import AttemptOptions, EndpointResponse
 from burdockspan.gateway.ranking import exclude_tried, rank_plain
+from burdockspan.gateway.reachability import OUT_OF_REACH
 from burdockspan.gateway.resumption import publish_origin
 from burdockspan.gateway.values import Endpoint, RequestKind
 from burdockspan.values.placement import Failure
--- a/src/burdockspan/gateway/reachability.py
+++ b/src/burdockspan/gateway/reachability.py
@@ -21,6 +21,8 @@
 from burdockspan.values.clock import Clock
 from burdockspan.values.placement import Failure, FailureKind
 
+OUT_OF_REACH = "service out of reach"
+"""Reason why a VM does not serve a request, and name of the log line."""
 SAMPLE_SIZE = 4
 """Endpoints of a service that must have failed; with fewer, all of them."""
 # Older failures say nothing about the present.
@@ -185,7 +187,7 @@
         age_s = None if reached_s is None else self._clock() - reached_s
         self._registry.count("service", "lost" if is_lost else "reached")
         self._log(
-            "service out of reach" if is_lost else "service reached",
+            OUT_OF_REACH if is_lost else "service reached",
             service=service,
             failed=failed,
             endpoints=endpoints,
@@ -257,4 +259,4 @@
     )
 
 
-__all__ = ["SAMPLE_SIZE", "Reachability", "observe_calls"]
+__all__ = ["OUT_OF_REACH", "SAMPLE_SIZE", "Reachability", "observe_calls"]
--- a/src/burdockspan/gateway/stage_balance.py
+++ b/src/burdockspan/gateway/stage_balance.py
@@ -7,6 +7,7 @@
 
 from burdockspan.gateway import passive_health, stages
 from burdockspan.gateway.context import Context
+from burdockspan.gateway.reachability import OUT_OF_REACH
 from burdockspan.gateway.stage_orders import OrderSender
 from burdockspan.gateway.stages import SettledEngines
 from burdockspan.gateway.values import Stage
@@ -50,6 +51,10 @@
         chosen = stages.choose_engines_to_decode(prefill_engines, demand)
         if not chosen or not may_order:
             continue
+        if context.reachability.is_out_of_reach(name):
+            # Orders would fail, and the lease keeps other VMs from sending any.
+            context.log("stages not balanced", service=name, cause=OUT_OF_REACH)
+            continue
         # An engine with a recent order no longer counts as a prefill engine,
         # although its entry says so until the change is complete.
         remaining = order_sender.exclude_ordered(prefill_engines)
--- a/tests/gateway/test_cut_off_vms.py
+++ b/tests/gateway/test_cut_off_vms.py
@@ -7,6 +7,9 @@
 import time
 import unittest
 
+from burdockspan.gateway import stage_orders
+from burdockspan.gateway.stage_balance import balance_stages
+from burdockspan.gateway.stages import SettledEngines
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import Script, ScriptedEndpoint, respond
 from tests.gateway.test_generations import EngineScript, make_stream
@@ -180,3 +183,37 @@
         suspect = by_id[endpoints[0].id]
         context.crash_records.check_endpoint("request-1", suspect)
         self.assertEqual(len(self.vm.events_named("crash noted")), 1)
+
+    def test_vm_without_a_path_takes_no_lease_for_orders(self) -> None:
+        """Guards against stages that nobody changes during a partition."""
+        document = _make_document()
+        engine = {"slots": 8, "kv_tokens": 50_000, "stage_switch_s": 1.0}
+        document["version"] = 2
+        document["services"] = [
+            {"name": "llm", "health_path": "/health", "engine": engine}
+        ]
+        self.vm.configure(document)
+        for number in range(6):
+            self.add_endpoint(
+                f"i-{number}",
+                EngineScript([]),
+                service="llm",
+                stage="prefill",
+            )
+        self.partition.cut = Cut.REFUSE
+        components = self.vm.components
+        reachability = components.context.reachability
+        for endpoint in components.context.state.list_usable("llm"):
+            reachability.record_failure(endpoint, time.monotonic())
+        measured = {"llm": [10_000, 20.0, 100, 0, 50_000.0]}
+        settled = SettledEngines()
+        for _ in range(2):
+            balance_stages(
+                components.context,
+                components.order_sender,
+                settled,
+                {"vm-1": {"demand": measured}},
+                True,
+            )
+        self.assertEqual(len(self.vm.events_named("stages not balanced")), 1)
+        self.assertEqual(self.vm.store.read(stage_orders.KIND), {})
