Check the path to other endpoints by connections

After a lost connection the check of the VM's own path waited for answers of health checks, which may wait for a slot. Each check by which a crash is noted delays the refusal of the request that causes it. The path is now checked like the suspected endpoint, by a connection, and the endpoint a second time only if that took longer than 20 ms.

--- a/src/burdockspan/gateway/crash_records.py
+++ b/src/burdockspan/gateway/crash_records.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 import hashlib
+import math
 import queue
 import threading
 from collections.abc import Callable
@@ -51,6 +52,8 @@
 _IDLE_S = 0.5
 # The requests that are lost with an endpoint end within this time.
 _CONFIRMED_S = 1.0
+# Two checks within this time see the same state of the network.
+_CHECK_S = 0.02
 # The entry of an endpoint that has crashed is gone from the store within this
 # time.
 _UNDECIDED_S = 8.0
@@ -90,7 +93,7 @@
         clock: Clock,
         log: WriteEvent,
         part_quarantine: PartQuarantine,
-        reaches_others: Callable[[Endpoint, float], bool] = lambda *_: True,
+        reaches_others: Callable[[Endpoint], bool] = lambda _: True,
         is_registered: Callable[[Endpoint], bool] = lambda _: True,
     ) -> None:
         """Creates an empty store of records.
@@ -101,14 +104,14 @@
           clock: monotonic clock, in seconds.
           log: writes a log event.
           part_quarantine: records of parts of prompts.
-          reaches_others: returns whether this VM has reached an endpoint other
-            than the given one, in a call that began since the given time in
-            monotonic seconds.
+          reaches_others: returns whether this VM reaches any endpoint other
+            than the given one.
           is_registered: returns whether the store has an entry of an endpoint's
             present incarnation.
         """
         self._reaches_others = reaches_others
         self._is_registered = is_registered
+        self._no_path_until_s = -math.inf
         # With the time until which each may be decided, in monotonic seconds.
         self._undecided: list[tuple[_SuspectedCrash, float]] = []
         self._store = store
@@ -282,10 +285,14 @@
             return _Verdict.CRASHED
         if self._is_reachable(endpoint):
             return _Verdict.ALIVE
-        if not self._reaches_others(endpoint, now_s):
+        if now_s < self._no_path_until_s:
+            return _Verdict.UNDECIDED
+        if not self._reaches_others(endpoint):
+            self._no_path_until_s = now_s + _CONFIRMED_S
             return _Verdict.UNDECIDED
         # A partition of this VM may have ended between the two checks.
-        if self._is_reachable(endpoint):
+        is_late = self._clock() - now_s > _CHECK_S
+        if is_late and self._is_reachable(endpoint):
             return _Verdict.ALIVE
         self._confirmed_until_s[endpoint.incarnation] = now_s + _CONFIRMED_S
         return _Verdict.CRASHED
--- a/src/burdockspan/gateway/reachability_probes.py
+++ b/src/burdockspan/gateway/reachability_probes.py
@@ -70,37 +70,32 @@
 
 def make_path_check(
     reachability: Reachability, endpoints: EndpointClient, state: GatewayState
-) -> Callable[[Endpoint, float], bool]:
+) -> Callable[[Endpoint], bool]:
     """Returns a check whether this VM reaches any endpoint but a given one.
 
     The other endpoints of its service decide; if there are none, those of the
     other services. Without any other endpoint, the path counts as sound.
     """
 
-    def reaches_others(endpoint: Endpoint, since_s: float) -> bool:
-        services = _choose_services(state, endpoint)
-        if any(
-            reachability.has_reached_since(service, since_s)
-            for service in services
-        ):
-            return True
-        for service in services:
-            probe_service(reachability, endpoints, state, service)
-            if reachability.has_reached_since(service, since_s):
-                return True
-        return not services
+    def reaches_others(endpoint: Endpoint) -> bool:
+        others = [
+            other
+            for service in _choose_services(state, endpoint)
+            for other in reachability.list_least_known(service)
+            if other.incarnation != endpoint.incarnation
+        ]
+        return not others or any(map(endpoints.is_reachable, others))
 
     return reaches_others
 
 
 def _choose_services(state: GatewayState, besides: Endpoint) -> list[str]:
     """Returns the services whose endpoints show whether a path is sound."""
-    others = [
-        entry.endpoint
+    services = {
+        entry.endpoint.service
         for entry in state.endpoint_table().by_id.values()
         if entry.endpoint.incarnation != besides.incarnation
-    ]
-    services = {endpoint.service for endpoint in others}
+    }
     if besides.service in services:
         return [besides.service]
     return sorted(services)
