Notice partitions in which connections open and nothing arrives

A VM noticed a partition only by connections that failed. Behind a device that accepts them, and on a loopback proxy, its calls wait until their deadline.

test_payments_are_served_while_connections_are_silent fails without the change (504) and passes. The engines of two tests now answer health checks, and no longer count them as runs.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -30,7 +30,7 @@
     start_prepared,
 )
 from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peer_relay import can_hand_over, hand_over
+from burdockspan.gateway.peer_relay import can_leave, hand_over
 from burdockspan.gateway.reachability import OUT_OF_REACH
 from burdockspan.gateway.resumption import publish_origin
 from burdockspan.gateway.sse import StreamProgress, split_events
@@ -280,7 +280,7 @@
         """
         if not self._is_resumable:
             return None
-        if can_hand_over(self._context, self._request, self._attempts):
+        if can_leave(self._context, self._request, self._attempts):
             self._log_silence(True, OUT_OF_REACH)
             return None
         if self._preparation is None:
@@ -303,7 +303,9 @@
 
     def _start_preparation(self) -> _Preparation:
         context, attempts = self._context, self._attempts
-        context.state.record_silence(self._current.reservation.endpoint)
+        endpoint = self._current.reservation.endpoint
+        context.state.record_silence(endpoint)
+        context.reachability.record_silence(endpoint)
         return _Preparation(
             lambda is_wanted: prepare_attempt(
                 context,
--- a/src/burdockspan/gateway/peer_relay.py
+++ b/src/burdockspan/gateway/peer_relay.py
@@ -47,6 +47,17 @@
     return _choose_peer(context, request, attempts) is not None
 
 
+def can_leave(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> bool:
+    """Returns whether a request may leave a silent endpoint for another VM.
+
+    It does so only if its endpoint takes no connections any more.
+    """
+    is_disconnected = context.reachability.is_disconnected(request.service)
+    return is_disconnected and can_hand_over(context, request, attempts)
+
+
 def hand_over(
     context: Context,
     request: RoutedRequest,
@@ -186,4 +197,4 @@
     return Response(answer.status, answer.headers, iterate(), close)
 
 
-__all__ = ["can_hand_over", "hand_over"]
+__all__ = ["can_hand_over", "can_leave", "hand_over"]
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -23,7 +23,7 @@
 )
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peer_relay import can_hand_over, hand_over
+from burdockspan.gateway.peer_relay import can_leave, hand_over
 from burdockspan.gateway.ports import AttemptOptions, EndpointResponse
 from burdockspan.gateway.ranking import exclude_tried, rank_plain
 from burdockspan.gateway.reachability import OUT_OF_REACH
@@ -34,9 +34,9 @@
 # A response up to this size is read completely before its head is forwarded, so
 # that another attempt can replace one that is truncated.
 _BUFFER_LIMIT_BYTES = 1024 * 1024
-# Share of the objective after which a request that may run more than once goes
-# to another endpoint if it has no response. The other endpoint then has time to
-# meet the objective.
+# Share of the objective after which an endpoint without a response counts as
+# silent. A request that may run more than once then goes to another one, which
+# still has time to meet the objective.
 _SILENCE_SHARE = 0.6
 _MIN_SILENCE_LIMIT_S = 0.05
 # Time after which a request that waits for a silent endpoint looks for another
@@ -175,7 +175,10 @@
 
     def decide(self) -> float | None:
         """Returns the time to wait on, in seconds; None to give up."""
+        self._context.reachability.record_silence(self._endpoint)
         attempts = self._attempts
+        if not self._request.route.repeatable:
+            return math.inf
         reason = attempts.explain_no_run(runs_in_progress=1)
         if reason is not None:
             self._record_wait(reason)
@@ -189,7 +192,7 @@
         )
         if self.successor is None:
             attempts.refund(calls=1)
-            if can_hand_over(self._context, self._request, attempts):
+            if can_leave(self._context, self._request, attempts):
                 self._log(True, OUT_OF_REACH)
                 return None
             self._record_wait("no endpoint")
@@ -256,8 +259,6 @@
 
 
 def _choose_silence_limit_s(request: RoutedRequest) -> float:
-    if not request.route.repeatable:
-        return math.inf
     return max(_MIN_SILENCE_LIMIT_S, _SILENCE_SHARE * request.route.objective_s)
 
 
--- a/src/burdockspan/gateway/reachability.py
+++ b/src/burdockspan/gateway/reachability.py
@@ -29,6 +29,9 @@
 _FAILURE_TTL_S = 5.0
 # A connection attempt that had less time than this proves nothing.
 _MIN_ATTEMPT_S = 0.25
+# Requests that wait longer than usual are a reason to probe for this time,
+# unless a call that began within it has been answered.
+_SILENCE_DOUBT_S = 1.0
 # These failures happen before an endpoint answers.
 _ON_THE_WAY = frozenset(
     (FailureKind.NOT_CONNECTED, FailureKind.CONNECTION_LOST)
@@ -43,12 +46,22 @@
       reached_s: when the latest answered call began, in monotonic seconds;
         None if none was answered.
       failed_s_by_incarnation: when later calls began that failed on the way.
+      silent_s_by_incarnation: when later probes began that got no answer.
     """
 
     reached_s: float | None = None
     failed_s_by_incarnation: Mapping[Incarnation, float] = dataclasses.field(
         default_factory=dict
     )
+    silent_s_by_incarnation: Mapping[Incarnation, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def latest_s_by_incarnation(self) -> Mapping[Incarnation, float]:
+        """When the latest calls without an answer began."""
+        silent_s = self.silent_s_by_incarnation
+        return {**silent_s, **self.failed_s_by_incarnation}
 
 
 _NO_EVIDENCE = _Evidence()
@@ -70,6 +83,7 @@
         self._registry = registry
         self._lock = threading.Lock()
         self._evidence_by_service: dict[str, _Evidence] = {}
+        self._silent_s_by_service: dict[str, float] = {}
         self._lost: set[str] = set()
         # Set while a failure has not been followed by an answer.
         self.in_doubt = threading.Event()
@@ -87,46 +101,93 @@
             evidence = self._find_evidence(service)
             if evidence.reached_s is not None and began_s < evidence.reached_s:
                 return
-            failed_s = evidence.failed_s_by_incarnation
             self._evidence_by_service[service] = _Evidence(
                 began_s,
-                {
-                    incarnation: failed_at_s
-                    for incarnation, failed_at_s in failed_s.items()
-                    if failed_at_s > began_s
-                },
+                _keep_later(evidence.failed_s_by_incarnation, began_s),
+                _keep_later(evidence.silent_s_by_incarnation, began_s),
             )
-        if failed_s:
+            self._silent_s_by_service.pop(service, None)
+        if evidence.latest_s_by_incarnation:
             self.update(service)
 
     def record_failure(self, endpoint: Endpoint, began_s: float) -> None:
         """Records that a call failed before its endpoint answered."""
+
+        def add(evidence: _Evidence) -> _Evidence:
+            return dataclasses.replace(
+                evidence,
+                failed_s_by_incarnation=_add_later(
+                    evidence.failed_s_by_incarnation, endpoint, began_s
+                ),
+            )
+
+        self._record(endpoint, began_s, add)
+
+    def record_silent_probe(self, endpoint: Endpoint, began_s: float) -> None:
+        """Records that an endpoint has not answered a probe in time."""
+
+        def add(evidence: _Evidence) -> _Evidence:
+            return dataclasses.replace(
+                evidence,
+                silent_s_by_incarnation=_add_later(
+                    evidence.silent_s_by_incarnation, endpoint, began_s
+                ),
+            )
+
+        self._record(endpoint, began_s, add)
+
+    def _record(
+        self,
+        endpoint: Endpoint,
+        began_s: float,
+        add: Callable[[_Evidence], _Evidence],
+    ) -> None:
         service = endpoint.service
         with self._lock:
             evidence = self._find_evidence(service)
             if evidence.reached_s is not None and began_s <= evidence.reached_s:
                 return
-            failed_s = dict(evidence.failed_s_by_incarnation)
-            failed_s[endpoint.incarnation] = max(
-                began_s, failed_s.get(endpoint.incarnation, began_s)
-            )
-            self._evidence_by_service[service] = dataclasses.replace(
-                evidence, failed_s_by_incarnation=failed_s
-            )
+            self._evidence_by_service[service] = add(evidence)
         self.update(service)
         self.in_doubt.set()
 
+    def record_silence(self, endpoint: Endpoint) -> None:
+        """Records that a request waits for an endpoint longer than usual.
+
+        It is a reason to probe the service, but no evidence.
+        """
+        service, now_s = endpoint.service, self._clock()
+        reached_s = self._find_evidence(service).reached_s
+        if reached_s is not None and now_s - reached_s < _SILENCE_DOUBT_S:
+            return
+        with self._lock:
+            self._silent_s_by_service[service] = now_s
+        self.in_doubt.set()
+
     def is_out_of_reach(self, service: str) -> bool:
-        """Returns whether no endpoint of a service can be reached from here."""
-        if not self._find_evidence(service).failed_s_by_incarnation:
+        """Returns whether no endpoint of a service answers to this VM."""
+        if not self._find_evidence(service).latest_s_by_incarnation:
             return False
         return self.update(service)
 
+    def is_disconnected(self, service: str) -> bool:
+        """Returns whether no endpoint of a service takes connections from here.
+
+        Silence alone is no reason: sound endpoints may be silent for a second.
+        """
+        failed_s = self._find_evidence(service).failed_s_by_incarnation
+        return bool(failed_s) and self._is_enough(service, failed_s)
+
     def list_doubtful(self) -> tuple[str, ...]:
-        """Returns the services with failures that no answer has followed."""
+        """Returns the services that have not answered since a failure."""
+        now_s = self._clock()
         services = tuple(self._evidence_by_service)
+        silent = tuple(self._silent_s_by_service.items())
         return tuple(
-            service for service in services if self._list_failed(service)
+            {
+                *(s for s in services if self._list_failed(s)),
+                *(s for s, at_s in silent if now_s - at_s < _SILENCE_DOUBT_S),
+            }
         )
 
     def list_least_known(self, service: str) -> tuple[Endpoint, ...]:
@@ -135,42 +196,42 @@
         At most `SAMPLE_SIZE` of them: those without a recent failure, then
         those whose failures are the oldest.
         """
-        failed_s = self._find_evidence(service).failed_s_by_incarnation
+        latest_s = self._find_evidence(service).latest_s_by_incarnation
         ranked = sorted(
             self._list_endpoints(service),
-            key=lambda endpoint: failed_s.get(endpoint.incarnation, 0.0),
+            key=lambda endpoint: latest_s.get(endpoint.incarnation, 0.0),
         )
         return tuple(ranked[:SAMPLE_SIZE])
 
-    def has_reached_since(self, service: str, since_s: float) -> bool:
-        """Returns whether an endpoint of a service answered a recent call.
-
-        Args:
-          service: name of the service.
-          since_s: when the call began at the earliest, in monotonic seconds.
-        """
-        reached_s = self._find_evidence(service).reached_s
-        return reached_s is not None and reached_s >= since_s
-
     def update(self, service: str) -> bool:
         """Returns whether a service is out of reach; logs a change of that."""
-        failed = self._list_failed(service)
-        endpoints = self._list_endpoints(service)
-        needed = min(len(endpoints), SAMPLE_SIZE)
-        is_lost = 0 < needed <= len(failed)
+        latest_s = self._find_evidence(service).latest_s_by_incarnation
+        is_lost = self._is_enough(service, latest_s)
         with self._lock:
             if is_lost == (service in self._lost):
                 return is_lost
             self._lost ^= {service}
-        self._log_change(service, is_lost, len(failed), len(endpoints))
+        self._log_change(service, is_lost)
         return is_lost
 
     def _find_evidence(self, service: str) -> _Evidence:
         return self._evidence_by_service.get(service, _NO_EVIDENCE)
 
+    def _is_enough(
+        self, service: str, failed_s: Mapping[Incarnation, float]
+    ) -> bool:
+        """Returns whether failures show that a service is out of reach."""
+        needed = min(len(self._list_endpoints(service)), SAMPLE_SIZE)
+        return 0 < needed <= len(self._list_recent(service, failed_s))
+
     def _list_failed(self, service: str) -> list[Endpoint]:
         """Returns the present endpoints whose latest evidence is a failure."""
-        failed_s = self._find_evidence(service).failed_s_by_incarnation
+        latest_s = self._find_evidence(service).latest_s_by_incarnation
+        return self._list_recent(service, latest_s)
+
+    def _list_recent(
+        self, service: str, failed_s: Mapping[Incarnation, float]
+    ) -> list[Endpoint]:
         if not failed_s:
             return []
         oldest_s = self._clock() - _FAILURE_TTL_S
@@ -180,21 +241,37 @@
             if failed_s.get(endpoint.incarnation, oldest_s) > oldest_s
         ]
 
-    def _log_change(
-        self, service: str, is_lost: bool, failed: int, endpoints: int
-    ) -> None:
+    def _log_change(self, service: str, is_lost: bool) -> None:
         reached_s = self._find_evidence(service).reached_s
         age_s = None if reached_s is None else self._clock() - reached_s
         self._registry.count("service", "lost" if is_lost else "reached")
         self._log(
             OUT_OF_REACH if is_lost else "service reached",
             service=service,
-            failed=failed,
-            endpoints=endpoints,
+            failed=len(self._list_failed(service)),
+            endpoints=len(self._list_endpoints(service)),
+            connects=not self.is_disconnected(service),
             reached_age_s=None if age_s is None else round(age_s, 3),
         )
 
 
+def _keep_later(
+    failed_s: Mapping[Incarnation, float], since_s: float
+) -> dict[Incarnation, float]:
+    return {
+        incarnation: failed_at_s
+        for incarnation, failed_at_s in failed_s.items()
+        if failed_at_s > since_s
+    }
+
+
+def _add_later(
+    failed_s: Mapping[Incarnation, float], endpoint: Endpoint, began_s: float
+) -> dict[Incarnation, float]:
+    key = endpoint.incarnation
+    return {**failed_s, key: max(began_s, failed_s.get(key, began_s))}
+
+
 def observe_calls(
     client: EndpointClient, reachability: Reachability, clock: Clock
 ) -> EndpointClient:
@@ -212,7 +289,9 @@
         kind = outcome.err_value.kind if isinstance(outcome, Err) else None
         if kind in _ON_THE_WAY:
             reachability.record_failure(endpoint, began_s)
-        elif kind is not FailureKind.UNRESPONSIVE:
+        elif kind is FailureKind.UNRESPONSIVE:
+            reachability.record_silence(endpoint)
+        else:
             reachability.record_answer(endpoint, began_s)
 
     def observe(call: Callable[..., Any]) -> Callable[..., Any]:
@@ -240,6 +319,18 @@
 
         return observed
 
+    def probe(endpoint: Endpoint, path: str) -> Result[None, Failure]:
+        began_s = clock()
+        outcome = client.probe(endpoint, path)
+        if (
+            isinstance(outcome, Err)
+            and outcome.err_value.kind is FailureKind.UNRESPONSIVE
+        ):
+            reachability.record_silent_probe(endpoint, began_s)
+        else:
+            record(endpoint, began_s, outcome)
+        return outcome
+
     def is_reachable(endpoint: Endpoint) -> bool:
         began_s = clock()
         accepted = client.is_reachable(endpoint)
@@ -254,7 +345,7 @@
         reserve=observe(client.reserve),
         fetch_load=observe(client.fetch_load),
         order_stage=observe(client.order_stage),
-        probe=observe(client.probe),
+        probe=probe,
         is_reachable=is_reachable,
     )
 
--- a/tests/gateway/test_cut_off_vms.py
+++ b/tests/gateway/test_cut_off_vms.py
@@ -96,11 +96,13 @@
         """Cuts the VM off; returns the statuses of the calls after a while."""
         self.partition.cut = cut
         end_s = time.monotonic() + _STABLE_S
+        earlier = concurrent.futures.ThreadPoolExecutor(_CALLS)
+        self.addCleanup(earlier.shutdown)
         number = 0
         while time.monotonic() < end_s:
-            self.send(number, target, **headers)
+            earlier.submit(self.send, number, target, **headers)
             number += 1
-            time.sleep(0.05)
+            time.sleep(0.1)
         with concurrent.futures.ThreadPoolExecutor(_CALLS) as executor:
             responses = executor.map(
                 lambda call: self.send(call, target, **headers),
@@ -139,6 +141,11 @@
         statuses = self.send_after_cut(Cut.RESET, "/pay/x")
         self.assertEqual(statuses, [200] * _CALLS)
 
+    def test_payments_are_served_while_connections_are_silent(self) -> None:
+        self.add_plain_endpoints()
+        statuses = self.send_after_cut(Cut.SILENT, "/pay/x")
+        self.assertEqual(statuses, [200] * _CALLS)
+
     def test_generations_are_served_while_connections_hang(self) -> None:
         for name, stage in (("i-p", "prefill"), ("i-d", "decode")):
             engine = EngineScript(make_stream(1, 2))
--- a/tests/gateway/test_generations.py
+++ b/tests/gateway/test_generations.py
@@ -55,6 +55,8 @@
                 return _FULL
             self.reserved_tokens.append(json.loads(received.body)["tokens"])
             return respond_json(200, {"hold": f"h{len(self.reserved_tokens)}"})
+        if received.target == "/health":
+            return respond(200)
         if received.method == "DELETE":
             self.released_paths.append(received.target)
             return respond_json(200, {})
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -74,6 +74,21 @@
         self.reachability.record_answer(self.endpoints[0], self.now_s - 2.0)
         self.assertTrue(self.is_lost())
 
+    def test_silent_probes_are_a_loss_but_no_reason_to_leave(self) -> None:
+        """Guards against work that leaves endpoints that only fall silent."""
+        for endpoint in self.endpoints:
+            self.reachability.record_silent_probe(endpoint, self.now_s)
+        self.assertTrue(self.is_lost())
+        self.assertFalse(self.reachability.is_disconnected("app"))
+
+    def test_silence_of_a_request_is_a_reason_to_probe(self) -> None:
+        """Guards against a loss that is noticed only when requests fail."""
+        self.reachability.record_silence(self.endpoints[0])
+        self.assertEqual(self.reachability.list_doubtful(), ("app",))
+        self.assertFalse(self.is_lost())
+        self.reachability.record_answer(self.endpoints[1], self.now_s)
+        self.assertEqual(self.reachability.list_doubtful(), ())
+
     def test_old_failures_are_forgotten(self) -> None:
         """Guards against a loss that is pieced together over minutes."""
         self.fail_all()
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -75,6 +75,8 @@
             self.reserve_allowed.wait(5.0)
             self.reservations += 1
             return respond_json(200, {"hold": f"h{self.reservations}"})
+        if received.target == "/health":
+            return respond(200)
         if received.method == "DELETE":
             self.released.append(received.target)
             return respond_json(200, {})
