Refuse a request that would be lost on the way and may run once

No VM took their requests, so they tried the endpoints themselves. Connections opened and were reset, and payments ended with 502, which lets no caller try again.

While connections to a service open and calls on them are lost, a request that may run once is now refused with 503 and not sent, if another VM has declined it.

test_payment_is_not_run_if_no_vm_reaches_the_service failed before (502) and passes.

--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -58,6 +58,8 @@
         relayed = hand_over(context, request, attempts)
         if relayed is not None:
             return relayed
+        if _is_hopeless(context, request, attempts):
+            return attempts.make_error_response(OUT_OF_REACH, RETRY_AFTER_S)
         endpoint = (
             successor
             or _take_endpoint(context, request, attempts)
@@ -92,6 +94,21 @@
     return attempts.make_error_response(reason, retry_after_s)
 
 
+def _is_hopeless(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> bool:
+    """Returns whether a request would be lost rather than served.
+
+    Other VMs do not reach the service either, and a request that may run only
+    once would leave its caller without knowing whether it ran.
+    """
+    return (
+        not request.route.repeatable
+        and bool(attempts.asked_peers)
+        and context.reachability.loses_calls(request.service)
+    )
+
+
 def _take_endpoint(
     context: Context,
     request: RoutedRequest,
--- a/src/burdockspan/gateway/reachability.py
+++ b/src/burdockspan/gateway/reachability.py
@@ -84,6 +84,8 @@
         self._lock = threading.Lock()
         self._evidence_by_service: dict[str, _Evidence] = {}
         self._silent_s_by_service: dict[str, float] = {}
+        # When the latest call began that was lost after its connection opened.
+        self._sent_s_by_service: dict[str, float] = {}
         self._lost: set[str] = set()
         # Set while a failure has not been followed by an answer.
         self.in_doubt = threading.Event()
@@ -110,8 +112,18 @@
         if evidence.latest_s_by_incarnation:
             self.update(service)
 
-    def record_failure(self, endpoint: Endpoint, began_s: float) -> None:
-        """Records that a call failed before its endpoint answered."""
+    def record_failure(
+        self, endpoint: Endpoint, began_s: float, was_sent: bool = False
+    ) -> None:
+        """Records that a call failed before its endpoint answered.
+
+        Args:
+          endpoint: the endpoint.
+          began_s: when the call began, in monotonic seconds.
+          was_sent: whether the call may have reached the endpoint.
+        """
+        if was_sent:
+            self._sent_s_by_service[endpoint.service] = began_s
 
         def add(evidence: _Evidence) -> _Evidence:
             return dataclasses.replace(
@@ -178,6 +190,18 @@
         failed_s = self._find_evidence(service).failed_s_by_incarnation
         return bool(failed_s) and self._is_enough(service, failed_s)
 
+    def loses_calls(self, service: str) -> bool:
+        """Returns whether connections open, and calls on them are lost.
+
+        A request that is sent then may run, although its caller gets nothing.
+        """
+        sent_s = self._sent_s_by_service.get(service)
+        return (
+            sent_s is not None
+            and self._clock() - sent_s < _FAILURE_TTL_S
+            and self.is_disconnected(service)
+        )
+
     def list_doubtful(self) -> tuple[str, ...]:
         """Returns the services that have not answered since a failure."""
         now_s = self._clock()
@@ -288,7 +312,8 @@
     ) -> None:
         kind = outcome.err_value.kind if isinstance(outcome, Err) else None
         if kind in _ON_THE_WAY:
-            reachability.record_failure(endpoint, began_s)
+            was_sent = kind is FailureKind.CONNECTION_LOST
+            reachability.record_failure(endpoint, began_s, was_sent)
         elif kind is FailureKind.UNRESPONSIVE:
             reachability.record_silence(endpoint)
         else:
--- a/tests/gateway/test_peer_relay.py
+++ b/tests/gateway/test_peer_relay.py
@@ -326,6 +326,25 @@
         self.replace_peers(*peers)
         self.assertEqual(self.send(7, "/pay/x").status, 200)
 
+    def test_payment_is_not_run_if_no_vm_reaches_the_service(self) -> None:
+        """Guards against an unknown outcome instead of a refusal.
+
+        The connections open and are reset, so that a payment that is sent may
+        have run.
+        """
+        self.partition.cut = Cut.RESET
+        reachability = self.vm.components.context.reachability
+        self.send(0, "/read/x")
+        wait_for(lambda: reachability.is_disconnected("app"))
+
+        def decline(_: Received) -> list[Step]:
+            return list(respond(503, b"", {"Burdockspan-Declined": "lost"}))
+
+        self.replace_peers(ScriptedEndpoint("vm-3", decline))
+        response = self.send(7, "/pay/x")
+        self.assertEqual(response.status, 503)
+        self.assertIn("Retry-After", response.headers)
+
 
 class TestVmsThatFail(RelayCase):
     def test_payment_runs_once_if_the_other_vm_is_lost(self) -> None:
