Let generations wait on that no other VM takes

A generation that waited for memory stopped waiting since another VM might have served it, was declined there, and was refused with 503, long before its time. It now waits on as before.

test_generation_waits_on_if_no_vm_takes_it failed before (503) and passes.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -66,10 +66,15 @@
         return relayed
     context.demand.record_prompt(request.service, size.prompt_tokens)
     started = start_attempt(context, request, attempts, engine, size)
-    if isinstance(started, Err):
+    while isinstance(started, Err):
+        asked = len(attempts.asked_peers)
         relayed = hand_over(context, request, attempts)
         if relayed is not None:
             return relayed
+        if len(attempts.asked_peers) > asked:
+            # It stopped waiting for memory because of VMs that have declined.
+            started = start_attempt(context, request, attempts, engine, size)
+            continue
         refusal = started.err_value
         return attempts.make_error_response(
             refusal.reason, refusal.retry_after_s
--- a/tests/gateway/test_peer_relay.py
+++ b/tests/gateway/test_peer_relay.py
@@ -345,6 +345,25 @@
         self.assertEqual(response.status, 503)
         self.assertIn("Retry-After", response.headers)
 
+    def test_generation_waits_on_if_no_vm_takes_it(self) -> None:
+        """Guards against a refusal because all engines are silent a while."""
+        engine = EngineScript(make_stream(1, 2))
+        self.add_endpoint("i-d", engine, service="llm", stage="decode")
+
+        def decline(_: Received) -> list[Step]:
+            return list(respond(503, b"", {"Burdockspan-Declined": "lost"}))
+
+        self.replace_peers(ScriptedEndpoint("vm-3", decline))
+        self.partition.cut = Cut.SILENT
+        timer = threading.Timer(1.6, setattr, (self.partition, "cut", None))
+        timer.start()
+        sizes = {**_SIZES, "Deadline-Ms": "5000"}
+        response = self.send(7, "/draft/x", **sizes)
+        self.assertEqual(response.status, 200)
+        # The belief arose while the generation waited.
+        lost = self.vm.events_named("service out of reach")
+        self.assertEqual([event["service"] for event in lost], ["llm"])
+
 
 class TestVmsThatFail(RelayCase):
     def test_payment_runs_once_if_the_other_vm_is_lost(self) -> None:
