Soak: cut VMs off from all endpoints

At least one VM keeps its links. Endpoints tell the VMs apart by the processes that own the other ends of their connections. The checker CUT_OFF holds a VM that is cut off to two thirds of the share of requests that the others serve, from 3 s after the begin.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,6 +26,11 @@
         action="store_true",
         help="also breaks streams off, and crashes engines by prompts",
     )
+    parser.add_argument(
+        "--cuts",
+        action="store_true",
+        help="also cuts VMs off from all endpoints",
+    )
     parser.add_argument("--report", type=pathlib.Path)
     parser.add_argument(
         "--folder", type=pathlib.Path, help="keeps settings and logs here"
@@ -40,9 +45,13 @@
             arguments.vms,
             folder,
             arguments.streams,
+            arguments.cuts,
         )
         for fault in make_schedule(
-            options.seed, options.seconds, options.with_streams
+            options.seed,
+            options.seconds,
+            options.with_streams,
+            options.with_cuts,
         ):
             print(fault)
         result = asyncio.run(_run_until_signal(options))
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -242,7 +242,7 @@
     """Returns whether nothing but silence was wrong around a request."""
     start_s = request.sent_s - _RECOVERY_S
     return not history.overlaps(
-        _NOT_IN_TOUCH, request.vm, start_s, request.ended_s
+        _NOT_IN_TOUCH | {Trouble.CUT_OFF}, request.vm, start_s, request.ended_s
     ) and not history.overlaps(
         frozenset((Trouble.BROKEN,)),
         request.kind.service,
@@ -391,6 +391,60 @@
             yield Violation("BLAMED", "sound, but refused", request)
 
 
+def find_unserved(history: History) -> Iterator[Violation]:
+    """Finds partitions in which the VMs that are cut off serve far less.
+
+    Of the requests from `STABLE_S` after the begin of a partition, a VM that is
+    cut off must serve two thirds of the share of the others, unless few fail.
+    """
+    for window in history.windows:
+        if window.trouble is not Trouble.CUT_OFF:
+            continue
+        calm = [
+            request
+            for request in history.requests
+            if request.kind is not Kind.PROBE
+            and window.start_s + limits.STABLE_S < request.sent_s
+            and request.sent_s < window.end_s
+            and not history.overlaps(
+                _VM_TROUBLES | {Trouble.STOPPING},
+                request.vm,
+                request.sent_s - limits.STABLE_S,
+                request.ended_s,
+            )
+        ]
+        cut_off = [r for r in calm if r.vm == window.subject]
+        others = [
+            r
+            for r in calm
+            if not history.overlaps(
+                frozenset((Trouble.CUT_OFF,)),
+                r.vm,
+                r.sent_s - limits.STABLE_S,
+                r.ended_s,
+            )
+        ]
+        served, served_others = _count_served(cut_off), _count_served(others)
+        failed = len(cut_off) - served
+        if (
+            served * len(others) * 3 < served_others * len(cut_off) * 2
+            and failed > limits.FAILED_FIRST + len(cut_off) / 50
+        ):
+            yield Violation(
+                "CUT_OFF",
+                f"{window.subject}, cut off from {window.start_s:.2f} s to "
+                f"{window.end_s:.2f} s, served {served} of {len(cut_off)}, "
+                f"the others {served_others} of {len(others)}",
+            )
+
+
+def _count_served(requests: Sequence[Request]) -> int:
+    return sum(
+        request.outcome is Outcome.COMPLETE and 200 <= request.status < 300
+        for request in requests
+    )
+
+
 CHECKERS: tuple[Checker, ...] = (
     find_lost,
     find_untrue_promises,
@@ -402,6 +456,7 @@
     find_rollbacks,
     find_crashing_parts,
     find_blamed,
+    find_unserved,
 )
 
 
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -11,7 +11,7 @@
 import enum
 import itertools
 import json
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from soak import wire
@@ -25,6 +25,7 @@
     make_body,
     make_stream,
 )
+from soak.links import EndpointLinks, Way
 
 CRASHING_PREFIX = "bad"
 """Begins the identities of parts that crash engines."""
@@ -92,7 +93,11 @@
     _numbers = itertools.count(1)
 
     def __init__(
-        self, service: str, stage: str | None, history: History
+        self,
+        service: str,
+        stage: str | None,
+        history: History,
+        links: EndpointLinks,
     ) -> None:
         self.id = f"{service}-{next(self._numbers)}"
         self.service = service
@@ -105,6 +110,7 @@
         self.has_crashed = False
         self._silent_until_s_by_place = dict.fromkeys(Place, 0.0)
         self._history = history
+        self._links = links
         self._server: asyncio.Server | None = None
         self._stamp_by_writer: dict[asyncio.StreamWriter, str | None] = {}
 
@@ -138,9 +144,19 @@
             if self._silent_until_s_by_place[place] <= now_s:
                 self._silent_until_s_by_place[place] = now_s + duration_s
 
-    def reset_connections(self) -> None:
-        """Resets all connections, and so breaks off all runs."""
+    def reset_cut_connections(self) -> None:
+        """Resets the connections whose links are cut in that way."""
+        self.reset_connections(
+            lambda writer: self._links.find_way(writer) is Way.RESET
+        )
+
+    def reset_connections(
+        self, is_chosen: Callable[[asyncio.StreamWriter], bool] = lambda _: True
+    ) -> None:
+        """Resets connections, and so breaks off their runs."""
         for writer, stamp in list(self._stamp_by_writer.items()):
+            if not is_chosen(writer):
+                continue
             if stamp is not None:
                 self._history.broken_stamps.add(stamp)
             wire.reset(writer)
@@ -154,6 +170,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._links.add(writer)
+        if self._links.find_way(writer) in (Way.RESET, Way.REFUSE):
+            wire.reset(writer)
+            return
         self._stamp_by_writer[writer] = None
         with contextlib.suppress(
             ConnectionError, asyncio.IncompleteReadError, wire.CutError
@@ -161,6 +181,7 @@
             while head := await wire.read_head(reader):
                 async for _ in wire.iterate_body(reader, head):
                     pass
+                await self._links.wait_while_silent(writer)
                 await self._handle(head, writer)
                 self._stamp_by_writer[writer] = None
         self._stamp_by_writer.pop(writer, None)
@@ -172,6 +193,7 @@
         """Sends bytes once the endpoint is not silent."""
         while self._history.now_s() < self._silent_until_s_by_place[place]:
             await asyncio.sleep(_PAUSE_CHECK_S)
+        await self._links.wait_while_silent(writer)
         writer.write(content)
         await writer.drain()
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -170,6 +170,7 @@
     STOPPING: the process of a VM has received SIGTERM, and its successor is not
       ready.
     CUT: the link between callers and a VM is delayed, reset or silent.
+    CUT_OFF: the links of a VM to all endpoints are cut.
     STORE: the store, or a VM's link to it, is silent or fails.
     SILENT: a sound endpoint of a service is silent.
     BROKEN: an endpoint of a service misbehaves, leaves, or restarts.
@@ -179,6 +180,7 @@
     FROZEN = "frozen"
     STOPPING = "stopping"
     CUT = "cut"
+    CUT_OFF = "cut_off"
     STORE = "store"
     SILENT = "silent"
     BROKEN = "broken"
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
 
@@ -39,7 +40,7 @@
 
 async def add_endpoint(world: World, service: str, stage: str | None) -> None:
     """Starts an endpoint and registers it."""
-    endpoint = Endpoint(service, stage, world.history)
+    endpoint = Endpoint(service, stage, world.history, world.links)
     await endpoint.start()
     world.endpoints.append(endpoint)
     world.store.put("servers", endpoint.id, endpoint.as_store_entry())
@@ -195,6 +196,21 @@
             endpoint.close()
 
 
+async def _cut_off(world: World, fault: Fault) -> None:
+    """Cuts VMs off from all endpoints; at least one keeps its links."""
+    first = fault.target % len(world.vms)
+    ordered = [*world.vms[first:], *world.vms[:first]]
+    with contextlib.ExitStack() as cuts:
+        for vm in ordered[: min(fault.count, len(ordered) - 1)]:
+            cuts.enter_context(world.history.window(Trouble.CUT_OFF, vm.name))
+            cuts.enter_context(
+                world.links.cutting(vm.find_process_id, fault.way)
+            )
+        for endpoint in world.endpoints:
+            endpoint.reset_cut_connections()
+        await asyncio.sleep(fault.duration_s)
+
+
 _INJECT_BY_ACTION: dict[Action, Callable[[World, Fault], Awaitable[None]]] = {
     Action.CONFIGURE: _configure,
     Action.STORE_DOWN: _stop_store,
@@ -206,6 +222,7 @@
     Action.ENDPOINT_DRAIN: _drain,
     Action.ENDPOINT_BREAK_OFF: _break,
     Action.PART_CRASHES: _crash_by_part,
+    Action.VM_CUT_OFF: _cut_off,
 }
 
 __all__ = ["add_endpoint", "inject", "write_configuration"]
--- a/soak/limits.py
+++ b/soak/limits.py
@@ -25,6 +25,11 @@
 """Crashes after which all VMs must refuse a part of prompts."""
 PART_REQUESTS = 3
 """Requests with such a part that may still reach engines."""
+FAILED_FIRST = 5
+"""Requests that may fail in any case at a VM that is cut off.
+
+Half of what the users allow, since a soak has fewer requests.
+"""
 STABLE_S = 3.0
 """Time after a fault during which a VM or service still counts as affected."""
 
@@ -33,6 +38,7 @@
     "BUSY_TOLERANCE_S",
     "CONFIGURATION_LIMIT_S",
     "DRAIN_LIMIT_S",
+    "FAILED_FIRST",
     "GRACE_S",
     "PART_CRASHES",
     "PART_REQUESTS",
--- a/soak/run.py
+++ b/soak/run.py
@@ -45,6 +45,7 @@
       folder: folder for settings and logs.
       with_streams: whether streams are also broken off, and prompts crash
         engines.
+      with_cuts: whether VMs are also cut off from all endpoints.
     """
 
     seed: int
@@ -52,6 +53,7 @@
     vms: int
     folder: pathlib.Path
     with_streams: bool = False
+    with_cuts: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,12 +77,17 @@
 async def run_soak(options: Options) -> Result:
     """Runs a soak; ends everything that it has started in any case."""
     schedule = make_schedule(
-        options.seed, options.seconds, options.with_streams
+        options.seed,
+        options.seconds,
+        options.with_streams,
+        options.with_cuts,
     )
     store, history = ObjectStore(), History()
     ports = contextlib.ExitStack()
     vms = _make_vms(options, store, history, ports)
     world = World(history, store, vms)
+    if options.with_cuts:
+        world.links.processes += [vm.find_process_id for vm in vms]
     tasks: list[asyncio.Task[None]] = []
     lags_s = [0.0]
     try:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -9,6 +9,7 @@
 
 from soak.documents import Configuration
 from soak.endpoints import Endless, Place
+from soak.links import Way
 from soak.proxy import Direction
 
 # Faults begin after the first requests, and end before the last ones.
@@ -43,6 +44,7 @@
     ENDPOINT_DRAIN = "endpoint_drain"
     ENDPOINT_BREAK_OFF = "endpoint_break_off"
     PART_CRASHES = "part_crashes"
+    VM_CUT_OFF = "vm_cut_off"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,6 +66,7 @@
       directions: directions in which a link is cut.
       configuration: configuration to write; its version is a step.
       is_framed: whether streams that are broken off have a last chunk.
+      way: how VMs are cut off from the endpoints.
     """
 
     at_s: float
@@ -79,6 +82,7 @@
     directions: tuple[Direction, ...]
     configuration: Configuration
     is_framed: bool = False
+    way: Way = Way.RESET
 
     def __str__(self) -> str:
         words = [f"{self.at_s:.2f} s", self.action.value]
@@ -86,6 +90,8 @@
             value = getattr(self, name)
             if isinstance(value, tuple):
                 value = "+".join(item.value for item in value)
+            elif isinstance(value, Way):
+                value = value.value
             words.append(f"{name}={value}")
         return " ".join(words)
 
@@ -104,22 +110,32 @@
     Action.ENDPOINT_REPLACE: _ENDPOINT_FIELDS,
     Action.ENDPOINT_DRAIN: _ENDPOINT_FIELDS,
     Action.ENDPOINT_BREAK_OFF: (*_ENDPOINT_FIELDS, "is_framed"),
+    Action.VM_CUT_OFF: (*_USUAL_FIELDS, "count", "way"),
 }
 _IN_SERIES = (Action.CONFIGURE, Action.VM_HUP, Action.VM_TERM, Action.VM_FREEZE)
 _CALM = (
     *(Action.CONFIGURE, Action.VM_HUP),
     *(Action.ENDPOINT_SILENT, Action.ENDPOINT_SILENT),
 )
-_FURTHER = (Action.ENDPOINT_BREAK_OFF, Action.PART_CRASHES)
+_FURTHER = (
+    *(Action.ENDPOINT_BREAK_OFF, Action.PART_CRASHES),
+    Action.VM_CUT_OFF,
+)
 _MIXED = tuple(action for action in Action if action not in _FURTHER)
 # A part crashes engines for so long that requests with it come after the fifth
 # crash and the time in which all VMs must know it.
 _PART_S = 20.0
 _BREAK_OFFS_PER_S = 0.1
+# Longer than a VM may take to notice that it is cut off.
+_CUT_OFF_S = (6.0, 9.0)
+_CONNECTED_S = (1.0, 6.0)
 
 
 def make_schedule(
-    seed: int, seconds: float, with_streams: bool = False
+    seed: int,
+    seconds: float,
+    with_streams: bool = False,
+    with_cuts: bool = False,
 ) -> tuple[Fault, ...]:
     """Returns the faults of a seed, in the order of their begin.
 
@@ -131,6 +147,7 @@
       seconds: duration of the soak.
       with_streams: whether streams are also broken off, and prompts crash
         engines.
+      with_cuts: whether VMs are also cut off from all endpoints.
     """
     rng = random.Random(seed)
     faults: list[Fault] = []
@@ -149,6 +166,8 @@
         start_s, is_mixed = end_s, not is_mixed
     if with_streams:
         faults += _draw_further(seed, seconds)
+    if with_cuts:
+        faults += _draw_cuts(seed, seconds)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
@@ -171,6 +190,24 @@
     yield dataclasses.replace(fault, service="llm", duration_s=duration_s)
 
 
+def _draw_cuts(seed: int, seconds: float) -> Iterator[Fault]:
+    """Yields partitions of VMs from all endpoints, one after the other."""
+    rng = random.Random(f"{seed}/cuts")
+    at_s = rng.uniform(_FIRST_S, _CONNECTED_S[1])
+    while True:
+        duration_s = round(rng.uniform(*_CUT_OFF_S), 2)
+        if at_s + duration_s > seconds - _LAST_S:
+            return
+        fault = _draw(rng, Action.VM_CUT_OFF, at_s)
+        yield dataclasses.replace(
+            fault,
+            duration_s=duration_s,
+            count=rng.choice((1, 1, _ALL)),
+            way=rng.choice(tuple(Way)),
+        )
+        at_s += duration_s + rng.uniform(*_CONNECTED_S)
+
+
 def _draw(rng: random.Random, action: Action, at_s: float) -> Fault:
     is_silence = action is Action.ENDPOINT_SILENT
     counts = (1, 2, _ALL) if is_silence else (1, 1, 2)
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -61,6 +61,10 @@
         self._windows = contextlib.ExitStack()
         self._lease_s = 3
 
+    def find_process_id(self) -> int | None:
+        """Returns the ID of its present process; None before the first one."""
+        return None if self._process is None else self._process.pid
+
     async def start_links(self) -> None:
         """Starts the proxies."""
         await self.callers.start()
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,6 +10,7 @@
 from soak.documents import Configuration
 from soak.endpoints import Endpoint
 from soak.history import History
+from soak.links import EndpointLinks
 from soak.vms import Vm
 from standins.object_store import ObjectStore
 
@@ -22,6 +23,7 @@
       history: records what happens.
       store: the object store.
       vms: all VMs.
+      links: their links to the endpoints.
       endpoints: endpoints that are registered, in the order of their start.
       configuration: newest configuration in the store.
       crashing_part: part of prompts that crashes engines; empty for none.
@@ -32,6 +34,7 @@
     history: History
     store: ObjectStore
     vms: Sequence[Vm]
+    links: EndpointLinks = dataclasses.field(default_factory=EndpointLinks)
     endpoints: list[Endpoint] = dataclasses.field(default_factory=list)
     configuration: Configuration = dataclasses.field(
         default_factory=Configuration
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -365,3 +365,39 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class CutOffTest(unittest.TestCase):
+    def find(self, served: int, failed: int, sent_s: float = 28.0) -> list[str]:
+        """Returns what is found for a VM that is cut off from 20 s to 30 s."""
+        names = [f"p{number}" for number in range(served + failed)]
+        cut_off = [
+            _make_request(
+                id=name, sent_s=sent_s, ended_s=sent_s + 0.1, vm="vm-1"
+            )
+            for name in names
+        ]
+        cut_off[served:] = [
+            dataclasses.replace(request, status=503, stamp=None)
+            for request in cut_off[served:]
+        ]
+        others = [
+            dataclasses.replace(request, id=f"o{name}", vm="vm-2", status=200)
+            for name, request in zip(names, cut_off, strict=True)
+        ]
+        window = Window(Trouble.CUT_OFF, "vm-1", 20.0, 30.0)
+        history = _make_history(*cut_off, *others, windows=[window])
+        return [v.checker for v in checkers.find_unserved(history)]
+
+    def test_vm_that_refuses_its_callers_is_found(self) -> None:
+        """Guards against a VM that is cut off and refuses unnoticed."""
+        self.assertEqual(self.find(0, 20), ["CUT_OFF"])
+
+    def test_two_thirds_of_the_share_of_the_others_are_enough(self) -> None:
+        """Guards against a bound that is stricter than the users' one."""
+        self.assertEqual(self.find(14, 7), [])
+        self.assertEqual(self.find(13, 8), ["CUT_OFF"])
+
+    def test_refusals_before_the_vm_can_know_are_allowed(self) -> None:
+        """Guards against a soak that fails whatever a VM does."""
+        self.assertEqual(self.find(0, 20, sent_s=21.0), [])
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -25,7 +25,7 @@
         """Guards against seeds that no longer play what once failed."""
         for seed in _SEEDS:
             usual = make_schedule(seed, _SECONDS)
-            more = make_schedule(seed, _SECONDS, with_streams=True)
+            more = make_schedule(seed, _SECONDS, True, with_cuts=True)
             self.assertEqual(
                 [fault for fault in more if fault in usual], [*usual]
             )
@@ -35,7 +35,7 @@
         played = {
             fault.action
             for seed in _SEEDS
-            for fault in make_schedule(seed, _SECONDS, with_streams=True)
+            for fault in make_schedule(seed, _SECONDS, True, with_cuts=True)
         }
         self.assertEqual(played, set(Action))
 
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -7,10 +7,12 @@
 import tempfile
 import unittest
 
+from soak.history import Trouble
 from soak.run import Options, Result, run_soak
 
 _SEED = 221
 _STREAMS_SEED = 3403
+_CUTS_SEED = 3701
 _SECONDS = 30.0
 _VMS = 2
 _MIN_RUNS = 100
@@ -19,7 +21,7 @@
 class ShortRunTest(unittest.TestCase):
     def test_promises_hold_beside_faults(self) -> None:
         """Guards against broken promises that neither fakes nor days show."""
-        self._check(_SEED, with_streams=False)
+        self._check(_SEED)
 
     def test_promises_hold_beside_broken_streams_and_prompts(self) -> None:
         """Guards against streams that seem whole, and engines that go on dying.
@@ -30,11 +32,28 @@
         result = self._check(_STREAMS_SEED, with_streams=True)
         self.assertTrue(result.history.part_crashes)
 
-    def _check(self, seed: int, with_streams: bool) -> Result:
+    def test_promises_hold_beside_partitions_from_endpoints(self) -> None:
+        """Guards against VMs that are cut off and refuse their callers."""
+        result = self._check(_CUTS_SEED, with_cuts=True, vms=3)
+        troubles = {window.trouble for window in result.history.windows}
+        self.assertIn(Trouble.CUT_OFF, troubles)
+
+    def _check(
+        self,
+        seed: int,
+        with_streams: bool = False,
+        with_cuts: bool = False,
+        vms: int = _VMS,
+    ) -> Result:
         """Runs a soak and checks that it has broken no promise."""
         with tempfile.TemporaryDirectory() as folder:
             options = Options(
-                seed, _SECONDS, _VMS, pathlib.Path(folder), with_streams
+                seed,
+                _SECONDS,
+                vms,
+                pathlib.Path(folder),
+                with_streams,
+                with_cuts,
             )
             result = asyncio.run(run_soak(options))
         found = [str(violation) for violation in result.violations]
