--- a/src/burdockspan/endpoints/connections.py
+++ b/src/burdockspan/endpoints/connections.py
@@ -37,7 +37,8 @@
 _IDLE_LIMIT_PER_ADDRESS = 32
 _RETRYABLE_METHODS = ("GET", "HEAD", "DELETE")
 
-_SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
+# As for callers in `http/listener`, a lost endpoint is given up after 20 s.
+SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
@@ -221,7 +222,7 @@
     ) -> Result[OpenConnection, Failure]:
         host, _, port = endpoint.address.rpartition(":")
         connection = WholeHeadConnection(
-            host, int(port), socket_options=_SOCKET_OPTIONS
+            host, int(port), socket_options=SOCKET_OPTIONS
         )
         opened_s = self.clock()
         try:
@@ -255,4 +256,9 @@
     return since_s is not None and now_s - since_s > IDLE_LIMIT_S
 
 
-__all__ = ["IDLE_LIMIT_S", "Connections", "make_connections"]
+__all__ = [
+    "IDLE_LIMIT_S",
+    "SOCKET_OPTIONS",
+    "Connections",
+    "make_connections",
+]
