Leave a silent endpoint for another VM only if that one can begin

A stream with 0.5 s left went to another VM, which refused it for want of time, and was cut off.

A request now stays with its endpoint while less than its objective is left, which the other VM needs, and while anything arrives from the service on open connections.

test_stream_without_time_for_another_vm_waits_on failed before (a broken stream) and passes, as does test_open_connections_that_bring_bytes_are_not_lost.

--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/generation.py
@@ -230,6 +230,9 @@
                 for part in self._current.response.iterate(
                     self._silence_limit_s, self._decide_on_silence
                 ):
+                    self._context.reachability.record_heard(
+                        self._request.service
+                    )
                     if not self._is_resumable:
                         if self._current.response.succeeded:
                             self._attempts.record_event()
--- a/src/burdockspan/gateway/peer_relay.py
+++ b/src/burdockspan/gateway/peer_relay.py
@@ -52,10 +52,14 @@
 ) -> bool:
     """Returns whether a request may leave a silent endpoint for another VM.
 
-    It does so only if its endpoint takes no connections any more.
+    It does so only if its own connection seems to be lost as well, and while
+    the other VM has time to begin: until then the endpoint may go on.
     """
-    is_disconnected = context.reachability.is_disconnected(request.service)
-    return is_disconnected and can_hand_over(context, request, attempts)
+    return (
+        attempts.remaining_s() > request.route.objective_s
+        and context.reachability.has_lost_connections(request.service)
+        and can_hand_over(context, request, attempts)
+    )
 
 
 def hand_over(
--- a/src/burdockspan/gateway/reachability.py
+++ b/src/burdockspan/gateway/reachability.py
@@ -84,6 +84,7 @@
         self._lock = threading.Lock()
         self._evidence_by_service: dict[str, _Evidence] = {}
         self._silent_s_by_service: dict[str, float] = {}
+        self._heard_s_by_service: dict[str, float] = {}
         # When the latest call began that was lost after its connection opened.
         self._sent_s_by_service: dict[str, float] = {}
         self._lost: set[str] = set()
@@ -99,6 +100,7 @@
             were opened before a partition may outlive it.
         """
         service = endpoint.service
+        self.record_heard(service)
         with self._lock:
             evidence = self._find_evidence(service)
             if evidence.reached_s is not None and began_s < evidence.reached_s:
@@ -190,6 +192,22 @@
         failed_s = self._find_evidence(service).failed_s_by_incarnation
         return bool(failed_s) and self._is_enough(service, failed_s)
 
+    def record_heard(self, service: str) -> None:
+        """Records that bytes arrived on any connection to a service."""
+        self._heard_s_by_service[service] = self._clock()
+
+    def has_lost_connections(self, service: str) -> bool:
+        """Returns whether open connections seem to be lost as well.
+
+        That is, a service is disconnected, and nothing has arrived from it
+        since the first of the failures that show this began.
+        """
+        failed_s = self._find_evidence(service).failed_s_by_incarnation
+        if not failed_s or not self._is_enough(service, failed_s):
+            return False
+        heard_s = self._heard_s_by_service.get(service)
+        return heard_s is None or heard_s < min(failed_s.values())
+
     def loses_calls(self, service: str) -> bool:
         """Returns whether connections open, and calls on them are lost.
 
--- a/tests/gateway/test_peer_relay.py
+++ b/tests/gateway/test_peer_relay.py
@@ -241,6 +241,28 @@
             )
         )
 
+    def test_stream_without_time_for_another_vm_waits_on(self) -> None:
+        """Guards against a stream that is left for a VM that refuses it."""
+        started = threading.Event()
+        silence_ends = threading.Event()
+
+        def answer(received: Received) -> Iterable[Step]:
+            if received.header("Stage") or received.header("Deadline-Ms"):
+                started.set()
+                whole = make_stream(1, 2, 3)
+                return [*whole[:2], silence_ends, *whole[2:]]
+            return engine(received)
+
+        engine = EngineScript([])
+        self.add_endpoint("i-d", answer, service="llm", stage="decode")
+        timer = threading.Timer(1.7, silence_ends.set)
+        timer.start()
+        # The silence counts after 1.2 s, when less than the objective is left.
+        sizes = {**_SIZES, "Deadline-Ms": "3000"}
+        response = self.call_until_cut(started, "/review/x", **sizes)
+        self.assertEqual(response.status, 200)
+        self.assertTrue(response.complete)
+
     def test_read_goes_on_at_another_vm(self) -> None:
         """Guards against reads that wait for an endpoint behind the cut."""
         started = threading.Event()
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -81,6 +81,17 @@
         self.assertTrue(self.is_lost())
         self.assertFalse(self.reachability.is_disconnected("app"))
 
+    def test_open_connections_that_bring_bytes_are_not_lost(self) -> None:
+        """Guards against work that leaves connections which live on."""
+        self.reachability.record_heard("app")
+        self.now_s += 0.1
+        self.fail_all()
+        self.assertTrue(self.reachability.has_lost_connections("app"))
+        self.now_s += 0.1
+        self.reachability.record_heard("app")
+        self.assertTrue(self.reachability.is_disconnected("app"))
+        self.assertFalse(self.reachability.has_lost_connections("app"))
+
     def test_silence_of_a_request_is_a_reason_to_probe(self) -> None:
         """Guards against a loss that is noticed only when requests fail."""
         self.reachability.record_silence(self.endpoints[0])
