Let a further VM go on when the one that relays a request is lost

A resumable stream now goes on at a further VM after its last event, and a request that may be repeated is sent to one, within their max_attempts. Others end with 502 as before.

test_stream_of_a_lost_vm_goes_on_at_a_further_one and test_read_of_a_lost_vm_goes_to_a_further_one failed before (a broken stream, 502) and pass.

--- a/src/burdockspan/gateway/peer_relay.py
+++ b/src/burdockspan/gateway/peer_relay.py
@@ -21,8 +21,9 @@
 from burdockspan.gateway.ports import EndpointResponse, RelayOptions
 from burdockspan.gateway.reachability import OUT_OF_REACH
 from burdockspan.gateway.relay_messages import make_declined
+from burdockspan.gateway.sse import StreamProgress, split_events
 from burdockspan.gateway.values import RelayNote, RequestKind
-from burdockspan.values.placement import FailureKind
+from burdockspan.values.placement import Failure, FailureKind
 
 # VMs that are asked for one request. A VM that cannot serve it says so within
 # a round trip.
@@ -117,7 +118,7 @@
     peer: Peer,
     after_event: str | None,
 ) -> Response | None:
-    """Returns the response of a VM; None if it did not take the request."""
+    """Returns the response of a VM; None if another one may be asked."""
     context.log(
         "relay",
         request_id=request.call.request_id,
@@ -152,7 +153,7 @@
         elif not request.caller.gone:
             weight = passive_health.failure_weight(failure.kind)
             context.peers.record_failure(peer, weight)
-        if failure.kind in NOT_STARTED:
+        if failure.kind in NOT_STARTED or request.route.repeatable:
             return None
         return attempts.make_error_response("relay failed", RETRY_AFTER_S)
     context.peers.record_served(peer)
@@ -160,7 +161,15 @@
     if not attempts.call_count:
         # The other VM counts the request.
         context.retry_budget.withdraw_request(request.service)
-    return _make_response(context, request, peer, outcome.ok_value, end_work)
+    return _make_response(
+        context,
+        request,
+        attempts,
+        peer,
+        outcome.ok_value,
+        end_work,
+        after_event,
+    )
 
 
 def _find_first_request(
@@ -175,30 +184,74 @@
 def _make_response(
     context: Context,
     request: RoutedRequest,
+    attempts: Attempts,
     peer: Peer,
     answer: EndpointResponse,
     end_work: Callable[[], None],
+    after_event: str | None,
 ) -> Response:
+    """Returns the response of another VM.
+
+    A resumable stream that breaks off goes on at a further VM, if one takes it.
+    """
+    rest: list[Response] = []
+    is_resumable = (
+        request.route.kind is RequestKind.STREAM
+        and request.route.repeatable
+        and answer.succeeded
+    )
+
     def iterate() -> Iterator[bytes]:
+        progress = StreamProgress(last_event_id=after_event)
         try:
-            yield from answer.iterate(lambda: math.inf, lambda: None)
+            for part in answer.iterate(lambda: math.inf, lambda: None):
+                if not is_resumable:
+                    yield part
+                    continue
+                progress, events = split_events(progress, part)
+                if events:
+                    yield events
+            if progress.partial_event:
+                yield progress.partial_event
         except EndpointError as error:
-            context.registry.count("relay", "broke_off")
-            context.log(
-                "relay broke off",
-                request_id=request.call.request_id,
-                peer=peer.vm,
-                kind=error.failure.kind.value,
-                detail=error.failure.detail,
-                caller_gone=request.caller.gone,
-            )
-            raise TruncatedError(error.failure.detail) from error
+            _record_broken_relay(context, request, peer, error.failure)
+            attempts.record_relay_failure(peer, error.failure)
+            resumed = None
+            if is_resumable and progress.is_resumable:
+                event = progress.last_event_id
+                resumed = hand_over(context, request, attempts, event)
+            if resumed is None:
+                raise TruncatedError(error.failure.detail) from error
+            rest.append(resumed)
+            if not 200 <= resumed.status < 300:
+                detail = f"resumed with {resumed.status}"
+                raise TruncatedError(detail) from error
+            yield from resumed.body
 
     def close() -> None:
         answer.close()
         end_work()
+        for response in rest:
+            response.close()
 
     return Response(answer.status, answer.headers, iterate(), close)
 
 
+def _record_broken_relay(
+    context: Context, request: RoutedRequest, peer: Peer, failure: Failure
+) -> None:
+    context.registry.count("relay", "broke_off")
+    if not request.caller.gone:
+        weight = passive_health.failure_weight(failure.kind)
+        context.peers.record_failure(peer, weight)
+    context.log(
+        "relay broke off",
+        request_id=request.call.request_id,
+        peer=peer.vm,
+        kind=failure.kind.value,
+        detail=failure.detail,
+        caller_gone=request.caller.gone,
+    )
+
+
 __all__ = ["can_hand_over", "can_leave", "hand_over"]
--- a/tests/gateway/test_peer_relay.py
+++ b/tests/gateway/test_peer_relay.py
@@ -399,6 +399,38 @@
         self.assertEqual(self.send(7, "/pay/x").status, 502)
         self.assertEqual(sum(len(peer.received) for peer in peers), 1)
 
+    def test_read_of_a_lost_vm_goes_to_a_further_one(self) -> None:
+        """Guards against reads that end with the VM that relays them."""
+        self.cut_off()
+        lost = ScriptedEndpoint("vm-3", lambda _: [Action.RESET])
+        self.replace_peers(lost, ScriptedEndpoint("vm-4", lambda _: _OK))
+        for number in range(7, 10):
+            self.assertEqual(self.send(number, "/read/x").status, 200)
+
+    def test_stream_of_a_lost_vm_goes_on_at_a_further_one(self) -> None:
+        """Guards against streams that end with the VM that relays them."""
+
+        def answer(received: Received) -> Iterable[Step]:
+            if received.header("Last-Event-Id") == "2":
+                self.assertEqual(received.header("Resumes"), "r7")
+                self.assertEqual(received.header("Burdockspan-Runs"), "1")
+                return make_stream(3, 4)
+            return [*make_stream(1, 2)[:-1], Action.RESET]
+
+        self.partition.cut = Cut.REFUSE
+        engine = EngineScript([])
+        self.add_endpoint("i-d", engine, service="llm", stage="decode")
+        reachability = self.vm.components.context.reachability
+        for endpoint in self.vm.components.context.state.list_usable("llm"):
+            reachability.record_failure(endpoint, time.monotonic())
+        self.replace_peers(
+            *(ScriptedEndpoint(f"vm-{n}", answer) for n in (3, 4))
+        )
+        response = self.send(7, "/review/x", **_SIZES)
+        self.assertTrue(response.complete)
+        events = [b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 5)]
+        self.assertEqual(response.body, b"".join(events))
+
     def test_vm_that_takes_no_connection_costs_no_answer(self) -> None:
         """Guards against a refusal after the end of one VM."""
         self.cut_off()
