Keep the addresses of VMs without a recent heartbeat for a while

Addresses are kept for 30 s after the last heartbeat. A VM that does not take connections is under suspicion for some seconds.

--- a/src/burdockspan/gateway/peers.py
+++ b/src/burdockspan/gateway/peers.py
@@ -17,6 +17,9 @@
 # A VM that served a relayed request within this time is preferred once another
 # one has declined.
 _SERVED_S = 5.0
+# A VM is asked for this time after its last heartbeat; one that is gone costs a
+# connection attempt each few seconds.
+_KEPT_S = 30.0
 # In requests in flight. A VM of another zone ranks like one of this zone that
 # serves one more request of this VM.
 _OTHER_ZONE_PENALTY = 1.0
@@ -49,6 +52,7 @@
         self._random_float = random_float
         self._lock = threading.Lock()
         self._peer_by_vm: dict[str, Peer] = {}
+        self._seen_s_by_vm: dict[str, float] = {}
         self._suspicion_by_vm: dict[str, Suspicion] = {}
         self._in_flight_by_vm: Counter[str] = Counter()
         self._declined_s_by_key: dict[tuple[str, str], float] = {}
@@ -57,7 +61,12 @@
     def set_values(
         self, value_by_vm: Mapping[str, Mapping[str, object]]
     ) -> None:
-        """Sets the VMs from their heartbeats; malformed ones are left out."""
+        """Adds the VMs of recent heartbeats; malformed ones are left out.
+
+        A VM without a recent heartbeat is kept for a while: it may have been
+        restarted, or only be cut off from the store.
+        """
+        now_s = self._clock()
         peers = {}
         for vm, value in value_by_vm.items():
             address, zone = value.get("relay_address"), value.get("zone")
@@ -66,6 +75,13 @@
                     vm, address, zone if isinstance(zone, str) else ""
                 )
         with self._lock:
+            self._seen_s_by_vm |= dict.fromkeys(peers, now_s)
+            kept = {
+                vm: peer
+                for vm, peer in self._peer_by_vm.items()
+                if now_s - self._seen_s_by_vm[vm] < _KEPT_S
+            }
+            peers = {**kept, **peers}
             self._peer_by_vm = peers
             for vm in self._suspicion_by_vm.keys() - peers.keys():
                 del self._suspicion_by_vm[vm]
--- a/tests/gateway/test_peer_relay.py
+++ b/tests/gateway/test_peer_relay.py
@@ -59,7 +59,9 @@
             peer.id: {"relay_address": peer.address, "zone": "zone-a"}
             for peer in peers
         }
-        self.vm.components.context.peers.set_values(value_by_vm)
+        known = self.vm.components.context.peers
+        known._peer_by_vm.clear()
+        known.set_values(value_by_vm)
 
 
 class TestRelayedRequests(RelayCase):
@@ -509,6 +511,16 @@
         chosen = self.peers.choose("app", ("vm-x",))
         self.assertEqual(chosen, proven)
 
+    def test_vm_without_a_recent_heartbeat_is_kept_for_a_while(self) -> None:
+        """Guards against refusals until a restarted VM has written again."""
+        self.set_vms(2)
+        self.now_s += 8.0
+        self.peers.set_values({})
+        self.assertIsNotNone(self.peers.choose("app", ()))
+        self.now_s += 60.0
+        self.peers.set_values({})
+        self.assertIsNone(self.peers.choose("app", ()))
+
     def test_malformed_heartbeats_name_no_vm(self) -> None:
         """Guards against a heartbeat that ends the thread that reads it."""
         self.peers.set_values(
