Ignore malformed addresses in the heartbeats of other VMs

A heartbeat with an address whose port is no number was kept, and each request that would have been relayed there ended with 500.

test_malformed_heartbeats_name_no_vm failed before with three further addresses and passes.

--- a/src/burdockspan/gateway/peers.py
+++ b/src/burdockspan/gateway/peers.py
@@ -20,6 +20,7 @@
 # A VM is asked for this time after its last heartbeat; one that is gone costs a
 # connection attempt each few seconds.
 _KEPT_S = 30.0
+_MAX_PORT = 65_535
 # In requests in flight. A VM of another zone ranks like one of this zone that
 # serves one more request of this VM.
 _OTHER_ZONE_PENALTY = 1.0
@@ -70,10 +71,11 @@
         peers = {}
         for vm, value in value_by_vm.items():
             address, zone = value.get("relay_address"), value.get("zone")
-            if vm != self._vm and isinstance(address, str) and ":" in address:
-                peers[vm] = Peer(
-                    vm, address, zone if isinstance(zone, str) else ""
-                )
+            if vm == self._vm or not _is_address(address):
+                continue
+            peers[vm] = Peer(
+                vm, str(address), zone if isinstance(zone, str) else ""
+            )
         with self._lock:
             self._seen_s_by_vm |= dict.fromkeys(peers, now_s)
             kept = {
@@ -164,4 +166,12 @@
             )
 
 
+def _is_address(text: object) -> bool:
+    """Returns whether a value is `ip:port`."""
+    if not isinstance(text, str):
+        return False
+    ip, _, port = text.rpartition(":")
+    return bool(ip) and port.isdecimal() and 0 < int(port) <= _MAX_PORT
+
+
 __all__ = ["Peer", "Peers"]
--- a/tests/gateway/test_peer_relay.py
+++ b/tests/gateway/test_peer_relay.py
@@ -529,6 +529,9 @@
                 "vm-3": {"relay_address": 7},
                 "vm-4": {},
                 "vm-5": {"relay_address": "nowhere"},
+                "vm-6": {"relay_address": "10.0.0.1:port"},
+                "vm-7": {"relay_address": "10.0.0.1:70000"},
+                "vm-8": {"relay_address": ":80"},
             }
         )
         self.assertIsNone(self.peers.choose("app", ()))
