--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/plain.py
@@ -58,7 +58,7 @@
         relayed = hand_over(context, request, attempts)
         if relayed is not None:
             return relayed
-        if _is_hopeless(context, request, attempts):
+        if _would_be_lost(context, request, attempts):
             return attempts.make_error_response(OUT_OF_REACH, RETRY_AFTER_S)
         endpoint = (
             successor
@@ -94,7 +94,7 @@
     return attempts.make_error_response(reason, retry_after_s)
 
 
-def _is_hopeless(
+def _would_be_lost(
     context: Context, request: RoutedRequest, attempts: Attempts
 ) -> bool:
     """Returns whether a request would be lost rather than served.
