Divide the gateway role into packages by decision

The role was 48 modules in one folder. They move into callers, requests, admission, choice, endpoints, streams, fleet and discovery, and their tests along with them; discovery.py becomes discovery/watchers.py. No code changes but imports.

--- a/src/burdockspan/gateway/channel.py
+++ b/src/burdockspan/gateway/callers/channel.py
@@ -19,7 +19,7 @@
 import waitress.task
 import waitress.utilities
 
-from burdockspan.gateway.messages import (
+from burdockspan.gateway.callers.messages import (
     CallerConnection,
     RawRequest,
     TruncatedError,
--- a/src/burdockspan/gateway/channel_reaper.py
+++ b/src/burdockspan/gateway/callers/channel_reaper.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
-from burdockspan.gateway.channel import RequestError
-from burdockspan.gateway.connection_log import (
+from burdockspan.gateway.callers.channel import RequestError
+from burdockspan.gateway.callers.connection_log import (
     ClosedConnection,
     CloseReason,
     RecordClosed,
--- a/src/burdockspan/gateway/ingress.py
+++ b/src/burdockspan/gateway/callers/ingress.py
@@ -8,14 +8,18 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
-from burdockspan.gateway.channel import (
+from burdockspan.gateway.callers.channel import (
     CLOSE_KEY,
     RAW_KEY,
     make_channel_class,
 )
-from burdockspan.gateway.channel_reaper import ChannelReaper
-from burdockspan.gateway.connection_log import RecordClosed
-from burdockspan.gateway.messages import RawRequest, Response, make_status_line
+from burdockspan.gateway.callers.channel_reaper import ChannelReaper
+from burdockspan.gateway.callers.connection_log import RecordClosed
+from burdockspan.gateway.callers.messages import (
+    RawRequest,
+    Response,
+    make_status_line,
+)
 from burdockspan.gateway.values import RequestLimits
 from burdockspan.http.listener import Server, make_server
 from burdockspan.values.clock import Clock
--- a/src/burdockspan/gateway/ranking.py
+++ b/src/burdockspan/gateway/choice/ranking.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Callable, Collection, Iterable
 
-from burdockspan.gateway import passive_health
+from burdockspan.gateway.endpoints import passive_health
 from burdockspan.gateway.values import Endpoint
 from burdockspan.placement.sampling import RandomFloat
 
--- a/src/burdockspan/gateway/stage_balance.py
+++ b/src/burdockspan/gateway/choice/stage_balance.py
@@ -5,11 +5,12 @@
 from collections.abc import Mapping
 from typing import Any
 
-from burdockspan.gateway import passive_health, stages
+from burdockspan.gateway.choice import stages
+from burdockspan.gateway.choice.stage_orders import OrderSender
+from burdockspan.gateway.choice.stages import SettledEngines
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.reachability import OUT_OF_REACH
-from burdockspan.gateway.stage_orders import OrderSender
-from burdockspan.gateway.stages import SettledEngines
+from burdockspan.gateway.endpoints import passive_health
+from burdockspan.gateway.fleet.reachability import OUT_OF_REACH
 from burdockspan.gateway.values import Stage
 
 
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -4,19 +4,19 @@
 
 import dataclasses
 
-from burdockspan.gateway.admission_queue import AdmissionQueues
-from burdockspan.gateway.crash_records import CrashRecordStore
-from burdockspan.gateway.full_engines import FullEngines
+from burdockspan.gateway.admission.admission_queue import AdmissionQueues
+from burdockspan.gateway.admission.full_engines import FullEngines
+from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.choice.prefill_delays import PrefillDelays
+from burdockspan.gateway.choice.stages import DemandMeter
+from burdockspan.gateway.endpoints.crash_records import CrashRecordStore
+from burdockspan.gateway.endpoints.part_quarantine import PartQuarantine
+from burdockspan.gateway.fleet.peers import Peers
+from burdockspan.gateway.fleet.reachability import Reachability
 from burdockspan.gateway.graceful_stop import GracefulStop
-from burdockspan.gateway.origin_sharing import OriginSharing
-from burdockspan.gateway.part_quarantine import PartQuarantine
-from burdockspan.gateway.peers import Peers
 from burdockspan.gateway.ports import Platform
-from burdockspan.gateway.prefill_delays import PrefillDelays
-from burdockspan.gateway.reachability import Reachability
-from burdockspan.gateway.retry_budget import RetryBudget
-from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.streams.origin_sharing import OriginSharing
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.observe.registry import Registry
 from burdockspan.placement.sampling import RandomFloat
--- a/src/burdockspan/gateway/discovery.py
+++ b/src/burdockspan/gateway/discovery/watchers.py
@@ -12,8 +12,8 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway import endpoint_table
-from burdockspan.gateway.endpoint_table import EndpointTable
+from burdockspan.gateway.discovery import endpoint_table
+from burdockspan.gateway.discovery.endpoint_table import EndpointTable
 from burdockspan.gateway.ports import (
     Consistency,
     Listing,
--- a/src/burdockspan/gateway/crash_records.py
+++ b/src/burdockspan/gateway/endpoints/crash_records.py
@@ -18,8 +18,8 @@
 
 from result import Err
 
-from burdockspan.gateway.discovery import ObjectWatcher
-from burdockspan.gateway.part_quarantine import (
+from burdockspan.gateway.discovery.watchers import ObjectWatcher
+from burdockspan.gateway.endpoints.part_quarantine import (
     NAME_PREFIX,
     Part,
     PartQuarantine,
--- a/src/burdockspan/gateway/endpoint_conditions.py
+++ b/src/burdockspan/gateway/endpoints/endpoint_conditions.py
@@ -5,9 +5,9 @@
 import threading
 from collections.abc import Collection
 
-from burdockspan.gateway.endpoint_pauses import EndpointPauses
+from burdockspan.gateway.endpoints.endpoint_pauses import EndpointPauses
+from burdockspan.gateway.endpoints.rate_limits import RateLimits
 from burdockspan.gateway.ports import EndpointSignals, ObserveSignals
-from burdockspan.gateway.rate_limits import RateLimits
 from burdockspan.gateway.values import Endpoint, Incarnation
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.observe.registry import Registry
--- a/src/burdockspan/gateway/peers.py
+++ b/src/burdockspan/gateway/fleet/peers.py
@@ -7,8 +7,8 @@
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 
-from burdockspan.gateway import passive_health
-from burdockspan.gateway.passive_health import Suspicion
+from burdockspan.gateway.endpoints import passive_health
+from burdockspan.gateway.endpoints.passive_health import Suspicion
 from burdockspan.placement.sampling import RandomFloat
 from burdockspan.values.clock import Clock
 
--- a/src/burdockspan/gateway/reachability_probes.py
+++ b/src/burdockspan/gateway/fleet/reachability_probes.py
@@ -5,8 +5,8 @@
 import threading
 from collections.abc import Callable
 
+from burdockspan.gateway.fleet.reachability import Reachability
 from burdockspan.gateway.ports import EndpointClient
-from burdockspan.gateway.reachability import Reachability
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.values import Endpoint
 
--- a/src/burdockspan/gateway/relay_messages.py
+++ b/src/burdockspan/gateway/fleet/relay_messages.py
@@ -10,7 +10,7 @@
 import re
 from collections.abc import Iterable
 
-from burdockspan.gateway.messages import Response, make_problem
+from burdockspan.gateway.callers.messages import Response, make_problem
 from burdockspan.gateway.values import RelayNote
 
 Headers = tuple[tuple[str, str], ...]
--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -12,8 +12,8 @@
 from burdockspan.endpoints.call_timer import OnSilence
 from burdockspan.endpoints.exchange import Framing
 from burdockspan.endpoints.sockets import AbortHandle
-from burdockspan.gateway.messages import RawRequest
-from burdockspan.gateway.peers import Peer
+from burdockspan.gateway.callers.messages import RawRequest
+from burdockspan.gateway.fleet.peers import Peer
 from burdockspan.gateway.values import (
     Configuration,
     Endpoint,
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -11,49 +11,55 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from burdockspan.gateway import crash_records, stages
-from burdockspan.gateway.admission_queue import AdmissionQueues
-from burdockspan.gateway.application import (
-    InFlightRequests,
-    make_handler,
-    make_relay_handler,
-)
-from burdockspan.gateway.connection_log import make_close_recorder
+from burdockspan.gateway.admission.admission_queue import AdmissionQueues
+from burdockspan.gateway.admission.full_engines import FullEngines
+from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.callers.connection_log import make_close_recorder
+from burdockspan.gateway.callers.ingress import make_ingress
+from burdockspan.gateway.callers.messages import make_status_line
+from burdockspan.gateway.choice import stages
+from burdockspan.gateway.choice.prefill_delays import PrefillDelays
+from burdockspan.gateway.choice.stage_balance import balance_stages
+from burdockspan.gateway.choice.stage_orders import OrderSender
+from burdockspan.gateway.choice.stages import DemandMeter
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.crash_records import CrashRecordStore
-from burdockspan.gateway.discovery import (
+from burdockspan.gateway.discovery.watchers import (
     ObjectWatcher,
     compute_max_age_s,
     compute_watch_timeout_s,
     make_watchers,
     run_watcher,
 )
-from burdockspan.gateway.endpoint_conditions import make_signal_observer
-from burdockspan.gateway.full_engines import FullEngines
+from burdockspan.gateway.endpoints import crash_records
+from burdockspan.gateway.endpoints.crash_records import CrashRecordStore
+from burdockspan.gateway.endpoints.endpoint_conditions import (
+    make_signal_observer,
+)
+from burdockspan.gateway.endpoints.part_quarantine import PartQuarantine
+from burdockspan.gateway.fleet.peers import Peers
+from burdockspan.gateway.fleet.reachability import Reachability, observe_calls
+from burdockspan.gateway.fleet.reachability_probes import (
+    make_path_check,
+    run_probes,
+)
+from burdockspan.gateway.fleet.vm_heartbeats import (
+    HEARTBEAT_INTERVAL_S,
+    VmHeartbeats,
+    run_heartbeats,
+)
 from burdockspan.gateway.graceful_stop import GracefulStop
-from burdockspan.gateway.ingress import make_ingress
-from burdockspan.gateway.messages import make_status_line
-from burdockspan.gateway.origin_sharing import open_origin_sharing
-from burdockspan.gateway.part_quarantine import PartQuarantine
-from burdockspan.gateway.peers import Peers
 from burdockspan.gateway.ports import ObserveSignals, Platform
-from burdockspan.gateway.prefill_delays import PrefillDelays
-from burdockspan.gateway.reachability import Reachability, observe_calls
-from burdockspan.gateway.reachability_probes import make_path_check, run_probes
 from burdockspan.gateway.reload import LoadSettings, make_reload
-from burdockspan.gateway.retry_budget import RetryBudget
+from burdockspan.gateway.requests.application import (
+    InFlightRequests,
+    make_handler,
+    make_relay_handler,
+)
 from burdockspan.gateway.settings import GatewaySettings
-from burdockspan.gateway.stage_balance import balance_stages
-from burdockspan.gateway.stage_orders import OrderSender
-from burdockspan.gateway.stages import DemandMeter
 from burdockspan.gateway.state import GatewayState
-from burdockspan.gateway.stream_origins import StreamOrigins
+from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
+from burdockspan.gateway.streams.stream_origins import StreamOrigins
 from burdockspan.gateway.values import RequestLimits
-from burdockspan.gateway.vm_heartbeats import (
-    HEARTBEAT_INTERVAL_S,
-    VmHeartbeats,
-    run_heartbeats,
-)
 from burdockspan.http.listener import Server, make_server
 from burdockspan.observe.event_log import WriteEvent, make_event_log
 from burdockspan.observe.logs import configure_logs
--- a/src/burdockspan/gateway/reload.py
+++ b/src/burdockspan/gateway/reload.py
@@ -8,10 +8,10 @@
 from result import Err, Result
 
 from burdockspan.configuration.problem import Problem
+from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.choice.stage_orders import OrderSender
 from burdockspan.gateway.graceful_stop import GracefulStop
-from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import GatewaySettings
-from burdockspan.gateway.stage_orders import OrderSender
 from burdockspan.observe.event_log import WriteEvent
 
 LoadSettings = Callable[[], Result[GatewaySettings, tuple[Problem, ...]]]
--- a/src/burdockspan/gateway/application.py
+++ b/src/burdockspan/gateway/requests/application.py
@@ -11,21 +11,24 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints.sockets import AbortHandle
-from burdockspan.gateway.attempts import CRASHES_ENDPOINTS, RoutedRequest
-from burdockspan.gateway.context import Context
-from burdockspan.gateway.crash_records import RECORD_TTL_S
-from burdockspan.gateway.generation import generate
-from burdockspan.gateway.ingress import Handler
-from burdockspan.gateway.messages import (
+from burdockspan.gateway.callers.ingress import Handler
+from burdockspan.gateway.callers.messages import (
     RawRequest,
     Response,
     TruncatedError,
     make_problem,
 )
-from burdockspan.gateway.plain import forward
-from burdockspan.gateway.relay_messages import make_declined, split_note
-from burdockspan.gateway.resumption import restrict_to_origin
-from burdockspan.gateway.routing import choose_service, find_route
+from burdockspan.gateway.choice.routing import choose_service, find_route
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.endpoints.crash_records import RECORD_TTL_S
+from burdockspan.gateway.fleet.relay_messages import make_declined, split_note
+from burdockspan.gateway.requests.attempts import (
+    CRASHES_ENDPOINTS,
+    RoutedRequest,
+)
+from burdockspan.gateway.requests.generation import generate
+from burdockspan.gateway.requests.plain import forward
+from burdockspan.gateway.requests.resumption import restrict_to_origin
 from burdockspan.gateway.values import InboundCall, RelayNote
 from burdockspan.resilience.crash_evidence import TRIAL_INTERVAL_S
 
--- a/src/burdockspan/gateway/attempts.py
+++ b/src/burdockspan/gateway/requests/attempts.py
@@ -8,18 +8,19 @@
 
 from burdockspan.endpoints.call_timer import TimeLimit
 from burdockspan.endpoints.sockets import AbortHandle
-from burdockspan.gateway import passive_health
-from burdockspan.gateway.context import Context
-from burdockspan.gateway.messages import (
+from burdockspan.gateway.admission.retry_budget import SpentRetry
+from burdockspan.gateway.callers.messages import (
     CallerConnection,
     Response,
     make_problem,
 )
-from burdockspan.gateway.part_quarantine import Part, list_parts
-from burdockspan.gateway.peers import Peer
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.endpoints import passive_health
+from burdockspan.gateway.endpoints.part_quarantine import Part, list_parts
+from burdockspan.gateway.fleet.peers import Peer
+from burdockspan.gateway.fleet.reachability import OUT_OF_REACH
+from burdockspan.gateway.fleet.vm_heartbeats import HEARTBEAT_INTERVAL_S
 from burdockspan.gateway.ports import EndpointResponse
-from burdockspan.gateway.reachability import OUT_OF_REACH
-from burdockspan.gateway.retry_budget import SpentRetry
 from burdockspan.gateway.values import (
     Endpoint,
     InboundCall,
@@ -27,7 +28,6 @@
     Route,
     Service,
 )
-from burdockspan.gateway.vm_heartbeats import HEARTBEAT_INTERVAL_S
 from burdockspan.resilience.crash_evidence import SURVIVAL_S
 from burdockspan.values.placement import Failure, FailureKind
 
--- a/src/burdockspan/gateway/generation.py
+++ b/src/burdockspan/gateway/requests/generation.py
@@ -10,7 +10,10 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints.failures import EndpointError
-from burdockspan.gateway.attempts import (
+from burdockspan.gateway.callers.messages import Response, TruncatedError
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.fleet.reachability import OUT_OF_REACH
+from burdockspan.gateway.requests.attempts import (
     NOT_STARTED,
     RETRY_AFTER_S,
     Attempts,
@@ -18,8 +21,7 @@
     log_silence,
     log_stream_end,
 )
-from burdockspan.gateway.context import Context
-from burdockspan.gateway.generation_attempts import (
+from burdockspan.gateway.requests.generation_attempts import (
     PreparedAttempt,
     StartedAttempt,
     StreamPosition,
@@ -29,11 +31,9 @@
     start_attempt,
     start_prepared,
 )
-from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peer_relay import can_leave, hand_over
-from burdockspan.gateway.reachability import OUT_OF_REACH
-from burdockspan.gateway.resumption import publish_origin
-from burdockspan.gateway.sse import StreamProgress, split_events
+from burdockspan.gateway.requests.peer_relay import can_leave, hand_over
+from burdockspan.gateway.requests.resumption import publish_origin
+from burdockspan.gateway.streams.sse import StreamProgress, split_events
 from burdockspan.gateway.values import EngineProperties, GenerationSize
 from burdockspan.values.placement import Failure
 
--- a/src/burdockspan/gateway/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -12,9 +12,15 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway import passive_health
-from burdockspan.gateway.admission_queue import is_retry_after_refusal
-from burdockspan.gateway.attempts import (
+from burdockspan.gateway.admission.admission_queue import is_retry_after_refusal
+from burdockspan.gateway.choice.prefill_delays import (
+    should_decode_engine_prefill,
+)
+from burdockspan.gateway.choice.ranking import exclude_tried, rank_prefill
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.endpoints import passive_health
+from burdockspan.gateway.ports import AttemptOptions, EndpointResponse, KvCache
+from burdockspan.gateway.requests.attempts import (
     CRASHES_ENDPOINTS,
     NOT_STARTED,
     Attempts,
@@ -22,12 +28,11 @@
     explain_missing_endpoint,
     log_attempt,
 )
-from burdockspan.gateway.context import Context
-from burdockspan.gateway.peer_relay import can_hand_over
-from burdockspan.gateway.ports import AttemptOptions, EndpointResponse, KvCache
-from burdockspan.gateway.prefill_delays import should_decode_engine_prefill
-from burdockspan.gateway.ranking import exclude_tried, rank_prefill
-from burdockspan.gateway.reservations import Reservation, reserve_memory
+from burdockspan.gateway.requests.peer_relay import can_hand_over
+from burdockspan.gateway.requests.reservations import (
+    Reservation,
+    reserve_memory,
+)
 from burdockspan.gateway.values import (
     Endpoint,
     EngineProperties,
--- a/src/burdockspan/gateway/peer_relay.py
+++ b/src/burdockspan/gateway/requests/peer_relay.py
@@ -8,20 +8,20 @@
 from result import Err
 
 from burdockspan.endpoints.failures import EndpointError
-from burdockspan.gateway import passive_health
-from burdockspan.gateway.attempts import (
+from burdockspan.gateway.callers.messages import Response, TruncatedError
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.endpoints import passive_health
+from burdockspan.gateway.fleet.peers import Peer
+from burdockspan.gateway.fleet.reachability import OUT_OF_REACH
+from burdockspan.gateway.fleet.relay_messages import make_declined
+from burdockspan.gateway.ports import EndpointResponse, RelayOptions
+from burdockspan.gateway.requests.attempts import (
     NOT_STARTED,
     RETRY_AFTER_S,
     Attempts,
     RoutedRequest,
 )
-from burdockspan.gateway.context import Context
-from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peers import Peer
-from burdockspan.gateway.ports import EndpointResponse, RelayOptions
-from burdockspan.gateway.reachability import OUT_OF_REACH
-from burdockspan.gateway.relay_messages import make_declined
-from burdockspan.gateway.sse import StreamProgress, split_events
+from burdockspan.gateway.streams.sse import StreamProgress, split_events
 from burdockspan.gateway.values import RelayNote, RequestKind
 from burdockspan.values.placement import Failure, FailureKind
 
--- a/src/burdockspan/gateway/plain.py
+++ b/src/burdockspan/gateway/requests/plain.py
@@ -10,8 +10,13 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints.failures import EndpointError
-from burdockspan.gateway import passive_health
-from burdockspan.gateway.attempts import (
+from burdockspan.gateway.callers.messages import Response, TruncatedError
+from burdockspan.gateway.choice.ranking import exclude_tried, rank_plain
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.endpoints import passive_health
+from burdockspan.gateway.fleet.reachability import OUT_OF_REACH
+from burdockspan.gateway.ports import AttemptOptions, EndpointResponse
+from burdockspan.gateway.requests.attempts import (
     NOT_STARTED,
     RETRY_AFTER_S,
     Attempts,
@@ -21,13 +26,8 @@
     log_silence,
     log_stream_end,
 )
-from burdockspan.gateway.context import Context
-from burdockspan.gateway.messages import Response, TruncatedError
-from burdockspan.gateway.peer_relay import can_leave, hand_over
-from burdockspan.gateway.ports import AttemptOptions, EndpointResponse
-from burdockspan.gateway.ranking import exclude_tried, rank_plain
-from burdockspan.gateway.reachability import OUT_OF_REACH
-from burdockspan.gateway.resumption import publish_origin
+from burdockspan.gateway.requests.peer_relay import can_leave, hand_over
+from burdockspan.gateway.requests.resumption import publish_origin
 from burdockspan.gateway.values import Endpoint, RequestKind
 from burdockspan.values.placement import Failure
 
--- a/src/burdockspan/gateway/reservations.py
+++ b/src/burdockspan/gateway/requests/reservations.py
@@ -8,10 +8,10 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway import passive_health
-from burdockspan.gateway.attempts import MIN_ATTEMPT_S, RoutedRequest
+from burdockspan.gateway.choice.ranking import Candidate, rank_decode
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.ranking import Candidate, rank_decode
+from burdockspan.gateway.endpoints import passive_health
+from burdockspan.gateway.requests.attempts import MIN_ATTEMPT_S, RoutedRequest
 from burdockspan.gateway.state import Incarnation
 from burdockspan.gateway.values import (
     Endpoint,
--- a/src/burdockspan/gateway/resumption.py
+++ b/src/burdockspan/gateway/requests/resumption.py
@@ -6,10 +6,10 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway.attempts import RETRY_AFTER_S, RoutedRequest
+from burdockspan.gateway.callers.messages import Response, make_problem
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.messages import Response, make_problem
-from burdockspan.gateway.stream_origins import Origin
+from burdockspan.gateway.requests.attempts import RETRY_AFTER_S, RoutedRequest
+from burdockspan.gateway.streams.stream_origins import Origin
 from burdockspan.gateway.values import Endpoint, RequestKind
 
 
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -7,13 +7,14 @@
 import threading
 from collections.abc import Callable, Collection, Iterable
 
-from burdockspan.gateway import endpoint_table, passive_health
-from burdockspan.gateway.endpoint_conditions import EndpointConditions
-from burdockspan.gateway.endpoint_table import EndpointTable
-from burdockspan.gateway.passive_health import Suspicion
-from burdockspan.gateway.ranking import Candidate
-from burdockspan.gateway.routing import RoutingTable, make_routing_table
-from burdockspan.gateway.stream_origins import VersionHistory
+from burdockspan.gateway.choice.ranking import Candidate
+from burdockspan.gateway.choice.routing import RoutingTable, make_routing_table
+from burdockspan.gateway.discovery import endpoint_table
+from burdockspan.gateway.discovery.endpoint_table import EndpointTable
+from burdockspan.gateway.endpoints import passive_health
+from burdockspan.gateway.endpoints.endpoint_conditions import EndpointConditions
+from burdockspan.gateway.endpoints.passive_health import Suspicion
+from burdockspan.gateway.streams.stream_origins import VersionHistory
 from burdockspan.gateway.values import (
     Configuration,
     Endpoint,
--- a/src/burdockspan/gateway/origin_messages.py
+++ b/src/burdockspan/gateway/streams/origin_messages.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway.stream_origins import Origin
+from burdockspan.gateway.streams.stream_origins import Origin
 
 # Below the size at which datagrams are fragmented.
 MAX_DATAGRAM_BYTES = 1400
--- a/src/burdockspan/gateway/origin_sharing.py
+++ b/src/burdockspan/gateway/streams/origin_sharing.py
@@ -14,14 +14,14 @@
 from absl import logging
 from result import Err, Ok, Result
 
-from burdockspan.gateway import origin_messages
-from burdockspan.gateway.origin_messages import (
+from burdockspan.gateway.streams import origin_messages
+from burdockspan.gateway.streams.origin_messages import (
     MAX_DATAGRAM_BYTES,
     OriginMessage,
     OriginQuestion,
     OriginStatement,
 )
-from burdockspan.gateway.stream_origins import Origin, StreamOrigins
+from burdockspan.gateway.streams.stream_origins import Origin, StreamOrigins
 from burdockspan.membership import ownership
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.observe.registry import Registry
--- a/src/burdockspan/platform/ingress.py
+++ b/src/burdockspan/platform/ingress.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway.messages import RawRequest
+from burdockspan.gateway.callers.messages import RawRequest
 from burdockspan.gateway.values import GenerationSize, InboundCall
 from burdockspan.platform import headers as header_names
 
--- a/src/burdockspan/platform/relay_client.py
+++ b/src/burdockspan/platform/relay_client.py
@@ -10,13 +10,13 @@
 from burdockspan.endpoints.connections import make_connections
 from burdockspan.endpoints.exchange import Call, Exchange
 from burdockspan.endpoints.failures import make_failure
-from burdockspan.gateway.peers import Peer
+from burdockspan.gateway.fleet.peers import Peer
+from burdockspan.gateway.fleet.relay_messages import encode_note, find_declined
 from burdockspan.gateway.ports import (
     EndpointResponse,
     RelayOptions,
     RelayRequest,
 )
-from burdockspan.gateway.relay_messages import encode_note, find_declined
 from burdockspan.gateway.values import InboundCall
 from burdockspan.platform import headers as header_names
 from burdockspan.platform.endpoint_client import (
--- a/tests/gateway/test_bursts.py
+++ b/tests/gateway/admission/test_bursts.py
@@ -15,11 +15,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burdockspan.gateway.admission_queue import (
+from burdockspan.gateway.admission.admission_queue import (
     AdmissionQueue,
     is_retry_after_refusal,
 )
-from burdockspan.gateway.reservations import estimate_headroom, estimate_tokens
+from burdockspan.gateway.requests.reservations import (
+    estimate_headroom,
+    estimate_tokens,
+)
 from burdockspan.gateway.values import (
     GenerationSize,
     InboundCall,
--- a/tests/gateway/test_memory_headroom.py
+++ b/tests/gateway/admission/test_memory_headroom.py
@@ -20,10 +20,13 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway import endpoint_table
-from burdockspan.gateway.admission_queue import AdmissionQueues
-from burdockspan.gateway.full_engines import FullEngines
-from burdockspan.gateway.reservations import Reservation, reserve_memory
+from burdockspan.gateway.admission.admission_queue import AdmissionQueues
+from burdockspan.gateway.admission.full_engines import FullEngines
+from burdockspan.gateway.discovery import endpoint_table
+from burdockspan.gateway.requests.reservations import (
+    Reservation,
+    reserve_memory,
+)
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.values import (
     Endpoint,
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/admission/test_retry_budget.py
@@ -8,10 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burdockspan.gateway import vm_heartbeats
-from burdockspan.gateway.retry_budget import RetryBudget
+from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.fleet import vm_heartbeats
+from burdockspan.gateway.fleet.vm_heartbeats import VmHeartbeats
 from burdockspan.gateway.settings import RetryBudgetSettings
-from burdockspan.gateway.vm_heartbeats import VmHeartbeats
 from burdockspan.platform.store import make_store
 from burdockspan.values.clock import Clock
 from standins.object_store import ObjectStore
--- a/tests/gateway/test_kept_connections.py
+++ b/tests/gateway/callers/test_kept_connections.py
@@ -10,8 +10,8 @@
 from typing import Any
 from unittest import mock
 
-from burdockspan.gateway.channel_reaper import ChannelReaper
-from burdockspan.gateway.connection_log import make_close_recorder
+from burdockspan.gateway.callers.channel_reaper import ChannelReaper
+from burdockspan.gateway.callers.connection_log import make_close_recorder
 from burdockspan.gateway.values import RequestLimits
 from burdockspan.observe.registry import make_registry
 from standins.scripted_endpoint import ScriptedEndpoint, respond
--- a/tests/gateway/test_prefill_delays.py
+++ b/tests/gateway/choice/test_prefill_delays.py
@@ -10,12 +10,12 @@
 
 import unittest
 
-from burdockspan.gateway.prefill_delays import (
+from burdockspan.gateway.choice.prefill_delays import (
     PrefillDelays,
     should_decode_engine_prefill,
 )
 from burdockspan.gateway.values import Endpoint, Stage
-from tests.gateway.test_bursts import ROUTE
+from tests.gateway.admission.test_bursts import ROUTE
 
 _ENGINE_TOKENS_PER_S = 50_000.0
 _ENGINE = Endpoint(
--- a/tests/gateway/test_stage_balance.py
+++ b/tests/gateway/choice/test_stage_balance.py
@@ -13,8 +13,12 @@
 import random
 import unittest
 
-from burdockspan.gateway import stages
-from burdockspan.gateway.stages import Demand, DemandMeter, PromptMeasurement
+from burdockspan.gateway.choice import stages
+from burdockspan.gateway.choice.stages import (
+    Demand,
+    DemandMeter,
+    PromptMeasurement,
+)
 from burdockspan.gateway.values import Endpoint, Stage
 
 _ENGINE_TOKENS_PER_S = 48_800.0
--- a/tests/gateway/test_stage_orders.py
+++ b/tests/gateway/choice/test_stage_orders.py
@@ -8,8 +8,8 @@
 
 from result import Err, Ok
 
+from burdockspan.gateway.choice.stage_orders import SEND_WINDOW_S, OrderSender
 from burdockspan.gateway.ports import EndpointClient, EngineLoad, StoreError
-from burdockspan.gateway.stage_orders import SEND_WINDOW_S, OrderSender
 from burdockspan.gateway.values import Endpoint, Stage
 from burdockspan.platform.store import make_store
 from standins.object_store import ObjectStore
--- a/tests/gateway/test_endpoint_table.py
+++ b/tests/gateway/discovery/test_endpoint_table.py
@@ -5,8 +5,11 @@
 import dataclasses
 import unittest
 
-from burdockspan.gateway import endpoint_table
-from burdockspan.gateway.endpoint_table import GRACE_PERIOD_S, EndpointTable
+from burdockspan.gateway.discovery import endpoint_table
+from burdockspan.gateway.discovery.endpoint_table import (
+    GRACE_PERIOD_S,
+    EndpointTable,
+)
 from burdockspan.gateway.values import Endpoint
 
 
--- a/tests/gateway/test_store_calls.py
+++ b/tests/gateway/discovery/test_store_calls.py
@@ -14,8 +14,10 @@
 
 from result import Ok, Result
 
-from burdockspan.gateway import discovery, vm_heartbeats
-from burdockspan.gateway.discovery import ObjectWatcher, WatchPosition
+from burdockspan.gateway.discovery import watchers as discovery
+from burdockspan.gateway.discovery.watchers import ObjectWatcher, WatchPosition
+from burdockspan.gateway.fleet import vm_heartbeats
+from burdockspan.gateway.fleet.vm_heartbeats import VmHeartbeats
 from burdockspan.gateway.ports import (
     Consistency,
     Listing,
@@ -24,7 +26,6 @@
     StoreError,
 )
 from burdockspan.gateway.settings import ChangeLimits
-from burdockspan.gateway.vm_heartbeats import VmHeartbeats
 from burdockspan.platform.store import make_store
 from standins.object_store import ObjectStore
 from tests.support.endpoint_fake import EndpointFake, repeat
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/discovery/test_store_eras.py
@@ -12,10 +12,13 @@
 from hypothesis import strategies as st
 from result import Err, Ok, Result
 
-from burdockspan.gateway import crash_records, discovery, vm_heartbeats
-from burdockspan.gateway.crash_records import CrashRecordStore
-from burdockspan.gateway.discovery import ObjectWatcher, WatchPosition
-from burdockspan.gateway.part_quarantine import Part, PartQuarantine
+from burdockspan.gateway.discovery import watchers as discovery
+from burdockspan.gateway.discovery.watchers import ObjectWatcher, WatchPosition
+from burdockspan.gateway.endpoints import crash_records
+from burdockspan.gateway.endpoints.crash_records import CrashRecordStore
+from burdockspan.gateway.endpoints.part_quarantine import Part, PartQuarantine
+from burdockspan.gateway.fleet import vm_heartbeats
+from burdockspan.gateway.fleet.vm_heartbeats import VmHeartbeats
 from burdockspan.gateway.ports import (
     Consistency,
     Listing,
@@ -23,13 +26,12 @@
     StoredObject,
     StoreError,
 )
-from burdockspan.gateway.vm_heartbeats import VmHeartbeats
 from burdockspan.observe.registry import make_registry
 from burdockspan.platform.store import make_store
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import ScriptedEndpoint, respond
 from tests.gateway.case import GatewayCase
-from tests.gateway.test_stage_orders import OrderSenderCase, make_engine
+from tests.gateway.choice.test_stage_orders import OrderSenderCase, make_engine
 from tests.support.gateways import make_document, wait_for
 
 _OK = respond(200, b"done", {"Response-Stamp": "s"})
--- a/tests/gateway/test_crash_records.py
+++ b/tests/gateway/endpoints/test_crash_records.py
@@ -6,13 +6,13 @@
 import unittest.mock
 from typing import Any
 
-from burdockspan.gateway.crash_records import (
+from burdockspan.gateway.discovery.watchers import WatchPosition, poll
+from burdockspan.gateway.endpoints.crash_records import (
     KIND,
     CrashRecordStore,
     compute_fingerprint,
 )
-from burdockspan.gateway.discovery import WatchPosition, poll
-from burdockspan.gateway.part_quarantine import PartQuarantine
+from burdockspan.gateway.endpoints.part_quarantine import PartQuarantine
 from burdockspan.gateway.settings import ChangeLimits
 from burdockspan.gateway.values import Endpoint, InboundCall
 from burdockspan.observe.registry import make_registry
--- a/tests/gateway/test_endpoint_conditions.py
+++ b/tests/gateway/endpoints/test_endpoint_conditions.py
@@ -6,8 +6,11 @@
 import unittest
 from collections.abc import Callable, Iterable
 
-from burdockspan.gateway.endpoint_conditions import EndpointConditions
-from burdockspan.gateway.endpoint_pauses import MAX_PAUSE_S, EndpointPauses
+from burdockspan.gateway.endpoints.endpoint_conditions import EndpointConditions
+from burdockspan.gateway.endpoints.endpoint_pauses import (
+    MAX_PAUSE_S,
+    EndpointPauses,
+)
 from burdockspan.gateway.values import Endpoint
 from burdockspan.platform.signals import decode_signals
 from standins.scripted_endpoint import (
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/endpoints/test_part_quarantine.py
@@ -5,10 +5,10 @@
 import unittest
 from typing import Any
 
-from burdockspan.gateway import part_quarantine
-from burdockspan.gateway.crash_records import KIND, CrashRecordStore
-from burdockspan.gateway.discovery import WatchPosition, poll
-from burdockspan.gateway.part_quarantine import (
+from burdockspan.gateway.discovery.watchers import WatchPosition, poll
+from burdockspan.gateway.endpoints import part_quarantine
+from burdockspan.gateway.endpoints.crash_records import KIND, CrashRecordStore
+from burdockspan.gateway.endpoints.part_quarantine import (
     Part,
     PartQuarantine,
     list_parts,
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/endpoints/test_rate_limits.py
@@ -11,8 +11,8 @@
 import unittest
 from collections.abc import Callable, Iterable, Sequence
 
+from burdockspan.gateway.endpoints.rate_limits import RateLimits
 from burdockspan.gateway.ports import EndpointSignals
-from burdockspan.gateway.rate_limits import RateLimits
 from burdockspan.gateway.values import Endpoint
 from burdockspan.platform.signals import decode_signals
 from standins.object_store import ObjectStore
@@ -23,7 +23,7 @@
     respond,
 )
 from tests.gateway.case import GatewayCase
-from tests.gateway.test_generations import GenerationCase
+from tests.gateway.requests.test_generations import GenerationCase
 from tests.support.gateways import (
     Gateway,
     make_document,
--- a/tests/gateway/test_cut_off_vms.py
+++ b/tests/gateway/fleet/test_cut_off_vms.py
@@ -7,12 +7,12 @@
 import time
 import unittest
 
-from burdockspan.gateway import stage_orders
-from burdockspan.gateway.stage_balance import balance_stages
-from burdockspan.gateway.stages import SettledEngines
+from burdockspan.gateway.choice import stage_orders
+from burdockspan.gateway.choice.stage_balance import balance_stages
+from burdockspan.gateway.choice.stages import SettledEngines
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import Script, ScriptedEndpoint, respond
-from tests.gateway.test_generations import EngineScript, make_stream
+from tests.gateway.requests.test_generations import EngineScript, make_stream
 from tests.support.gateways import (
     Gateway,
     ReceivedResponse,
--- a/tests/gateway/test_peer_relay.py
+++ b/tests/gateway/fleet/test_peer_relay.py
@@ -9,8 +9,8 @@
 import unittest
 from collections.abc import Iterable
 
-from burdockspan.gateway.peers import Peers
-from burdockspan.gateway.relay_messages import (
+from burdockspan.gateway.fleet.peers import Peers
+from burdockspan.gateway.fleet.relay_messages import (
     encode_note,
     find_declined,
     make_declined,
@@ -25,8 +25,8 @@
     Step,
     respond,
 )
-from tests.gateway.test_cut_off_vms import CutOffCase
-from tests.gateway.test_generations import EngineScript, make_stream
+from tests.gateway.fleet.test_cut_off_vms import CutOffCase
+from tests.gateway.requests.test_generations import EngineScript, make_stream
 from tests.support.gateways import HOST, ReceivedResponse, wait_for
 from tests.support.partitions import Cut
 
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/fleet/test_reachability.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burdockspan.gateway.reachability import SAMPLE_SIZE, Reachability
+from burdockspan.gateway.fleet.reachability import SAMPLE_SIZE, Reachability
 from burdockspan.gateway.values import Endpoint
 from burdockspan.observe.registry import make_registry
 
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/requests/test_silent_streams.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from burdockspan.gateway import application
+from burdockspan.gateway.requests import application
 from burdockspan.gateway.settings import RetryBudgetSettings
 from standins.scripted_endpoint import (
     CHUNKED_HEAD,
--- a/tests/gateway/test_event_splitting.py
+++ b/tests/gateway/streams/test_event_splitting.py
@@ -10,8 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burdockspan.gateway import sse
-from burdockspan.gateway.sse import StreamProgress, split_events
+from burdockspan.gateway.streams import sse
+from burdockspan.gateway.streams.sse import StreamProgress, split_events
 
 _LIMIT_BYTES = 24
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/streams/test_software_versions.py
@@ -12,13 +12,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burdockspan.gateway import origin_messages
-from burdockspan.gateway.origin_messages import OriginStatement
-from burdockspan.gateway.origin_sharing import (
+from burdockspan.gateway.streams import origin_messages
+from burdockspan.gateway.streams.origin_messages import OriginStatement
+from burdockspan.gateway.streams.origin_sharing import (
     OriginSharing,
     open_origin_sharing,
 )
-from burdockspan.gateway.stream_origins import (
+from burdockspan.gateway.streams.stream_origins import (
     HORIZON_S,
     Origin,
     StreamOrigins,
@@ -35,7 +35,7 @@
     Step,
     chunk,
 )
-from tests.gateway.test_generations import EngineScript, GenerationCase
+from tests.gateway.requests.test_generations import EngineScript, GenerationCase
 from tests.support.gateways import (
     HOST,
     Gateway,
--- a/tests/gateway/test_graceful_stop.py
+++ b/tests/gateway/test_graceful_stop.py
@@ -18,8 +18,8 @@
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.values import RequestKind
 from standins.scripted_endpoint import Action, ScriptedEndpoint, respond
+from tests.gateway.admission.test_bursts import ROUTE
 from tests.gateway.case import GatewayCase
-from tests.gateway.test_bursts import ROUTE
 from tests.support.gateways import make_document, run_gateway, wait_for
 
 _HEAD = (
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -8,11 +8,11 @@
 from result import Err, Ok, Result
 
 from burdockspan.configuration.problem import Problem
+from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.choice.stage_orders import OrderSender
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.reload import make_reload
-from burdockspan.gateway.retry_budget import RetryBudget
 from burdockspan.gateway.settings import GatewaySettings, RetryBudgetSettings
-from burdockspan.gateway.stage_orders import OrderSender
 
 _UNUSED: Any = None
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from burdockspan.gateway.messages import CallerConnection, RawRequest
+from burdockspan.gateway.callers.messages import CallerConnection, RawRequest
 from burdockspan.platform.headers import (
     filter_request_headers,
     filter_response_headers,
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
-from burdockspan.gateway import process, vm_heartbeats
+from burdockspan.gateway import process
+from burdockspan.gateway.fleet import vm_heartbeats
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.platform.adapter import make_platform
 from burdockspan.values.clock import Clock
