Let VMs exchange statuses over UDP, with a proof of their age

Accounts, quotas and estimates of endpoints need what other VMs know within a second, which heartbeats through the store do not give. A datagram echoes the latest one of its receiver, so that the receiver knows on its own clock, which counts suspension, after which moment it was sent.

--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -11,6 +11,7 @@
 from burdockspan.gateway.choice.stages import DemandMeter
 from burdockspan.gateway.endpoints.crash_records import CrashRecordStore
 from burdockspan.gateway.endpoints.part_quarantine import PartQuarantine
+from burdockspan.gateway.fleet.exchange import Exchange
 from burdockspan.gateway.fleet.peers import Peers
 from burdockspan.gateway.fleet.reachability import Reachability
 from burdockspan.gateway.graceful_stop import GracefulStop
@@ -40,9 +41,11 @@
       full_engines: engines that recently lacked free memory.
       admission_queues: generations that wait for decode memory, by service.
       origins: shares the software versions that began streams.
+      exchange: tells the other VMs what this VM knows.
       endpoints_max_age_s: age above which the endpoint table may lack changes.
       graceful_stop: state of the graceful stop of this process.
       clock: monotonic clock, in seconds.
+      boot_clock: clock that includes time suspended, in seconds.
       random_float: returns uniform floats in [0, 1).
       log: writes a log event.
       registry: counters and histograms.
@@ -60,9 +63,11 @@
     full_engines: FullEngines
     admission_queues: AdmissionQueues
     origins: OriginSharing
+    exchange: Exchange
     endpoints_max_age_s: float
     graceful_stop: GracefulStop
     clock: Clock
+    boot_clock: Clock
     random_float: RandomFloat
     log: WriteEvent
     registry: Registry
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -36,6 +36,7 @@
     make_signal_observer,
 )
 from burdockspan.gateway.endpoints.part_quarantine import PartQuarantine
+from burdockspan.gateway.fleet.exchange import open_exchange
 from burdockspan.gateway.fleet.peers import Peers
 from burdockspan.gateway.fleet.reachability import Reachability, observe_calls
 from burdockspan.gateway.fleet.reachability_probes import (
@@ -133,6 +134,7 @@
       log: writes a log event.
     """
     random_float = random.Random().random
+    boot_clock = make_boot_clock()
     state = GatewayState(
         settings.availability_zone,
         clock,
@@ -178,9 +180,13 @@
         origins=open_origin_sharing(
             settings.peer_address, StreamOrigins(clock), registry, log
         ),
+        exchange=open_exchange(
+            settings.exchange_address, settings.vm, boot_clock, registry, log
+        ),
         endpoints_max_age_s=compute_max_age_s(settings.change_limits),
         graceful_stop=GracefulStop(settings.grace_s, clock),
         clock=clock,
+        boot_clock=boot_clock,
         random_float=random_float,
         log=log,
         registry=registry,
@@ -203,7 +209,7 @@
         platform.store,
         platform.endpoints,
         settings.lease_s,
-        make_boot_clock(),
+        boot_clock,
         log,
     )
     return Components(
@@ -280,6 +286,7 @@
         lambda: {
             "demand": stages.encode_measurements(context.demand.measure()),
             "peer_address": context.origins.address,
+            "exchange_address": context.exchange.address,
             "relay_address": relay_server.address if relay_server else None,
             "zone": settings.availability_zone,
             "versions": context.state.version_history.encode(),
@@ -303,6 +310,12 @@
     context.origins.set_peers(
         {vm: value.get("peer_address") for vm, value in objects_by_vm.items()}
     )
+    context.exchange.set_peers(
+        {
+            vm: value.get("exchange_address")
+            for vm, value in objects_by_vm.items()
+        }
+    )
     context.peers.set_values(objects_by_vm)
     context.state.version_history.complete(
         value.get("versions") for value in objects_by_vm.values()
@@ -343,6 +356,11 @@
     )
     if context.origins.address is not None:
         _start_thread(context.origins.run, "origins")
+    if context.exchange.address is not None:
+        _start_thread(context.exchange.run_receiver, "exchange")
+        _start_thread(
+            lambda: context.exchange.run_sender(components.stopped), "statuses"
+        )
     _start_thread(
         lambda: run_heartbeats(components.vm_heartbeats, components.stopped),
         "members",
@@ -353,6 +371,7 @@
     """Stops the servers and threads, and closes open connections."""
     components.stopped.set()
     components.context.origins.close()
+    components.context.exchange.close()
     for server in _list_servers(components):
         server.stop()
 
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -73,6 +73,8 @@
       store_address: `ip:port` of the platform's object store.
       peer_address: `ip:port` for messages of the other VMs, over UDP; None
         exchanges none.
+      exchange_address: `ip:port` for the statuses of the other VMs, over UDP;
+        None exchanges none.
       threads: limit of the requests in flight.
       grace_s: time from SIGTERM to the end of the process.
       lease_s: time that must pass between orders of two different VMs.
@@ -87,6 +89,7 @@
     store_address: str
     metrics_address: str | None = None
     peer_address: str | None = None
+    exchange_address: str | None = None
     threads: int = 160
     grace_s: float = 8.0
     lease_s: float = 3.0
@@ -150,6 +153,9 @@
         peer_address=read_field(
             section, "peer_address", decode_optional_address, None
         ),
+        exchange_address=read_field(
+            section, "exchange_address", decode_optional_address, None
+        ),
         threads=read_field(
             section,
             "threads",
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -18,6 +18,7 @@
     "listen.ready": "10.1.0.38:8141",
     "ip": "10.1.0.38",
     "internal_ports.0": "7380",
+    "internal_ports.1": "7395",
     "platform.address": "10.200.1.7:8142",
 }
 _BOUNDS = (
