--- a/src/burdockspan/gateway/discovery/watchers.py
+++ b/src/burdockspan/gateway/discovery/watchers.py
@@ -65,6 +65,8 @@
         response is applied.
       on_response: called after each response has been applied, also after one
         without changes.
+      on_confirmed: called when other VMs have confirmed that nothing has
+        changed until a time; receives its age in seconds.
       watch_timeout_s: longest duration of one watch.
       collect_s: delay before the next call after one that returned changes.
       consistency: consistency of the watches; a list is always the latest.
@@ -78,6 +80,7 @@
     on_lost: Callable[[StoreError], None]
     on_regained: Callable[[], None]
     on_response: Callable[[], None] = lambda: None
+    on_confirmed: Callable[[float], None] = lambda _: None
     watch_timeout_s: float = _DEFAULT_WATCH_TIMEOUT_S
     collect_s: float = 0.0
     consistency: Consistency = Consistency.LATEST
@@ -177,16 +180,48 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Sharing:
+    """How a watcher shares its watches with other VMs.
+
+    Attributes:
+      watcher: the watcher for this VM's own calls to the store.
+      follow: waits while other VMs watch; returns the position then.
+      record_poll: records this VM's own call, given the positions before and
+        after it.
+    """
+
+    watcher: ObjectWatcher
+    follow: Callable[[WatchPosition, threading.Event], WatchPosition]
+    record_poll: Callable[[WatchPosition, WatchPosition], None]
+
+
 def run_watcher(
     store: Store,
     watcher: ObjectWatcher,
     random_float: RandomFloat,
     stopped: threading.Event,
+    sharing: Sharing | None = None,
 ) -> None:
-    """Lists and watches a kind until `stopped` is set."""
+    """Lists and watches a kind until `stopped` is set.
+
+    Args:
+      store: the store.
+      watcher: applies the objects and their changes.
+      random_float: returns uniform floats in [0, 1).
+      stopped: ends the watches.
+      sharing: shares the watches with other VMs; None if each VM watches.
+    """
     position = WatchPosition()
+    if sharing is not None:
+        watcher = sharing.watcher
     while not stopped.is_set():
+        if sharing is not None:
+            position = sharing.follow(position, stopped)
+        before = position
         position, delay_s = poll(store, watcher, position, random_float)
+        if sharing is not None:
+            sharing.record_poll(before, position)
         if delay_s > 0:
             stopped.wait(delay_s)
 
@@ -357,7 +392,8 @@
         apply_change,
         on_lost,
         on_regained,
-        on_response=state.record_endpoints_received,
+        on_response=lambda: state.record_endpoints_received(0.0),
+        on_confirmed=state.record_endpoints_received,
         on_new_era=on_new_era,
     )
 
@@ -421,6 +457,7 @@
 
 __all__ = [
     "ObjectWatcher",
+    "Sharing",
     "WatchPosition",
     "compute_collect_s",
     "compute_max_age_s",
--- a/src/burdockspan/gateway/fleet/vm_heartbeats.py
+++ b/src/burdockspan/gateway/fleet/vm_heartbeats.py
@@ -34,6 +34,8 @@
 # Lists of a process that must be the latest. Its first lists tell it how many
 # VMs share the limits; later changes of the number are slow.
 _LATEST_LISTS = 2
+# Time within which the VMs of a fleet start that starts as a whole.
+_START_SPREAD_S = 1.5
 # A VM that is cut off from the store but not from its callers still spends its
 # share of the limits, so the other VMs must not take it over too soon.
 _FAILURE_TIMEOUT_INTERVALS = 6
@@ -152,6 +154,7 @@
         self._heartbeats_sent = 0
         self._last_count = 0
         self._lists = 0
+        self._objects: tuple[StoredObject, ...] = ()
         # Whether the store had an object of this VM at the first heartbeat.
         self._found_own_object: bool | None = None
 
@@ -175,20 +178,30 @@
                     self._log_failure("create", created.err_value)
         elif self._found_own_object is None:
             self._found_own_object = True
-        listed = self._store.list_objects(
-            KIND,
-            Consistency.LATEST
-            if self._lists < _LATEST_LISTS
-            else Consistency.EVENTUAL,
-        )
+        is_first = self._lists < _LATEST_LISTS
+        if self._list(Consistency.LATEST if is_first else Consistency.EVENTUAL):
+            self._lists += 1
+            self._apply_count()
+
+    def find_started_vms(self) -> None:
+        """Lists the VMs that have started since the first heartbeat.
+
+        They may become peers of this VM. Their number is not yet settled.
+        """
+        if self._list(Consistency.LATEST):
+            self._apply_count()
+
+    def _list(self, consistency: Consistency) -> bool:
+        listed = self._store.list_objects(KIND, consistency)
         if isinstance(listed, Err):
             self._log_failure("list", listed.err_value)
-            return
-        self._lists += 1
-        self._count(listed.ok_value.objects)
+            return False
+        self._objects = listed.ok_value.objects
+        return True
 
-    def _count(self, objects: tuple[StoredObject, ...]) -> None:
+    def _apply_count(self) -> None:
         now_s = self._clock()
+        objects = self._objects
         versions = {
             stored.name: (stored.era, stored.revision) for stored in objects
         }
@@ -233,8 +246,24 @@
         self._log("vm count failed", operation=operation, cause=error.value)
 
 
-def run_heartbeats(heartbeats: VmHeartbeats, stopped: threading.Event) -> None:
-    """Sends a heartbeat in each interval until `stopped` is set."""
+def run_heartbeats(
+    heartbeats: VmHeartbeats,
+    stopped: threading.Event,
+    finds_started_vms: bool = False,
+) -> None:
+    """Sends a heartbeat in each interval until `stopped` is set.
+
+    Args:
+      heartbeats: heartbeats of this VM.
+      stopped: ends the heartbeats.
+      finds_started_vms: whether the VMs that start together with this one are
+        looked for before the second heartbeat.
+    """
+    if finds_started_vms:
+        heartbeats.send_and_count()
+        stopped.wait(_START_SPREAD_S)
+        heartbeats.find_started_vms()
+        stopped.wait(heartbeats.interval_s() - _START_SPREAD_S)
     while not stopped.is_set():
         heartbeats.send_and_count()
         stopped.wait(heartbeats.interval_s())
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import signal
 import sys
@@ -23,6 +24,7 @@
 from burdockspan.gateway.choice.stage_orders import OrderSender
 from burdockspan.gateway.choice.stages import DemandMeter
 from burdockspan.gateway.context import Context
+from burdockspan.gateway.discovery.shared_watches import SharedWatches
 from burdockspan.gateway.discovery.watchers import (
     ObjectWatcher,
     compute_max_age_s,
@@ -103,6 +105,7 @@
       status_servers: servers for the readiness check and metrics.
       order_sender: orders engines to change their stage.
       vm_heartbeats: counts the live VMs.
+      shared_watches: shares the watches of the store with other VMs.
       in_flight: counts the requests in flight.
       stopped: tells the threads to end.
     """
@@ -114,6 +117,7 @@
     status_servers: tuple[Server, ...]
     order_sender: OrderSender
     vm_heartbeats: VmHeartbeats
+    shared_watches: SharedWatches
     in_flight: InFlightRequests
     stopped: threading.Event
 
@@ -212,6 +216,15 @@
         boot_clock,
         log,
     )
+    shared_watches = SharedWatches(
+        context.exchange,
+        settings.vm,
+        settings.availability_zone,
+        settings.watchers_per_zone,
+        boot_clock,
+        registry,
+        log,
+    )
     return Components(
         settings,
         context,
@@ -219,7 +232,10 @@
         relay_server,
         status_servers,
         order_sender,
-        _make_vm_heartbeats(settings, context, order_sender, relay_server),
+        _make_vm_heartbeats(
+            settings, context, order_sender, relay_server, shared_watches
+        ),
+        shared_watches,
         in_flight,
         threading.Event(),
     )
@@ -262,12 +278,13 @@
     context: Context,
     order_sender: OrderSender,
     relay_server: Server | None,
+    shared_watches: SharedWatches,
 ) -> VmHeartbeats:
     settled_engines = stages.SettledEngines()
     started_s = context.clock()
 
     def on_count(_: int, value_by_vm: Mapping[str, Any]) -> None:
-        _apply_peer_values(context, value_by_vm)
+        _apply_peer_values(context, shared_watches, value_by_vm)
         uptime_s = context.clock() - started_s
         may_order = uptime_s >= _MIN_UPTIME_S
         balance_stages(
@@ -298,7 +315,9 @@
 
 
 def _apply_peer_values(
-    context: Context, value_by_vm: Mapping[str, Any]
+    context: Context,
+    shared_watches: SharedWatches,
+    value_by_vm: Mapping[str, Any],
 ) -> None:
     """Applies what the heartbeats say of addresses and software versions."""
     # An object may come from a release without these fields.
@@ -316,6 +335,9 @@
             for vm, value in objects_by_vm.items()
         }
     )
+    shared_watches.set_vms(
+        {vm: value.get("zone") for vm, value in objects_by_vm.items()}
+    )
     context.peers.set_values(objects_by_vm)
     context.state.version_history.complete(
         value.get("versions") for value in objects_by_vm.values()
@@ -335,13 +357,18 @@
         context.log,
         context.registry,
     ):
-        _start_watcher(context, watcher, components.stopped)
+        limits = components.settings.change_limits
+        limit_s = min(limits.configuration_s, limits.leaving_endpoint_s)
+        _start_watcher(components, watcher, limit_s)
     recovery_s = components.settings.change_limits.recovery_s
     crash_watcher = dataclasses.replace(
         context.crash_records.make_watcher(),
         watch_timeout_s=compute_watch_timeout_s(recovery_s),
     )
-    _start_watcher(context, crash_watcher, components.stopped)
+    _start_watcher(components, crash_watcher, math.inf)
+    _start_thread(
+        lambda: components.shared_watches.run(components.stopped), "watches"
+    )
     _start_thread(
         lambda: context.crash_records.run(components.stopped), "crashes"
     )
@@ -362,7 +389,11 @@
             lambda: context.exchange.run_sender(components.stopped), "statuses"
         )
     _start_thread(
-        lambda: run_heartbeats(components.vm_heartbeats, components.stopped),
+        lambda: run_heartbeats(
+            components.vm_heartbeats,
+            components.stopped,
+            finds_started_vms=components.settings.watchers_per_zone > 0,
+        ),
         "members",
     )
 
@@ -441,11 +472,17 @@
 
 
 def _start_watcher(
-    context: Context, watcher: ObjectWatcher, stopped: threading.Event
+    components: Components, watcher: ObjectWatcher, limit_s: float
 ) -> None:
+    context = components.context
+    shared = components.shared_watches.share(watcher, limit_s)
     _start_thread(
         lambda: run_watcher(
-            context.platform.store, watcher, context.random_float, stopped
+            context.platform.store,
+            watcher,
+            context.random_float,
+            components.stopped,
+            shared.make_sharing() if shared else None,
         ),
         f"follow-{watcher.kind}",
     )
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -23,6 +23,7 @@
     "a name of up to 128 letters, digits, '.', '-' and '_'",
 )
 _MAX_THREADS = 4096
+_MAX_WATCHERS = 64
 _MAX_DURATION_S = 1e15
 _DURATION_S = converters.quantity(converters.SECONDS, "s", 0.0, _MAX_DURATION_S)
 
@@ -75,6 +76,8 @@
         exchanges none.
       exchange_address: `ip:port` for the statuses of the other VMs, over UDP;
         None exchanges none.
+      watchers_per_zone: VMs of an availability zone that watch the store for
+        the others; 0 lets each VM watch by itself.
       threads: limit of the requests in flight.
       grace_s: time from SIGTERM to the end of the process.
       lease_s: time that must pass between orders of two different VMs.
@@ -90,6 +93,7 @@
     metrics_address: str | None = None
     peer_address: str | None = None
     exchange_address: str | None = None
+    watchers_per_zone: int = 0
     threads: int = 160
     grace_s: float = 8.0
     lease_s: float = 3.0
@@ -156,6 +160,12 @@
         exchange_address=read_field(
             section, "exchange_address", decode_optional_address, None
         ),
+        watchers_per_zone=read_field(
+            section,
+            "watchers_per_zone",
+            converters.count(0, _MAX_WATCHERS),
+            defaults.watchers_per_zone,
+        ),
         threads=read_field(
             section,
             "threads",
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -127,9 +127,13 @@
             self._endpoint_table = change(self._endpoint_table)
             self._observe_versions()
 
-    def record_endpoints_received(self) -> None:
-        """Records that the endpoints were received from the store now."""
-        self._endpoints_received_s = self.clock()
+    def record_endpoints_received(self, age_s: float) -> None:
+        """Records that the endpoints are those of some seconds ago."""
+        received_s = self.clock() - age_s
+        earlier_s = self._endpoints_received_s
+        self._endpoints_received_s = (
+            received_s if earlier_s is None else max(earlier_s, received_s)
+        )
 
     def prune_departed(self) -> None:
         """Removes expired entries, and suspicions of removed endpoints."""
