Serve requests with keys of client accounts

A configuration that has accounts denies a request without a known key on a route that is not public, and names the account to the endpoint in place of the key and of what the caller wrote. A VM whose configuration is not proved to be recent answers 503. Without accounts nothing changes.

--- a/src/burdockspan/gateway/accounts/values.py
+++ b/src/burdockspan/gateway/accounts/values.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import hashlib
 
 
 class QuotaUnit(enum.Enum):
@@ -18,6 +19,22 @@
     TOKENS = "tokens"
 
 
+@dataclasses.dataclass(frozen=True)
+class PresentedKey:
+    """The key that a request presents, of which only a digest is kept.
+
+    Attributes:
+      digest: what `digest_key` returns for it.
+    """
+
+    digest: bytes = dataclasses.field(repr=False)
+
+
+def digest_key(key: bytes) -> bytes:
+    """Returns the digest under which a key is known."""
+    return hashlib.sha256(key).digest()
+
+
 @dataclasses.dataclass(frozen=True)
 class Quota:
     """Limit of what an account may use, over all VMs.
@@ -48,9 +65,9 @@
     """
 
     name: str
-    key_digests: frozenset[bytes]
+    key_digests: frozenset[bytes] = dataclasses.field(repr=False)
     priority: int | None = None
     quota: Quota | None = None
 
 
-__all__ = ["Account", "Quota", "QuotaUnit"]
+__all__ = ["Account", "PresentedKey", "Quota", "QuotaUnit", "digest_key"]
--- a/src/burdockspan/gateway/callers/messages.py
+++ b/src/burdockspan/gateway/callers/messages.py
@@ -69,8 +69,8 @@
 
     method: str
     target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
+    headers: tuple[tuple[str, str], ...] = dataclasses.field(repr=False)
+    body: bytes = dataclasses.field(repr=False)
     client: str
     arrived_s: float
     caller: CallerConnection
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from burdockspan.gateway.accounts.configuration_proof import ConfigurationProof
+from burdockspan.gateway.accounts.identification import ProofLimits
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
@@ -42,6 +44,9 @@
       admission_queues: generations that wait for decode memory, by service.
       origins: shares the software versions that began streams.
       exchange: tells the other VMs what this VM knows.
+      configuration_proof: since when the configuration in force is certainly
+        the newest.
+      proof_limits: limits of the age of that proof.
       endpoints_max_age_s: age above which the endpoint table may lack changes.
       graceful_stop: state of the graceful stop of this process.
       clock: monotonic clock, in seconds.
@@ -64,6 +69,8 @@
     admission_queues: AdmissionQueues
     origins: OriginSharing
     exchange: Exchange
+    configuration_proof: ConfigurationProof
+    proof_limits: ProofLimits
     endpoints_max_age_s: float
     graceful_stop: GracefulStop
     clock: Clock
--- a/src/burdockspan/gateway/discovery/watchers.py
+++ b/src/burdockspan/gateway/discovery/watchers.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 from collections.abc import Callable
 
 from result import Err, Ok, Result
 
+from burdockspan.gateway.accounts.configuration_proof import ConfigurationProof
 from burdockspan.gateway.discovery import endpoint_table
 from burdockspan.gateway.discovery.endpoint_table import EndpointTable
 from burdockspan.gateway.ports import (
@@ -44,6 +46,10 @@
 # endpoints of a large fleet start, there are dozens of changes a second.
 _COLLECT_SHARE = 0.25
 _MAX_COLLECT_S = 1.0
+# Shares of the time limit for refusing a removed key. A VM that hears nothing
+# from others has a proof as old as two watches and the delay between them.
+_REMOVED_KEY_WATCH_SHARE = 0.28
+_REMOVED_KEY_COLLECT_SHARE = 0.15
 # These delays are so short that the end of an outage of the store is detected
 # within a fraction of a second.
 _BACKOFF = Backoff(0.1, 0.5)
@@ -63,9 +69,11 @@
       on_lost: called when calls to the store begin to fail.
       on_regained: called for the first response after an outage, before that
         response is applied.
+      on_call: called before each call to the store.
       on_response: called after each response has been applied, also after one
         without changes.
       watch_timeout_s: longest duration of one watch.
+      watch_limit_s: returns a further limit of that duration.
       collect_s: delay before the next call after one that returned changes.
       consistency: consistency of the watches; a list is always the latest.
       on_new_era: called with the store's era when it has come back from a copy,
@@ -77,8 +85,10 @@
     apply_change: Callable[[StoredObject], None]
     on_lost: Callable[[StoreError], None]
     on_regained: Callable[[], None]
+    on_call: Callable[[], None] = lambda: None
     on_response: Callable[[], None] = lambda: None
     watch_timeout_s: float = _DEFAULT_WATCH_TIMEOUT_S
+    watch_limit_s: Callable[[], float] = lambda: math.inf
     collect_s: float = 0.0
     consistency: Consistency = Consistency.LATEST
     on_new_era: Callable[[int], None] = lambda _: None
@@ -116,13 +126,14 @@
     Returns:
       The new position, and the delay before the next call in seconds.
     """
+    watcher.on_call()
     if position.revision is None:
         response = store.list_objects(watcher.kind, Consistency.LATEST)
     else:
         response = store.watch(
             watcher.kind,
             position.revision,
-            watcher.watch_timeout_s,
+            min(watcher.watch_timeout_s, watcher.watch_limit_s()),
             watcher.consistency,
         )
     if isinstance(response, Err):
@@ -198,14 +209,20 @@
     clock: Clock,
     log: WriteEvent,
     registry: Registry,
+    proof: ConfigurationProof,
 ) -> tuple[ObjectWatcher, ...]:
     """Returns the watchers of the configuration and of the endpoints."""
     timeout_s = compute_watch_timeout_s(limits.recovery_s)
     return (
-        dataclasses.replace(
-            _watch_configuration(platform, state, log, registry),
-            watch_timeout_s=timeout_s,
-            collect_s=compute_collect_s(limits.configuration_s),
+        _prove_configuration(
+            dataclasses.replace(
+                _watch_configuration(platform, state, log, registry),
+                watch_timeout_s=timeout_s,
+                collect_s=compute_collect_s(limits.configuration_s),
+            ),
+            state,
+            limits.removed_key_s,
+            proof,
         ),
         dataclasses.replace(
             _watch_endpoints(platform, state, clock, log, registry),
@@ -215,6 +232,34 @@
     )
 
 
+def _prove_configuration(
+    watcher: ObjectWatcher,
+    state: GatewayState,
+    removed_key_s: float | None,
+    proof: ConfigurationProof,
+) -> ObjectWatcher:
+    """Returns a watcher whose answers prove the configuration in force."""
+    sent_s = [-math.inf]
+    limit_s = math.inf if removed_key_s is None else removed_key_s
+
+    def on_call() -> None:
+        sent_s[0] = proof.now_s()
+
+    def limit_watch_s() -> float:
+        active = state.active_configuration()
+        if active is None or active.accounts is None:
+            return math.inf
+        return max(_MIN_WATCH_TIMEOUT_S, _REMOVED_KEY_WATCH_SHARE * limit_s)
+
+    return dataclasses.replace(
+        watcher,
+        on_call=on_call,
+        on_response=lambda: proof.record_store_answer(sent_s[0]),
+        watch_limit_s=limit_watch_s,
+        collect_s=min(watcher.collect_s, _REMOVED_KEY_COLLECT_SHARE * limit_s),
+    )
+
+
 def compute_watch_timeout_s(recovery_s: float) -> float:
     """Returns the longest duration of a watch, given the recovery time."""
     return min(
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import signal
 import sys
@@ -11,6 +12,9 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+from burdockspan.gateway.accounts import configuration_proof
+from burdockspan.gateway.accounts.configuration_proof import ConfigurationProof
+from burdockspan.gateway.accounts.identification import ProofLimits
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
@@ -56,7 +60,7 @@
     make_handler,
     make_relay_handler,
 )
-from burdockspan.gateway.settings import GatewaySettings
+from burdockspan.gateway.settings import ChangeLimits, GatewaySettings
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
 from burdockspan.gateway.streams.stream_origins import StreamOrigins
@@ -87,6 +91,8 @@
 # two heartbeat intervals.
 _MIN_UPTIME_S = 2.5 * HEARTBEAT_INTERVAL_S
 _EXIT_OK = 0
+# Clocks of two VMs run at slightly different rates.
+_PROOF_MARGIN_S = 0.2
 
 MakePlatform = Callable[[str, Clock, ObserveSignals], Platform]
 
@@ -123,6 +129,7 @@
     make_platform: MakePlatform,
     clock: Clock,
     log: WriteEvent,
+    boot_clock: Clock | None = None,
 ) -> Components:
     """Returns the components; their servers listen but do not serve yet.
 
@@ -132,9 +139,11 @@
         a clock, and a receiver of what endpoints say about themselves.
       clock: monotonic clock, in seconds.
       log: writes a log event.
+      boot_clock: clock that includes time suspended, in seconds; None for that
+        of this VM.
     """
     random_float = random.Random().random
-    boot_clock = make_boot_clock()
+    boot_clock = boot_clock or make_boot_clock()
     state = GatewayState(
         settings.availability_zone,
         clock,
@@ -183,6 +192,10 @@
         exchange=open_exchange(
             settings.exchange_address, settings.vm, boot_clock, registry, log
         ),
+        configuration_proof=ConfigurationProof(
+            state.active_configuration, boot_clock, registry
+        ),
+        proof_limits=_choose_proof_limits(settings.change_limits),
         endpoints_max_age_s=compute_max_age_s(settings.change_limits),
         graceful_stop=GracefulStop(settings.grace_s, clock),
         clock=clock,
@@ -191,6 +204,11 @@
         log=log,
         registry=registry,
     )
+    context.exchange.add_topic(
+        configuration_proof.TOPIC,
+        context.configuration_proof.make_statement,
+        context.configuration_proof.receive,
+    )
     in_flight = InFlightRequests(settings.threads)
     graceful_stop = context.graceful_stop
     ingress = make_ingress(
@@ -225,6 +243,16 @@
     )
 
 
+def _choose_proof_limits(limits: ChangeLimits) -> ProofLimits:
+    removed_key_s = limits.removed_key_s
+    return ProofLimits(
+        known_key_s=math.inf
+        if removed_key_s is None
+        else removed_key_s - _PROOF_MARGIN_S,
+        unknown_key_s=limits.configuration_s,
+    )
+
+
 def _make_relay_server(
     settings: GatewaySettings, context: Context
 ) -> Server | None:
@@ -334,6 +362,7 @@
         context.clock,
         context.log,
         context.registry,
+        context.configuration_proof,
     ):
         _start_watcher(context, watcher, components.stopped)
     recovery_s = components.settings.change_limits.recovery_s
--- a/src/burdockspan/gateway/requests/application.py
+++ b/src/burdockspan/gateway/requests/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 import traceback
 from collections.abc import Iterator
@@ -11,6 +12,12 @@
 from result import Err, Ok, Result
 
 from burdockspan.endpoints.sockets import AbortHandle
+from burdockspan.gateway.accounts.identification import (
+    Denial,
+    Identity,
+    identify,
+)
+from burdockspan.gateway.accounts.values import Account
 from burdockspan.gateway.callers.ingress import Handler
 from burdockspan.gateway.callers.messages import (
     RawRequest,
@@ -29,7 +36,8 @@
 from burdockspan.gateway.requests.generation import generate
 from burdockspan.gateway.requests.plain import forward
 from burdockspan.gateway.requests.resumption import restrict_to_origin
-from burdockspan.gateway.values import InboundCall, RelayNote
+from burdockspan.gateway.state import ActiveConfiguration
+from burdockspan.gateway.values import InboundCall, RelayNote, Route
 from burdockspan.resilience.crash_evidence import TRIAL_INTERVAL_S
 
 # A process has a configuration within a few calls to the store after its start.
@@ -199,6 +207,11 @@
         )
         detail = f"configuration {version} has no route for this host and path"
         return Err(make_problem(404, "not_run", detail))
+    identified = _identify(context, active, route, call, raw.relay)
+    if isinstance(identified, Err):
+        return identified
+    account = identified.ok_value.account
+    call = identified.ok_value.call
     deadline_s = call.arrived_s + min(call.caller_timeout_s, route.timeout_s)
     if not context.graceful_stop.accepts(route, deadline_s):
         return Err(_refuse_stopping(context, call))
@@ -214,11 +227,55 @@
             deadline_s=deadline_s,
             caller=raw.caller,
             abort=abort,
+            priority=_choose_priority(route, account),
+            account=account,
             relay=raw.relay,
         )
     )
 
 
+def _choose_priority(route: Route, account: Account | None) -> int:
+    if account is None or account.priority is None:
+        return route.priority
+    return account.priority
+
+
+def _identify(
+    context: Context,
+    active: ActiveConfiguration,
+    route: Route,
+    call: InboundCall,
+    relay: RelayNote | None,
+) -> Result[Identity, Response]:
+    """Returns who a request is from, or the response that refuses it."""
+    age_s = context.configuration_proof.age_s()
+    identified = identify(
+        active.accounts, route, call, relay, age_s, context.proof_limits
+    )
+    if isinstance(identified, Ok):
+        return identified
+    denial = identified.err_value
+    is_known = denial is not Denial.NOT_PROVED
+    response = make_problem(
+        401 if is_known else 503,
+        "not_run",
+        denial.value,
+        None if is_known else _UNREADY_RETRY_AFTER_S,
+    )
+    context.registry.count("refusal", denial.value.replace(" ", "_"))
+    context.log(
+        "refused",
+        request_id=call.request_id,
+        status=response.status,
+        reason=denial.value,
+        route=route.name,
+        account=relay.account if relay else None,
+        configuration=active.configuration.version,
+        proof_age_s=None if math.isinf(age_s) else round(age_s, 2),
+    )
+    return Err(response)
+
+
 def _check_parts(
     context: Context, request: RoutedRequest
 ) -> Result[RoutedRequest, Response]:
--- a/src/burdockspan/gateway/requests/attempts.py
+++ b/src/burdockspan/gateway/requests/attempts.py
@@ -8,6 +8,8 @@
 
 from burdockspan.endpoints.call_timer import TimeLimit
 from burdockspan.endpoints.sockets import AbortHandle
+from burdockspan.gateway.accounts.identification import holds_key
+from burdockspan.gateway.accounts.values import Account
 from burdockspan.gateway.admission.retry_budget import SpentRetry
 from burdockspan.gateway.callers.messages import (
     CallerConnection,
@@ -40,6 +42,8 @@
 MIN_ATTEMPT_S = 0.02
 CRASHES_ENDPOINTS = "crashes endpoints"
 """Reason of the refusal of a request in quarantine."""
+KEY_REMOVED = "key removed"
+"""Reason of the refusal of a request whose key has been removed meanwhile."""
 # How many parts of a prompt a log line names.
 _LOGGED_PARTS = 16
 # Value of Retry-After. After this delay, the suspicion against an endpoint that
@@ -61,6 +65,8 @@
       deadline_s: when the complete response is due, in monotonic seconds.
       caller: connection of its caller.
       abort: aborts its calls to endpoints.
+      priority: that of its account, or else of its route; 0 is the highest.
+      account: client account that it is from; None if none is known.
       software_version: version of the endpoints that it may run at, for a
         stream that has begun there; None allows all endpoints.
       tries_part: whether it is the one request that tries a refused part of
@@ -76,6 +82,8 @@
     deadline_s: float
     caller: CallerConnection
     abort: AbortHandle
+    priority: int = 0
+    account: Account | None = None
     software_version: str | None = None
     tries_part: bool = False
     relay: RelayNote | None = None
@@ -140,6 +148,8 @@
             return "caller gone"
         if self.is_quarantined():
             return CRASHES_ENDPOINTS
+        if self.is_key_removed():
+            return KEY_REMOVED
         if self.remaining_s() < MIN_ATTEMPT_S:
             return "no time left"
         if runs and not (route.repeatable and runs < route.max_attempts):
@@ -152,6 +162,15 @@
             return False
         return bool(self._context.part_quarantine.find_refused(self._parts))
 
+    def is_key_removed(self) -> bool:
+        """Returns whether the account no longer holds the request's key."""
+        request = self._request
+        if request.account is None or request.route.public:
+            return False
+        active = self._context.state.active_configuration()
+        table = None if active is None else active.accounts
+        return not holds_key(table, request.account, request.call)
+
     def try_pay(self, calls: int = 1) -> bool:
         """Returns whether calls are paid for; all but the first are retries.
 
@@ -184,7 +203,11 @@
         is then not counted as a call, for example because the connection could
         not be opened, the next call of the request needs no further payment.
         """
-        return not self.is_quarantined() and self.try_pay()
+        return (
+            not self.is_quarantined()
+            and not self.is_key_removed()
+            and self.try_pay()
+        )
 
     @property
     def has_prefilled(self) -> bool:
@@ -367,7 +390,10 @@
         is_late = self.remaining_s() <= MIN_ATTEMPT_S
         failure = self.last_failure
         detail = reason if failure is None else f"{reason}; {failure.detail}"
-        if not self.run_count:
+        if not self.run_count and self.is_key_removed():
+            reason = detail = KEY_REMOVED
+            response = make_problem(401, "not_run", detail)
+        elif not self.run_count:
             response = make_problem(503, "not_run", detail, retry_after_s)
         elif is_late or (failure and failure.kind is FailureKind.UNRESPONSIVE):
             response = make_problem(504, "unknown", detail)
@@ -473,6 +499,7 @@
         route=request.route.name,
         service=request.service,
         configuration=request.configuration_version,
+        account=request.call.account,
         endpoint=endpoint.id,
         address=endpoint.address,
         zone=endpoint.zone,
@@ -484,6 +511,7 @@
 
 __all__ = [
     "CRASHES_ENDPOINTS",
+    "KEY_REMOVED",
     "MIN_ATTEMPT_S",
     "NOT_STARTED",
     "RETRY_AFTER_S",
--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -280,6 +280,7 @@
         return (
             request.caller.gone
             or attempts.is_quarantined()
+            or attempts.is_key_removed()
             or can_hand_over(context, request, attempts)
         )
 
@@ -395,6 +396,9 @@
     after_event: str | None,
 ) -> StartedAttempt | None:
     """Sends a prepared attempt; returns None if it failed."""
+    if attempts.is_key_removed():
+        release_prepared(context, attempts, prepared)
+        return None
     outcome = _send(context, request, attempts, prepared, after_event)
     if isinstance(outcome, Ok):
         return StartedAttempt(prepared.reservation, outcome.ok_value)
--- a/src/burdockspan/gateway/requests/peer_relay.py
+++ b/src/burdockspan/gateway/requests/peer_relay.py
@@ -137,6 +137,8 @@
             request.configuration_version,
             attempts.run_count,
             attempts.call_count,
+            request.call.account,
+            request.call.key,
         ),
         expects_events=request.route.kind is RequestKind.STREAM,
         after_event=after_event,
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -52,11 +52,14 @@
       leaving_endpoint_s: until a leaving endpoint receives no more requests.
       recovery_s: until the other two limits hold again after a fault, such as
         connections that have become unresponsive.
+      removed_key_s: until a removed key of an account is refused by all VMs,
+        also by those that the store does not answer; None sets no limit there.
     """
 
     configuration_s: float = 2.0
     leaving_endpoint_s: float = 2.0
     recovery_s: float = 3.0
+    removed_key_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -186,6 +189,10 @@
     return subsection
 
 
+def _decode_optional_duration(value: object) -> Result[float | None, str]:
+    return _DURATION_S(value)
+
+
 def _read_change_limits(section: Section) -> ChangeLimits:
     limits_section = _open_subsection(section, "change_limits", ChangeLimits)
     defaults = ChangeLimits()
@@ -205,6 +212,12 @@
         recovery_s=read_field(
             limits_section, "recovery_s", _DURATION_S, defaults.recovery_s
         ),
+        removed_key_s=read_field(
+            limits_section,
+            "removed_key_s",
+            _decode_optional_duration,
+            defaults.removed_key_s,
+        ),
     )
 
 
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -7,6 +7,10 @@
 import threading
 from collections.abc import Callable, Collection, Iterable
 
+from burdockspan.gateway.accounts.identification import (
+    AccountTable,
+    make_account_table,
+)
 from burdockspan.gateway.choice.ranking import Candidate
 from burdockspan.gateway.choice.routing import RoutingTable, make_routing_table
 from burdockspan.gateway.discovery import endpoint_table
@@ -37,11 +41,13 @@
       configuration: the newest configuration that this process has received.
       routes: lookup table of its routes.
       since_s: when it was activated, in monotonic seconds.
+      accounts: lookup table of its accounts; None if requests need no key.
     """
 
     configuration: Configuration
     routes: RoutingTable
     since_s: float
+    accounts: AccountTable | None = None
 
 
 class GatewayState:
@@ -98,7 +104,10 @@
             ):
                 return False
             self._active = ActiveConfiguration(
-                configuration, make_routing_table(configuration), self.clock()
+                configuration,
+                make_routing_table(configuration),
+                self.clock(),
+                make_account_table(configuration.accounts),
             )
             return True
 
--- a/src/burdockspan/gateway/values.py
+++ b/src/burdockspan/gateway/values.py
@@ -6,6 +6,8 @@
 import enum
 from collections.abc import Mapping
 
+from burdockspan.gateway.accounts.values import Account, PresentedKey
+
 
 class RequestKind(enum.Enum):
     """Whether a request may run more than once.
@@ -54,6 +56,7 @@
       max_attempts: limit of the endpoints that one request may run on.
       resumable: whether another endpoint may continue an interrupted stream.
       services: at least one service, each with its weight.
+      public: whether its requests need no key where there are accounts.
     """
 
     name: str
@@ -67,6 +70,7 @@
     max_attempts: int
     resumable: bool
     services: tuple[WeightedService, ...]
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -122,12 +126,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    Attributes:
+      version: rises with each change.
+      routes: where requests go.
+      services_by_name: services that the routes name.
+      limits: what a caller may send.
+      accounts: client accounts; None if requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services_by_name: Mapping[str, Service]
     limits: RequestLimits
+    accounts: tuple[Account, ...] | None = None
 
 
 # The identity of an endpoint and the start of its process.
@@ -208,13 +221,17 @@
       shared_parts: identities of the parts of its prompt that other prompts may
         have as well, in their order. The last part, which belongs to the
         request or to its session, is not among them.
+      headers_without_identity: `headers` without those in which the caller says
+        who it is.
+      key: key that the caller presents; None without one.
+      account: account that endpoints see; None where there is none.
     """
 
     method: str
     target: str
     host: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
+    headers: tuple[tuple[str, str], ...] = dataclasses.field(repr=False)
+    body: bytes = dataclasses.field(repr=False)
     request_id: str
     caller_timeout_s: float
     generation_size: GenerationSize | None
@@ -223,6 +240,9 @@
     last_event_id: str | None = None
     resumed_request_id: str | None = None
     shared_parts: tuple[str, ...] = ()
+    headers_without_identity: tuple[tuple[str, str], ...] = ()
+    key: PresentedKey | None = None
+    account: str | None = None
 
     @property
     def path(self) -> str:
@@ -238,11 +258,15 @@
       configuration_version: version of the configuration that routed it there.
       runs: number of its runs that may have begun so far.
       calls: number of its calls that have reached an endpoint so far.
+      account: account of its caller; None if that VM has found none.
+      key: key by which that VM has found the account; None without one.
     """
 
     configuration_version: int = 0
     runs: int = 0
     calls: int = 0
+    account: str | None = None
+    key: PresentedKey | None = None
 
 
 __all__ = [
--- a/src/burdockspan/platform/documents.py
+++ b/src/burdockspan/platform/documents.py
@@ -4,9 +4,16 @@
 
 import dataclasses
 import math
+import re
 from collections.abc import Mapping
 from typing import Any
 
+from burdockspan.gateway.accounts.values import (
+    Account,
+    Quota,
+    QuotaUnit,
+    digest_key,
+)
 from burdockspan.gateway.values import (
     Configuration,
     Endpoint,
@@ -31,6 +38,11 @@
 _STAGE_BY_NAME = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
 # Whether an endpoint is leaving, by the state in its entry.
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
+_TOKEN_UNIT = "token_stream"
+# Endpoints get it in a header.
+_ACCOUNT_NAME_PATTERN = re.compile(
+    r"(?! )[^\x00-\x1f\x7f\ud800-\udfff]{1,256}(?<! )"
+)
 _DEFAULT_LIMITS = RequestLimits(16_384, 4_194_304, 3.0, 15.0)
 
 
@@ -55,6 +67,73 @@
         ),
         services_by_name={service.name: service for service in services},
         limits=_decode_limits(document.get("limits")),
+        accounts=_decode_accounts(document),
+    )
+
+
+def _decode_accounts(
+    document: Mapping[str, Any],
+) -> tuple[Account, ...] | None:
+    """Returns the accounts; None if the document says nothing of them."""
+    if document.get("tenants") is None:
+        return None
+    accounts = tuple(
+        _decode_account(item) for item in _read_list(document, "tenants")
+    )
+    if len({account.name for account in accounts}) < len(accounts):
+        raise MalformedError("tenants have a name twice")
+    digests = {digest for account in accounts for digest in account.key_digests}
+    if len(digests) < sum(len(account.key_digests) for account in accounts):
+        raise MalformedError("api_keys of two tenants have a key in common")
+    return accounts
+
+
+def _decode_account(value: Any) -> Account:
+    account = _read_object(value, "tenant")
+    name = _read_string(account, "name")
+    if not _ACCOUNT_NAME_PATTERN.fullmatch(name):
+        raise MalformedError("name of a tenant cannot be sent in a header")
+    priority = None
+    if account.get("priority") is not None:
+        priority = int(_read_number(account, "priority"))
+    return Account(
+        name=name,
+        key_digests=_decode_keys(account),
+        priority=priority,
+        quota=_decode_quota(account),
+    )
+
+
+def _decode_keys(account: Mapping[str, Any]) -> frozenset[bytes]:
+    """Returns the digests of the keys; no message names a key."""
+    digests = []
+    for key in _read_list(account, "api_keys"):
+        if not isinstance(key, str) or not key:
+            raise MalformedError("api_keys has an empty key or not a text")
+        try:
+            digests.append(digest_key(key.encode()))
+        except UnicodeEncodeError:
+            raise MalformedError("api_keys has a malformed text") from None
+    if len(set(digests)) < len(digests):
+        raise MalformedError("api_keys has a key twice")
+    return frozenset(digests)
+
+
+def _decode_quota(account: Mapping[str, Any]) -> Quota | None:
+    unit = account.get("unit")
+    if unit is not None and not isinstance(unit, str):
+        raise MalformedError("unit is not a text")
+    counts_tokens = unit == _TOKEN_UNIT
+    rate_per_s = _read_number(account, "rate_per_s", 0.0)
+    burst = _read_number(account, "burst", 0.0)
+    plain_tokens = _read_number(account, "plain_tokens", 1.0)
+    if not rate_per_s:
+        return None
+    return Quota(
+        unit=QuotaUnit.TOKENS if counts_tokens else QuotaUnit.REQUESTS,
+        rate_per_s=rate_per_s,
+        burst=burst,
+        plain_units=plain_tokens if counts_tokens else 1.0,
     )
 
 
@@ -75,6 +154,7 @@
         max_attempts=max(1, int(_read_number(route, "max_attempts", 1.0))),
         resumable=route.get("resumable") is True,
         services=_decode_route_services(route),
+        public=route.get("public") is True,
     )
 
 
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -252,6 +252,11 @@
         header_names.DEADLINE_MS, str(max(1, int(options.remaining_s * 1000)))
     )
     headers.add(header_names.EXPECT_INSTANCE, endpoint.id)
+    if call.account is not None:
+        # Bytes of UTF-8, as the transport encodes headers in Latin-1.
+        headers.add(
+            header_names.ACCOUNT, call.account.encode().decode("latin-1")
+        )
     if options.cache is not None:
         source = f"{options.cache.endpoint.address}/{options.cache.handle}"
         headers.add(header_names.KV_SOURCE, source)
--- a/src/burdockspan/platform/headers.py
+++ b/src/burdockspan/platform/headers.py
@@ -36,6 +36,10 @@
 # Name of the memory reservation that the request uses.
 KV_HOLD = "Kv-Hold"
 
+# Name of the caller's account, set by the router where there are accounts.
+ACCOUNT = "Tenant"
+AUTHORIZATION = "Authorization"
+
 # Only the router sets these headers; values from callers are removed.
 _SET_BY_ROUTER = frozenset(
     name.lower()
@@ -88,6 +92,16 @@
     )
 
 
+def remove_identity(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    """Returns headers without those in which a caller says who it is."""
+    removed = (ACCOUNT.lower(), AUTHORIZATION.lower())
+    return tuple(
+        header for header in headers if header[0].lower() not in removed
+    )
+
+
 def filter_response_headers(
     headers: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
@@ -139,6 +153,8 @@
 )
 
 __all__ = [
+    "ACCOUNT",
+    "AUTHORIZATION",
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
     "INSTANCE_ID",
@@ -161,4 +177,5 @@
     "filter_request_headers",
     "filter_response_headers",
     "find_first",
+    "remove_identity",
 ]
--- a/src/burdockspan/platform/ingress.py
+++ b/src/burdockspan/platform/ingress.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from burdockspan.gateway.accounts.values import PresentedKey, digest_key
 from burdockspan.gateway.callers.messages import RawRequest
 from burdockspan.gateway.values import GenerationSize, InboundCall
 from burdockspan.platform import headers as header_names
@@ -18,6 +19,8 @@
 _REQUEST_ID_PATTERN = re.compile(r"[!-~]{1,256}")
 # Longest identity of a part that is told apart from others.
 _PART_ID_LENGTH = 64
+# RFC 6750 section 2.1; the name of the scheme is case-insensitive.
+_KEY_PATTERN = re.compile(r"(?i:bearer) +(\S.*)")
 _INTEGER_PATTERN = re.compile(r"[0-9]{1,9}")
 
 
@@ -37,12 +40,13 @@
     if isinstance(size, Err):
         return size
     host = header_names.find_first(raw.headers, "Host") or ""
+    headers = header_names.filter_request_headers(raw.headers)
     return Ok(
         InboundCall(
             method=raw.method,
             target=raw.target,
             host=host.lower(),
-            headers=header_names.filter_request_headers(raw.headers),
+            headers=headers,
             body=raw.body,
             request_id=request_id,
             caller_timeout_s=caller_timeout_s,
@@ -54,10 +58,27 @@
             ),
             resumed_request_id=_decode_resumed_request_id(raw),
             shared_parts=_decode_shared_parts(raw),
+            headers_without_identity=header_names.remove_identity(headers),
+            key=_decode_key(raw),
         )
     )
 
 
+def _decode_key(raw: RawRequest) -> PresentedKey | None:
+    """Returns the key; one that no account has if the header is malformed."""
+    values = [
+        value
+        for name, value in raw.headers
+        if name.lower() == header_names.AUTHORIZATION.lower()
+    ]
+    if not values:
+        return None
+    matched = _KEY_PATTERN.fullmatch(values[0].strip())
+    if matched is None or len(values) > 1:
+        return PresentedKey(b"")
+    return PresentedKey(digest_key(matched[1].encode("latin-1", "replace")))
+
+
 def _decode_resumed_request_id(raw: RawRequest) -> str | None:
     # A malformed identity names no request, like a missing one.
     text = header_names.find_first(raw.headers, header_names.RESUMES) or ""
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import re
 import tempfile
 import unittest
 
@@ -33,6 +34,20 @@
 )
 
 
+_SECTION = re.compile(r"\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+
+
+def _render_sections(template: str, value_by_name: dict[str, str]) -> str:
+    """Returns a template with the sections of the names that have a value."""
+
+    def render(section: re.Match[str]) -> str:
+        if value_by_name.get(section[1], "False") == "False":
+            return ""
+        return _render_sections(section[2], value_by_name)
+
+    return _SECTION.sub(render, template)
+
+
 class TestSettings(unittest.TestCase):
     def load(self, bounds: dict[str, float]) -> GatewaySettings:
         """Returns the settings from the deployed template and some bounds."""
@@ -41,6 +56,7 @@
         values.update(
             {f"bounds.{name}": repr(value) for name, value in bounds.items()}
         )
+        template = _render_sections(template, values)
         for name, value in values.items():
             template = template.replace("{{" + name + "}}", value)
         self.assertNotIn("{{", template)
@@ -73,6 +89,18 @@
                 self.assertEqual(settings.retry_budget.ratio, value)
                 self.assertEqual(settings.retry_budget.slack, value)
 
+    def test_limit_for_removed_keys_is_optional(self) -> None:
+        """Guards against VMs that refuse keys where no limit is stated."""
+        bounds = dict.fromkeys(_BOUNDS, 1)
+        for stated, expected in (
+            ({}, None),
+            ({"revoke_ms": 5000.0, "revoke_strict": False}, None),
+            ({"revoke_ms": 5000.0, "revoke_strict": True}, 5.0),
+        ):
+            with self.subTest(stated):
+                limits = self.load({**bounds, **stated}).change_limits
+                self.assertEqual(limits.removed_key_s, expected)
+
     def test_negative_bounds_are_rejected(self) -> None:
         """Guards against a limit that silently disables all retries."""
         with self.assertRaises(Exception):  # noqa: B017
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -177,6 +177,7 @@
     document: dict[str, Any] | None = None,
     shared_store: ObjectStore | None = None,
     clock: Clock = time.monotonic,
+    boot_clock: Clock | None = None,
     make_platform: process.MakePlatform = make_platform,
     **settings: Any,
 ) -> Iterator[Gateway]:
@@ -186,6 +187,8 @@
       document: configuration.
       shared_store: store of several gateways; by default it has its own.
       clock: monotonic clock of the gateway, in seconds.
+      boot_clock: its clock that includes time suspended; None for that of this
+        VM.
       make_platform: returns its adapter to the platform.
       **settings: changes of the settings.
     """
@@ -217,6 +220,7 @@
         make_platform,
         clock,
         log,
+        boot_clock,
     )
     gateway = Gateway(components, store, [], log_events)
     process.start(components)
