Test accounts, and keep notes of callers out of relays

A caller could add headers of a relay's note, which the serving VM would have read where the true note has none. Generations whose key is removed while they wait are refused as such.

--- a/src/burdockspan/gateway/discovery/watchers.py
+++ b/src/burdockspan/gateway/discovery/watchers.py
@@ -48,7 +48,7 @@
 _MAX_COLLECT_S = 1.0
 # Shares of the time limit for refusing a removed key. A VM that hears nothing
 # from others has a proof as old as two watches and the delay between them.
-_REMOVED_KEY_WATCH_SHARE = 0.28
+_REMOVED_KEY_WATCH_SHARE = 0.25
 _REMOVED_KEY_COLLECT_SHARE = 0.15
 # These delays are so short that the end of an outage of the store is detected
 # within a fraction of a second.
--- a/src/burdockspan/gateway/fleet/relay_messages.py
+++ b/src/burdockspan/gateway/fleet/relay_messages.py
@@ -73,6 +73,15 @@
     return urllib.parse.unquote(account), key
 
 
+def remove_note(headers: Headers) -> Headers:
+    """Returns the headers of a caller without any that belong to a note."""
+    return tuple(
+        header
+        for header in headers
+        if not header[0].lower().startswith(_PREFIX)
+    )
+
+
 def make_declined(reason: str, retry_after_s: float) -> Response:
     """Returns the answer of a VM that does not take a relayed request."""
     response = make_problem(503, "not_run", reason, retry_after_s)
@@ -97,5 +106,6 @@
     "encode_note",
     "find_declined",
     "make_declined",
+    "remove_note",
     "split_note",
 ]
--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -22,7 +22,9 @@
 from burdockspan.gateway.ports import AttemptOptions, EndpointResponse, KvCache
 from burdockspan.gateway.requests.attempts import (
     CRASHES_ENDPOINTS,
+    KEY_REMOVED,
     NOT_STARTED,
+    RETRY_AFTER_S,
     Attempts,
     RoutedRequest,
     explain_missing_endpoint,
@@ -159,6 +161,8 @@
 def _explain_no_attempt(request: RoutedRequest, attempts: Attempts) -> Refusal:
     if attempts.is_quarantined():
         return Refusal(CRASHES_ENDPOINTS, TRIAL_INTERVAL_S)
+    if attempts.is_key_removed():
+        return Refusal(KEY_REMOVED, RETRY_AFTER_S)
     retry_after_s = _RETRY_AFTER_SHARE * request.route.timeout_s
     return Refusal("no attempt left", retry_after_s)
 
@@ -169,6 +173,8 @@
     """Returns why no engine has reserved memory for a generation."""
     if attempts.is_quarantined():
         return Refusal(CRASHES_ENDPOINTS, TRIAL_INTERVAL_S)
+    if attempts.is_key_removed():
+        return Refusal(KEY_REMOVED, RETRY_AFTER_S)
     if context.reachability.is_out_of_reach(request.service):
         return Refusal(*explain_missing_endpoint(context, request, attempts))
     soonest = context.state.find_soonest(
--- a/src/burdockspan/platform/relay_client.py
+++ b/src/burdockspan/platform/relay_client.py
@@ -11,7 +11,11 @@
 from burdockspan.endpoints.exchange import Call, Exchange
 from burdockspan.endpoints.failures import make_failure
 from burdockspan.gateway.fleet.peers import Peer
-from burdockspan.gateway.fleet.relay_messages import encode_note, find_declined
+from burdockspan.gateway.fleet.relay_messages import (
+    encode_note,
+    find_declined,
+    remove_note,
+)
 from burdockspan.gateway.ports import (
     EndpointResponse,
     RelayOptions,
@@ -86,7 +90,7 @@
     if options.resumed_request_id is not None:
         replaced[header_names.RESUMES] = options.resumed_request_id
     replaced_names = {name.lower() for name in replaced}
-    for name, value in call.headers:
+    for name, value in remove_note(call.headers):
         if name.lower() not in replaced_names:
             headers.add(name, value)
     for name, value in (*replaced.items(), *encode_note(options.note)):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -3,12 +3,24 @@
 from __future__ import annotations
 
 import contextlib
+import time
 import unittest
 from typing import Any
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from burdockspan.gateway.accounts.identification import (
+    find_account,
+    make_account_table,
+)
+from burdockspan.gateway.accounts.values import (
+    Account,
+    PresentedKey,
+    Quota,
+    QuotaUnit,
+    digest_key,
+)
 from burdockspan.gateway.values import RequestKind, Stage
 from burdockspan.platform import documents
 from tests.support.gateways import make_document
@@ -76,6 +88,104 @@
             documents.decode_configuration(value)
 
 
+def _decode_accounts(tenants: Any) -> tuple[Account, ...] | None:
+    document = make_document(1, tenants=tenants)
+    return documents.decode_configuration(document).accounts
+
+
+class TestAccounts(unittest.TestCase):
+    def test_document_without_accounts_has_none(self) -> None:
+        """Guards against a key that is asked for where there are none."""
+        document = make_document()
+        self.assertIsNone(documents.decode_configuration(document).accounts)
+        self.assertIsNone(_decode_accounts(None))
+
+    def test_accounts_are_decoded(self) -> None:
+        """Guards against limits in the wrong unit, and limits of zero."""
+        limits = {"rate_per_s": 50, "burst": 200.5, "plain_tokens": 200}
+        tokens, requests, unlimited = _decode_accounts(
+            [
+                {
+                    "name": "a",
+                    "api_keys": ["k1", "k2"],
+                    "priority": 2,
+                    "unit": "token_stream",
+                    **limits,
+                },
+                {"name": "b", "api_keys": [], "unit": "other", **limits},
+                {"name": "Café", "api_keys": ["k3"], "rate_per_s": 0},
+            ]
+        ) or ((None,) * 3)
+        assert tokens and requests and unlimited
+        self.assertEqual(
+            tokens.key_digests, {digest_key(b"k1"), digest_key(b"k2")}
+        )
+        self.assertEqual(tokens.priority, 2)
+        self.assertEqual(
+            tokens.quota, Quota(QuotaUnit.TOKENS, 50.0, 200.5, 200.0)
+        )
+        self.assertEqual(
+            requests.quota, Quota(QuotaUnit.REQUESTS, 50.0, 200.5, 1.0)
+        )
+        self.assertIsNone(unlimited.quota)
+        self.assertIsNone(unlimited.priority)
+
+    def test_malformed_account_is_refused_without_its_key(self) -> None:
+        """Guards against an account with a limit or keys that nobody set."""
+        good = {"name": "a", "api_keys": ["secret-1"]}
+        for tenants, field in (
+            ({}, "tenants"),
+            ("secret-1", "tenants"),
+            ([7], "tenant"),
+            ([good, {**good, "api_keys": ["secret-2"]}], "name"),
+            ([good, {**good, "name": "b"}], "api_keys"),
+            ([{**good, "api_keys": ["secret-1"] * 2}], "api_keys"),
+            ([{**good, "api_keys": ["secret-1", ""]}], "api_keys"),
+            ([{**good, "api_keys": ["secret-1\ud800"]}], "api_keys"),
+            ([{**good, "api_keys": "secret-1"}], "api_keys"),
+            ([{**good, "api_keys": ["secret-1", 7]}], "api_keys"),
+            ([{"name": "a"}], "api_keys"),
+            ([{**good, "name": ""}], "name"),
+            ([{**good, "name": "a\r\nX: y"}], "name"),
+            ([{**good, "priority": -1}], "priority"),
+            ([{**good, "priority": "high"}], "priority"),
+            ([{**good, "unit": 7}], "unit"),
+            ([{**good, "rate_per_s": -1}], "rate_per_s"),
+            ([{**good, "rate_per_s": True}], "rate_per_s"),
+            ([{**good, "burst": -0.5}], "burst"),
+            ([{**good, "plain_tokens": "200"}], "plain_tokens"),
+        ):
+            with self.subTest(tenants=tenants):
+                with self.assertRaises(documents.MalformedError) as raised:
+                    _decode_accounts(tenants)
+                self.assertIn(field, str(raised.exception))
+                self.assertNotIn("secret", str(raised.exception))
+
+    def test_many_accounts_cost_no_pause(self) -> None:
+        """Guards against pauses at each of hundreds of changes a day."""
+        tenants = [
+            {"name": f"a{n}", "api_keys": [f"old-{n}", f"new-{n}"]}
+            for n in range(440)
+        ]
+        durations_s = []
+        for _ in range(5):
+            started_s = time.perf_counter()
+            table = make_account_table(_decode_accounts(tenants))
+            durations_s.append(time.perf_counter() - started_s)
+        self.assertLess(min(durations_s), 0.02)
+        assert table is not None
+        found = find_account(table, PresentedKey(digest_key(b"new-439")))
+        assert found is not None
+        self.assertEqual(found.name, "a439")
+        self.assertEqual(len(table.account_by_digest), 880)
+
+    @given(_JSON)
+    def test_any_value_decodes_or_is_refused(self, value: Any) -> None:
+        """Guards against accounts that crash the thread that reads them."""
+        with contextlib.suppress(documents.MalformedError):
+            _decode_accounts(value)
+
+
 class TestEntry(unittest.TestCase):
     def test_entry_is_decoded(self) -> None:
         """Guards against fields that are mixed up."""
