--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -82,8 +82,8 @@
 _REFUSAL_THREADS = 4
 _STATUS_THREADS = 1
 _POLL_INTERVAL_S = 0.1
-# Room for the headers that a VM adds to a request that it relays; the name of an
-# account takes up to 3,072 bytes.
+# Room for the headers that a VM adds to a request that it relays. The name of
+# an account takes up to 3,072 bytes.
 _RELAY_HEADER_BYTES = 4096
 # Less than the part of the grace period that is left after the deadline.
 _CLOSE_TIMEOUT_S = 0.2
