--- a/src/burdockspan/gateway/accounts/configuration_proof.py
+++ b/src/burdockspan/gateway/accounts/configuration_proof.py
@@ -22,6 +22,9 @@
 TOPIC = "configuration"
 """Topic on which VMs state the version that they have and its proof."""
 
+# Larger numbers have no exact value as a float.
+_MAX_AGE_MS = 2**53
+
 
 class ConfigurationProof:
     """The proof that the configuration in force is the newest.
@@ -75,7 +78,7 @@
     def receive(self, received: Received) -> Result[None, str]:
         """Applies the statement of another VM."""
         match received.value:
-            case [int(version), int(age_ms)] if age_ms >= 0:
+            case [int(version), int(age_ms)] if 0 <= age_ms <= _MAX_AGE_MS:
                 pass
             case _:
                 return Err("not a version and an age")
--- a/src/burdockspan/gateway/requests/application.py
+++ b/src/burdockspan/gateway/requests/application.py
@@ -255,13 +255,15 @@
     if isinstance(identified, Ok):
         return identified
     denial = identified.err_value
-    is_known = denial is not Denial.NOT_PROVED
-    response = make_problem(
-        401 if is_known else 503,
-        "not_run",
-        denial.value,
-        None if is_known else _UNREADY_RETRY_AFTER_S,
-    )
+    if denial is not Denial.NOT_PROVED:
+        response = make_problem(401, "not_run", denial.value)
+    elif relay is None:
+        response = make_problem(
+            503, "not_run", denial.value, _UNREADY_RETRY_AFTER_S
+        )
+    else:
+        # A further VM may be in touch.
+        response = make_declined(denial.value, _UNREADY_RETRY_AFTER_S)
     context.registry.count("refusal", denial.value.replace(" ", "_"))
     context.log(
         "refused",
--- a/tests/gateway/accounts/test_accounts.py
+++ b/tests/gateway/accounts/test_accounts.py
@@ -15,6 +15,7 @@
 from burdockspan.gateway.settings import ChangeLimits
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import (
+    Action,
     Received,
     ScriptedEndpoint,
     Step,
@@ -33,7 +34,7 @@
 
 _OK = respond(200, b"done", {"Response-Stamp": "s"})
 _NOT_STARTED = respond(503, b"", {"Not-Executed": "1"})
-_SIZES = {"Token-Count": "5200,1760", "Length-Hint": "600"}
+_SIZES: dict[str, Any] = {"Token-Count": "5200,1760", "Length-Hint": "600"}
 _KEY = "secret-of-acme"
 _REMOVED_KEY_S = 5.0
 _LIMITS = ChangeLimits(3.0, 3.0, 4.0, _REMOVED_KEY_S)
@@ -77,7 +78,7 @@
         target: str,
         key: str | None = _KEY,
         gateway: Gateway | None = None,
-        **headers: str,
+        **headers: Any,
     ) -> ReceivedResponse:
         """Sends a request with a key."""
         if key is not None:
@@ -129,6 +130,26 @@
         for received in (*scripts["prefill"].prefills, *scripts["decode"].runs):
             self.assert_identity(received)
 
+    def test_resumed_stream_has_the_account(self) -> None:
+        """Guards against a stream that goes on without its account."""
+        broken = EngineScript([*make_stream(1)[:-1], Action.RESET])
+        whole = EngineScript(make_stream(2))
+        engines = [broken, whole]
+
+        def take_turns(received: Received) -> Iterable[Step]:
+            is_run = received.target.startswith("/review/")
+            return (engines.pop(0) if is_run else whole)(received)
+
+        for number in range(2):
+            self.gateway.add_endpoint(
+                ScriptedEndpoint(f"i-{number}", take_turns), service="llm"
+            )
+        response = self.call("/review/x", Tenant="other", **_SIZES)
+        self.assertEqual((response.status, response.complete), (200, True))
+        self.assertEqual(len(broken.runs + whole.runs), 2)
+        for received in broken.runs + whole.runs:
+            self.assert_identity(received)
+
     def test_key_is_needed_where_the_route_is_not_public(self) -> None:
         """Guards against a run without a key, and needless denials."""
         endpoint = self.add(lambda _: _OK)
@@ -291,7 +312,7 @@
             wait_for(lambda known=exchange: bool(known.list_peers()))  # type: ignore[misc]
         # The VM goes on without the store, which its watcher no longer reaches.
         proof = vm.components.context.configuration_proof
-        proof.record_store_answer = lambda _: None  # type: ignore[method-assign]
+        proof.record_store_answer = lambda sent_s: None  # type: ignore[method-assign]
         clock.offset_s += 60.0
         self.assertEqual(self.call("/read/x", gateway=vm).status, 503)
         wait_for(lambda: self.call("/read/x", gateway=vm).status == 200)
--- a/tests/gateway/accounts/test_relayed_keys.py
+++ b/tests/gateway/accounts/test_relayed_keys.py
@@ -6,6 +6,7 @@
 import unittest
 from typing import Any
 
+from burdockspan.gateway.accounts.identification import ProofLimits
 from burdockspan.gateway.accounts.values import PresentedKey, digest_key
 from burdockspan.gateway.fleet.relay_messages import encode_note, split_note
 from burdockspan.gateway.values import RelayNote
@@ -84,6 +85,16 @@
         self.assertEqual(self.send(7, "/pay/x").status, 401)
         self.assertEqual(self.find_received("r7"), [])
 
+    def test_vm_without_a_proof_declines(self) -> None:
+        """Guards against a refusal while a further VM could serve."""
+        context = self.other.components.context
+        object.__setattr__(context, "proof_limits", ProofLimits(-1.0, -1.0))
+        self.assertEqual(self.send(7, "/pay/x").status, 503)
+        self.assertEqual(self.find_received("r7"), [])
+        failed = self.vm.events_named("relay failed")[-1]
+        self.assertEqual(failed["kind"], "refused")
+        self.assertIn("configuration not proved", failed["detail"])
+
     def test_vm_of_an_earlier_release_is_treated_like_a_caller(self) -> None:
         """Guards against denials while releases run side by side."""
         version = ("Burdockspan-Configuration", "2")
