Balance the stages of engines from what VMs state on the exchange

Cause: heartbeats told the demand for prefill engines after 4 to 8 s, and a change of stage takes 6 s.

Change: VMs state their prompts with each status; the VM that comes first balances each second. Heartbeats still do so too. Orders need the same lease as before.

Not yet measured.

--- a/src/burdockspan/gateway/choice/stages.py
+++ b/src/burdockspan/gateway/choice/stages.py
@@ -216,18 +216,34 @@
 
     During a rolling replacement of endpoints, a service has an additional
     engine for some seconds, which must not count as a surplus.
+
+    Calls that follow each other within `interval_s` belong to one interval.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, clock: Clock = lambda: 0.0, interval_s: float = 0.0
+    ) -> None:
+        self._clock = clock
+        self._interval_s = interval_s
+        self._began_s_by_service: dict[str, float] = {}
         self._previous_by_service: dict[str, frozenset[tuple[str, int]]] = {}
+        self._present_by_service: dict[str, frozenset[tuple[str, int]]] = {}
 
     def update(
         self, service: str, engines: Sequence[Endpoint]
     ) -> tuple[Endpoint, ...]:
         """Returns the engines that also existed at the previous update."""
-        previous = self._previous_by_service.get(service, frozenset())
-        present = frozenset(engine.incarnation for engine in engines)
-        self._previous_by_service[service] = present
+        now_s = self._clock()
+        began_s = self._began_s_by_service.get(service)
+        if began_s is None or now_s - began_s >= self._interval_s:
+            self._began_s_by_service[service] = now_s
+            self._previous_by_service[service] = self._present_by_service.get(
+                service, frozenset()
+            )
+            self._present_by_service[service] = frozenset(
+                engine.incarnation for engine in engines
+            )
+        previous = self._previous_by_service[service]
         return tuple(
             engine for engine in engines if engine.incarnation in previous
         )
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -9,7 +9,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 from burdockspan.gateway.accounts import configuration_proof
@@ -22,8 +22,16 @@
 from burdockspan.gateway.callers.ingress import make_ingress
 from burdockspan.gateway.callers.messages import make_status_line
 from burdockspan.gateway.choice import stages
+from burdockspan.gateway.choice.demand_exchange import (
+    Balance,
+    DemandExchange,
+    Measurements,
+)
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
-from burdockspan.gateway.choice.stage_balance import balance_stages
+from burdockspan.gateway.choice.stage_balance import (
+    balance_stages,
+    read_measurements,
+)
 from burdockspan.gateway.choice.stage_orders import OrderSender
 from burdockspan.gateway.choice.stages import DemandMeter
 from burdockspan.gateway.context import Context
@@ -112,6 +120,8 @@
       order_sender: orders engines to change their stage.
       vm_heartbeats: counts the live VMs.
       shared_watches: shares the watches of the store with other VMs.
+      demand_exchange: tells the other VMs of the prompts that arrive here.
+      balance: balances the stages of the engines.
       in_flight: counts the requests in flight.
       stopped: tells the threads to end.
     """
@@ -124,6 +134,8 @@
     order_sender: OrderSender
     vm_heartbeats: VmHeartbeats
     shared_watches: SharedWatches
+    demand_exchange: DemandExchange
+    balance: Balance
     in_flight: InFlightRequests
     stopped: threading.Event
 
@@ -234,6 +246,7 @@
         boot_clock,
         log,
     )
+    balance = _make_balance(context, order_sender)
     shared_watches = SharedWatches(
         context.exchange,
         settings.vm,
@@ -251,14 +264,37 @@
         status_servers,
         order_sender,
         _make_vm_heartbeats(
-            settings, context, order_sender, relay_server, shared_watches
+            settings, context, balance, relay_server, shared_watches
         ),
         shared_watches,
+        DemandExchange(
+            context.exchange, settings.vm, context.demand.measure, clock
+        ),
+        balance,
         in_flight,
         threading.Event(),
     )
 
 
+def _make_balance(context: Context, order_sender: OrderSender) -> Balance:
+    """Returns the function that balances the stages, in one thread at a time.
+
+    It sends no orders in the first seconds of the process.
+    """
+    settled_engines = stages.SettledEngines(context.clock, HEARTBEAT_INTERVAL_S)
+    started_s = context.clock()
+    lock = threading.Lock()
+
+    def balance(measurements: Sequence[Measurements]) -> bool:
+        may_order = context.clock() - started_s >= _MIN_UPTIME_S
+        with lock:
+            return balance_stages(
+                context, order_sender, settled_engines, measurements, may_order
+            )
+
+    return balance
+
+
 def _choose_proof_limits(limits: ChangeLimits) -> ProofLimits:
     removed_key_s = limits.removed_key_s
     return ProofLimits(
@@ -304,20 +340,13 @@
 def _make_vm_heartbeats(
     settings: GatewaySettings,
     context: Context,
-    order_sender: OrderSender,
+    balance: Balance,
     relay_server: Server | None,
     shared_watches: SharedWatches,
 ) -> VmHeartbeats:
-    settled_engines = stages.SettledEngines()
-    started_s = context.clock()
-
     def on_count(_: int, value_by_vm: Mapping[str, Any]) -> None:
         _apply_peer_values(context, shared_watches, value_by_vm)
-        uptime_s = context.clock() - started_s
-        may_order = uptime_s >= _MIN_UPTIME_S
-        balance_stages(
-            context, order_sender, settled_engines, value_by_vm, may_order
-        )
+        balance(read_measurements(value_by_vm))
 
     def on_settled_count(live: int) -> None:
         context.retry_budget.set_vm_count(live)
@@ -417,6 +446,12 @@
         _start_thread(
             lambda: context.exchange.run_sender(components.stopped), "statuses"
         )
+        _start_thread(
+            lambda: components.demand_exchange.run(
+                components.balance, components.stopped
+            ),
+            "stages",
+        )
     _start_thread(
         lambda: run_heartbeats(
             components.vm_heartbeats,
--- a/tests/gateway/fleet/test_cut_off_vms.py
+++ b/tests/gateway/fleet/test_cut_off_vms.py
@@ -8,7 +8,10 @@
 import unittest
 
 from burdockspan.gateway.choice import stage_orders
-from burdockspan.gateway.choice.stage_balance import balance_stages
+from burdockspan.gateway.choice.stage_balance import (
+    balance_stages,
+    read_measurements,
+)
 from burdockspan.gateway.choice.stages import SettledEngines
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import Script, ScriptedEndpoint, respond
@@ -219,7 +222,7 @@
                 components.context,
                 components.order_sender,
                 settled,
-                {"vm-1": {"demand": measured}},
+                read_measurements({"vm-1": {"demand": measured}}),
                 True,
             )
         self.assertEqual(len(self.vm.events_named("stages not balanced")), 1)
