Keep the origins of streams in the store while several versions serve

A VM now reads the heartbeats before it replaces its own, renews it early when a version appears that the store does not have, and keeps the origins of its unfinished streams in an object while a service has several versions.

--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -17,6 +17,7 @@
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.streams.origin_records import OriginRecords
 from burdockspan.gateway.streams.origin_sharing import OriginSharing
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.observe.registry import Registry
@@ -41,6 +42,7 @@
       full_engines: engines that recently lacked free memory.
       admission_queues: generations that wait for decode memory, by service.
       origins: shares the software versions that began streams.
+      origin_records: keeps them in the store while several versions serve.
       exchange: tells the other VMs what this VM knows.
       endpoints_max_age_s: age above which the endpoint table may lack changes.
       graceful_stop: state of the graceful stop of this process.
@@ -63,6 +65,7 @@
     full_engines: FullEngines
     admission_queues: AdmissionQueues
     origins: OriginSharing
+    origin_records: OriginRecords
     exchange: Exchange
     endpoints_max_age_s: float
     graceful_stop: GracefulStop
--- a/src/burdockspan/gateway/fleet/vm_heartbeats.py
+++ b/src/burdockspan/gateway/fleet/vm_heartbeats.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any
 
 from result import Err
@@ -22,6 +22,7 @@
     StoreError,
 )
 from burdockspan.observe.event_log import WriteEvent
+from burdockspan.placement.sampling import RandomFloat
 from burdockspan.values.clock import Clock
 
 KIND = "burdockspan-vms"
@@ -42,6 +43,12 @@
 _MEASUREMENT_TTL_INTERVALS = 1.5
 # The object of a failed VM is removed after it has not changed for this time.
 _REMOVE_AFTER_INTERVALS = 40
+# Time until the first list is tried again.
+_FIRST_LIST_RETRY_S = 0.5
+# How often a VM checks whether its object must be renewed early.
+_CHECK_INTERVAL_S = 0.2
+# Limit of the early renewals of all VMs.
+_MAX_EARLY_RENEWALS_PER_S = 100.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,6 +136,10 @@
     number of live VMs and the contents of recently renewed objects, by VM.
     `on_settled_count` receives the number as soon as it may be used as a
     divisor, that is, once it no longer grows because the fleet is starting.
+    `on_first_list` receives what the VMs had written before this process
+    replaces the object of the process before it. `on_written` receives what
+    this VM has written. `is_outdated` returns whether this VM's object must be
+    renewed before its interval ends.
     """
 
     def __init__(
@@ -140,6 +151,9 @@
         on_count: Callable[[int, Mapping[str, Any]], None],
         log: WriteEvent,
         on_settled_count: Callable[[int], None] = lambda _: None,
+        on_first_list: Callable[[Collection[Any]], None] = lambda _: None,
+        on_written: Callable[[Any], None] = lambda _: None,
+        is_outdated: Callable[[], bool] = lambda: False,
     ) -> None:
         self._vm = vm
         self._store = store
@@ -147,34 +161,63 @@
         self._make_value = make_value
         self._on_count = on_count
         self._on_settled_count = on_settled_count
+        self._on_first_list = on_first_list
+        self._on_written = on_written
+        self.is_outdated = is_outdated
         self._log = log
         self._observed_by_vm: dict[str, ObservedRevision] = {}
         self._heartbeats_sent = 0
         self._last_count = 0
         self._lists = 0
         # Whether the store had an object of this VM at the first heartbeat.
-        self._found_own_object: bool | None = None
+        self._found_own_object = False
 
     def interval_s(self) -> float:
         """Returns the time until the next heartbeat."""
+        if not self._lists:
+            return _FIRST_LIST_RETRY_S
         return interval_s(self._last_count)
 
+    def early_delay_s(self) -> float:
+        """Returns the time over which all VMs spread an early renewal."""
+        return self._last_count / _MAX_EARLY_RENEWALS_PER_S
+
     def send_and_count(self) -> None:
-        """Renews this VM's object, then counts the live VMs."""
+        """Renews this VM's object, then counts the live VMs.
+
+        The first time, the list comes first: the object that the process
+        before this one wrote may be the only record of what it observed.
+        """
+        if not self._lists:
+            listed = self._list()
+            if listed is None:
+                return
+            self._found_own_object = any(
+                stored.name == self._vm for stored in listed
+            )
+            self._on_first_list([stored.value for stored in listed])
+            value = self.renew()
+            self._count(listed, {self._vm: value})
+            return
+        self.renew()
+        listed = self._list()
+        if listed is not None:
+            self._count(listed, {})
+
+    def renew(self) -> dict[str, Any]:
+        """Renews this VM's object; returns its contents."""
         self._heartbeats_sent += 1
         value = {**self._make_value(), "beat": self._heartbeats_sent}
-        renewed = self._store.replace(KIND, self._vm, value, None)
-        if isinstance(renewed, Err):
-            if renewed.err_value is not StoreError.NOT_FOUND:
-                self._log_failure("renew", renewed.err_value)
-            else:
-                if self._found_own_object is None:
-                    self._found_own_object = False
-                created = self._store.create(KIND, self._vm, value)
-                if isinstance(created, Err):
-                    self._log_failure("create", created.err_value)
-        elif self._found_own_object is None:
-            self._found_own_object = True
+        written = self._store.replace(KIND, self._vm, value, None)
+        if written.err() is StoreError.NOT_FOUND:
+            written = self._store.create(KIND, self._vm, value)
+        if isinstance(written, Err):
+            self._log_failure("renew", written.err_value)
+        else:
+            self._on_written(value)
+        return value
+
+    def _list(self) -> tuple[StoredObject, ...] | None:
         listed = self._store.list_objects(
             KIND,
             Consistency.LATEST
@@ -183,11 +226,19 @@
         )
         if isinstance(listed, Err):
             self._log_failure("list", listed.err_value)
-            return
+            return None
         self._lists += 1
-        self._count(listed.ok_value.objects)
+        return listed.ok_value.objects
 
-    def _count(self, objects: tuple[StoredObject, ...]) -> None:
+    def _count(
+        self, objects: tuple[StoredObject, ...], written: Mapping[str, Any]
+    ) -> None:
+        """Counts the live VMs.
+
+        Args:
+          objects: the listed objects.
+          written: contents that have replaced those of listed objects, by VM.
+        """
         now_s = self._clock()
         versions = {
             stored.name: (stored.era, stored.revision) for stored in objects
@@ -208,7 +259,7 @@
         }
         if self._is_settled():
             self._on_settled_count(live)
-        self._on_count(live, recent_values)
+        self._on_count(live, {**recent_values, **written})
         if self._vm != min(live_vms, default=None):
             return
         listed_vms = {stored.name for stored in objects}
@@ -226,18 +277,29 @@
         later. An object from before the start of this process shows that the
         fleet had started earlier.
         """
-        return self._lists > 1 or self._found_own_object is True
+        return self._lists > 1 or self._found_own_object
 
     def _log_failure(self, operation: str, error: StoreError) -> None:
         # The last count stays in force until the next interval.
         self._log("vm count failed", operation=operation, cause=error.value)
 
 
-def run_heartbeats(heartbeats: VmHeartbeats, stopped: threading.Event) -> None:
+def run_heartbeats(
+    heartbeats: VmHeartbeats,
+    stopped: threading.Event,
+    clock: Clock,
+    random_float: RandomFloat,
+) -> None:
     """Sends a heartbeat in each interval until `stopped` is set."""
     while not stopped.is_set():
         heartbeats.send_and_count()
-        stopped.wait(heartbeats.interval_s())
+        end_s = clock() + heartbeats.interval_s()
+        while (left_s := end_s - clock()) > 0.0:
+            if stopped.wait(min(_CHECK_INTERVAL_S, left_s)):
+                return
+            if heartbeats.is_outdated():
+                stopped.wait(random_float() * heartbeats.early_delay_s())
+                heartbeats.renew()
 
 
 __all__ = [
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -58,6 +58,7 @@
 )
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.streams.origin_records import OriginRecords
 from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
 from burdockspan.gateway.streams.stream_origins import StreamOrigins
 from burdockspan.gateway.values import RequestLimits
@@ -180,6 +181,14 @@
         origins=open_origin_sharing(
             settings.peer_address, StreamOrigins(clock), registry, log
         ),
+        origin_records=OriginRecords(
+            settings.vm,
+            platform.store,
+            clock,
+            lambda service: state.version_history.sole_version(service) is None,
+            log,
+            registry,
+        ),
         exchange=open_exchange(
             settings.exchange_address, settings.vm, boot_clock, registry, log
         ),
@@ -265,9 +274,11 @@
 ) -> VmHeartbeats:
     settled_engines = stages.SettledEngines()
     started_s = context.clock()
+    history = context.state.version_history
 
-    def on_count(_: int, value_by_vm: Mapping[str, Any]) -> None:
+    def on_count(live: int, value_by_vm: Mapping[str, Any]) -> None:
         _apply_peer_values(context, value_by_vm)
+        context.origin_records.set_vm_count(live)
         uptime_s = context.clock() - started_s
         may_order = uptime_s >= _MIN_UPTIME_S
         balance_stages(
@@ -289,14 +300,22 @@
             "exchange_address": context.exchange.address,
             "relay_address": relay_server.address if relay_server else None,
             "zone": settings.availability_zone,
-            "versions": context.state.version_history.encode(),
+            "versions": history.encode(),
         },
         on_count,
         context.log,
         on_settled_count,
+        lambda values: history.complete(map(_find_versions, values)),
+        lambda value: history.record_stored([_find_versions(value)]),
+        history.has_unstored,
     )
 
 
+def _find_versions(value: Any) -> Any:
+    """Returns the software versions in a heartbeat; None without them."""
+    return value.get("versions") if isinstance(value, dict) else None
+
+
 def _apply_peer_values(
     context: Context, value_by_vm: Mapping[str, Any]
 ) -> None:
@@ -317,8 +336,8 @@
         }
     )
     context.peers.set_values(objects_by_vm)
-    context.state.version_history.complete(
-        value.get("versions") for value in objects_by_vm.values()
+    context.state.version_history.record_stored(
+        map(_find_versions, objects_by_vm.values())
     )
 
 
@@ -362,9 +381,17 @@
             lambda: context.exchange.run_sender(components.stopped), "statuses"
         )
     _start_thread(
-        lambda: run_heartbeats(components.vm_heartbeats, components.stopped),
+        lambda: run_heartbeats(
+            components.vm_heartbeats,
+            components.stopped,
+            context.clock,
+            context.random_float,
+        ),
         "members",
     )
+    _start_thread(
+        lambda: context.origin_records.run(components.stopped), "streams"
+    )
 
 
 def stop(components: Components) -> None:
--- a/src/burdockspan/gateway/requests/resumption.py
+++ b/src/burdockspan/gateway/requests/resumption.py
@@ -63,6 +63,9 @@
     call = request.call
     for request_id in {call.request_id, call.resumed_request_id} - {None}:
         context.origins.publish(str(request_id), origin)
+    remaining_s = call.arrived_s + call.caller_timeout_s - context.clock()
+    first_id = call.resumed_request_id or call.request_id
+    context.origin_records.record(first_id, origin, remaining_s)
 
 
 def _find_origin(
@@ -74,12 +77,19 @@
         origin = context.origins.find(resumed)
         if origin is not None:
             return origin, "record"
-    if len(request.route.services) > 1 or not _is_table_fresh(context):
+    history = context.state.version_history
+    versions = {
+        service.name: history.sole_version(service.name)
+        for service in request.route.services
+    }
+    version = versions.get(request.service)
+    is_known = len(versions) == 1 and _is_table_fresh(context)
+    if version is not None and is_known:
+        return Origin(request.service, version), "sole_version"
+    if resumed is None or None not in versions.values():
         return None, "unknown"
-    version = context.state.version_history.sole_version(request.service)
-    if version is None:
-        return None, "unknown"
-    return Origin(request.service, version), "sole_version"
+    origin = context.origin_records.find(resumed)
+    return origin, "store" if origin is not None else "unknown"
 
 
 def _is_table_fresh(context: Context) -> bool:
--- a/src/burdockspan/gateway/streams/stream_origins.py
+++ b/src/burdockspan/gateway/streams/stream_origins.py
@@ -85,6 +85,8 @@
         # When a version was last observed, by service and version.
         self._seen_s: dict[tuple[str, str], float] = {}
         self._present: frozenset[tuple[str, str]] = frozenset()
+        # Observations that an object in the store contains.
+        self._stored: set[tuple[str, str]] = set()
 
     def observe(self, endpoints: Iterable[Endpoint]) -> None:
         """Records the versions of the endpoints that are present now."""
@@ -116,6 +118,30 @@
                 for key in _decode(value):
                     self._seen_s[key] = now_s
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether it includes what VMs had observed before this process."""
+        return self._is_complete
+
+    def record_stored(self, values: Iterable[Any]) -> None:
+        """Records observations that the store contains.
+
+        Args:
+          values: results of `encode` at the VMs; malformed ones are ignored.
+        """
+        keys = [key for value in values for key in _decode(value)]
+        with self._lock:
+            self._stored.update(keys)
+
+    def has_unstored(self) -> bool:
+        """Returns whether all VMs could forget a version if they restart."""
+        if not self._is_complete:
+            return False
+        recent = set(self._list_recent())
+        with self._lock:
+            self._stored &= recent
+            return not recent <= self._stored
+
     def encode(self) -> dict[str, list[str]]:
         """Returns the recent versions by service, as a JSON value."""
         encoded: dict[str, list[str]] = {}
--- a/tests/gateway/streams/test_software_versions.py
+++ b/tests/gateway/streams/test_software_versions.py
@@ -336,6 +336,17 @@
         self.history.complete([{"llm": ["v1"]}])
         self.assertEqual(self.history.sole_version("llm"), "v2")
 
+    def test_only_an_unstored_version_is_written_early(self) -> None:
+        """Guards against early writes outside of a release."""
+        self.history.observe([_make_version("llm", "v1")])
+        self.assertFalse(self.history.has_unstored())
+        self.history.complete([])
+        self.assertTrue(self.history.has_unstored())
+        self.history.record_stored([None, self.history.encode()])
+        self.assertFalse(self.history.has_unstored())
+        self.history.observe([_make_version("llm", "v2")])
+        self.assertTrue(self.history.has_unstored())
+
     def test_malformed_observations_are_ignored(self) -> None:
         """Guards against an object of another writer."""
         self.history.complete([None, 3, {"llm": "v1"}, {"llm": [1, None]}])
