--- a/src/burdockspan/gateway/callers/channel.py
+++ b/src/burdockspan/gateway/callers/channel.py
@@ -26,6 +26,11 @@
     make_problem,
     make_status_line,
 )
+from burdockspan.gateway.callers.response_buffers import (
+    SHORTAGE_UNREAD_S,
+    ResponseBuffers,
+    limit_output,
+)
 from burdockspan.gateway.values import RequestLimits
 from burdockspan.http.listener import Channel, send_error_response
 from burdockspan.values.clock import Clock
@@ -49,13 +54,16 @@
 
 
 def make_channel_class(
-    limits: Callable[[], RequestLimits], clock: Clock
+    limits: Callable[[], RequestLimits],
+    clock: Clock,
+    buffers: ResponseBuffers,
 ) -> type[Channel]:
     """Returns the class of the connections of one server.
 
     Args:
       limits: returns the limits in force.
       clock: monotonic clock, in seconds.
+      buffers: counts and limits the responses that wait for their readers.
     """
 
     class RequestParser(waitress.parser.HTTPRequestParser):
@@ -143,11 +151,7 @@
                 if not self.chunked_response and self.content_length is None:
                     # The end of the connection would delimit the body. Only
                     # a reset shows the caller that the body is truncated.
-                    self.channel.socket.setsockopt(
-                        socket.SOL_SOCKET,
-                        socket.SO_LINGER,
-                        struct.pack("ii", 1, 0),
-                    )
+                    _reset_on_close(self.channel.socket)
                 raise
 
     class ErrorResponseTask(waitress.task.ErrorTask):
@@ -177,12 +181,71 @@
         task_class = RequestTask
         error_task_class = ErrorResponseTask
         caller: CallerConnection | None = None
-
-        def __init__(self, *args: Any, **options: Any) -> None:
+        _held_bytes = 0
+        # When the connection began to hold bytes.
+        _held_since_s = 0.0
+
+        def __init__(
+            self,
+            server: Any,
+            sock: Any,
+            addr: Any,
+            adj: Any,
+            **options: Any,
+        ) -> None:
             self.idle_since_s = clock()
             self.idle_limit_s = limits().idle_timeout_s
             self.stated_idle_limit_s = self.idle_limit_s
-            super().__init__(*args, **options)
+            adj = limit_output(adj, buffers)
+            super().__init__(server, sock, addr, adj, **options)
+
+        @property
+        def total_outbufs_len(self) -> int:
+            """Bytes of responses that wait for the reader."""
+            return self._held_bytes
+
+        @total_outbufs_len.setter
+        def total_outbufs_len(self, held_bytes: int) -> None:
+            if not self._held_bytes:
+                self._held_since_s = clock()
+            buffers.change(held_bytes - self._held_bytes)
+            self._held_bytes = held_bytes
+
+        def is_stalled(self) -> bool:
+            """Returns whether the reader keeps memory that others need."""
+            since_s = max(self.last_activity, self._held_since_s)
+            return (
+                buffers.is_short
+                and self._held_bytes > 0
+                and clock() - since_s > SHORTAGE_UNREAD_S
+            )
+
+        def paused_since_s(self) -> float | None:
+            """Returns since when a worker may wait for the reader.
+
+            Returns None unless it waits because memory is short.
+            """
+            limit_bytes = buffers.connection_limit_bytes()
+            if (
+                not buffers.is_short
+                or not self.requests
+                or self._held_bytes <= limit_bytes
+            ):
+                return None
+            return self._held_since_s
+
+        def cut_off(self) -> None:
+            """Resets the connection, so that the response is not complete."""
+            _reset_on_close(self.socket)
+            self.handle_close()
+
+        def wake_writer(self) -> None:
+            """Lets a worker go on whose limit has risen."""
+            if self.requests and self.outbuf_lock.acquire(False):
+                try:
+                    self.outbuf_lock.notify()
+                finally:
+                    self.outbuf_lock.release()
 
         def _flush_some(self, do_close: bool = True) -> bool:
             has_sent: bool = super()._flush_some(do_close)
@@ -201,6 +264,13 @@
     return CallerChannel
 
 
+def _reset_on_close(sock: Any) -> None:
+    """Makes the close of a socket a reset."""
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+
+
 def _read_headers(header_plus: bytes) -> tuple[tuple[str, str], ...]:
     """Parses the headers of a request head, and rejects ambiguous ones.
 
--- a/src/burdockspan/gateway/callers/channel_reaper.py
+++ b/src/burdockspan/gateway/callers/channel_reaper.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from burdockspan.gateway.callers.channel import RequestError
@@ -11,6 +11,7 @@
     CloseReason,
     RecordClosed,
 )
+from burdockspan.gateway.callers.response_buffers import SHORTAGE_UNREAD_S
 from burdockspan.gateway.values import RequestLimits
 from burdockspan.http.listener import (
     INACTIVITY_TIMEOUT_S,
@@ -32,14 +33,17 @@
         limits: Callable[[], RequestLimits],
         clock: Clock,
         record_closed: RecordClosed,
+        paused_limit: int,
     ) -> None:
         self._limits = limits
         self._clock = clock
         self._record_closed = record_closed
+        # Workers that may wait for slow readers while memory is short.
+        self._paused_limit = paused_limit
         self._next_check_s = 0.0
 
-    def close_expired(self, channels: Iterable[Any]) -> None:
-        """Times out slow requests, and closes idle connections.
+    def close_expired(self, channels: Sequence[Any]) -> None:
+        """Times out slow requests, and closes idle and stalled connections.
 
         The server calls this in each pass of its loop.
         """
@@ -48,8 +52,13 @@
             return
         self._next_check_s = now_s + _CHECK_INTERVAL_S
         limits = self._limits()
-        closed = []
+        closed = self._cut_off_paused(channels, now_s)
         for channel in channels:
+            if channel.is_stalled():
+                waited_s = now_s - channel.last_activity
+                closed.append(_cut_off(channel, waited_s, SHORTAGE_UNREAD_S))
+                continue
+            channel.wake_writer()
             expired = _find_expired(channel, limits, now_s)
             if expired is None or has_unread_bytes(channel):
                 continue
@@ -60,6 +69,22 @@
             closed.append(expired)
         self._record_closed(closed)
 
+    def _cut_off_paused(
+        self, channels: Sequence[Any], now_s: float
+    ) -> list[ClosedConnection]:
+        """Cuts off the slowest readers if too many workers wait for readers."""
+        paused = [
+            (since_s, channel)
+            for channel in channels
+            if (since_s := channel.paused_since_s()) is not None
+        ]
+        paused.sort(key=lambda item: item[0])
+        excess = max(0, len(paused) - self._paused_limit)
+        return [
+            _cut_off(channel, now_s - since_s, None)
+            for since_s, channel in paused[:excess]
+        ]
+
     def record_stop(self, channels: Sequence[Any], were_in_use: bool) -> None:
         """Records connections that the end of the process has closed."""
         reason = CloseReason.CUT_OFF if were_in_use else CloseReason.STOP
@@ -101,6 +126,16 @@
     return ClosedConnection(reason, channel.addr[0], waited_s, limit_s)
 
 
+def _cut_off(
+    channel: Any, waited_s: float, limit_s: float | None
+) -> ClosedConnection:
+    """Cuts off a response that keeps memory or a worker that others need."""
+    channel.cut_off()
+    return ClosedConnection(
+        CloseReason.NOT_READ, channel.addr[0], waited_s, limit_s
+    )
+
+
 def _end_slow_request(channel: Any, expired: ClosedConnection) -> bool:
     """Refuses a request that is not complete; returns whether it did."""
     with channel.requests_lock:
--- a/src/burdockspan/gateway/callers/ingress.py
+++ b/src/burdockspan/gateway/callers/ingress.py
@@ -20,6 +20,10 @@
     Response,
     make_status_line,
 )
+from burdockspan.gateway.callers.response_buffers import (
+    ResponseBuffers,
+    split_part,
+)
 from burdockspan.gateway.values import RequestLimits
 from burdockspan.http.listener import Server, make_server
 from burdockspan.values.clock import Clock
@@ -39,6 +43,7 @@
     should_close: Callable[[], bool],
     clock: Clock,
     record_closed: RecordClosed,
+    buffers: ResponseBuffers,
 ) -> Server:
     """Returns the server for callers, listening but not yet serving.
 
@@ -51,6 +56,7 @@
         response.
       clock: monotonic clock, in seconds.
       record_closed: logs and counts the connections that the server closes.
+      buffers: counts and limits the responses that wait for their readers.
     """
 
     def application(
@@ -64,12 +70,12 @@
         start_response(status, list(response.headers))
         return _UnsizedBody(response.body, response.close)
 
-    reaper = ChannelReaper(limits, clock, record_closed)
+    reaper = ChannelReaper(limits, clock, record_closed, max(1, threads // 2))
     return make_server(
         application,
         address,
         threads,
-        make_channel_class(limits, clock),
+        make_channel_class(limits, clock, buffers),
         max_request_header_size=_MAX_HEADER_BYTES,
         # Endpoints get the headers as received.
         clear_untrusted_proxy_headers=False,
@@ -93,7 +99,8 @@
         self._close = close
 
     def __iter__(self) -> Iterator[bytes]:
-        return iter(self._parts)
+        for part in self._parts:
+            yield from split_part(part)
 
     def close(self) -> None:
         close_parts = getattr(self._parts, "close", None)
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -7,6 +7,7 @@
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.callers.response_buffers import ResponseBuffers
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
 from burdockspan.gateway.choice.stages import DemandMeter
 from burdockspan.gateway.endpoints.crash_records import CrashRecordStore
@@ -43,6 +44,7 @@
       admission_queues: generations that wait for decode memory, by service.
       origins: shares the software versions that began streams.
       origin_records: keeps them in the store while several versions serve.
+      response_buffers: counts responses that callers have not read yet.
       exchange: tells the other VMs what this VM knows.
       endpoints_max_age_s: age above which the endpoint table may lack changes.
       graceful_stop: state of the graceful stop of this process.
@@ -66,6 +68,7 @@
     admission_queues: AdmissionQueues
     origins: OriginSharing
     origin_records: OriginRecords
+    response_buffers: ResponseBuffers
     exchange: Exchange
     endpoints_max_age_s: float
     graceful_stop: GracefulStop
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -17,6 +17,11 @@
 from burdockspan.gateway.callers.connection_log import make_close_recorder
 from burdockspan.gateway.callers.ingress import make_ingress
 from burdockspan.gateway.callers.messages import make_status_line
+from burdockspan.gateway.callers.response_buffers import (
+    ResponseBufferLimits,
+    ResponseBuffers,
+    compute_total_bytes,
+)
 from burdockspan.gateway.choice import stages
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
 from burdockspan.gateway.choice.stage_balance import balance_stages
@@ -156,6 +161,13 @@
     part_quarantine = PartQuarantine(
         crash_records.KIND, platform.store, clock, random_float, log, registry
     )
+    buffers = ResponseBuffers(
+        ResponseBufferLimits(
+            1024 * settings.connection_buffer_kb,
+            compute_total_bytes(settings.memory_mb),
+        ),
+        registry,
+    )
     context = Context(
         platform=platform,
         state=state,
@@ -189,6 +201,7 @@
             log,
             registry,
         ),
+        response_buffers=buffers,
         exchange=open_exchange(
             settings.exchange_address, settings.vm, boot_clock, registry, log
         ),
@@ -210,8 +223,9 @@
         lambda: graceful_stop.has_begun,
         clock,
         make_close_recorder(log, registry),
+        buffers,
     )
-    relay_server = _make_relay_server(settings, context)
+    relay_server = _make_relay_server(settings, context, buffers)
     status_servers = _make_status_servers(settings, context)
     order_sender = OrderSender(
         settings.vm,
@@ -235,7 +249,7 @@
 
 
 def _make_relay_server(
-    settings: GatewaySettings, context: Context
+    settings: GatewaySettings, context: Context, buffers: ResponseBuffers
 ) -> Server | None:
     """Returns the server for relayed requests, if there is an address for it.
 
@@ -263,6 +277,7 @@
         lambda: True,
         context.clock,
         make_close_recorder(context.log, context.registry),
+        buffers,
     )
 
 
--- a/src/burdockspan/gateway/requests/plain.py
+++ b/src/burdockspan/gateway/requests/plain.py
@@ -11,6 +11,7 @@
 
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway.callers.messages import Response, TruncatedError
+from burdockspan.gateway.callers.response_buffers import HeldResponse
 from burdockspan.gateway.choice.ranking import exclude_tried, rank_plain
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.endpoints import passive_health
@@ -78,6 +79,8 @@
             left = endpoint if successor is not None else None
             continue
         attempts.record_run(endpoint)
+        if last_response is not None:
+            last_response.close()
         last_response = outcome.ok_value
         if 200 <= last_response.status < 300:
             publish_origin(context, request, endpoint)
@@ -316,23 +319,29 @@
     response: EndpointResponse,
 ) -> Result[Response, Failure]:
     parts = _iterate_response(context, request, endpoint, response)
+    buffers = context.response_buffers
     limit_bytes = _choose_buffer_limit(request)
+    held = HeldResponse(buffers)
+
+    def close() -> None:
+        held.release()
+        response.close()
+
     # Joined, since the server writes each part by itself: a body may have many
     # parts of a few bytes.
     buffered = bytearray()
     try:
         for part in parts:
             buffered += part
-            if len(buffered) > limit_bytes:
+            held.add(len(part))
+            if len(buffered) > buffers.whole_response_limit_bytes(limit_bytes):
                 rest = _iterate_rest(parts)
                 body = itertools.chain([bytes(buffered)], rest)
                 return Ok(
-                    Response(
-                        response.status, response.headers, body, response.close
-                    )
+                    Response(response.status, response.headers, body, close)
                 )
     except EndpointError as error:
-        response.close()
+        close()
         return Err(error.failure)
     response.close()
     return Ok(
@@ -340,6 +349,7 @@
             response.status,
             _replace_content_length(response, len(buffered)),
             [bytes(buffered)],
+            held.release,
         )
     )
 
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -23,6 +23,7 @@
     "a name of up to 128 letters, digits, '.', '-' and '_'",
 )
 _MAX_THREADS = 4096
+_MAX_BUFFER_KB = 1024 * 1024
 _MAX_DURATION_S = 1e15
 _DURATION_S = converters.quantity(converters.SECONDS, "s", 0.0, _MAX_DURATION_S)
 
@@ -76,6 +77,9 @@
       exchange_address: `ip:port` for the statuses of the other VMs, over UDP;
         None exchanges none.
       threads: limit of the requests in flight.
+      memory_mb: memory of this VM, in MB, of which a share may hold responses
+        that callers have not read; None sets no limit for all of them.
+      connection_buffer_kb: limit of such a response on one connection, in kB.
       grace_s: time from SIGTERM to the end of the process.
       lease_s: time that must pass between orders of two different VMs.
       retry_budget: limit of retries.
@@ -91,6 +95,8 @@
     peer_address: str | None = None
     exchange_address: str | None = None
     threads: int = 160
+    memory_mb: float | None = None
+    connection_buffer_kb: int = 2048
     grace_s: float = 8.0
     lease_s: float = 3.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
@@ -128,6 +134,10 @@
     return Ok(settings)
 
 
+def _decode_memory_mb(value: object) -> Result[float | None, str]:
+    return Ok(None) if value is None else converters.number(value)
+
+
 def _read_settings(section: Section) -> GatewaySettings:
     def decode_optional_address(value: object) -> Result[str | None, str]:
         return converters.LISTEN_ADDRESS(value)
@@ -162,6 +172,13 @@
             converters.count(1, _MAX_THREADS),
             defaults.threads,
         ),
+        memory_mb=read_field(section, "memory_mb", _decode_memory_mb, None),
+        connection_buffer_kb=read_field(
+            section,
+            "connection_buffer_kb",
+            converters.count(1, _MAX_BUFFER_KB),
+            defaults.connection_buffer_kb,
+        ),
         grace_s=read_field(section, "grace_s", _DURATION_S, defaults.grace_s),
         lease_s=read_field(section, "lease_s", _DURATION_S, defaults.lease_s),
         retry_budget=_read_retry_budget(section),
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -118,7 +118,7 @@
     address: str,
     threads: int,
     channel_class: type[Channel] = Channel,
-    housekeeping: Callable[[Iterable[Any]], None] | None = None,
+    housekeeping: Callable[[Sequence[Any]], None] | None = None,
     record_stop: RecordStop = lambda *_: None,
     clock: Clock | None = None,
     **adjustments: Any,
@@ -188,8 +188,8 @@
     )
 
 
-def _make_housekeeping(clock: Clock) -> Callable[[Iterable[Any]], None]:
-    def close_inactive(channels: Iterable[Any]) -> None:
+def _make_housekeeping(clock: Clock) -> Callable[[Sequence[Any]], None]:
+    def close_inactive(channels: Sequence[Any]) -> None:
         now_s = clock()
         for channel in channels:
             if (
@@ -291,7 +291,7 @@
         self,
         server: Any,
         sockets: dict[int, Any],
-        housekeeping: Callable[[Iterable[Any]], None],
+        housekeeping: Callable[[Sequence[Any]], None],
         record_stop: RecordStop,
     ) -> None:
         self._server = server
--- a/tests/gateway/callers/test_kept_connections.py
+++ b/tests/gateway/callers/test_kept_connections.py
@@ -49,6 +49,17 @@
         self.addr = ("192.0.2.1", 80)
         self.socket: socket.socket | _SilentSocket = _SilentSocket()
 
+    def is_stalled(self) -> bool:
+        """Returns whether the reader keeps memory that others need."""
+        return False
+
+    def paused_since_s(self) -> float | None:
+        """Returns since when a worker waits; an idle connection has none."""
+        return None
+
+    def wake_writer(self) -> None:
+        """Lets a worker go on; an idle connection has none."""
+
     def handle_close(self) -> None:
         """Records that the connection is closed."""
         self.will_close = True
@@ -64,6 +75,7 @@
             lambda: self.limits,
             lambda: self.now_s,
             make_close_recorder(self.log, self.registry),
+            80,
         )
 
     def check(self, channels: list[_FakeChannel]) -> None:
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -17,6 +17,7 @@
     "listen.front": "10.1.0.38:8149",
     "listen.ready": "10.1.0.38:8141",
     "ip": "10.1.0.38",
+    "limits.memory_mb": "205",
     "internal_ports.0": "7380",
     "internal_ports.1": "7395",
     "platform.address": "10.200.1.7:8142",
