--- a/src/burdockspan/gateway/callers/channel_reaper.py
+++ b/src/burdockspan/gateway/callers/channel_reaper.py
@@ -11,7 +11,10 @@
     CloseReason,
     RecordClosed,
 )
-from burdockspan.gateway.callers.response_buffers import SHORTAGE_UNREAD_S
+from burdockspan.gateway.callers.response_buffers import (
+    SHORTAGE_UNREAD_S,
+    ResponseBuffers,
+)
 from burdockspan.gateway.values import RequestLimits
 from burdockspan.http.listener import (
     INACTIVITY_TIMEOUT_S,
@@ -20,6 +23,8 @@
 from burdockspan.values.clock import Clock
 
 _CHECK_INTERVAL_S = 0.25
+# Short, so that slow readers that come at once do not take all workers.
+_PAUSED_CHECK_INTERVAL_S = 0.05
 # Callers may reuse a connection until shortly before the idle timeout. The
 # connection is closed well after the timeout, so that no request is in transit.
 _IDLE_TIMEOUT_FACTOR = 1.5
@@ -33,11 +38,14 @@
         limits: Callable[[], RequestLimits],
         clock: Clock,
         record_closed: RecordClosed,
+        buffers: ResponseBuffers,
         paused_limit: int,
     ) -> None:
         self._limits = limits
         self._clock = clock
         self._record_closed = record_closed
+        self._next_paused_check_s = 0.0
+        self._buffers = buffers
         # Workers that may wait for slow readers while memory is short.
         self._paused_limit = paused_limit
         self._next_check_s = 0.0
@@ -48,11 +56,14 @@
         The server calls this in each pass of its loop.
         """
         now_s = self._clock()
+        if self._buffers.is_short and now_s >= self._next_paused_check_s:
+            self._next_paused_check_s = now_s + _PAUSED_CHECK_INTERVAL_S
+            self._record_closed(self._cut_off_paused(channels, now_s))
         if now_s < self._next_check_s:
             return
         self._next_check_s = now_s + _CHECK_INTERVAL_S
         limits = self._limits()
-        closed = self._cut_off_paused(channels, now_s)
+        closed = []
         for channel in channels:
             if channel.is_stalled():
                 waited_s = now_s - channel.last_activity
--- a/src/burdockspan/gateway/callers/ingress.py
+++ b/src/burdockspan/gateway/callers/ingress.py
@@ -70,7 +70,9 @@
         start_response(status, list(response.headers))
         return _UnsizedBody(response.body, response.close)
 
-    reaper = ChannelReaper(limits, clock, record_closed, max(1, threads // 2))
+    reaper = ChannelReaper(
+        limits, clock, record_closed, buffers, max(1, threads // 2)
+    )
     return make_server(
         application,
         address,
--- a/tests/gateway/callers/test_kept_connections.py
+++ b/tests/gateway/callers/test_kept_connections.py
@@ -12,6 +12,10 @@
 
 from burdockspan.gateway.callers.channel_reaper import ChannelReaper
 from burdockspan.gateway.callers.connection_log import make_close_recorder
+from burdockspan.gateway.callers.response_buffers import (
+    ResponseBufferLimits,
+    ResponseBuffers,
+)
 from burdockspan.gateway.values import RequestLimits
 from burdockspan.observe.registry import make_registry
 from standins.scripted_endpoint import ScriptedEndpoint, respond
@@ -75,6 +79,7 @@
             lambda: self.limits,
             lambda: self.now_s,
             make_close_recorder(self.log, self.registry),
+            ResponseBuffers(ResponseBufferLimits(), self.registry),
             80,
         )
 
