Start the second VM of a test after the first one has told its addresses

Once beside other tests, test_request_is_logged_at_both_vms_under_its_id found no relay: a VM now lists before its first write, so that a VM which starts at the same time may learn its addresses one heartbeat later. The test needs both VMs to know each other; it now waits for that.

--- a/tests/gateway/fleet/test_cut_off_vms.py
+++ b/tests/gateway/fleet/test_cut_off_vms.py
@@ -53,6 +53,10 @@
         self.addCleanup(store.close)
         self.partition = Partition()
         self.other = self._run(store, "vm-1")
+        # The first list of the second VM tells it the first one's addresses.
+        wait_for(
+            lambda: "relay_address" in store.read(vm_heartbeats.KIND)["vm-1"]
+        )
         self.vm = self._run(
             store, "vm-2", make_platform=self.partition.make_platform
         )
