--- a/tests/gateway/fleet/test_cut_off_vms.py
+++ b/tests/gateway/fleet/test_cut_off_vms.py
@@ -10,6 +10,7 @@
 from burdockspan.gateway.choice import stage_orders
 from burdockspan.gateway.choice.stage_balance import balance_stages
 from burdockspan.gateway.choice.stages import SettledEngines
+from burdockspan.gateway.fleet import vm_heartbeats
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import Script, ScriptedEndpoint, respond
 from tests.gateway.requests.test_generations import EngineScript, make_stream
