--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -9,6 +9,7 @@
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.callers.response_buffers import ResponseBuffers
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
 from burdockspan.gateway.choice.stages import DemandMeter
 from burdockspan.gateway.endpoints.crash_records import CrashRecordStore
@@ -19,6 +20,7 @@
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.streams.origin_records import OriginRecords
 from burdockspan.gateway.streams.origin_sharing import OriginSharing
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.observe.registry import Registry
@@ -43,6 +45,8 @@
       full_engines: engines that recently lacked free memory.
       admission_queues: generations that wait for decode memory, by service.
       origins: shares the software versions that began streams.
+      origin_records: keeps them in the store while several versions serve.
+      response_buffers: counts responses that callers have not read yet.
       exchange: tells the other VMs what this VM knows.
       configuration_proof: since when the configuration in force is certainly
         the newest.
@@ -68,6 +72,8 @@
     full_engines: FullEngines
     admission_queues: AdmissionQueues
     origins: OriginSharing
+    origin_records: OriginRecords
+    response_buffers: ResponseBuffers
     exchange: Exchange
     configuration_proof: ConfigurationProof
     proof_limits: ProofLimits
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -21,6 +21,11 @@
 from burdockspan.gateway.callers.connection_log import make_close_recorder
 from burdockspan.gateway.callers.ingress import make_ingress
 from burdockspan.gateway.callers.messages import make_status_line
+from burdockspan.gateway.callers.response_buffers import (
+    ResponseBufferLimits,
+    ResponseBuffers,
+    compute_total_bytes,
+)
 from burdockspan.gateway.choice import stages
 from burdockspan.gateway.choice.demand_exchange import (
     Balance,
@@ -71,6 +76,7 @@
 )
 from burdockspan.gateway.settings import ChangeLimits, GatewaySettings
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.streams.origin_records import OriginRecords
 from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
 from burdockspan.gateway.streams.stream_origins import StreamOrigins
 from burdockspan.gateway.values import RequestLimits
@@ -180,6 +186,13 @@
     part_quarantine = PartQuarantine(
         crash_records.KIND, platform.store, clock, random_float, log, registry
     )
+    buffers = ResponseBuffers(
+        ResponseBufferLimits(
+            1024 * settings.connection_buffer_kb,
+            compute_total_bytes(settings.memory_mb),
+        ),
+        registry,
+    )
     context = Context(
         platform=platform,
         state=state,
@@ -205,6 +218,15 @@
         origins=open_origin_sharing(
             settings.peer_address, StreamOrigins(clock), registry, log
         ),
+        origin_records=OriginRecords(
+            settings.vm,
+            platform.store,
+            clock,
+            lambda service: state.version_history.sole_version(service) is None,
+            log,
+            registry,
+        ),
+        response_buffers=buffers,
         exchange=open_exchange(
             settings.exchange_address, settings.vm, boot_clock, registry, log
         ),
@@ -235,8 +257,9 @@
         lambda: graceful_stop.has_begun,
         clock,
         make_close_recorder(log, registry),
+        buffers,
     )
-    relay_server = _make_relay_server(settings, context)
+    relay_server = _make_relay_server(settings, context, buffers)
     status_servers = _make_status_servers(settings, context)
     order_sender = OrderSender(
         settings.vm,
@@ -306,7 +329,7 @@
 
 
 def _make_relay_server(
-    settings: GatewaySettings, context: Context
+    settings: GatewaySettings, context: Context, buffers: ResponseBuffers
 ) -> Server | None:
     """Returns the server for relayed requests, if there is an address for it.
 
@@ -334,6 +357,7 @@
         lambda: True,
         context.clock,
         make_close_recorder(context.log, context.registry),
+        buffers,
     )
 
 
@@ -344,8 +368,11 @@
     relay_server: Server | None,
     shared_watches: SharedWatches,
 ) -> VmHeartbeats:
-    def on_count(_: int, value_by_vm: Mapping[str, Any]) -> None:
+    history = context.state.version_history
+
+    def on_count(live: int, value_by_vm: Mapping[str, Any]) -> None:
         _apply_peer_values(context, shared_watches, value_by_vm)
+        context.origin_records.set_vm_count(live)
         balance(read_measurements(value_by_vm))
 
     def on_settled_count(live: int) -> None:
@@ -363,14 +390,22 @@
             "exchange_address": context.exchange.address,
             "relay_address": relay_server.address if relay_server else None,
             "zone": settings.availability_zone,
-            "versions": context.state.version_history.encode(),
+            "versions": history.encode(),
         },
         on_count,
         context.log,
         on_settled_count,
+        lambda values: history.complete(map(_find_versions, values)),
+        lambda value: history.record_stored([_find_versions(value)]),
+        history.has_unstored,
     )
 
 
+def _find_versions(value: Any) -> Any:
+    """Returns the software versions in a heartbeat; None without them."""
+    return value.get("versions") if isinstance(value, dict) else None
+
+
 def _apply_peer_values(
     context: Context,
     shared_watches: SharedWatches,
@@ -396,8 +431,8 @@
         {vm: value.get("zone") for vm, value in objects_by_vm.items()}
     )
     context.peers.set_values(objects_by_vm)
-    context.state.version_history.complete(
-        value.get("versions") for value in objects_by_vm.values()
+    context.state.version_history.record_stored(
+        map(_find_versions, objects_by_vm.values())
     )
 
 
@@ -456,10 +491,15 @@
         lambda: run_heartbeats(
             components.vm_heartbeats,
             components.stopped,
+            context.clock,
+            context.random_float,
             finds_started_vms=components.settings.watchers_per_zone > 0,
         ),
         "members",
     )
+    _start_thread(
+        lambda: context.origin_records.run(components.stopped), "streams"
+    )
 
 
 def stop(components: Components) -> None:
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -24,6 +24,7 @@
 )
 _MAX_THREADS = 4096
 _MAX_WATCHERS = 64
+_MAX_BUFFER_KB = 1024 * 1024
 _MAX_DURATION_S = 1e15
 _DURATION_S = converters.quantity(converters.SECONDS, "s", 0.0, _MAX_DURATION_S)
 
@@ -82,6 +83,9 @@
       watchers_per_zone: VMs of an availability zone that watch the store for
         the others; 0 lets each VM watch by itself.
       threads: limit of the requests in flight.
+      memory_mb: memory of this VM, in MB, of which a share may hold responses
+        that callers have not read; None sets no limit for all of them.
+      connection_buffer_kb: limit of such a response on one connection, in kB.
       grace_s: time from SIGTERM to the end of the process.
       lease_s: time that must pass between orders of two different VMs.
       retry_budget: limit of retries.
@@ -98,6 +102,8 @@
     exchange_address: str | None = None
     watchers_per_zone: int = 0
     threads: int = 160
+    memory_mb: float | None = None
+    connection_buffer_kb: int = 2048
     grace_s: float = 8.0
     lease_s: float = 3.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
@@ -135,6 +141,10 @@
     return Ok(settings)
 
 
+def _decode_memory_mb(value: object) -> Result[float | None, str]:
+    return Ok(None) if value is None else converters.number(value)
+
+
 def _read_settings(section: Section) -> GatewaySettings:
     def decode_optional_address(value: object) -> Result[str | None, str]:
         return converters.LISTEN_ADDRESS(value)
@@ -175,6 +185,13 @@
             converters.count(1, _MAX_THREADS),
             defaults.threads,
         ),
+        memory_mb=read_field(section, "memory_mb", _decode_memory_mb, None),
+        connection_buffer_kb=read_field(
+            section,
+            "connection_buffer_kb",
+            converters.count(1, _MAX_BUFFER_KB),
+            defaults.connection_buffer_kb,
+        ),
         grace_s=read_field(section, "grace_s", _DURATION_S, defaults.grace_s),
         lease_s=read_field(section, "lease_s", _DURATION_S, defaults.lease_s),
         retry_budget=_read_retry_budget(section),
--- a/tests/gateway/fleet/test_cut_off_vms.py
+++ b/tests/gateway/fleet/test_cut_off_vms.py
@@ -13,6 +13,7 @@
     read_measurements,
 )
 from burdockspan.gateway.choice.stages import SettledEngines
+from burdockspan.gateway.fleet import vm_heartbeats
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import Script, ScriptedEndpoint, respond
 from tests.gateway.requests.test_generations import EngineScript, make_stream
@@ -56,6 +57,10 @@
         self.addCleanup(store.close)
         self.partition = Partition()
         self.other = self._run(store, "vm-1")
+        # The first list of the second VM tells it the first one's addresses.
+        wait_for(
+            lambda: "relay_address" in store.read(vm_heartbeats.KIND)["vm-1"]
+        )
         self.vm = self._run(
             store, "vm-2", make_platform=self.partition.make_platform
         )
