Choose endpoints by what they take well, as all VMs have learned it

Ranking knew neither an endpoint's speed nor the work of other VMs. Each VM now states its work and samples of finished work on the exchange, where the setting endpoint_capacity is learned. Not measured on a deployment yet.

--- a/src/burdockspan/gateway/choice/ranking.py
+++ b/src/burdockspan/gateway/choice/ranking.py
@@ -11,12 +11,12 @@
 
 # In running requests per slot. An endpoint in another zone ranks like a local
 # one whose load is higher by this penalty.
-_OTHER_ZONE_LOAD_PENALTY = 0.15
+OTHER_ZONE_LOAD_PENALTY = 0.15
 # In prompt tokens. A prefill of this size takes about 60 ms, at 55 tokens a
 # millisecond, which outweighs the transfer of a KV cache between zones.
-_OTHER_ZONE_TOKENS_PENALTY = 3_000
+OTHER_ZONE_TOKENS_PENALTY = 3_000
 # In shares of a decode engine's memory.
-_OTHER_ZONE_MEMORY_PENALTY = 0.3
+OTHER_ZONE_MEMORY_PENALTY = 0.3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,7 +41,7 @@
     candidates: Iterable[Candidate], random_float: RandomFloat
 ) -> tuple[Endpoint, ...]:
     """Orders endpoints of a plain service by running requests per slot."""
-    return _rank(candidates, _OTHER_ZONE_LOAD_PENALTY, random_float)
+    return _rank(candidates, OTHER_ZONE_LOAD_PENALTY, random_float)
 
 
 def rank_prefill(
@@ -54,18 +54,28 @@
       zone: zone of the decode engine, which fetches the KV cache.
       random_float: breaks ties.
     """
-    relative_to_zone = [
+    return _rank(
+        relate_to_zone(candidates, zone),
+        OTHER_ZONE_TOKENS_PENALTY,
+        random_float,
+    )
+
+
+def relate_to_zone(
+    candidates: Iterable[Candidate], zone: str
+) -> tuple[Candidate, ...]:
+    """Returns the candidates, local if they are in a zone."""
+    return tuple(
         dataclasses.replace(candidate, local=candidate.endpoint.zone == zone)
         for candidate in candidates
-    ]
-    return _rank(relative_to_zone, _OTHER_ZONE_TOKENS_PENALTY, random_float)
+    )
 
 
 def rank_decode(
     candidates: Iterable[Candidate], random_float: RandomFloat
 ) -> tuple[Endpoint, ...]:
     """Orders decode engines by the share of their capacity in use."""
-    return _rank(candidates, _OTHER_ZONE_MEMORY_PENALTY, random_float)
+    return _rank(candidates, OTHER_ZONE_MEMORY_PENALTY, random_float)
 
 
 def exclude_tried(
@@ -111,10 +121,14 @@
 Rank = Callable[[Iterable[Candidate], RandomFloat], tuple[Endpoint, ...]]
 
 __all__ = [
+    "OTHER_ZONE_LOAD_PENALTY",
+    "OTHER_ZONE_MEMORY_PENALTY",
+    "OTHER_ZONE_TOKENS_PENALTY",
     "Candidate",
     "Rank",
     "exclude_tried",
     "rank_decode",
     "rank_plain",
     "rank_prefill",
+    "relate_to_zone",
 ]
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -7,6 +7,7 @@
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.choice.endpoint_capacity import EndpointCapacity
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
 from burdockspan.gateway.choice.stages import DemandMeter
 from burdockspan.gateway.endpoints.crash_records import CrashRecordStore
@@ -38,6 +39,7 @@
       part_quarantine: finds parts of prompts that crash engines.
       demand: measures the prompts that arrive at this VM.
       prefill_delays: recent queueing delays at prefill engines.
+      endpoint_capacity: orders endpoints by how much each takes well.
       full_engines: engines that recently lacked free memory.
       admission_queues: generations that wait for decode memory, by service.
       origins: shares the software versions that began streams.
@@ -60,6 +62,7 @@
     part_quarantine: PartQuarantine
     demand: DemandMeter
     prefill_delays: PrefillDelays
+    endpoint_capacity: EndpointCapacity
     full_engines: FullEngines
     admission_queues: AdmissionQueues
     origins: OriginSharing
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -18,6 +18,7 @@
 from burdockspan.gateway.callers.ingress import make_ingress
 from burdockspan.gateway.callers.messages import make_status_line
 from burdockspan.gateway.choice import stages
+from burdockspan.gateway.choice.endpoint_capacity import EndpointCapacity
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
 from burdockspan.gateway.choice.stage_balance import balance_stages
 from burdockspan.gateway.choice.stage_orders import OrderSender
@@ -56,7 +57,7 @@
     make_handler,
     make_relay_handler,
 )
-from burdockspan.gateway.settings import GatewaySettings
+from burdockspan.gateway.settings import LEARNED, GatewaySettings
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
 from burdockspan.gateway.streams.stream_origins import StreamOrigins
@@ -142,6 +143,21 @@
         settings.change_limits.leaving_endpoint_s,
     )
     registry = make_registry()
+    exchange = open_exchange(
+        settings.exchange_address, settings.vm, boot_clock, registry, log
+    )
+    capacity = EndpointCapacity(
+        settings.endpoint_capacity == LEARNED,
+        state.list_endpoints,
+        exchange.interval_s,
+        clock,
+        boot_clock,
+        random_float,
+        log,
+        registry,
+    )
+    capacity.join(exchange)
+    state.observe_work(capacity.change_work)
     platform = make_platform(
         settings.store_address,
         clock,
@@ -175,14 +191,13 @@
         part_quarantine=part_quarantine,
         demand=DemandMeter(clock),
         prefill_delays=PrefillDelays(),
+        endpoint_capacity=capacity,
         full_engines=FullEngines(),
         admission_queues=AdmissionQueues(clock),
         origins=open_origin_sharing(
             settings.peer_address, StreamOrigins(clock), registry, log
         ),
-        exchange=open_exchange(
-            settings.exchange_address, settings.vm, boot_clock, registry, log
-        ),
+        exchange=exchange,
         endpoints_max_age_s=compute_max_age_s(settings.change_limits),
         graceful_stop=GracefulStop(settings.grace_s, clock),
         clock=clock,
--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -16,7 +16,7 @@
 from burdockspan.gateway.choice.prefill_delays import (
     should_decode_engine_prefill,
 )
-from burdockspan.gateway.choice.ranking import exclude_tried, rank_prefill
+from burdockspan.gateway.choice.ranking import exclude_tried
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.endpoints import passive_health
 from burdockspan.gateway.ports import AttemptOptions, EndpointResponse, KvCache
@@ -507,10 +507,12 @@
     """
     # Only the events of a stream are bound to a software version.
     candidates = context.state.candidates(
-        request.service, lambda _, __, tokens: float(tokens), Stage.PREFILL
+        request.service,
+        context.endpoint_capacity.make_prefill_load(size.prompt_tokens),
+        Stage.PREFILL,
     )
-    ranked = rank_prefill(
-        candidates, reservation.endpoint.zone, context.random_float
+    ranked = context.endpoint_capacity.rank_prefill(
+        candidates, reservation.endpoint.zone
     )
     untried = exclude_tried(ranked, attempts.tried_incarnations)[
         :_MAX_PREFILL_ENGINES
@@ -545,6 +547,8 @@
     endpoint: Endpoint,
     size: GenerationSize,
 ) -> Result[KvCache, Failure]:
+    running = context.state.running_work(endpoint)
+    ahead = context.endpoint_capacity.work_ahead(endpoint, *running).tokens
     end_work = context.state.begin_work(endpoint, size.prompt_tokens)
     started_s = context.clock()
 
@@ -580,12 +584,16 @@
     context.demand.record_prefill(
         request.service, size.prompt_tokens, duration_s
     )
+    context.endpoint_capacity.record_prefill(
+        endpoint, size.prompt_tokens, duration_s
+    )
     context.log(
         "prefilled",
         request_id=request.call.request_id,
         endpoint=endpoint.id,
         zone=endpoint.zone,
         tokens=size.prompt_tokens,
+        ahead=round(ahead),
         taken_s=round(duration_s, 3),
     )
     return outcome
--- a/src/burdockspan/gateway/requests/plain.py
+++ b/src/burdockspan/gateway/requests/plain.py
@@ -11,7 +11,7 @@
 
 from burdockspan.endpoints.failures import EndpointError
 from burdockspan.gateway.callers.messages import Response, TruncatedError
-from burdockspan.gateway.choice.ranking import exclude_tried, rank_plain
+from burdockspan.gateway.choice.ranking import exclude_tried
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.endpoints import passive_health
 from burdockspan.gateway.fleet.reachability import OUT_OF_REACH
@@ -126,7 +126,7 @@
     """
     candidates = context.state.candidates(
         request.service,
-        lambda endpoint, running, _: running / endpoint.slots,
+        context.endpoint_capacity.plain_load,
         software_version=request.software_version,
     )
     tried = attempts.tried_incarnations
@@ -137,7 +137,7 @@
             for candidate in candidates
             if candidate.suspicion < passive_health.SUSPECT_WEIGHT
         )
-    ranked = rank_plain(candidates, context.random_float)
+    ranked = context.endpoint_capacity.rank_plain(candidates)
     untried = exclude_tried(ranked, tried)
     return next(filter(context.state.conditions.try_take, untried), None)
 
@@ -246,6 +246,8 @@
     silence_limit_s = _choose_silence_limit_s(request)
     wait_s = min(silence_limit_s, attempts.remaining_s())
     log_attempt(context, request, endpoint, wait_s=round(wait_s, 3))
+    running = context.state.running_work(endpoint)
+    ahead = context.endpoint_capacity.work_ahead(endpoint, *running).requests
     end_work = context.state.begin_work(endpoint)
     started_s = context.clock()
     try:
@@ -272,6 +274,10 @@
             context.crash_records.record_answer(request.call)
         duration_s = context.clock() - started_s
         context.registry.observe("plain_attempt", duration_s)
+        if 200 <= outcome.ok_value.status < 300 and (
+            request.route.kind is not RequestKind.STREAM
+        ):
+            context.endpoint_capacity.record_plain(endpoint, ahead, duration_s)
     return response
 
 
--- a/src/burdockspan/gateway/requests/reservations.py
+++ b/src/burdockspan/gateway/requests/reservations.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from burdockspan.gateway.choice.ranking import Candidate, rank_decode
+from burdockspan.gateway.choice.ranking import Candidate
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.endpoints import passive_health
 from burdockspan.gateway.requests.attempts import MIN_ATTEMPT_S, RoutedRequest
@@ -96,8 +96,8 @@
     """
     tokens = min(estimate_tokens(size), engine.kv_tokens)
     headroom = min(estimate_headroom(size), engine.kv_tokens - tokens)
-    ranked = rank_decode(
-        _list_candidates(context, request, engine), context.random_float
+    ranked = context.endpoint_capacity.rank_decode(
+        _list_candidates(context, request, engine)
     )
     request_count = 0
     failure_kinds: set[FailureKind] = set()
@@ -132,11 +132,8 @@
     context: Context, request: RoutedRequest, engine: EngineProperties
 ) -> tuple[Candidate, ...]:
     """Returns the decode engines, or else the engines that run both stages."""
-
-    def load(_: Endpoint, running: int, tokens: int) -> float:
-        return max(tokens / engine.kv_tokens, running / engine.slots)
-
     state = context.state
+    load = context.endpoint_capacity.make_decode_load(engine)
     version = request.software_version
     decode_engines = state.candidates(
         request.service, load, Stage.DECODE, version
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -18,6 +18,9 @@
 )
 from burdockspan.configuration.problem import Problem
 
+# Values of `endpoint_capacity`.
+LEARNED = "learned"
+FIXED = "fixed"
 _NAME = converters.text(
     r"[A-Za-z0-9][A-Za-z0-9_.-]{0,127}",
     "a name of up to 128 letters, digits, '.', '-' and '_'",
@@ -75,6 +78,9 @@
         exchanges none.
       exchange_address: `ip:port` for the statuses of the other VMs, over UDP;
         None exchanges none.
+      endpoint_capacity: `learned` orders endpoints by how much each takes
+        well, as all VMs state it on the exchange; `fixed` takes those of a
+        service as equal.
       threads: limit of the requests in flight.
       grace_s: time from SIGTERM to the end of the process.
       lease_s: time that must pass between orders of two different VMs.
@@ -90,6 +96,7 @@
     metrics_address: str | None = None
     peer_address: str | None = None
     exchange_address: str | None = None
+    endpoint_capacity: str = FIXED
     threads: int = 160
     grace_s: float = 8.0
     lease_s: float = 3.0
@@ -156,6 +163,12 @@
         exchange_address=read_field(
             section, "exchange_address", decode_optional_address, None
         ),
+        endpoint_capacity=read_field(
+            section,
+            "endpoint_capacity",
+            converters.text(f"{LEARNED}|{FIXED}", f"{LEARNED} or {FIXED}"),
+            defaults.endpoint_capacity,
+        ),
         threads=read_field(
             section,
             "threads",
@@ -227,6 +240,8 @@
 
 
 __all__ = [
+    "FIXED",
+    "LEARNED",
     "ChangeLimits",
     "GatewaySettings",
     "RetryBudgetSettings",
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -29,6 +29,10 @@
 _INITIAL_LIMITS = RequestLimits(16_384, 4_194_304, 3.0, 15.0)
 
 
+ObserveWork = Callable[[Endpoint, int, int], None]
+"""Receives changes of the requests and tokens that this VM runs."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ActiveConfiguration:
     """The configuration in force.
@@ -62,6 +66,7 @@
         leaving_endpoint_s: float,
     ) -> None:
         self.zone = zone
+        self._on_work: ObserveWork = lambda _, __, ___: None
         self.clock = clock
         self.conditions = EndpointConditions(
             clock, random_float, leaving_endpoint_s
@@ -259,6 +264,10 @@
             local=endpoint.zone == self.zone,
         )
 
+    def observe_work(self, on_work: ObserveWork) -> None:
+        """Sets the function that receives each change of the running work."""
+        self._on_work = on_work
+
     def begin_work(
         self, endpoint: Endpoint, tokens: int = 0
     ) -> Callable[[], None]:
@@ -271,6 +280,7 @@
         with self._lock:
             self._running_by_incarnation[key] += 1
             self._tokens_by_incarnation[key] += tokens
+        self._on_work(endpoint, 1, tokens)
         ended = threading.Lock()
 
         def end() -> None:
@@ -282,9 +292,24 @@
                 if self._running_by_incarnation[key] <= 0:
                     del self._running_by_incarnation[key]
                     del self._tokens_by_incarnation[key]
+            self._on_work(endpoint, -1, -tokens)
 
         return end
 
+    def running_work(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Returns the requests and tokens that this VM runs at an endpoint."""
+        key = endpoint.incarnation
+        with self._lock:
+            return (
+                self._running_by_incarnation.get(key, 0),
+                self._tokens_by_incarnation.get(key, 0),
+            )
+
+    def list_endpoints(self) -> tuple[Endpoint, ...]:
+        """Returns the endpoints of all services."""
+        table = self._endpoint_table
+        return tuple(entry.endpoint for entry in table.by_id.values())
+
     def record_failure(self, endpoint: Endpoint, weight: float) -> None:
         """Raises the suspicion against an endpoint by a weight."""
         if weight <= 0.0:
@@ -336,4 +361,4 @@
         )
 
 
-__all__ = ["ActiveConfiguration", "GatewayState", "Incarnation"]
+__all__ = ["ActiveConfiguration", "GatewayState", "Incarnation", "ObserveWork"]
