--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -49,6 +49,9 @@
 # A belief is logged again when it has changed by this ratio.
 _LOGGED_RATIO = 1.35
 
+# Average share of the slots in use from which requests of a plain service
+# sometimes wait for one. Below it, an endpoint answers as fast as an idle one.
+_QUEUEING_LOAD = 0.6
 # Prompts and plain answers take less time than a statement is old, so that
 # loads say little of the present queue, and are weighed little.
 _PLAIN = LoadScale(ranking.OTHER_ZONE_LOAD_PENALTY, 2.0)
@@ -239,12 +242,20 @@
     def plain_load(
         self, endpoint: Endpoint, running: int, tokens: int
     ) -> float:
-        """Returns the running requests per slot that a request would meet."""
+        """Returns the running requests per slot that a request would meet.
+
+        Those of other VMs count from the load at which requests queue.
+        """
         if not self.is_learned:
             return running / endpoint.slots
+        estimate = self.estimate(endpoint)
+        slots = estimate.capacity * endpoint.slots
         requests = self.work_ahead(endpoint, running, tokens).requests
-        capacity = self._capacity(endpoint)
-        return (requests + 1.0 - capacity) / (capacity * endpoint.slots)
+        return (
+            running / slots
+            + max(0.0, requests / slots - _QUEUEING_LOAD)
+            + (1.0 / estimate.speed - 1.0) / endpoint.slots
+        )
 
     def make_prefill_load(self, size_tokens: int) -> Load:
         """Returns a function for the tokens that a prompt would meet.
--- /dev/null
+++ b/tests/gateway/fleet/test_work_statements.py
@@ -0,0 +1,116 @@
+"""What VMs tell each other of their work, over links that lose and repeat."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from result import Err
+
+from burdockspan.gateway.endpoints.capacity_estimates import Sample
+from burdockspan.gateway.fleet.work_statements import (
+    NO_WORK,
+    OthersWork,
+    OwnWork,
+    Work,
+    decode_statement,
+    make_key,
+)
+from burdockspan.gateway.values import Endpoint, Stage
+from tests.support.capacity_fleets import make_engine
+
+_PREFILL = make_engine("i-1")
+_DECODE = Endpoint("i-2", 1, "llm", "a:1", "z", False, 64, Stage.DECODE)
+
+
+class TestWorkStatements(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_s = 0.0
+        self.own = OwnWork(lambda: self.now_s)
+        self.others = OthersWork(lambda: self.now_s, lambda: 2.5)
+
+    def receive(self, value: object) -> int:
+        """Returns the number of new samples in a statement."""
+        statement = decode_statement(json.loads(json.dumps(value))).unwrap()
+        return len(self.others.receive("vm-1", statement))
+
+    def test_repeated_status_counts_once(self) -> None:
+        self.own.change(_DECODE, 1, 500)
+        self.own.add_sample(1, Sample(0.02))
+        value = self.own.make_value()
+        self.assertEqual([self.receive(value) for _ in range(3)], [1, 0, 0])
+        self.assertEqual(self.others.work_at(make_key(_DECODE)), Work(1, 500))
+
+    def test_lost_status_loses_no_sample(self) -> None:
+        self.own.add_sample(1, Sample(0.02))
+        self.receive(self.own.make_value())
+        self.own.add_sample(1, Sample(0.03))
+        self.own.make_value()
+        self.own.add_sample(1, Sample(0.04))
+        self.assertEqual(self.receive(self.own.make_value()), 2)
+
+    def test_overtaken_status_does_not_replace_a_later_one(self) -> None:
+        self.own.add_sample(1, Sample(0.02))
+        early = self.own.make_value()
+        self.own.add_sample(1, Sample(0.02))
+        self.own.change(_DECODE, 1, 500)
+        self.receive(self.own.make_value())
+        self.assertEqual(self.receive(early), 0)
+        self.assertEqual(self.others.work_at(make_key(_DECODE)).tokens, 500)
+
+    def test_samples_of_a_restarted_vm_count(self) -> None:
+        for _ in range(3):
+            self.own.add_sample(1, Sample(0.02))
+        self.receive(self.own.make_value())
+        self.own = OwnWork(lambda: self.now_s)
+        self.own.add_sample(1, Sample(0.02))
+        self.assertEqual(self.receive(self.own.make_value()), 1)
+
+    def test_statement_of_a_silent_vm_lapses(self) -> None:
+        """Guards against work of a dead VM that keeps requests away."""
+        self.own.change(_DECODE, 1, 500)
+        self.receive(self.own.make_value())
+        self.now_s = 2.6
+        self.others.lapse()
+        self.assertEqual(self.others.work_at(make_key(_DECODE)), NO_WORK)
+
+    def test_short_work_is_stated_as_its_average(self) -> None:
+        """Guards against statements that miss prompts between two of them."""
+        self.own.change(_PREFILL, 1, 4000)
+        self.now_s = 0.25
+        self.own.change(_PREFILL, -1, -4000)
+        self.now_s = 1.0
+        self.receive(self.own.make_value())
+        self.assertEqual(
+            self.others.work_at(make_key(_PREFILL)), Work(0.25, 1000)
+        )
+        self.receive(self.own.make_value())
+        self.assertEqual(self.others.work_at(make_key(_PREFILL)), NO_WORK)
+
+    def test_status_stays_short(self) -> None:
+        """A VM with 300 requests at 100 endpoints in one interval."""
+        for number in range(300):
+            endpoint = make_engine(f"i-{number % 100}")
+            self.own.change(endpoint, 1, 11_000)
+            self.own.add_sample(make_key(endpoint), Sample(1.23456, 0.5))
+        self.now_s = 1.0
+        encoded = json.dumps(self.own.make_value(), separators=(",", ":"))
+        self.assertLessEqual(len(encoded), 800)
+
+    def test_idle_vm_states_nothing(self) -> None:
+        self.assertIsNone(self.own.make_value())
+
+    def test_malformed_statements_are_refused(self) -> None:
+        head = {"r": 1, "n": 1, "s": [], "w": []}
+        for value in (
+            None,
+            {},
+            {**head, "n": -1},
+            {**head, "r": True},
+            {**head, "s": [[1, 2]]},
+            {**head, "w": [[1, 2, "x"]]},
+            {**head, "w": [[1, 2, float("nan")]]},
+            {**head, "s": [[1, 2, 3]] * 1000},
+        ):
+            with self.subTest(value=str(value)[:40]):
+                self.assertIsInstance(decode_statement(value), Err)
--- a/tests/support/capacity_fleets.py
+++ b/tests/support/capacity_fleets.py
@@ -155,7 +155,7 @@
         endpoint = self.choose(index, tokens)
         engine = next(e for e in self.engines if e.endpoint == endpoint)
         vm, running = self.vms[index], self.running[index]
-        work = running.setdefault(endpoint, [0, 0])
+        running.setdefault(endpoint, [0, 0])
         self._change(index, endpoint, 1, tokens)
         begin_s = max(self.now_s, engine.free_s)
         slot = (endpoint.id, int(begin_s / _NOISE_S))
