--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -46,8 +46,10 @@
 # Calls to an endpoint take some time whatever their size. So small prompts
 # count as larger ones, in tokens.
 _OVERHEAD_TOKENS = 400
-# A belief is logged again when it has changed by this ratio.
+# A belief is logged again when it has changed by this ratio, at the earliest
+# after this time.
 _LOGGED_RATIO = 1.35
+_LOG_INTERVAL_S = 5.0
 
 # Average share of the slots in use from which requests of a plain service
 # sometimes wait for one. Below it, an endpoint answers as fast as an idle one.
@@ -95,7 +97,7 @@
             clock, lambda: _LAPSE_INTERVALS * exchange_interval_s()
         )
         self._estimate_by_key: dict[int, Estimate] = {}
-        self._logged_by_key: dict[int, float] = {}
+        self._logged_by_key: dict[int, tuple[float, float]] = {}
 
     def join(self, exchange: Exchange) -> None:
         """Adds the topic of this VM's work to the exchange."""
@@ -201,12 +203,14 @@
     def _log_changes(self, endpoint_by_key: dict[int, Endpoint]) -> None:
         for key in self._logged_by_key.keys() - endpoint_by_key.keys():
             del self._logged_by_key[key]
+        now_s = self._clock()
         for key, endpoint in endpoint_by_key.items():
-            capacity = self._estimate_by_key[key].capacity
-            logged = self._logged_by_key.get(key, 1.0)
+            estimate = self._estimate_by_key[key]
+            capacity = estimate.speed * estimate.knee
+            logged, logged_s = self._logged_by_key.get(key, (1.0, -math.inf))
             ratio = max(capacity / logged, logged / capacity)
-            if ratio >= _LOGGED_RATIO or (capacity == 1.0 != logged):
-                self._logged_by_key[key] = capacity
+            if ratio >= _LOGGED_RATIO and now_s - logged_s >= _LOG_INTERVAL_S:
+                self._logged_by_key[key] = (capacity, now_s)
                 self._registry.count("capacity", "changed")
                 self._log("endpoint capacity changed", **self.explain(endpoint))
 
--- a/src/burdockspan/gateway/endpoints/capacity_estimates.py
+++ b/src/burdockspan/gateway/endpoints/capacity_estimates.py
@@ -16,23 +16,24 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 # Samples that an estimate uses at most, and their greatest age.
-_MAX_SAMPLES = 40
+_MAX_SAMPLES = 160
 _MAX_AGE_S = 10.0
 # The newest samples decide soon after an endpoint has changed.
-_HALF_LIFE_S = 3.0
+_HALF_LIFE_S = 1.5
 # Weight of the assumption that an endpoint is like the median, in samples.
 _PRIOR_SAMPLES = 2.0
 # Smaller differences of two medians are chance.
 _DEAD_BAND = 0.18
 # Answers slower than this quantile may have met a queue, or a disturbance.
-_PACE_QUANTILE = 0.25
+_PACE_QUANTILE = 0.3
 _MIN_SPEED = 0.1
 _MAX_SPEED = 5.0
 # Bounds between the bands of load in which durations are compared, in shares
 # of the slots.
 _LOAD_BANDS = (0.25, 0.5, 0.75)
 # An endpoint has reached its knee in a band of load whose answers take longer
-# than those of the lower bands by this factor.
+# than those of the lower bands by this factor more than at the median endpoint.
+# At all of them, answers that take longer for a while raise the load as well.
 _KNEE_FACTOR = 1.4
 _MIN_BAND_SAMPLES = 6
 # A new endpoint counts with this share of its capacity, and after the ramp with
@@ -88,12 +89,14 @@
     """An endpoint's samples, summed up.
 
     Attributes:
-      pace_s: weighted median of the paces below the knee.
+      pace_s: weighted low quantile of the paces.
+      slowdowns: by band of load, how much longer answers take than in the
+        lower bands; None with too few samples.
       weight: weight of all samples, in samples that are new.
     """
 
     pace_s: float
-    knee: float
+    slowdowns: tuple[float | None, ...]
     samples: int
     weight: float
     age_s: float
@@ -139,14 +142,16 @@
             if reading is not None:
                 reading_by_key[key] = reading
         if not reading_by_key:
-            median_s = 0.0
-        else:
-            median_s = statistics.median(
-                reading.pace_s for reading in reading_by_key.values()
-            )
+            return {key: Estimate(ramp=self._ramp(key, now_s)) for key in keys}
+        readings = reading_by_key.values()
+        median_s = statistics.median(reading.pace_s for reading in readings)
+        usual = _find_usual_slowdowns(readings)
         return {
             key: _make_estimate(
-                reading_by_key.get(key), median_s, self._ramp(key, now_s)
+                reading_by_key.get(key),
+                median_s,
+                usual,
+                self._ramp(key, now_s),
             )
             for key in keys
         }
@@ -158,7 +163,10 @@
 
 
 def _make_estimate(
-    reading: _Reading | None, median_s: float, ramp: float
+    reading: _Reading | None,
+    median_s: float,
+    usual_slowdowns: Sequence[float],
+    ramp: float,
 ) -> Estimate:
     if reading is None or median_s <= 0 or reading.pace_s <= 0:
         return Estimate(ramp=ramp)
@@ -168,7 +176,7 @@
         speed = 1.0
     return Estimate(
         min(_MAX_SPEED, max(_MIN_SPEED, speed)),
-        reading.knee,
+        _find_knee(reading, usual_slowdowns),
         ramp,
         reading.samples,
         confidence,
@@ -195,27 +203,47 @@
         weight += sample_weight
         index = bisect.bisect_right(_LOAD_BANDS, sample.load)
         bands[index].append((sample.pace_s, sample_weight))
-    low: list[tuple[float, float]] = []
-    knee = 1.0
-    for index, band in enumerate(bands):
-        if (
-            len(low) >= _MIN_BAND_SAMPLES
-            and len(band) >= _MIN_BAND_SAMPLES
-            and _weighted_quantile(band, 0.5)
-            > _KNEE_FACTOR * _weighted_quantile(low, 0.5)
-        ):
-            knee = _LOAD_BANDS[index - 1]
-            break
-        low += band
+    low = bands[0]
+    slowdowns: list[float | None] = []
+    for band in bands[1:]:
+        slowdown = None
+        if min(len(low), len(band)) >= _MIN_BAND_SAMPLES:
+            slowdown = _median(band) / _median(low)
+        slowdowns.append(slowdown)
+        low = low + band
     return _Reading(
         _weighted_quantile(low, _PACE_QUANTILE),
-        knee,
+        tuple(slowdowns),
         len(recent),
         weight,
         min(age_s for age_s, _ in recent),
     )
 
 
+def _find_usual_slowdowns(readings: Iterable[_Reading]) -> list[float]:
+    return [
+        statistics.median_low(
+            [item for item in band if item is not None] or [1.0]
+        )
+        for band in zip(
+            *(reading.slowdowns for reading in readings), strict=True
+        )
+    ]
+
+
+def _find_knee(reading: _Reading, usual_slowdowns: Sequence[float]) -> float:
+    for bound, slowdown, usual in zip(
+        _LOAD_BANDS, reading.slowdowns, usual_slowdowns, strict=True
+    ):
+        if slowdown is not None and slowdown > _KNEE_FACTOR * usual:
+            return bound
+    return 1.0
+
+
+def _median(items: Sequence[tuple[float, float]]) -> float:
+    return statistics.median(value for value, _ in items)
+
+
 def _weighted_quantile(
     items: Sequence[tuple[float, float]], quantile: float
 ) -> float:
