Let part of the work, not all, leave a plain endpoint with a queue

Each request now draws the load from which the work of others counts. A speed is learned from answers that met no queue, and a plain endpoint counts at least 0.4 of its slots.

--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -51,9 +51,12 @@
 _LOGGED_RATIO = 1.35
 _LOG_INTERVAL_S = 5.0
 
-# Average share of the slots in use from which requests of a plain service
-# sometimes wait for one. Below it, an endpoint answers as fast as an idle one.
-_QUEUEING_LOAD = 0.6
+# Average share of the slots in use from which some requests of a plain service
+# wait for one, and from which most do.
+_QUEUEING_LOADS = (0.6, 1.8)
+# A plain endpoint counts at least this share of its slots: beyond what it takes
+# well, it is still better than a full one.
+_MIN_PLAIN_CAPACITY = 0.4
 # Prompts and plain answers take less time than a statement is old, so that
 # loads say little of the present queue, and are weighed little.
 _PLAIN = LoadScale(ranking.OTHER_ZONE_LOAD_PENALTY, 2.0)
@@ -243,23 +246,29 @@
     def _capacity(self, endpoint: Endpoint) -> float:
         return self.estimate(endpoint).capacity
 
-    def plain_load(
-        self, endpoint: Endpoint, running: int, tokens: int
-    ) -> float:
-        """Returns the running requests per slot that a request would meet.
+    def make_plain_load(self) -> Load:
+        """Returns a function for the requests per slot that a request meets.
 
-        Those of other VMs count from the load at which requests queue.
+        Those of other VMs count from a load that each request draws anew. So
+        the higher the load, the more requests leave an endpoint, but not all.
         """
         if not self.is_learned:
-            return running / endpoint.slots
-        estimate = self.estimate(endpoint)
-        slots = estimate.capacity * endpoint.slots
-        requests = self.work_ahead(endpoint, running, tokens).requests
-        return (
-            running / slots
-            + max(0.0, requests / slots - _QUEUEING_LOAD)
-            + (1.0 / estimate.speed - 1.0) / endpoint.slots
-        )
+            return lambda endpoint, running, _: running / endpoint.slots
+        low, high = _QUEUEING_LOADS
+        queueing_load = low + (high - low) * self._random_float()
+
+        def load(endpoint: Endpoint, running: int, tokens: int) -> float:
+            estimate = self.estimate(endpoint)
+            capacity = max(_MIN_PLAIN_CAPACITY, estimate.capacity)
+            slots = capacity * endpoint.slots
+            requests = self.work_ahead(endpoint, running, tokens).requests
+            return (
+                running / slots
+                + max(0.0, requests / slots - queueing_load)
+                + (1.0 / estimate.speed - 1.0) / endpoint.slots
+            )
+
+        return load
 
     def make_prefill_load(self, size_tokens: int) -> Load:
         """Returns a function for the tokens that a prompt would meet.
--- a/src/burdockspan/gateway/endpoints/capacity_estimates.py
+++ b/src/burdockspan/gateway/endpoints/capacity_estimates.py
@@ -26,6 +26,8 @@
 _DEAD_BAND = 0.18
 # Answers slower than this quantile may have met a queue, or a disturbance.
 _PACE_QUANTILE = 0.3
+# Answers that began at a higher load may have met a queue.
+_QUEUEING_LOAD = 0.75
 _MIN_SPEED = 0.1
 _MAX_SPEED = 5.0
 # Bounds between the bands of load in which durations are compared, in shares
@@ -92,7 +94,7 @@
       pace_s: weighted low quantile of the paces.
       slowdowns: by band of load, how much longer answers take than in the
         lower bands; None with too few samples.
-      weight: weight of all samples, in samples that are new.
+      weight: weight of the samples without a queue, in samples that are new.
     """
 
     pace_s: float
@@ -197,12 +199,15 @@
     bands: list[list[tuple[float, float]]] = [
         [] for _ in range(len(_LOAD_BANDS) + 1)
     ]
-    weight = 0.0
+    paces: list[tuple[float, float]] = []
     for age_s, sample in recent:
         sample_weight = math.pow(0.5, age_s / _HALF_LIFE_S)
-        weight += sample_weight
+        if sample.load < _QUEUEING_LOAD:
+            paces.append((sample.pace_s, sample_weight))
         index = bisect.bisect_right(_LOAD_BANDS, sample.load)
         bands[index].append((sample.pace_s, sample_weight))
+    if not paces:
+        return None
     low = bands[0]
     slowdowns: list[float | None] = []
     for band in bands[1:]:
@@ -212,10 +217,10 @@
         slowdowns.append(slowdown)
         low = low + band
     return _Reading(
-        _weighted_quantile(low, _PACE_QUANTILE),
+        _weighted_quantile(paces, _PACE_QUANTILE),
         tuple(slowdowns),
         len(recent),
-        weight,
+        sum(weight for _, weight in paces),
         min(age_s for age_s, _ in recent),
     )
 
--- a/src/burdockspan/gateway/requests/plain.py
+++ b/src/burdockspan/gateway/requests/plain.py
@@ -126,7 +126,7 @@
     """
     candidates = context.state.candidates(
         request.service,
-        context.endpoint_capacity.plain_load,
+        context.endpoint_capacity.make_plain_load(),
         software_version=request.software_version,
     )
     tried = attempts.tried_incarnations
