--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -73,6 +73,7 @@
 
     Attributes:
       is_learned: whether the estimates decide; if not, nothing is recorded.
+      learns_plain: whether they decide for plain services as well.
     """
 
     def __init__(
@@ -85,8 +86,11 @@
         random_float: RandomFloat,
         log: WriteEvent,
         registry: Registry,
+        *,
+        learns_plain: bool = True,
     ) -> None:
         self.is_learned = is_learned
+        self.learns_plain = is_learned and learns_plain
         self._list_endpoints = list_endpoints
         self._clock = clock
         self._boot_clock = boot_clock
@@ -111,7 +115,7 @@
         self, endpoint: Endpoint, requests: int, tokens: int
     ) -> None:
         """Records that work of this VM begins or ends at an endpoint."""
-        if self.is_learned:
+        if self.learns_plain or (self.is_learned and tokens):
             self._own.change(endpoint, requests, tokens)
 
     def work_ahead(self, endpoint: Endpoint, running: int, tokens: int) -> Work:
@@ -143,8 +147,9 @@
           requests_ahead: requests of all VMs there when it was sent.
           duration_s: duration of the call.
         """
-        load = requests_ahead / max(1, endpoint.slots)
-        self._record(endpoint, Sample(duration_s, load))
+        if self.learns_plain:
+            load = requests_ahead / max(1, endpoint.slots)
+            self._record(endpoint, Sample(duration_s, load))
 
     def _record(self, endpoint: Endpoint, sample: Sample) -> None:
         if not self.is_learned or sample.pace_s <= 0:
@@ -252,7 +257,7 @@
         Those of other VMs count from a load that each request draws anew. So
         the higher the load, the more requests leave an endpoint, but not all.
         """
-        if not self.is_learned:
+        if not self.learns_plain:
             return lambda endpoint, running, _: running / endpoint.slots
         low, high = _QUEUEING_LOADS
         queueing_load = low + (high - low) * self._random_float()
@@ -303,7 +308,7 @@
         self, candidates: tuple[Candidate, ...]
     ) -> tuple[Endpoint, ...]:
         """Orders endpoints of a plain service, the best first."""
-        if not self._differ(candidates):
+        if not self.learns_plain or not self._differ(candidates):
             return ranking.rank_plain(candidates, self._random_float)
         return self._rank(candidates, _PLAIN)
 
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -57,7 +57,7 @@
     make_handler,
     make_relay_handler,
 )
-from burdockspan.gateway.settings import LEARNED, GatewaySettings
+from burdockspan.gateway.settings import FIXED, LEARNED, GatewaySettings
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
 from burdockspan.gateway.streams.stream_origins import StreamOrigins
@@ -147,7 +147,7 @@
         settings.exchange_address, settings.vm, boot_clock, registry, log
     )
     capacity = EndpointCapacity(
-        settings.endpoint_capacity == LEARNED,
+        settings.endpoint_capacity != FIXED,
         state.list_endpoints,
         exchange.interval_s,
         clock,
@@ -155,6 +155,7 @@
         random_float,
         log,
         registry,
+        learns_plain=settings.endpoint_capacity == LEARNED,
     )
     capacity.join(exchange)
     state.observe_work(capacity.change_work)
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -20,6 +20,7 @@
 
 # Values of `endpoint_capacity`.
 LEARNED = "learned"
+ENGINES = "engines"
 FIXED = "fixed"
 _NAME = converters.text(
     r"[A-Za-z0-9][A-Za-z0-9_.-]{0,127}",
@@ -79,8 +80,8 @@
       exchange_address: `ip:port` for the statuses of the other VMs, over UDP;
         None exchanges none.
       endpoint_capacity: `learned` orders endpoints by how much each takes
-        well, as all VMs state it on the exchange; `fixed` takes those of a
-        service as equal.
+        well, as all VMs state it on the exchange; `engines` does so for model
+        engines only; `fixed` takes those of a service as equal.
       threads: limit of the requests in flight.
       grace_s: time from SIGTERM to the end of the process.
       lease_s: time that must pass between orders of two different VMs.
@@ -166,7 +167,10 @@
         endpoint_capacity=read_field(
             section,
             "endpoint_capacity",
-            converters.text(f"{LEARNED}|{FIXED}", f"{LEARNED} or {FIXED}"),
+            converters.text(
+                f"{LEARNED}|{ENGINES}|{FIXED}",
+                f"{LEARNED}, {ENGINES} or {FIXED}",
+            ),
             defaults.endpoint_capacity,
         ),
         threads=read_field(
@@ -240,6 +244,7 @@
 
 
 __all__ = [
+    "ENGINES",
     "FIXED",
     "LEARNED",
     "ChangeLimits",
--- a/tests/gateway/fleet/test_shared_capacity.py
+++ b/tests/gateway/fleet/test_shared_capacity.py
@@ -80,6 +80,16 @@
         metrics = other.components.context.registry.render().decode()
         self.assertNotIn('event="exchange",outcome="received"', metrics)
 
+    def test_plain_services_are_served_as_before_if_engines_learn(self) -> None:
+        """Guards against speeds of plain endpoints that are only queues."""
+        serving, other = self.run_fleet("engines")
+        for _ in range(30):
+            serving.call("GET", "/read/x")
+        capacity = serving.components.context.endpoint_capacity
+        self.assertTrue(capacity.is_learned)
+        self.assertIsNone(capacity.make_value())
+        self.assertFalse(other.events_named("endpoint capacity changed"))
+
 
 def _respond_after(taken_s: float) -> Iterable[Step]:
     threading.Event().wait(taken_s)
