--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -32,6 +32,7 @@
     DemandExchange,
     Measurements,
 )
+from burdockspan.gateway.choice.endpoint_capacity import EndpointCapacity
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
 from burdockspan.gateway.choice.stage_balance import (
     balance_stages,
@@ -74,7 +75,12 @@
     make_handler,
     make_relay_handler,
 )
-from burdockspan.gateway.settings import ChangeLimits, GatewaySettings
+from burdockspan.gateway.settings import (
+    FIXED,
+    LEARNED,
+    ChangeLimits,
+    GatewaySettings,
+)
 from burdockspan.gateway.state import GatewayState
 from burdockspan.gateway.streams.origin_records import OriginRecords
 from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
@@ -173,6 +179,22 @@
         settings.change_limits.leaving_endpoint_s,
     )
     registry = make_registry()
+    exchange = open_exchange(
+        settings.exchange_address, settings.vm, boot_clock, registry, log
+    )
+    capacity = EndpointCapacity(
+        settings.endpoint_capacity != FIXED,
+        state.list_endpoints,
+        exchange.interval_s,
+        clock,
+        boot_clock,
+        random_float,
+        log,
+        registry,
+        learns_plain=settings.endpoint_capacity == LEARNED,
+    )
+    capacity.join(exchange)
+    state.observe_work(capacity.change_work)
     platform = make_platform(
         settings.store_address,
         clock,
@@ -213,6 +235,7 @@
         part_quarantine=part_quarantine,
         demand=DemandMeter(clock),
         prefill_delays=PrefillDelays(),
+        endpoint_capacity=capacity,
         full_engines=FullEngines(),
         admission_queues=AdmissionQueues(clock),
         origins=open_origin_sharing(
@@ -227,9 +250,7 @@
             registry,
         ),
         response_buffers=buffers,
-        exchange=open_exchange(
-            settings.exchange_address, settings.vm, boot_clock, registry, log
-        ),
+        exchange=exchange,
         configuration_proof=ConfigurationProof(
             state.active_configuration, boot_clock, registry
         ),
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -18,6 +18,10 @@
 )
 from burdockspan.configuration.problem import Problem
 
+# Values of `endpoint_capacity`.
+LEARNED = "learned"
+ENGINES = "engines"
+FIXED = "fixed"
 _NAME = converters.text(
     r"[A-Za-z0-9][A-Za-z0-9_.-]{0,127}",
     "a name of up to 128 letters, digits, '.', '-' and '_'",
@@ -82,6 +86,9 @@
         None exchanges none.
       watchers_per_zone: VMs of an availability zone that watch the store for
         the others; 0 lets each VM watch by itself.
+      endpoint_capacity: `learned` orders endpoints by how much each takes
+        well, as all VMs state it on the exchange; `engines` does so for model
+        engines only; `fixed` takes those of a service as equal.
       threads: limit of the requests in flight.
       memory_mb: memory of this VM, in MB, of which a share may hold responses
         that callers have not read; None sets no limit for all of them.
@@ -101,6 +108,7 @@
     peer_address: str | None = None
     exchange_address: str | None = None
     watchers_per_zone: int = 0
+    endpoint_capacity: str = FIXED
     threads: int = 160
     memory_mb: float | None = None
     connection_buffer_kb: int = 2048
@@ -179,6 +187,15 @@
             converters.count(0, _MAX_WATCHERS),
             defaults.watchers_per_zone,
         ),
+        endpoint_capacity=read_field(
+            section,
+            "endpoint_capacity",
+            converters.text(
+                f"{LEARNED}|{ENGINES}|{FIXED}",
+                f"{LEARNED}, {ENGINES} or {FIXED}",
+            ),
+            defaults.endpoint_capacity,
+        ),
         threads=read_field(
             section,
             "threads",
@@ -267,6 +284,9 @@
 
 
 __all__ = [
+    "ENGINES",
+    "FIXED",
+    "LEARNED",
     "ChangeLimits",
     "GatewaySettings",
     "RetryBudgetSettings",
