Order generations that wait for memory by priority, as one fleet

Each VM queued by lateness and arrival only, so that memory freed at one VM went to its least urgent generation while an urgent one waited at the next.

--- a/src/burdockspan/gateway/admission/admission_queue.py
+++ b/src/burdockspan/gateway/admission/admission_queue.py
@@ -3,10 +3,20 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 from collections.abc import Callable
 from typing import TypeVar
 
+from burdockspan.gateway.admission.fleet_waiting import (
+    Waiting,
+    group_waiting,
+)
+from burdockspan.gateway.admission.precedence import (
+    UNORDERED,
+    Precedence,
+    ServiceOrder,
+)
 from burdockspan.gateway.values import InboundCall, Route
 from burdockspan.values.clock import Clock
 
@@ -22,6 +32,17 @@
 # that waits for less than this share of the timeout was refused before: it has
 # spent the rest on its first wait and on the delay before the retry.
 _MIN_FIRST_ATTEMPT_SHARE = 0.82
+# While more urgent generations wait at other VMs, the first one here requests
+# memory no more often than this. It keeps less urgent ones from starving, and
+# finds out when memory is no longer scarce.
+_HELD_BACK_INTERVAL_S = 0.4
+
+MostUrgent = Callable[[], int | None]
+"""Returns the most urgent priority that waits at another VM."""
+
+
+def _know_nothing() -> int | None:
+    return None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,16 +55,13 @@
       arrived_s: when it arrived, in monotonic seconds; within either group,
         the first to arrive goes first.
       number: unique number.
+      precedence: goes before the arrival within either group.
     """
 
     is_late: bool
     arrived_s: float
     number: int
-
-    @property
-    def rank(self) -> tuple[bool, float, int]:
-        """Returns the sort key; the least is first in the queue."""
-        return self.is_late, self.arrived_s, self.number
+    precedence: Precedence = UNORDERED
 
 
 def is_retry_after_refusal(call: InboundCall, route: Route) -> bool:
@@ -58,8 +76,13 @@
     as the first.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, most_urgent_elsewhere: MostUrgent = _know_nothing
+    ) -> None:
         self._clock = clock
+        self._most_urgent_elsewhere = most_urgent_elsewhere
+        self._order = ServiceOrder(clock)
+        self._asked_held_back_s = -math.inf
         self._changed = threading.Condition()
         self._queued: dict[int, QueuedGeneration] = {}
         self._asking_since_s_by_number: dict[int, float] = {}
@@ -73,6 +96,8 @@
         try_reserve: Callable[[], T | None],
         has_gone: Callable[[], bool],
         may_wait_on: Callable[[], bool] = lambda: False,
+        precedence: Precedence = UNORDERED,
+        begin_wait: Callable[[], None] = lambda: None,
     ) -> T | None:
         """Waits until memory has been reserved.
 
@@ -83,18 +108,25 @@
           try_reserve: reserves memory; returns None if there is none.
           has_gone: returns whether the caller has gone.
           may_wait_on: returns whether the request waits beyond `give_up_s`.
+          precedence: its place besides its arrival.
+          begin_wait: called once if memory was not reserved at once.
 
         Returns:
           What `try_reserve` returned; None after `give_up_s`, or if the caller
           has gone.
         """
-        queued = self._enqueue(is_late, arrived_s)
+        queued = self._enqueue(is_late, arrived_s, precedence)
+        result = None
+        has_begun_wait = False
         try:
             while not has_gone():
-                if self._is_first(queued):
+                if self._is_first(queued) and self._may_ask(queued):
                     result = self._ask(queued, try_reserve)
                     if result is not None:
                         return result
+                if not has_begun_wait:
+                    has_begun_wait = True
+                    begin_wait()
                 remaining_s = give_up_s - self._clock()
                 if remaining_s <= 0:
                     if not may_wait_on():
@@ -106,8 +138,39 @@
         finally:
             with self._changed:
                 del self._queued[queued.number]
+                if result is not None or not has_gone():
+                    self._order.record(precedence, result is not None)
                 self._changed.notify_all()
 
+    def list_waiting(self) -> tuple[Waiting, ...]:
+        """Returns who waits here and can still meet its objective."""
+        now_s = self._clock()
+        with self._changed:
+            return group_waiting(
+                (queued.precedence.priority, now_s - queued.arrived_s)
+                for queued in self._queued.values()
+                if queued.precedence.is_ordered and not queued.is_late
+            )
+
+    def _may_ask(self, queued: QueuedGeneration) -> bool:
+        """Returns whether a generation need not leave memory to other VMs."""
+        if not queued.precedence.is_ordered:
+            return True
+        elsewhere = self._most_urgent_elsewhere()
+        if elsewhere is None:
+            return True
+        now_s = self._clock()
+        with self._changed:
+            if not queued.is_late and (
+                queued.precedence.priority <= elsewhere
+                or self._order.is_starved(queued.precedence)
+            ):
+                return True
+            if now_s - self._asked_held_back_s < _HELD_BACK_INTERVAL_S:
+                return False
+            self._asked_held_back_s = now_s
+            return True
+
     def _ask(
         self, queued: QueuedGeneration, try_reserve: Callable[[], T | None]
     ) -> T | None:
@@ -129,23 +192,39 @@
         """Returns the number of generations in the queue."""
         return len(self._queued)
 
-    def _enqueue(self, is_late: bool, arrived_s: float) -> QueuedGeneration:
+    def _enqueue(
+        self, is_late: bool, arrived_s: float, precedence: Precedence
+    ) -> QueuedGeneration:
         with self._changed:
             self._last_number += 1
-            queued = QueuedGeneration(is_late, arrived_s, self._last_number)
+            queued = QueuedGeneration(
+                is_late, arrived_s, self._last_number, precedence
+            )
             self._queued[queued.number] = queued
             return queued
 
     def _is_first(self, queued: QueuedGeneration) -> bool:
         now_s = self._clock()
         with self._changed:
+            rank = self._rank(queued)
             return all(
-                queued.rank <= other.rank
+                rank <= self._rank(other)
                 or now_s - self._asking_since_s_by_number.get(number, now_s)
                 > _TURN_S
                 for number, other in self._queued.items()
             )
 
+    def _rank(
+        self, queued: QueuedGeneration
+    ) -> tuple[bool, tuple[bool, int, float], float, int]:
+        """Returns the sort key; the least is first in the queue."""
+        return (
+            queued.is_late,
+            self._order.rank(queued.precedence),
+            queued.arrived_s,
+            queued.number,
+        )
+
 
 class AdmissionQueues:
     """The queues of a process.
@@ -154,8 +233,20 @@
     version.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        most_urgent_elsewhere: Callable[[str], int | None] = lambda _: None,
+    ) -> None:
+        """Starts without queues.
+
+        Args:
+          clock: monotonic clock, in seconds.
+          most_urgent_elsewhere: returns the most urgent priority that waits
+            for a service at another VM.
+        """
         self._clock = clock
+        self._most_urgent_elsewhere = most_urgent_elsewhere
         self._lock = threading.Lock()
         self._queue_by_key: dict[tuple[str, str | None], AdmissionQueue] = {}
 
@@ -173,10 +264,22 @@
         with self._lock:
             queue = self._queue_by_key.get(key)
             if queue is None:
-                queue = AdmissionQueue(self._clock)
+                queue = AdmissionQueue(
+                    self._clock, lambda: self._most_urgent_elsewhere(service)
+                )
                 self._queue_by_key[key] = queue
             return queue
 
+    def list_waiting(self) -> dict[str, tuple[Waiting, ...]]:
+        """Returns by service who waits; resumed streams are not counted."""
+        with self._lock:
+            queues = list(self._queue_by_key.items())
+        return {
+            service: waiting
+            for (service, version), queue in queues
+            if version is None and (waiting := queue.list_waiting())
+        }
+
 
 __all__ = [
     "AdmissionQueue",
--- /dev/null
+++ b/src/burdockspan/gateway/admission/precedence.py
@@ -0,0 +1,149 @@
+"""Order of the generations of one service that wait for decode memory.
+
+More urgent generations go first, accounts that were served fewer tokens lately
+go before others, and a group that is served far less often than the average
+goes before all of them.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from burdockspan.gateway.values import Route
+from burdockspan.values.clock import Clock
+
+# Overloads last for some seconds. Counts of the time before say little about
+# who is served during one.
+_SHARE_HALF_LIFE_S = 8.0
+_TOKENS_HALF_LIFE_S = 5.0
+# A group that is served less often than this share of the average goes first.
+# The users' bound is a quarter; the rest allows for the sampling error of the
+# few generations that one VM sees.
+_MIN_SERVED_SHARE = 0.4
+# Weight of the assumption, before anything is known of a group, that it is
+# served; two refusals in a row do not reach the share above.
+_PRIOR = 1.0
+# A prompt that is longer than this multiple of the mean counts as large.
+_LARGE_PROMPT_FACTOR = 1.4
+# Counts below this have no effect, and their groups are forgotten.
+_NEGLIGIBLE = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Precedence:
+    """What decides a generation's place besides its arrival.
+
+    Attributes:
+      is_ordered: whether generations of its service differ in priority or
+        account; otherwise the fields below have no effect.
+      priority: 0 is the most urgent.
+      account: name of the client account; None if there is none.
+      tokens: size of the reservation.
+    """
+
+    is_ordered: bool = False
+    priority: int = 0
+    account: str | None = None
+    tokens: int = 0
+
+
+UNORDERED = Precedence()
+
+
+def list_priorities(routes: Iterable[Route], service: str) -> frozenset[int]:
+    """Returns the priorities of the routes that lead to a service."""
+    return frozenset(
+        route.priority
+        for route in routes
+        if any(weighted.name == service for weighted in route.services)
+    )
+
+
+class _DecayingCounts:
+    """Sums by key that lose half of their value in each half-life."""
+
+    def __init__(self, half_life_s: float, clock: Clock) -> None:
+        self._half_life_s = half_life_s
+        self._clock = clock
+        self._by_key: dict[object, tuple[float, float]] = {}
+
+    def add(self, key: object, amount: float) -> None:
+        """Adds an amount to a key."""
+        now_s = self._clock()
+        self._by_key[key] = (self.value(key) + amount, now_s)
+        if len(self._by_key) > 1000:
+            self._by_key = {
+                key: pair
+                for key, pair in self._by_key.items()
+                if self.value(key) > _NEGLIGIBLE
+            }
+
+    def value(self, key: object) -> float:
+        """Returns the present sum of a key."""
+        amount, since_s = self._by_key.get(key, (0.0, 0.0))
+        elapsed_s = max(0.0, self._clock() - since_s)
+        return amount * math.pow(0.5, elapsed_s / self._half_life_s)
+
+
+class ServiceOrder:
+    """Who was served lately, and who goes first; not thread-safe."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._decided = _DecayingCounts(_SHARE_HALF_LIFE_S, clock)
+        self._served = _DecayingCounts(_SHARE_HALF_LIFE_S, clock)
+        self._tokens = _DecayingCounts(_TOKENS_HALF_LIFE_S, clock)
+        self._prompt_tokens = _DecayingCounts(_SHARE_HALF_LIFE_S, clock)
+
+    def rank(self, precedence: Precedence) -> tuple[bool, int, float]:
+        """Returns a sort key; the least goes first."""
+        if not precedence.is_ordered:
+            return False, 0, 0.0
+        account = precedence.account
+        tokens = 0.0 if account is None else self._tokens.value(account)
+        is_starved = self.is_starved(precedence)
+        return not is_starved, precedence.priority, tokens
+
+    def record(self, precedence: Precedence, is_served: bool) -> None:
+        """Records that a generation was admitted, or gave up waiting."""
+        if not precedence.is_ordered:
+            return
+        for group in (None, *self._list_groups(precedence)):
+            self._decided.add(group, 1.0)
+            self._served.add(group, float(is_served))
+        self._prompt_tokens.add(None, float(precedence.tokens))
+        if is_served and precedence.account is not None:
+            self._tokens.add(precedence.account, float(precedence.tokens))
+
+    def is_starved(self, precedence: Precedence) -> bool:
+        """Returns whether a group of a generation is served too seldom."""
+        if not precedence.is_ordered:
+            return False
+        bound = _MIN_SERVED_SHARE * self._served_share(None)
+        return any(
+            self._served_share(group) < bound
+            for group in self._list_groups(precedence)
+        )
+
+    def _served_share(self, group: object) -> float:
+        served, decided = self._served.value(group), self._decided.value(group)
+        return (served + _PRIOR) / (decided + _PRIOR)
+
+    def _list_groups(self, precedence: Precedence) -> tuple[object, ...]:
+        decided = self._decided.value(None)
+        mean_tokens = self._prompt_tokens.value(None) / max(_PRIOR, decided)
+        is_large = precedence.tokens > _LARGE_PROMPT_FACTOR * mean_tokens
+        return (
+            ("priority", precedence.priority),
+            ("account", precedence.account),
+            ("large", is_large),
+        )
+
+
+__all__ = [
+    "UNORDERED",
+    "Precedence",
+    "ServiceOrder",
+    "list_priorities",
+]
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -7,6 +7,7 @@
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.admission.waiting_statements import WaitingStatements
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
 from burdockspan.gateway.choice.stages import DemandMeter
 from burdockspan.gateway.endpoints.crash_records import CrashRecordStore
@@ -40,6 +41,7 @@
       prefill_delays: recent queueing delays at prefill engines.
       full_engines: engines that recently lacked free memory.
       admission_queues: generations that wait for decode memory, by service.
+      waiting_statements: tells the other VMs who waits for decode memory here.
       origins: shares the software versions that began streams.
       exchange: tells the other VMs what this VM knows.
       endpoints_max_age_s: age above which the endpoint table may lack changes.
@@ -62,6 +64,7 @@
     prefill_delays: PrefillDelays
     full_engines: FullEngines
     admission_queues: AdmissionQueues
+    waiting_statements: WaitingStatements
     origins: OriginSharing
     exchange: Exchange
     endpoints_max_age_s: float
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -12,8 +12,12 @@
 from typing import Any
 
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
+from burdockspan.gateway.admission.fleet_waiting import FleetWaiting
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.admission.waiting_statements import (
+    add_waiting_topic,
+)
 from burdockspan.gateway.callers.connection_log import make_close_recorder
 from burdockspan.gateway.callers.ingress import make_ingress
 from burdockspan.gateway.callers.messages import make_status_line
@@ -152,6 +156,11 @@
         platform,
         endpoints=observe_calls(platform.endpoints, reachability, clock),
     )
+    exchange = open_exchange(
+        settings.exchange_address, settings.vm, boot_clock, registry, log
+    )
+    fleet_waiting = FleetWaiting(boot_clock, exchange.interval_s)
+    admission_queues = AdmissionQueues(clock, fleet_waiting.most_urgent)
     part_quarantine = PartQuarantine(
         crash_records.KIND, platform.store, clock, random_float, log, registry
     )
@@ -176,13 +185,14 @@
         demand=DemandMeter(clock),
         prefill_delays=PrefillDelays(),
         full_engines=FullEngines(),
-        admission_queues=AdmissionQueues(clock),
+        admission_queues=admission_queues,
+        waiting_statements=add_waiting_topic(
+            exchange, admission_queues.list_waiting, fleet_waiting, clock
+        ),
         origins=open_origin_sharing(
             settings.peer_address, StreamOrigins(clock), registry, log
         ),
-        exchange=open_exchange(
-            settings.exchange_address, settings.vm, boot_clock, registry, log
-        ),
+        exchange=exchange,
         endpoints_max_age_s=compute_max_age_s(settings.change_limits),
         graceful_stop=GracefulStop(settings.grace_s, clock),
         clock=clock,
--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -13,6 +13,11 @@
 from result import Err, Ok, Result
 
 from burdockspan.gateway.admission.admission_queue import is_retry_after_refusal
+from burdockspan.gateway.admission.precedence import (
+    UNORDERED,
+    Precedence,
+    list_priorities,
+)
 from burdockspan.gateway.choice.prefill_delays import (
     should_decode_engine_prefill,
 )
@@ -75,6 +80,8 @@
 # Limit of the prefill engines that a prompt is sent to. A second call costs
 # less than a prefill at the decode engine, which delays all streams there.
 _MAX_PREFILL_ENGINES = 2
+# The order of admission is in force where a service has as many priorities.
+_MIN_PRIORITIES = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -275,6 +282,7 @@
         request.service, request.software_version
     )
     request.caller.notify_when_gone(queue.wake)
+    precedence = _find_precedence(context, request, size)
 
     def has_gone() -> bool:
         return (
@@ -308,6 +316,31 @@
         ),
         has_gone=has_gone,
         may_wait_on=may_wait_on,
+        precedence=precedence,
+        begin_wait=lambda: (
+            context.waiting_statements.announce(
+                request.service, precedence.priority
+            )
+            if precedence.is_ordered and not wait.is_late
+            else None
+        ),
+    )
+
+
+def _find_precedence(
+    context: Context, request: RoutedRequest, size: GenerationSize
+) -> Precedence:
+    """Returns the place of a generation among those that wait for memory."""
+    active = context.state.active_configuration()
+    if active is None or request.software_version is not None:
+        return UNORDERED
+    priorities = list_priorities(active.configuration.routes, request.service)
+    if len(priorities) < _MIN_PRIORITIES:
+        return UNORDERED
+    return Precedence(
+        is_ordered=True,
+        priority=request.route.priority,
+        tokens=size.prompt_tokens,
     )
 
 
