--- a/src/burdockspan/gateway/ports.py
+++ b/src/burdockspan/gateway/ports.py
@@ -84,6 +84,8 @@
         silent for `head_silence_limit_s`.
       expects_events: whether a successful response that names no media type is
         a stream of events.
+      priority: priority at the engine, where 0 is the most urgent; None
+        leaves the engine's default in force.
     """
 
     remaining_s: float
@@ -94,6 +96,7 @@
     after_event: str | None = None
     on_silence: OnSilence = lambda: None
     expects_events: bool = False
+    priority: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -13,11 +13,6 @@
 from result import Err, Ok, Result
 
 from burdockspan.gateway.admission.admission_queue import is_retry_after_refusal
-from burdockspan.gateway.admission.precedence import (
-    UNORDERED,
-    Precedence,
-    list_priorities,
-)
 from burdockspan.gateway.choice.prefill_delays import (
     should_decode_engine_prefill,
 )
@@ -34,6 +29,10 @@
     log_attempt,
 )
 from burdockspan.gateway.requests.peer_relay import can_hand_over
+from burdockspan.gateway.requests.request_priority import (
+    find_engine_priority,
+    find_precedence,
+)
 from burdockspan.gateway.requests.reservations import (
     Reservation,
     reserve_memory,
@@ -80,8 +79,6 @@
 # Limit of the prefill engines that a prompt is sent to. A second call costs
 # less than a prefill at the decode engine, which delays all streams there.
 _MAX_PREFILL_ENGINES = 2
-# The order of admission is in force where a service has as many priorities.
-_MIN_PRIORITIES = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -282,7 +279,7 @@
         request.service, request.software_version
     )
     request.caller.notify_when_gone(queue.wake)
-    precedence = _find_precedence(context, request, size)
+    precedence = find_precedence(context, request, size)
 
     def has_gone() -> bool:
         return (
@@ -327,23 +324,6 @@
     )
 
 
-def _find_precedence(
-    context: Context, request: RoutedRequest, size: GenerationSize
-) -> Precedence:
-    """Returns the place of a generation among those that wait for memory."""
-    active = context.state.active_configuration()
-    if active is None or request.software_version is not None:
-        return UNORDERED
-    priorities = list_priorities(active.configuration.routes, request.service)
-    if len(priorities) < _MIN_PRIORITIES:
-        return UNORDERED
-    return Precedence(
-        is_ordered=True,
-        priority=request.route.priority,
-        tokens=size.prompt_tokens,
-    )
-
-
 def _run_attempt(
     context: Context,
     request: RoutedRequest,
@@ -464,6 +444,7 @@
         reservation=reservation.name,
         after_event=after_event,
         expects_events=True,
+        priority=find_engine_priority(context, request),
     )
     outcome = context.platform.endpoints.run(endpoint, request.call, options)
     if isinstance(outcome, Err):
@@ -591,6 +572,7 @@
             _PREFILL_TIMEOUT_S,
             request.abort,
             on_silence=decide_on_silence,
+            priority=find_engine_priority(context, request),
         )
         outcome = context.platform.endpoints.prefill(
             endpoint, request.call, options
--- /dev/null
+++ b/src/burdockspan/gateway/requests/request_priority.py
@@ -0,0 +1,47 @@
+"""Priority of a request where those of its service differ in priority."""
+
+from __future__ import annotations
+
+from burdockspan.gateway.admission.precedence import (
+    UNORDERED,
+    Precedence,
+    list_priorities,
+)
+from burdockspan.gateway.context import Context
+from burdockspan.gateway.requests.attempts import RoutedRequest
+from burdockspan.gateway.values import GenerationSize
+
+# The order of admission is in force where a service has as many priorities.
+_MIN_PRIORITIES = 2
+
+
+def find_engine_priority(
+    context: Context, request: RoutedRequest
+) -> int | None:
+    """Returns the priority of a request at engines; None for the default."""
+    active = context.state.active_configuration()
+    if active is None:
+        return None
+    priorities = list_priorities(active.configuration.routes, request.service)
+    if len(priorities) < _MIN_PRIORITIES:
+        return None
+    return request.route.priority
+
+
+def find_precedence(
+    context: Context, request: RoutedRequest, size: GenerationSize
+) -> Precedence:
+    """Returns the place of a generation among those that wait for memory.
+
+    A stream that is resumed waits in the queue of its version, which knows no
+    order.
+    """
+    priority = find_engine_priority(context, request)
+    if priority is None or request.software_version is not None:
+        return UNORDERED
+    return Precedence(
+        is_ordered=True, priority=priority, tokens=size.prompt_tokens
+    )
+
+
+__all__ = ["find_engine_priority", "find_precedence"]
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -40,6 +40,8 @@
 _CONTROL_SILENCE_S = 0.1
 _CONTROL_RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
 _MISDIRECTED_REQUEST = 421
+# Number of the least urgent priority at engines.
+_LEAST_URGENT = 9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -257,6 +259,9 @@
         headers.add(header_names.KV_SOURCE, source)
     if options.reservation is not None:
         headers.add(header_names.KV_HOLD, options.reservation)
+    if options.priority is not None:
+        priority = min(options.priority, _LEAST_URGENT)
+        headers.add(header_names.REQUEST_PRIORITY, str(priority))
     if prefill_only:
         headers.add(header_names.STAGE, "prefill")
     skip_library_headers(headers)
--- a/src/burdockspan/platform/headers.py
+++ b/src/burdockspan/platform/headers.py
@@ -35,6 +35,8 @@
 KV_SOURCE = "Kv-Source"
 # Name of the memory reservation that the request uses.
 KV_HOLD = "Kv-Hold"
+# Priority at a model engine, from 0, the most urgent, to 9.
+REQUEST_PRIORITY = "Request-Priority"
 
 # Only the router sets these headers; values from callers are removed.
 _SET_BY_ROUTER = frozenset(
@@ -50,7 +52,7 @@
         KV_SOURCE,
         NOT_EXECUTED,
         "Pin-Ms",
-        "Request-Priority",
+        REQUEST_PRIORITY,
         RESPONSE_STAMP,
         STAGE,
         "Wait-Ms",
@@ -150,6 +152,7 @@
     "NOT_EXECUTED",
     "PROMPT_PREFIX",
     "REQUEST_ID",
+    "REQUEST_PRIORITY",
     "RESPONSE_STAMP",
     "RESUMES",
     "RETRY_AFTER",
