--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -51,6 +51,12 @@
 # can still meet it: the prefill and the transfer of a prompt of usual size take
 # the rest.
 _MAX_WAIT_SHARE = 0.5
+# Where generations differ in priority, the rest is estimated: the usual
+# duration of the prefill, with a margin for prompts in the engine's queue, and
+# the time of the calls besides. Urgent generations then wait for longer, and
+# the memory that less urgent ones leave is more often in time for them.
+_PREFILL_MARGIN = 1.5
+_CALLS_S = 0.1
 # A generation that can no longer meet its objective waits for this time, which
 # is enough for about two requests for memory, and is then refused. During an
 # overload, released memory goes to generations that can still meet theirs.
@@ -203,8 +209,29 @@
     silence_ends_s: float
 
 
+def _choose_max_wait_s(
+    objective_s: float, prompt_tokens: int, engine_tokens_per_s: float
+) -> float:
+    """Returns the longest wait of a generation that meets its objective.
+
+    Args:
+      objective_s: objective of its route.
+      prompt_tokens: length of its prompt.
+      engine_tokens_per_s: prompt tokens per second of an engine; 0 if the wait
+        is a fixed share of the objective.
+    """
+    fixed_s = _MAX_WAIT_SHARE * objective_s
+    if engine_tokens_per_s <= 0:
+        return fixed_s
+    prefill_s = _PREFILL_MARGIN * prompt_tokens / engine_tokens_per_s
+    return max(fixed_s, objective_s - prefill_s - _CALLS_S)
+
+
 def _choose_memory_wait(
-    request: RoutedRequest, position: StreamPosition | None, now_s: float
+    request: RoutedRequest,
+    position: StreamPosition | None,
+    now_s: float,
+    max_wait_s: float,
 ) -> _MemoryWait:
     route, call = request.route, request.call
     if position is not None:
@@ -212,7 +239,6 @@
             position.event_s + caller_patience_s(route), request.deadline_s
         )
         return _MemoryWait(False, max(now_s, give_up_s), give_up_s)
-    max_wait_s = _MAX_WAIT_SHARE * route.objective_s
     is_resumed = request.software_version is not None
     is_late = not is_resumed and (
         is_retry_after_refusal(call, route)
@@ -267,7 +293,16 @@
     """
     now_s = context.clock()
     is_resumed = request.software_version is not None
-    wait = _choose_memory_wait(request, position, now_s)
+    precedence = find_precedence(context, request, size)
+    engine_tokens_per_s = (
+        context.demand.engine_tokens_per_s(request.service)
+        if precedence.is_ordered
+        else 0.0
+    )
+    max_wait_s = _choose_max_wait_s(
+        request.route.objective_s, size.prompt_tokens, engine_tokens_per_s
+    )
+    wait = _choose_memory_wait(request, position, now_s, max_wait_s)
     soonest = context.state.find_soonest(
         request.service, attempts.tried_incarnations, request.software_version
     )
@@ -279,7 +314,6 @@
         request.service, request.software_version
     )
     request.caller.notify_when_gone(queue.wake)
-    precedence = find_precedence(context, request, size)
 
     def has_gone() -> bool:
         return (
