--- a/src/burdockspan/gateway/admission/admission_queue.py
+++ b/src/burdockspan/gateway/admission/admission_queue.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import threading
 from collections.abc import Callable
 from typing import TypeVar
 
 from burdockspan.gateway.admission.fleet_waiting import (
+    FleetWaiting,
+    HoldBack,
     Waiting,
     group_waiting,
 )
@@ -32,17 +33,6 @@
 # that waits for less than this share of the timeout was refused before: it has
 # spent the rest on its first wait and on the delay before the retry.
 _MIN_FIRST_ATTEMPT_SHARE = 0.82
-# While more urgent generations wait at other VMs, the first one here requests
-# memory no more often than this. It keeps less urgent ones from starving, and
-# finds out when memory is no longer scarce.
-_HELD_BACK_INTERVAL_S = 0.4
-
-MostUrgent = Callable[[], int | None]
-"""Returns the most urgent priority that waits at another VM."""
-
-
-def _know_nothing() -> int | None:
-    return None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,13 +66,10 @@
     as the first.
     """
 
-    def __init__(
-        self, clock: Clock, most_urgent_elsewhere: MostUrgent = _know_nothing
-    ) -> None:
+    def __init__(self, clock: Clock, hold_back: HoldBack | None = None) -> None:
         self._clock = clock
-        self._most_urgent_elsewhere = most_urgent_elsewhere
         self._order = ServiceOrder(clock)
-        self._asked_held_back_s = -math.inf
+        self._hold_back = hold_back
         self._changed = threading.Condition()
         self._queued: dict[int, QueuedGeneration] = {}
         self._asking_since_s_by_number: dict[int, float] = {}
@@ -154,22 +141,14 @@
 
     def _may_ask(self, queued: QueuedGeneration) -> bool:
         """Returns whether a generation need not leave memory to other VMs."""
-        if not queued.precedence.is_ordered:
+        if self._hold_back is None:
             return True
-        elsewhere = self._most_urgent_elsewhere()
-        if elsewhere is None:
-            return True
-        now_s = self._clock()
         with self._changed:
-            if not queued.is_late and (
-                queued.precedence.priority <= elsewhere
-                or self._order.is_starved(queued.precedence)
-            ):
-                return True
-            if now_s - self._asked_held_back_s < _HELD_BACK_INTERVAL_S:
-                return False
-            self._asked_held_back_s = now_s
-            return True
+            return self._hold_back.may_ask(
+                queued.precedence,
+                queued.is_late,
+                self._order.is_starved(queued.precedence),
+            )
 
     def _ask(
         self, queued: QueuedGeneration, try_reserve: Callable[[], T | None]
@@ -233,20 +212,15 @@
     version.
     """
 
-    def __init__(
-        self,
-        clock: Clock,
-        most_urgent_elsewhere: Callable[[str], int | None] = lambda _: None,
-    ) -> None:
+    def __init__(self, clock: Clock, fleet: FleetWaiting | None = None) -> None:
         """Starts without queues.
 
         Args:
           clock: monotonic clock, in seconds.
-          most_urgent_elsewhere: returns the most urgent priority that waits
-            for a service at another VM.
+          fleet: who waits at other VMs; None if this VM acts alone.
         """
         self._clock = clock
-        self._most_urgent_elsewhere = most_urgent_elsewhere
+        self._fleet = fleet
         self._lock = threading.Lock()
         self._queue_by_key: dict[tuple[str, str | None], AdmissionQueue] = {}
 
@@ -265,11 +239,19 @@
             queue = self._queue_by_key.get(key)
             if queue is None:
                 queue = AdmissionQueue(
-                    self._clock, lambda: self._most_urgent_elsewhere(service)
+                    self._clock, self._make_hold_back(service)
                 )
                 self._queue_by_key[key] = queue
             return queue
 
+    def _make_hold_back(self, service: str) -> HoldBack | None:
+        fleet = self._fleet
+        if fleet is None:
+            return None
+        return HoldBack(
+            self._clock, lambda: fleet.most_urgent(service), fleet.interval_s
+        )
+
     def list_waiting(self) -> dict[str, tuple[Waiting, ...]]:
         """Returns by service who waits; resumed streams are not counted."""
         with self._lock:
--- a/src/burdockspan/gateway/admission/fleet_waiting.py
+++ b/src/burdockspan/gateway/admission/fleet_waiting.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from result import Err, Ok, Result
 
+from burdockspan.gateway.admission.precedence import Precedence
 from burdockspan.gateway.fleet.exchange import Received
 from burdockspan.values.clock import Clock
 
@@ -83,6 +85,10 @@
                 )
         return Ok(None)
 
+    def interval_s(self) -> float:
+        """Returns the time between two statuses of a VM."""
+        return self._interval_s()
+
     def most_urgent(self, service: str) -> int | None:
         """Returns the most urgent priority that waits at another VM.
 
@@ -108,6 +114,44 @@
             )
 
 
+class HoldBack:
+    """Decides when a VM leaves memory to the others; not thread-safe.
+
+    While more urgent generations wait at other VMs, the first one here requests
+    memory once in the interval of statuses. This finds out when memory is no
+    longer scarce. The interval grows with the fleet, so that all VMs together
+    do not take the memory that they leave.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        most_urgent_elsewhere: Callable[[], int | None],
+        interval_s: Callable[[], float],
+    ) -> None:
+        self._clock = clock
+        self._most_urgent_elsewhere = most_urgent_elsewhere
+        self._interval_s = interval_s
+        self._asked_s = -math.inf
+
+    def may_ask(
+        self, precedence: Precedence, is_late: bool, is_starved: bool
+    ) -> bool:
+        """Returns whether the first generation of a VM may request memory."""
+        if not precedence.is_ordered:
+            return True
+        elsewhere = self._most_urgent_elsewhere()
+        if elsewhere is None:
+            return True
+        if not is_late and (precedence.priority <= elsewhere or is_starved):
+            return True
+        now_s = self._clock()
+        if now_s - self._asked_s < self._interval_s():
+            return False
+        self._asked_s = now_s
+        return True
+
+
 def encode(waiting_by_service: WaitingByService) -> dict[str, Any]:
     """Returns a statement as a JSON value."""
     return {
@@ -164,6 +208,7 @@
 __all__ = [
     "TOPIC",
     "FleetWaiting",
+    "HoldBack",
     "Waiting",
     "WaitingByService",
     "encode",
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -160,7 +160,7 @@
         settings.exchange_address, settings.vm, boot_clock, registry, log
     )
     fleet_waiting = FleetWaiting(boot_clock, exchange.interval_s)
-    admission_queues = AdmissionQueues(clock, fleet_waiting.most_urgent)
+    admission_queues = AdmissionQueues(clock, fleet_waiting)
     part_quarantine = PartQuarantine(
         crash_records.KIND, platform.store, clock, random_float, log, registry
     )
