--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -478,7 +478,6 @@
         reservation=reservation.name,
         after_event=after_event,
         expects_events=True,
-        priority=find_engine_priority(context, request),
     )
     outcome = context.platform.endpoints.run(endpoint, request.call, options)
     if isinstance(outcome, Err):
