--- a/src/burdockspan/gateway/admission/admission_queue.py
+++ b/src/burdockspan/gateway/admission/admission_queue.py
@@ -244,6 +244,10 @@
                 self._queue_by_key[key] = queue
             return queue
 
+    def most_urgent_elsewhere(self, service: str) -> int | None:
+        """Returns the most urgent priority that waits at another VM."""
+        return None if self._fleet is None else self._fleet.most_urgent(service)
+
     def _make_hold_back(self, service: str) -> HoldBack | None:
         fleet = self._fleet
         if fleet is None:
--- a/src/burdockspan/gateway/admission/waiting_statements.py
+++ b/src/burdockspan/gateway/admission/waiting_statements.py
@@ -22,7 +22,11 @@
 
 
 class WaitingStatements:
-    """Makes the statements of this VM, and sends urgent ones at once."""
+    """Makes the statements of this VM, and sends urgent ones at once.
+
+    Attributes:
+      fleet: statements of the other VMs.
+    """
 
     def __init__(
         self,
@@ -33,7 +37,7 @@
     ) -> None:
         self._exchange = exchange
         self._list_waiting = list_waiting
-        self._fleet = fleet
+        self.fleet = fleet
         self._clock = clock
         self._lock = threading.Lock()
         self._announced_s = -math.inf
@@ -55,7 +59,7 @@
         A VM is silent while one with at least this priority is known to wait at
         another VM, which has told the others.
         """
-        known = self._fleet.most_urgent(service)
+        known = self.fleet.most_urgent(service)
         if known is not None and known <= priority:
             return
         interval_s = _ANNOUNCE_INTERVAL_SHARE * self._exchange.interval_s()
--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -332,7 +332,26 @@
         is_silent = now_s - silence["last_s"] < _SILENCE_MEMORY_S
         return is_silent and now_s < wait.silence_ends_s
 
-    return queue.wait(
+    def begin_wait() -> None:
+        if not precedence.is_ordered:
+            return
+        context.log(
+            "waiting for memory",
+            request_id=request.call.request_id,
+            service=request.service,
+            priority=precedence.priority,
+            late=wait.is_late,
+            queued=queue.length(),
+            most_urgent_elsewhere=context.admission_queues.most_urgent_elsewhere(
+                request.service
+            ),
+        )
+        if not wait.is_late:
+            context.waiting_statements.announce(
+                request.service, precedence.priority
+            )
+
+    reservation = queue.wait(
         is_late=wait.is_late,
         arrived_s=request.call.arrived_s,
         give_up_s=wait.give_up_s,
@@ -348,14 +367,12 @@
         has_gone=has_gone,
         may_wait_on=may_wait_on,
         precedence=precedence,
-        begin_wait=lambda: (
-            context.waiting_statements.announce(
-                request.service, precedence.priority
-            )
-            if precedence.is_ordered and not wait.is_late
-            else None
-        ),
+        begin_wait=begin_wait,
     )
+    if precedence.is_ordered:
+        outcome = "without_memory" if reservation is None else "admitted"
+        context.registry.count(f"priority_{precedence.priority}", outcome)
+    return reservation
 
 
 def _run_attempt(
