--- a/src/burdockspan/gateway/admission/precedence.py
+++ b/src/burdockspan/gateway/admission/precedence.py
@@ -9,9 +9,8 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable
 
-from burdockspan.gateway.values import Route
+from burdockspan.gateway.values import Configuration
 from burdockspan.values.clock import Clock
 
 # Overloads last for some seconds. Counts of the time before say little about
@@ -52,13 +51,21 @@
 UNORDERED = Precedence()
 
 
-def list_priorities(routes: Iterable[Route], service: str) -> frozenset[int]:
-    """Returns the priorities of the routes that lead to a service."""
-    return frozenset(
+def list_priorities(
+    configuration: Configuration, service: str
+) -> frozenset[int]:
+    """Returns the priorities that requests for a service may have."""
+    of_routes = {
         route.priority
-        for route in routes
+        for route in configuration.routes
         if any(weighted.name == service for weighted in route.services)
-    )
+    }
+    of_accounts = {
+        account.priority
+        for account in configuration.accounts or ()
+        if account.priority is not None
+    }
+    return frozenset(of_routes | of_accounts)
 
 
 class _DecayingCounts:
--- a/src/burdockspan/gateway/requests/request_priority.py
+++ b/src/burdockspan/gateway/requests/request_priority.py
@@ -11,9 +11,6 @@
 from burdockspan.gateway.requests.attempts import RoutedRequest
 from burdockspan.gateway.values import GenerationSize
 
-# The order of admission is in force where a service has as many priorities.
-_MIN_PRIORITIES = 2
-
 
 def find_engine_priority(
     context: Context, request: RoutedRequest
@@ -22,10 +19,8 @@
     active = context.state.active_configuration()
     if active is None:
         return None
-    priorities = list_priorities(active.configuration.routes, request.service)
-    if len(priorities) < _MIN_PRIORITIES:
-        return None
-    return request.route.priority
+    priorities = list_priorities(active.configuration, request.service)
+    return request.priority if len(priorities) > 1 else None
 
 
 def find_precedence(
@@ -36,11 +31,19 @@
     A stream that is resumed waits in the queue of its version, which knows no
     order.
     """
-    priority = find_engine_priority(context, request)
-    if priority is None or request.software_version is not None:
+    active = context.state.active_configuration()
+    if active is None or request.software_version is not None:
+        return UNORDERED
+    configuration = active.configuration
+    priorities = list_priorities(configuration, request.service)
+    accounts = configuration.accounts or ()
+    if len(priorities) <= 1 and len(accounts) <= 1:
         return UNORDERED
     return Precedence(
-        is_ordered=True, priority=priority, tokens=size.prompt_tokens
+        is_ordered=True,
+        priority=request.priority,
+        account=request.account.name if request.account else None,
+        tokens=size.prompt_tokens,
     )
 
 
--- a/src/burdockspan/platform/headers.py
+++ b/src/burdockspan/platform/headers.py
@@ -38,6 +38,10 @@
 # Priority at a model engine, from 0, the most urgent, to 9.
 REQUEST_PRIORITY = "Request-Priority"
 
+# Name of the caller's account, set by the router where there are accounts.
+ACCOUNT = "Tenant"
+AUTHORIZATION = "Authorization"
+
 # Only the router sets these headers; values from callers are removed.
 _SET_BY_ROUTER = frozenset(
     name.lower()
@@ -90,6 +94,16 @@
     )
 
 
+def remove_identity(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    """Returns headers without those in which a caller says who it is."""
+    removed = (ACCOUNT.lower(), AUTHORIZATION.lower())
+    return tuple(
+        header for header in headers if header[0].lower() not in removed
+    )
+
+
 def filter_response_headers(
     headers: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
@@ -141,6 +155,8 @@
 )
 
 __all__ = [
+    "ACCOUNT",
+    "AUTHORIZATION",
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
     "INSTANCE_ID",
@@ -164,4 +180,5 @@
     "filter_request_headers",
     "filter_response_headers",
     "find_first",
+    "remove_identity",
 ]
