--- a/src/burdockspan/gateway/admission/admission_queue.py
+++ b/src/burdockspan/gateway/admission/admission_queue.py
@@ -107,8 +107,12 @@
         has_begun_wait = False
         try:
             while not has_gone():
-                if self._is_first(queued) and self._may_ask(queued):
-                    result = self._ask(queued, try_reserve)
+                if self._is_first(queued):
+                    if self._may_ask(queued):
+                        result = self._ask(queued, try_reserve)
+                    elif is_late:
+                        # Others will take the memory that it waits for.
+                        return None
                     if result is not None:
                         return result
                 if not has_begun_wait:
--- a/src/burdockspan/gateway/admission/precedence.py
+++ b/src/burdockspan/gateway/admission/precedence.py
@@ -26,6 +26,9 @@
 _PRIOR = 1.0
 # A prompt that is longer than this multiple of the mean counts as large.
 _LARGE_PROMPT_FACTOR = 1.4
+# Ranks are computed again after this time, or once a generation is decided.
+# Each generation of a queue compares itself with all others at each poll.
+_RANK_TTL_S = 0.1
 # Counts below this have no effect, and their groups are forgotten.
 _NEGLIGIBLE = 0.01
 
@@ -98,6 +101,9 @@
     """Who was served lately, and who goes first; not thread-safe."""
 
     def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._ranked_s = -math.inf
+        self._rank_by_precedence: dict[Precedence, tuple[bool, int, float]] = {}
         self._decided = _DecayingCounts(_SHARE_HALF_LIFE_S, clock)
         self._served = _DecayingCounts(_SHARE_HALF_LIFE_S, clock)
         self._tokens = _DecayingCounts(_TOKENS_HALF_LIFE_S, clock)
@@ -107,6 +113,17 @@
         """Returns a sort key; the least goes first."""
         if not precedence.is_ordered:
             return False, 0, 0.0
+        now_s = self._clock()
+        if now_s - self._ranked_s >= _RANK_TTL_S:
+            self._ranked_s = now_s
+            self._rank_by_precedence.clear()
+        rank = self._rank_by_precedence.get(precedence)
+        if rank is None:
+            rank = self._compute_rank(precedence)
+            self._rank_by_precedence[precedence] = rank
+        return rank
+
+    def _compute_rank(self, precedence: Precedence) -> tuple[bool, int, float]:
         account = precedence.account
         tokens = 0.0 if account is None else self._tokens.value(account)
         is_starved = self.is_starved(precedence)
@@ -116,6 +133,7 @@
         """Records that a generation was admitted, or gave up waiting."""
         if not precedence.is_ordered:
             return
+        self._rank_by_precedence.clear()
         for group in (None, *self._list_groups(precedence)):
             self._decided.add(group, 1.0)
             self._served.add(group, float(is_served))
--- a/tests/gateway/admission/test_fleet_waiting.py
+++ b/tests/gateway/admission/test_fleet_waiting.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from burdockspan.gateway.admission import fleet_waiting
+from burdockspan.gateway.admission.admission_queue import AdmissionQueue
 from burdockspan.gateway.admission.fleet_waiting import FleetWaiting, HoldBack
 from burdockspan.gateway.admission.precedence import Precedence, ServiceOrder
 from burdockspan.gateway.fleet.exchange import Received
@@ -158,6 +159,32 @@
         self.assertGreater(fleet.served_share(_LEAST), 0.95)
 
 
+class LateTest(unittest.TestCase):
+    def test_late_one_is_refused_at_once_while_urgent_ones_wait(self) -> None:
+        """Guards against late generations that wait for others' memory.
+
+        Load: an urgent generation waits at another VM; two that can no longer
+        meet their objective arrive here.
+        """
+        hold_back = HoldBack(lambda: 10.0, lambda: 0, lambda: 0.5)
+        queue = AdmissionQueue(lambda: 10.0, hold_back)
+        asked = []
+
+        def wait() -> bool | None:
+            return queue.wait(
+                is_late=True,
+                arrived_s=9.0,
+                give_up_s=1_000.0,
+                try_reserve=lambda: asked.append(1),
+                has_gone=lambda: len(asked) > 1,
+                precedence=_URGENT,
+            )
+
+        self.assertTrue(hold_back.may_ask(_LEAST, False, False))
+        self.assertIsNone(wait())
+        self.assertEqual(asked, [])
+
+
 class StatementTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now_s = 100.0
