--- a/src/burdockspan/gateway/admission/precedence.py
+++ b/src/burdockspan/gateway/admission/precedence.py
@@ -32,6 +32,8 @@
 _RANK_TTL_S = 0.1
 # How many accounts a VM names to the others: those that it served most.
 _MAX_STATED_ACCOUNTS = 8
+# Priorities from 0 to 9 are told apart.
+_PRIORITIES = 10
 # Counts below this have no effect, and their groups are forgotten.
 _NEGLIGIBLE = 0.01
 
@@ -43,7 +45,7 @@
     Attributes:
       is_ordered: whether generations of its service differ in priority or
         account; otherwise the fields below have no effect.
-      priority: 0 is the most urgent.
+      priority: combined priority; the least is the most urgent.
       account: short key of the client account; None if there is none.
       tokens: size of the reservation.
     """
@@ -57,21 +59,41 @@
 UNORDERED = Precedence()
 
 
+def combine_priorities(priority: int, route_priority: int) -> int:
+    """Returns a priority that decides first by the first one.
+
+    Args:
+      priority: that of the account, or else of the route.
+      route_priority: that of the route, which decides between accounts of the
+        same priority.
+    """
+    return _PRIORITIES * _limit(priority) + _limit(route_priority)
+
+
+def _limit(priority: int) -> int:
+    return max(0, min(priority, _PRIORITIES - 1))
+
+
 def list_priorities(
     configuration: Configuration, service: str
-) -> frozenset[int]:
-    """Returns the priorities that requests for a service may have."""
-    of_routes = {
-        route.priority
-        for route in configuration.routes
-        if any(weighted.name == service for weighted in route.services)
-    }
-    of_accounts = {
-        account.priority
-        for account in configuration.accounts or ()
-        if account.priority is not None
-    }
-    return frozenset(of_routes | of_accounts)
+) -> tuple[int, ...]:
+    """Returns the combined priorities that requests for a service may have."""
+    account_priorities = {
+        account.priority for account in configuration.accounts or ()
+    } or {None}
+    return tuple(
+        sorted(
+            {
+                combine_priorities(
+                    route.priority if priority is None else priority,
+                    route.priority,
+                )
+                for route in configuration.routes
+                if any(item.name == service for item in route.services)
+                for priority in account_priorities
+            }
+        )
+    )
 
 
 class _DecayingCounts:
@@ -205,5 +227,6 @@
     "UNORDERED",
     "Precedence",
     "ServiceOrder",
+    "combine_priorities",
     "list_priorities",
 ]
--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -346,7 +346,8 @@
             "waiting for memory",
             request_id=request.call.request_id,
             service=request.service,
-            priority=precedence.priority,
+            priority=request.priority,
+            route_priority=request.route.priority,
             late=wait.is_late,
             queued=queue.length(),
             most_urgent_elsewhere=context.admission_queues.most_urgent_elsewhere(
@@ -378,7 +379,9 @@
     )
     if precedence.is_ordered:
         outcome = "without_memory" if reservation is None else "admitted"
-        context.registry.count(f"priority_{precedence.priority}", outcome)
+        context.registry.count(
+            f"priority_{request.priority}_{request.route.priority}", outcome
+        )
     return reservation
 
 
--- a/src/burdockspan/gateway/requests/request_priority.py
+++ b/src/burdockspan/gateway/requests/request_priority.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import bisect
 import hashlib
 
 from burdockspan.gateway.admission.precedence import (
     UNORDERED,
     Precedence,
+    combine_priorities,
     list_priorities,
 )
 from burdockspan.gateway.context import Context
@@ -24,7 +26,10 @@
     if active is None:
         return None
     priorities = list_priorities(active.configuration, request.service)
-    return request.priority if len(priorities) > 1 else None
+    if len(priorities) <= 1:
+        return None
+    # Engines know few priorities, so that those in use are numbered.
+    return bisect.bisect_left(priorities, _combine(request))
 
 
 def find_precedence(
@@ -45,12 +50,16 @@
         return UNORDERED
     return Precedence(
         is_ordered=True,
-        priority=request.priority,
+        priority=_combine(request),
         account=_make_key(request.account.name) if request.account else None,
         tokens=size.prompt_tokens,
     )
 
 
+def _combine(request: RoutedRequest) -> int:
+    return combine_priorities(request.priority, request.route.priority)
+
+
 def _make_key(account: str) -> str:
     """Returns a key of few bytes, which the VMs tell each other."""
     return hashlib.sha256(account.encode()).hexdigest()[:_KEY_DIGITS]
--- a/tests/gateway/requests/test_priorities.py
+++ b/tests/gateway/requests/test_priorities.py
@@ -4,9 +4,17 @@
 
 import concurrent.futures
 import contextlib
+import dataclasses
 import unittest
 
+from burdockspan.gateway.accounts.values import Account
+from burdockspan.gateway.admission.precedence import (
+    combine_priorities,
+    list_priorities,
+)
 from burdockspan.gateway.fleet.exchange import Received
+from burdockspan.gateway.values import Configuration, RequestLimits
+from tests.gateway.admission.test_bursts import ROUTE
 from tests.gateway.requests.test_generations import (
     EngineScript,
     GenerationCase,
@@ -38,6 +46,31 @@
     return document
 
 
+class CombinedPrioritiesTest(unittest.TestCase):
+    def test_account_decides_first_and_then_the_route(self) -> None:
+        """Guards against routes that no longer count where accounts do."""
+        least_of_urgent_account = combine_priorities(0, 2)
+        urgent, least = combine_priorities(1, 0), combine_priorities(1, 2)
+        self.assertLess(least_of_urgent_account, urgent)
+        self.assertLess(urgent, least)
+
+    def test_each_account_may_use_each_route(self) -> None:
+        """Guards against an order that is not in force for some accounts."""
+        routes = dataclasses.replace(ROUTE, priority=2)
+        configuration = Configuration(
+            1,
+            (ROUTE, routes),
+            {},
+            RequestLimits(1, 1, 1.0, 1.0),
+            (
+                Account("a", frozenset(), priority=0),
+                Account("b", frozenset()),
+            ),
+        )
+        self.assertEqual(list_priorities(configuration, "llm"), (1, 2, 11, 22))
+        self.assertEqual(list_priorities(configuration, "app"), ())
+
+
 class PrioritiesTest(GenerationCase):
     def setUp(self) -> None:
         self._start(_make_document(0, 2))
