--- a/src/burdockspan/gateway/admission/admission_queue.py
+++ b/src/burdockspan/gateway/admission/admission_queue.py
@@ -16,6 +16,7 @@
 from burdockspan.gateway.admission.precedence import (
     UNORDERED,
     Precedence,
+    Rank,
     ServiceOrder,
 )
 from burdockspan.gateway.values import InboundCall, Route
@@ -161,6 +162,7 @@
                 queued.precedence,
                 queued.is_late,
                 self._order.is_starved(queued.precedence),
+                self._order.is_priority_starved(queued.precedence),
                 self._order.tokens,
             )
 
@@ -207,9 +209,7 @@
                 for number, other in self._queued.items()
             )
 
-    def _rank(
-        self, queued: QueuedGeneration
-    ) -> tuple[bool, tuple[bool, int, float], float, int]:
+    def _rank(self, queued: QueuedGeneration) -> tuple[bool, Rank, float, int]:
         """Returns the sort key; the least is first in the queue."""
         return (
             queued.is_late,
--- a/src/burdockspan/gateway/admission/fleet_waiting.py
+++ b/src/burdockspan/gateway/admission/fleet_waiting.py
@@ -173,6 +173,7 @@
         precedence: Precedence,
         is_late: bool,
         is_starved: bool,
+        is_priority_starved: bool = False,
         tokens: Callable[[str | None], float] = lambda _: 0.0,
     ) -> bool:
         """Returns whether the first generation of a VM may request memory.
@@ -181,6 +182,7 @@
           precedence: its place.
           is_late: whether it can no longer meet its objective.
           is_starved: whether a group of it is served too seldom.
+          is_priority_starved: whether that is its priority.
           tokens: returns the tokens that an account was served lately.
         """
         if not precedence.is_ordered:
@@ -189,9 +191,9 @@
         if not elsewhere:
             return True
         if not is_late and (
-            is_starved
+            is_priority_starved
             or not any(
-                _goes_before(waiting, precedence, tokens)
+                _goes_before(waiting, precedence, is_starved, tokens)
                 for waiting in elsewhere
             )
         ):
@@ -206,14 +208,15 @@
 def _goes_before(
     waiting: Waiting,
     precedence: Precedence,
+    is_starved: bool,
     tokens: Callable[[str | None], float],
 ) -> bool:
     if waiting.priority != precedence.priority:
         return waiting.priority < precedence.priority
-    if waiting.account is None or waiting.account == precedence.account:
+    if is_starved or waiting.account in (None, precedence.account):
         return False
     fair = _FAIR_SHARE * tokens(precedence.account)
-    return tokens(waiting.account) + precedence.tokens < fair
+    return tokens(waiting.account) + precedence.cost < fair
 
 
 def encode(statement_by_service: Mapping[str, Statement]) -> dict[str, Any]:
--- a/src/burdockspan/gateway/admission/precedence.py
+++ b/src/burdockspan/gateway/admission/precedence.py
@@ -1,8 +1,8 @@
 """Order of the generations of one service that wait for decode memory.
 
-More urgent generations go first, accounts that were served fewer tokens lately
-go before others, and a group that is served far less often than the average
-goes before all of them.
+More urgent generations go first, then accounts that were served fewer tokens
+lately. A priority that is served far less often than the average goes before
+all others, an account or the large prompts before others of their priority.
 """
 
 from __future__ import annotations
@@ -47,17 +47,28 @@
         account; otherwise the fields below have no effect.
       priority: combined priority; the least is the most urgent.
       account: short key of the client account; None if there is none.
-      tokens: size of the reservation.
+      tokens: length of the prompt.
+      weight: factor of its tokens when accounts are compared, which is smaller
+        for accounts with larger quotas.
     """
 
     is_ordered: bool = False
     priority: int = 0
     account: str | None = None
     tokens: int = 0
+    weight: float = 1.0
+
+    @property
+    def cost(self) -> float:
+        """Returns what its account is charged."""
+        return self.weight * self.tokens
 
 
 UNORDERED = Precedence()
 
+Rank = tuple[bool, int, bool, float]
+"""Sort key; the least goes first."""
+
 
 def combine_priorities(priority: int, route_priority: int) -> int:
     """Returns a priority that decides first by the first one.
@@ -144,16 +155,16 @@
         self._fleet_tokens = fleet_tokens
         self._clock = clock
         self._ranked_s = -math.inf
-        self._rank_by_precedence: dict[Precedence, tuple[bool, int, float]] = {}
+        self._rank_by_precedence: dict[Precedence, Rank] = {}
         self._decided = _DecayingCounts(_SHARE_HALF_LIFE_S, clock)
         self._served = _DecayingCounts(_SHARE_HALF_LIFE_S, clock)
         self._tokens = _DecayingCounts(_TOKENS_HALF_LIFE_S, clock)
         self._prompt_tokens = _DecayingCounts(_SHARE_HALF_LIFE_S, clock)
 
-    def rank(self, precedence: Precedence) -> tuple[bool, int, float]:
+    def rank(self, precedence: Precedence) -> Rank:
         """Returns a sort key; the least goes first."""
         if not precedence.is_ordered:
-            return False, 0, 0.0
+            return False, 0, False, 0.0
         now_s = self._clock()
         if now_s - self._ranked_s >= _RANK_TTL_S:
             self._ranked_s = now_s
@@ -164,10 +175,14 @@
             self._rank_by_precedence[precedence] = rank
         return rank
 
-    def _compute_rank(self, precedence: Precedence) -> tuple[bool, int, float]:
+    def _compute_rank(self, precedence: Precedence) -> Rank:
         tokens = self.tokens(precedence.account)
-        is_starved = self.is_starved(precedence)
-        return not is_starved, precedence.priority, tokens
+        return (
+            not self.is_priority_starved(precedence),
+            precedence.priority,
+            not self.is_starved(precedence),
+            tokens,
+        )
 
     def tokens(self, account: str | None) -> float:
         """Returns the tokens that all VMs served to an account lately."""
@@ -196,18 +211,27 @@
             self._served.add(group, float(is_served))
         self._prompt_tokens.add(None, float(precedence.tokens))
         if is_served and precedence.account is not None:
-            self._tokens.add(precedence.account, float(precedence.tokens))
+            self._tokens.add(precedence.account, precedence.cost)
+
+    def is_priority_starved(self, precedence: Precedence) -> bool:
+        """Returns whether generations of a priority are served too seldom."""
+        return precedence.is_ordered and self._is_below_bound(
+            ("priority", precedence.priority)
+        )
 
     def is_starved(self, precedence: Precedence) -> bool:
         """Returns whether a group of a generation is served too seldom."""
         if not precedence.is_ordered:
             return False
-        bound = _MIN_SERVED_SHARE * self._served_share(None)
         return any(
-            self._served_share(group) < bound
+            self._is_below_bound(group)
             for group in self._list_groups(precedence)
         )
 
+    def _is_below_bound(self, group: object) -> bool:
+        bound = _MIN_SERVED_SHARE * self._served_share(None)
+        return self._served_share(group) < bound
+
     def _served_share(self, group: object) -> float:
         served, decided = self._served.value(group), self._decided.value(group)
         return (served + _PRIOR) / (decided + _PRIOR)
--- a/src/burdockspan/gateway/requests/request_priority.py
+++ b/src/burdockspan/gateway/requests/request_priority.py
@@ -4,7 +4,9 @@
 
 import bisect
 import hashlib
+from collections.abc import Iterable
 
+from burdockspan.gateway.accounts.values import Account
 from burdockspan.gateway.admission.precedence import (
     UNORDERED,
     Precedence,
@@ -53,6 +55,7 @@
         priority=_combine(request),
         account=_make_key(request.account.name) if request.account else None,
         tokens=size.prompt_tokens,
+        weight=_find_weight(accounts, request.account),
     )
 
 
@@ -60,6 +63,14 @@
     return combine_priorities(request.priority, request.route.priority)
 
 
+def _find_weight(accounts: Iterable[Account], account: Account | None) -> float:
+    """Returns the largest quota relative to that of an account."""
+    if account is None or account.quota is None:
+        return 1.0
+    rates = [item.quota.rate_per_s for item in accounts if item.quota]
+    return max(rates, default=1.0) / account.quota.rate_per_s
+
+
 def _make_key(account: str) -> str:
     """Returns a key of few bytes, which the VMs tell each other."""
     return hashlib.sha256(account.encode()).hexdigest()[:_KEY_DIGITS]
