--- a/src/burdockspan/gateway/admission/admission_queue.py
+++ b/src/burdockspan/gateway/admission/admission_queue.py
@@ -269,7 +269,9 @@
         if fleet is None:
             return None
         return HoldBack(
-            self._clock, lambda: fleet.list_waiting(service), fleet.interval_s
+            self._clock,
+            lambda: fleet.list_waiting(service),
+            fleet.hold_back_interval_s,
         )
 
     def _fleet_tokens(self, service: str, account: str) -> float:
--- a/src/burdockspan/gateway/admission/fleet_waiting.py
+++ b/src/burdockspan/gateway/admission/fleet_waiting.py
@@ -18,6 +18,8 @@
 TOPIC = "waiting"
 # A statement is in force for this time. Generations wait for about as long.
 _MAX_AGE_S = 1.5
+# VMs hold back fully if as many wait elsewhere, relative to the VMs.
+_FULL_HOLD_BACK_SHARE = 0.1
 _MAX_SERVICES = 16
 _MAX_BYTES = 900
 _MAX_PRIORITIES = 10
@@ -71,14 +73,19 @@
     """The latest statements of the other VMs."""
 
     def __init__(
-        self, boot_clock: Clock, interval_s: Callable[[], float]
+        self,
+        boot_clock: Clock,
+        interval_s: Callable[[], float],
+        count_vms: Callable[[], int],
     ) -> None:
         """Starts without statements.
 
         Args:
           boot_clock: clock that includes time suspended, in seconds.
           interval_s: returns the time between two statuses of a VM.
+          count_vms: returns the number of VMs.
         """
+        self._count_vms = count_vms
         self._boot_clock = boot_clock
         self._interval_s = interval_s
         self._lock = threading.Lock()
@@ -106,9 +113,14 @@
                 )
         return Ok(None)
 
-    def interval_s(self) -> float:
-        """Returns the time between two statuses of a VM."""
-        return self._interval_s()
+    def hold_back_interval_s(self, ahead: int) -> float:
+        """Returns the time between two requests of a VM that holds back.
+
+        Args:
+          ahead: how many generations at other VMs should be served before.
+        """
+        full = _FULL_HOLD_BACK_SHARE * self._count_vms()
+        return self._interval_s() * min(1.0, ahead / full)
 
     def most_urgent(self, service: str) -> int | None:
         """Returns the most urgent priority that waits at another VM.
@@ -152,16 +164,17 @@
     """Decides when a VM leaves memory to the others; not thread-safe.
 
     While more urgent generations wait at other VMs, the first one here requests
-    memory once in the interval of statuses. This finds out when memory is no
-    longer scarce. The interval grows with the fleet, so that all VMs together
-    do not take the memory that they leave.
+    memory once in an interval. This finds out when memory is no longer scarce.
+    The interval grows with the fleet and with those who wait, so that all VMs
+    together do not take the memory that they leave, and a few that wait
+    elsewhere do not hold up all others.
     """
 
     def __init__(
         self,
         clock: Clock,
         list_elsewhere: Callable[[], tuple[Waiting, ...]],
-        interval_s: Callable[[], float],
+        interval_s: Callable[[int], float],
     ) -> None:
         self._clock = clock
         self._list_elsewhere = list_elsewhere
@@ -190,18 +203,18 @@
         elsewhere = self._list_elsewhere()
         if not elsewhere:
             return True
-        if not is_late and (
-            is_priority_starved
-            or not any(
-                _goes_before(waiting, precedence, is_starved, tokens)
-                for waiting in elsewhere
-            )
-        ):
+        if is_priority_starved and not is_late:
             return True
+        ahead = sum(
+            waiting.count
+            for waiting in elsewhere
+            if is_late or _goes_before(waiting, precedence, is_starved, tokens)
+        )
         now_s = self._clock()
-        if now_s - self._asked_s < self._interval_s():
+        if now_s - self._asked_s < self._interval_s(ahead):
             return False
-        self._asked_s = now_s
+        if ahead > 0:
+            self._asked_s = now_s
         return True
 
 
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -169,7 +169,11 @@
     exchange = open_exchange(
         settings.exchange_address, settings.vm, boot_clock, registry, log
     )
-    fleet_waiting = FleetWaiting(boot_clock, exchange.interval_s)
+    fleet_waiting = FleetWaiting(
+        boot_clock,
+        exchange.interval_s,
+        lambda: 1 + len(exchange.list_peers()),
+    )
     admission_queues = AdmissionQueues(clock, fleet_waiting)
     part_quarantine = PartQuarantine(
         crash_records.KIND, platform.store, clock, random_float, log, registry
--- a/tests/gateway/admission/test_fleet_waiting.py
+++ b/tests/gateway/admission/test_fleet_waiting.py
@@ -36,14 +36,14 @@
 class _Vm:
     def __init__(self, fleet: _Fleet) -> None:
         self.fleet = fleet
-        self.heard = FleetWaiting(fleet.clock, lambda: 1.05)
+        self.heard = FleetWaiting(fleet.clock, lambda: 1.05, lambda: _VM_COUNT)
         self.order = ServiceOrder(
             fleet.clock, lambda account: self.heard.tokens("llm", account)
         )
         self.hold_back = HoldBack(
             fleet.clock,
             lambda: self.heard.list_waiting("llm"),
-            self.heard.interval_s,
+            self.heard.hold_back_interval_s,
         )
         self.waiting: list[tuple[float, Precedence]] = []
 
@@ -208,7 +208,7 @@
         meet their objective arrive here.
         """
         hold_back = HoldBack(
-            lambda: 10.0, lambda: (Waiting(0, 1, 0.1),), lambda: 0.5
+            lambda: 10.0, lambda: (Waiting(0, 1, 0.1),), lambda _: 0.5
         )
         queue = AdmissionQueue(lambda: 10.0, hold_back)
         asked = []
@@ -231,7 +231,7 @@
 class StatementTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now_s = 100.0
-        self.fleet = FleetWaiting(lambda: self.now_s, lambda: 0.5)
+        self.fleet = FleetWaiting(lambda: self.now_s, lambda: 0.5, lambda: 2)
 
     def _receive(self, value: Any, sent_after_s: float | None) -> Any:
         return self.fleet.receive(Received("vm-2", value, sent_after_s))
@@ -253,6 +253,12 @@
         self.now_s += 1.6
         self.assertIsNone(self.fleet.most_urgent("llm"))
 
+    def test_few_that_wait_elsewhere_hold_back_little(self) -> None:
+        """Guards against one generation for which all VMs leave memory."""
+        fleet = FleetWaiting(lambda: 0.0, lambda: 0.5, lambda: 24)
+        self.assertLess(fleet.hold_back_interval_s(1), 0.25)
+        self.assertEqual(fleet.hold_back_interval_s(3), 0.5)
+
     def test_statement_fits_into_a_datagram(self) -> None:
         """Guards against statements that keep other topics from being sent."""
         waiting = tuple(Waiting(i, 999, 9.99, "f" * 8) for i in range(10))
