--- a/src/burdockspan/gateway/admission/admission_queue.py
+++ b/src/burdockspan/gateway/admission/admission_queue.py
@@ -7,6 +7,18 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from burdockspan.gateway.admission.fleet_waiting import (
+    FleetWaiting,
+    HoldBack,
+    Statement,
+    group_waiting,
+)
+from burdockspan.gateway.admission.precedence import (
+    UNORDERED,
+    Precedence,
+    Rank,
+    ServiceOrder,
+)
 from burdockspan.gateway.values import InboundCall, Route
 from burdockspan.values.clock import Clock
 
@@ -34,16 +46,13 @@
       arrived_s: when it arrived, in monotonic seconds; within either group,
         the first to arrive goes first.
       number: unique number.
+      precedence: goes before the arrival within either group.
     """
 
     is_late: bool
     arrived_s: float
     number: int
-
-    @property
-    def rank(self) -> tuple[bool, float, int]:
-        """Returns the sort key; the least is first in the queue."""
-        return self.is_late, self.arrived_s, self.number
+    precedence: Precedence = UNORDERED
 
 
 def is_retry_after_refusal(call: InboundCall, route: Route) -> bool:
@@ -58,8 +67,15 @@
     as the first.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        hold_back: HoldBack | None = None,
+        fleet_tokens: Callable[[str], float] = lambda _: 0.0,
+    ) -> None:
         self._clock = clock
+        self._order = ServiceOrder(clock, fleet_tokens)
+        self._hold_back = hold_back
         self._changed = threading.Condition()
         self._queued: dict[int, QueuedGeneration] = {}
         self._asking_since_s_by_number: dict[int, float] = {}
@@ -73,6 +89,8 @@
         try_reserve: Callable[[], T | None],
         has_gone: Callable[[], bool],
         may_wait_on: Callable[[], bool] = lambda: False,
+        precedence: Precedence = UNORDERED,
+        begin_wait: Callable[[], None] = lambda: None,
     ) -> T | None:
         """Waits until memory has been reserved.
 
@@ -83,18 +101,29 @@
           try_reserve: reserves memory; returns None if there is none.
           has_gone: returns whether the caller has gone.
           may_wait_on: returns whether the request waits beyond `give_up_s`.
+          precedence: its place besides its arrival.
+          begin_wait: called once if memory was not reserved at once.
 
         Returns:
           What `try_reserve` returned; None after `give_up_s`, or if the caller
           has gone.
         """
-        queued = self._enqueue(is_late, arrived_s)
+        queued = self._enqueue(is_late, arrived_s, precedence)
+        result = None
+        has_begun_wait = False
         try:
             while not has_gone():
                 if self._is_first(queued):
-                    result = self._ask(queued, try_reserve)
+                    if self._may_ask(queued):
+                        result = self._ask(queued, try_reserve)
+                    elif is_late:
+                        # Others will take the memory that it waits for.
+                        return None
                     if result is not None:
                         return result
+                if not has_begun_wait:
+                    has_begun_wait = True
+                    begin_wait()
                 remaining_s = give_up_s - self._clock()
                 if remaining_s <= 0:
                     if not may_wait_on():
@@ -106,8 +135,37 @@
         finally:
             with self._changed:
                 del self._queued[queued.number]
+                if result is not None or not has_gone():
+                    self._order.record(precedence, result is not None)
                 self._changed.notify_all()
 
+    def make_statement(self) -> Statement:
+        """Returns who waits here in time, and whom this VM served lately."""
+        now_s = self._clock()
+        with self._changed:
+            waiting = group_waiting(
+                (
+                    (queued.precedence, now_s - queued.arrived_s)
+                    for queued in self._queued.values()
+                    if queued.precedence.is_ordered and not queued.is_late
+                ),
+                self._order.tokens,
+            )
+            return Statement(waiting, self._order.list_own_tokens())
+
+    def _may_ask(self, queued: QueuedGeneration) -> bool:
+        """Returns whether a generation need not leave memory to other VMs."""
+        if self._hold_back is None:
+            return True
+        with self._changed:
+            return self._hold_back.may_ask(
+                queued.precedence,
+                queued.is_late,
+                self._order.is_starved(queued.precedence),
+                self._order.is_priority_starved(queued.precedence),
+                self._order.tokens,
+            )
+
     def _ask(
         self, queued: QueuedGeneration, try_reserve: Callable[[], T | None]
     ) -> T | None:
@@ -129,23 +187,37 @@
         """Returns the number of generations in the queue."""
         return len(self._queued)
 
-    def _enqueue(self, is_late: bool, arrived_s: float) -> QueuedGeneration:
+    def _enqueue(
+        self, is_late: bool, arrived_s: float, precedence: Precedence
+    ) -> QueuedGeneration:
         with self._changed:
             self._last_number += 1
-            queued = QueuedGeneration(is_late, arrived_s, self._last_number)
+            queued = QueuedGeneration(
+                is_late, arrived_s, self._last_number, precedence
+            )
             self._queued[queued.number] = queued
             return queued
 
     def _is_first(self, queued: QueuedGeneration) -> bool:
         now_s = self._clock()
         with self._changed:
+            rank = self._rank(queued)
             return all(
-                queued.rank <= other.rank
+                rank <= self._rank(other)
                 or now_s - self._asking_since_s_by_number.get(number, now_s)
                 > _TURN_S
                 for number, other in self._queued.items()
             )
 
+    def _rank(self, queued: QueuedGeneration) -> tuple[bool, Rank, float, int]:
+        """Returns the sort key; the least is first in the queue."""
+        return (
+            queued.is_late,
+            self._order.rank(queued.precedence),
+            queued.arrived_s,
+            queued.number,
+        )
+
 
 class AdmissionQueues:
     """The queues of a process.
@@ -154,8 +226,15 @@
     version.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, fleet: FleetWaiting | None = None) -> None:
+        """Starts without queues.
+
+        Args:
+          clock: monotonic clock, in seconds.
+          fleet: who waits at other VMs; None if this VM acts alone.
+        """
         self._clock = clock
+        self._fleet = fleet
         self._lock = threading.Lock()
         self._queue_by_key: dict[tuple[str, str | None], AdmissionQueue] = {}
 
@@ -173,10 +252,47 @@
         with self._lock:
             queue = self._queue_by_key.get(key)
             if queue is None:
-                queue = AdmissionQueue(self._clock)
+                queue = AdmissionQueue(
+                    self._clock,
+                    self._make_hold_back(service),
+                    lambda account: self._fleet_tokens(service, account),
+                )
                 self._queue_by_key[key] = queue
             return queue
 
+    def most_urgent_elsewhere(self, service: str) -> int | None:
+        """Returns the most urgent priority that waits at another VM."""
+        return None if self._fleet is None else self._fleet.most_urgent(service)
+
+    def _make_hold_back(self, service: str) -> HoldBack | None:
+        fleet = self._fleet
+        if fleet is None:
+            return None
+        return HoldBack(
+            self._clock,
+            lambda: fleet.list_waiting(service),
+            fleet.hold_back_interval_s,
+        )
+
+    def _fleet_tokens(self, service: str, account: str) -> float:
+        fleet = self._fleet
+        return 0.0 if fleet is None else fleet.tokens(service, account)
+
+    def make_statements(self) -> dict[str, Statement]:
+        """Returns what to tell by service; resumed streams are not counted."""
+        with self._lock:
+            queues = list(self._queue_by_key.items())
+        statements = {
+            service: queue.make_statement()
+            for (service, version), queue in queues
+            if version is None
+        }
+        return {
+            service: statement
+            for service, statement in statements.items()
+            if statement.waiting or statement.tokens_by_account
+        }
+
 
 __all__ = [
     "AdmissionQueue",
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -9,6 +9,7 @@
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.admission.waiting_statements import WaitingStatements
 from burdockspan.gateway.callers.response_buffers import ResponseBuffers
 from burdockspan.gateway.choice.endpoint_capacity import EndpointCapacity
 from burdockspan.gateway.choice.prefill_delays import PrefillDelays
@@ -46,6 +47,7 @@
       endpoint_capacity: orders endpoints by how much each takes well.
       full_engines: engines that recently lacked free memory.
       admission_queues: generations that wait for decode memory, by service.
+      waiting_statements: tells the other VMs who waits for decode memory here.
       origins: shares the software versions that began streams.
       origin_records: keeps them in the store while several versions serve.
       response_buffers: counts responses that callers have not read yet.
@@ -74,6 +76,7 @@
     endpoint_capacity: EndpointCapacity
     full_engines: FullEngines
     admission_queues: AdmissionQueues
+    waiting_statements: WaitingStatements
     origins: OriginSharing
     origin_records: OriginRecords
     response_buffers: ResponseBuffers
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -16,8 +16,12 @@
 from burdockspan.gateway.accounts.configuration_proof import ConfigurationProof
 from burdockspan.gateway.accounts.identification import ProofLimits
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
+from burdockspan.gateway.admission.fleet_waiting import FleetWaiting
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
+from burdockspan.gateway.admission.waiting_statements import (
+    add_waiting_topic,
+)
 from burdockspan.gateway.callers.connection_log import make_close_recorder
 from burdockspan.gateway.callers.ingress import make_ingress
 from burdockspan.gateway.callers.messages import make_status_line
@@ -205,6 +209,15 @@
         platform,
         endpoints=observe_calls(platform.endpoints, reachability, clock),
     )
+    exchange = open_exchange(
+        settings.exchange_address, settings.vm, boot_clock, registry, log
+    )
+    fleet_waiting = FleetWaiting(
+        boot_clock,
+        exchange.interval_s,
+        lambda: 1 + len(exchange.list_peers()),
+    )
+    admission_queues = AdmissionQueues(clock, fleet_waiting)
     part_quarantine = PartQuarantine(
         crash_records.KIND, platform.store, clock, random_float, log, registry
     )
@@ -237,7 +250,10 @@
         prefill_delays=PrefillDelays(),
         endpoint_capacity=capacity,
         full_engines=FullEngines(),
-        admission_queues=AdmissionQueues(clock),
+        admission_queues=admission_queues,
+        waiting_statements=add_waiting_topic(
+            exchange, admission_queues.make_statements, fleet_waiting, clock
+        ),
         origins=open_origin_sharing(
             settings.peer_address, StreamOrigins(clock), registry, log
         ),
