--- a/src/burdockspan/gateway/accounts/quota_ledger.py
+++ b/src/burdockspan/gateway/accounts/quota_ledger.py
@@ -5,8 +5,9 @@
 spend in each window at most the refill of the window and the capacity, whether
 they are in touch or not.
 
-Units move between VMs, and with them the room to hold them. The room returns
-to the lender after a fixed time, and the borrower has given it up before that.
+Units move between VMs. A VM that needs more than its capacity borrows room as
+well: the lender's capacity is lower for a fixed time, and the borrower has
+given the room up before that.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 _ROUNDING = 1e-6
 
 _Loans = collections.deque[tuple[float, float]]
-"""Ends and units of loans, in the order of their ends."""
+"""Ends and room of loans, in the order of their ends."""
 
 
 class QuotaBucket:
@@ -105,31 +106,40 @@
         self._holding += units
         self._clip()
 
-    def lend(self, wanted: float, kept: float, now_s: float) -> float:
+    def lend(
+        self, wanted: float, room_ratio: float, kept: float, now_s: float
+    ) -> float:
         """Gives away at most `wanted` units, and returns how many.
 
         Args:
           wanted: units that the borrower asks for.
+          room_ratio: room that it needs for each of them.
           kept: units that this VM needs itself.
           now_s: present time.
         """
         self._settle(now_s)
         if now_s < self._opened_s:
             return 0.0
-        free = min(
-            wanted, self._holding - kept, self.capacity - _sum(self._lent)
-        )
+        free = min(wanted, self._holding - kept)
+        if room_ratio > 0.0:
+            room = self.capacity - _sum(self._lent)
+            free = min(free, room / room_ratio)
         if free <= _ROUNDING:
             return 0.0
         self._holding -= free
-        self._lent.append((self._settled_s + LOAN_S + _MARGIN_S, free))
+        if room_ratio > 0.0:
+            end_s = self._settled_s + LOAN_S + _MARGIN_S
+            self._lent.append((end_s, free * room_ratio))
         return free
 
-    def borrow(self, units: float, asked_s: float, now_s: float) -> bool:
+    def borrow(
+        self, units: float, room_ratio: float, asked_s: float, now_s: float
+    ) -> bool:
         """Takes over units that another VM has lent.
 
         Args:
           units: lent units.
+          room_ratio: room that was lent with each of them.
           asked_s: a time before the other VM lent them.
           now_s: present time.
 
@@ -140,8 +150,9 @@
         end_s = asked_s + LOAN_S
         if end_s <= self._settled_s:
             return False
-        self._borrowed.append((end_s, units))
-        self._borrowed = collections.deque(sorted(self._borrowed))
+        if room_ratio > 0.0:
+            self._borrowed.append((end_s, units * room_ratio))
+            self._borrowed = collections.deque(sorted(self._borrowed))
         self._holding += units
         self._clip()
         return True
@@ -172,7 +183,7 @@
 
 
 def _sum(loans: Iterable[tuple[float, float]]) -> float:
-    return sum(units for _, units in loans)
+    return sum(room for _, room in loans)
 
 
 def _first_end_s(loans: _Loans) -> float:
--- a/src/burdockspan/gateway/accounts/quota_messages.py
+++ b/src/burdockspan/gateway/accounts/quota_messages.py
@@ -30,6 +30,7 @@
       run: number that tells runs of its process apart.
       asked_ms: when it asks, on its own boot clock; rises with each want.
       units_by_id: units that it asks for.
+      room_by_id: room that it needs for 1,000 units.
       waited_ms: how long its first waiting request has waited, by account;
         0 if none waits.
     """
@@ -37,6 +38,7 @@
     run: int
     asked_ms: int
     units_by_id: Mapping[str, float]
+    room_by_id: Mapping[str, int]
     waited_ms_by_id: Mapping[str, int]
 
 
@@ -50,6 +52,7 @@
       borrower_run: `run` of the want.
       asked_ms: `asked_ms` of the want.
       units_by_id: lent units.
+      room_by_id: room that is lent with 1,000 units.
     """
 
     run: int
@@ -57,6 +60,7 @@
     borrower_run: int
     asked_ms: int
     units_by_id: Mapping[str, float]
+    room_by_id: Mapping[str, int]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,6 +87,7 @@
             return {
                 "want": [message.run, message.asked_ms],
                 "units": _encode_units(message.units_by_id),
+                "room": dict(message.room_by_id),
                 "waited": dict(message.waited_ms_by_id),
             }
         case Loan():
@@ -90,6 +95,7 @@
                 "loan": [message.run, message.number],
                 "want": [message.borrower_run, message.asked_ms],
                 "units": _encode_units(message.units_by_id),
+                "room": dict(message.room_by_id),
             }
 
 
@@ -104,18 +110,19 @@
         return Ok(CountStatement(vm_count))
     want = _decode_pair(value.get("want"))
     units = _decode_numbers(value.get("units"))
-    if want is None or units is None:
+    room = _decode_numbers(value.get("room"))
+    if want is None or units is None or room is None:
         return Err("neither a want nor a loan")
     units_by_id = {id_: parts / _PARTS for id_, parts in units.items()}
     if "loan" in value:
         loan = _decode_pair(value["loan"])
         if loan is None:
             return Err("not a loan")
-        return Ok(Loan(*loan, *want, units_by_id))
+        return Ok(Loan(*loan, *want, units_by_id, room))
     waited = _decode_numbers(value.get("waited"))
     if waited is None:
         return Err("not a time")
-    return Ok(Want(*want, units_by_id, waited))
+    return Ok(Want(*want, units_by_id, room, waited))
 
 
 def _encode_units(units_by_id: Mapping[str, float]) -> dict[str, int]:
--- a/src/burdockspan/gateway/accounts/quota_shares.py
+++ b/src/burdockspan/gateway/accounts/quota_shares.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Mapping, Sequence
 
 from burdockspan.gateway.accounts import quota_messages
@@ -31,12 +32,18 @@
 _ROUND_S = 0.02
 # Limit of the wants that a VM sends, so that a fleet of any size bears them.
 _WANTS_PER_S = 200.0
-_MAX_WANTS = 64.0
+_MAX_WANTS = 400.0
 # The first round asks this many peers; each further one, more of them.
 _FIRST_PEERS = 4
 _GROWTH = 4
-# Peers are asked for more than their equal part, since some have less.
-_ASKED_RATIO = 2.0
+# Peers are asked for more than their equal part, since some have less; in the
+# largest rounds more so.
+_ASKED_RATIO = 1.25
+_LARGE_ASKED_RATIO = 3.0
+_LARGE_ROUND = 48
+# Requests to come count from this rate on: fewer are seldom followed by
+# another one before the loan ends.
+_MIN_REQUESTS_PER_S = 3.0
 # A VM with requests of the account keeps its own refill of this time.
 _KEPT_S = 0.5
 # After a request has waited in vain, others do not wait for peers so long.
@@ -47,6 +54,7 @@
 _MAX_RETRY_AFTER_S = 60.0
 # Entries of the memory of repeated messages.
 _MAX_SEEN = 10_000
+_UNITS_OF_ROOM = 1000
 
 
 @dataclasses.dataclass
@@ -78,6 +86,7 @@
     def __init__(self, bucket: QuotaBucket, now_s: float) -> None:
         self.bucket = bucket
         self.demand = SmoothedRate(now_s)
+        self.requests = SmoothedRate(now_s)
         self.received = SmoothedRate(now_s)
         self.waiting: collections.deque[Ticket] = collections.deque()
         self.peer_count = _FIRST_PEERS
@@ -99,10 +108,19 @@
         """Returns the units that waiting and expected requests lack."""
         bucket = self.bucket
         waiting = sum(ticket.units for ticket in self.waiting)
+        lacking = waiting - bucket.measure(now_s)
+        if self.requests.measure(now_s) < _MIN_REQUESTS_PER_S:
+            return lacking
         demand = min(self.demand.measure(now_s), bucket.quota.rate_per_s)
         horizon_s = max(_ROUND_S, self.peer_count / _WANTS_PER_S)
-        expected = max(0.0, demand - bucket.rate_per_s) * horizon_s
-        return waiting + expected - bucket.measure(now_s)
+        return lacking + max(0.0, demand - bucket.rate_per_s) * horizon_s
+
+    def room_ratio(self, asked: float, now_s: float) -> int:
+        """Returns the room that 1,000 of the units asked for need here."""
+        lacking = self.bucket.measure(now_s) + asked - self.bucket.capacity
+        if lacking <= 0.0:
+            return 0
+        return min(_UNITS_OF_ROOM, math.ceil(_UNITS_OF_ROOM * lacking / asked))
 
     def decide(self, ticket: Ticket, taken: bool, now_s: float) -> None:
         """Ends a ticket."""
@@ -238,6 +256,7 @@
             ticket.taken = True
             return ticket
         share.demand.add(units, now_s)
+        share.requests.add(1.0, now_s)
         share.settle_waiting(now_s)
         if not share.waiting and share.bucket.try_take(units, now_s):
             share.decide(ticket, True, now_s)
@@ -305,12 +324,15 @@
             return []
         self._wants -= len(peers)
         self._asked_ms = max(self._asked_ms + 1, int(now_s * 1000))
+        is_small = len(peers) < _LARGE_ROUND
+        ratio = _ASKED_RATIO if is_small else _LARGE_ASKED_RATIO
         want = Want(
             self._run,
             self._asked_ms,
+            {id_: missing * ratio / len(peers) for missing, id_, _ in lacking},
             {
-                id_: missing * _ASKED_RATIO / len(peers)
-                for missing, id_, _ in lacking
+                id_: share.room_ratio(missing * ratio, now_s)
+                for missing, id_, share in lacking
             },
             {id_: share.waited_ms(now_s) for _, id_, share in lacking},
         )
@@ -356,11 +378,9 @@
         if len(self._last_want_by_vm) >= _MAX_SEEN:
             self._last_want_by_vm.clear()
         self._last_want_by_vm[vm] = (want.run, want.asked_ms)
-        units_by_id = {}
+        units_by_id, room_by_id = {}, {}
         for id_, wanted in want.units_by_id.items():
-            share = self._share_by_account.get(
-                self._account_by_id.get(id_) or ""
-            )
+            share = self._find_share(id_)
             if share is None:
                 continue
             share.settle_waiting(now_s)
@@ -369,16 +389,27 @@
                 if share.waited_ms(now_s) >= want.waited_ms_by_id.get(id_, 0):
                     continue
                 kept = 0.0
-            lent = share.bucket.lend(wanted, kept, now_s)
+            room = min(want.room_by_id.get(id_, 0), _UNITS_OF_ROOM)
+            lent = share.bucket.lend(wanted, room / _UNITS_OF_ROOM, kept, now_s)
             if lent > 0.0:
                 units_by_id[id_] = lent
+                room_by_id[id_] = room
         if not units_by_id:
             return None
         self._loans += 1
         return Loan(
-            self._run, self._loans, want.run, want.asked_ms, units_by_id
+            self._run,
+            self._loans,
+            want.run,
+            want.asked_ms,
+            units_by_id,
+            room_by_id,
         )
 
+    def _find_share(self, id_: str) -> _AccountShare | None:
+        account = self._account_by_id.get(id_)
+        return None if account is None else self._share_by_account.get(account)
+
     def _borrow(self, vm: str, loan: Loan, now_s: float) -> None:
         asked_s = loan.asked_ms / 1000.0
         if loan.borrower_run != self._run or loan.asked_ms > self._asked_ms:
@@ -393,10 +424,11 @@
             return
         self._seen_loans[seen] = asked_s + LOAN_S
         for id_, units in loan.units_by_id.items():
-            share = self._share_by_account.get(
-                self._account_by_id.get(id_) or ""
-            )
-            if share is None or not share.bucket.borrow(units, asked_s, now_s):
+            share = self._find_share(id_)
+            if share is None:
+                continue
+            ratio = loan.room_by_id.get(id_, 0) / _UNITS_OF_ROOM
+            if not share.bucket.borrow(units, ratio, asked_s, now_s):
                 continue
             share.received.add(units, now_s)
             share.barren_until_s = min(share.barren_until_s, now_s)
