Charge requests of accounts with a quota, and refuse those beyond it with 429

A request of a caller is charged once, after it is identified, and what it paid is returned if it certainly has not run.

--- a/src/burdockspan/gateway/callers/messages.py
+++ b/src/burdockspan/gateway/callers/messages.py
@@ -87,12 +87,14 @@
       body: parts of the body; raises `TruncatedError` if the rest of them is
         unavailable.
       close: called once the response has been sent or abandoned.
+      not_run: whether the request certainly has not run.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: Iterable[bytes]
     close: Callable[[], None] = lambda: None
+    not_run: bool = False
 
 
 def make_problem(
@@ -107,7 +109,9 @@
     ]
     if retry_after_s is not None:
         headers.append(("Retry-After", f"{retry_after_s:.2f}"))
-    return Response(status, tuple(headers), (body,))
+    return Response(
+        status, tuple(headers), (body,), not_run=reason == "not_run"
+    )
 
 
 def make_status_line(status: int) -> str:
--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -6,6 +6,7 @@
 
 from burdockspan.gateway.accounts.configuration_proof import ConfigurationProof
 from burdockspan.gateway.accounts.identification import ProofLimits
+from burdockspan.gateway.accounts.quotas import AccountQuotas
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
@@ -47,6 +48,7 @@
       configuration_proof: since when the configuration in force is certainly
         the newest.
       proof_limits: limits of the age of that proof.
+      account_quotas: limits of what accounts may use.
       endpoints_max_age_s: age above which the endpoint table may lack changes.
       graceful_stop: state of the graceful stop of this process.
       clock: monotonic clock, in seconds.
@@ -71,6 +73,7 @@
     exchange: Exchange
     configuration_proof: ConfigurationProof
     proof_limits: ProofLimits
+    account_quotas: AccountQuotas
     endpoints_max_age_s: float
     graceful_stop: GracefulStop
     clock: Clock
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -15,6 +15,7 @@
 from burdockspan.gateway.accounts import configuration_proof
 from burdockspan.gateway.accounts.configuration_proof import ConfigurationProof
 from burdockspan.gateway.accounts.identification import ProofLimits
+from burdockspan.gateway.accounts.quotas import AccountQuotas
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.full_engines import FullEngines
 from burdockspan.gateway.admission.retry_budget import RetryBudget
@@ -165,6 +166,18 @@
     part_quarantine = PartQuarantine(
         crash_records.KIND, platform.store, clock, random_float, log, registry
     )
+    exchange = open_exchange(
+        settings.exchange_address, settings.vm, boot_clock, registry, log
+    )
+    account_quotas = AccountQuotas(
+        settings.account_quotas.slack,
+        max(1, settings.threads // 4),
+        exchange,
+        boot_clock,
+        log,
+        registry,
+    )
+    state.notify_of_accounts(account_quotas.set_accounts)
     context = Context(
         platform=platform,
         state=state,
@@ -190,13 +203,12 @@
         origins=open_origin_sharing(
             settings.peer_address, StreamOrigins(clock), registry, log
         ),
-        exchange=open_exchange(
-            settings.exchange_address, settings.vm, boot_clock, registry, log
-        ),
+        exchange=exchange,
         configuration_proof=ConfigurationProof(
             state.active_configuration, boot_clock, registry
         ),
         proof_limits=_choose_proof_limits(settings.change_limits),
+        account_quotas=account_quotas,
         endpoints_max_age_s=compute_max_age_s(settings.change_limits),
         graceful_stop=GracefulStop(settings.grace_s, clock),
         clock=clock,
@@ -305,6 +317,7 @@
 
     def on_settled_count(live: int) -> None:
         context.retry_budget.set_vm_count(live)
+        context.account_quotas.set_vm_count(live)
         context.state.conditions.rate_limits.set_vm_count(live)
         context.part_quarantine.set_vm_count(live)
 
--- a/src/burdockspan/gateway/requests/application.py
+++ b/src/burdockspan/gateway/requests/application.py
@@ -17,6 +17,7 @@
     Identity,
     identify,
 )
+from burdockspan.gateway.accounts.quotas import Charge
 from burdockspan.gateway.accounts.values import Account
 from burdockspan.gateway.callers.ingress import Handler
 from burdockspan.gateway.callers.messages import (
@@ -172,10 +173,21 @@
     restricted = restrict_to_origin(context, routed.ok_value)
     if isinstance(restricted, Err):
         return restricted.err_value
-    checked = _check_parts(context, restricted.ok_value)
+    request = restricted.ok_value
+    charged = _charge(context, request)
+    if isinstance(charged, Err):
+        return charged.err_value
+    response = _run(context, request)
+    if charged.ok_value is not None and response.not_run:
+        context.account_quotas.give_back(charged.ok_value)
+    return response
+
+
+def _run(context: Context, request: RoutedRequest) -> Response:
+    checked = _check_parts(context, request)
     if isinstance(checked, Err):
         return checked.err_value
-    request = checked.ok_value
+    request, call = checked.ok_value, request.call
     if not (request.relay and request.relay.calls):
         context.retry_budget.record_request(request.service)
     service = request.services_by_name.get(request.service)
@@ -188,6 +200,31 @@
     return forward(context, request)
 
 
+def _charge(
+    context: Context, request: RoutedRequest
+) -> Result[Charge | None, Response]:
+    """Charges the quota of the account, unless another VM has done so."""
+    if request.account is None or request.relay is not None:
+        return Ok(None)
+    charged = context.account_quotas.charge(
+        request.account,
+        request.call.generation_size,
+        request.route.objective_s,
+        request.call.request_id,
+    )
+    if isinstance(charged, Ok):
+        return charged
+    context.registry.count("refusal", "quota")
+    return Err(
+        make_problem(
+            429,
+            "not_run",
+            "the account has used up its quota",
+            charged.err_value.retry_after_s,
+        )
+    )
+
+
 def _route_request(
     context: Context, call: InboundCall, raw: RawRequest
 ) -> Result[RoutedRequest, Response]:
--- a/src/burdockspan/gateway/settings.py
+++ b/src/burdockspan/gateway/settings.py
@@ -43,6 +43,18 @@
     window_s: float = 10.0
 
 
+@dataclasses.dataclass(frozen=True)
+class AccountQuotaSettings:
+    """What the operator allows beyond the quotas of accounts.
+
+    Attributes:
+      slack: units that each account may use in addition to its burst, over all
+        VMs.
+    """
+
+    slack: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True)
 class ChangeLimits:
     """Time limits for applying changes that the store has accepted.
@@ -83,6 +95,7 @@
       lease_s: time that must pass between orders of two different VMs.
       retry_budget: limit of retries.
       change_limits: time limits for applying changes.
+      account_quotas: what is allowed beyond the quotas of accounts.
     """
 
     vm: str
@@ -98,6 +111,7 @@
     lease_s: float = 3.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     change_limits: ChangeLimits = ChangeLimits()
+    account_quotas: AccountQuotaSettings = AccountQuotaSettings()
 
 
 def load_gateway_settings(
@@ -169,6 +183,7 @@
         lease_s=read_field(section, "lease_s", _DURATION_S, defaults.lease_s),
         retry_budget=_read_retry_budget(section),
         change_limits=_read_change_limits(section),
+        account_quotas=_read_account_quotas(section),
     )
 
 
@@ -239,7 +254,22 @@
     )
 
 
+def _read_account_quotas(section: Section) -> AccountQuotaSettings:
+    quota_section = _open_subsection(
+        section, "account_quotas", AccountQuotaSettings
+    )
+    return AccountQuotaSettings(
+        slack=read_field(
+            quota_section,
+            "slack",
+            converters.number,
+            AccountQuotaSettings().slack,
+        )
+    )
+
+
 __all__ = [
+    "AccountQuotaSettings",
     "ChangeLimits",
     "GatewaySettings",
     "RetryBudgetSettings",
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -11,6 +11,7 @@
     AccountTable,
     make_account_table,
 )
+from burdockspan.gateway.accounts.values import Account
 from burdockspan.gateway.choice.ranking import Candidate
 from burdockspan.gateway.choice.routing import RoutingTable, make_routing_table
 from burdockspan.gateway.discovery import endpoint_table
@@ -50,6 +51,10 @@
     accounts: AccountTable | None = None
 
 
+AccountsListener = Callable[[tuple[Account, ...] | None], None]
+"""Receives the accounts of each new configuration."""
+
+
 class GatewayState:
     """Configuration, endpoints, suspicions, and this VM's running requests.
 
@@ -75,6 +80,7 @@
         self.version_history = VersionHistory(clock)
         self._lock = threading.Lock()
         self._active: ActiveConfiguration | None = None
+        self._accounts_listeners: list[AccountsListener] = []
         self._endpoint_table = EndpointTable()
         self._endpoints_received_s: float | None = None
         self._suspicion_by_incarnation: dict[Incarnation, Suspicion] = {}
@@ -85,6 +91,10 @@
             collections.Counter()
         )
 
+    def notify_of_accounts(self, listener: AccountsListener) -> None:
+        """Calls `listener` before a configuration takes effect."""
+        self._accounts_listeners.append(listener)
+
     def active_configuration(self) -> ActiveConfiguration | None:
         """Returns the configuration in force; None before the first one."""
         return self._active
@@ -103,6 +113,8 @@
                 and configuration.version <= current.configuration.version
             ):
                 return False
+            for listener in self._accounts_listeners:
+                listener(configuration.accounts)
             self._active = ActiveConfiguration(
                 configuration,
                 make_routing_table(configuration),
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -101,6 +101,14 @@
                 limits = self.load({**bounds, **stated}).change_limits
                 self.assertEqual(limits.removed_key_s, expected)
 
+    def test_slack_of_quotas_is_optional(self) -> None:
+        """Guards against processes that do not start without quotas."""
+        bounds = dict.fromkeys(_BOUNDS, 1)
+        for stated, expected in (({}, 0.0), ({"quota_slack": 1.9e5}, 1.9e5)):
+            with self.subTest(stated):
+                settings = self.load({**bounds, **stated})
+                self.assertEqual(settings.account_quotas.slack, expected)
+
     def test_negative_bounds_are_rejected(self) -> None:
         """Guards against a limit that silently disables all retries."""
         with self.assertRaises(Exception):  # noqa: B017
