--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from burdockspan.gateway.accounts import quota_messages
-from burdockspan.gateway.accounts.quota_messages import Message
+from burdockspan.gateway.accounts.quota_messages import Loan, Message
 from burdockspan.gateway.accounts.quota_shares import QuotaShares, Ticket
 from burdockspan.gateway.accounts.values import Quota
 
@@ -101,6 +101,7 @@
         self._random = random.Random(seed)
         self._links = links
         self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._in_flight: dict[tuple[str, int, int], tuple[float, int]] = {}
         self._numbers = itertools.count()
         for _ in range(count):
             self.add_vm(count)
@@ -182,22 +183,43 @@
             self.datagrams += 1
             value = quota_messages.encode(message)
             copies = 1 + (draw.random() < links.repeated)
-            for copy in range(copies):
-                if draw.random() < links.lost:
-                    continue
+            arriving = [
+                copy for copy in range(copies) if draw.random() >= links.lost
+            ]
+            if isinstance(message, Loan) and arriving:
+                key = vm.name, message.run, message.number
+                units = sum(message.units_by_id.values())
+                self._in_flight[key] = (units, len(arriving))
+            for copy in arriving:
                 delay_s = draw.uniform(*links.delay_s)
                 if copy or draw.random() < links.late:
                     delay_s += draw.uniform(0.0, links.late_s)
                 self._deliver(vm, self.vms[peer], value, self.now_s + delay_s)
 
+    def lent_in_flight(self) -> float:
+        """Returns the units of loans that may still arrive."""
+        return sum(units for units, _ in self._in_flight.values())
+
+    def _land(self, sender: Vm, message: Message, has_arrived: bool) -> None:
+        """Ends the flight of a loan, or of one of its copies."""
+        if not isinstance(message, Loan):
+            return
+        key = sender.name, message.run, message.number
+        units, copies = self._in_flight.pop(key, (0.0, 0))
+        if copies > 1 and not has_arrived:
+            self._in_flight[key] = (units, copies - 1)
+
     def _deliver(self, sender: Vm, vm: Vm, value: Any, at_s: float) -> None:
+        message = quota_messages.decode(value).unwrap()
+
         def deliver() -> None:
             if not vm.alive or sender.group != vm.group:
+                self._land(sender, message, False)
                 return
             if self.now_s < vm.frozen_until_s:
                 self.call_at(vm.frozen_until_s, deliver)
                 return
-            message = quota_messages.decode(value).unwrap()
+            self._land(sender, message, True)
             answer = vm.shares.receive(sender.name, message, self._clock_s(vm))
             self.send(vm, answer)
             self._settle(vm)
