--- a/src/burdockspan/gateway/accounts/quotas.py
+++ b/src/burdockspan/gateway/accounts/quotas.py
@@ -113,6 +113,13 @@
             self._shares.set_vm_count(vm_count, self._boot_clock())
             self._changed.notify_all()
 
+    def measure(self, account: str) -> float | None:
+        """Returns the units at this VM; None without a quota."""
+        with self._changed:
+            if account not in self._shares.accounts:
+                return None
+            return self._shares.held(account, self._boot_clock())
+
     def charge(
         self,
         account: Account,
