--- a/src/burdockspan/gateway/accounts/quotas.py
+++ b/src/burdockspan/gateway/accounts/quotas.py
@@ -191,7 +191,6 @@
                     if ticket.taken is None:
                         self._changed.wait(_CHECK_INTERVAL_S)
                     messages = self._shares.advance(self._boot_clock())
-                    self._changed.notify_all()
                 self._send(messages)
         finally:
             with self._changed:
