--- a/src/burdockspan/gateway/accounts/quota_shares.py
+++ b/src/burdockspan/gateway/accounts/quota_shares.py
@@ -36,11 +36,9 @@
 # The first round asks this many peers; each further one, more of them.
 _FIRST_PEERS = 4
 _GROWTH = 4
-# Peers are asked for more than their equal part, since some have less; in the
-# largest rounds more so.
+# Peers are asked for a little more than their equal part, since some have less.
+# What arrives beyond the need is lost at the end of the loan if it has no room.
 _ASKED_RATIO = 1.25
-_LARGE_ASKED_RATIO = 3.0
-_LARGE_ROUND = 48
 # Requests to come count from this rate on: fewer are seldom followed by
 # another one before the loan ends.
 _MIN_REQUESTS_PER_S = 3.0
@@ -324,14 +322,15 @@
             return []
         self._wants -= len(peers)
         self._asked_ms = max(self._asked_ms + 1, int(now_s * 1000))
-        is_small = len(peers) < _LARGE_ROUND
-        ratio = _ASKED_RATIO if is_small else _LARGE_ASKED_RATIO
         want = Want(
             self._run,
             self._asked_ms,
-            {id_: missing * ratio / len(peers) for missing, id_, _ in lacking},
             {
-                id_: share.room_ratio(missing * ratio, now_s)
+                id_: missing * _ASKED_RATIO / len(peers)
+                for missing, id_, _ in lacking
+            },
+            {
+                id_: share.room_ratio(missing * _ASKED_RATIO, now_s)
                 for missing, id_, share in lacking
             },
             {id_: share.waited_ms(now_s) for _, id_, share in lacking},
