--- a/src/burdockspan/gateway/accounts/quota_shares.py
+++ b/src/burdockspan/gateway/accounts/quota_shares.py
@@ -52,6 +52,10 @@
 _MAX_RETRY_AFTER_S = 60.0
 # Entries of the memory of repeated messages.
 _MAX_SEEN = 10_000
+# A request of at most this share of the first waiting one may go before it, as
+# long as those that do so cost no more than the second share of it.
+_SMALL_SHARE = 0.1
+_MAX_OVERTAKEN_SHARE = 0.5
 _UNITS_OF_ROOM = 1000
 
 
@@ -67,6 +71,7 @@
       taken: whether it has the units; None while it waits.
       retry_after_s: when units are expected, for one that got none.
       held: units at this VM when it was decided.
+      overtaken: units that small requests have taken before it.
     """
 
     account: str
@@ -76,6 +81,7 @@
     taken: bool | None = None
     retry_after_s: float = 0.0
     held: float = 0.0
+    overtaken: float = 0.0
 
 
 class _AccountShare:
@@ -141,16 +147,32 @@
         )
 
     def settle_waiting(self, now_s: float) -> None:
-        """Serves waiting requests in their order; ends those that are due."""
+        """Serves waiting requests in their order; ends those that are due.
+
+        Small requests go before a large one that lacks units, up to a part of
+        what it costs, so that neither keeps the other waiting for long.
+        """
         while self.waiting and self.bucket.try_take(
             self.waiting[0].units, now_s
         ):
             self.decide(self.waiting.popleft(), True, now_s)
+        for ticket in list(self.waiting)[1:]:
+            first = self.waiting[0]
+            overtaken = first.overtaken + ticket.units
+            if (
+                ticket.units <= _SMALL_SHARE * first.units
+                and overtaken <= _MAX_OVERTAKEN_SHARE * first.units
+                and self.bucket.try_take(ticket.units, now_s)
+            ):
+                first.overtaken = overtaken
+                self.waiting.remove(ticket)
+                self.decide(ticket, True, now_s)
         due = [ticket for ticket in self.waiting if ticket.until_s <= now_s]
         for ticket in due:
             self.waiting.remove(ticket)
             self.decide(ticket, False, now_s)
-            self.barren_until_s = now_s + _BARREN_S
+            if ticket.until_s > ticket.asked_s:
+                self.barren_until_s = now_s + _BARREN_S
 
 
 class QuotaShares:
@@ -256,11 +278,11 @@
         share.demand.add(units, now_s)
         share.requests.add(1.0, now_s)
         share.settle_waiting(now_s)
-        if not share.waiting and share.bucket.try_take(units, now_s):
-            share.decide(ticket, True, now_s)
-        elif self._may_wait(share, ticket, now_s):
-            share.waiting.append(ticket)
-        else:
+        may_wait = self._may_wait(share, ticket, now_s)
+        share.waiting.append(ticket)
+        share.settle_waiting(now_s)
+        if ticket.taken is None and not may_wait:
+            share.waiting.remove(ticket)
             share.decide(ticket, False, now_s)
         return ticket
 
