--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -15,6 +15,7 @@
 from burdockspan.gateway.accounts import configuration_proof
 from burdockspan.gateway.accounts.configuration_proof import ConfigurationProof
 from burdockspan.gateway.accounts.identification import ProofLimits
+from burdockspan.gateway.accounts.quotas import AccountQuotas
 from burdockspan.gateway.admission.admission_queue import AdmissionQueues
 from burdockspan.gateway.admission.fleet_waiting import FleetWaiting
 from burdockspan.gateway.admission.full_engines import FullEngines
@@ -209,9 +210,6 @@
         platform,
         endpoints=observe_calls(platform.endpoints, reachability, clock),
     )
-    exchange = open_exchange(
-        settings.exchange_address, settings.vm, boot_clock, registry, log
-    )
     fleet_waiting = FleetWaiting(
         boot_clock,
         exchange.interval_s,
@@ -228,6 +226,15 @@
         ),
         registry,
     )
+    account_quotas = AccountQuotas(
+        settings.account_quotas.slack,
+        max(1, settings.threads // 4),
+        exchange,
+        boot_clock,
+        log,
+        registry,
+    )
+    state.notify_of_accounts(account_quotas.set_accounts)
     context = Context(
         platform=platform,
         state=state,
@@ -271,6 +278,7 @@
             state.active_configuration, boot_clock, registry
         ),
         proof_limits=_choose_proof_limits(settings.change_limits),
+        account_quotas=account_quotas,
         endpoints_max_age_s=compute_max_age_s(settings.change_limits),
         graceful_stop=GracefulStop(settings.grace_s, clock),
         clock=clock,
@@ -414,6 +422,7 @@
 
     def on_settled_count(live: int) -> None:
         context.retry_budget.set_vm_count(live)
+        context.account_quotas.set_vm_count(live)
         context.state.conditions.rate_limits.set_vm_count(live)
         context.part_quarantine.set_vm_count(live)
 
