State changes that were received from other watchers

Cause: a VM that watches in place of others stated as its last change the one of its own last call to the store, though it had since applied segments of other VMs. A VM that had lost such a segment took the statement for a proof that nothing had changed, moved on past the change, and never learned of it.

Result: the new test failed before (vm-2 lacked the change for good) and passes now; 22 of 22 tests of the two modules pass.

--- a/src/burdockspan/gateway/discovery/shared_watches.py
+++ b/src/burdockspan/gateway/discovery/shared_watches.py
@@ -231,6 +231,8 @@
                 return
             for stored in changes:
                 self._watcher.apply_change(stored)
+            # This VM may have to state it, if the watchers leave.
+            self._unchanged_since = _find_last_change(changes, segment.revision)
             self._registry.count("shared_watch", "followed")
             self._move_to(segment.revision)
 
@@ -439,7 +441,7 @@
 
 def _find_last_change(changes: tuple[StoredObject, ...], revision: int) -> int:
     # The revision of a removed object may be that of its last change before.
-    if any(stored.removed for stored in changes):
+    if not changes or any(stored.removed for stored in changes):
         return revision
     return min(revision, max(stored.revision for stored in changes))
 
--- a/tests/gateway/discovery/test_shared_watches.py
+++ b/tests/gateway/discovery/test_shared_watches.py
@@ -17,6 +17,7 @@
 from burdockspan.gateway.discovery.watchers import ObjectWatcher, WatchPosition
 from burdockspan.gateway.fleet.exchange import Received
 from burdockspan.gateway.ports import StoredObject
+from burdockspan.membership import ownership
 from burdockspan.observe.registry import make_registry
 
 # Time limit for applying a change, in seconds.
@@ -229,6 +230,32 @@
         assert asked_s is not None
         self.assertLess(asked_s - start_s, _LIMIT_S)
 
+    def test_new_watcher_states_a_change_that_it_received_from_others(
+        self,
+    ) -> None:
+        """Guards against a VM that never learns of a change.
+
+        Its message is lost, the watchers that sent it die, and a VM that
+        received it from them watches in their place.
+        """
+        ranked = ownership.rank("watch/zone-a", {vm.name for vm in self.vms})
+        lonely = self.network.vm_by_name[ranked[-1]]
+
+        def end(name: str) -> None:
+            self.vms.remove(self.network.vm_by_name.pop(name))
+
+        end(ranked[0])
+        for _ in range(3):
+            self.run_round()
+        self.store.put("i-1", {"state": "draining"})
+        self.network.cut.add(lonely.name)
+        self.network.vm_by_name[ranked[1]].poll(self.store)
+        self.network.cut.clear()
+        end(ranked[1])
+        for _ in range(6):
+            self.run_round()
+        self.assert_all_know()
+
     def test_lost_changes_are_asked_for(self) -> None:
         """Guards against a state that lacks a change whose message was lost."""
         generator = random.Random(7)
