Take the echoes of a message before its values are made

Cause: a VM that was suspended between making a value with an age and sending it answered with the echo of a datagram that it received after it was resumed. The receiver then took the age for that of a new value, for the whole time of the suspension: the age of a watcher's response, which bounds how long followers trust it, and that of the configuration proof, which decides on removed keys. The same holds for a VM that waits for the processor while it sends to a large zone.

--- a/src/burdockspan/gateway/discovery/shared_watches.py
+++ b/src/burdockspan/gateway/discovery/shared_watches.py
@@ -378,21 +378,24 @@
             return
         if not self.is_watcher():
             return
+        self._exchange.send_to_all(
+            self._zone_vms - {self._vm}, _TOPIC, self._make_statements
+        )
+
+    def _make_statements(self) -> Mapping[str, Any]:
         statement_by_kind = {}
         for kind, watch in self._watch_by_kind.items():
             statement = watch.make_statement()
             if statement is not None:
                 statement_by_kind[kind] = encode_statement(statement)
         # Also without a statement, it shows that this VM watches.
-        self._send_to_zone({"at": statement_by_kind})
+        return {"at": statement_by_kind}
 
     def _send_segments(self, kind: str, segments: tuple[Segment, ...]) -> None:
         for segment in segments:
-            self._send_to_zone({"changes": encode_segment(kind, segment)})
-
-    def _send_to_zone(self, value: Mapping[str, Any]) -> None:
-        for vm in self._zone_vms - {self._vm}:
-            self._exchange.send(vm, _TOPIC, value)
+            value = {"changes": encode_segment(kind, segment)}
+            for vm in self._zone_vms - {self._vm}:
+                self._exchange.send(vm, _TOPIC, value)
 
     def _receive(self, received: Received) -> Result[None, str]:
         value = received.value
--- a/src/burdockspan/gateway/fleet/exchange.py
+++ b/src/burdockspan/gateway/fleet/exchange.py
@@ -13,7 +13,7 @@
 import random
 import socket
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from absl import logging
@@ -48,9 +48,10 @@
     Attributes:
       vm: name of the sender.
       value: a JSON value.
-      sent_after_s: a time that is certainly before the datagram was sent, in
-        seconds of this VM's boot clock; None if there is no proof, since the
-        sender has not received a datagram of this process yet.
+      sent_after_s: a time that is certainly before the datagram was sent and,
+        in a status, before its value was made, in seconds of this VM's boot
+        clock; None if there is no proof, since the sender has not received a
+        datagram of this process yet.
     """
 
     vm: str
@@ -147,10 +148,37 @@
         address = self._address_by_vm.get(vm)
         if address is not None:
             encoded = exchange_messages.encode_topic(topic, value)
-            self._send_topics(vm, address, (encoded,))
+            echo = self._latest_by_vm.get(vm)
+            self._send_topics(vm, address, echo, (encoded,))
+
+    def send_to_all(
+        self, vms: Iterable[str], topic: str, make_value: MakeValue
+    ) -> None:
+        """Sends one value on a topic to several VMs; it may get lost.
+
+        What the datagrams prove of their time holds for the value as well.
+        """
+        echo_by_vm = self._list_echoes()
+        encoded = exchange_messages.encode_topic(topic, make_value())
+        for vm in vms:
+            address = self._address_by_vm.get(vm)
+            if address is not None:
+                echo = echo_by_vm.get(vm)
+                self._send_topics(vm, address, echo, (encoded,))
+
+    def _list_echoes(self) -> dict[str, Moment]:
+        """Returns the echoes of values that are made after this call.
+
+        This VM may be suspended between making a value and sending it. Echoes
+        of datagrams that arrive meanwhile would prove the value newer than it
+        is.
+        """
+        with self._lock:
+            return dict(self._latest_by_vm)
 
     def send_status(self) -> None:
         """Sends the present values of all topics to all other VMs."""
+        echo_by_vm = self._list_echoes()
         topics = []
         for topic, make_value in self._make_value_by_topic.items():
             value = make_value()
@@ -163,17 +191,19 @@
                 self._registry.count("exchange", "too_long")
                 return
             for vm, address in list(self._address_by_vm.items()):
-                self._send_topics(vm, address, packed)
+                self._send_topics(vm, address, echo_by_vm.get(vm), packed)
             remaining = rest
 
     def _send_topics(
-        self, vm: str, address: Address, topics: tuple[str, ...]
+        self,
+        vm: str,
+        address: Address,
+        echo: Moment | None,
+        topics: tuple[str, ...],
     ) -> None:
         if self._udp is None or self._closed:
             return
-        datagram = exchange_messages.encode(
-            self._vm, self._now(), self._latest_by_vm.get(vm), topics
-        )
+        datagram = exchange_messages.encode(self._vm, self._now(), echo, topics)
         try:
             self._udp.sendto(datagram, socket.MSG_DONTWAIT, address)
         except OSError:
--- a/tests/gateway/discovery/test_shared_watches.py
+++ b/tests/gateway/discovery/test_shared_watches.py
@@ -5,7 +5,7 @@
 import random
 import threading
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from burdockspan.gateway.discovery import watch_messages
@@ -55,6 +55,13 @@
     def send(self, vm: str, _: str, value: Any) -> None:
         self._network.deliver(self._name, vm, value)
 
+    def send_to_all(
+        self, vms: Iterable[str], _: str, make_value: Callable[[], Any]
+    ) -> None:
+        value = make_value()
+        for vm in vms:
+            self._network.deliver(self._name, vm, value)
+
 
 class _Vm:
     """A VM whose own calls to a store with numbered changes are counted."""
--- a/tests/gateway/fleet/test_exchange.py
+++ b/tests/gateway/fleet/test_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from result import Ok, Result
@@ -41,7 +42,13 @@
             self.registry,
         )
         self.received: list[Received] = []
-        self.exchange.add_topic("load", lambda: value, self._receive)
+        self._value = value
+        self.on_made: Callable[[], None] = lambda: None
+        self.exchange.add_topic("load", self.make_value, self._receive)
+
+    def make_value(self) -> Any:
+        self.on_made()
+        return self._value
 
     def _receive(self, received: Received) -> Result[None, str]:
         self.received.append(received)
@@ -83,6 +90,34 @@
         _deliver(self.first, self.second)
         self.assertEqual(self.second.received[0].sent_after_s, 200.0)
 
+    def test_value_made_before_a_suspension_is_not_proved_newer(self) -> None:
+        """Guards against a VM that is suspended while it sends.
+
+        Its values have ages, which the time of the suspension must not shorten.
+        """
+        for send in (
+            self.first.exchange.send_status,
+            lambda: self.first.exchange.send_to_all(
+                ("vm-2",), "load", self.first.make_value
+            ),
+        ):
+            with self.subTest(send=send):
+                self.second.received.clear()
+                made_s = self.second.now_s
+                self.second.exchange.send_status()
+                _deliver(self.second, self.first)
+
+                def suspend() -> None:
+                    self.second.now_s += 10.0
+                    self.second.exchange.send_status()
+                    _deliver(self.second, self.first)
+
+                self.first.on_made = suspend
+                send()
+                self.first.on_made = lambda: None
+                _deliver(self.first, self.second)
+                self.assertEqual(self.second.received[0].sent_after_s, made_s)
+
     def test_echo_of_an_earlier_process_proves_no_time(self) -> None:
         self.second.exchange.send_status()
         _deliver(self.second, self.first)
