Date a watcher's response by its call

Cause: a watcher stated the age of a response since it had read it. If it was suspended, or its link held the response back, the response was older: after a suspension of 10 s, followers took the state of 10 s ago for the present one, and followed it for up to 2 s if the other watcher had no answers either.

The store answers within the watch, so the response now counts from the end of the watch at the latest. A response with changes may still be older by the length of the watch, 0.9 s.

Result: the new test failed before (age 0.0 s, at least 9.1 s expected) and passes now.

--- a/src/burdockspan/gateway/discovery/shared_watches.py
+++ b/src/burdockspan/gateway/discovery/shared_watches.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -82,6 +83,8 @@
         self._collected: list[StoredObject] = []
         self._unchanged_since = 0
         self._responded_s: float | None = None
+        # The store answers this VM's latest call by then at the latest.
+        self._answer_due_s = math.inf
         # When the store certainly answered another VM.
         self._answered_s = 0.0
 
@@ -97,7 +100,15 @@
             self._collected.append(stored)
             self._watcher.apply_change(stored)
 
-        watcher = dataclasses.replace(self._watcher, apply_change=apply_change)
+        def on_call() -> None:
+            self._answer_due_s = (
+                self._boot_clock() + self._watcher.watch_timeout_s
+            )
+            self._watcher.on_call()
+
+        watcher = dataclasses.replace(
+            self._watcher, apply_change=apply_change, on_call=on_call
+        )
         return Sharing(watcher, self.follow, self.record_poll)
 
     def follow(
@@ -160,7 +171,8 @@
                     changes, after.revision
                 )
             self._position = after
-            self._responded_s = self._boot_clock()
+            # A response may have waited for a VM that was suspended.
+            self._responded_s = min(self._boot_clock(), self._answer_due_s)
         if before.revision is not None and changes and self._is_watcher():
             self._send_segments(
                 self.kind,
--- a/tests/gateway/discovery/test_shared_watches.py
+++ b/tests/gateway/discovery/test_shared_watches.py
@@ -121,6 +121,7 @@
         """Makes one call of this VM to the store."""
         before = self.position
         self.calls += 1
+        self.sharing.watcher.on_call()
         if before.revision is None:
             self.sharing.watcher.apply_listing(store.list())
         else:
@@ -263,6 +264,20 @@
             self.run_round()
         self.assert_all_know()
 
+    def test_response_read_after_a_suspension_is_not_new(self) -> None:
+        """Guards against a watcher that wakes with an old response.
+
+        The store has answered by the end of the watch at the latest.
+        """
+        watcher = next(vm for vm in self.vms if vm.watches.is_watcher())
+        watcher.sharing.watcher.on_call()
+        self.network.now_s += 10.0
+        watcher.sharing.record_poll(watcher.position, watcher.position)
+        statement = watcher.shared.make_statement()
+        assert statement is not None
+        latest_age_s = 10.0 - watcher.sharing.watcher.watch_timeout_s
+        self.assertGreaterEqual(statement.age_s, latest_age_s)
+
     def test_lost_changes_are_asked_for(self) -> None:
         """Guards against a state that lacks a change whose message was lost."""
         generator = random.Random(7)
