Ask the store for changes stated during an own call

Cause: while a call of a VM was pending, statements told it until when others are followed, but not that something had changed. If the response was late and older than the change, the VM followed on without it until the next statement; if the watchers left then, for 2 s more, which with the 1.5 s of the call exceeds the time limit of 3 s.

Result: the new test failed before (the VM went on following) and passes now.

--- a/src/burdockspan/gateway/discovery/shared_watches.py
+++ b/src/burdockspan/gateway/discovery/shared_watches.py
@@ -82,6 +82,8 @@
         ] = {}
         self._collected: list[StoredObject] = []
         self._unchanged_since = 0
+        # Revision of the latest change that another VM has stated.
+        self._stated_change = 0
         self._responded_s: float | None = None
         # The store answers this VM's latest call by then at the latest.
         self._answer_due_s = math.inf
@@ -126,7 +128,8 @@
             return position
         with self._changed:
             self._position = position
-            self._has_missed = False
+            # It may have been stated while a call of this VM was pending.
+            self._has_missed = position.revision < self._stated_change
             self._is_following = True
             while not stopped.is_set():
                 wait_s = self._follow_s()
@@ -164,6 +167,8 @@
             if after.failures or after.revision is None:
                 self._responded_s = None
                 return
+            if after.era != self._position.era:
+                self._stated_change = 0
             if before.revision is None:
                 self._unchanged_since = after.revision
             elif changes:
@@ -215,6 +220,9 @@
                 + self._watcher.collect_s
                 + _STATEMENT_LAG_S,
             )
+            self._stated_change = max(
+                self._stated_change, statement.unchanged_since
+            )
             revision = self._position.revision
             if not self._is_following or revision is None:
                 return
--- a/tests/gateway/discovery/test_shared_watches.py
+++ b/tests/gateway/discovery/test_shared_watches.py
@@ -278,6 +278,16 @@
         latest_age_s = 10.0 - watcher.sharing.watcher.watch_timeout_s
         self.assertGreaterEqual(statement.age_s, latest_age_s)
 
+    def test_change_stated_during_an_own_call_is_asked_for(self) -> None:
+        """Guards against a response that was late and is older than it."""
+        follower = next(vm for vm in self.vms if not vm.watches.is_watcher())
+        follower.shared._is_following = False
+        self.store.put("i-1", {"state": "draining"})
+        statement = Statement(None, self.store.revision, self.store.revision, 0)
+        follower.shared.receive_statement("vm-9", statement, self.network.now_s)
+        follower.sharing.record_poll(follower.position, follower.position)
+        self.assertFalse(follower.follow())
+
     def test_lost_changes_are_asked_for(self) -> None:
         """Guards against a state that lacks a change whose message was lost."""
         generator = random.Random(7)
