Keep parts of changes of two eras apart

Cause: parts were collected by VM and revisions. A store that comes back from a copy gives revisions out again, so that a part of the earlier era could complete changes of the present one.

Result: the new test failed before (the changes of both eras were applied) and passes now.

--- a/src/burdockspan/gateway/discovery/shared_watches.py
+++ b/src/burdockspan/gateway/discovery/shared_watches.py
@@ -78,7 +78,8 @@
         self._has_missed = False
         self._fresh_until_s_by_vm: dict[str, float] = {}
         self._parts_by_key: dict[
-            tuple[str, int, int], dict[int, tuple[StoredObject, ...]]
+            tuple[str, int | None, int, int],
+            dict[int, tuple[StoredObject, ...]],
         ] = {}
         self._collected: list[StoredObject] = []
         self._unchanged_since = 0
@@ -260,7 +261,7 @@
         self, vm: str, segment: Segment
     ) -> tuple[StoredObject, ...] | None:
         """Returns the changes of all parts; None if some are missing."""
-        key = (vm, segment.base, segment.revision)
+        key = (vm, segment.era, segment.base, segment.revision)
         if key not in self._parts_by_key:
             # Parts of an earlier response of this VM will not be completed.
             for other in [k for k in self._parts_by_key if k[0] == vm]:
--- a/tests/gateway/discovery/test_shared_watches.py
+++ b/tests/gateway/discovery/test_shared_watches.py
@@ -288,6 +288,16 @@
         follower.sharing.record_poll(follower.position, follower.position)
         self.assertFalse(follower.follow())
 
+    def test_parts_of_two_eras_are_not_joined(self) -> None:
+        follower = next(vm for vm in self.vms if not vm.watches.is_watcher())
+        shared = follower.shared
+        for era, part in ((1, 0), (2, 1)):
+            shared._position = WatchPosition(1, era=era)
+            changes = (StoredObject(f"i-{part}", 2 + part, {}, era=era),)
+            segment = Segment(era, 1, 3, part, 2, changes)
+            shared.receive_segment("vm-9", segment)
+        self.assertEqual(follower.applied, {})
+
     def test_lost_changes_are_asked_for(self) -> None:
         """Guards against a state that lacks a change whose message was lost."""
         generator = random.Random(7)
