Repeat a single failed call to the store at once

Cause: a follower that asked the store for a change and was refused once, for instance by the store's rate limit when all followers of a zone ask at the same time, waited 2 s for the next try. With up to 1 s until it had learned of the change, that is as long as the time limit of 3 s, while nothing is disturbed. It now waits from the second failure in a row on. An outage of the store costs each VM one more call.

--- a/src/burdockspan/gateway/discovery/shared_watches.py
+++ b/src/burdockspan/gateway/discovery/shared_watches.py
@@ -120,10 +120,12 @@
         """Waits while other VMs watch; returns the position then.
 
         While the store does not answer, it waits for a watcher to which the
-        store answers, or for the time of the next try.
+        store answers, or for the time of the next try. The first try after a
+        failed call comes at once: the store may have refused only this call.
         """
-        if position.failures:
+        if position.failures > 1:
             self._wait_for_answers(stopped)
+        if position.failures:
             return position
         if position.revision is None:
             return position
