--- a/src/burdockspan/gateway/discovery/shared_watches.py
+++ b/src/burdockspan/gateway/discovery/shared_watches.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import threading
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -77,11 +78,16 @@
         self._has_missed = False
         self._fresh_until_s_by_vm: dict[str, float] = {}
         self._parts_by_key: dict[
-            tuple[str, int, int], dict[int, tuple[StoredObject, ...]]
+            tuple[str, int | None, int, int],
+            dict[int, tuple[StoredObject, ...]],
         ] = {}
         self._collected: list[StoredObject] = []
         self._unchanged_since = 0
+        # Revision of the latest change that another VM has stated.
+        self._stated_change = 0
         self._responded_s: float | None = None
+        # The store answers this VM's latest call by then at the latest.
+        self._answer_due_s = math.inf
         # When the store certainly answered another VM.
         self._answered_s = 0.0
 
@@ -97,7 +103,15 @@
             self._collected.append(stored)
             self._watcher.apply_change(stored)
 
-        watcher = dataclasses.replace(self._watcher, apply_change=apply_change)
+        def on_call() -> None:
+            self._answer_due_s = (
+                self._boot_clock() + self._watcher.watch_timeout_s
+            )
+            self._watcher.on_call()
+
+        watcher = dataclasses.replace(
+            self._watcher, apply_change=apply_change, on_call=on_call
+        )
         return Sharing(watcher, self.follow, self.record_poll)
 
     def follow(
@@ -106,16 +120,19 @@
         """Waits while other VMs watch; returns the position then.
 
         While the store does not answer, it waits for a watcher to which the
-        store answers, or for the time of the next try.
+        store answers, or for the time of the next try. The first try after a
+        failed call comes at once: the store may have refused only this call.
         """
-        if position.failures:
+        if position.failures > 1:
             self._wait_for_answers(stopped)
+        if position.failures:
             return position
         if position.revision is None:
             return position
         with self._changed:
             self._position = position
-            self._has_missed = False
+            # It may have been stated while a call of this VM was pending.
+            self._has_missed = position.revision < self._stated_change
             self._is_following = True
             while not stopped.is_set():
                 wait_s = self._follow_s()
@@ -153,6 +170,8 @@
             if after.failures or after.revision is None:
                 self._responded_s = None
                 return
+            if after.era != self._position.era:
+                self._stated_change = 0
             if before.revision is None:
                 self._unchanged_since = after.revision
             elif changes:
@@ -160,7 +179,8 @@
                     changes, after.revision
                 )
             self._position = after
-            self._responded_s = self._boot_clock()
+            # A response may have waited for a VM that was suspended.
+            self._responded_s = min(self._boot_clock(), self._answer_due_s)
         if before.revision is not None and changes and self._is_watcher():
             self._send_segments(
                 self.kind,
@@ -203,6 +223,9 @@
                 + self._watcher.collect_s
                 + _STATEMENT_LAG_S,
             )
+            self._stated_change = max(
+                self._stated_change, statement.unchanged_since
+            )
             revision = self._position.revision
             if not self._is_following or revision is None:
                 return
@@ -231,6 +254,8 @@
                 return
             for stored in changes:
                 self._watcher.apply_change(stored)
+            # This VM may have to state it, if the watchers leave.
+            self._unchanged_since = _find_last_change(changes, segment.revision)
             self._registry.count("shared_watch", "followed")
             self._move_to(segment.revision)
 
@@ -238,7 +263,7 @@
         self, vm: str, segment: Segment
     ) -> tuple[StoredObject, ...] | None:
         """Returns the changes of all parts; None if some are missing."""
-        key = (vm, segment.base, segment.revision)
+        key = (vm, segment.era, segment.base, segment.revision)
         if key not in self._parts_by_key:
             # Parts of an earlier response of this VM will not be completed.
             for other in [k for k in self._parts_by_key if k[0] == vm]:
@@ -376,21 +401,24 @@
             return
         if not self.is_watcher():
             return
+        self._exchange.send_to_all(
+            self._zone_vms - {self._vm}, _TOPIC, self._make_statements
+        )
+
+    def _make_statements(self) -> Mapping[str, Any]:
         statement_by_kind = {}
         for kind, watch in self._watch_by_kind.items():
             statement = watch.make_statement()
             if statement is not None:
                 statement_by_kind[kind] = encode_statement(statement)
         # Also without a statement, it shows that this VM watches.
-        self._send_to_zone({"at": statement_by_kind})
+        return {"at": statement_by_kind}
 
     def _send_segments(self, kind: str, segments: tuple[Segment, ...]) -> None:
         for segment in segments:
-            self._send_to_zone({"changes": encode_segment(kind, segment)})
-
-    def _send_to_zone(self, value: Mapping[str, Any]) -> None:
-        for vm in self._zone_vms - {self._vm}:
-            self._exchange.send(vm, _TOPIC, value)
+            value = {"changes": encode_segment(kind, segment)}
+            for vm in self._zone_vms - {self._vm}:
+                self._exchange.send(vm, _TOPIC, value)
 
     def _receive(self, received: Received) -> Result[None, str]:
         value = received.value
@@ -439,7 +467,7 @@
 
 def _find_last_change(changes: tuple[StoredObject, ...], revision: int) -> int:
     # The revision of a removed object may be that of its last change before.
-    if any(stored.removed for stored in changes):
+    if not changes or any(stored.removed for stored in changes):
         return revision
     return min(revision, max(stored.revision for stored in changes))
 
--- a/tests/gateway/discovery/test_shared_watches.py
+++ b/tests/gateway/discovery/test_shared_watches.py
@@ -5,7 +5,7 @@
 import random
 import threading
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from burdockspan.gateway.discovery import watch_messages
@@ -17,6 +17,7 @@
 from burdockspan.gateway.discovery.watchers import ObjectWatcher, WatchPosition
 from burdockspan.gateway.fleet.exchange import Received
 from burdockspan.gateway.ports import StoredObject
+from burdockspan.membership import ownership
 from burdockspan.observe.registry import make_registry
 
 # Time limit for applying a change, in seconds.
@@ -54,6 +55,13 @@
     def send(self, vm: str, _: str, value: Any) -> None:
         self._network.deliver(self._name, vm, value)
 
+    def send_to_all(
+        self, vms: Iterable[str], _: str, make_value: Callable[[], Any]
+    ) -> None:
+        value = make_value()
+        for vm in vms:
+            self._network.deliver(self._name, vm, value)
+
 
 class _Vm:
     """A VM whose own calls to a store with numbered changes are counted."""
@@ -113,6 +121,7 @@
         """Makes one call of this VM to the store."""
         before = self.position
         self.calls += 1
+        self.sharing.watcher.on_call()
         if before.revision is None:
             self.sharing.watcher.apply_listing(store.list())
         else:
@@ -229,6 +238,66 @@
         assert asked_s is not None
         self.assertLess(asked_s - start_s, _LIMIT_S)
 
+    def test_new_watcher_states_a_change_that_it_received_from_others(
+        self,
+    ) -> None:
+        """Guards against a VM that never learns of a change.
+
+        Its message is lost, the watchers that sent it die, and a VM that
+        received it from them watches in their place.
+        """
+        ranked = ownership.rank("watch/zone-a", {vm.name for vm in self.vms})
+        lonely = self.network.vm_by_name[ranked[-1]]
+
+        def end(name: str) -> None:
+            self.vms.remove(self.network.vm_by_name.pop(name))
+
+        end(ranked[0])
+        for _ in range(3):
+            self.run_round()
+        self.store.put("i-1", {"state": "draining"})
+        self.network.cut.add(lonely.name)
+        self.network.vm_by_name[ranked[1]].poll(self.store)
+        self.network.cut.clear()
+        end(ranked[1])
+        for _ in range(6):
+            self.run_round()
+        self.assert_all_know()
+
+    def test_response_read_after_a_suspension_is_not_new(self) -> None:
+        """Guards against a watcher that wakes with an old response.
+
+        The store has answered by the end of the watch at the latest.
+        """
+        watcher = next(vm for vm in self.vms if vm.watches.is_watcher())
+        watcher.sharing.watcher.on_call()
+        self.network.now_s += 10.0
+        watcher.sharing.record_poll(watcher.position, watcher.position)
+        statement = watcher.shared.make_statement()
+        assert statement is not None
+        latest_age_s = 10.0 - watcher.sharing.watcher.watch_timeout_s
+        self.assertGreaterEqual(statement.age_s, latest_age_s)
+
+    def test_change_stated_during_an_own_call_is_asked_for(self) -> None:
+        """Guards against a response that was late and is older than it."""
+        follower = next(vm for vm in self.vms if not vm.watches.is_watcher())
+        follower.shared._is_following = False
+        self.store.put("i-1", {"state": "draining"})
+        statement = Statement(None, self.store.revision, self.store.revision, 0)
+        follower.shared.receive_statement("vm-9", statement, self.network.now_s)
+        follower.sharing.record_poll(follower.position, follower.position)
+        self.assertFalse(follower.follow())
+
+    def test_parts_of_two_eras_are_not_joined(self) -> None:
+        follower = next(vm for vm in self.vms if not vm.watches.is_watcher())
+        shared = follower.shared
+        for era, part in ((1, 0), (2, 1)):
+            shared._position = WatchPosition(1, era=era)
+            changes = (StoredObject(f"i-{part}", 2 + part, {}, era=era),)
+            segment = Segment(era, 1, 3, part, 2, changes)
+            shared.receive_segment("vm-9", segment)
+        self.assertEqual(follower.applied, {})
+
     def test_lost_changes_are_asked_for(self) -> None:
         """Guards against a state that lacks a change whose message was lost."""
         generator = random.Random(7)
@@ -257,7 +326,8 @@
             next(vm for vm in self.vms if vm.watches.is_watcher() is watches)
             for watches in (True, False)
         )
-        failed = WatchPosition(None, 1)
+        # The first try after a failure is not delayed, see the next test.
+        failed = WatchPosition(None, 2)
         waits: list[float] = []
 
         def wait(_: float) -> None:
@@ -282,6 +352,24 @@
         follower.sharing.follow(failed, threading.Event())
         self.assertEqual(sum(waits), 0.5)
 
+    def test_single_failed_call_is_repeated_at_once(self) -> None:
+        """Guards against a change that is late since one call was refused.
+
+        A VM that asks for a change has used up to 1 s of the time limit.
+        """
+        follower = next(vm for vm in self.vms if not vm.watches.is_watcher())
+        waits: list[float] = []
+
+        def wait(wait_s: float) -> None:
+            waits.append(wait_s)
+            self.network.now_s += wait_s
+
+        follower.shared._changed.wait = wait  # type: ignore[method-assign,assignment]
+        failed = WatchPosition(None, 1)
+        follower.sharing.record_poll(follower.position, failed)
+        follower.sharing.follow(failed, threading.Event())
+        self.assertEqual(waits, [])
+
     def test_short_time_limit_is_not_shared(self) -> None:
         watcher = ObjectWatcher("x", _skip, _skip, _skip, _skip)
         self.assertIsNone(self.vms[0].watches.share(watcher, 2.0))
