Leave the rotation before keys are refused for want of a proof

Change: a VM whose proof is older than 0.7 of the limit is not ready, and closes its callers' connections after their next answer. Not yet measured.

--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -120,6 +120,9 @@
 _EXIT_OK = 0
 # Clocks of two VMs run at slightly different rates.
 _PROOF_MARGIN_S = 0.2
+# A VM that hears from the store itself has a proof that is younger than this
+# share of the limit.
+_READY_PROOF_SHARE = 0.7
 
 MakePlatform = Callable[[str, Clock, ObserveSignals], Platform]
 
@@ -299,7 +302,7 @@
         settings.caller_address,
         settings.threads + _REFUSAL_THREADS,
         state.limits,
-        lambda: graceful_stop.has_begun,
+        lambda: graceful_stop.has_begun or not _has_recent_proof(context),
         clock,
         make_close_recorder(log, registry),
         buffers,
@@ -678,11 +681,26 @@
         waiter.wait(_CLOSE_POLL_INTERVAL_S)
 
 
+def _has_recent_proof(context: Context) -> bool:
+    """Returns whether this VM will go on serving requests with keys.
+
+    The load balancer takes some seconds to notice that a VM is not ready, and
+    callers that come back after a refusal are late.
+    """
+    active = context.state.active_configuration()
+    if active is None or active.accounts is None:
+        return True
+    limit_s = _READY_PROOF_SHARE * context.proof_limits.known_key_s
+    return context.configuration_proof.age_s() <= limit_s
+
+
 def is_ready(context: Context) -> bool:
     """Returns whether the load balancer should send callers to this VM."""
     active = context.state.active_configuration()
     if context.graceful_stop.has_begun or active is None:
         return False
+    if not _has_recent_proof(context):
+        return False
     return context.state.has_endpoint(active.configuration.services_by_name)
 
 
