--- a/tests/gateway/accounts/test_accounts.py
+++ b/tests/gateway/accounts/test_accounts.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from burdockspan.gateway import process
+from burdockspan.gateway import readiness
 from burdockspan.gateway.requests import application
 from burdockspan.gateway.settings import ChangeLimits
 from standins.object_store import ObjectStore
@@ -291,16 +291,16 @@
         """Guards against callers that are refused here and served late."""
         self.add(lambda _: _OK)
         context = self.gateway.components.context
-        self.assertTrue(process.is_ready(context))
+        self.assertTrue(readiness.is_ready(context))
         self.gateway.store.status = 503
         wait_for(lambda: bool(self.gateway.events_named("store lost")))
         self.boot_clock.offset_s += 0.8 * _REMOVED_KEY_S
-        self.assertFalse(process.is_ready(context))
+        self.assertFalse(readiness.is_ready(context))
         response = self.call("/read/x")
         self.assertEqual(response.status, 200)
         self.assertEqual(response.headers.get("Connection"), "close")
         self.gateway.store.status = None
-        wait_for(lambda: process.is_ready(context))
+        wait_for(lambda: readiness.is_ready(context))
 
     def test_store_that_answers_keeps_the_proof_fresh(self) -> None:
         """Guards against refusals between two answers of the store."""
--- a/tests/support/gateways.py
+++ b/tests/support/gateways.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
-from burdockspan.gateway import process
+from burdockspan.gateway import assembly, process
 from burdockspan.gateway.fleet import vm_heartbeats
 from burdockspan.gateway.settings import GatewaySettings
 from burdockspan.platform.adapter import make_platform
@@ -87,7 +87,7 @@
 class Gateway:
     """A running gateway with the stand-ins that it uses."""
 
-    components: process.Components
+    components: assembly.Components
     store: ObjectStore
     endpoints: list[ScriptedEndpoint]
     log_events: list[dict[str, Any]]
@@ -178,7 +178,7 @@
     shared_store: ObjectStore | None = None,
     clock: Clock = time.monotonic,
     boot_clock: Clock | None = None,
-    make_platform: process.MakePlatform = make_platform,
+    make_platform: assembly.MakePlatform = make_platform,
     **settings: Any,
 ) -> Iterator[Gateway]:
     """Yields a gateway with a configuration in force, then stops it.
@@ -204,7 +204,7 @@
     def log(event: str, **fields: Any) -> None:
         log_events.append({"event": event, **fields})
 
-    components = process.make_components(
+    components = assembly.make_components(
         GatewaySettings(
             **{
                 "vm": vm,
