--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,16 @@
         action="store_true",
         help="also cuts VMs off from all endpoints",
     )
+    parser.add_argument(
+        "--accounts",
+        action="store_true",
+        help="callers present keys of client accounts, two with quotas",
+    )
+    parser.add_argument(
+        "--speeds",
+        action="store_true",
+        help="some endpoints are slow, and one slows down",
+    )
     parser.add_argument("--report", type=pathlib.Path)
     parser.add_argument(
         "--folder", type=pathlib.Path, help="keeps settings and logs here"
@@ -46,12 +56,16 @@
             folder,
             arguments.streams,
             arguments.cuts,
+            arguments.accounts,
+            arguments.speeds,
         )
         for fault in make_schedule(
             options.seed,
             options.seconds,
             options.with_streams,
             options.with_cuts,
+            options.with_accounts,
+            options.with_speeds,
         ):
             print(fault)
         result = asyncio.run(_run_until_signal(options))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 
 from soak import limits, wire
+from soak.accounts import choose_key, make_headers
 from soak.documents import HOST
 from soak.history import Kind, Outcome, Request
 from soak.vms import Vm
@@ -101,11 +102,13 @@
         part = ""
         if kind.is_stream and self._rng.random() < _CRASHING_PROBABILITY:
             part = self._world.crashing_part
+        key = self._choose_key(kind)
+        identity = make_headers(key, self._rng) if key is not None else {}
         response = _Response(Outcome.NOT_SENT)
         sent_s = now_s()
         with contextlib.suppress(OSError):
             connection.writer.write(
-                _encode(request_id, kind, deadline_s, version, part)
+                _encode(request_id, kind, deadline_s, version, part, identity)
             )
             await connection.writer.drain()
             sent_s = now_s()
@@ -125,11 +128,26 @@
             body=response.body,
             version=version,
             part=part,
+            key=key or "",
         )
         self._world.history.requests.append(request)
         connection.idle_since_s = now_s()
         await self._follow(response, deadline_s, connection)
 
+    def _choose_key(self, kind: Kind) -> str | None:
+        """Returns the key to present; None if there are no accounts."""
+        accounts = self._world.configuration.accounts
+        if not accounts:
+            return None
+        if kind is Kind.PROBE:
+            return accounts[0].keys[0]
+        removed = [
+            key
+            for key, life in self._world.history.life_by_key.items()
+            if life.removed_s < math.inf
+        ]
+        return choose_key(accounts, removed, self._rng)
+
     async def _follow(
         self, response: _Response, deadline_s: float, connection: _Connection
     ) -> None:
@@ -215,12 +233,18 @@
 
 
 def _encode(
-    request_id: str, kind: Kind, deadline_s: float, version: int, part: str
+    request_id: str,
+    kind: Kind,
+    deadline_s: float,
+    version: int,
+    part: str,
+    identity: Mapping[str, str],
 ) -> bytes:
     headers = {
         "Host": HOST,
         "Request-Id": request_id,
         "Deadline-Ms": str(int(deadline_s * 1000)),
+        **identity,
     }
     if kind.is_stream:
         own_part = request_id.encode().hex()
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from soak import limits
+from soak.accounts import Account
 from soak.history import (
     EVENT_GAP_S,
+    Arrival,
     History,
     Kind,
     Outcome,
@@ -201,6 +203,7 @@
 
 def find_costly_silence(history: History) -> Iterator[Violation]:
     """Finds answers that a silence of sound endpoints alone has cost."""
+    slowest = max((run.slowness for run in history.runs), default=1.0)
     for request in history.requests:
         silent_s = _sum_silence_s(history, request)
         if not silent_s or request.kind is Kind.PROBE:
@@ -210,7 +213,7 @@
         )
         needed_s = silent_s + _WORK_S
         if request.kind.is_stream:
-            needed_s += count_events(request.id) * EVENT_GAP_S
+            needed_s += count_events(request.id) * EVENT_GAP_S * slowest
         time_s = min(request.deadline_s, *find_timeouts_s(history, request))
         if failed and needed_s <= time_s and _is_sound(history, request):
             yield Violation(
@@ -404,6 +407,7 @@
             request
             for request in history.requests
             if request.kind is not Kind.PROBE
+            and not _may_be_denied(history, request)
             and window.start_s + limits.STABLE_S < request.sent_s
             and request.sent_s < window.end_s
             and not history.overlaps(
@@ -445,6 +449,91 @@
     )
 
 
+def _may_be_denied(history: History, request: Request) -> bool:
+    """Returns whether a key or a quota may deny a request."""
+    if not history.life_by_key:
+        return False
+    life = history.life_by_key.get(request.key)
+    return (
+        life is None
+        or life.account.rate_per_s > 0.0
+        or life.added_s + limits.CONFIGURATION_LIMIT_S > request.sent_s
+        or life.removed_s < request.ended_s
+    )
+
+
+def find_misused_keys(history: History) -> Iterator[Violation]:
+    """Finds calls of endpoints that no valid key allows, or that show one."""
+    for request in history.requests:
+        for arrival in history.arrivals_by_request.get(request.id, ()):
+            detail = _describe_misuse(history, request, arrival)
+            if detail:
+                yield Violation(
+                    "KEY", f"{detail} at {arrival.endpoint}", request
+                )
+
+
+def _describe_misuse(
+    history: History, request: Request, arrival: Arrival
+) -> str:
+    if arrival.has_authorization:
+        return "Authorization header"
+    if arrival.misdirected or not history.life_by_key:
+        return ""
+    life = history.life_by_key.get(request.key)
+    if life is None:
+        return "unknown key" if request.key else "no key"
+    if arrival.account != life.account.name:
+        return f"account {arrival.account} instead of {life.account.name}"
+    late_s = request.sent_s - life.removed_s - limits.REMOVED_KEY_LIMIT_S
+    return f"removed key, sent {late_s:.2f} s too late" if late_s > 0 else ""
+
+
+def find_excess_units(history: History) -> Iterator[Violation]:
+    """Finds windows in which accounts exceed their quotas.
+
+    A request counts in the windows in which it is both sent and first run. All
+    VMs count together, and so do all their processes.
+    """
+    accounts = {
+        life.account.name: life.account for life in history.life_by_key.values()
+    }
+    for account in accounts.values():
+        used = _list_used_units(history, account)
+        allowed = (
+            account.rate_per_s * limits.QUOTA_WINDOW_S + account.burst
+        ) * (1 + limits.QUOTA_OVERAGE) + limits.QUOTA_SLACK
+        for index, (start_s, _, _) in enumerate(used):
+            end_s = start_s + limits.QUOTA_WINDOW_S
+            units = sum(
+                units for _, run_s, units in used[index:] if run_s <= end_s
+            )
+            if account.rate_per_s and units > allowed:
+                yield Violation(
+                    "QUOTA",
+                    f"{account.name}: {units} units from {start_s:.2f} s on, "
+                    f"{allowed:.1f} allowed",
+                )
+                break
+
+
+def _list_used_units(
+    history: History, account: Account
+) -> list[tuple[float, float, int]]:
+    """Returns the time of sending, first run and units of its requests."""
+    return sorted(
+        (
+            request.sent_s,
+            min(run.started_s for run in runs),
+            account.count_units(request.kind.is_stream),
+        )
+        for request in history.requests
+        if (runs := history.runs_by_request.get(request.id))
+        and (life := history.life_by_key.get(request.key))
+        and life.account.name == account.name
+    )
+
+
 CHECKERS: tuple[Checker, ...] = (
     find_lost,
     find_untrue_promises,
@@ -457,6 +546,8 @@
     find_crashing_parts,
     find_blamed,
     find_unserved,
+    find_misused_keys,
+    find_excess_units,
 )
 
 
--- a/soak/documents.py
+++ b/soak/documents.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import Any
 
+from soak.accounts import Account
 from soak.history import Kind
 
 HOST = "app.example"
@@ -28,12 +29,14 @@
       timeout_ms: timeout of all routes.
       idle_timeout_ms: how long a connection may stay idle.
       extra_routes: number of routes that no caller uses.
+      accounts: client accounts; empty if requests need no key.
     """
 
     version: int = 1
     timeout_ms: int = 5000
     idle_timeout_ms: int = 15_000
     extra_routes: int = 0
+    accounts: tuple[Account, ...] = dataclasses.field(default=(), repr=False)
 
 
 def make_document(configuration: Configuration) -> dict[str, Any]:
@@ -44,8 +47,9 @@
     kind_by_name[f"p{configuration.version}"] = Kind.PROBE
     for number in range(configuration.extra_routes):
         kind_by_name[f"extra{number}"] = Kind.READ
+    document: dict[str, Any]
     engine = {"slots": 32, "kv_tokens": 1_000_000, "hold_ms": _HOLD_MS}
-    return {
+    document = {
         "version": configuration.version,
         "routes": [
             _make_route(name, kind, configuration.timeout_ms)
@@ -62,6 +66,10 @@
             "idle_timeout_ms": configuration.idle_timeout_ms,
         },
     }
+    if configuration.accounts:
+        accounts = [account.as_document() for account in configuration.accounts]
+        document["tenants"] = accounts
+    return document
 
 
 def _make_route(name: str, kind: Kind, timeout_ms: int) -> dict[str, Any]:
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -88,6 +88,7 @@
       breaks_off: whether new runs of an engine end inside an event; None if
         they do not, or whether they then have a last chunk.
       has_crashed: whether a part of a prompt has crashed it.
+      slowness: how many times as long as usual it works.
     """
 
     _numbers = itertools.count(1)
@@ -98,6 +99,7 @@
         stage: str | None,
         history: History,
         links: EndpointLinks,
+        slowness: float = 1.0,
     ) -> None:
         self.id = f"{service}-{next(self._numbers)}"
         self.service = service
@@ -108,6 +110,7 @@
         self.resets = False
         self.breaks_off: bool | None = None
         self.has_crashed = False
+        self.slowness = slowness
         self._silent_until_s_by_place = dict.fromkeys(Place, 0.0)
         self._history = history
         self._links = links
@@ -216,7 +219,11 @@
             now_s = self._history.now_s()
             place = (request_id, self.id, self.service, now_s)
             is_other = expected != self.id
-            self._history.arrivals.append(Arrival(*place, is_prefill, is_other))
+            account = head.headers.get("tenant")
+            has_key = "authorization" in head.headers
+            self._history.arrivals.append(
+                Arrival(*place, is_prefill, is_other, account, has_key)
+            )
         if expected != self.id:
             await self._send_json(writer, {}, _REFUSED)
         elif target == "/v1/order":
@@ -227,7 +234,7 @@
         elif request_id is None:
             await self._send_json(writer, {})
         elif is_prefill:
-            await asyncio.sleep(_WORK_S)
+            await asyncio.sleep(_WORK_S * self.slowness)
             handle = {"handle": f"k{request_id}", "tokens": 1, "version": 1}
             await self._send_json(writer, handle)
         else:
@@ -252,7 +259,8 @@
             after = int(head.headers.get("last-event-id") or 0)
             whole = make_stream(request_id, after)
             parts = [event + b"\n\n" for event in whole.split(b"\n\n")[:-1]]
-        run = Run(request_id, self.id, self._history.now_s(), stamp, whole)
+        now_s = self._history.now_s()
+        run = Run(request_id, self.id, now_s, stamp, whole, self.slowness)
         self._history.runs.append(run)
         self._stamp_by_writer[writer] = stamp
         crashing = _find_crashing_part(head)
@@ -278,12 +286,12 @@
             is_chunked = self.breaks_off
             cut = parts[len(parts) // 2]
             parts = [*parts[: len(parts) // 2], cut[: len(cut) // 2]]
-        await asyncio.sleep(_WORK_S)
+        await asyncio.sleep(_WORK_S * run.slowness)
         await self._send(writer, _make_head(run, is_chunked), Place.HEAD)
         for part in parts:
             content = wire.make_chunk(part) if is_chunked else part
             await self._send(writer, content, Place.BODY)
-            await asyncio.sleep(EVENT_GAP_S)
+            await asyncio.sleep(EVENT_GAP_S * run.slowness)
         if is_chunked:
             await self._send(writer, wire.LAST_CHUNK, Place.BODY)
         else:
--- a/soak/history.py
+++ b/soak/history.py
@@ -15,6 +15,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import TypeVar
 
+from soak.accounts import Account, KeyLife
+
 EVENT_GAP_S = 0.04
 """Pause between the events of a stream, without faults."""
 # One in so many responses ends with its connection.
@@ -89,6 +91,7 @@
       body: the received part of the body.
       version: configuration version whose route a probe asks for.
       part: part of its prompt that crashes engines; empty for none.
+      key: key that it presents; empty for none.
     """
 
     id: str
@@ -104,6 +107,7 @@
     body: bytes = b""
     version: int = 0
     part: str = ""
+    key: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,6 +134,8 @@
       at_s: when it arrived.
       is_prefill: whether only the prompt is prefilled.
       misdirected: whether it was refused because it named another endpoint.
+      account: client account that it names; None for none.
+      has_authorization: whether it has a header of that name.
     """
 
     request_id: str
@@ -138,6 +144,8 @@
     at_s: float
     is_prefill: bool = False
     misdirected: bool = False
+    account: str | None = None
+    has_authorization: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -150,6 +158,7 @@
       started_s: when the work began.
       stamp: unique for each run.
       body: the whole body that the endpoint sends.
+      slowness: how many times as long as usual the endpoint works.
     """
 
     request_id: str
@@ -157,6 +166,7 @@
     started_s: float
     stamp: str
     body: bytes
+    slowness: float = 1.0
 
 
 _Item = TypeVar("_Item", Arrival, Run)
@@ -234,6 +244,7 @@
       configurations: configurations in the order of their writes.
       draining_s_by_endpoint: when the store acknowledged that an endpoint is
         draining.
+      life_by_key: when each key was added and removed.
       started_s: start of the soak, on the monotonic clock.
     """
 
@@ -249,6 +260,7 @@
     draining_s_by_endpoint: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    life_by_key: dict[str, KeyLife] = dataclasses.field(default_factory=dict)
     started_s: float = dataclasses.field(default_factory=time.monotonic)
 
     def now_s(self) -> float:
@@ -264,6 +276,16 @@
         finally:
             self.windows.append(Window(trouble, subject, start_s, self.now_s()))
 
+    def record_keys(self, accounts: Iterable[Account]) -> None:
+        """Records which keys the store has acknowledged."""
+        now_s = self.now_s()
+        account_by_key = {key: a for a in accounts for key in a.keys}
+        for key, account in account_by_key.items():
+            self.life_by_key.setdefault(key, KeyLife(account, now_s))
+        for key, life in self.life_by_key.items():
+            if key not in account_by_key:
+                life.removed_s = min(life.removed_s, now_s)
+
     def configurations_since(self, start_s: float) -> list[ConfigurationWrite]:
         """Returns what may be in force if the store's changes since then are.
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -7,6 +7,7 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
+from soak.accounts import replace_key
 from soak.documents import Configuration, make_document
 from soak.endpoints import CRASHING_PREFIX, Endpoint
 from soak.history import ConfigurationWrite, Trouble
@@ -36,16 +37,24 @@
         configuration.idle_timeout_ms / 1000,
     )
     world.history.configurations.append(write)
+    world.history.record_keys(configuration.accounts)
 
 
-async def add_endpoint(world: World, service: str, stage: str | None) -> None:
+async def add_endpoint(
+    world: World, service: str, stage: str | None, slowness: float = 1.0
+) -> None:
     """Starts an endpoint and registers it."""
-    endpoint = Endpoint(service, stage, world.history, world.links)
+    endpoint = Endpoint(service, stage, world.history, world.links, slowness)
     await endpoint.start()
     world.endpoints.append(endpoint)
     world.store.put("servers", endpoint.id, endpoint.as_store_entry())
 
 
+async def _add_successor(world: World, endpoint: Endpoint) -> None:
+    service, stage = endpoint.service, endpoint.stage
+    await add_endpoint(world, service, stage, endpoint.slowness)
+
+
 async def inject(world: World, fault: Fault) -> None:
     """Carries out a fault; returns when it is over."""
     vm = world.vms[fault.target % len(world.vms)]
@@ -70,10 +79,35 @@
 
 
 async def _configure(world: World, fault: Fault) -> None:
-    version = world.configuration.version + fault.configuration.version
-    write_configuration(
-        world, dataclasses.replace(fault.configuration, version=version)
+    present = world.configuration
+    configuration = dataclasses.replace(
+        fault.configuration,
+        version=present.version + fault.configuration.version,
+        accounts=present.accounts,
+    )
+    write_configuration(world, configuration)
+
+
+async def _replace_key(world: World, fault: Fault) -> None:
+    """Takes a key away and adds another; a VM may not see it at once."""
+    present = world.configuration
+    configuration = dataclasses.replace(
+        present,
+        version=present.version + 1,
+        accounts=replace_key(present.accounts, fault.count),
     )
+    vm = world.vms[fault.target % len(world.vms)]
+    with contextlib.ExitStack() as cut:
+        if fault.is_store_link:
+            cut.enter_context(world.history.window(Trouble.STORE, vm.name))
+            cut.enter_context(vm.store_link.cutting(*Direction))
+        write_configuration(world, configuration)
+        await asyncio.sleep(fault.duration_s)
+
+
+async def _slow_down(world: World, fault: Fault) -> None:
+    for endpoint in _choose_endpoints(world, fault):
+        endpoint.slowness *= 2
 
 
 async def _disturb_link(world: World, vm: Vm, fault: Fault) -> None:
@@ -146,7 +180,7 @@
             world.endpoints.remove(endpoint)
             endpoint.close()
             await asyncio.sleep(_CRASHED_S)
-            await add_endpoint(world, endpoint.service, endpoint.stage)
+            await _add_successor(world, endpoint)
             await asyncio.sleep(_CRASHED_S)
             world.store.remove("servers", endpoint.id)
 
@@ -174,7 +208,7 @@
 
 async def _start_again(world: World, endpoint: Endpoint) -> None:
     await asyncio.sleep(_RESTART_S)
-    await add_endpoint(world, endpoint.service, endpoint.stage)
+    await _add_successor(world, endpoint)
     world.store.remove("servers", endpoint.id)
 
 
@@ -186,7 +220,7 @@
                 # An overlapping fault has replaced it meanwhile.
                 continue
             world.endpoints.remove(endpoint)
-            await add_endpoint(world, endpoint.service, endpoint.stage)
+            await _add_successor(world, endpoint)
             entry = {**endpoint.as_store_entry(), "state": "draining"}
             world.store.put("servers", endpoint.id, entry)
             now_s = world.history.now_s()
@@ -223,6 +257,8 @@
     Action.ENDPOINT_BREAK_OFF: _break,
     Action.PART_CRASHES: _crash_by_part,
     Action.VM_CUT_OFF: _cut_off,
+    Action.KEY_REPLACE: _replace_key,
+    Action.ENDPOINT_SLOW: _slow_down,
 }
 
 __all__ = ["add_endpoint", "inject", "write_configuration"]
--- a/soak/limits.py
+++ b/soak/limits.py
@@ -30,6 +30,17 @@
 
 Half of what the users allow, since a soak has fewer requests.
 """
+REMOVED_KEY_LIMIT_S = 2.0
+"""Time after which an acknowledged removal of a key is in force anywhere.
+
+This and the quotas are small, so that the faults of a soak reach the limit.
+"""
+QUOTA_WINDOW_S = 8.0
+"""Length of the windows in which units of an account are counted."""
+QUOTA_OVERAGE = 0.1
+"""Share by which an account may exceed its quota."""
+QUOTA_SLACK = 3.0
+"""Units that each account may use in a window in addition."""
 STABLE_S = 3.0
 """Time after a fault during which a VM or service still counts as affected."""
 
@@ -42,6 +53,10 @@
     "GRACE_S",
     "PART_CRASHES",
     "PART_REQUESTS",
+    "QUOTA_OVERAGE",
+    "QUOTA_SLACK",
+    "QUOTA_WINDOW_S",
+    "REMOVED_KEY_LIMIT_S",
     "RETRY_RATIO",
     "RETRY_SLACK",
     "RETRY_WINDOW_S",
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,12 +10,14 @@
 import pathlib
 import random
 import socket
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine, Iterator, Sequence
 from typing import Any
 
+from soak.accounts import ACCOUNTS
 from soak.callers import Caller
 from soak.checkers import Violation, check
-from soak.history import History
+from soak.documents import Configuration
+from soak.history import History, Run
 from soak.injector import add_endpoint, inject, write_configuration
 from soak.schedule import Fault, make_schedule
 from soak.vms import PORTS_PER_VM, Vm
@@ -28,6 +30,9 @@
     *(("llm", "prefill"),) * 2,
     *(("llm", "decode"),) * 3,
 )
+# Every so many endpoints, one is slow.
+_SLOW_EACH = 3
+_SLOWNESS = 1.6
 _START_TIMEOUT_S = 30.0
 # Longest time that a caller waits for the response to its last request.
 _LAST_RESPONSES_S = 10.0
@@ -46,6 +51,8 @@
       with_streams: whether streams are also broken off, and prompts crash
         engines.
       with_cuts: whether VMs are also cut off from all endpoints.
+      with_accounts: whether callers present keys of client accounts.
+      with_speeds: whether endpoints differ in speed.
     """
 
     seed: int
@@ -54,6 +61,8 @@
     folder: pathlib.Path
     with_streams: bool = False
     with_cuts: bool = False
+    with_accounts: bool = False
+    with_speeds: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,18 +90,22 @@
         options.seconds,
         options.with_streams,
         options.with_cuts,
+        options.with_accounts,
+        options.with_speeds,
     )
     store, history = ObjectStore(), History()
     ports = contextlib.ExitStack()
     vms = _make_vms(options, store, history, ports)
     world = World(history, store, vms)
+    if options.with_accounts:
+        world.configuration = Configuration(accounts=ACCOUNTS)
     if options.with_cuts:
         world.links.processes += [vm.find_process_id for vm in vms]
     tasks: list[asyncio.Task[None]] = []
     lags_s = [0.0]
     try:
         tasks.append(asyncio.ensure_future(_measure_lag(lags_s)))
-        await _listen(world)
+        await _listen(world, options.with_speeds)
         # Links and endpoints have other ports than the processes.
         ports.close()
         await _play(world, schedule, options, tasks)
@@ -113,10 +126,12 @@
     return Result(schedule, history, found, max(lags_s))
 
 
-async def _listen(world: World) -> None:
+async def _listen(world: World, with_speeds: bool) -> None:
     """Starts the endpoints, and the links of the VMs."""
-    for service, stage in _FLEET:
-        await add_endpoint(world, service, stage)
+    for number, (service, stage) in enumerate(_FLEET):
+        is_slow = with_speeds and number % _SLOW_EACH == 0
+        slowness = _SLOWNESS if is_slow else 1.0
+        await add_endpoint(world, service, stage, slowness)
     for vm in world.vms:
         await vm.start_links()
 
@@ -185,6 +200,7 @@
             store_port,
             options.folder,
             history,
+            options.with_accounts,
         )
         for number in range(options.vms)
     ]
@@ -216,9 +232,22 @@
         "longest_lag_s": round(result.longest_lag_s, 3),
         "violations": [*map(str, result.violations)],
     }
+    if options.with_speeds:
+        report["runs_by_slowness"] = _count_by_slowness(history.runs)
     return json.dumps(report, indent=2)
 
 
+def _count_by_slowness(runs: Sequence[Run]) -> dict[str, dict[str, int]]:
+    """Returns the runs of endpoints by service, slowness and endpoint."""
+    counts: dict[str, dict[str, int]] = {}
+    for run in runs:
+        service = run.endpoint.partition("-")[0]
+        count_by_endpoint = counts.setdefault(f"{service} {run.slowness}", {})
+        count_by_endpoint.setdefault(run.endpoint, 0)
+        count_by_endpoint[run.endpoint] += 1
+    return dict(sorted(counts.items()))
+
+
 def _count(names: Iterator[str]) -> dict[str, int]:
     return dict(sorted(collections.Counter(names).items()))
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -45,6 +45,8 @@
     ENDPOINT_BREAK_OFF = "endpoint_break_off"
     PART_CRASHES = "part_crashes"
     VM_CUT_OFF = "vm_cut_off"
+    KEY_REPLACE = "key_replace"
+    ENDPOINT_SLOW = "endpoint_slow"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -111,6 +113,8 @@
     Action.ENDPOINT_DRAIN: _ENDPOINT_FIELDS,
     Action.ENDPOINT_BREAK_OFF: (*_ENDPOINT_FIELDS, "is_framed"),
     Action.VM_CUT_OFF: (*_USUAL_FIELDS, "count", "way"),
+    Action.KEY_REPLACE: (*_LINK_FIELDS, "count"),
+    Action.ENDPOINT_SLOW: ("target", "service"),
 }
 _IN_SERIES = (Action.CONFIGURE, Action.VM_HUP, Action.VM_TERM, Action.VM_FREEZE)
 _CALM = (
@@ -119,7 +123,7 @@
 )
 _FURTHER = (
     *(Action.ENDPOINT_BREAK_OFF, Action.PART_CRASHES),
-    Action.VM_CUT_OFF,
+    *(Action.VM_CUT_OFF, Action.KEY_REPLACE, Action.ENDPOINT_SLOW),
 )
 _MIXED = tuple(action for action in Action if action not in _FURTHER)
 # A part crashes engines for so long that requests with it come after the fifth
@@ -129,6 +133,9 @@
 # Longer than a VM may take to notice that it is cut off.
 _CUT_OFF_S = (6.0, 9.0)
 _CONNECTED_S = (1.0, 6.0)
+# A VM that misses the removal is out of touch for longer than the limit.
+_KEY_CUT_S = (4.0, 6.0)
+_KEY_INTERVAL_S = (2.0, 6.0)
 
 
 def make_schedule(
@@ -136,6 +143,8 @@
     seconds: float,
     with_streams: bool = False,
     with_cuts: bool = False,
+    with_accounts: bool = False,
+    with_speeds: bool = False,
 ) -> tuple[Fault, ...]:
     """Returns the faults of a seed, in the order of their begin.
 
@@ -148,6 +157,8 @@
       with_streams: whether streams are also broken off, and prompts crash
         engines.
       with_cuts: whether VMs are also cut off from all endpoints.
+      with_accounts: whether keys of client accounts are also replaced.
+      with_speeds: whether an endpoint also halves its speed.
     """
     rng = random.Random(seed)
     faults: list[Fault] = []
@@ -168,6 +179,13 @@
         faults += _draw_further(seed, seconds)
     if with_cuts:
         faults += _draw_cuts(seed, seconds)
+    if with_accounts:
+        faults += _draw_key_changes(seed, seconds)
+    if with_speeds:
+        rng = random.Random(f"{seed}/speeds")
+        at_s = rng.uniform(seconds / 3, seconds / 2)
+        fault = _draw(rng, Action.ENDPOINT_SLOW, at_s)
+        faults.append(dataclasses.replace(fault, count=1))
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
@@ -208,6 +226,19 @@
         at_s += duration_s + rng.uniform(*_CONNECTED_S)
 
 
+def _draw_key_changes(seed: int, seconds: float) -> Iterator[Fault]:
+    """Yields replacements of keys; half of them are hidden from a VM."""
+    rng = random.Random(f"{seed}/accounts")
+    at_s = rng.uniform(*_KEY_INTERVAL_S)
+    while at_s + _KEY_CUT_S[1] < seconds - _LAST_S:
+        yield dataclasses.replace(
+            _draw(rng, Action.KEY_REPLACE, at_s),
+            duration_s=round(rng.uniform(*_KEY_CUT_S), 2),
+            count=rng.randrange(_TARGETS),
+        )
+        at_s += rng.uniform(*_KEY_INTERVAL_S)
+
+
 def _draw(rng: random.Random, action: Action, at_s: float) -> Fault:
     is_silence = action is Action.ENDPOINT_SILENT
     counts = (1, 2, _ALL) if is_silence else (1, 1, 2)
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -45,6 +45,7 @@
         store_port: int,
         folder: pathlib.Path,
         history: History,
+        with_accounts: bool = False,
     ) -> None:
         self.name = name
         self.incarnation = 0
@@ -56,6 +57,7 @@
         self._folder = folder
         self._settings_path = folder / f"{name}.yaml"
         self._history = history
+        self._with_accounts = with_accounts
         self._process: subprocess.Popen[bytes] | None = None
         self._was_told_to_end = False
         self._windows = contextlib.ExitStack()
@@ -192,6 +194,13 @@
   ratio: {limits.RETRY_RATIO}
   slack: {limits.RETRY_SLACK}
   window_s: {limits.RETRY_WINDOW_S} s
+"""
+        if self._with_accounts:
+            text += f"""\
+change_limits:
+  removed_key_s: {limits.REMOVED_KEY_LIMIT_S} s
+account_quotas:
+  slack: {limits.QUOTA_SLACK}
 """
         self._settings_path.write_text(text)
 
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from soak import checkers
+from soak.accounts import ACCOUNTS, KeyLife
 from soak.history import (
     Arrival,
     ConfigurationWrite,
@@ -363,10 +364,6 @@
         self.assertEqual(_find(_make_history(bad)), [])
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class CutOffTest(unittest.TestCase):
     def find(self, served: int, failed: int, sent_s: float = 28.0) -> list[str]:
         """Returns what is found for a VM that is cut off from 20 s to 30 s."""
@@ -401,3 +398,133 @@
     def test_refusals_before_the_vm_can_know_are_allowed(self) -> None:
         """Guards against a soak that fails whatever a VM does."""
         self.assertEqual(self.find(0, 20, sent_s=21.0), [])
+
+    def test_denials_by_keys_and_quotas_do_not_count(self) -> None:
+        """Guards against a VM that is blamed for keys and quotas."""
+        life = KeyLife(ACCOUNTS[0], 0.0)
+        limited = KeyLife(ACCOUNTS[1], 0.0)
+        lives = {"museum-1": life, "school-1": limited}
+        for key, expected in (("museum-1", ["CUT_OFF"]), ("school-1", [])):
+            window = Window(Trouble.CUT_OFF, "vm-1", 20.0, 30.0)
+            requests = [
+                _make_request(
+                    id=f"r{number}",
+                    vm=vm,
+                    key=key,
+                    sent_s=28.0,
+                    ended_s=28.1,
+                    status=status,
+                )
+                for vm, status in (("vm-1", 429), ("vm-2", 200))
+                for number in range(20)
+            ]
+            history = _make_history(
+                *requests, windows=[window], life_by_key=lives
+            )
+            found = [v.checker for v in checkers.find_unserved(history)]
+            self.assertEqual(found, expected)
+
+
+class KeyTest(unittest.TestCase):
+    def find(self, key: str, **changes: Any) -> list[str]:
+        """Returns what is found for a call with the changed fields."""
+        removed = KeyLife(ACCOUNTS[0], 0.0, _SENT_S - 2.1)
+        recent = KeyLife(ACCOUNTS[0], 0.0, _SENT_S - 1.9)
+        held = KeyLife(ACCOUNTS[0], 0.0)
+        lives = {"old": removed, "recent": recent, "held": held}
+        arrival = Arrival("r1", "app-1", "app", _SENT_S, account="museum")
+        history = _make_history(
+            _make_request(key=key),
+            runs=[_make_run()],
+            arrivals=[dataclasses.replace(arrival, **changes)],
+            life_by_key=lives,
+        )
+        return _find(history)
+
+    def test_call_with_a_held_key_is_no_violation(self) -> None:
+        """Guards against a checker that denies what accounts may do."""
+        self.assertEqual(self.find("held"), [])
+
+    def test_removed_key_is_found_after_the_limit(self) -> None:
+        """Guards against a VM out of touch that serves a removed key."""
+        self.assertEqual(self.find("recent"), [])
+        self.assertEqual(self.find("old"), ["KEY"])
+
+    def test_unknown_key_and_missing_key_are_found(self) -> None:
+        """Guards against requests that run for nobody."""
+        self.assertEqual(self.find("unknown"), ["KEY"])
+        self.assertEqual(self.find(""), ["KEY"])
+
+    def test_foreign_account_is_found(self) -> None:
+        """Guards against callers that name an account themselves."""
+        self.assertEqual(self.find("held", account="school"), ["KEY"])
+        self.assertEqual(self.find("held", account=None), ["KEY"])
+
+    def test_key_that_reaches_an_endpoint_is_found(self) -> None:
+        """Guards against endpoints that see keys, also before they refuse."""
+        for misdirected in (False, True):
+            found = self.find(
+                "held", has_authorization=True, misdirected=misdirected
+            )
+            self.assertEqual(found, ["KEY"])
+
+
+class QuotaTest(unittest.TestCase):
+    def find(self, count: int, **changes: Any) -> list[str]:
+        """Returns what is found for requests of both keys at two VMs."""
+        account, kind = changes.pop("account", ACCOUNTS[1]), Kind.READ
+        kind = changes.pop("kind", kind)
+        interval_s = changes.pop("interval_s", 0.0)
+        requests = [
+            _make_request(
+                id=f"r{number}",
+                kind=kind,
+                key=f"k{number % 2}",
+                vm=f"vm-{number % 2}",
+                incarnation=number,
+                sent_s=_SENT_S + number * interval_s,
+                status=404,
+            )
+            for number in range(count)
+        ]
+        delay_s = changes.pop("delay_s", 0.0)
+        runs = [
+            _make_run(request.sent_s + delay_s, request_id=request.id)
+            for request in requests
+        ]
+        history = _make_history(
+            *requests,
+            runs=runs * 2,
+            life_by_key={f"k{n}": KeyLife(account, 0.0) for n in range(2)},
+        )
+        return [v.checker for v in checkers.find_excess_units(history)]
+
+    def test_requests_of_all_vms_and_keys_count_together(self) -> None:
+        """Guards against VMs that each grant the whole quota.
+
+        8 s at 2/s and a burst of 4 allow 22 with the overage, and the slack 3.
+        """
+        self.assertEqual(self.find(25), [])
+        self.assertEqual(self.find(26), ["QUOTA"])
+
+    def test_streams_count_by_their_tokens(self) -> None:
+        """Guards against a quota of tokens that counts requests.
+
+        8 s at 150/s and a burst of 400 allow 1,763, twelve streams of 140.
+        """
+        for count, expected in ((12, []), (13, ["QUOTA"])):
+            found = self.find(count, account=ACCOUNTS[2], kind=Kind.DRAFT)
+            self.assertEqual(found, expected)
+
+    def test_only_what_is_sent_and_run_in_a_window_counts(self) -> None:
+        """Guards against a checker that charges a later refill."""
+        self.assertEqual(self.find(26, interval_s=0.4), [])
+        self.assertEqual(self.find(26, delay_s=8.1), [])
+
+    def test_account_without_a_quota_is_not_limited(self) -> None:
+        """Guards against a checker that fails each account."""
+        self.assertEqual(self.find(100, account=ACCOUNTS[0]), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
