--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -450,9 +450,19 @@
 
 
 def _may_be_denied(history: History, request: Request) -> bool:
-    """Returns whether a key or a quota may deny a request."""
+    """Returns whether a key or a quota may deny a request.
+
+    A VM that does not reach the store must refuse all keys after the limit.
+    """
     if not history.life_by_key:
         return False
+    if history.overlaps(
+        frozenset((Trouble.STORE,)),
+        request.vm,
+        request.sent_s - limits.STABLE_S,
+        request.ended_s,
+    ):
+        return True
     life = history.life_by_key.get(request.key)
     return (
         life is None
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,14 +10,14 @@
 import pathlib
 import random
 import socket
-from collections.abc import Coroutine, Iterator, Sequence
+from collections.abc import Coroutine, Iterator
 from typing import Any
 
 from soak.accounts import ACCOUNTS
 from soak.callers import Caller
 from soak.checkers import Violation, check
 from soak.documents import Configuration
-from soak.history import History, Run
+from soak.history import History
 from soak.injector import add_endpoint, inject, write_configuration
 from soak.schedule import Fault, make_schedule
 from soak.vms import PORTS_PER_VM, Vm
@@ -233,21 +233,12 @@
         "violations": [*map(str, result.violations)],
     }
     if options.with_speeds:
-        report["runs_by_slowness"] = _count_by_slowness(history.runs)
+        report["runs_by_speed"] = _count(
+            f"{run.endpoint} {run.slowness}" for run in history.runs
+        )
     return json.dumps(report, indent=2)
 
 
-def _count_by_slowness(runs: Sequence[Run]) -> dict[str, dict[str, int]]:
-    """Returns the runs of endpoints by service, slowness and endpoint."""
-    counts: dict[str, dict[str, int]] = {}
-    for run in runs:
-        service = run.endpoint.partition("-")[0]
-        count_by_endpoint = counts.setdefault(f"{service} {run.slowness}", {})
-        count_by_endpoint.setdefault(run.endpoint, 0)
-        count_by_endpoint[run.endpoint] += 1
-    return dict(sorted(counts.items()))
-
-
 def _count(names: Iterator[str]) -> dict[str, int]:
     return dict(sorted(collections.Counter(names).items()))
 
