--- a/soak/limits.py
+++ b/soak/limits.py
@@ -30,11 +30,8 @@
 
 Half of what the users allow, since a soak has fewer requests.
 """
-REMOVED_KEY_LIMIT_S = 2.0
-"""Time after which an acknowledged removal of a key is in force anywhere.
-
-This and the quotas are small, so that the faults of a soak reach the limit.
-"""
+REMOVED_KEY_LIMIT_S = 5.0
+"""Time after which an acknowledged removal of a key is in force anywhere."""
 QUOTA_WINDOW_S = 8.0
 """Length of the windows in which units of an account are counted."""
 QUOTA_OVERAGE = 0.1
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -134,7 +134,7 @@
 _CUT_OFF_S = (6.0, 9.0)
 _CONNECTED_S = (1.0, 6.0)
 # A VM that misses the removal is out of touch for longer than the limit.
-_KEY_CUT_S = (4.0, 6.0)
+_KEY_CUT_S = (7.0, 9.0)
 _KEY_INTERVAL_S = (2.0, 6.0)
 
 
