--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -215,7 +215,8 @@
         if request.kind.is_stream:
             needed_s += count_events(request.id) * EVENT_GAP_S * slowest
         time_s = min(request.deadline_s, *find_timeouts_s(history, request))
-        if failed and needed_s <= time_s and _is_sound(history, request):
+        is_owed = needed_s <= time_s and _holds_key(history, request)
+        if failed and is_owed and _is_sound(history, request):
             yield Violation(
                 "SILENCE",
                 f"{request.outcome.value} {request.status} after "
@@ -454,22 +455,26 @@
 
     A VM that does not reach the store must refuse all keys after the limit.
     """
-    if not history.life_by_key:
-        return False
-    if history.overlaps(
+    life = history.life_by_key.get(request.key)
+    is_limited = life is not None and life.account.rate_per_s > 0.0
+    is_alone = history.overlaps(
         frozenset((Trouble.STORE,)),
         request.vm,
         request.sent_s - limits.STABLE_S,
         request.ended_s,
-    ):
-        return True
-    life = history.life_by_key.get(request.key)
-    return (
-        life is None
-        or life.account.rate_per_s > 0.0
-        or life.added_s + limits.CONFIGURATION_LIMIT_S > request.sent_s
-        or life.removed_s < request.ended_s
     )
+    return not _holds_key(history, request) or (
+        bool(history.life_by_key) and (is_limited or is_alone)
+    )
+
+
+def _holds_key(history: History, request: Request) -> bool:
+    """Returns whether a request needs no key, or certainly has a held one."""
+    life = history.life_by_key.get(request.key)
+    if life is None:
+        return not history.life_by_key
+    known_s = life.added_s + limits.CONFIGURATION_LIMIT_S
+    return known_s <= request.sent_s and request.ended_s <= life.removed_s
 
 
 def find_misused_keys(history: History) -> Iterator[Violation]:
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -229,6 +229,17 @@
         history = _make_history(self.request, windows=[self.silence])
         self.assertEqual(_find(history), ["SILENCE"])
 
+    def test_error_is_allowed_only_without_a_held_key(self) -> None:
+        """Guards against answers that are demanded for unknown keys."""
+        lives = {"held": KeyLife(ACCOUNTS[1], 0.0)}
+        for key, expected in (("held", ["SILENCE"]), ("unknown", [])):
+            history = _make_history(
+                dataclasses.replace(self.request, key=key),
+                windows=[self.silence],
+                life_by_key=lives,
+            )
+            self.assertEqual(_find(history), expected)
+
     def test_stream_cut_during_a_silence_is_found(self) -> None:
         """Guards against streams that end with a silence."""
         request = _make_request(kind=Kind.DRAFT, outcome=Outcome.CUT, body=b"")
