Explain at the metrics address where a request would go now

Operators could only learn from the log, afterwards, why a request went to an endpoint or was refused. POST /explain reads the state of the VM and names the route, account, quota, place in the queue and each candidate with the reason that it is not first.

--- a/src/burdockspan/cli/root.py
+++ b/src/burdockspan/cli/root.py
@@ -16,6 +16,7 @@
     "config": "burdockspan.cli.config:config",
     "drain": "burdockspan.cli.drain:drain",
     "entry": "burdockspan.cli.entry:entry",
+    "explain": "burdockspan.cli.explain:explain",
     "gateway": "burdockspan.cli.gateway:gateway",
     "lookup": "burdockspan.cli.lookup:lookup",
     "questionnaire": "burdockspan.cli.questionnaire:questionnaire",
--- a/src/burdockspan/gateway/admission/admission_queue.py
+++ b/src/burdockspan/gateway/admission/admission_queue.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TypeVar
 
 from burdockspan.gateway.admission.fleet_waiting import (
@@ -55,6 +56,20 @@
     precedence: Precedence = UNORDERED
 
 
+@dataclasses.dataclass(frozen=True)
+class QueuePlace:
+    """The place of a generation in the queue.
+
+    Attributes:
+      ahead: number of generations that go first.
+      waiting_by_priority: number of those in the queue, by combined priority;
+        0 is the most urgent, and that of all where generations have no order.
+    """
+
+    ahead: int
+    waiting_by_priority: Mapping[int, int]
+
+
 def is_retry_after_refusal(call: InboundCall, route: Route) -> bool:
     """Returns whether a request appears to be a retry after a refusal."""
     return call.caller_timeout_s < _MIN_FIRST_ATTEMPT_SHARE * route.timeout_s
@@ -187,6 +202,24 @@
         """Returns the number of generations in the queue."""
         return len(self._queued)
 
+    def explain(
+        self, is_late: bool, arrived_s: float, precedence: Precedence
+    ) -> QueuePlace:
+        """Returns the place that a generation would take, without taking it."""
+        with self._changed:
+            rank = self._rank(
+                QueuedGeneration(
+                    is_late, arrived_s, self._last_number + 1, precedence
+                )
+            )
+            others = tuple(self._queued.values())
+            return QueuePlace(
+                ahead=sum(self._rank(other) < rank for other in others),
+                waiting_by_priority=collections.Counter(
+                    other.precedence.priority for other in others
+                ),
+            )
+
     def _enqueue(
         self, is_late: bool, arrived_s: float, precedence: Precedence
     ) -> QueuedGeneration:
@@ -260,6 +293,29 @@
                 self._queue_by_key[key] = queue
             return queue
 
+    def explain(
+        self,
+        service: str,
+        software_version: str | None,
+        is_late: bool,
+        arrived_s: float,
+        precedence: Precedence,
+    ) -> QueuePlace:
+        """Returns the place in a queue, which is not created."""
+        with self._lock:
+            queue = self._queue_by_key.get((service, software_version))
+        if queue is None:
+            return QueuePlace(0, {})
+        return queue.explain(is_late, arrived_s, precedence)
+
+    def count_elsewhere(self, service: str) -> dict[int, int]:
+        """Returns how many wait at the other VMs, by combined priority."""
+        counts: collections.Counter[int] = collections.Counter()
+        if self._fleet is not None:
+            for waiting in self._fleet.list_waiting(service):
+                counts[waiting.priority] += waiting.count
+        return dict(counts)
+
     def most_urgent_elsewhere(self, service: str) -> int | None:
         """Returns the most urgent priority that waits at another VM."""
         return None if self._fleet is None else self._fleet.most_urgent(service)
@@ -297,6 +353,7 @@
 __all__ = [
     "AdmissionQueue",
     "AdmissionQueues",
+    "QueuePlace",
     "QueuedGeneration",
     "is_retry_after_refusal",
 ]
--- a/src/burdockspan/gateway/admission/full_engines.py
+++ b/src/burdockspan/gateway/admission/full_engines.py
@@ -34,12 +34,16 @@
 
         This holds if the engine recently rejected one of at most this size.
         """
+        return self.remaining_s(endpoint, tokens, now_s) > 0.0
+
+    def remaining_s(
+        self, endpoint: Endpoint, tokens: int, now_s: float
+    ) -> float:
+        """Returns for how long `is_full_for` holds yet; 0 if it does not."""
         recorded = self._by_incarnation.get(endpoint.incarnation)
-        return (
-            recorded is not None
-            and now_s < recorded[0]
-            and tokens >= recorded[1]
-        )
+        if recorded is None or tokens < recorded[1]:
+            return 0.0
+        return max(0.0, recorded[0] - now_s)
 
 
 __all__ = ["FullEngines"]
--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import copy
 import dataclasses
 import math
 import threading
@@ -106,6 +107,12 @@
         self._estimate_by_key: dict[int, Estimate] = {}
         self._logged_by_key: dict[int, tuple[float, float]] = {}
 
+    def with_random(self, random_float: RandomFloat) -> EndpointCapacity:
+        """Returns a view of the same estimates that draws otherwise."""
+        view = copy.copy(self)
+        view._random_float = random_float
+        return view
+
     def join(self, exchange: Exchange) -> None:
         """Adds the topic of this VM's work to the exchange."""
         if self.is_learned:
--- a/src/burdockspan/gateway/fleet/reachability.py
+++ b/src/burdockspan/gateway/fleet/reachability.py
@@ -283,17 +283,32 @@
             if failed_s.get(endpoint.incarnation, oldest_s) > oldest_s
         ]
 
-    def _log_change(self, service: str, is_lost: bool) -> None:
-        reached_s = self._find_evidence(service).reached_s
+    def explain(self, service: str) -> dict[str, Any]:
+        """Returns what is known of a service, as plain data.
+
+        Unlike `is_out_of_reach`, this changes and logs nothing.
+        """
+        evidence = self._find_evidence(service)
+        reached_s = evidence.reached_s
         age_s = None if reached_s is None else self._clock() - reached_s
+        return {
+            "out_of_reach": self._is_enough(
+                service, evidence.latest_s_by_incarnation
+            ),
+            "failed": len(self._list_failed(service)),
+            "endpoints": len(self._list_endpoints(service)),
+            "connects": not self.is_disconnected(service),
+            "reached_age_s": None if age_s is None else round(age_s, 3),
+        }
+
+    def _log_change(self, service: str, is_lost: bool) -> None:
         self._registry.count("service", "lost" if is_lost else "reached")
+        fields = self.explain(service)
+        del fields["out_of_reach"]
         self._log(
             OUT_OF_REACH if is_lost else "service reached",
             service=service,
-            failed=len(self._list_failed(service)),
-            endpoints=len(self._list_endpoints(service)),
-            connects=not self.is_disconnected(service),
-            reached_age_s=None if age_s is None else round(age_s, 3),
+            **fields,
         )
 
 
--- a/src/burdockspan/gateway/readiness.py
+++ b/src/burdockspan/gateway/readiness.py
@@ -7,6 +7,7 @@
 
 from burdockspan.gateway.callers.messages import make_status_line
 from burdockspan.gateway.context import Context
+from burdockspan.gateway.explanation.server import PATH, serve_explanation
 from burdockspan.gateway.settings import (
     GatewaySettings,
 )
@@ -56,8 +57,10 @@
         return _respond(start_response, 200 if ready else 503, b"")
 
     def serve_metrics(
-        _: dict[str, Any], start_response: Any
+        environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == PATH:
+            return serve_explanation(context, environ, start_response)
         return _respond(start_response, 200, context.registry.render())
 
     servers = [make_server(serve_ready, settings.ready_address, 1)]
--- a/src/burdockspan/gateway/requests/application.py
+++ b/src/burdockspan/gateway/requests/application.py
@@ -18,7 +18,6 @@
     identify,
 )
 from burdockspan.gateway.accounts.quotas import Charge
-from burdockspan.gateway.accounts.values import Account
 from burdockspan.gateway.callers.ingress import Handler
 from burdockspan.gateway.callers.messages import (
     RawRequest,
@@ -36,6 +35,7 @@
 )
 from burdockspan.gateway.requests.generation import generate
 from burdockspan.gateway.requests.plain import forward
+from burdockspan.gateway.requests.request_priority import choose_priority
 from burdockspan.gateway.requests.resumption import restrict_to_origin
 from burdockspan.gateway.state import ActiveConfiguration
 from burdockspan.gateway.values import InboundCall, RelayNote, Route
@@ -264,19 +264,13 @@
             deadline_s=deadline_s,
             caller=raw.caller,
             abort=abort,
-            priority=_choose_priority(route, account),
+            priority=choose_priority(route, account),
             account=account,
             relay=raw.relay,
         )
     )
 
 
-def _choose_priority(route: Route, account: Account | None) -> int:
-    if account is None or account.priority is None:
-        return route.priority
-    return account.priority
-
-
 def _identify(
     context: Context,
     active: ActiveConfiguration,
--- a/src/burdockspan/gateway/requests/request_priority.py
+++ b/src/burdockspan/gateway/requests/request_priority.py
@@ -15,11 +15,18 @@
 )
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.requests.attempts import RoutedRequest
-from burdockspan.gateway.values import GenerationSize
+from burdockspan.gateway.values import GenerationSize, Route
 
 _KEY_DIGITS = 8
 
 
+def choose_priority(route: Route, account: Account | None) -> int:
+    """Returns the priority of an account's requests to a route."""
+    if account is None or account.priority is None:
+        return route.priority
+    return account.priority
+
+
 def find_engine_priority(
     context: Context, request: RoutedRequest
 ) -> int | None:
@@ -76,4 +83,4 @@
     return hashlib.sha256(account.encode()).hexdigest()[:_KEY_DIGITS]
 
 
-__all__ = ["find_engine_priority", "find_precedence"]
+__all__ = ["choose_priority", "find_engine_priority", "find_precedence"]
--- a/src/burdockspan/gateway/requests/reservations.py
+++ b/src/burdockspan/gateway/requests/reservations.py
@@ -71,6 +71,15 @@
     return math.ceil(_HEADROOM_SHARE * size.expected_output_tokens)
 
 
+def choose_tokens(
+    engine: EngineProperties, size: GenerationSize
+) -> tuple[int, int]:
+    """Returns the tokens to reserve, and those that must remain free."""
+    tokens = min(estimate_tokens(size), engine.kv_tokens)
+    headroom = min(estimate_headroom(size), engine.kv_tokens - tokens)
+    return tokens, headroom
+
+
 def reserve_memory(
     context: Context,
     request: RoutedRequest,
@@ -94,10 +103,11 @@
     Returns:
       The reservation; None if no engine granted one.
     """
-    tokens = min(estimate_tokens(size), engine.kv_tokens)
-    headroom = min(estimate_headroom(size), engine.kv_tokens - tokens)
+    tokens, headroom = choose_tokens(engine, size)
     ranked = context.endpoint_capacity.rank_decode(
-        _list_candidates(context, request, engine)
+        list_decode_candidates(
+            context, request.service, engine, request.software_version
+        )
     )
     request_count = 0
     failure_kinds: set[FailureKind] = set()
@@ -128,21 +138,26 @@
     return None
 
 
-def _list_candidates(
-    context: Context, request: RoutedRequest, engine: EngineProperties
+def list_decode_candidates(
+    context: Context,
+    service: str,
+    engine: EngineProperties,
+    version: str | None,
 ) -> tuple[Candidate, ...]:
-    """Returns the decode engines, or else the engines that run both stages."""
+    """Returns the decode engines, or else the engines that run both stages.
+
+    Args:
+      context: dependencies.
+      service: name of the service.
+      engine: properties of its engines.
+      version: software version of the engines; None for all.
+    """
     state = context.state
     load = context.endpoint_capacity.make_decode_load(engine)
-    version = request.software_version
-    decode_engines = state.candidates(
-        request.service, load, Stage.DECODE, version
-    )
+    decode_engines = state.candidates(service, load, Stage.DECODE, version)
     if decode_engines:
         return decode_engines
-    candidates = state.candidates(
-        request.service, load, software_version=version
-    )
+    candidates = state.candidates(service, load, software_version=version)
     return tuple(
         candidate
         for candidate in candidates
@@ -232,7 +247,9 @@
 
 __all__ = [
     "Reservation",
+    "choose_tokens",
     "estimate_headroom",
     "estimate_tokens",
+    "list_decode_candidates",
     "reserve_memory",
 ]
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -268,6 +268,13 @@
         )
         return min(waits, key=lambda wait: wait[1], default=None)
 
+    def describe(
+        self, endpoint: Endpoint, load: Callable[[Endpoint, int, int], float]
+    ) -> Candidate:
+        """Returns the inputs of an endpoint's rank, whether it is usable."""
+        with self._lock:
+            return self._make_candidate(endpoint, load, self.clock())
+
     def _make_candidate(
         self,
         endpoint: Endpoint,
--- a/src/burdockspan/gateway/streams/origin_sharing.py
+++ b/src/burdockspan/gateway/streams/origin_sharing.py
@@ -77,6 +77,10 @@
             OriginStatement(request_id, origin), self._list_owners(request_id)
         )
 
+    def find_here(self, request_id: str) -> Origin | None:
+        """Returns the origin of a stream if this VM knows it."""
+        return self._origins.find(request_id)
+
     def find(self, request_id: str) -> Origin | None:
         """Returns the origin of a stream, asking other VMs if necessary.
 
