--- a/src/burdockspan/cli/fleet.py
+++ b/src/burdockspan/cli/fleet.py
@@ -87,7 +87,7 @@
             states.add((zone, _to_text(member.get("state")), name))
     counts = collections.Counter((zone, state) for zone, state, _ in states)
     rows = [(*key, str(count)) for key, count in sorted(counts.items())]
-    return _render_table(("zone", "state", "entry VMs"), rows)
+    return render_table(("zone", "state", "entry VMs"), rows)
 
 
 def _render_vms(statuses: Mapping[str, Mapping[str, Any]]) -> str:
@@ -102,7 +102,7 @@
         for address, status in statuses.items()
     ]
     header = (*_VM_COLUMNS, "requests", "strikes", "claims", "admin")
-    text = _render_table(header, sorted(rows))
+    text = render_table(header, sorted(rows))
     if (
         len(
             {_to_text(status.get("generation")) for status in statuses.values()}
@@ -134,7 +134,7 @@
         )
         for name, endpoint in sorted(by_name.items())
     ]
-    return _render_table(_ENDPOINT_COLUMNS, rows)
+    return render_table(_ENDPOINT_COLUMNS, rows)
 
 
 def _render_engines(statuses: Iterable[Mapping[str, Any]]) -> str:
@@ -152,7 +152,7 @@
                 )
                 state = f"not confirmed; refused generation {refused}"
                 rows.add((name, load.strip(), state))
-    return _render_table(("vm", "order", "state"), sorted(rows))
+    return render_table(("vm", "order", "state"), sorted(rows))
 
 
 def _render_quarantine(statuses: Iterable[Mapping[str, Any]]) -> str:
@@ -199,7 +199,8 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
-def _render_table(header: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+def render_table(header: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Returns a header and rows with aligned columns."""
     table = [header, *rows]
     widths = [max(len(row[i]) for row in table) for i in range(len(header))]
     lines = (
@@ -211,4 +212,4 @@
     return "\n".join(line.rstrip() for line in lines)
 
 
-__all__ = ["fetch_fleet", "render_fleet"]
+__all__ = ["fetch_fleet", "render_fleet", "render_table"]
--- a/src/burdockspan/cli/http_client.py
+++ b/src/burdockspan/cli/http_client.py
@@ -31,9 +31,18 @@
 
 
 def fetch(
-    address: str, path: str, headers: Mapping[str, str] | None = None
+    address: str,
+    path: str,
+    headers: Mapping[str, str] | None = None,
+    posted: Any = None,
 ) -> Result[HttpResponse, str]:
-    """Sends a GET request to an `ip:port`.
+    """Sends a request to an `ip:port`.
+
+    Args:
+      address: `ip:port`.
+      path: path of the request.
+      headers: its headers.
+      posted: JSON value to send with POST; None sends a GET request.
 
     Returns:
       The response, whatever its status, or why there is none.
@@ -42,9 +51,10 @@
     with urllib3.PoolManager(timeout=timeout, retries=False) as pool:
         try:
             response = pool.request(
-                "GET",
+                "GET" if posted is None else "POST",
                 f"http://{address}{path}",
                 headers=dict(headers or {}),
+                body=None if posted is None else json.dumps(posted),
                 redirect=False,
                 preload_content=False,
             )
--- a/src/burdockspan/gateway/choice/stages.py
+++ b/src/burdockspan/gateway/choice/stages.py
@@ -153,7 +153,7 @@
             return self._engine_tokens_per_s(service)
 
     def _engine_tokens_per_s(self, service: str) -> float:
-        engine_rates = sorted(self._engine_rates_by_service[service])
+        engine_rates = sorted(self._engine_rates_by_service.get(service, ()))
         if not engine_rates:
             return 0.0
         return engine_rates[int(_RATE_QUANTILE * (len(engine_rates) - 1))]
--- a/src/burdockspan/gateway/explanation/candidates.py
+++ b/src/burdockspan/gateway/explanation/candidates.py
@@ -39,6 +39,7 @@
       suspicion: present weight of the suspicion against it.
       estimate: what is believed of it, with the samples and their age.
       wait_s: time until this VM may send it a request; None if unknown.
+      usable: whether it may be tried now.
       reason: why it is not tried first; None for the first one.
     """
 
@@ -53,6 +54,7 @@
     suspicion: float
     estimate: Mapping[str, Any]
     wait_s: float | None
+    usable: bool
     reason: str | None
 
 
@@ -188,14 +190,14 @@
     for endpoint in free:
         candidate = by_incarnation[endpoint.incarnation]
         reason = _compare(context, candidate, first)
-        explained.append(_describe(context, stage, endpoint, reason))
+        explained.append(_describe(context, stage, endpoint, True, reason))
     for endpoint in full:
         reason = f"full for another {stage.full_s(endpoint):.3f} s"
-        explained.append(_describe(context, stage, endpoint, reason))
+        explained.append(_describe(context, stage, endpoint, False, reason))
     for endpoint in stage.endpoints:
         if endpoint.incarnation not in by_incarnation:
             reason = _explain_unusable(context, stage, endpoint)
-            explained.append(_describe(context, stage, endpoint, reason))
+            explained.append(_describe(context, stage, endpoint, False, reason))
     return tuple(explained)
 
 
@@ -243,7 +245,11 @@
 
 
 def _describe(
-    context: Context, stage: _Stage, endpoint: Endpoint, reason: str | None
+    context: Context,
+    stage: _Stage,
+    endpoint: Endpoint,
+    usable: bool,
+    reason: str | None,
 ) -> CandidateExplanation:
     candidate = context.state.describe(endpoint, stage.load)
     running, tokens = context.state.running_work(endpoint)
@@ -260,6 +266,7 @@
         suspicion=round(candidate.suspicion, 3),
         estimate=context.endpoint_capacity.explain(endpoint),
         wait_s=None if math.isinf(wait_s) else round(wait_s, 3),
+        usable=usable,
         reason=reason,
     )
 
--- a/src/burdockspan/gateway/explanation/explanation.py
+++ b/src/burdockspan/gateway/explanation/explanation.py
@@ -24,6 +24,7 @@
 from burdockspan.gateway.context import Context
 from burdockspan.gateway.endpoints.part_quarantine import list_parts
 from burdockspan.gateway.explanation.candidates import (
+    CandidateExplanation,
     explain_decode,
     explain_plain,
     explain_prefill,
@@ -32,6 +33,9 @@
     CRASHES_ENDPOINTS,
     RoutedRequest,
 )
+from burdockspan.gateway.requests.generation_attempts import (
+    MAX_PREFILL_ENGINES,
+)
 from burdockspan.gateway.requests.request_priority import (
     choose_priority,
     find_precedence,
@@ -43,14 +47,16 @@
     InboundCall,
     RequestKind,
     Route,
-    Stage,
 )
 from burdockspan.placement.sampling import RandomFloat
 
 Explanation = dict[str, Any]
 """What would happen to a request, as JSON values."""
 
-_DRAW_NOTE = "service and order are one draw where they are random"
+_NOTES = (
+    "service and order are one draw where they are random",
+    "crash records are matched with an empty body",
+)
 
 
 def explain(
@@ -71,8 +77,13 @@
     explanation: Explanation = {
         "goes_to": None,
         "refusals": [],
+        "relayed_to": None,
+        "waits_for": None,
+        "quota": None,
+        "queue": None,
+        "stages": {},
         "request_id": call.request_id,
-        "note": _DRAW_NOTE,
+        "notes": _NOTES,
     }
     if context.crash_records.is_quarantined(call):
         explanation["refusals"].append(CRASHES_ENDPOINTS)
@@ -103,6 +114,37 @@
     return explanation
 
 
+def summarize(explanation: Explanation) -> str:
+    """Returns in one line what would happen to a request."""
+    if explanation["refusals"]:
+        return "refused: " + "; ".join(explanation["refusals"])
+    steps = []
+    quota = explanation["quota"]
+    if quota is not None and not quota["charged_now"]:
+        steps.append("waits shortly for units of other VMs, or is refused")
+    if explanation["relayed_to"] is not None:
+        steps.append(f"is relayed to {explanation['relayed_to']}")
+        return ", then ".join(steps)
+    ahead = explanation["queue"]["ahead"] if explanation["queue"] else 0
+    if ahead:
+        steps.append(f"waits behind {ahead} generations")
+    if explanation["goes_to"] is not None:
+        steps.append(f"is sent to {explanation['goes_to']}")
+    elif explanation["waits_for"] is None:
+        steps.append("is refused: no endpoint")
+    else:
+        steps.append(_describe_wait(**explanation["waits_for"]))
+    return ", then ".join(steps)
+
+
+def _describe_wait(endpoint: str, wait_s: float | None) -> str:
+    if wait_s is None:
+        return "is refused: limits whose share is unknown here"
+    if wait_s > 0.0:
+        return f"waits {wait_s} s for {endpoint}, or is refused"
+    return "waits for memory, or is refused"
+
+
 def _describe_route(route: Route) -> dict[str, Any]:
     return {
         "name": route.name,
@@ -177,10 +219,24 @@
     if reach["out_of_reach"]:
         peer = context.peers.choose(request.service, set())
         explanation["relayed_to"] = None if peer is None else peer.vm
-        if peer is not None:
-            return
-    if not refusals:
+    if not refusals and explanation["relayed_to"] is None:
         explanation["goes_to"] = _find_first(explanation["stages"])
+        explanation["waits_for"] = _find_soonest(context, request)
+
+
+def _find_soonest(
+    context: Context, request: RoutedRequest
+) -> dict[str, Any] | None:
+    soonest = context.state.find_soonest(
+        request.service, software_version=request.software_version
+    )
+    if soonest is None:
+        return None
+    endpoint, wait_s = soonest
+    return {
+        "endpoint": endpoint.id,
+        "wait_s": None if math.isinf(wait_s) else round(wait_s, 3),
+    }
 
 
 def _resume(
@@ -243,7 +299,9 @@
         service, version, is_late, request.call.arrived_s, precedence
     )
     decode = explain_decode(context, service, engine, size, version)
-    zone = decode[0].zone if decode else context.state.zone
+    zone = context.state.zone
+    if decode and decode[0].usable:
+        zone = decode[0].zone
     prefill = explain_prefill(context, service, size, zone)
     return {
         "queue": {
@@ -256,22 +314,29 @@
             ),
         },
         "decode_engine_prefills": _decode_engine_prefills(
-            context, request, size
+            context, request, size, decode, prefill
         ),
         "stages": {"decode": _to_plain(decode), "prefill": _to_plain(prefill)},
     }
 
 
 def _decode_engine_prefills(
-    context: Context, request: RoutedRequest, size: GenerationSize
+    context: Context,
+    request: RoutedRequest,
+    size: GenerationSize,
+    decode: tuple[CandidateExplanation, ...],
+    prefill: tuple[CandidateExplanation, ...],
 ) -> bool:
     """Returns whether no prefill engine is there, or all would be late."""
+    if decode and decode[0].usable and decode[0].stage is None:
+        return True
+    tried = [item.endpoint for item in prefill if item.usable]
+    entry_by_id = context.state.endpoint_table().by_id
     now_s = context.clock()
     delays = [
-        context.prefill_delays.expected_delay_s(endpoint, now_s)
-        for endpoint in context.state.list_usable(
-            request.service, Stage.PREFILL
-        )
+        context.prefill_delays.expected_delay_s(entry_by_id[id].endpoint, now_s)
+        for id in tried[:MAX_PREFILL_ENGINES]
+        if id in entry_by_id
     ]
     return not delays or should_decode_engine_prefill(
         request.route,
@@ -281,7 +346,9 @@
     )
 
 
-def _to_plain(candidates: tuple[Any, ...]) -> list[dict[str, Any]]:
+def _to_plain(
+    candidates: tuple[CandidateExplanation, ...],
+) -> list[dict[str, Any]]:
     return [dataclasses.asdict(candidate) for candidate in candidates]
 
 
@@ -294,4 +361,4 @@
     )
 
 
-__all__ = ["Explanation", "explain"]
+__all__ = ["Explanation", "explain", "summarize"]
--- a/src/burdockspan/gateway/explanation/server.py
+++ b/src/burdockspan/gateway/explanation/server.py
@@ -15,7 +15,7 @@
     make_status_line,
 )
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.explanation.explanation import explain
+from burdockspan.gateway.explanation.explanation import explain, summarize
 
 PATH = "/explain"
 BODY_LIMIT_BYTES = 64 * 1024
@@ -40,7 +40,8 @@
         value = {"field": "headers", "detail": call.err_value}
         return _respond(start_response, 400, value)
     explanation = explain(context, call.ok_value, random.Random().random)
-    return _respond(start_response, 200, explanation)
+    value = {"summary": summarize(explanation), **explanation}
+    return _respond(start_response, 200, value)
 
 
 def _decode(
@@ -59,14 +60,15 @@
         return Err(("body", "must be JSON"))
     if not isinstance(value, dict):
         return Err(("body", "must be an object"))
-    unknown = min(value.keys() - _FIELDS, default=None)
-    if unknown is not None:
+    if value.keys() - _FIELDS:
         return Err(("body", "must have only method, target and headers"))
     method, target = value.get("method"), value.get("target")
     if not (isinstance(method, str) and method.isascii() and method.isalpha()):
         return Err(("method", "must be an HTTP method"))
-    if not (isinstance(target, str) and target.startswith("/")):
-        return Err(("target", "must begin with a slash"))
+    if not (
+        isinstance(target, str) and target.isascii() and target.startswith("/")
+    ):
+        return Err(("target", "must be ASCII and begin with a slash"))
     headers = value.get("headers")
     if not isinstance(headers, list) or not all(map(_is_header, headers)):
         return Err(("headers", "must be a list of names and values"))
--- a/src/burdockspan/gateway/requests/generation_attempts.py
+++ b/src/burdockspan/gateway/requests/generation_attempts.py
@@ -86,7 +86,7 @@
 _LOOK_AGAIN_S = 0.1
 # Limit of the prefill engines that a prompt is sent to. A second call costs
 # less than a prefill at the decode engine, which delays all streams there.
-_MAX_PREFILL_ENGINES = 2
+MAX_PREFILL_ENGINES = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -592,7 +592,7 @@
         candidates, reservation.endpoint.zone
     )
     untried = exclude_tried(ranked, attempts.tried_incarnations)[
-        :_MAX_PREFILL_ENGINES
+        :MAX_PREFILL_ENGINES
     ]
     now_s = context.clock()
     delay_s = min(
@@ -697,6 +697,7 @@
 
 
 __all__ = [
+    "MAX_PREFILL_ENGINES",
     "PreparedAttempt",
     "Refusal",
     "StartedAttempt",
--- /dev/null
+++ b/tests/gateway/test_explain.py
@@ -0,0 +1,223 @@
+"""An explanation tells where a request would go, and changes nothing."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import unittest
+from typing import Any
+
+from burdockspan.gateway.callers.messages import CallerConnection, RawRequest
+from burdockspan.gateway.explanation.explanation import explain, summarize
+from burdockspan.gateway.ports import EndpointSignals
+from burdockspan.gateway.values import Endpoint
+from standins.scripted_endpoint import Received, ScriptedEndpoint, respond
+from tests.gateway.requests.test_generations import EngineScript, make_stream
+from tests.support.gateways import HOST, make_document, make_route, run_gateway
+
+_KEY = "secret-of-acme"
+_SIZE = {"Token-Count": "100,50"}
+
+
+def _make_document() -> dict[str, Any]:
+    routes = [*make_document()["routes"], make_route("open", public=True)]
+    quota = {"unit": "requests", "rate_per_s": 0.001, "burst": 1}
+    tenants = [{"name": "acme", "api_keys": [_KEY], "priority": 0, **quota}]
+    return make_document(routes=routes, tenants=tenants)
+
+
+def _list_headers(key: str | None, **more: str) -> list[tuple[str, str]]:
+    headers = [("Host", HOST), ("Request-Id", "r1"), *more.items()]
+    if key is not None:
+        headers.append(("Authorization", f"Bearer {key}"))
+    return headers
+
+
+class ExplainCase(unittest.TestCase):
+    document: dict[str, Any]
+
+    def setUp(self) -> None:
+        self.gateway = self.enterContext(
+            contextlib.contextmanager(run_gateway)(
+                self.document, metrics_address="127.0.0.1:0"
+            )
+        )
+        self.context = self.gateway.components.context
+
+    def add(self, name: str, script: Any = None, **entry: Any) -> Endpoint:
+        """Adds an endpoint; returns it as the gateway knows it."""
+        endpoint = ScriptedEndpoint(name, script or (lambda _: respond(200)))
+        self.gateway.add_endpoint(endpoint, **entry)
+        return self.context.state.endpoint_table().by_id[name].endpoint
+
+    def explain(
+        self, target: str, key: str | None = None, **headers: str
+    ) -> dict[str, Any]:
+        """Explains a request with draws that are always 0.5."""
+        raw = RawRequest(
+            "POST",
+            target,
+            tuple(_list_headers(key, **headers)),
+            b"",
+            "127.0.0.1",
+            self.context.clock(),
+            CallerConnection(),
+        )
+        call = self.context.platform.decode_call(raw).unwrap()
+        return explain(self.context, call, lambda: 0.5)
+
+    def post(self, body: bytes) -> tuple[int, str]:
+        """Posts a body to the metrics server; returns status and answer."""
+        address = self.gateway.components.status_servers[1].address
+        connection = http.client.HTTPConnection(address, timeout=5.0)
+        self.addCleanup(connection.close)
+        connection.request("POST", "/explain", body)
+        response = connection.getresponse()
+        return response.status, response.read().decode()
+
+
+class ExplainTest(ExplainCase):
+    document = make_document()
+
+    def test_first_candidate_receives_the_next_request(self) -> None:
+        # Guards against an order that differs from that of real requests.
+        self.add("i-far", zone="zone-b")
+        self.add("i-near")
+        explained = self.explain("/read/x")
+        candidates = explained["stages"]["plain"]
+        self.assertEqual(explained["goes_to"], "i-near")
+        self.assertEqual(candidates[1]["reason"], "other zone")
+        self.assertEqual(self.gateway.call("GET", "/read/x").status, 200)
+        (attempt,) = self.gateway.events_named("attempt")
+        self.assertEqual(attempt["endpoint"], candidates[0]["endpoint"])
+
+    def test_nothing_changes(self) -> None:
+        # Guards against an explanation that takes a permit, or sends a call.
+        received: list[Received] = []
+
+        def record(request: Received) -> Any:
+            received.append(request)
+            return respond(200)
+
+        limited = self.add("i-1", record)
+        engine = EngineScript(make_stream(1))
+        self.add("d-1", engine, service="llm", stage="decode")
+        self.add("p-1", engine, service="llm", stage="prefill")
+        conditions = self.context.state.conditions
+        conditions.rate_limits.set_vm_count(1)
+        conditions.rate_limits.observe(limited, EndpointSignals(True, 0.01))
+        before = repr(vars(conditions.rate_limits))
+        logged = len(self.gateway.events_named("attempt"))
+        for _ in range(3):
+            self.explain("/read/x")
+            explained = self.explain("/draft/x", **_SIZE)
+        self.assertEqual(explained["goes_to"], "d-1")
+        self.assertEqual(explained["queue"]["ahead"], 0)
+        self.assertEqual(repr(vars(conditions.rate_limits)), before)
+        self.assertEqual(self.context.state.running_work(limited), (0, 0))
+        self.assertEqual(len(self.gateway.events_named("attempt")), logged)
+        self.assertEqual([r for r in received if r.target != "/health"], [])
+        self.assertEqual((engine.reserved_tokens, engine.prefills), ([], []))
+        self.assertEqual(self.context.admission_queues.make_statements(), {})
+
+    def test_unusable_endpoints_are_named_with_their_reasons(self) -> None:
+        # Guards against endpoints that vanish from the table of candidates.
+        paused = self.add("d-1", service="llm", stage="decode")
+        full = self.add("d-2", service="llm", stage="decode")
+        self.add("d-3", service="llm", stage="decode", state="leaving")
+        self.context.state.conditions.pauses.begin(paused, 30.0)
+        self.context.full_engines.add(full, 10, self.context.clock() + 30.0)
+        explained = self.explain("/draft/x", **_SIZE)
+        reason_by_id = {
+            item["endpoint"]: item["reason"]
+            for item in explained["stages"]["decode"]
+        }
+        self.assertIsNone(explained["goes_to"])
+        self.assertRegex(reason_by_id["d-1"], "^paused for another")
+        self.assertRegex(reason_by_id["d-2"], "^full for another")
+        self.assertEqual(reason_by_id["d-3"], "leaving")
+        self.assertRegex(summarize(explained), "waits for memory")
+
+    def test_suspect_is_last(self) -> None:
+        # Guards against a reason that hides the failures of an endpoint.
+        suspect = self.add("i-1")
+        self.add("i-2", zone="zone-b")
+        self.context.state.record_failure(suspect, 5.0)
+        candidates = self.explain("/read/x")["stages"]["plain"]
+        self.assertEqual(
+            [(item["endpoint"], item["reason"]) for item in candidates],
+            [("i-2", None), ("i-1", "suspect")],
+        )
+
+    def test_request_without_route_or_endpoint_is_refused(self) -> None:
+        explained = self.explain("/nowhere/x")
+        self.assertRegex(summarize(explained), "refused: no route")
+        self.assertRegex(summarize(self.explain("/read/x")), "no endpoint")
+
+    def test_resumed_stream_is_bound_to_its_version(self) -> None:
+        # Guards against an engine of another version named as the first.
+        self.add("d-1", service="llm", stage="decode", version="v1")
+        self.add("d-2", service="llm", stage="decode", version="v2")
+        resumed = {"Last-Event-Id": "3", **_SIZE}
+        explained = self.explain("/review/x", **resumed)
+        self.assertEqual(explained["resumption"]["known_from"], "unknown here")
+
+    def test_bad_input_names_the_field(self) -> None:
+        # Guards against a traceback, or a value that is repeated.
+        good = {"method": "GET", "target": "/read/x", "headers": []}
+        for body, field in (
+            (b"{", "body"),
+            (b" " * 70_000, "body"),
+            (json.dumps({**good, "method": 1}).encode(), "method"),
+            (json.dumps({**good, "target": "x"}).encode(), "target"),
+            (json.dumps({**good, "headers": [["a"]]}).encode(), "headers"),
+            (json.dumps(good).encode(), "headers"),
+        ):
+            with self.subTest(field=field, body=body[:20]):
+                status, text = self.post(body)
+                self.assertEqual(status, 400)
+                self.assertEqual(json.loads(text)["field"], field)
+
+
+class ExplainAccountsTest(ExplainCase):
+    document = _make_document()
+
+    def test_account_and_quota_are_told_and_no_key(self) -> None:
+        # Guards against a key in an answer or in the log.
+        self.add("i-1")
+        headers = _list_headers(_KEY)
+        request = {"method": "GET", "target": "/read/x", "headers": headers}
+        status, text = self.post(json.dumps(request).encode())
+        self.assertEqual(status, 200)
+        explained = json.loads(text)
+        self.assertEqual(
+            (explained["account"], explained["priority"]), ("acme", 0)
+        )
+        account = (
+            self.context.state.active_configuration().configuration.accounts[0]
+        )
+        digests = [digest.hex() for digest in account.key_digests]
+        for secret in (_KEY, *digests):
+            self.assertNotIn(secret, text + str(self.gateway.log_events))
+
+    def test_unknown_key_is_denied(self) -> None:
+        explained = self.explain("/read/x", "other")
+        self.assertEqual(explained["refusals"], ["unknown key"])
+        self.assertEqual(self.explain("/read/x")["refusals"], ["no key"])
+        self.assertEqual(self.explain("/open/x")["refusals"], [])
+
+    def test_units_are_measured_and_not_used(self) -> None:
+        # Guards against an explanation that uses up a quota.
+        self.add("i-1")
+        self.context.account_quotas.set_vm_count(1)
+        held = [
+            self.explain("/read/x", _KEY)["quota"]["held_here"]
+            for _ in range(5)
+        ]
+        self.assertEqual(len(set(held)), 1, held)
+        self.assertEqual(self.explain("/read/x", _KEY)["quota"]["units"], 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
