--- a/src/burdockspan/gateway/explanation/server.py
+++ b/src/burdockspan/gateway/explanation/server.py
@@ -32,6 +32,8 @@
             start_response, 405, {"field": "method", "detail": "must be POST"}
         )
     decoded = _decode(environ, context.clock())
+    outcome = "malformed" if isinstance(decoded, Err) else "decoded"
+    context.registry.count("explanation", outcome)
     if isinstance(decoded, Err):
         field, detail = decoded.err_value
         return _respond(start_response, 400, {"field": field, "detail": detail})
--- a/src/burdockspan/gateway/readiness.py
+++ b/src/burdockspan/gateway/readiness.py
@@ -7,13 +7,19 @@
 
 from burdockspan.gateway.callers.messages import make_status_line
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.explanation.server import PATH, serve_explanation
+from burdockspan.gateway.explanation.server import (
+    BODY_LIMIT_BYTES,
+    PATH,
+    serve_explanation,
+)
 from burdockspan.gateway.settings import (
     GatewaySettings,
 )
 from burdockspan.http.listener import Server, make_server
 
 _STATUS_THREADS = 1
+# Above it, a body is not read at all; below, its handler names its own limit.
+_BODY_LIMIT_BYTES = 2 * BODY_LIMIT_BYTES
 
 # A VM that hears from the store itself has a proof that is younger than this
 # share of the limit.
@@ -66,7 +72,10 @@
     servers = [make_server(serve_ready, settings.ready_address, 1)]
     if settings.metrics_address is not None:
         metrics = make_server(
-            serve_metrics, settings.metrics_address, _STATUS_THREADS
+            serve_metrics,
+            settings.metrics_address,
+            _STATUS_THREADS,
+            max_request_body_size=_BODY_LIMIT_BYTES,
         )
         servers.append(metrics)
     return tuple(servers)
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -5,18 +5,28 @@
 import contextlib
 import http.client
 import json
+import math
+import threading
 import unittest
 from typing import Any
 
 from burdockspan.gateway.callers.messages import CallerConnection, RawRequest
 from burdockspan.gateway.explanation.explanation import explain, summarize
 from burdockspan.gateway.ports import EndpointSignals
+from burdockspan.gateway.streams.stream_origins import Origin
 from burdockspan.gateway.values import Endpoint
 from standins.scripted_endpoint import Received, ScriptedEndpoint, respond
 from tests.gateway.requests.test_generations import EngineScript, make_stream
-from tests.support.gateways import HOST, make_document, make_route, run_gateway
+from tests.support.gateways import (
+    HOST,
+    make_document,
+    make_route,
+    run_gateway,
+    wait_for,
+)
 
 _KEY = "secret-of-acme"
+_OK = respond(200, b"done", {"Response-Stamp": "s"})
 _SIZE = {"Token-Count": "100,50"}
 
 
@@ -47,7 +57,7 @@
 
     def add(self, name: str, script: Any = None, **entry: Any) -> Endpoint:
         """Adds an endpoint; returns it as the gateway knows it."""
-        endpoint = ScriptedEndpoint(name, script or (lambda _: respond(200)))
+        endpoint = ScriptedEndpoint(name, script or (lambda _: _OK))
         self.gateway.add_endpoint(endpoint, **entry)
         return self.context.state.endpoint_table().by_id[name].endpoint
 
@@ -98,7 +108,7 @@
 
         def record(request: Received) -> Any:
             received.append(request)
-            return respond(200)
+            return _OK
 
         limited = self.add("i-1", record)
         engine = EngineScript(make_stream(1))
@@ -125,7 +135,7 @@
         # Guards against endpoints that vanish from the table of candidates.
         paused = self.add("d-1", service="llm", stage="decode")
         full = self.add("d-2", service="llm", stage="decode")
-        self.add("d-3", service="llm", stage="decode", state="leaving")
+        self.add("d-3", service="llm", stage="decode", state="draining")
         self.context.state.conditions.pauses.begin(paused, 30.0)
         self.context.full_engines.add(full, 10, self.context.clock() + 30.0)
         explained = self.explain("/draft/x", **_SIZE)
@@ -159,9 +169,41 @@
         # Guards against an engine of another version named as the first.
         self.add("d-1", service="llm", stage="decode", version="v1")
         self.add("d-2", service="llm", stage="decode", version="v2")
-        resumed = {"Last-Event-Id": "3", **_SIZE}
+        resumed = {"Resumes": "r0", "Last-Event-Id": "3", **_SIZE}
         explained = self.explain("/review/x", **resumed)
         self.assertEqual(explained["resumption"]["known_from"], "unknown here")
+        self.context.origins.publish("r0", Origin("llm", "v2"))
+        explained = self.explain("/review/x", **resumed)
+        self.assertEqual(explained["goes_to"], "d-2")
+        self.assertEqual(
+            explained["stages"]["decode"][1]["reason"], "other version"
+        )
+
+    def test_place_in_the_queue_is_told_and_not_taken(self) -> None:
+        # Guards against a place that is taken, and a queue that is created.
+        self.add("d-1", service="llm", stage="decode")
+        queue = self.context.admission_queues.for_service("llm")
+        gone = threading.Event()
+        waiting = threading.Thread(
+            target=lambda: queue.wait(
+                False, 0.0, math.inf, lambda: None, gone.is_set
+            )
+        )
+        waiting.start()
+        self.addCleanup(waiting.join)
+        self.addCleanup(gone.set)
+        wait_for(lambda: queue.length() == 1)
+        for _ in range(2):
+            explained = self.explain("/draft/x", **_SIZE)
+            self.assertEqual(explained["queue"]["ahead"], 1)
+            here = explained["queue"]["waiting_here_by_priority"]
+            self.assertEqual(here, {0: 1})
+        self.assertEqual(queue.length(), 1)
+        self.assertRegex(summarize(explained), "behind 1 .* sent to d-1")
+
+    def test_large_body_is_not_read(self) -> None:
+        # Guards against a body that fills the memory of the VM.
+        self.assertEqual(self.post(b" " * 1_000_000)[0], 413)
 
     def test_bad_input_names_the_field(self) -> None:
         # Guards against a traceback, or a value that is repeated.
