--- a/src/burdockspan/gateway/explanation/explanation.py
+++ b/src/burdockspan/gateway/explanation/explanation.py
@@ -53,6 +53,11 @@
 Explanation = dict[str, Any]
 """What would happen to a request, as JSON values."""
 
+_UNKNOWN_ORIGIN = "unknown here"
+_OTHER_SERVICE = "other service"
+_PART_REFUSED = (
+    "a part of the prompt is in quarantine, unless this request may try it"
+)
 _NOTES = (
     "service and order are one draw where they are random",
     "crash records are matched with an empty body",
@@ -81,6 +86,7 @@
         "waits_for": None,
         "quota": None,
         "queue": None,
+        "resumption": None,
         "stages": {},
         "request_id": call.request_id,
         "notes": _NOTES,
@@ -119,6 +125,9 @@
     if explanation["refusals"]:
         return "refused: " + "; ".join(explanation["refusals"])
     steps = []
+    resumption = explanation["resumption"]
+    if resumption and resumption["known_from"] == _UNKNOWN_ORIGIN:
+        return "asks other VMs and the store where the stream began"
     quota = explanation["quota"]
     if quota is not None and not quota["charged_now"]:
         steps.append("waits shortly for units of other VMs, or is refused")
@@ -186,13 +195,13 @@
     if not context.graceful_stop.accepts(request.route, request.deadline_s):
         refusals.append("this VM is stopping")
     request, resumption = _resume(context, request)
-    if resumption is not None and resumption["known_from"] == "other service":
+    if resumption is not None and resumption["known_from"] == _OTHER_SERVICE:
         refusals.append("the stream began at a service of another route")
     quota = _explain_quota(context, request.account, call.generation_size)
     if context.part_quarantine.find_refused(
         list_parts(request.service, call.shared_parts)
     ):
-        refusals.append("a part of the prompt is in quarantine")
+        refusals.append(_PART_REFUSED)
     reach = context.reachability.explain(request.service)
     explanation |= {
         "account": request.account.name if request.account else None,
@@ -219,7 +228,10 @@
     if reach["out_of_reach"]:
         peer = context.peers.choose(request.service, set())
         explanation["relayed_to"] = None if peer is None else peer.vm
-    if not refusals and explanation["relayed_to"] is None:
+    is_unknown = resumption is not None and (
+        resumption["known_from"] == _UNKNOWN_ORIGIN
+    )
+    if not (refusals or explanation["relayed_to"] or is_unknown):
         explanation["goes_to"] = _find_first(explanation["stages"])
         explanation["waits_for"] = _find_soonest(context, request)
 
@@ -254,14 +266,14 @@
     if origin is not None:
         version, service = origin.software_version, origin.service
         if service not in {item.name for item in request.route.services}:
-            return request, {"version": version, "known_from": "other service"}
+            return request, {"version": version, "known_from": _OTHER_SERVICE}
     else:
         history = context.state.version_history
         age_s = context.state.endpoints_age_s()
         is_fresh = age_s is not None and age_s <= context.endpoints_max_age_s
         if len(request.route.services) == 1 and is_fresh:
             version = history.sole_version(service)
-        source = "sole_version" if version is not None else "unknown here"
+        source = "sole_version" if version is not None else _UNKNOWN_ORIGIN
     restricted = dataclasses.replace(
         request, service=service, software_version=version
     )
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -15,6 +15,7 @@
 from burdockspan.gateway.ports import EndpointSignals
 from burdockspan.gateway.streams.stream_origins import Origin
 from burdockspan.gateway.values import Endpoint
+from burdockspan.values.clock import Clock
 from standins.scripted_endpoint import Received, ScriptedEndpoint, respond
 from tests.gateway.requests.test_generations import EngineScript, make_stream
 from tests.support.gateways import (
@@ -32,7 +33,7 @@
 
 def _make_document() -> dict[str, Any]:
     routes = [*make_document()["routes"], make_route("open", public=True)]
-    quota = {"unit": "requests", "rate_per_s": 0.001, "burst": 1}
+    quota = {"unit": "requests", "rate_per_s": 10, "burst": 20}
     tenants = [{"name": "acme", "api_keys": [_KEY], "priority": 0, **quota}]
     return make_document(routes=routes, tenants=tenants)
 
@@ -46,11 +47,14 @@
 
 class ExplainCase(unittest.TestCase):
     document: dict[str, Any]
+    boot_clock: Clock | None = None
 
     def setUp(self) -> None:
         self.gateway = self.enterContext(
             contextlib.contextmanager(run_gateway)(
-                self.document, metrics_address="127.0.0.1:0"
+                self.document,
+                boot_clock=self.boot_clock,
+                metrics_address="127.0.0.1:0",
             )
         )
         self.context = self.gateway.components.context
@@ -130,6 +134,12 @@
         self.assertEqual([r for r in received if r.target != "/health"], [])
         self.assertEqual((engine.reserved_tokens, engine.prefills), ([], []))
         self.assertEqual(self.context.admission_queues.make_statements(), {})
+        of_request = [
+            event
+            for event in self.gateway.log_events
+            if event.get("request_id") == "r1"
+        ]
+        self.assertEqual(of_request, [])
 
     def test_unusable_endpoints_are_named_with_their_reasons(self) -> None:
         # Guards against endpoints that vanish from the table of candidates.
@@ -172,6 +182,8 @@
         resumed = {"Resumes": "r0", "Last-Event-Id": "3", **_SIZE}
         explained = self.explain("/review/x", **resumed)
         self.assertEqual(explained["resumption"]["known_from"], "unknown here")
+        self.assertIsNone(explained["goes_to"])
+        self.assertRegex(summarize(explained), "asks other VMs")
         self.context.origins.publish("r0", Origin("llm", "v2"))
         explained = self.explain("/review/x", **resumed)
         self.assertEqual(explained["goes_to"], "d-2")
@@ -249,16 +261,27 @@
         self.assertEqual(self.explain("/read/x")["refusals"], ["no key"])
         self.assertEqual(self.explain("/open/x")["refusals"], [])
 
+
+class ExplainQuotaTest(ExplainCase):
+    document = _make_document()
+
+    def setUp(self) -> None:
+        self.now_s = 100.0
+        self.boot_clock = lambda: self.now_s
+        super().setUp()
+
     def test_units_are_measured_and_not_used(self) -> None:
         # Guards against an explanation that uses up a quota.
         self.add("i-1")
         self.context.account_quotas.set_vm_count(1)
-        held = [
-            self.explain("/read/x", _KEY)["quota"]["held_here"]
-            for _ in range(5)
-        ]
-        self.assertEqual(len(set(held)), 1, held)
-        self.assertEqual(self.explain("/read/x", _KEY)["quota"]["units"], 1.0)
+        poor = self.explain("/read/x", _KEY)
+        self.assertEqual(poor["quota"]["held_here"], 0.0)
+        self.assertRegex(summarize(poor), "waits shortly for units")
+        self.now_s += 5.0
+        for _ in range(30):
+            quota = self.explain("/read/x", _KEY)["quota"]
+            self.assertEqual((quota["units"], quota["held_here"]), (1.0, 20.0))
+            self.assertTrue(quota["charged_now"])
 
 
 if __name__ == "__main__":
