--- a/tests/gateway/fleet/test_reachability.py
+++ b/tests/gateway/fleet/test_reachability.py
@@ -52,6 +52,17 @@
         self.assertTrue(self.is_lost())
         self.assertEqual(self.log_events[-1][0], "service out of reach")
 
+    def test_explaining_changes_no_belief(self) -> None:
+        """Guards against an explanation that logs, or ends a loss."""
+        self.fail_all()
+        logged = list(self.log_events)
+        self.assertTrue(self.reachability.explain("app")["out_of_reach"])
+        self.now_s += 60.0
+        self.assertFalse(self.reachability.explain("app")["out_of_reach"])
+        self.assertEqual(self.log_events, logged)
+        self.assertFalse(self.is_lost())
+        self.assertEqual(len(self.log_events), len(logged) + 1)
+
     def test_a_sample_of_many_endpoints_is_enough(self) -> None:
         """Guards against a loss that is noticed later in a larger pool."""
         self.endpoints = [_make_endpoint(number) for number in range(100)]
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -170,6 +170,25 @@
             [("i-2", None), ("i-1", "suspect")],
         )
 
+    def test_engines_of_the_next_generation_are_the_first(self) -> None:
+        # Guards against stages that are ordered unlike those of generations.
+        for stage in ("decode", "prefill"):
+            for name, zone in (("1", "zone-b"), ("2", "zone-a")):
+                script = EngineScript(make_stream(1))
+                entry = {"service": "llm", "stage": stage, "zone": zone}
+                self.add(f"{stage}-{name}", script, **entry)
+        stages = self.explain("/draft/x", **_SIZE)["stages"]
+        answer = self.gateway.call("POST", "/draft/x", b"", _SIZE)
+        self.assertEqual(answer.status, 200)
+        received = {
+            endpoint.id
+            for endpoint in self.gateway.endpoints
+            if any(r.header("Request-Id") for r in endpoint.received)
+        }
+        first = {stages[name][0]["endpoint"] for name in ("decode", "prefill")}
+        self.assertEqual(first, {"decode-2", "prefill-2"})
+        self.assertEqual(received, first)
+
     def test_request_without_route_or_endpoint_is_refused(self) -> None:
         explained = self.explain("/nowhere/x")
         self.assertRegex(summarize(explained), "refused: no route")
