--- a/src/burdockspan/gateway/readiness.py
+++ b/src/burdockspan/gateway/readiness.py
@@ -7,12 +7,19 @@
 
 from burdockspan.gateway.callers.messages import make_status_line
 from burdockspan.gateway.context import Context
+from burdockspan.gateway.explanation.server import (
+    BODY_LIMIT_BYTES,
+    PATH,
+    serve_explanation,
+)
 from burdockspan.gateway.settings import (
     GatewaySettings,
 )
 from burdockspan.http.listener import Server, make_server
 
 _STATUS_THREADS = 1
+# Above it, a body is not read at all; below, its handler names its own limit.
+_BODY_LIMIT_BYTES = 2 * BODY_LIMIT_BYTES
 
 # A VM that hears from the store itself has a proof that is younger than this
 # share of the limit.
@@ -56,14 +63,19 @@
         return _respond(start_response, 200 if ready else 503, b"")
 
     def serve_metrics(
-        _: dict[str, Any], start_response: Any
+        environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == PATH:
+            return serve_explanation(context, environ, start_response)
         return _respond(start_response, 200, context.registry.render())
 
     servers = [make_server(serve_ready, settings.ready_address, 1)]
     if settings.metrics_address is not None:
         metrics = make_server(
-            serve_metrics, settings.metrics_address, _STATUS_THREADS
+            serve_metrics,
+            settings.metrics_address,
+            _STATUS_THREADS,
+            max_request_body_size=_BODY_LIMIT_BYTES,
         )
         servers.append(metrics)
     return tuple(servers)
