Keep the exchange's threads alive when a topic fails

Cause: a sample with pace 0 was accepted, and own paces below 0.05 us were rounded to 0. A median of such paces divides by 0 inside make_value, which ended the thread that sends the statuses of all topics. Change: paces are above 0 in statements sent, received and kept. An exception of one topic is logged with its traceback, at most every 5 s, and counted as exchange/failed_TOPIC; the other topics go on, in both threads.

--- a/src/burdockspan/gateway/endpoints/capacity_estimates.py
+++ b/src/burdockspan/gateway/endpoints/capacity_estimates.py
@@ -114,7 +114,9 @@
         self._first_seen_s_by_key: dict[int, float] = {}
 
     def add(self, key: int, sample: Sample, now_s: float) -> None:
-        """Adds a sample of the endpoint with a key."""
+        """Adds a sample of the endpoint with a key, unless it took no time."""
+        if sample.pace_s <= 0:
+            return
         samples = self._samples_by_key.get(key)
         if samples is None:
             samples = collections.deque(maxlen=_MAX_SAMPLES)
--- a/src/burdockspan/gateway/fleet/exchange.py
+++ b/src/burdockspan/gateway/fleet/exchange.py
@@ -39,6 +39,7 @@
 # A VM without a recent heartbeat may have been restarted, or only be cut off
 # from the store, so that its address is kept for this time.
 _KEPT_S = 30.0
+_FAILURE_LOG_INTERVAL_S = 5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -181,9 +182,13 @@
         echo_by_vm = self._list_echoes()
         topics = []
         for topic, make_value in self._make_value_by_topic.items():
-            value = make_value()
-            if value is not None:
-                topics.append(exchange_messages.encode_topic(topic, value))
+            # A fault of one topic must not end the thread of all.
+            try:
+                value = make_value()
+                if value is not None:
+                    topics.append(exchange_messages.encode_topic(topic, value))
+            except Exception:
+                self._report_failure(topic)
         remaining = tuple(topics)
         while remaining:
             packed, rest = exchange_messages.pack(remaining)
@@ -194,6 +199,17 @@
                 self._send_topics(vm, address, echo_by_vm.get(vm), packed)
             remaining = rest
 
+    def _report_failure(self, topic: str) -> None:
+        """Reports the exception being handled."""
+        self._registry.count("exchange", f"failed_{topic}")
+        logging.log_every_n_seconds(
+            logging.ERROR,
+            "exchange topic %s failed",
+            _FAILURE_LOG_INTERVAL_S,
+            topic,
+            exc_info=True,
+        )
+
     def _send_topics(
         self,
         vm: str,
@@ -229,7 +245,11 @@
             receive = self._receive_by_topic.get(topic)
             if receive is None:
                 continue
-            applied = receive(Received(envelope.vm, value, sent_after_s))
+            try:
+                applied = receive(Received(envelope.vm, value, sent_after_s))
+            except Exception:
+                self._report_failure(topic)
+                continue
             if isinstance(applied, Err):
                 self._registry.count("exchange", f"malformed_{topic}")
 
--- a/src/burdockspan/gateway/fleet/work_statements.py
+++ b/src/burdockspan/gateway/fleet/work_statements.py
@@ -34,6 +34,8 @@
 _WORK_FIELDS = 3
 # The pace of a sample is stated in microseconds, shares in hundredths.
 _US_PER_S = 1e6
+# Receivers refuse a pace of 0.
+_MIN_PACE_US = 0.1
 _HUNDREDTHS = 100.0
 
 
@@ -140,7 +142,7 @@
             "s": [
                 [
                     key,
-                    round(sample.pace_s * _US_PER_S, 1),
+                    max(_MIN_PACE_US, round(sample.pace_s * _US_PER_S, 1)),
                     round(sample.load * _HUNDREDTHS),
                 ]
                 for key, sample in stated
@@ -246,6 +248,8 @@
     work = _decode_items(value.get("w"), _WORK_FIELDS)
     if samples is None or work is None:
         return Err("samples or work are no lists of numbers")
+    if any(pace <= 0 for _, pace, _ in samples):
+        return Err("a sample without a duration")
     return Ok(
         Statement(
             run,
--- a/tests/gateway/endpoints/test_capacity_estimates.py
+++ b/tests/gateway/endpoints/test_capacity_estimates.py
@@ -92,6 +92,11 @@
         self.add(12.0, 15.0, usual)
         self.assertEqual(self.estimate(1, 15.0).speed, 1.0)
 
+    def test_work_without_a_duration_is_left_out(self) -> None:
+        """Guards against a division by the median of paces of 0."""
+        self.add(0.0, 5.0, dict.fromkeys(_KEYS, lambda load: float(load > 0.3)))
+        self.assertGreater(self.estimate(1, 5.0).speed, 0.0)
+
     def test_new_endpoint_begins_at_the_median_and_ramps(self) -> None:
         """An endpoint restarts as another incarnation beside a fast one."""
         self.add(
--- a/tests/gateway/fleet/test_exchange.py
+++ b/tests/gateway/fleet/test_exchange.py
@@ -74,6 +74,31 @@
         self.second = _Vm("vm-2", 2, {"x": 2})
         _connect(self.first, self.second)
 
+    def test_failing_topic_does_not_stop_the_others(self) -> None:
+        """Guards against a fault of one topic that ends a thread of all."""
+
+        def fail(*_: object) -> Any:
+            raise ZeroDivisionError
+
+        exchange = self.first.exchange
+        exchange._make_value_by_topic = {
+            "a": fail,
+            "bad": lambda: 1,
+            **exchange._make_value_by_topic,
+            "z": fail,
+        }
+        self.second.exchange._receive_by_topic["bad"] = fail
+        with self.assertLogs("absl", "ERROR") as logs:
+            self.first.exchange.send_status()
+            _deliver(self.first, self.second)
+        self.assertIn("ZeroDivisionError", logs.output[0])
+        self.assertEqual([r.value for r in self.second.received], [{"x": 1}])
+        metrics = self.first.registry.render().decode()
+        self.assertIn('event="exchange",outcome="failed_a"', metrics)
+        self.assertIn('event="exchange",outcome="failed_z"', metrics)
+        metrics = self.second.registry.render().decode()
+        self.assertIn('event="exchange",outcome="failed_bad"', metrics)
+
     def test_first_datagram_proves_no_time(self) -> None:
         self.first.exchange.send_status()
         _deliver(self.first, self.second)
--- a/tests/gateway/fleet/test_work_statements.py
+++ b/tests/gateway/fleet/test_work_statements.py
@@ -97,6 +97,14 @@
         encoded = json.dumps(self.own.make_value(), separators=(",", ":"))
         self.assertLessEqual(len(encoded), 800)
 
+    def test_very_short_work_is_stated_with_a_duration(self) -> None:
+        """Guards against a pace of 0, by which receivers would divide."""
+        self.own.add_sample(1, Sample(1e-9))
+        value = self.own.make_value()
+        self.assertGreater(
+            decode_statement(value).unwrap().samples[0][1].pace_s, 0
+        )
+
     def test_idle_vm_states_nothing(self) -> None:
         self.assertIsNone(self.own.make_value())
 
@@ -111,6 +119,7 @@
             {**head, "w": [[1, 2, "x"]]},
             {**head, "w": [[1, 2, float("nan")]]},
             {**head, "s": [[1, 2, 3]] * 1000},
+            {**head, "s": [[1, 0, 3]]},
         ):
             with self.subTest(value=str(value)[:40]):
                 self.assertIsInstance(decode_statement(value), Err)
