Show readers only whole totals of the others' work

Cause: lapse rebuilt the totals in place, and receive subtracted a statement before it added the new one, while request threads read them without the lock. Change: both build a new dictionary and swap it; totals that are only rounding errors are left out.

--- a/src/burdockspan/gateway/fleet/work_statements.py
+++ b/src/burdockspan/gateway/fleet/work_statements.py
@@ -37,6 +37,8 @@
 # Receivers refuse a pace of 0.
 _MIN_PACE_US = 0.1
 _HUNDREDTHS = 100.0
+# Half of the smallest work that is stated.
+_MIN_REQUESTS = 0.5 / _HUNDREDTHS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -199,22 +201,17 @@
                 if statement.number < known:
                     # Overtaken by a later status.
                     return ()
-            if previous is not None:
-                self._add(previous[1], -1)
             self._statement_by_vm[vm] = (self._clock(), statement)
-            self._add(statement, 1)
+            # Readers take no lock: they see one dictionary or the other.
+            changed = dict(self._total_by_key)
+            if previous is not None:
+                _add(changed, previous[1], -1)
+            _add(changed, statement, 1)
+            self._total_by_key = changed
         new = statement.number - known
         count = min(new, len(statement.samples))
         return statement.samples[-count:] if count > 0 else ()
 
-    def _add(self, statement: Statement, sign: int) -> None:
-        for key, work in statement.work_by_key.items():
-            total = self._total_by_key.get(key, NO_WORK)
-            self._total_by_key[key] = Work(
-                total.requests + sign * work.requests,
-                total.tokens + sign * work.tokens,
-            )
-
     def lapse(self) -> None:
         """Removes the work of statements that are too old."""
         now_s = self._clock()
@@ -228,15 +225,32 @@
                 elif received_s < oldest_s and statement.work_by_key:
                     lapsed = dataclasses.replace(statement, work_by_key={})
                     self._statement_by_vm[vm] = (received_s, lapsed)
-            self._total_by_key = {}
+            total_by_key: dict[int, Work] = {}
             for _, statement in self._statement_by_vm.values():
-                self._add(statement, 1)
+                _add(total_by_key, statement, 1)
+            self._total_by_key = total_by_key
 
     def work_at(self, key: int) -> Work:
         """Returns the work of the other VMs at an endpoint."""
         return self._total_by_key.get(key, NO_WORK)
 
 
+def _add(
+    total_by_key: dict[int, Work], statement: Statement, sign: int
+) -> None:
+    for key, work in statement.work_by_key.items():
+        total = total_by_key.get(key, NO_WORK)
+        changed = Work(
+            total.requests + sign * work.requests,
+            total.tokens + sign * work.tokens,
+        )
+        # The sum of averages that were added and subtracted is not exactly 0.
+        if changed.requests < _MIN_REQUESTS:
+            total_by_key.pop(key, None)
+        else:
+            total_by_key[key] = changed
+
+
 def decode_statement(value: Any) -> Result[Statement, str]:
     """Returns the statement in a JSON value, or an error text."""
     if not isinstance(value, dict):
--- a/tests/gateway/fleet/test_work_statements.py
+++ b/tests/gateway/fleet/test_work_statements.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import sys
+import threading
 import unittest
 
 from result import Err
@@ -74,6 +76,38 @@
         self.others.lapse()
         self.assertEqual(self.others.work_at(make_key(_DECODE)), NO_WORK)
 
+    def test_readers_see_no_total_between_two_statements(self) -> None:
+        """Guards against requests that see a busy endpoint as free.
+
+        The others state the same work again and again, and a reader looks at
+        it meanwhile without a lock.
+        """
+        value = {"r": 1, "s": [], "w": [[key, 100, 1000] for key in range(16)]}
+        statements = [
+            decode_statement({**value, "n": 0}).unwrap() for _ in range(60)
+        ]
+        for index, statement in enumerate(statements):
+            self.others.receive(f"vm-{index}", statement)
+        seen: set[float] = set()
+        done = threading.Event()
+
+        def read() -> None:
+            while not done.is_set():
+                seen.add(self.others.work_at(15).requests)
+
+        reader = threading.Thread(target=read)
+        interval_s = sys.getswitchinterval()
+        sys.setswitchinterval(1e-5)
+        self.addCleanup(sys.setswitchinterval, interval_s)
+        reader.start()
+        for _ in range(20):
+            for index, statement in enumerate(statements):
+                self.others.receive(f"vm-{index}", statement)
+            self.others.lapse()
+        done.set()
+        reader.join()
+        self.assertEqual(seen, {60.0})
+
     def test_short_work_is_stated_as_its_average(self) -> None:
         """Guards against statements that miss prompts between two of them."""
         self.own.change(_PREFILL, 1, 4000)
