Lower the cost of a learned choice, and free its lock sooner

Cause: each candidate took several checksums and dataclasses.replace, and the estimates were computed under the lock that requests need for their samples. Change: keys are cached by incarnation (at most 4096); loads make no object; samples are copied under the lock and read outside. With fixed, the recording functions and work_ahead return at once, and plain calls do not look up the running work.

--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import math
 import threading
 from collections.abc import Callable, Iterable
@@ -120,12 +119,10 @@
 
     def work_ahead(self, endpoint: Endpoint, running: int, tokens: int) -> Work:
         """Returns the work of all VMs at an endpoint, given that of this VM."""
+        if not self.is_learned:
+            return Work(running, tokens)
         others = self._others.work_at(make_key(endpoint))
-        return dataclasses.replace(
-            others,
-            requests=others.requests + running,
-            tokens=others.tokens + tokens,
-        )
+        return Work(others.requests + running, others.tokens + tokens)
 
     def record_prefill(
         self,
@@ -134,8 +131,9 @@
         duration_s: float,
     ) -> None:
         """Records the duration of a finished prefill of some tokens."""
-        size = tokens + _OVERHEAD_TOKENS
-        self._record(endpoint, Sample(duration_s / size))
+        if self.is_learned:
+            size = tokens + _OVERHEAD_TOKENS
+            self._record(endpoint, Sample(duration_s / size))
 
     def record_plain(
         self, endpoint: Endpoint, requests_ahead: float, duration_s: float
@@ -152,7 +150,7 @@
             self._record(endpoint, Sample(duration_s, load))
 
     def _record(self, endpoint: Endpoint, sample: Sample) -> None:
-        if not self.is_learned or sample.pace_s <= 0:
+        if sample.pace_s <= 0:
             return
         key = make_key(endpoint)
         self._own.add_sample(key, sample)
@@ -198,8 +196,10 @@
         estimates: dict[int, Estimate] = {}
         with self._lock:
             self._samples.set_present(endpoint_by_key, now_s)
-            for keys in keys_by_group.values():
-                estimates.update(self._samples.estimate_group(keys, now_s))
+            samples = self._samples.copy()
+        # Request threads need the lock to record their samples.
+        for keys in keys_by_group.values():
+            estimates.update(samples.estimate_group(keys, now_s))
         self._estimate_by_key = estimates
         for (service, stage), keys in keys_by_group.items():
             name = f"{service}_{stage.value if stage else 'any'}"
@@ -263,10 +263,11 @@
         queueing_load = low + (high - low) * self._random_float()
 
         def load(endpoint: Endpoint, running: int, tokens: int) -> float:
-            estimate = self.estimate(endpoint)
+            key = make_key(endpoint)
+            estimate = self._estimate_by_key.get(key, MEDIAN)
             capacity = max(_MIN_PLAIN_CAPACITY, estimate.capacity)
             slots = capacity * endpoint.slots
-            requests = self.work_ahead(endpoint, running, tokens).requests
+            requests = self._others.work_at(key).requests + running
             return (
                 running / slots
                 + max(0.0, requests / slots - queueing_load)
@@ -285,18 +286,21 @@
             return lambda _, __, tokens: float(tokens)
 
         def load(endpoint: Endpoint, running: int, tokens: int) -> float:
-            ahead = self.work_ahead(endpoint, running, tokens).tokens
-            capacity = self._capacity(endpoint)
+            key = make_key(endpoint)
+            ahead = self._others.work_at(key).tokens + tokens
+            capacity = self._estimate_by_key.get(key, MEDIAN).capacity
             return (ahead + size_tokens) / capacity - size_tokens
 
         return load
 
     def make_decode_load(self, engine: EngineProperties) -> Load:
         """Returns a function for the share of an engine's capacity in use."""
+        if not self.is_learned:
+            return lambda _, running, tokens: max(
+                tokens / engine.kv_tokens, running / engine.slots
+            )
 
         def load(endpoint: Endpoint, running: int, tokens: int) -> float:
-            if not self.is_learned:
-                return max(tokens / engine.kv_tokens, running / engine.slots)
             work = self.work_ahead(endpoint, running, tokens)
             return max(
                 work.tokens / engine.kv_tokens, work.requests / engine.slots
@@ -345,9 +349,9 @@
     def _differ(self, candidates: tuple[Candidate, ...]) -> bool:
         """Returns whether more is known than what this VM runs itself."""
         return self.is_learned and any(
-            self._capacity(candidate.endpoint) != 1.0
-            or self._others.work_at(make_key(candidate.endpoint)) != NO_WORK
-            for candidate in candidates
+            self._estimate_by_key.get(key, MEDIAN).capacity != 1.0
+            or self._others.work_at(key) is not NO_WORK
+            for key in map(make_key, [item.endpoint for item in candidates])
         )
 
 
--- a/src/burdockspan/gateway/choice/ranking.py
+++ b/src/burdockspan/gateway/choice/ranking.py
@@ -66,7 +66,14 @@
 ) -> tuple[Candidate, ...]:
     """Returns the candidates, local if they are in a zone."""
     return tuple(
-        dataclasses.replace(candidate, local=candidate.endpoint.zone == zone)
+        candidate
+        if candidate.local == (candidate.endpoint.zone == zone)
+        else Candidate(
+            candidate.endpoint,
+            candidate.load,
+            candidate.suspicion,
+            not candidate.local,
+        )
         for candidate in candidates
     )
 
--- a/src/burdockspan/gateway/endpoints/capacity_estimates.py
+++ b/src/burdockspan/gateway/endpoints/capacity_estimates.py
@@ -10,6 +10,7 @@
 import bisect
 import collections
 import dataclasses
+import functools
 import itertools
 import math
 import statistics
@@ -77,7 +78,7 @@
     confidence: float = 0.0
     age_s: float = math.inf
 
-    @property
+    @functools.cached_property
     def capacity(self) -> float:
         """Work that it takes well, relative to a median endpoint."""
         return self.speed * self.knee * self.ramp
@@ -136,6 +137,15 @@
         for key in self._samples_by_key.keys() - present:
             del self._samples_by_key[key]
 
+    def copy(self) -> CapacitySamples:
+        """Returns a copy, for estimates while samples are added to this one."""
+        copied = CapacitySamples()
+        copied._samples_by_key = {
+            key: samples.copy() for key, samples in self._samples_by_key.items()
+        }
+        copied._first_seen_s_by_key = self._first_seen_s_by_key
+        return copied
+
     def estimate_group(
         self, keys: Sequence[int], now_s: float
     ) -> Mapping[int, Estimate]:
--- a/src/burdockspan/gateway/fleet/work_statements.py
+++ b/src/burdockspan/gateway/fleet/work_statements.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import functools
 import random
 import threading
 import zlib
@@ -27,6 +28,7 @@
 # Samples that wait for the next status; older ones are left out.
 _MAX_WAITING_SAMPLES = 28
 _MAX_RUN = 2**31
+_MAX_CACHED_KEYS = 4096
 # A VM without a statement for this time has left.
 _KEPT_S = 30.0
 _MAX_NUMBER = 2**53
@@ -71,7 +73,12 @@
 
 def make_key(endpoint: Endpoint) -> int:
     """Returns the short name of an endpoint's incarnation in statuses."""
-    return zlib.crc32(f"{endpoint.id} {endpoint.started_ms}".encode())
+    return _make_key(endpoint.id, endpoint.started_ms)
+
+
+@functools.lru_cache(_MAX_CACHED_KEYS)
+def _make_key(endpoint_id: str, started_ms: int) -> int:
+    return zlib.crc32(f"{endpoint_id} {started_ms}".encode())
 
 
 class OwnWork:
--- a/src/burdockspan/gateway/requests/plain.py
+++ b/src/burdockspan/gateway/requests/plain.py
@@ -249,8 +249,11 @@
     silence_limit_s = _choose_silence_limit_s(request)
     wait_s = min(silence_limit_s, attempts.remaining_s())
     log_attempt(context, request, endpoint, wait_s=round(wait_s, 3))
-    running = context.state.running_work(endpoint)
-    ahead = context.endpoint_capacity.work_ahead(endpoint, *running).requests
+    ahead = 0.0
+    if context.endpoint_capacity.learns_plain:
+        running = context.state.running_work(endpoint)
+        work = context.endpoint_capacity.work_ahead(endpoint, *running)
+        ahead = work.requests
     end_work = context.state.begin_work(endpoint)
     started_s = context.clock()
     try:
--- a/tests/gateway/endpoints/test_capacity_estimates.py
+++ b/tests/gateway/endpoints/test_capacity_estimates.py
@@ -97,6 +97,15 @@
         self.add(0.0, 5.0, dict.fromkeys(_KEYS, lambda load: float(load > 0.3)))
         self.assertGreater(self.estimate(1, 5.0).speed, 0.0)
 
+    def test_copy_is_not_changed_by_later_samples(self) -> None:
+        """Guards against estimates that block, or race with, new samples."""
+        self.add(0.0, 5.0, dict.fromkeys(_KEYS, lambda _: 0.02))
+        copied = self.samples.copy()
+        before = copied.estimate_group(_KEYS, 8.0)
+        self.add(5.0, 8.0, {1: lambda _: 0.09})
+        self.assertEqual(copied.estimate_group(_KEYS, 8.0), before)
+        self.assertNotEqual(self.estimate(1, 8.0), before[1])
+
     def test_new_endpoint_begins_at_the_median_and_ramps(self) -> None:
         """An endpoint restarts as another incarnation beside a fast one."""
         self.add(
