Serve equal endpoints as before beside work of others

Cause: as soon as another VM stated any work, two random candidates decided, so that some requests left the zone of equal endpoints for no gain. Otherwise a candidate of another zone is only chosen if no local one costs as little. The queue of others counts at most their own work, so that this VM's work is not counted twice. The ramp of a decode engine, which its rank does not use, no longer makes it random.

--- a/src/burdockspan/gateway/choice/capacity_ranking.py
+++ b/src/burdockspan/gateway/choice/capacity_ranking.py
@@ -3,6 +3,7 @@
 All VMs know about the same statements, which are up to a second old. If each
 took the least loaded endpoint, all would until the next statements arrive. So
 each draws two candidates, weighted by free capacity, and takes the less loaded.
+If that one is in another zone, a local one that costs no more takes its place.
 """
 
 from __future__ import annotations
@@ -73,7 +74,16 @@
     weights[first] = 0.0
     second = _draw(weights, random_float)
     # The list is sorted, so that the lower index has the lower cost.
-    chosen = trusted[min(first, second)]
+    index = min(first, second)
+    if not trusted[index][3].local:
+        # Work leaves a zone only for an endpoint that is better.
+        local = [
+            weight if item[3].local else 0.0
+            for item, weight in zip(trusted[:index], weights, strict=False)
+        ]
+        if any(local):
+            index = _draw(local, random_float)
+    chosen = trusted[index]
     rest = (item for item in costs if item is not chosen)
     return (chosen[3].endpoint, *(item[3].endpoint for item in rest))
 
--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -267,10 +267,11 @@
             estimate = self._estimate_by_key.get(key, MEDIAN)
             capacity = max(_MIN_PLAIN_CAPACITY, estimate.capacity)
             slots = capacity * endpoint.slots
-            requests = self._others.work_at(key).requests + running
+            others = self._others.work_at(key).requests / slots
+            queued = others + running / slots - queueing_load
             return (
                 running / slots
-                + max(0.0, requests / slots - queueing_load)
+                + min(others, max(0.0, queued))
                 + (1.0 / estimate.speed - 1.0) / endpoint.slots
             )
 
@@ -312,10 +313,21 @@
         self, candidates: tuple[Candidate, ...]
     ) -> tuple[Endpoint, ...]:
         """Orders endpoints of a plain service, the best first."""
-        if not self.learns_plain or not self._differ(candidates):
+        if not self.learns_plain or not (
+            self._capacities_differ(candidates)
+            or self._others_queue(candidates)
+        ):
             return ranking.rank_plain(candidates, self._random_float)
         return self._rank(candidates, _PLAIN)
 
+    def _others_queue(self, candidates: Iterable[Candidate]) -> bool:
+        """Returns whether requests of other VMs may wait at an endpoint."""
+        return any(
+            self._others.work_at(make_key(endpoint)).requests
+            > _QUEUEING_LOADS[0] * endpoint.slots
+            for endpoint in _list_endpoints(candidates)
+        )
+
     def rank_prefill(
         self, candidates: tuple[Candidate, ...], zone: str
     ) -> tuple[Endpoint, ...]:
@@ -325,15 +337,38 @@
           candidates: the engines.
           zone: zone of the decode engine, which fetches the KV cache.
         """
-        if not self._differ(candidates):
+        if not self.is_learned:
             return ranking.rank_prefill(candidates, zone, self._random_float)
+        if not self._capacities_differ(candidates):
+            tokens = [
+                self._others.work_at(make_key(endpoint)).tokens
+                for endpoint in _list_endpoints(candidates)
+            ]
+            if not tokens or (
+                max(tokens) - min(tokens) <= _PREFILL.other_zone_penalty
+            ):
+                # If all VMs went by small differences, they would choose the
+                # same engine until the next statements.
+                own = tuple(
+                    Candidate(
+                        item.endpoint,
+                        item.load - others,
+                        item.suspicion,
+                        item.local,
+                    )
+                    for item, others in zip(candidates, tokens, strict=True)
+                )
+                return ranking.rank_prefill(own, zone, self._random_float)
         return self._rank(ranking.relate_to_zone(candidates, zone), _PREFILL)
 
     def rank_decode(
         self, candidates: tuple[Candidate, ...]
     ) -> tuple[Endpoint, ...]:
         """Orders decode engines, the best first."""
-        if not self._differ(candidates):
+        if not self.is_learned or not any(
+            self._others.work_at(make_key(endpoint)) is not NO_WORK
+            for endpoint in _list_endpoints(candidates)
+        ):
             return ranking.rank_decode(candidates, self._random_float)
         return rank_by_capacity(
             candidates, _DECODE, lambda _: 1.0, self._random_float
@@ -346,13 +381,16 @@
             candidates, scale, self._capacity, self._random_float
         )
 
-    def _differ(self, candidates: tuple[Candidate, ...]) -> bool:
-        """Returns whether more is known than what this VM runs itself."""
-        return self.is_learned and any(
-            self._estimate_by_key.get(key, MEDIAN).capacity != 1.0
-            or self._others.work_at(key) is not NO_WORK
-            for key in map(make_key, [item.endpoint for item in candidates])
+    def _capacities_differ(self, candidates: Iterable[Candidate]) -> bool:
+        estimate_by_key = self._estimate_by_key
+        return any(
+            estimate_by_key.get(make_key(endpoint), MEDIAN).capacity != 1.0
+            for endpoint in _list_endpoints(candidates)
         )
 
 
+def _list_endpoints(candidates: Iterable[Candidate]) -> list[Endpoint]:
+    return [candidate.endpoint for candidate in candidates]
+
+
 __all__ = ["EndpointCapacity"]
--- a/tests/gateway/choice/test_endpoint_capacity.py
+++ b/tests/gateway/choice/test_endpoint_capacity.py
@@ -12,7 +12,7 @@
 from burdockspan.gateway.choice.ranking import Candidate
 from burdockspan.gateway.fleet.exchange import Received
 from burdockspan.gateway.values import Endpoint
-from tests.support.capacity_fleets import Fleet
+from tests.support.capacity_fleets import Fleet, make_engine
 
 _SPEEDS = (0.6, 1.0, 1.6) * 4
 _PROMPTS_PER_S = 60
@@ -115,11 +115,11 @@
                     endpoint,
                     load(endpoint, running if index == 0 else 0, 0),
                     0.0,
-                    index == 0,
+                    endpoint.zone == "zone-a",
                 )
                 for index, endpoint in enumerate(self.endpoints)
             )
-            count += self.vm.rank_plain(candidates)[0] is self.endpoints[0]
+            count += self.vm.rank_plain(candidates)[0].zone == "zone-a"
         return count
 
     def learn(self, slow_from: float, factor: float) -> None:
@@ -149,6 +149,48 @@
         self.assertEqual(self.vm.explain(self.endpoints[0])["knee"], 0.5)
         self.assertLess(self.count_local(0), 120)
 
+    def test_no_work_leaves_equal_endpoints_beside_work_of_others(
+        self,
+    ) -> None:
+        """Guards against random choices that leave the zone for no gain.
+
+        Two idle endpoints are in each zone, and others state work there, first
+        little and then as much as makes requests wait.
+        """
+        self.endpoints += [
+            Endpoint(f"i-{zone}", 1, "app", "a:1", zone, False, 8)
+            for zone in ("zone-a", "zone-b")
+        ]
+        self.learn(2.0, 1.0)
+        for requests in (1, 3, 7):
+            for endpoint in self.endpoints:
+                self.state_work(requests, endpoint)
+            with self.subTest(requests=requests):
+                self.assertEqual(self.count_local(0), 200)
+
+    def test_no_prompt_leaves_equal_engines_beside_work_of_others(
+        self,
+    ) -> None:
+        """Guards against prompts that leave the zone of their decode engine."""
+        self.endpoints = [
+            make_engine(f"i-{number}", f"zone-{'ab'[number % 2]}")
+            for number in range(4)
+        ]
+        for tokens in (1000, 1000, 20_000):
+            self.state_work(1, self.endpoints[0], tokens)
+            self.state_work(1, self.endpoints[1], tokens)
+            chosen = []
+            for _ in range(200):
+                load = self.vm.make_prefill_load(4000)
+                candidates = tuple(
+                    Candidate(endpoint, load(endpoint, 0, 0), 0.0, True)
+                    for endpoint in self.endpoints
+                )
+                ranked = self.vm.rank_prefill(candidates, "zone-a")
+                chosen.append(ranked[0])
+            with self.subTest(tokens=tokens):
+                self.assertEqual({e.zone for e in chosen}, {"zone-a"})
+
     def test_part_of_the_work_leaves_a_queue(self) -> None:
         """Guards against a zone whose VMs all leave its endpoint at once."""
         counts = []
@@ -160,11 +202,13 @@
         self.assertGreater(counts[1], 50)
         self.assertEqual(counts[-1], 0)
 
-    def state_work(self, requests: int) -> None:
-        """Has another VM begin requests at the local endpoint."""
+    def state_work(
+        self, requests: int, endpoint: Endpoint | None = None, tokens: int = 0
+    ) -> None:
+        """Has another VM begin requests, by default at the local endpoint."""
         other = self.fleet.vms[1]
         for _ in range(requests):
-            other.change_work(self.endpoints[0], 1, 0)
+            other.change_work(endpoint or self.endpoints[0], 1, tokens)
         other.make_value()
         self.fleet.now_s += 1.0
         self.vm.receive(Received("vm-1", other.make_value(), None))
