Leave out overtaken and earlier statuses, and learn only with an exchange

Cause: without an exchange nothing renews the estimates, so that samples were kept for nothing. Statuses were ordered by the number of their newest sample, so that a late one without new samples replaced newer work. A late status of an earlier run counted its samples again, and then those of the present run. Times of VMs that left were kept for ever. Change: learned and engines are fixed without an open exchange, which is logged once. Statuses have a number (i; missing from earlier releases); one that is repeated or overtaken, or of one of the last 4 ended runs, is left out. _listed_s_by_vm is pruned with the addresses.

--- a/src/burdockspan/gateway/fleet/exchange.py
+++ b/src/burdockspan/gateway/fleet/exchange.py
@@ -131,6 +131,8 @@
             }
             self._listed_s_by_vm |= dict.fromkeys(listed, now_s)
             self._address_by_vm = {**kept, **listed}
+            for vm in self._listed_s_by_vm.keys() - self._address_by_vm.keys():
+                del self._listed_s_by_vm[vm]
             for vm in self._latest_by_vm.keys() - self._address_by_vm.keys():
                 del self._latest_by_vm[vm]
 
--- a/src/burdockspan/gateway/fleet/work_statements.py
+++ b/src/burdockspan/gateway/fleet/work_statements.py
@@ -29,6 +29,7 @@
 _MAX_WAITING_SAMPLES = 28
 _MAX_RUN = 2**31
 _MAX_CACHED_KEYS = 4096
+_MAX_ENDED_RUNS = 4
 # A VM without a statement for this time has left.
 _KEPT_S = 30.0
 _MAX_NUMBER = 2**53
@@ -63,12 +64,14 @@
       number: number of the newest sample; 0 before the first one.
       samples: the samples up to that number, each with its endpoint's key.
       work_by_key: its work in flight by endpoint.
+      status: number of the status; 0 from a VM of an earlier release.
     """
 
     run: int
     number: int
     samples: tuple[tuple[int, Sample], ...]
     work_by_key: dict[int, Work]
+    status: int = 0
 
 
 def make_key(endpoint: Endpoint) -> int:
@@ -89,6 +92,7 @@
         self._lock = threading.Lock()
         self._run = random.SystemRandom().randrange(_MAX_RUN)
         self._number = 0
+        self._status = 0
         self._samples: collections.deque[tuple[int, Sample]] = (
             collections.deque(maxlen=_MAX_WAITING_SAMPLES)
         )
@@ -145,8 +149,11 @@
             if is_empty and self._was_empty:
                 return None
             self._was_empty = is_empty
+            self._status += 1
+            status = self._status
         return {
             "r": self._run,
+            "i": status,
             "n": number,
             "s": [
                 [
@@ -195,6 +202,8 @@
         self._lock = threading.Lock()
         self._statement_by_vm: dict[str, tuple[float, Statement]] = {}
         self._total_by_key: dict[int, Work] = {}
+        # Runs of a VM's process that a later one has replaced.
+        self._ended_runs_by_vm: dict[str, collections.deque[int]] = {}
 
     def receive(
         self, vm: str, statement: Statement
@@ -203,11 +212,16 @@
         with self._lock:
             previous = self._statement_by_vm.get(vm)
             known = 0
+            if statement.run in self._ended_runs_by_vm.get(vm, ()):
+                return ()
             if previous is not None and previous[1].run == statement.run:
                 known = previous[1].number
-                if statement.number < known:
-                    # Overtaken by a later status.
+                if _is_overtaken(statement, previous[1]):
                     return ()
+            elif previous is not None:
+                self._ended_runs_by_vm.setdefault(
+                    vm, collections.deque(maxlen=_MAX_ENDED_RUNS)
+                ).append(previous[1].run)
             self._statement_by_vm[vm] = (self._clock(), statement)
             # Readers take no lock: they see one dictionary or the other.
             changed = dict(self._total_by_key)
@@ -229,6 +243,7 @@
             ):
                 if received_s < now_s - _KEPT_S:
                     del self._statement_by_vm[vm]
+                    self._ended_runs_by_vm.pop(vm, None)
                 elif received_s < oldest_s and statement.work_by_key:
                     lapsed = dataclasses.replace(statement, work_by_key={})
                     self._statement_by_vm[vm] = (received_s, lapsed)
@@ -242,6 +257,14 @@
         return self._total_by_key.get(key, NO_WORK)
 
 
+def _is_overtaken(statement: Statement, latest: Statement) -> bool:
+    """Returns whether a statement of the same run is not a new one."""
+    if statement.number != latest.number:
+        return statement.number < latest.number
+    # A VM of an earlier release does not number its statuses.
+    return 0 < statement.status <= latest.status
+
+
 def _add(
     total_by_key: dict[int, Work], statement: Statement, sign: int
 ) -> None:
@@ -265,6 +288,9 @@
     run, number = _decode_count(value, "r"), _decode_count(value, "n")
     if run is None or number is None:
         return Err("run or number is no count")
+    status = _decode_count({"i": 0, **value}, "i")
+    if status is None:
+        return Err("status is no count")
     samples = _decode_items(value.get("s"), _SAMPLE_FIELDS)
     work = _decode_items(value.get("w"), _WORK_FIELDS)
     if samples is None or work is None:
@@ -283,6 +309,7 @@
                 int(key): Work(requests / _HUNDREDTHS, tokens)
                 for key, requests, tokens in work
             },
+            status,
         )
     )
 
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -60,7 +60,7 @@
     make_signal_observer,
 )
 from burdockspan.gateway.endpoints.part_quarantine import PartQuarantine
-from burdockspan.gateway.fleet.exchange import open_exchange
+from burdockspan.gateway.fleet.exchange import Exchange, open_exchange
 from burdockspan.gateway.fleet.peers import Peers
 from burdockspan.gateway.fleet.reachability import Reachability, observe_calls
 from burdockspan.gateway.fleet.reachability_probes import (
@@ -190,8 +190,9 @@
     exchange = open_exchange(
         settings.exchange_address, settings.vm, boot_clock, registry, log
     )
+    endpoint_capacity = _choose_endpoint_capacity(settings, exchange, log)
     capacity = EndpointCapacity(
-        settings.endpoint_capacity != FIXED,
+        endpoint_capacity != FIXED,
         state.list_endpoints,
         exchange.interval_s,
         clock,
@@ -199,7 +200,7 @@
         random_float,
         log,
         registry,
-        learns_plain=settings.endpoint_capacity == LEARNED,
+        learns_plain=endpoint_capacity == LEARNED,
     )
     capacity.join(exchange)
     state.observe_work(capacity.change_work)
@@ -347,6 +348,20 @@
     )
 
 
+def _choose_endpoint_capacity(
+    settings: GatewaySettings, exchange: Exchange, log: WriteEvent
+) -> str:
+    """Returns the setting in force: estimates are renewed with each status."""
+    if settings.endpoint_capacity != FIXED and exchange.address is None:
+        log(
+            "endpoint capacity fixed",
+            setting=settings.endpoint_capacity,
+            detail="there is no exchange",
+        )
+        return FIXED
+    return settings.endpoint_capacity
+
+
 def _make_balance(context: Context, order_sender: OrderSender) -> Balance:
     """Returns the function that balances the stages, in one thread at a time.
 
--- a/tests/gateway/fleet/test_exchange.py
+++ b/tests/gateway/fleet/test_exchange.py
@@ -180,6 +180,15 @@
         per_s = 299 / self.first.exchange.interval_s()
         self.assertLessEqual(per_s, 60.0)
 
+    def test_vms_that_left_take_no_memory(self) -> None:
+        """Guards against growth with each VM that was replaced."""
+        exchange = self.first.exchange
+        for number in range(100):
+            exchange.set_peers({f"vm-x{number}": "10.0.0.9:1"})
+            self.first.now_s += 31.0
+        exchange.set_peers({})
+        self.assertLessEqual(len(exchange._listed_s_by_vm), 1)
+
     def test_malformed_datagrams_are_ignored(self) -> None:
         for datagram in (
             b"",
--- a/tests/gateway/fleet/test_shared_capacity.py
+++ b/tests/gateway/fleet/test_shared_capacity.py
@@ -80,6 +80,20 @@
         metrics = other.components.context.registry.render().decode()
         self.assertNotIn('event="exchange",outcome="received"', metrics)
 
+    def test_capacity_is_fixed_without_an_exchange(self) -> None:
+        """Guards against samples that no renewal ever reads."""
+        for endpoint_capacity in ("learned", "engines"):
+            with (
+                self.subTest(endpoint_capacity=endpoint_capacity),
+                contextlib.contextmanager(run_gateway)(
+                    make_document(), endpoint_capacity=endpoint_capacity
+                ) as gateway,
+            ):
+                capacity = gateway.components.context.endpoint_capacity
+                self.assertFalse(capacity.is_learned or capacity.learns_plain)
+                logged = gateway.events_named("endpoint capacity fixed")
+                self.assertEqual(len(logged), 1)
+
     def test_plain_services_are_served_as_before_if_engines_learn(self) -> None:
         """Guards against speeds of plain endpoints that are only queues."""
         serving, other = self.run_fleet("engines")
--- a/tests/gateway/fleet/test_work_statements.py
+++ b/tests/gateway/fleet/test_work_statements.py
@@ -60,6 +60,36 @@
         self.assertEqual(self.receive(early), 0)
         self.assertEqual(self.others.work_at(make_key(_DECODE)).tokens, 500)
 
+    def test_overtaken_status_without_samples_does_not_replace_a_later_one(
+        self,
+    ) -> None:
+        """Guards against work that ended and comes back with a late status."""
+        self.own.change(_DECODE, 1, 500)
+        early = self.own.make_value()
+        self.own.change(_DECODE, -1, -500)
+        self.receive(self.own.make_value())
+        self.receive(early)
+        self.assertEqual(self.others.work_at(make_key(_DECODE)), NO_WORK)
+
+    def test_late_status_of_an_earlier_run_counts_nothing(self) -> None:
+        """Guards against a VM's samples and work from before its restart."""
+        self.own.add_sample(1, Sample(0.02))
+        self.own.change(_DECODE, 1, 500)
+        early = self.own.make_value()
+        self.receive(early)
+        self.own = OwnWork(lambda: self.now_s)
+        self.own.add_sample(1, Sample(0.02))
+        late = self.own.make_value()
+        self.assertEqual(self.receive(late), 1)
+        self.assertEqual([self.receive(v) for v in (early, late)], [0, 0])
+        self.assertEqual(self.others.work_at(make_key(_DECODE)), NO_WORK)
+
+    def test_status_of_an_earlier_release_counts(self) -> None:
+        """Guards against VMs that learn nothing during an update."""
+        self.own.add_sample(1, Sample(0.02))
+        value = {k: v for k, v in self.own.make_value().items() if k != "i"}
+        self.assertEqual(self.receive(value), 1)
+
     def test_samples_of_a_restarted_vm_count(self) -> None:
         for _ in range(3):
             self.own.add_sample(1, Sample(0.02))
@@ -149,6 +179,7 @@
             {},
             {**head, "n": -1},
             {**head, "r": True},
+            {**head, "i": -1},
             {**head, "s": [[1, 2]]},
             {**head, "w": [[1, 2, "x"]]},
             {**head, "w": [[1, 2, float("nan")]]},
