Look at no endpoint's capacity while none differs

Cause: each choice looked up the estimate and the stated work of all candidates to find whether any differs. Change: the keys that differ are kept with the estimates, and an empty set, or no work of others, answers at once.

--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -103,6 +103,7 @@
             clock, lambda: _LAPSE_INTERVALS * exchange_interval_s()
         )
         self._estimate_by_key: dict[int, Estimate] = {}
+        self._differing_keys: frozenset[int] = frozenset()
         self._logged_by_key: dict[int, tuple[float, float]] = {}
 
     def join(self, exchange: Exchange) -> None:
@@ -201,6 +202,10 @@
         for keys in keys_by_group.values():
             estimates.update(samples.estimate_group(keys, now_s))
         self._estimate_by_key = estimates
+        # Usually empty, so that equal endpoints need no look at each.
+        self._differing_keys = frozenset(
+            key for key, item in estimates.items() if item.capacity != 1.0
+        )
         for (service, stage), keys in keys_by_group.items():
             name = f"{service}_{stage.value if stage else 'any'}"
             speeds = [estimates[key].speed for key in keys]
@@ -322,7 +327,7 @@
 
     def _others_queue(self, candidates: Iterable[Candidate]) -> bool:
         """Returns whether requests of other VMs may wait at an endpoint."""
-        return any(
+        return self._others.has_work() and any(
             self._others.work_at(make_key(endpoint)).requests
             > _QUEUEING_LOADS[0] * endpoint.slots
             for endpoint in _list_endpoints(candidates)
@@ -382,9 +387,9 @@
         )
 
     def _capacities_differ(self, candidates: Iterable[Candidate]) -> bool:
-        estimate_by_key = self._estimate_by_key
-        return any(
-            estimate_by_key.get(make_key(endpoint), MEDIAN).capacity != 1.0
+        differing = self._differing_keys
+        return bool(differing) and any(
+            make_key(endpoint) in differing
             for endpoint in _list_endpoints(candidates)
         )
 
--- a/src/burdockspan/gateway/fleet/work_statements.py
+++ b/src/burdockspan/gateway/fleet/work_statements.py
@@ -252,6 +252,10 @@
                 _add(total_by_key, statement, 1)
             self._total_by_key = total_by_key
 
+    def has_work(self) -> bool:
+        """Returns whether another VM has work at any endpoint."""
+        return bool(self._total_by_key)
+
     def work_at(self, key: int) -> Work:
         """Returns the work of the other VMs at an endpoint."""
         return self._total_by_key.get(key, NO_WORK)
