--- a/src/burdockspan/gateway/choice/endpoint_capacity.py
+++ b/src/burdockspan/gateway/choice/endpoint_capacity.py
@@ -4,7 +4,6 @@
 
 import collections
 import copy
-import dataclasses
 import math
 import threading
 from collections.abc import Callable, Iterable
@@ -105,6 +104,7 @@
             clock, lambda: _LAPSE_INTERVALS * exchange_interval_s()
         )
         self._estimate_by_key: dict[int, Estimate] = {}
+        self._differing_keys: frozenset[int] = frozenset()
         self._logged_by_key: dict[int, tuple[float, float]] = {}
 
     def with_random(self, random_float: RandomFloat) -> EndpointCapacity:
@@ -127,12 +127,10 @@
 
     def work_ahead(self, endpoint: Endpoint, running: int, tokens: int) -> Work:
         """Returns the work of all VMs at an endpoint, given that of this VM."""
+        if not self.is_learned:
+            return Work(running, tokens)
         others = self._others.work_at(make_key(endpoint))
-        return dataclasses.replace(
-            others,
-            requests=others.requests + running,
-            tokens=others.tokens + tokens,
-        )
+        return Work(others.requests + running, others.tokens + tokens)
 
     def record_prefill(
         self,
@@ -141,8 +139,9 @@
         duration_s: float,
     ) -> None:
         """Records the duration of a finished prefill of some tokens."""
-        size = tokens + _OVERHEAD_TOKENS
-        self._record(endpoint, Sample(duration_s / size))
+        if self.is_learned:
+            size = tokens + _OVERHEAD_TOKENS
+            self._record(endpoint, Sample(duration_s / size))
 
     def record_plain(
         self, endpoint: Endpoint, requests_ahead: float, duration_s: float
@@ -159,7 +158,7 @@
             self._record(endpoint, Sample(duration_s, load))
 
     def _record(self, endpoint: Endpoint, sample: Sample) -> None:
-        if not self.is_learned or sample.pace_s <= 0:
+        if sample.pace_s <= 0:
             return
         key = make_key(endpoint)
         self._own.add_sample(key, sample)
@@ -205,9 +204,15 @@
         estimates: dict[int, Estimate] = {}
         with self._lock:
             self._samples.set_present(endpoint_by_key, now_s)
-            for keys in keys_by_group.values():
-                estimates.update(self._samples.estimate_group(keys, now_s))
+            samples = self._samples.copy()
+        # Request threads need the lock to record their samples.
+        for keys in keys_by_group.values():
+            estimates.update(samples.estimate_group(keys, now_s))
         self._estimate_by_key = estimates
+        # Usually empty, so that equal endpoints need no look at each.
+        self._differing_keys = frozenset(
+            key for key, item in estimates.items() if item.capacity != 1.0
+        )
         for (service, stage), keys in keys_by_group.items():
             name = f"{service}_{stage.value if stage else 'any'}"
             speeds = [estimates[key].speed for key in keys]
@@ -270,13 +275,15 @@
         queueing_load = low + (high - low) * self._random_float()
 
         def load(endpoint: Endpoint, running: int, tokens: int) -> float:
-            estimate = self.estimate(endpoint)
+            key = make_key(endpoint)
+            estimate = self._estimate_by_key.get(key, MEDIAN)
             capacity = max(_MIN_PLAIN_CAPACITY, estimate.capacity)
             slots = capacity * endpoint.slots
-            requests = self.work_ahead(endpoint, running, tokens).requests
+            others = self._others.work_at(key).requests / slots
+            queued = others + running / slots - queueing_load
             return (
                 running / slots
-                + max(0.0, requests / slots - queueing_load)
+                + min(others, max(0.0, queued))
                 + (1.0 / estimate.speed - 1.0) / endpoint.slots
             )
 
@@ -292,18 +299,21 @@
             return lambda _, __, tokens: float(tokens)
 
         def load(endpoint: Endpoint, running: int, tokens: int) -> float:
-            ahead = self.work_ahead(endpoint, running, tokens).tokens
-            capacity = self._capacity(endpoint)
+            key = make_key(endpoint)
+            ahead = self._others.work_at(key).tokens + tokens
+            capacity = self._estimate_by_key.get(key, MEDIAN).capacity
             return (ahead + size_tokens) / capacity - size_tokens
 
         return load
 
     def make_decode_load(self, engine: EngineProperties) -> Load:
         """Returns a function for the share of an engine's capacity in use."""
+        if not self.is_learned:
+            return lambda _, running, tokens: max(
+                tokens / engine.kv_tokens, running / engine.slots
+            )
 
         def load(endpoint: Endpoint, running: int, tokens: int) -> float:
-            if not self.is_learned:
-                return max(tokens / engine.kv_tokens, running / engine.slots)
             work = self.work_ahead(endpoint, running, tokens)
             return max(
                 work.tokens / engine.kv_tokens, work.requests / engine.slots
@@ -315,10 +325,21 @@
         self, candidates: tuple[Candidate, ...]
     ) -> tuple[Endpoint, ...]:
         """Orders endpoints of a plain service, the best first."""
-        if not self.learns_plain or not self._differ(candidates):
+        if not self.learns_plain or not (
+            self._capacities_differ(candidates)
+            or self._others_queue(candidates)
+        ):
             return ranking.rank_plain(candidates, self._random_float)
         return self._rank(candidates, _PLAIN)
 
+    def _others_queue(self, candidates: Iterable[Candidate]) -> bool:
+        """Returns whether requests of other VMs may wait at an endpoint."""
+        return self._others.has_work() and any(
+            self._others.work_at(make_key(endpoint)).requests
+            > _QUEUEING_LOADS[0] * endpoint.slots
+            for endpoint in _list_endpoints(candidates)
+        )
+
     def rank_prefill(
         self, candidates: tuple[Candidate, ...], zone: str
     ) -> tuple[Endpoint, ...]:
@@ -328,15 +349,38 @@
           candidates: the engines.
           zone: zone of the decode engine, which fetches the KV cache.
         """
-        if not self._differ(candidates):
+        if not self.is_learned:
             return ranking.rank_prefill(candidates, zone, self._random_float)
+        if not self._capacities_differ(candidates):
+            tokens = [
+                self._others.work_at(make_key(endpoint)).tokens
+                for endpoint in _list_endpoints(candidates)
+            ]
+            if not tokens or (
+                max(tokens) - min(tokens) <= _PREFILL.other_zone_penalty
+            ):
+                # If all VMs went by small differences, they would choose the
+                # same engine until the next statements.
+                own = tuple(
+                    Candidate(
+                        item.endpoint,
+                        item.load - others,
+                        item.suspicion,
+                        item.local,
+                    )
+                    for item, others in zip(candidates, tokens, strict=True)
+                )
+                return ranking.rank_prefill(own, zone, self._random_float)
         return self._rank(ranking.relate_to_zone(candidates, zone), _PREFILL)
 
     def rank_decode(
         self, candidates: tuple[Candidate, ...]
     ) -> tuple[Endpoint, ...]:
         """Orders decode engines, the best first."""
-        if not self._differ(candidates):
+        if not self.is_learned or not any(
+            self._others.work_at(make_key(endpoint)) is not NO_WORK
+            for endpoint in _list_endpoints(candidates)
+        ):
             return ranking.rank_decode(candidates, self._random_float)
         return rank_by_capacity(
             candidates, _DECODE, lambda _: 1.0, self._random_float
@@ -349,13 +393,16 @@
             candidates, scale, self._capacity, self._random_float
         )
 
-    def _differ(self, candidates: tuple[Candidate, ...]) -> bool:
-        """Returns whether more is known than what this VM runs itself."""
-        return self.is_learned and any(
-            self._capacity(candidate.endpoint) != 1.0
-            or self._others.work_at(make_key(candidate.endpoint)) != NO_WORK
-            for candidate in candidates
+    def _capacities_differ(self, candidates: Iterable[Candidate]) -> bool:
+        differing = self._differing_keys
+        return bool(differing) and any(
+            make_key(endpoint) in differing
+            for endpoint in _list_endpoints(candidates)
         )
 
 
+def _list_endpoints(candidates: Iterable[Candidate]) -> list[Endpoint]:
+    return [candidate.endpoint for candidate in candidates]
+
+
 __all__ = ["EndpointCapacity"]
--- a/src/burdockspan/gateway/endpoints/capacity_estimates.py
+++ b/src/burdockspan/gateway/endpoints/capacity_estimates.py
@@ -10,6 +10,7 @@
 import bisect
 import collections
 import dataclasses
+import functools
 import itertools
 import math
 import statistics
@@ -77,7 +78,7 @@
     confidence: float = 0.0
     age_s: float = math.inf
 
-    @property
+    @functools.cached_property
     def capacity(self) -> float:
         """Work that it takes well, relative to a median endpoint."""
         return self.speed * self.knee * self.ramp
@@ -114,7 +115,9 @@
         self._first_seen_s_by_key: dict[int, float] = {}
 
     def add(self, key: int, sample: Sample, now_s: float) -> None:
-        """Adds a sample of the endpoint with a key."""
+        """Adds a sample of the endpoint with a key, unless it took no time."""
+        if sample.pace_s <= 0:
+            return
         samples = self._samples_by_key.get(key)
         if samples is None:
             samples = collections.deque(maxlen=_MAX_SAMPLES)
@@ -134,6 +137,15 @@
         for key in self._samples_by_key.keys() - present:
             del self._samples_by_key[key]
 
+    def copy(self) -> CapacitySamples:
+        """Returns a copy, for estimates while samples are added to this one."""
+        copied = CapacitySamples()
+        copied._samples_by_key = {
+            key: samples.copy() for key, samples in self._samples_by_key.items()
+        }
+        copied._first_seen_s_by_key = self._first_seen_s_by_key
+        return copied
+
     def estimate_group(
         self, keys: Sequence[int], now_s: float
     ) -> Mapping[int, Estimate]:
--- a/src/burdockspan/gateway/fleet/work_statements.py
+++ b/src/burdockspan/gateway/fleet/work_statements.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import functools
 import random
 import threading
 import zlib
@@ -27,6 +28,8 @@
 # Samples that wait for the next status; older ones are left out.
 _MAX_WAITING_SAMPLES = 28
 _MAX_RUN = 2**31
+_MAX_CACHED_KEYS = 4096
+_MAX_ENDED_RUNS = 4
 # A VM without a statement for this time has left.
 _KEPT_S = 30.0
 _MAX_NUMBER = 2**53
@@ -34,7 +37,11 @@
 _WORK_FIELDS = 3
 # The pace of a sample is stated in microseconds, shares in hundredths.
 _US_PER_S = 1e6
+# Receivers refuse a pace of 0.
+_MIN_PACE_US = 0.1
 _HUNDREDTHS = 100.0
+# Half of the smallest work that is stated.
+_MIN_REQUESTS = 0.5 / _HUNDREDTHS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,17 +64,24 @@
       number: number of the newest sample; 0 before the first one.
       samples: the samples up to that number, each with its endpoint's key.
       work_by_key: its work in flight by endpoint.
+      status: number of the status; 0 from a VM of an earlier release.
     """
 
     run: int
     number: int
     samples: tuple[tuple[int, Sample], ...]
     work_by_key: dict[int, Work]
+    status: int = 0
 
 
 def make_key(endpoint: Endpoint) -> int:
     """Returns the short name of an endpoint's incarnation in statuses."""
-    return zlib.crc32(f"{endpoint.id} {endpoint.started_ms}".encode())
+    return _make_key(endpoint.id, endpoint.started_ms)
+
+
+@functools.lru_cache(_MAX_CACHED_KEYS)
+def _make_key(endpoint_id: str, started_ms: int) -> int:
+    return zlib.crc32(f"{endpoint_id} {started_ms}".encode())
 
 
 class OwnWork:
@@ -78,6 +92,7 @@
         self._lock = threading.Lock()
         self._run = random.SystemRandom().randrange(_MAX_RUN)
         self._number = 0
+        self._status = 0
         self._samples: collections.deque[tuple[int, Sample]] = (
             collections.deque(maxlen=_MAX_WAITING_SAMPLES)
         )
@@ -134,13 +149,16 @@
             if is_empty and self._was_empty:
                 return None
             self._was_empty = is_empty
+            self._status += 1
+            status = self._status
         return {
             "r": self._run,
+            "i": status,
             "n": number,
             "s": [
                 [
                     key,
-                    round(sample.pace_s * _US_PER_S, 1),
+                    max(_MIN_PACE_US, round(sample.pace_s * _US_PER_S, 1)),
                     round(sample.load * _HUNDREDTHS),
                 ]
                 for key, sample in stated
@@ -184,6 +202,8 @@
         self._lock = threading.Lock()
         self._statement_by_vm: dict[str, tuple[float, Statement]] = {}
         self._total_by_key: dict[int, Work] = {}
+        # Runs of a VM's process that a later one has replaced.
+        self._ended_runs_by_vm: dict[str, collections.deque[int]] = {}
 
     def receive(
         self, vm: str, statement: Statement
@@ -192,27 +212,27 @@
         with self._lock:
             previous = self._statement_by_vm.get(vm)
             known = 0
+            if statement.run in self._ended_runs_by_vm.get(vm, ()):
+                return ()
             if previous is not None and previous[1].run == statement.run:
                 known = previous[1].number
-                if statement.number < known:
-                    # Overtaken by a later status.
+                if _is_overtaken(statement, previous[1]):
                     return ()
-            if previous is not None:
-                self._add(previous[1], -1)
+            elif previous is not None:
+                self._ended_runs_by_vm.setdefault(
+                    vm, collections.deque(maxlen=_MAX_ENDED_RUNS)
+                ).append(previous[1].run)
             self._statement_by_vm[vm] = (self._clock(), statement)
-            self._add(statement, 1)
+            # Readers take no lock: they see one dictionary or the other.
+            changed = dict(self._total_by_key)
+            if previous is not None:
+                _add(changed, previous[1], -1)
+            _add(changed, statement, 1)
+            self._total_by_key = changed
         new = statement.number - known
         count = min(new, len(statement.samples))
         return statement.samples[-count:] if count > 0 else ()
 
-    def _add(self, statement: Statement, sign: int) -> None:
-        for key, work in statement.work_by_key.items():
-            total = self._total_by_key.get(key, NO_WORK)
-            self._total_by_key[key] = Work(
-                total.requests + sign * work.requests,
-                total.tokens + sign * work.tokens,
-            )
-
     def lapse(self) -> None:
         """Removes the work of statements that are too old."""
         now_s = self._clock()
@@ -223,18 +243,48 @@
             ):
                 if received_s < now_s - _KEPT_S:
                     del self._statement_by_vm[vm]
+                    self._ended_runs_by_vm.pop(vm, None)
                 elif received_s < oldest_s and statement.work_by_key:
                     lapsed = dataclasses.replace(statement, work_by_key={})
                     self._statement_by_vm[vm] = (received_s, lapsed)
-            self._total_by_key = {}
+            total_by_key: dict[int, Work] = {}
             for _, statement in self._statement_by_vm.values():
-                self._add(statement, 1)
+                _add(total_by_key, statement, 1)
+            self._total_by_key = total_by_key
+
+    def has_work(self) -> bool:
+        """Returns whether another VM has work at any endpoint."""
+        return bool(self._total_by_key)
 
     def work_at(self, key: int) -> Work:
         """Returns the work of the other VMs at an endpoint."""
         return self._total_by_key.get(key, NO_WORK)
 
 
+def _is_overtaken(statement: Statement, latest: Statement) -> bool:
+    """Returns whether a statement of the same run is not a new one."""
+    if statement.number != latest.number:
+        return statement.number < latest.number
+    # A VM of an earlier release does not number its statuses.
+    return 0 < statement.status <= latest.status
+
+
+def _add(
+    total_by_key: dict[int, Work], statement: Statement, sign: int
+) -> None:
+    for key, work in statement.work_by_key.items():
+        total = total_by_key.get(key, NO_WORK)
+        changed = Work(
+            total.requests + sign * work.requests,
+            total.tokens + sign * work.tokens,
+        )
+        # The sum of averages that were added and subtracted is not exactly 0.
+        if changed.requests < _MIN_REQUESTS:
+            total_by_key.pop(key, None)
+        else:
+            total_by_key[key] = changed
+
+
 def decode_statement(value: Any) -> Result[Statement, str]:
     """Returns the statement in a JSON value, or an error text."""
     if not isinstance(value, dict):
@@ -242,10 +292,15 @@
     run, number = _decode_count(value, "r"), _decode_count(value, "n")
     if run is None or number is None:
         return Err("run or number is no count")
+    status = _decode_count({"i": 0, **value}, "i")
+    if status is None:
+        return Err("status is no count")
     samples = _decode_items(value.get("s"), _SAMPLE_FIELDS)
     work = _decode_items(value.get("w"), _WORK_FIELDS)
     if samples is None or work is None:
         return Err("samples or work are no lists of numbers")
+    if any(pace <= 0 for _, pace, _ in samples):
+        return Err("a sample without a duration")
     return Ok(
         Statement(
             run,
@@ -258,6 +313,7 @@
                 int(key): Work(requests / _HUNDREDTHS, tokens)
                 for key, requests, tokens in work
             },
+            status,
         )
     )
 
--- a/tests/gateway/fleet/test_work_statements.py
+++ b/tests/gateway/fleet/test_work_statements.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import sys
+import threading
 import unittest
 
 from result import Err
@@ -58,6 +60,36 @@
         self.assertEqual(self.receive(early), 0)
         self.assertEqual(self.others.work_at(make_key(_DECODE)).tokens, 500)
 
+    def test_overtaken_status_without_samples_does_not_replace_a_later_one(
+        self,
+    ) -> None:
+        """Guards against work that ended and comes back with a late status."""
+        self.own.change(_DECODE, 1, 500)
+        early = self.own.make_value()
+        self.own.change(_DECODE, -1, -500)
+        self.receive(self.own.make_value())
+        self.receive(early)
+        self.assertEqual(self.others.work_at(make_key(_DECODE)), NO_WORK)
+
+    def test_late_status_of_an_earlier_run_counts_nothing(self) -> None:
+        """Guards against a VM's samples and work from before its restart."""
+        self.own.add_sample(1, Sample(0.02))
+        self.own.change(_DECODE, 1, 500)
+        early = self.own.make_value()
+        self.receive(early)
+        self.own = OwnWork(lambda: self.now_s)
+        self.own.add_sample(1, Sample(0.02))
+        late = self.own.make_value()
+        self.assertEqual(self.receive(late), 1)
+        self.assertEqual([self.receive(v) for v in (early, late)], [0, 0])
+        self.assertEqual(self.others.work_at(make_key(_DECODE)), NO_WORK)
+
+    def test_status_of_an_earlier_release_counts(self) -> None:
+        """Guards against VMs that learn nothing during an update."""
+        self.own.add_sample(1, Sample(0.02))
+        value = {k: v for k, v in self.own.make_value().items() if k != "i"}
+        self.assertEqual(self.receive(value), 1)
+
     def test_samples_of_a_restarted_vm_count(self) -> None:
         for _ in range(3):
             self.own.add_sample(1, Sample(0.02))
@@ -74,6 +106,38 @@
         self.others.lapse()
         self.assertEqual(self.others.work_at(make_key(_DECODE)), NO_WORK)
 
+    def test_readers_see_no_total_between_two_statements(self) -> None:
+        """Guards against requests that see a busy endpoint as free.
+
+        The others state the same work again and again, and a reader looks at
+        it meanwhile without a lock.
+        """
+        value = {"r": 1, "s": [], "w": [[key, 100, 1000] for key in range(16)]}
+        statements = [
+            decode_statement({**value, "n": 0}).unwrap() for _ in range(60)
+        ]
+        for index, statement in enumerate(statements):
+            self.others.receive(f"vm-{index}", statement)
+        seen: set[float] = set()
+        done = threading.Event()
+
+        def read() -> None:
+            while not done.is_set():
+                seen.add(self.others.work_at(15).requests)
+
+        reader = threading.Thread(target=read)
+        interval_s = sys.getswitchinterval()
+        sys.setswitchinterval(1e-5)
+        self.addCleanup(sys.setswitchinterval, interval_s)
+        reader.start()
+        for _ in range(20):
+            for index, statement in enumerate(statements):
+                self.others.receive(f"vm-{index}", statement)
+            self.others.lapse()
+        done.set()
+        reader.join()
+        self.assertEqual(seen, {60.0})
+
     def test_short_work_is_stated_as_its_average(self) -> None:
         """Guards against statements that miss prompts between two of them."""
         self.own.change(_PREFILL, 1, 4000)
@@ -97,6 +161,14 @@
         encoded = json.dumps(self.own.make_value(), separators=(",", ":"))
         self.assertLessEqual(len(encoded), 800)
 
+    def test_very_short_work_is_stated_with_a_duration(self) -> None:
+        """Guards against a pace of 0, by which receivers would divide."""
+        self.own.add_sample(1, Sample(1e-9))
+        value = self.own.make_value()
+        self.assertGreater(
+            decode_statement(value).unwrap().samples[0][1].pace_s, 0
+        )
+
     def test_idle_vm_states_nothing(self) -> None:
         self.assertIsNone(self.own.make_value())
 
@@ -107,10 +179,12 @@
             {},
             {**head, "n": -1},
             {**head, "r": True},
+            {**head, "i": -1},
             {**head, "s": [[1, 2]]},
             {**head, "w": [[1, 2, "x"]]},
             {**head, "w": [[1, 2, float("nan")]]},
             {**head, "s": [[1, 2, 3]] * 1000},
+            {**head, "s": [[1, 0, 3]]},
         ):
             with self.subTest(value=str(value)[:40]):
                 self.assertIsInstance(decode_statement(value), Err)
