Bind a stream that may have begun elsewhere to its version

A request whose relay broke off, or whose head never arrived, could begin again at another version, at a further VM or here, since only streams with a forwarded event were bound. The VM that knew the first version then joined both when the caller resumed.

A further VM now gets the request as one that resumes itself: it finds the version, or refuses. A begin here after such a relay does the same.

--- a/src/burdockspan/gateway/requests/attempts.py
+++ b/src/burdockspan/gateway/requests/attempts.py
@@ -106,6 +106,7 @@
       tried_incarnations: endpoints that attempts were sent to.
       last_failure: failure of the latest failed attempt.
       asked_peers: VMs that were asked to serve the request.
+      may_have_begun_elsewhere: whether one of them may have begun a run.
       writing_since_s: when the run in progress sent its first event, in
         monotonic seconds; None before, and for other requests.
     """
@@ -126,6 +127,7 @@
         self.tried_incarnations: set[tuple[str, int]] = set()
         self.last_failure: Failure | None = None
         self.asked_peers: set[str] = set()
+        self.may_have_begun_elsewhere = False
         self.writing_since_s: float | None = None
 
     def try_start(self) -> bool:
@@ -295,6 +297,7 @@
         if failure.kind not in NOT_STARTED:
             self.call_count += 1
             self.run_count += 1
+            self.may_have_begun_elsewhere = True
         has_declined = failure.kind is FailureKind.REFUSED
         self._context.registry.count(
             "relay", "declined" if has_declined else failure.kind.value
--- a/src/burdockspan/gateway/requests/generation.py
+++ b/src/burdockspan/gateway/requests/generation.py
@@ -32,7 +32,10 @@
     start_prepared,
 )
 from burdockspan.gateway.requests.peer_relay import can_leave, hand_over
-from burdockspan.gateway.requests.resumption import publish_origin
+from burdockspan.gateway.requests.resumption import (
+    publish_origin,
+    restrict_to_begun,
+)
 from burdockspan.gateway.streams.sse import StreamProgress, split_events
 from burdockspan.gateway.values import EngineProperties, GenerationSize
 from burdockspan.values.placement import Failure
@@ -64,6 +67,10 @@
     relayed = hand_over(context, request, attempts)
     if relayed is not None:
         return relayed
+    restricted = restrict_to_begun(context, request, attempts)
+    if isinstance(restricted, Err):
+        return restricted.err_value
+    request = restricted.ok_value
     context.demand.record_prompt(request.service, size.prompt_tokens)
     started = start_attempt(context, request, attempts, engine, size)
     while isinstance(started, Err):
@@ -73,6 +80,10 @@
             return relayed
         if len(attempts.asked_peers) > asked:
             # It stopped waiting for memory because of VMs that have declined.
+            restricted = restrict_to_begun(context, request, attempts)
+            if isinstance(restricted, Err):
+                return restricted.err_value
+            request = restricted.ok_value
             started = start_attempt(context, request, attempts, engine, size)
             continue
         refusal = started.err_value
--- a/src/burdockspan/gateway/requests/peer_relay.py
+++ b/src/burdockspan/gateway/requests/peer_relay.py
@@ -142,7 +142,7 @@
         ),
         expects_events=request.route.kind is RequestKind.STREAM,
         after_event=after_event,
-        resumed_request_id=_find_first_request(request, after_event),
+        resumed_request_id=_find_first_request(request, attempts, after_event),
     )
     end_work = context.peers.begin_work(peer)
     outcome = context.platform.relay(peer, request.call, options)
@@ -175,10 +175,22 @@
 
 
 def _find_first_request(
-    request: RoutedRequest, after_event: str | None
+    request: RoutedRequest, attempts: Attempts, after_event: str | None
 ) -> str | None:
-    """Returns the request that began the stream which goes on elsewhere."""
-    if after_event is None:
+    """Returns the request that may have begun the stream.
+
+    A stream that may have begun is bound to its version before its first event
+    as well: other VMs know that version, and a caller may resume at them.
+    """
+    may_have_begun = (
+        request.software_version is not None
+        or attempts.may_have_begun_elsewhere
+    )
+    if after_event is None and not (
+        may_have_begun
+        and request.route.kind is RequestKind.STREAM
+        and request.route.resumable
+    ):
         return None
     return request.call.resumed_request_id or request.call.request_id
 
@@ -218,6 +230,7 @@
         except EndpointError as error:
             _record_broken_relay(context, request, peer, error.failure)
             attempts.record_relay_failure(peer, error.failure)
+            attempts.may_have_begun_elsewhere = True
             resumed = None
             if is_resumable and progress.is_resumable:
                 event = progress.last_event_id
--- a/src/burdockspan/gateway/requests/plain.py
+++ b/src/burdockspan/gateway/requests/plain.py
@@ -28,7 +28,10 @@
     log_stream_end,
 )
 from burdockspan.gateway.requests.peer_relay import can_leave, hand_over
-from burdockspan.gateway.requests.resumption import publish_origin
+from burdockspan.gateway.requests.resumption import (
+    publish_origin,
+    restrict_to_begun,
+)
 from burdockspan.gateway.values import Endpoint, RequestKind
 from burdockspan.values.placement import Failure
 
@@ -59,6 +62,10 @@
         relayed = hand_over(context, request, attempts)
         if relayed is not None:
             return relayed
+        restricted = restrict_to_begun(context, request, attempts)
+        if isinstance(restricted, Err):
+            return restricted.err_value
+        request = restricted.ok_value
         if _would_be_lost(context, request, attempts):
             return attempts.make_error_response(OUT_OF_REACH, RETRY_AFTER_S)
         endpoint = (
--- a/src/burdockspan/gateway/requests/resumption.py
+++ b/src/burdockspan/gateway/requests/resumption.py
@@ -8,7 +8,11 @@
 
 from burdockspan.gateway.callers.messages import Response, make_problem
 from burdockspan.gateway.context import Context
-from burdockspan.gateway.requests.attempts import RETRY_AFTER_S, RoutedRequest
+from burdockspan.gateway.requests.attempts import (
+    RETRY_AFTER_S,
+    Attempts,
+    RoutedRequest,
+)
 from burdockspan.gateway.streams.stream_origins import Origin
 from burdockspan.gateway.values import Endpoint, RequestKind
 
@@ -25,27 +29,62 @@
     is_resumed = (call.last_event_id or call.resumed_request_id) is not None
     if not is_resumed or request.route.kind is not RequestKind.STREAM:
         return Ok(request)
-    origin, source = _find_origin(context, request)
+    origin = _find_known_origin(context, request, call.resumed_request_id)
+    if origin is None:
+        return Err(_refuse(context, request))
+    return Ok(_restrict(request, origin))
+
+
+def restrict_to_begun(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> Result[RoutedRequest, Response]:
+    """Returns the request, restricted if another VM may have begun its stream.
+
+    Returns a refusal if the version is unknown: that VM may have published
+    another version than this one would begin at.
+    """
+    route = request.route
+    if (
+        not attempts.may_have_begun_elsewhere
+        or request.software_version is not None
+        or route.kind is not RequestKind.STREAM
+        or not route.resumable
+    ):
+        return Ok(request)
+    origin = _find_known_origin(context, request, request.call.request_id)
+    if origin is None:
+        return Err(_refuse_begun(attempts))
+    return Ok(_restrict(request, origin))
+
+
+def _restrict(request: RoutedRequest, origin: Origin) -> RoutedRequest:
+    return dataclasses.replace(
+        request,
+        service=origin.service,
+        software_version=origin.software_version,
+    )
+
+
+def _find_known_origin(
+    context: Context, request: RoutedRequest, resumed: str | None
+) -> Origin | None:
+    """Returns the origin of a stream, at a service of its route."""
+    call = request.call
+    origin, source = _find_origin(context, request, resumed)
     services = {service.name for service in request.route.services}
     context.registry.count("resumed_stream", source)
     context.log(
         "stream to resume",
         request_id=call.request_id,
-        resumes=call.resumed_request_id,
+        resumes=resumed,
         after_event=call.last_event_id,
         version=origin.software_version if origin else None,
         service=origin.service if origin else None,
         known_from=source,
     )
     if origin is None or origin.service not in services:
-        return Err(_refuse(context, request))
-    return Ok(
-        dataclasses.replace(
-            request,
-            service=origin.service,
-            software_version=origin.software_version,
-        )
-    )
+        return None
+    return origin
 
 
 def publish_origin(
@@ -69,14 +108,15 @@
 
 
 def _find_origin(
-    context: Context, request: RoutedRequest
+    context: Context, request: RoutedRequest, resumed: str | None
 ) -> tuple[Origin | None, str]:
     """Returns the origin of a resumed stream, and how it is known."""
-    resumed = request.call.resumed_request_id
     if resumed is not None:
         origin = context.origins.find(resumed)
         if origin is not None:
             return origin, "record"
+        if context.origins.is_disputed(resumed):
+            return None, "disputed"
     history = context.state.version_history
     versions = {
         service.name: history.sole_version(service.name)
@@ -98,7 +138,14 @@
     return age_s is not None and age_s <= context.endpoints_max_age_s
 
 
+def _refuse_begun(attempts: Attempts) -> Response:
+    """Returns the refusal of a request that may have run."""
+    return attempts.make_error_response("unknown version", RETRY_AFTER_S)
+
+
 def _refuse(context: Context, request: RoutedRequest) -> Response:
+    if request.relay is not None and request.relay.runs:
+        return _refuse_begun(Attempts(context, request))
     context.registry.count("refusal", "unknown_version")
     context.log(
         "refused",
@@ -111,4 +158,4 @@
     return make_problem(503, "not_run", detail, RETRY_AFTER_S)
 
 
-__all__ = ["publish_origin", "restrict_to_origin"]
+__all__ = ["publish_origin", "restrict_to_begun", "restrict_to_origin"]
--- a/src/burdockspan/gateway/streams/origin_messages.py
+++ b/src/burdockspan/gateway/streams/origin_messages.py
@@ -33,10 +33,12 @@
     Attributes:
       request_id: request that began the stream.
       origin: where it began; None if the sender does not know.
+      is_disputed: whether the sender knows several origins.
     """
 
     request_id: str
     origin: Origin | None
+    is_disputed: bool = False
 
 
 OriginMessage = OriginQuestion | OriginStatement
@@ -49,6 +51,8 @@
         value["type"] = "origin_question"
     else:
         value["type"] = "origin"
+        if message.is_disputed:
+            value["disputed"] = True
         if message.origin is not None:
             value["service"] = message.origin.service
             value["software_version"] = message.origin.software_version
@@ -70,6 +74,8 @@
         return Ok(OriginQuestion(request_id))
     if value.get("type") != "origin":
         return Err("the type of the message is unknown")
+    if value.get("disputed") is True:
+        return Ok(OriginStatement(request_id, None, is_disputed=True))
     if "service" not in value:
         return Ok(OriginStatement(request_id, None))
     service = _read_text(value, "service")
--- a/src/burdockspan/gateway/streams/origin_sharing.py
+++ b/src/burdockspan/gateway/streams/origin_sharing.py
@@ -84,17 +84,23 @@
         no VM that answers in time knows the origin.
         """
         origin = self._origins.find(request_id)
-        if origin is not None:
+        if origin is not None or self.is_disputed(request_id):
             return origin
         owners = self._list_owners(request_id)
         everyone = frozenset(self._address_by_peer.values())
         # Datagrams may be lost, so that the owners are asked twice.
         for addresses in (owners, everyone):
             origin = self._ask(request_id, addresses)
+            if self.is_disputed(request_id):
+                return None
             if origin is not None:
                 return origin
         return None
 
+    def is_disputed(self, request_id: str) -> bool:
+        """Returns whether this VM has heard of several origins of a stream."""
+        return self._origins.is_disputed(request_id)
+
     def run(self) -> None:
         """Receives messages until the socket is closed."""
         while self._udp is not None and not self._closed:
@@ -131,14 +137,18 @@
         if isinstance(message, OriginQuestion):
             self._registry.count("origin_message", "question")
             origin = self._origins.find(message.request_id)
-            answer = OriginStatement(message.request_id, origin)
+            answer = OriginStatement(
+                message.request_id,
+                origin,
+                self._origins.is_disputed(message.request_id),
+            )
             self._send(answer, (sender,))
             return
         if sender not in self._address_by_peer.values():
             self._registry.count("origin_message", "foreign")
             return
         self._registry.count("origin_message", "statement")
-        if message.origin is not None:
+        if message.origin is not None or message.is_disputed:
             self._origins.record(message.request_id, message.origin)
         with self._lock:
             for question in self._questions_by_request.get(
--- a/src/burdockspan/gateway/streams/stream_origins.py
+++ b/src/burdockspan/gateway/streams/stream_origins.py
@@ -38,22 +38,32 @@
 class StreamOrigins:
     """Origins of recent streams, by the request that brought the first event.
 
-    The oldest records are dropped first.
+    A stream that is recorded with two origins is disputed: its origin stays
+    unknown, since its caller may have events of either. The oldest records are
+    dropped first.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
-        # The origin, and when it was recorded, in monotonic seconds.
+        # The origin, None if disputed, and when it was recorded, in monotonic
+        # seconds.
         self._recorded_by_request: collections.OrderedDict[
-            str, tuple[Origin, float]
+            str, tuple[Origin | None, float]
         ] = collections.OrderedDict()
 
-    def record(self, request_id: str, origin: Origin) -> None:
-        """Records the origin of a stream."""
+    def record(self, request_id: str, origin: Origin | None) -> None:
+        """Records the origin of a stream; None if it is disputed."""
         now_s = self._clock()
         records = self._recorded_by_request
         with self._lock:
+            earlier = records.get(request_id)
+            if (
+                earlier is not None
+                and earlier[0] != origin
+                and earlier[1] >= now_s - HORIZON_S
+            ):
+                origin = None
             records[request_id] = (origin, now_s)
             records.move_to_end(request_id)
             while records and (
@@ -63,12 +73,23 @@
                 records.popitem(last=False)
 
     def find(self, request_id: str) -> Origin | None:
-        """Returns the origin of a stream; None if it is unknown."""
+        """Returns the origin of a stream; None if unknown or disputed."""
+        recorded = self._find_recent(request_id)
+        return None if recorded is None else recorded[0]
+
+    def is_disputed(self, request_id: str) -> bool:
+        """Returns whether a stream is recorded with several origins."""
+        recorded = self._find_recent(request_id)
+        return recorded is not None and recorded[0] is None
+
+    def _find_recent(
+        self, request_id: str
+    ) -> tuple[Origin | None, float] | None:
         with self._lock:
             recorded = self._recorded_by_request.get(request_id)
             if recorded is None or recorded[1] < self._clock() - HORIZON_S:
                 return None
-            return recorded[0]
+            return recorded
 
 
 class VersionHistory:
--- a/tests/gateway/fleet/test_peer_relay.py
+++ b/tests/gateway/fleet/test_peer_relay.py
@@ -433,6 +433,66 @@
         events = [b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 5)]
         self.assertEqual(response.body, b"".join(events))
 
+    def test_stream_that_may_have_begun_is_bound_at_a_further_vm(self) -> None:
+        """Guards against one request that begins at two versions.
+
+        A link that breaks before the head arrives, and one that breaks before
+        the first event, hide that the VM has published the version.
+        """
+        for begun in ([], make_stream(1)[:1]):
+            with self.subTest(begun=begun):
+                resumes: list[str | None] = []
+
+                def answer(
+                    received: Received,
+                    begun: list[Step] = begun,
+                    resumes: list[str | None] = resumes,
+                ) -> Iterable[Step]:
+                    resumes.append(received.header("Resumes"))
+                    if len(resumes) == 1:
+                        return [*begun, Action.RESET]
+                    return make_stream(1, 2)
+
+                self.lose_engines()
+                self.replace_peers(
+                    *(ScriptedEndpoint(f"vm-{n}", answer) for n in (3, 4))
+                )
+                response = self.send(7, "/review/x", **_SIZES)
+                self.assertTrue(response.complete)
+                self.assertEqual(resumes, [None, "r7"])
+
+    def test_stream_that_may_have_begun_begins_here_at_its_version(
+        self,
+    ) -> None:
+        """Guards against a begin here after one at another VM, unheard of."""
+        engines = self.lose_engines()
+        lost = ScriptedEndpoint("vm-3", lambda _: [Action.RESET])
+        self.replace_peers(lost)
+        self.partition.cut = None
+        response = self.send(7, "/review/x", **_SIZES)
+        self.assertEqual(response.status, 502)
+        self.assertEqual(len(lost.received), 1)
+        self.assertEqual([engine.runs for engine in engines], [[], []])
+
+    def lose_engines(self) -> list[EngineScript]:
+        """Adds engines of two versions, which the VM believes out of reach."""
+        self.partition.cut = Cut.REFUSE
+        engines = [EngineScript(make_stream(1, 2)) for _ in range(2)]
+        state = self.vm.components.context.state
+        for number, engine in enumerate(engines):
+            if f"i-d{number}" not in state.endpoint_table().by_id:
+                self.add_endpoint(
+                    f"i-d{number}",
+                    engine,
+                    service="llm",
+                    stage="decode",
+                    version=f"v{number}",
+                )
+        reachability = self.vm.components.context.reachability
+        for endpoint in state.list_usable("llm"):
+            reachability.record_failure(endpoint, time.monotonic())
+        return engines
+
     def test_vm_that_takes_no_connection_costs_no_answer(self) -> None:
         """Guards against a refusal after the end of one VM."""
         self.cut_off()
--- a/tests/gateway/streams/test_software_versions.py
+++ b/tests/gateway/streams/test_software_versions.py
@@ -219,6 +219,16 @@
         self.assertEqual(self.new.runs, [])
         self.assertEqual(response.body, _event(2) + _event(3))
 
+    def test_stream_that_began_at_two_versions_is_refused(self) -> None:
+        """Guards against a record of the version that lost its events."""
+        self.begin("r-first")
+        beginner = self.gateways[0].components.context.origins
+        beginner.publish("r-first", Origin("llm", "v1.1"))
+        for gateway in self.gateways:
+            response = self.resume(gateway, "r-first")
+            self.assertEqual(response.status, 503)
+        self.assertEqual(self.old.runs + self.new.runs, [])
+
     def test_stream_is_resumed_twice(self) -> None:
         """Guards against a caller that names the first request again."""
         self.begin("r-first")
@@ -412,6 +422,21 @@
             encoded = origin_messages.encode(decoded.ok_value)
             self.assertEqual(origin_messages.decode(encoded), decoded)
 
+    def test_dispute_is_told_to_vms_that_ask(self) -> None:
+        """Guards against a conflict that only the owners know."""
+        fleet = [self.open_sharing() for _ in range(6)]
+        addresses = {f"vm-{n}": vm.address for n, vm in enumerate(fleet)}
+        for sharing in fleet:
+            sharing.set_peers(addresses)
+        fleet[0].publish("r1", Origin("llm", "v1"))
+        fleet[1].publish("r1", Origin("llm", "v2"))
+        wait_for(lambda: sum(vm.is_disputed("r1") for vm in fleet) >= 3)
+        for sharing in fleet:
+            if not sharing.is_disputed("r1"):
+                sharing.find("r1")
+        wait_for(lambda: all(vm.is_disputed("r1") for vm in fleet[2:]))
+        self.assertIsNone(fleet[2].find("r1"))
+
     def test_memory_of_origins_is_bounded(self) -> None:
         """Guards against a process that grows with its streams."""
         now_s = [1000.0]
