Assume a sole version only for the sole recent service of a route

The rule looked at the services that a route has now. If the route had moved to another service, or a split had ended, and the records were lost, a stream went on at the only version of a service that had not begun it.

Paths that are divided anew take over the services of the routes that overlap them. Routes without a change are served as before.

--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -9,7 +9,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Any
 
 from burdockspan.gateway.accounts import configuration_proof
@@ -417,6 +417,15 @@
     shared_watches: SharedWatches,
 ) -> VmHeartbeats:
     history = context.state.version_history
+    routes = context.state.route_history
+
+    def on_first_list(values: Collection[Any]) -> None:
+        routes.complete(map(_find_routes, values))
+        history.complete(map(_find_versions, values))
+
+    def on_written(value: Any) -> None:
+        routes.record_stored([_find_routes(value)])
+        history.record_stored([_find_versions(value)])
 
     def on_count(live: int, value_by_vm: Mapping[str, Any]) -> None:
         _apply_peer_values(context, shared_watches, value_by_vm)
@@ -440,16 +449,22 @@
             "relay_address": relay_server.address if relay_server else None,
             "zone": settings.availability_zone,
             "versions": history.encode(),
+            "routes": routes.encode(),
         },
         on_count,
         context.log,
         on_settled_count,
-        lambda values: history.complete(map(_find_versions, values)),
-        lambda value: history.record_stored([_find_versions(value)]),
-        history.has_unstored,
+        on_first_list,
+        on_written,
+        lambda: history.has_unstored() or routes.has_unstored(),
     )
 
 
+def _find_routes(value: Any) -> Any:
+    """Returns the services by route in a heartbeat; None without them."""
+    return value.get("routes") if isinstance(value, dict) else None
+
+
 def _find_versions(value: Any) -> Any:
     """Returns the software versions in a heartbeat; None without them."""
     return value.get("versions") if isinstance(value, dict) else None
@@ -483,6 +498,9 @@
     context.state.version_history.record_stored(
         map(_find_versions, objects_by_vm.values())
     )
+    context.state.route_history.record_stored(
+        map(_find_routes, objects_by_vm.values())
+    )
 
 
 def start(components: Components) -> None:
--- a/src/burdockspan/gateway/requests/resumption.py
+++ b/src/burdockspan/gateway/requests/resumption.py
@@ -13,7 +13,7 @@
     Attempts,
     RoutedRequest,
 )
-from burdockspan.gateway.streams.stream_origins import Origin
+from burdockspan.gateway.streams.stream_origins import Origin, make_route_key
 from burdockspan.gateway.values import Endpoint, RequestKind
 
 
@@ -123,7 +123,11 @@
         for service in request.route.services
     }
     version = versions.get(request.service)
-    is_known = len(versions) == 1 and _is_table_fresh(context)
+    # Another service may have begun the stream before the route changed.
+    sole_service = context.state.route_history.sole_version(
+        make_route_key(request.route)
+    )
+    is_known = sole_service == request.service and _is_table_fresh(context)
     if version is not None and is_known:
         return Origin(request.service, version), "sole_version"
     if resumed is None or None not in versions.values():
--- a/src/burdockspan/gateway/state.py
+++ b/src/burdockspan/gateway/state.py
@@ -19,7 +19,10 @@
 from burdockspan.gateway.endpoints import passive_health
 from burdockspan.gateway.endpoints.endpoint_conditions import EndpointConditions
 from burdockspan.gateway.endpoints.passive_health import Suspicion
-from burdockspan.gateway.streams.stream_origins import VersionHistory
+from burdockspan.gateway.streams.stream_origins import (
+    VersionHistory,
+    observe_routes,
+)
 from burdockspan.gateway.values import (
     Configuration,
     Endpoint,
@@ -67,6 +70,7 @@
       clock: monotonic clock, in seconds.
       conditions: what endpoints say about themselves in their answers.
       version_history: software versions that recently served each service.
+      route_history: services that recently served each route, likewise.
     """
 
     def __init__(
@@ -83,6 +87,7 @@
             clock, random_float, leaving_endpoint_s
         )
         self.version_history = VersionHistory(clock)
+        self.route_history = VersionHistory(clock)
         self._lock = threading.Lock()
         self._active: ActiveConfiguration | None = None
         self._accounts_listeners: list[AccountsListener] = []
@@ -126,6 +131,11 @@
                 self.clock(),
                 make_account_table(configuration.accounts),
             )
+            observe_routes(
+                self.route_history,
+                configuration.routes,
+                current.configuration.routes if current else (),
+            )
             return True
 
     def endpoint_table(self) -> EndpointTable:
--- a/src/burdockspan/gateway/streams/stream_origins.py
+++ b/src/burdockspan/gateway/streams/stream_origins.py
@@ -9,10 +9,10 @@
 import collections
 import dataclasses
 import threading
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
-from burdockspan.gateway.values import Endpoint
+from burdockspan.gateway.values import Endpoint, RequestKind, Route
 from burdockspan.values.clock import Clock
 
 # Callers resume a stream within the time that they wait for it, which is
@@ -111,13 +111,21 @@
 
     def observe(self, endpoints: Iterable[Endpoint]) -> None:
         """Records the versions of the endpoints that are present now."""
-        present = frozenset(
+        self.observe_keys(
             (endpoint.service, endpoint.software_version)
             for endpoint in endpoints
         )
+
+    def observe_keys(
+        self,
+        keys: Iterable[tuple[str, str]],
+        departed: Iterable[tuple[str, str]] = (),
+    ) -> None:
+        """Records the pairs that are present now, and those that left now."""
+        present = frozenset(keys)
         now_s = self._clock()
         with self._lock:
-            for key in self._present | present:
+            for key in self._present | present | frozenset(departed):
                 self._seen_s[key] = now_s
             self._present = present
 
@@ -194,6 +202,46 @@
             return sorted(self._seen_s)
 
 
+def make_route_key(route: Route) -> str:
+    """Returns what stays the same while the services of a route change."""
+    return f"{route.host}{route.path_prefix}"
+
+
+def observe_routes(
+    history: VersionHistory, routes: Sequence[Route], earlier: Sequence[Route]
+) -> None:
+    """Records the services of the routes whose streams may be resumed.
+
+    Args:
+      history: services by route, in place of versions by service.
+      routes: routes of the configuration in force now.
+      earlier: those of the one before; where their paths were divided
+        differently, a route takes their services over.
+    """
+    now = _list_services(routes)
+    before = _list_services(earlier)
+    changed = {key for key, _ in now} ^ {key for key, _ in before}
+    history.observe_keys(
+        now,
+        {
+            (key, service)
+            for key, _ in now
+            for old_key, service in before
+            if (key in changed or old_key in changed)
+            and (key.startswith(old_key) or old_key.startswith(key))
+        },
+    )
+
+
+def _list_services(routes: Sequence[Route]) -> set[tuple[str, str]]:
+    return {
+        (make_route_key(route), service.name)
+        for route in routes
+        if route.kind is RequestKind.STREAM and route.resumable
+        for service in route.services
+    }
+
+
 def _decode(value: Any) -> Iterable[tuple[str, str]]:
     if not isinstance(value, Mapping):
         return
@@ -205,4 +253,11 @@
                 yield service, version
 
 
-__all__ = ["HORIZON_S", "Origin", "StreamOrigins", "VersionHistory"]
+__all__ = [
+    "HORIZON_S",
+    "Origin",
+    "StreamOrigins",
+    "VersionHistory",
+    "make_route_key",
+    "observe_routes",
+]
--- a/tests/gateway/streams/test_software_versions.py
+++ b/tests/gateway/streams/test_software_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import json
 import threading
 import unittest
@@ -12,6 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from burdockspan.gateway.fleet import vm_heartbeats
 from burdockspan.gateway.streams import origin_messages
 from burdockspan.gateway.streams.origin_messages import OriginStatement
 from burdockspan.gateway.streams.origin_sharing import (
@@ -23,8 +25,10 @@
     Origin,
     StreamOrigins,
     VersionHistory,
+    make_route_key,
+    observe_routes,
 )
-from burdockspan.gateway.values import Endpoint
+from burdockspan.gateway.values import Endpoint, WeightedService
 from burdockspan.observe.registry import make_registry
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import (
@@ -310,6 +314,61 @@
         self.assertEqual(self.resume().status, 503)
 
 
+class TestSoleService(GenerationCase):
+    """A route moves to another service, and the records are lost."""
+
+    def test_stream_of_a_route_that_moved_is_refused(self) -> None:
+        """Guards against a stream of the service that the route left."""
+        engine = EngineScript(_stream(2, 3))
+        self.gateway.add_endpoint(
+            ScriptedEndpoint("i-1", engine),
+            service="llm",
+            stage="decode",
+            version="v1",
+        )
+        heartbeats = self.gateway.components.vm_heartbeats
+        heartbeats.send_and_count()
+        state = self.gateway.components.context.state
+        routes = state.active_configuration().configuration.routes
+        review = next(route for route in routes if route.name == "review")
+        moved = dataclasses.replace(
+            review, services=(WeightedService("llm-old", 1.0),)
+        )
+        observe_routes(state.route_history, [moved], routes)
+        observe_routes(state.route_history, routes, [moved])
+        headers = {"Resumes": "r-lost", "Last-Event-Id": "1"}
+        response = self.generate("/review/x", **headers)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(engine.runs, [])
+        wait_for(
+            lambda: any(
+                "llm-old" in services
+                for value in self.gateway.store.read(
+                    vm_heartbeats.KIND
+                ).values()
+                for services in value["routes"].values()
+            )
+        )
+
+    def test_paths_that_are_divided_anew_keep_their_services(self) -> None:
+        """Guards against a new route that hides which service began."""
+        history = VersionHistory(lambda: 1000.0)
+        history.complete([])
+        state = self.gateway.components.context.state
+        routes = state.active_configuration().configuration.routes
+        review = next(route for route in routes if route.name == "review")
+        part = dataclasses.replace(
+            review,
+            path_prefix=review.path_prefix + "part/",
+            services=(WeightedService("llm-new", 1.0),),
+        )
+        observe_routes(history, [review], [])
+        self.assertEqual(history.sole_version(make_route_key(review)), "llm")
+        observe_routes(history, [review, part], [review])
+        self.assertIsNone(history.sole_version(make_route_key(part)))
+        self.assertEqual(history.sole_version(make_route_key(review)), "llm")
+
+
 def _make_version(service: str, version: str) -> Endpoint:
     return Endpoint(
         id=version,
@@ -453,6 +512,7 @@
     "TestOriginSharing",
     "TestResumeByCallers",
     "TestResumeWithinOneResponse",
+    "TestSoleService",
     "TestSoleVersion",
     "TestVersionHistory",
 ]
