Prove a sole version by a list where a VM has not answered

The rule of the only version trusted a table of some seconds ago. A VM that did not answer could have begun the stream at an endpoint that this table lacked yet.

If all answered, nothing is listed, as before.

--- a/src/burdockspan/gateway/context.py
+++ b/src/burdockspan/gateway/context.py
@@ -23,6 +23,7 @@
 from burdockspan.gateway.graceful_stop import GracefulStop
 from burdockspan.gateway.ports import Platform
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.streams.latest_versions import LatestVersions
 from burdockspan.gateway.streams.origin_records import OriginRecords
 from burdockspan.gateway.streams.origin_sharing import OriginSharing
 from burdockspan.observe.event_log import WriteEvent
@@ -51,6 +52,7 @@
       waiting_statements: tells the other VMs who waits for decode memory here.
       origins: shares the software versions that began streams.
       origin_records: keeps them in the store while several versions serve.
+      latest_versions: versions of the endpoints that the store lists now.
       response_buffers: counts responses that callers have not read yet.
       exchange: tells the other VMs what this VM knows.
       configuration_proof: since when the configuration in force is certainly
@@ -81,6 +83,7 @@
     waiting_statements: WaitingStatements
     origins: OriginSharing
     origin_records: OriginRecords
+    latest_versions: LatestVersions
     response_buffers: ResponseBuffers
     exchange: Exchange
     configuration_proof: ConfigurationProof
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -87,6 +87,7 @@
     GatewaySettings,
 )
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.streams.latest_versions import LatestVersions
 from burdockspan.gateway.streams.origin_records import OriginRecords
 from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
 from burdockspan.gateway.streams.stream_origins import StreamOrigins
@@ -275,6 +276,13 @@
             log,
             registry,
         ),
+        latest_versions=LatestVersions(
+            platform.store,
+            platform.kinds,
+            platform.decode_endpoint,
+            clock,
+            registry,
+        ),
         response_buffers=buffers,
         exchange=exchange,
         configuration_proof=ConfigurationProof(
--- a/src/burdockspan/gateway/requests/resumption.py
+++ b/src/burdockspan/gateway/requests/resumption.py
@@ -111,8 +111,9 @@
     context: Context, request: RoutedRequest, resumed: str | None
 ) -> tuple[Origin | None, str]:
     """Returns the origin of a resumed stream, and how it is known."""
+    have_all_answered = False
     if resumed is not None:
-        origin = context.origins.find(resumed)
+        origin, have_all_answered = context.origins.ask(resumed)
         if origin is not None:
             return origin, "record"
         if context.origins.is_disputed(resumed):
@@ -129,7 +130,10 @@
     )
     is_known = sole_service == request.service and _is_table_fresh(context)
     if version is not None and is_known:
-        return Origin(request.service, version), "sole_version"
+        sole = Origin(request.service, version)
+        if not have_all_answered and not _is_sole_now(context, request, sole):
+            return None, "unproven"
+        return sole, "sole_version"
     if resumed is None or None not in versions.values():
         return None, "unknown"
     origin = context.origin_records.find(resumed)
@@ -142,6 +146,20 @@
     return age_s is not None and age_s <= context.endpoints_max_age_s
 
 
+def _is_sole_now(
+    context: Context, request: RoutedRequest, origin: Origin
+) -> bool:
+    """Returns whether the store lists no other version at this moment.
+
+    A VM that does not answer may have begun the stream at an endpoint that this
+    VM does not know yet.
+    """
+    versions = context.latest_versions.find(
+        origin.service, request.call.arrived_s
+    )
+    return versions is not None and versions <= {origin.software_version}
+
+
 def _refuse_begun(attempts: Attempts) -> Response:
     """Returns the refusal of a request that may have run."""
     return attempts.make_error_response("unknown version", RETRY_AFTER_S)
--- a/src/burdockspan/gateway/streams/origin_sharing.py
+++ b/src/burdockspan/gateway/streams/origin_sharing.py
@@ -83,19 +83,24 @@
         The VMs with copies are asked first, then all others. Returns None if
         no VM that answers in time knows the origin.
         """
+        return self.ask(request_id)[0]
+
+    def ask(self, request_id: str) -> tuple[Origin | None, bool]:
+        """Returns what `find` does, and whether all VMs have answered."""
         origin = self._origins.find(request_id)
         if origin is not None or self.is_disputed(request_id):
-            return origin
+            return origin, False
         owners = self._list_owners(request_id)
         everyone = frozenset(self._address_by_peer.values())
         # Datagrams may be lost, so that the owners are asked twice.
+        have_answered = False
         for addresses in (owners, everyone):
-            origin = self._ask(request_id, addresses)
+            origin, have_answered = self._ask(request_id, addresses)
             if self.is_disputed(request_id):
-                return None
+                return None, False
             if origin is not None:
-                return origin
-        return None
+                return origin, False
+        return None, have_answered and self._udp is not None
 
     def is_disputed(self, request_id: str) -> bool:
         """Returns whether this VM has heard of several origins of a stream."""
@@ -163,22 +168,23 @@
 
     def _ask(
         self, request_id: str, addresses: frozenset[Address]
-    ) -> Origin | None:
+    ) -> tuple[Origin | None, bool]:
+        """Returns the origin, and whether all these VMs have answered."""
         if not addresses:
-            return None
+            return None, True
         question = _Question(addresses)
         with self._lock:
             self._questions_by_request.setdefault(request_id, []).append(
                 question
             )
         self._send(OriginQuestion(request_id), addresses)
-        question.answered.wait(_ROUND_TIMEOUT_S)
+        have_answered = question.answered.wait(_ROUND_TIMEOUT_S)
         with self._lock:
             questions = self._questions_by_request[request_id]
             questions.remove(question)
             if not questions:
                 del self._questions_by_request[request_id]
-        return question.origin
+        return question.origin, have_answered
 
     def _send(
         self, message: OriginMessage, addresses: Iterable[Address]
--- a/tests/gateway/streams/test_software_versions.py
+++ b/tests/gateway/streams/test_software_versions.py
@@ -281,9 +281,9 @@
 class TestSoleVersion(GenerationCase):
     """A caller resumes a stream that no VM knows, after all have restarted."""
 
-    def resume(self) -> ReceivedResponse:
+    def resume(self, resumed: str = "r-lost") -> ReceivedResponse:
         """Resumes a stream of an unknown request."""
-        headers = {"Resumes": "r-lost", "Last-Event-Id": "1"}
+        headers = {"Resumes": resumed, "Last-Event-Id": "1"}
         return self.generate("/review/x", **headers)
 
     def add_version(self, name: str, version: str) -> EngineScript:
@@ -303,6 +303,27 @@
         self.gateway.components.vm_heartbeats.send_and_count()
         self.assertEqual(self.resume().body, _event(2) + _event(3))
 
+    def test_stream_is_refused_if_a_silent_vm_may_know_a_version(self) -> None:
+        """Guards against a table that lags behind that of a silent VM."""
+        engine = self.add_version("i-1", "v1")
+        self.gateway.components.vm_heartbeats.send_and_count()
+        context = self.gateway.components.context
+        context.origins.set_peers({"vm-gone": "127.0.0.1:9"})
+        self.assertEqual(self.resume().body, _event(2) + _event(3))
+        engine.runs.clear()
+        # The watch of this VM has not told it of the new version yet.
+        context.state.change_endpoint_table = lambda _: None
+        endpoint = ScriptedEndpoint("i-2", EngineScript(_stream(2, 3)))
+        self.addCleanup(endpoint.close)
+        entry = endpoint.as_store_entry(
+            "llm", "zone-a", stage="decode", version="v1.1"
+        )
+        self.gateway.store.put("servers", "i-2", entry)
+        self.assertEqual(self.resume("r-2").status, 503)
+        self.assertEqual(engine.runs, [])
+        context.origins.set_peers({})
+        self.assertEqual(self.resume("r-3").body, _event(2) + _event(3))
+
     def test_stream_is_refused_while_another_version_is_recent(self) -> None:
         """Guards against a stream that began at an engine that has left."""
         self.add_version("i-1", "v1")
