Learn of versions that served while this VM was cut off

A VM read the observations of the others once, at its start. A version that came and went while it was suspended or cut off from the store was never known to it, so that it could take another one for the only version.

Heartbeats now say how long ago the VM itself observed each version and each service of a route; each list takes them over.

--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -458,6 +458,8 @@
             "zone": settings.availability_zone,
             "versions": history.encode(),
             "routes": routes.encode(),
+            "version_ages_s": history.encode_ages(),
+            "route_ages_s": routes.encode_ages(),
         },
         on_count,
         context.log,
@@ -506,6 +508,12 @@
     context.state.version_history.record_stored(
         map(_find_versions, objects_by_vm.values())
     )
+    context.state.version_history.take_over(
+        value.get("version_ages_s") for value in objects_by_vm.values()
+    )
+    context.state.route_history.take_over(
+        value.get("route_ages_s") for value in objects_by_vm.values()
+    )
     context.state.route_history.record_stored(
         map(_find_routes, objects_by_vm.values())
     )
--- a/src/burdockspan/gateway/streams/stream_origins.py
+++ b/src/burdockspan/gateway/streams/stream_origins.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 import threading
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
@@ -105,6 +106,8 @@
         self._is_complete = False
         # When a version was last observed, by service and version.
         self._seen_s: dict[tuple[str, str], float] = {}
+        # The same for what this process observed itself.
+        self._observed_s: dict[tuple[str, str], float] = {}
         self._present: frozenset[tuple[str, str]] = frozenset()
         # Observations that an object in the store contains.
         self._stored: set[tuple[str, str]] = set()
@@ -126,7 +129,7 @@
         now_s = self._clock()
         with self._lock:
             for key in self._present | present | frozenset(departed):
-                self._seen_s[key] = now_s
+                self._seen_s[key] = self._observed_s[key] = now_s
             self._present = present
 
     def complete(self, values: Iterable[Any]) -> None:
@@ -147,6 +150,40 @@
                 for key in _decode(value):
                     self._seen_s[key] = now_s
 
+    def encode_ages(self) -> dict[str, dict[str, float]]:
+        """Returns how long ago, in seconds, this process observed versions.
+
+        What it has from other VMs is left out: if VMs passed it on again and
+        again, each time some seconds late, no version would be forgotten.
+        """
+        encoded: dict[str, dict[str, float]] = {}
+        now_s = self._clock()
+        for key in self._list_recent():
+            with self._lock:
+                observed_s = (
+                    now_s
+                    if key in self._present
+                    else self._observed_s.get(key, -math.inf)
+                )
+            age_s = now_s - observed_s
+            if age_s <= HORIZON_S:
+                encoded.setdefault(key[0], {})[key[1]] = round(age_s, 1)
+        return encoded
+
+    def take_over(self, values: Iterable[Any]) -> None:
+        """Adds what other VMs observed while this one may have been cut off.
+
+        Args:
+          values: results of `encode_ages` at the VMs; malformed ones are
+            ignored.
+        """
+        now_s = self._clock()
+        with self._lock:
+            for value in values:
+                for key, age_s in _decode_ages(value):
+                    seen_s = self._seen_s.get(key, -math.inf)
+                    self._seen_s[key] = max(seen_s, now_s - age_s)
+
     @property
     def is_complete(self) -> bool:
         """Whether it includes what VMs had observed before this process."""
@@ -199,6 +236,7 @@
                 if seen_s < oldest_s and key not in self._present
             ]:
                 del self._seen_s[key]
+                self._observed_s.pop(key, None)
             return sorted(self._seen_s)
 
 
@@ -253,6 +291,17 @@
                 yield service, version
 
 
+def _decode_ages(value: Any) -> Iterable[tuple[tuple[str, str], float]]:
+    if not isinstance(value, Mapping):
+        return
+    for service, ages in value.items():
+        if not isinstance(ages, Mapping):
+            continue
+        for version, age_s in ages.items():
+            if type(age_s) in (int, float) and 0 <= age_s <= HORIZON_S:
+                yield (service, version), float(age_s)
+
+
 __all__ = [
     "HORIZON_S",
     "Origin",
--- a/tests/gateway/streams/test_software_versions.py
+++ b/tests/gateway/streams/test_software_versions.py
@@ -324,6 +324,18 @@
         context.origins.set_peers({})
         self.assertEqual(self.resume("r-3").body, _event(2) + _event(3))
 
+    def test_stream_is_refused_after_a_version_that_only_others_saw(
+        self,
+    ) -> None:
+        """Guards against a VM that was cut off while a version served."""
+        self.add_version("i-1", "v1")
+        heartbeats = self.gateway.components.vm_heartbeats
+        heartbeats.send_and_count()
+        seen = {"version_ages_s": {"llm": {"v0": 30.0}}}
+        self.gateway.store.put(vm_heartbeats.KIND, "vm-9", seen)
+        heartbeats.send_and_count()
+        self.assertEqual(self.resume().status, 503)
+
     def test_stream_is_refused_while_another_version_is_recent(self) -> None:
         """Guards against a stream that began at an engine that has left."""
         self.add_version("i-1", "v1")
@@ -437,6 +449,26 @@
         self.history.observe([_make_version("llm", "v2")])
         self.assertTrue(self.history.has_unstored())
 
+    def test_versions_of_other_vms_are_forgotten_after_the_horizon(
+        self,
+    ) -> None:
+        """Guards against VMs that keep a version alive among themselves."""
+        other = VersionHistory(lambda: self.now_s)
+        for history in (self.history, other):
+            history.complete([])
+            history.observe([_make_version("llm", "v1")])
+        other.observe([_make_version("llm", "v2")])
+        other.observe([_make_version("llm", "v1")])
+        left_s = self.now_s
+        while self.now_s < left_s + HORIZON_S + 10.0:
+            ages = [self.history.encode_ages(), other.encode_ages()]
+            self.now_s += 4.0
+            for history in (self.history, other):
+                history.take_over([*ages, None, {"llm": {"v9": "1"}}])
+            if self.now_s <= left_s + HORIZON_S:
+                self.assertIsNone(self.history.sole_version("llm"))
+        self.assertEqual(self.history.sole_version("llm"), "v1")
+
     def test_malformed_observations_are_ignored(self) -> None:
         """Guards against an object of another writer."""
         self.history.complete([None, 3, {"llm": "v1"}, {"llm": [1, None]}])
