Describe what restricts resumed streams, and test a relay before an event

A relay of a stream that had begun here, without an event so far, was bound by the change of the relays, but no test showed it.

--- a/tests/gateway/fleet/test_peer_relay.py
+++ b/tests/gateway/fleet/test_peer_relay.py
@@ -243,6 +243,33 @@
             )
         )
 
+    def test_stream_without_an_event_goes_on_at_its_version(self) -> None:
+        """Guards against a begin at another version after a published one."""
+        # The other VM started first, and takes statements of known VMs only.
+        self.other.components.vm_heartbeats.send_and_count()
+        started = threading.Event()
+        engine = EngineScript([])
+
+        def answer(received: Received) -> Iterable[Step]:
+            is_run = received.header("Deadline-Ms") is not None
+            if not is_run or received.header("Stage") == "prefill":
+                return engine(received)
+            if received.header("Request-Id") != "r7" or started.is_set():
+                return make_stream(1, 2)
+            started.set()
+            return [*make_stream(1)[:1], Action.WAIT_FOR_CALLER]
+
+        self.add_endpoint("i-d", answer, service="llm", stage="decode")
+        sizes = {**_SIZES, "Deadline-Ms": "5000"}
+        response = self.call_until_cut(started, "/review/x", **sizes)
+        self.assertEqual(response.status, 200)
+        self.assertTrue(response.complete)
+        resumed = self.other.events_named("stream to resume")
+        self.assertEqual(
+            [(event["resumes"], event["known_from"]) for event in resumed],
+            [("r7", "record")],
+        )
+
     def test_stream_without_time_for_another_vm_waits_on(self) -> None:
         """Guards against a stream that is left for a VM that refuses it."""
         started = threading.Event()
