--- a/src/burdockspan/gateway/assembly.py
+++ b/src/burdockspan/gateway/assembly.py
@@ -6,7 +6,7 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Any
 
 from burdockspan.gateway.accounts import configuration_proof
@@ -77,6 +77,7 @@
     GatewaySettings,
 )
 from burdockspan.gateway.state import GatewayState
+from burdockspan.gateway.streams.latest_versions import LatestVersions
 from burdockspan.gateway.streams.origin_records import OriginRecords
 from burdockspan.gateway.streams.origin_sharing import open_origin_sharing
 from burdockspan.gateway.streams.stream_origins import StreamOrigins
@@ -257,6 +258,13 @@
             log,
             registry,
         ),
+        latest_versions=LatestVersions(
+            platform.store,
+            platform.kinds,
+            platform.decode_endpoint,
+            clock,
+            registry,
+        ),
         response_buffers=buffers,
         exchange=exchange,
         configuration_proof=ConfigurationProof(
@@ -413,6 +421,15 @@
     shared_watches: SharedWatches,
 ) -> VmHeartbeats:
     history = context.state.version_history
+    routes = context.state.route_history
+
+    def on_first_list(values: Collection[Any]) -> None:
+        routes.complete(map(_find_routes, values))
+        history.complete(map(_find_versions, values))
+
+    def on_written(value: Any) -> None:
+        routes.record_stored([_find_routes(value)])
+        history.record_stored([_find_versions(value)])
 
     def on_count(live: int, value_by_vm: Mapping[str, Any]) -> None:
         _apply_peer_values(context, shared_watches, value_by_vm)
@@ -436,16 +453,24 @@
             "relay_address": relay_server.address if relay_server else None,
             "zone": settings.availability_zone,
             "versions": history.encode(),
+            "routes": routes.encode(),
+            "version_ages_s": history.encode_ages(),
+            "route_ages_s": routes.encode_ages(),
         },
         on_count,
         context.log,
         on_settled_count,
-        lambda values: history.complete(map(_find_versions, values)),
-        lambda value: history.record_stored([_find_versions(value)]),
-        history.has_unstored,
+        on_first_list,
+        on_written,
+        lambda: history.has_unstored() or routes.has_unstored(),
     )
 
 
+def _find_routes(value: Any) -> Any:
+    """Returns the services by route in a heartbeat; None without them."""
+    return value.get("routes") if isinstance(value, dict) else None
+
+
 def _find_versions(value: Any) -> Any:
     """Returns the software versions in a heartbeat; None without them."""
     return value.get("versions") if isinstance(value, dict) else None
@@ -479,6 +504,15 @@
     context.state.version_history.record_stored(
         map(_find_versions, objects_by_vm.values())
     )
+    context.state.version_history.take_over(
+        value.get("version_ages_s") for value in objects_by_vm.values()
+    )
+    context.state.route_history.take_over(
+        value.get("route_ages_s") for value in objects_by_vm.values()
+    )
+    context.state.route_history.record_stored(
+        map(_find_routes, objects_by_vm.values())
+    )
 
 
 __all__ = ["Components", "MakePlatform", "make_components"]
--- a/tests/gateway/streams/test_software_versions.py
+++ b/tests/gateway/streams/test_software_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import json
 import threading
 import unittest
@@ -12,6 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from burdockspan.gateway.fleet import vm_heartbeats
 from burdockspan.gateway.streams import origin_messages
 from burdockspan.gateway.streams.origin_messages import OriginStatement
 from burdockspan.gateway.streams.origin_sharing import (
@@ -23,8 +25,10 @@
     Origin,
     StreamOrigins,
     VersionHistory,
+    make_route_key,
+    observe_routes,
 )
-from burdockspan.gateway.values import Endpoint
+from burdockspan.gateway.values import Endpoint, WeightedService
 from burdockspan.observe.registry import make_registry
 from standins.object_store import ObjectStore
 from standins.scripted_endpoint import (
@@ -219,6 +223,16 @@
         self.assertEqual(self.new.runs, [])
         self.assertEqual(response.body, _event(2) + _event(3))
 
+    def test_stream_that_began_at_two_versions_is_refused(self) -> None:
+        """Guards against a record of the version that lost its events."""
+        self.begin("r-first")
+        beginner = self.gateways[0].components.context.origins
+        beginner.publish("r-first", Origin("llm", "v1.1"))
+        for gateway in self.gateways:
+            response = self.resume(gateway, "r-first")
+            self.assertEqual(response.status, 503)
+        self.assertEqual(self.old.runs + self.new.runs, [])
+
     def test_stream_is_resumed_twice(self) -> None:
         """Guards against a caller that names the first request again."""
         self.begin("r-first")
@@ -267,9 +281,9 @@
 class TestSoleVersion(GenerationCase):
     """A caller resumes a stream that no VM knows, after all have restarted."""
 
-    def resume(self) -> ReceivedResponse:
+    def resume(self, resumed: str = "r-lost") -> ReceivedResponse:
         """Resumes a stream of an unknown request."""
-        headers = {"Resumes": "r-lost", "Last-Event-Id": "1"}
+        headers = {"Resumes": resumed, "Last-Event-Id": "1"}
         return self.generate("/review/x", **headers)
 
     def add_version(self, name: str, version: str) -> EngineScript:
@@ -289,6 +303,39 @@
         self.gateway.components.vm_heartbeats.send_and_count()
         self.assertEqual(self.resume().body, _event(2) + _event(3))
 
+    def test_stream_is_refused_if_a_silent_vm_may_know_a_version(self) -> None:
+        """Guards against a table that lags behind that of a silent VM."""
+        engine = self.add_version("i-1", "v1")
+        self.gateway.components.vm_heartbeats.send_and_count()
+        context = self.gateway.components.context
+        context.origins.set_peers({"vm-gone": "127.0.0.1:9"})
+        self.assertEqual(self.resume().body, _event(2) + _event(3))
+        engine.runs.clear()
+        # The watch of this VM has not told it of the new version yet.
+        context.state.change_endpoint_table = lambda _: None
+        endpoint = ScriptedEndpoint("i-2", EngineScript(_stream(2, 3)))
+        self.addCleanup(endpoint.close)
+        entry = endpoint.as_store_entry(
+            "llm", "zone-a", stage="decode", version="v1.1"
+        )
+        self.gateway.store.put("servers", "i-2", entry)
+        self.assertEqual(self.resume("r-2").status, 503)
+        self.assertEqual(engine.runs, [])
+        context.origins.set_peers({})
+        self.assertEqual(self.resume("r-3").body, _event(2) + _event(3))
+
+    def test_stream_is_refused_after_a_version_that_only_others_saw(
+        self,
+    ) -> None:
+        """Guards against a VM that was cut off while a version served."""
+        self.add_version("i-1", "v1")
+        heartbeats = self.gateway.components.vm_heartbeats
+        heartbeats.send_and_count()
+        seen = {"version_ages_s": {"llm": {"v0": 30.0}}}
+        self.gateway.store.put(vm_heartbeats.KIND, "vm-9", seen)
+        heartbeats.send_and_count()
+        self.assertEqual(self.resume().status, 503)
+
     def test_stream_is_refused_while_another_version_is_recent(self) -> None:
         """Guards against a stream that began at an engine that has left."""
         self.add_version("i-1", "v1")
@@ -300,6 +347,61 @@
         self.assertEqual(self.resume().status, 503)
 
 
+class TestSoleService(GenerationCase):
+    """A route moves to another service, and the records are lost."""
+
+    def test_stream_of_a_route_that_moved_is_refused(self) -> None:
+        """Guards against a stream of the service that the route left."""
+        engine = EngineScript(_stream(2, 3))
+        self.gateway.add_endpoint(
+            ScriptedEndpoint("i-1", engine),
+            service="llm",
+            stage="decode",
+            version="v1",
+        )
+        heartbeats = self.gateway.components.vm_heartbeats
+        heartbeats.send_and_count()
+        state = self.gateway.components.context.state
+        routes = state.active_configuration().configuration.routes
+        review = next(route for route in routes if route.name == "review")
+        moved = dataclasses.replace(
+            review, services=(WeightedService("llm-old", 1.0),)
+        )
+        observe_routes(state.route_history, [moved], routes)
+        observe_routes(state.route_history, routes, [moved])
+        headers = {"Resumes": "r-lost", "Last-Event-Id": "1"}
+        response = self.generate("/review/x", **headers)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(engine.runs, [])
+        wait_for(
+            lambda: any(
+                "llm-old" in services
+                for value in self.gateway.store.read(
+                    vm_heartbeats.KIND
+                ).values()
+                for services in value["routes"].values()
+            )
+        )
+
+    def test_paths_that_are_divided_anew_keep_their_services(self) -> None:
+        """Guards against a new route that hides which service began."""
+        history = VersionHistory(lambda: 1000.0)
+        history.complete([])
+        state = self.gateway.components.context.state
+        routes = state.active_configuration().configuration.routes
+        review = next(route for route in routes if route.name == "review")
+        part = dataclasses.replace(
+            review,
+            path_prefix=review.path_prefix + "part/",
+            services=(WeightedService("llm-new", 1.0),),
+        )
+        observe_routes(history, [review], [])
+        self.assertEqual(history.sole_version(make_route_key(review)), "llm")
+        observe_routes(history, [review, part], [review])
+        self.assertIsNone(history.sole_version(make_route_key(part)))
+        self.assertEqual(history.sole_version(make_route_key(review)), "llm")
+
+
 def _make_version(service: str, version: str) -> Endpoint:
     return Endpoint(
         id=version,
@@ -347,6 +449,26 @@
         self.history.observe([_make_version("llm", "v2")])
         self.assertTrue(self.history.has_unstored())
 
+    def test_versions_of_other_vms_are_forgotten_after_the_horizon(
+        self,
+    ) -> None:
+        """Guards against VMs that keep a version alive among themselves."""
+        other = VersionHistory(lambda: self.now_s)
+        for history in (self.history, other):
+            history.complete([])
+            history.observe([_make_version("llm", "v1")])
+        other.observe([_make_version("llm", "v2")])
+        other.observe([_make_version("llm", "v1")])
+        left_s = self.now_s
+        while self.now_s < left_s + HORIZON_S + 10.0:
+            ages = [self.history.encode_ages(), other.encode_ages()]
+            self.now_s += 4.0
+            for history in (self.history, other):
+                history.take_over([*ages, None, {"llm": {"v9": "1"}}])
+            if self.now_s <= left_s + HORIZON_S:
+                self.assertIsNone(self.history.sole_version("llm"))
+        self.assertEqual(self.history.sole_version("llm"), "v1")
+
     def test_malformed_observations_are_ignored(self) -> None:
         """Guards against an object of another writer."""
         self.history.complete([None, 3, {"llm": "v1"}, {"llm": [1, None]}])
@@ -412,6 +534,21 @@
             encoded = origin_messages.encode(decoded.ok_value)
             self.assertEqual(origin_messages.decode(encoded), decoded)
 
+    def test_dispute_is_told_to_vms_that_ask(self) -> None:
+        """Guards against a conflict that only the owners know."""
+        fleet = [self.open_sharing() for _ in range(6)]
+        addresses = {f"vm-{n}": vm.address for n, vm in enumerate(fleet)}
+        for sharing in fleet:
+            sharing.set_peers(addresses)
+        fleet[0].publish("r1", Origin("llm", "v1"))
+        fleet[1].publish("r1", Origin("llm", "v2"))
+        wait_for(lambda: sum(vm.is_disputed("r1") for vm in fleet) >= 3)
+        for sharing in fleet:
+            if not sharing.is_disputed("r1"):
+                sharing.find("r1")
+        wait_for(lambda: all(vm.is_disputed("r1") for vm in fleet[2:]))
+        self.assertIsNone(fleet[2].find("r1"))
+
     def test_memory_of_origins_is_bounded(self) -> None:
         """Guards against a process that grows with its streams."""
         now_s = [1000.0]
@@ -428,6 +565,7 @@
     "TestOriginSharing",
     "TestResumeByCallers",
     "TestResumeWithinOneResponse",
+    "TestSoleService",
     "TestSoleVersion",
     "TestVersionHistory",
 ]
