--- a/src/burdockspan/gateway/accounts/quota_ledger.py
+++ b/src/burdockspan/gateway/accounts/quota_ledger.py
@@ -3,7 +3,7 @@
 Each of N VMs owns 1/N of the refill rate and of the capacity, which is the
 burst and the slack. The bucket of a new process is empty. So all VMs together
 spend in each window at most the refill of the window and the capacity, whether
-they are in touch or not.
+they are connected or not.
 
 Units move between VMs. A VM that needs more than its capacity borrows room as
 well: the lender's capacity is lower for a fixed time, and the borrower has
--- a/src/burdockspan/gateway/accounts/quota_shares.py
+++ b/src/burdockspan/gateway/accounts/quota_shares.py
@@ -44,8 +44,9 @@
 _MIN_REQUESTS_PER_S = 3.0
 # A VM with requests of the account keeps its own refill of this time.
 _KEPT_S = 0.5
-# After a request has waited in vain, others do not wait for peers so long.
-_BARREN_S = 0.1
+# After a request has waited without success, others do not wait for peers for
+# this time.
+_PEER_BACKOFF_S = 0.1
 # A lower number of VMs is used after this time.
 _COUNT_KEPT_S = 10.0
 _MIN_RETRY_AFTER_S = 0.1
@@ -95,7 +96,7 @@
         self.waiting: collections.deque[Ticket] = collections.deque()
         self.peer_count = _FIRST_PEERS
         self.next_want_s = now_s
-        self.barren_until_s = now_s
+        self.skip_peers_until_s = now_s
 
     def kept(self, now_s: float) -> float:
         """Returns what this VM keeps for its own requests to come."""
@@ -172,7 +173,7 @@
             self.waiting.remove(ticket)
             self.decide(ticket, False, now_s)
             if ticket.until_s > ticket.asked_s:
-                self.barren_until_s = now_s + _BARREN_S
+                self.skip_peers_until_s = now_s + _PEER_BACKOFF_S
 
 
 class QuotaShares:
@@ -293,7 +294,7 @@
             return False
         if len(share.waiting) >= _MAX_WAITING:
             return False
-        if self._list_peers() and now_s >= share.barren_until_s:
+        if self._list_peers() and now_s >= share.skip_peers_until_s:
             return True
         ahead = sum(other.units for other in share.waiting)
         lacking = ticket.units + ahead - share.bucket.measure(now_s)
@@ -452,7 +453,7 @@
             if not share.bucket.borrow(units, ratio, asked_s, now_s):
                 continue
             share.received.add(units, now_s)
-            share.barren_until_s = min(share.barren_until_s, now_s)
+            share.skip_peers_until_s = min(share.skip_peers_until_s, now_s)
             share.settle_waiting(now_s)
 
 
--- a/src/burdockspan/gateway/requests/application.py
+++ b/src/burdockspan/gateway/requests/application.py
@@ -293,7 +293,7 @@
             503, "not_run", denial.value, _UNREADY_RETRY_AFTER_S
         )
     else:
-        # A further VM may be in touch.
+        # A further VM may have a recent proof.
         response = make_declined(denial.value, _UNREADY_RETRY_AFTER_S)
     context.registry.count("refusal", denial.value.replace(" ", "_"))
     context.log(
