--- a/review/harness.py
+++ b/review/harness.py
@@ -24,6 +24,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
@@ -46,11 +47,32 @@
 }
 ZONES = ("fes-a", "meknes-b", "tanger-c")
 
-BROKEN = 1
+# Exit codes; `run.sh` maps them. Python itself ends with 1 after an error.
+BROKEN = 10
 HELD = 0
 COULD_NOT_RUN = 2
 
 
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """What the settings of a gateway take from its deployment.
+
+    Attributes:
+      zones: names of its zones.
+      bounds: its bounds, as its sheet states them.
+      memory_mb: memory of its smallest machines.
+      more_settings: what the sections of the template add, which end it.
+    """
+
+    zones: tuple[str, ...]
+    bounds: Mapping[str, Any]
+    memory_mb: int
+    more_settings: str = ""
+
+
+RAQS_BOOKING = Deployment(ZONES, BOUNDS, 205)
+
+
 class CannotRunError(Exception):
     """The case could not run, which says nothing about the rule."""
 
@@ -290,7 +312,12 @@
     """
 
     def __init__(
-        self, name: str, zone: str, store_address: str, folder: pathlib.Path
+        self,
+        name: str,
+        zone: str,
+        store_address: str,
+        folder: pathlib.Path,
+        deployment: Deployment,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -308,10 +335,14 @@
             "internal_ports.0": ports[2],
             "internal_ports.1": ports[3],
             "platform.address": store_address,
-            "limits.memory_mb": 205,
-            **{f"bounds.{key}": value for key, value in BOUNDS.items()},
+            "limits.memory_mb": deployment.memory_mb,
+            **{
+                f"bounds.{key}": value
+                for key, value in deployment.bounds.items()
+            },
         }
         text = _render_settings((ROOT / role["template"]).read_text(), fields)
+        text += deployment.more_settings
         # The template's port for metrics is the same on all machines.
         text = text.replace("127.0.0.1:9464", f"127.0.0.1:{ports[4]}")
         self._settings = folder / f"{name}.yaml"
@@ -481,13 +512,19 @@
         return answer
 
 
-def run_case(script: str, vm_count: int, check: Callable[[Case], bool]) -> int:
-    """Runs a case; returns the exit code of its script.
+def run_case(
+    script: str,
+    vm_count: int,
+    check: Callable[[Case], bool],
+    deployment: Deployment = RAQS_BOOKING,
+) -> int:
+    """Runs a case; returns `BROKEN`, `HELD` or `COULD_NOT_RUN`.
 
     Args:
       script: path of the script, beside which the record is written.
       vm_count: number of gateways.
       check: runs the case; returns whether the rule was broken.
+      deployment: the deployment whose settings the gateways have.
     """
     record = Record(pathlib.Path(script).resolve().parent / "record.txt")
     record.write(f"TROUBLE={int(is_troubled())}")
@@ -495,14 +532,16 @@
         record.write("could not run: the build of the deploy file is missing")
         return COULD_NOT_RUN
     store = ObjectStore()
+    zones = deployment.zones
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         gateways = [
             Gateway(
-                f"front-{ZONES[number % len(ZONES)]}-{number + 1}",
-                ZONES[number % len(ZONES)],
+                f"front-{zones[number % len(zones)]}-{number + 1}",
+                zones[number % len(zones)],
                 store.address,
                 folder,
+                deployment,
             )
             for number in range(vm_count)
         ]
@@ -511,8 +550,8 @@
             for gateway in gateways:
                 for line in gateway.read_errors():
                     record.write(f"log of {gateway.name}: {line[:200]}")
-        except CannotRunError as error:
-            record.write(f"could not run: {error}")
+        except Exception:
+            record.write(f"could not run: {traceback.format_exc()}")
             return COULD_NOT_RUN
         finally:
             for gateway in gateways:
