Ignore entries with numbers, addresses and texts out of bounds

Before the restart, all VMs went on with the endpoints that they knew, and noticed no endpoint that came, drained or left.

Cause: `slots` of the entry is an integer of 401 digits. `_read_number` passes it to math.isfinite, which raises OverflowError for integers beyond the range of a float. Only MalformedError is expected, so that the thread of the watch ends while its process lives. Two more ways to the same end: the port of an address with 5,000 digits (ValueError of int), and a number like 1e300, which is finite but overflows where it is multiplied. A name with a line break passed, and went into the header Expect-Instance.

Change: numbers are compared with their bounds before any conversion; addresses are IPv4 and a port; names and texts of an entry are short and printable.

Before the change, five tests failed: four of test_documents, and a VM that waits for its second endpoint in test_discovery. Now 30 of 30 pass.

--- a/src/burdockspan/platform/documents.py
+++ b/src/burdockspan/platform/documents.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import re
 from collections.abc import Mapping
 from typing import Any
@@ -25,6 +24,7 @@
     Stage,
     WeightedService,
 )
+from burdockspan.values.address import parse_address
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -44,6 +44,13 @@
     r"(?! )[^\x00-\x1f\x7f\ud800-\udfff]{1,256}(?<! )"
 )
 _DEFAULT_LIMITS = RequestLimits(16_384, 4_194_304, 3.0, 15.0)
+# Up to this number, floats hold each whole number. No document needs a larger
+# one, and products with one could be too large for a float.
+_MAX_NUMBER = 2**53
+# An endpoint's identity is sent in a header.
+_IDENTITY_PATTERN = re.compile(r"[!-~]{1,256}")
+_MAX_TEXT_CHARACTERS = 256
+_MAX_LOGGED_CHARACTERS = 40
 
 
 class MalformedError(ValueError):
@@ -141,7 +148,7 @@
     route = _read_object(value, "route")
     kind = _KIND_BY_NAME.get(_read_string(route, "kind"))
     if kind is None:
-        raise MalformedError(f"kind {route['kind']!r} is unknown")
+        raise MalformedError(f"kind {_abridge(route['kind'])} is unknown")
     return Route(
         name=_read_string(route, "name"),
         host=_read_string(route, "host").lower(),
@@ -236,44 +243,53 @@
       MalformedError: the entry is invalid, for example because another
         program wrote it.
     """
+    if not _IDENTITY_PATTERN.fullmatch(name):
+        raise MalformedError("the name cannot be sent in a header")
     entry = _read_object(value, "entry")
     leaving = _LEAVING_BY_STATE.get(_read_string(entry, "state"))
     if leaving is None:
-        raise MalformedError(f"state {entry['state']!r} is unknown")
+        raise MalformedError(f"state {_abridge(entry['state'])} is unknown")
     stage = None
     if entry.get("stage") is not None:
         stage = _STAGE_BY_NAME.get(_read_string(entry, "stage"))
         if stage is None:
-            raise MalformedError(f"stage {entry['stage']!r} is unknown")
+            raise MalformedError(f"stage {_abridge(entry['stage'])} is unknown")
     return Endpoint(
         id=name,
         # The start of the process, in Unix milliseconds.
         started_ms=_read_integer(entry, "born") if "born" in entry else 0,
-        service=_read_string(entry, "service"),
+        service=_read_short_text(entry, "service"),
         address=_read_address(entry),
-        zone=_read_string(entry, "zone"),
+        zone=_read_short_text(entry, "zone"),
         leaving=leaving,
         slots=max(1, int(_read_number(entry, "slots", 1.0))),
         stage=stage,
         software_version=(
-            _read_string(entry, "version") if "version" in entry else ""
+            _read_short_text(entry, "version") if "version" in entry else ""
         ),
     )
 
 
 def _read_address(entry: Mapping[str, Any]) -> str:
     text = _read_string(entry, "address")
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise MalformedError(f"address {text!r} is not ip:port")
-    parts = host.split(".")
-    if len(parts) != 4 or not all(
-        part.isdecimal() and int(part) < 256 for part in parts
-    ):
-        raise MalformedError(f"address {text!r} is not ip:port")
+    parsed = parse_address(text)
+    if parsed is None or not parsed[1]:
+        raise MalformedError("address is not ip:port")
     return text
 
 
+def _read_short_text(entry: Mapping[str, Any], key: str) -> str:
+    text = _read_string(entry, key)
+    if len(text) > _MAX_TEXT_CHARACTERS or not text.isprintable():
+        raise MalformedError(f"{key} is too long or not printable")
+    return text
+
+
+def _abridge(text: str) -> str:
+    """Returns a text of any length as it may stand in a log line."""
+    return repr(text[:_MAX_LOGGED_CHARACTERS])
+
+
 def _read_object(value: Any, description: str) -> Mapping[str, Any]:
     if not isinstance(value, dict):
         raise MalformedError(f"{description} is not an object")
@@ -302,7 +318,8 @@
     value = values.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise MalformedError(f"{key} is not a number")
-    if not math.isfinite(value) or value < 0:
+    # The comparisons are exact for integers of any size, and false for NaN.
+    if not 0 <= value <= _MAX_NUMBER:
         raise MalformedError(f"{key} is out of range")
     return float(value)
 
--- a/tests/gateway/discovery/test_discovery.py
+++ b/tests/gateway/discovery/test_discovery.py
@@ -104,6 +104,16 @@
         wait_for(lambda: bool(self.gateway.events_named("entry ignored")))
         self.assertEqual(self.gateway.call("GET", "/read/x").status, 200)
 
+    def test_entry_with_an_extreme_number_does_not_end_the_watch(self) -> None:
+        """Guards against a VM that never again learns of an endpoint."""
+        self.add_endpoint(lambda _: _OK, "i-1")
+        entry = ScriptedEndpoint("i-x", lambda _: _OK)
+        self.addCleanup(entry.close)
+        foreign = entry.as_store_entry("app", "zone-a", slots=10**400)
+        self.gateway.store.put("servers", "i-x", foreign)
+        wait_for(lambda: bool(self.gateway.events_named("entry ignored")))
+        self.add_endpoint(lambda _: _OK, "i-2")
+
     def test_log_events_encode_as_json(self) -> None:
         """Guards against log lines that a program cannot parse."""
         self.add_endpoint(lambda _: _OK, "i-1")
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from hypothesis import given
-from hypothesis import strategies as st
 
 from burdockspan.gateway.accounts.identification import (
     find_account,
@@ -24,15 +23,12 @@
 from burdockspan.gateway.values import RequestKind, Stage
 from burdockspan.platform import documents
 from tests.support.gateways import make_document
-
-_JSON = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
-    lambda inner: (
-        st.lists(inner, max_size=4)
-        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
-    ),
-    max_leaves=12,
+from tests.support.json_values import (
+    JSON_VALUES,
+    list_variants,
+    nearly,
 )
+
 _ENTRY: dict[str, Any] = {
     "service": "llm",
     "address": "10.1.2.3:8080",
@@ -81,12 +77,28 @@
         with self.assertRaises(documents.MalformedError):
             documents.decode_configuration(document)
 
-    @given(_JSON)
+    @given(JSON_VALUES)
     def test_any_value_decodes_or_is_refused(self, value: Any) -> None:
         """Guards against an object that crashes the thread that reads it."""
         with contextlib.suppress(documents.MalformedError):
             documents.decode_configuration(value)
 
+    def test_configuration_with_an_extreme_field_decodes_or_is_refused(
+        self,
+    ) -> None:
+        """Guards against a field that ends the watch of the configuration."""
+        for value in list_variants(make_document()):
+            with contextlib.suppress(documents.MalformedError):
+                documents.decode_configuration(value)
+
+    @given(nearly(make_document()))
+    def test_configuration_with_any_field_decodes_or_is_refused(
+        self, value: Any
+    ) -> None:
+        """Guards against a field that ends the watch of the configuration."""
+        with contextlib.suppress(documents.MalformedError):
+            documents.decode_configuration(value)
+
 
 def _decode_accounts(tenants: Any) -> tuple[Account, ...] | None:
     document = make_document(1, tenants=tenants)
@@ -179,7 +191,7 @@
         self.assertEqual(found.name, "a439")
         self.assertEqual(len(table.account_by_digest), 880)
 
-    @given(_JSON)
+    @given(JSON_VALUES)
     def test_any_value_decodes_or_is_refused(self, value: Any) -> None:
         """Guards against accounts that crash the thread that reads them."""
         with contextlib.suppress(documents.MalformedError):
@@ -212,8 +224,18 @@
             ("slots", True),
             ("born", 1.5),
             ("born", "yesterday"),
+            # No fixed-size integer or float holds it.
+            ("slots", 10**400),
+            ("born", 10**400),
+            ("slots", 1e300),
+            ("address", "10.1.2.3:" + "9" * 5000),
+            ("address", "10.1.2.256:80"),
+            ("address", "10.1.2.٣:80"),
+            ("address", "10.1.2.3:0"),
+            ("service", "x" * 70_000),
+            ("zone", "a\r\nb"),
         ):
-            with self.subTest(key=key, value=value):
+            with self.subTest(key=key, value=repr(value)[:40]):
                 entry = {**_ENTRY, key: value}
                 with self.assertRaises(documents.MalformedError):
                     documents.decode_endpoint("i-1", entry)
@@ -225,8 +247,31 @@
             with self.subTest(key), self.assertRaises(documents.MalformedError):
                 documents.decode_endpoint("i-1", entry)
 
-    @given(_JSON)
+    @given(JSON_VALUES)
     def test_any_value_decodes_or_is_refused(self, value: Any) -> None:
         """Guards against an entry that crashes the thread that reads it."""
         with contextlib.suppress(documents.MalformedError):
             documents.decode_endpoint("i-1", value)
+
+    def test_entry_with_an_extreme_field_decodes_or_is_refused(self) -> None:
+        """Guards against a field that ends the watch of the endpoints."""
+        for value in list_variants(_ENTRY):
+            with contextlib.suppress(documents.MalformedError):
+                documents.decode_endpoint("i-1", value)
+
+    @given(nearly(_ENTRY))
+    def test_entry_with_any_field_decodes_or_is_refused(
+        self, value: Any
+    ) -> None:
+        """Guards against a field that ends the watch of the endpoints."""
+        with contextlib.suppress(documents.MalformedError):
+            documents.decode_endpoint("i-1", value)
+
+    def test_entry_whose_name_fits_no_header_is_refused(self) -> None:
+        """Guards against headers that another program could add."""
+        for name in ("", "a b", "i-1\r\nX: y", "ü", "x" * 300):
+            with (
+                self.subTest(name),
+                self.assertRaises(documents.MalformedError),
+            ):
+                documents.decode_endpoint(name, _ENTRY)
