Read the rest of a document whose parts cannot be read

Cause: json.loads raises RecursionError for lists nested a thousand levels deep, which ended the thread of the watch, and ValueError for integers of over 4,300 digits, which made the page malformed. Infinity and surrogates passed, and raised OverflowError and UnicodeEncodeError later. A datagram with 1,300 brackets ended the thread that shares the origins of streams. Names of KV caches and reservations went into headers as an engine sent them.

Change: `read_json` reads null in place of such a value. The store, the endpoints' control calls, the exchange, the origins and the platform calls of the entry role use it.

--- a/src/burdockspan/configuration/codec.py
+++ b/src/burdockspan/configuration/codec.py
@@ -38,7 +38,7 @@
     """Returns the document of UTF-8 JSON, or what is wrong with it."""
     try:
         value = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err(f"configuration is not JSON: {error}")
     return decode_configuration(value)
 
--- a/src/burdockspan/gateway/discovery/watch_messages.py
+++ b/src/burdockspan/gateway/discovery/watch_messages.py
@@ -65,7 +65,7 @@
     groups: list[list[StoredObject]] = [[]]
     room_bytes = _MAX_CHANGES_BYTES
     for stored in changes:
-        size_bytes = len(json.dumps(_encode_change(stored)))
+        size_bytes = _measure(stored)
         if size_bytes > _MAX_CHANGES_BYTES:
             return ()
         if size_bytes > room_bytes:
@@ -81,6 +81,15 @@
     )
 
 
+def _measure(stored: StoredObject) -> int:
+    """Returns the length of an encoded change in bytes."""
+    try:
+        return len(json.dumps(_encode_change(stored)))
+    except RecursionError:
+        # An object of another program that nests too deeply to be encoded.
+        return _MAX_CHANGES_BYTES + 1
+
+
 def _encode_change(stored: StoredObject) -> list[Any]:
     return [
         stored.name,
--- a/src/burdockspan/gateway/fleet/exchange_messages.py
+++ b/src/burdockspan/gateway/fleet/exchange_messages.py
@@ -13,6 +13,8 @@
 
 from result import Err, Ok, Result
 
+from burdockspan.values.json_reader import read_json
+
 # Below the size at which datagrams are fragmented.
 MAX_DATAGRAM_BYTES = 1400
 # What an envelope takes besides its topics.
@@ -97,10 +99,10 @@
     """Returns the envelope in a datagram, or an error text."""
     if len(datagram) > MAX_DATAGRAM_BYTES:
         return Err("the datagram is too long")
-    try:
-        value = json.loads(datagram)
-    except (ValueError, RecursionError):
-        return Err("not JSON")
+    read = read_json(datagram)
+    if isinstance(read, Err):
+        return read
+    value = read.ok_value
     if not isinstance(value, dict):
         return Err("not an object")
     vm, topics = value.get("vm"), value.get("topics")
--- a/src/burdockspan/gateway/streams/origin_messages.py
+++ b/src/burdockspan/gateway/streams/origin_messages.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from burdockspan.gateway.streams.stream_origins import Origin
+from burdockspan.values.json_reader import read_json
 
 # Below the size at which datagrams are fragmented.
 MAX_DATAGRAM_BYTES = 1400
@@ -61,10 +62,10 @@
 
 def decode(datagram: bytes) -> Result[OriginMessage, str]:
     """Returns the message in a datagram, or an error text."""
-    try:
-        value = json.loads(datagram)
-    except ValueError:
-        return Err("the datagram is not JSON")
+    read = read_json(datagram)
+    if isinstance(read, Err):
+        return read
+    value = read.ok_value
     if not isinstance(value, dict):
         return Err("the message is not an object")
     request_id = _read_text(value, "request_id")
--- a/src/burdockspan/object_api/exchange.py
+++ b/src/burdockspan/object_api/exchange.py
@@ -20,6 +20,7 @@
 from burdockspan.object_api.retries import retry_read
 from burdockspan.object_api.transport import ExchangeFailure, Request, Transport
 from burdockspan.values.clock import Clock
+from burdockspan.values.json_reader import read_json
 from burdockspan.values.randomness import RandomFloat
 
 T = TypeVar("T")
@@ -147,8 +148,9 @@
     """Parses a JSON response; `parse` returns None if it is malformed."""
     if isinstance(response, Err):
         return response
+    read = read_json(response.ok_value)
     try:
-        value = parse(json.loads(response.ok_value))
+        value = None if isinstance(read, Err) else parse(read.ok_value)
     except ValueError:
         value = None
     return Err(PlatformError.MALFORMED) if value is None else Ok(value)
--- a/src/burdockspan/object_api/vm_codec.py
+++ b/src/burdockspan/object_api/vm_codec.py
@@ -22,7 +22,7 @@
     """Returns the list that UTF-8 JSON encodes, or what is wrong with it."""
     try:
         value = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err(f"VM list is not JSON: {error}")
     return parse_vm_list(value)
 
--- a/src/burdockspan/platform/endpoint_client.py
+++ b/src/burdockspan/platform/endpoint_client.py
@@ -4,8 +4,9 @@
 
 import dataclasses
 import json
+import re
 from collections.abc import Callable, Iterator, Mapping
-from typing import Any
+from typing import Any, TypeGuard
 
 import urllib3
 from result import Err, Ok, Result
@@ -29,6 +30,7 @@
 from burdockspan.values.clock import Clock
 from burdockspan.values.endpoint import Endpoint as TransportEndpoint
 from burdockspan.values.endpoint import Pool
+from burdockspan.values.json_reader import read_json
 from burdockspan.values.placement import Failure, FailureKind
 
 # The first packet of a connection takes 3 ms between zones. A lost one is
@@ -40,6 +42,8 @@
 _CONTROL_SILENCE_S = 0.1
 _CONTROL_RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
 _MISDIRECTED_REQUEST = 421
+# Names that engines give to KV caches and to reservations.
+_TOKEN_PATTERN = re.compile(r"[!-~]{1,256}")
 # Number of the least urgent priority at engines.
 _LEAST_URGENT = 9
 
@@ -85,7 +89,7 @@
         if isinstance(value, Err):
             return value
         handle = value.ok_value.get("handle")
-        if not isinstance(handle, str) or not handle:
+        if not _is_token(handle):
             return Err(
                 _make_endpoint_error(endpoint, "prefill answer has no handle")
             )
@@ -117,7 +121,7 @@
         if isinstance(value, Err):
             return value
         name = value.ok_value.get("hold")
-        if not isinstance(name, str) or not name:
+        if not _is_token(name):
             return Err(
                 _make_endpoint_error(endpoint, "reservation has no name")
             )
@@ -394,15 +398,19 @@
     body = exchange.read(_CONTROL_RESPONSE_LIMIT_BYTES)
     if isinstance(body, Err):
         return body
-    try:
-        value = json.loads(body.ok_value or b"{}")
-    except ValueError:
+    read = read_json(body.ok_value or b"{}")
+    if isinstance(read, Err):
         return Err(_make_endpoint_error(endpoint, "answer is not JSON"))
-    if not isinstance(value, dict):
+    if not isinstance(read.ok_value, dict):
         return Err(
             _make_endpoint_error(endpoint, "answer is not a JSON object")
         )
-    return Ok(value)
+    return Ok(read.ok_value)
+
+
+def _is_token(value: Any) -> TypeGuard[str]:
+    """Returns whether a value can be sent in a header and in a path."""
+    return isinstance(value, str) and bool(_TOKEN_PATTERN.fullmatch(value))
 
 
 def _decode_load(value: Mapping[str, Any]) -> EngineLoad:
--- a/src/burdockspan/platform/store.py
+++ b/src/burdockspan/platform/store.py
@@ -21,6 +21,7 @@
 from burdockspan.object_api.transport import Request, Transport, make_transport
 from burdockspan.platform import headers as header_names
 from burdockspan.values.clock import Clock
+from burdockspan.values.json_reader import read_json
 
 _OBJECTS_PATH = "/v1/objects/"
 _JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -31,6 +32,8 @@
 _WATCH_MARGIN_S = 0.6
 # Limits the pages of a list in case the store returns a cursor that repeats.
 _MAX_PAGES = 200
+# Raised by values of another type than those of an object or a list.
+_MALFORMED_ERRORS = (AttributeError, LookupError, TypeError, ValueError)
 _ERA_PATTERN = re.compile(r"[0-9]{1,15}")
 _ERROR_BY_STATUS = {
     404: StoreError.NOT_FOUND,
@@ -78,7 +81,7 @@
                 ]
                 page_revision = int(page.ok_value.value["current_rev"])
                 has_more = page.ok_value.value.get("has_more") is True
-            except (KeyError, TypeError, ValueError):
+            except _MALFORMED_ERRORS:
                 return Err(StoreError.MALFORMED)
             # The next watch starts at the revision of the first page, so that
             # it reports the changes between the pages.
@@ -119,7 +122,7 @@
             )
             revision = int(answer.value["current_rev"])
             return Ok(Listing(changes, revision, answer.era))
-        except (KeyError, TypeError, ValueError):
+        except _MALFORMED_ERRORS:
             return Err(StoreError.MALFORMED)
 
     def create(
@@ -158,7 +161,7 @@
         return Ok(
             _decode_object(response.ok_value.value, response.ok_value.era)
         )
-    except (KeyError, TypeError, ValueError):
+    except _MALFORMED_ERRORS:
         return Err(StoreError.MALFORMED)
 
 
@@ -188,11 +191,10 @@
         return Err(
             _ERROR_BY_STATUS.get(response.status, StoreError.UNAVAILABLE)
         )
-    try:
-        value = json.loads(response.body) if response.body else {}
-    except ValueError:
+    read = read_json(response.body or b"{}")
+    if isinstance(read, Err):
         return Err(StoreError.MALFORMED)
-    return Ok(_Answer(value, _decode_era(response.headers)))
+    return Ok(_Answer(read.ok_value, _decode_era(response.headers)))
 
 
 def _decode_era(headers: Mapping[str, str]) -> int | None:
