Bound addresses, trials and measurements of other VMs

Callers would see other VMs' work and limits disregarded, or resumed streams refused, once one object in the store had ended the thread of the heartbeats.

Cause, found by the new tests: an address with a port of 5,000 digits raises ValueError, and a long host name UnicodeError, in the thread of the heartbeats or of the statuses. A number of trials of 2**53 in the record of a part of a prompt is the exponent of a power of two: the thread of the crash records computed it without end (the test stood still until it was killed, after 10 minutes). The same for integers of 401 digits in measurements.

Change: one parser of `ip:port` in place of four; the exponent, the trials and the measurements are bounded.

--- a/src/burdockspan/endpoints/service.py
+++ b/src/burdockspan/endpoints/service.py
@@ -20,6 +20,7 @@
 
 # A refusal is a short JSON body; a longer body comes from the application.
 _REFUSAL_LIMIT_BYTES = 65_536
+_MAX_LENGTH_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,7 +66,9 @@
     call: Call, exchange: Exchange
 ) -> Result[ServiceResponse, Failure]:
     length = exchange.headers.get("Content-Length", "")
-    if length.isdecimal() and int(length) > _REFUSAL_LIMIT_BYTES:
+    # An int of any number of digits could not be made.
+    is_long = len(length) > _MAX_LENGTH_DIGITS
+    if length.isdecimal() and (is_long or int(length) > _REFUSAL_LIMIT_BYTES):
         return Ok(ServiceResponse(exchange))
     body = exchange.read(_REFUSAL_LIMIT_BYTES)
     if isinstance(body, Err):
--- a/src/burdockspan/gateway/choice/stages.py
+++ b/src/burdockspan/gateway/choice/stages.py
@@ -44,6 +44,8 @@
 # effect of a measurement error.
 _MAX_CHANGED_SHARE = 0.5
 _MEASUREMENT_FIELDS = 5
+# Up to this number, floats hold each whole number.
+_MAX_NUMBER = 2**53
 
 
 @dataclasses.dataclass(frozen=True)
@@ -319,7 +321,7 @@
         if isinstance(item, list)
         and len(item) == _MEASUREMENT_FIELDS
         and all(
-            isinstance(number, int | float) and math.isfinite(number)
+            type(number) in (int, float) and 0 <= number <= _MAX_NUMBER
             for number in item
         )
     }
--- a/src/burdockspan/gateway/endpoints/part_quarantine.py
+++ b/src/burdockspan/gateway/endpoints/part_quarantine.py
@@ -421,7 +421,7 @@
     if part.object_name != stored.name:
         return None
     items, trials = value.get("crashes", []), value.get("trials", 0)
-    if not isinstance(items, list) or not isinstance(trials, int):
+    if not isinstance(items, list) or type(trials) is not int or trials < 0:
         return None
     crashes = tuple(
         (item[0], item[1])
--- a/src/burdockspan/gateway/fleet/exchange.py
+++ b/src/burdockspan/gateway/fleet/exchange.py
@@ -26,10 +26,9 @@
 )
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.observe.registry import Registry
+from burdockspan.values.address import Address, parse_address
 from burdockspan.values.clock import Clock
 
-Address = tuple[str, int]
-
 # Shortest interval between two statuses of a VM.
 _MIN_INTERVAL_S = 0.5
 # Limit of the statuses that a VM sends, and so receives, each second. The
@@ -114,7 +113,7 @@
         """
         now_s = self._boot_clock()
         parsed_by_vm = {
-            vm: _parse_address(text)
+            vm: parse_address(text)
             for vm, text in address_by_vm.items()
             if vm != self._vm
         }
@@ -314,7 +313,7 @@
       registry: counts the messages.
       log: writes a log event.
     """
-    parsed = _parse_address(address)
+    parsed = parse_address(address)
     if parsed is None:
         return Exchange(None, vm, boot_clock, registry)
     udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -334,13 +333,4 @@
     return f"{ip}:{port}"
 
 
-def _parse_address(text: object) -> Address | None:
-    if not isinstance(text, str):
-        return None
-    ip, _, port = text.rpartition(":")
-    if not ip or not port.isdecimal() or int(port) > 65_535:
-        return None
-    return ip, int(port)
-
-
 __all__ = ["Exchange", "MakeValue", "Receive", "Received", "open_exchange"]
--- a/src/burdockspan/gateway/fleet/peers.py
+++ b/src/burdockspan/gateway/fleet/peers.py
@@ -10,6 +10,7 @@
 from burdockspan.gateway.endpoints import passive_health
 from burdockspan.gateway.endpoints.passive_health import Suspicion
 from burdockspan.placement.sampling import RandomFloat
+from burdockspan.values.address import parse_address
 from burdockspan.values.clock import Clock
 
 # A VM that declined a request for a service is not asked again for this time.
@@ -20,7 +21,6 @@
 # A VM is asked for this time after its last heartbeat; one that is gone costs a
 # connection attempt each few seconds.
 _KEPT_S = 30.0
-_MAX_PORT = 65_535
 # In requests in flight. A VM of another zone ranks like one of this zone that
 # serves one more request of this VM.
 _OTHER_ZONE_PENALTY = 1.0
@@ -71,7 +71,7 @@
         peers = {}
         for vm, value in value_by_vm.items():
             address, zone = value.get("relay_address"), value.get("zone")
-            if vm == self._vm or not _is_address(address):
+            if vm == self._vm or parse_address(address) is None:
                 continue
             peers[vm] = Peer(
                 vm, str(address), zone if isinstance(zone, str) else ""
@@ -166,12 +166,4 @@
             )
 
 
-def _is_address(text: object) -> bool:
-    """Returns whether a value is `ip:port`."""
-    if not isinstance(text, str):
-        return False
-    ip, _, port = text.rpartition(":")
-    return bool(ip) and port.isdecimal() and 0 < int(port) <= _MAX_PORT
-
-
 __all__ = ["Peer", "Peers"]
--- a/src/burdockspan/gateway/streams/origin_sharing.py
+++ b/src/burdockspan/gateway/streams/origin_sharing.py
@@ -25,8 +25,7 @@
 from burdockspan.membership import ownership
 from burdockspan.observe.event_log import WriteEvent
 from burdockspan.observe.registry import Registry
-
-Address = tuple[str, int]
+from burdockspan.values.address import Address, parse_address
 
 # VMs that keep a copy of an origin, besides the VM that began the stream.
 _COPIES = 3
@@ -60,7 +59,7 @@
     def set_peers(self, address_by_peer: Mapping[str, object]) -> None:
         """Sets the addresses of the other VMs; malformed ones are left out."""
         parsed_by_peer = {
-            vm: _parse_address(text)
+            vm: parse_address(text)
             for vm, text in address_by_peer.items()
             if text != self.address
         }
@@ -252,7 +251,7 @@
 
 
 def _bind(address: str) -> Result[socket.socket, str]:
-    parsed = _parse_address(address)
+    parsed = parse_address(address)
     if parsed is None:
         return Err(f"{address!r} is not ip:port")
     udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -271,13 +270,4 @@
     return f"{ip}:{port}"
 
 
-def _parse_address(text: object) -> Address | None:
-    if not isinstance(text, str):
-        return None
-    ip, _, port = text.rpartition(":")
-    if not ip or not port.isdecimal() or int(port) > 65_535:
-        return None
-    return ip, int(port)
-
-
 __all__ = ["OriginSharing", "open_origin_sharing"]
--- a/src/burdockspan/membership/transport.py
+++ b/src/burdockspan/membership/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 import select
 import socket
 import threading
@@ -24,6 +25,8 @@
 # datagrams that waited in the socket are dropped like lost ones: ages in a
 # datagram count from its arrival, so stale load reports would appear new.
 _FREEZE_S = 0.5
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+_MAX_PORT = 65_535
 
 
 @dataclasses.dataclass
@@ -124,7 +127,7 @@
 def parse_address(address: str) -> tuple[str, int] | None:
     """Returns the IP and port of `ip:port`, None if it is malformed."""
     ip, _, port = address.rpartition(":")
-    if not ip or not port.isdecimal() or int(port) > 65535:
+    if not ip or not _PORT_PATTERN.fullmatch(port) or int(port) > _MAX_PORT:
         return None
     return ip, int(port)
 
--- a/src/burdockspan/resilience/crash_evidence.py
+++ b/src/burdockspan/resilience/crash_evidence.py
@@ -29,6 +29,8 @@
 # doubles with each trial.
 TRIAL_INTERVAL_S = 120.0
 MAX_TRIAL_INTERVAL_S = 3600.0
+# After these, the interval is the longest one.
+_MAX_DOUBLINGS = 5
 # A part with fewer crashes is forgotten after this time without another one.
 SUSPICION_S = 120.0
 
@@ -154,9 +156,10 @@
 
 
 def _trial_interval_s(evidence: CrashEvidence) -> float:
-    return float(
-        min(TRIAL_INTERVAL_S * 2**evidence.trials, MAX_TRIAL_INTERVAL_S)
-    )
+    # The number of trials comes from the store. A power of it may be too large
+    # to compute.
+    doublings = min(evidence.trials, _MAX_DOUBLINGS)
+    return min(TRIAL_INTERVAL_S * 2.0**doublings, MAX_TRIAL_INTERVAL_S)
 
 
 __all__ = [
--- a/src/burdockspan/values/ids.py
+++ b/src/burdockspan/values/ids.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 import secrets
 
 from result import Err, Ok, Result
 
+_NUMBER_PATTERN = re.compile(r"[0-9]{1,19}")
 _REQUEST_ID_BYTES = 16
 
 
@@ -35,7 +37,7 @@
     parts = text.split(":")
     if len(parts) != 3 or not parts[0]:
         return Err(f"attempt identity {text!r} is not vm:incarnation:sequence")
-    if not (parts[1].isdecimal() and parts[2].isdecimal()):
+    if not all(map(_NUMBER_PATTERN.fullmatch, parts[1:])):
         return Err(f"attempt identity {text!r} has a non-numeric part")
     return Ok(AttemptId(parts[0], int(parts[1]), int(parts[2])))
 
