Run the function of a thread again after it fails

Cause: an exception that nobody expected ends a thread; the process lives on, and only stderr has a line.

Also: the log goes on after a field that cannot be written; the limits of streams and the threads for requests survive a thread that could not be started; a retried write that raises does not take others with it; the node of the entry role handles messages after one that fails.

--- a/src/burdockspan/claims/write_retries.py
+++ b/src/burdockspan/claims/write_retries.py
@@ -6,10 +6,12 @@
 import threading
 from collections.abc import Callable
 
+from absl import logging
 from result import Err, Result
 
 from burdockspan.object_api.objects import PlatformError
 from burdockspan.object_api.retries import Backoff, backoff_delay_s
+from burdockspan.observe.threads import run_repeatedly
 from burdockspan.values.clock import Clock
 from burdockspan.values.randomness import RandomFloat
 
@@ -117,7 +119,7 @@
             del self._writes[: len(due)]
             self._being_tried += len(due)
         for queued in due:
-            self._finish(queued, queued.write())
+            self._finish(queued, _try_write(queued.write))
         with self._lock:
             if not self._writes:
                 return None
@@ -162,6 +164,15 @@
         self._counts = dataclasses.replace(self._counts, **{name: value})
 
 
+def _try_write(write: Write) -> Result[None, PlatformError]:
+    try:
+        return write()
+    except Exception:
+        # The other writes of the queue must not be lost with this one.
+        logging.exception("a retried write failed")
+        return Err(PlatformError.UNCERTAIN)
+
+
 def make_write_retries(
     clock: Clock, random_float: RandomFloat, limit: int = WAITING_WRITES_LIMIT
 ) -> WriteRetries:
@@ -188,7 +199,11 @@
         stopping.set()
         queue.added.set()
 
-    thread = threading.Thread(target=run, name="settlement", daemon=True)
+    thread = threading.Thread(
+        target=lambda: run_repeatedly(run, "settlement", stopping),
+        name="settlement",
+        daemon=True,
+    )
     return WriteRetries(
         queue.add, queue.run_due, thread.start, stop, queue.counts
     )
--- a/src/burdockspan/endpoints/sockets.py
+++ b/src/burdockspan/endpoints/sockets.py
@@ -8,6 +8,7 @@
 import threading
 
 from burdockspan.endpoints.call_timer import TimeLimit
+from burdockspan.observe.threads import start_lasting_thread
 from burdockspan.values.clock import Clock
 
 _CHECK_INTERVAL_S = 0.1
@@ -100,8 +101,9 @@
             self._streams.add(stream)
             if self._running:
                 return
+            # If no thread can be started, the next stream tries again.
+            start_lasting_thread(self._run, "stream-limits", self._closed)
             self._running = True
-        threading.Thread(target=self._run, daemon=True).start()
 
     def remove(self, stream: MonitoredStream) -> None:
         """Stops monitoring a stream."""
--- a/src/burdockspan/gateway/process.py
+++ b/src/burdockspan/gateway/process.py
@@ -34,6 +34,11 @@
 from burdockspan.http.listener import Server
 from burdockspan.observe.event_log import make_event_log
 from burdockspan.observe.logs import configure_logs
+from burdockspan.observe.threads import (
+    make_failure_report,
+    report_ended_threads,
+    start_lasting_thread,
+)
 from burdockspan.values.clock import (
     make_monotonic_clock,
     make_wall_clock,
@@ -53,7 +58,7 @@
     """Starts the servers, the watchers of the store, and the heartbeats."""
     context = components.context
     for server in _list_servers(components):
-        _start_thread(server.run, "server")
+        _start_thread(components, server.run, "server")
     for watcher in make_watchers(
         context.platform,
         context.state,
@@ -73,12 +78,17 @@
     )
     _start_watcher(components, crash_watcher, math.inf)
     _start_thread(
-        lambda: components.shared_watches.run(components.stopped), "watches"
+        components,
+        lambda: components.shared_watches.run(components.stopped),
+        "watches",
     )
     _start_thread(
-        lambda: context.crash_records.run(components.stopped), "crashes"
+        components,
+        lambda: context.crash_records.run(components.stopped),
+        "crashes",
     )
     _start_thread(
+        components,
         lambda: run_probes(
             context.reachability,
             context.platform.endpoints,
@@ -88,19 +98,23 @@
         "probes",
     )
     if context.origins.address is not None:
-        _start_thread(context.origins.run, "origins")
+        _start_thread(components, context.origins.run, "origins")
     if context.exchange.address is not None:
-        _start_thread(context.exchange.run_receiver, "exchange")
+        _start_thread(components, context.exchange.run_receiver, "exchange")
         _start_thread(
-            lambda: context.exchange.run_sender(components.stopped), "statuses"
+            components,
+            lambda: context.exchange.run_sender(components.stopped),
+            "statuses",
         )
         _start_thread(
+            components,
             lambda: components.demand_exchange.run(
                 components.balance, components.stopped
             ),
             "stages",
         )
     _start_thread(
+        components,
         lambda: run_heartbeats(
             components.vm_heartbeats,
             components.stopped,
@@ -111,7 +125,9 @@
         "members",
     )
     _start_thread(
-        lambda: context.origin_records.run(components.stopped), "streams"
+        components,
+        lambda: context.origin_records.run(components.stopped),
+        "streams",
     )
 
 
@@ -159,6 +175,7 @@
     stop_requested, reload_requested = threading.Event(), threading.Event()
     _handle_signals(stop_requested, reload_requested)
     context = components.context
+    report_ended_threads(make_failure_report(context.log, context.registry))
     reload = make_reload(
         settings,
         load_settings,
@@ -194,6 +211,7 @@
     context = components.context
     shared = components.shared_watches.share(watcher, limit_s)
     _start_thread(
+        components,
         lambda: run_watcher(
             context.platform.store,
             watcher,
@@ -245,8 +263,12 @@
         waiter.wait(_CLOSE_POLL_INTERVAL_S)
 
 
-def _start_thread(run: Callable[[], None], name: str) -> None:
-    threading.Thread(target=run, name=name, daemon=True).start()
+def _start_thread(
+    components: Components, run: Callable[[], None], name: str
+) -> None:
+    context = components.context
+    report = make_failure_report(context.log, context.registry)
+    start_lasting_thread(run, name, components.stopped, report)
 
 
 __all__ = ["run_gateway", "start", "stop"]
--- a/src/burdockspan/http/listener.py
+++ b/src/burdockspan/http/listener.py
@@ -15,6 +15,7 @@
 import waitress.server
 import waitress.task
 import waitress.wasyncore
+from absl import logging
 
 from burdockspan.values.clock import Clock, make_monotonic_clock
 
@@ -261,7 +262,13 @@
             self._last_thread += 1
             self.threads.add(self._last_thread)
             self.active_count += 1
-            self.start_new_thread(self.handler_thread, self._last_thread)
+            try:
+                self.start_new_thread(self.handler_thread, self._last_thread)
+            except RuntimeError as error:
+                # The task waits for a thread that is there, or for the next.
+                self.threads.discard(self._last_thread)
+                self.active_count -= 1
+                logging.error("no thread started for a request: %s", error)
 
 
 class _Phase(enum.IntEnum):
--- a/src/burdockspan/node/actor.py
+++ b/src/burdockspan/node/actor.py
@@ -23,6 +23,7 @@
 from burdockspan.node.context import Context
 from burdockspan.node.effects import Effects
 from burdockspan.node.tables import Tables
+from burdockspan.observe.logs import log_fault
 
 # Intervals of the scans over all requests and over all queues. Engine memory
 # that is reserved for a request must be released within 2 s after its caller
@@ -37,6 +38,10 @@
 _Handler = Callable[[Tables, Any, Context], Effects]
 
 
+# Messages whose senders wait for a result.
+_ANSWERED = (messages.ReadState, messages.RecordEvent)
+
+
 class Node(pykka.ThreadingActor):
     """Handles one message at a time; no other thread changes the tables."""
 
@@ -52,9 +57,18 @@
 
     def on_receive(self, message: Any) -> Any:
         """Handles a message of `messages` and returns the sender's result."""
-        result, effects = handle(self._tables, message, self._context)
-        self._run_effects(effects)
-        return result
+        try:
+            result, effects = handle(self._tables, message, self._context)
+            self._run_effects(effects)
+            return result
+        except Exception:
+            if isinstance(message, _ANSWERED):
+                # pykka raises it again at the sender.
+                raise
+            # pykka would end the thread of the node, and the process would
+            # live on without it.
+            log_fault("message not handled", type=type(message).__name__)
+            return None
 
 
 def handle(
--- a/src/burdockspan/node/platform_reader.py
+++ b/src/burdockspan/node/platform_reader.py
@@ -22,6 +22,7 @@
 from burdockspan.object_api.objects import PlatformError, WatchBatch, WatchEvent
 from burdockspan.object_api.watch import Watch, make_watch
 from burdockspan.observe.logs import log_change, log_fault
+from burdockspan.observe.threads import run_repeatedly
 from burdockspan.values.randomness import RandomFloat
 
 _MIN_VM_LIST_INTERVAL_S = 1.0
@@ -84,8 +85,13 @@
         latest_era=client.eras.latest,
     )
     reader = threading.Thread(
-        target=_read_periodically,
-        args=(client, send_to_node, is_watcher, random_float, stopping),
+        target=lambda: run_repeatedly(
+            lambda: _read_periodically(
+                client, send_to_node, is_watcher, random_float, stopping
+            ),
+            "platform-reader",
+            stopping,
+        ),
         name="platform-reader",
         daemon=True,
     )
--- a/src/burdockspan/node/process.py
+++ b/src/burdockspan/node/process.py
@@ -5,13 +5,17 @@
 import signal
 import threading
 import time
-from collections.abc import Callable
 
 from result import Err
 
 from burdockspan.node import messages, queries
 from burdockspan.node.assembly import EntryProcess, make_entry_process
 from burdockspan.observe.logs import configure_logs, log_change, log_fault
+from burdockspan.observe.threads import (
+    log_failure,
+    report_ended_threads,
+    start_lasting_thread,
+)
 from burdockspan.settings import Settings
 
 _TICK_INTERVAL_S = 0.05
@@ -42,6 +46,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
     stopped = threading.Event()
+    report_ended_threads(log_failure)
     _start(entry, stopped)
     log_change(
         "started", vm=settings.vm, caller_address=entry.caller_server.address
@@ -59,8 +64,8 @@
     entry.write_retries.start()
     entry.platform_reader.start()
     for server in (entry.caller_server, entry.admin_server):
-        _start_thread(server.run, "http-server")
-    _start_thread(lambda: _tick(entry, stopped), "ticker")
+        start_lasting_thread(server.run, "http-server", stopped)
+    start_lasting_thread(lambda: _tick(entry, stopped), "ticker", stopped)
 
 
 def _tick(entry: EntryProcess, stopped: threading.Event) -> None:
@@ -106,8 +111,4 @@
     entry.metrics.close()
 
 
-def _start_thread(run: Callable[[], None], name: str) -> None:
-    threading.Thread(target=run, name=name, daemon=True).start()
-
-
 __all__ = ["run_entry"]
--- a/src/burdockspan/object_api/watch.py
+++ b/src/burdockspan/object_api/watch.py
@@ -10,6 +10,7 @@
 
 from burdockspan.object_api.objects import PlatformError, WatchBatch, WatchEvent
 from burdockspan.object_api.retries import Backoff, backoff_delay_s
+from burdockspan.observe.threads import run_repeatedly
 from burdockspan.values.randomness import RandomFloat
 
 # The longest delay of 4 s spreads the calls of all watchers after an outage,
@@ -137,7 +138,11 @@
                 deliver(step.events)
             stopping.wait(step.delay_s)
 
-    thread = threading.Thread(target=run, name="platform-watch", daemon=True)
+    thread = threading.Thread(
+        target=lambda: run_repeatedly(run, "platform-watch", stopping),
+        name="platform-watch",
+        daemon=True,
+    )
     return Watch(thread.start, stopping.set, lambda: current[0])
 
 
--- a/src/burdockspan/observe/event_log.py
+++ b/src/burdockspan/observe/event_log.py
@@ -111,10 +111,7 @@
             events.append(
                 {"time": time_s, "event": "lines dropped", "count": dropped}
             )
-        text = "".join(
-            json.dumps({"vm": self._vm, **event}, default=str) + "\n"
-            for event in events
-        )
+        text = "".join(map(self._format, events))
         try:
             self._stream.write(text)
             self._stream.flush()
@@ -123,6 +120,16 @@
             # and the process continues.
             self._dropped += len(events)
 
+    def _format(self, event: dict[str, Any]) -> str:
+        """Returns the line of an event, without the fields that have none."""
+        line = {"vm": self._vm, **event}
+        try:
+            return json.dumps(line, default=str) + "\n"
+        except Exception as error:
+            # A value of any type may be a field, and must not end the thread.
+            kept = {name: line[name] for name in ("vm", "time", "event")}
+            return json.dumps({**kept, "unwritten": repr(error)}) + "\n"
+
 
 WriteEvent = Callable[..., None]
 """Writes an event: its name, then its fields by keyword."""
