Ask a suspected VM last instead of not at all

Hypotheses: (1) relayed streams that break off at a crashed endpoint count as failures of the third VM, which is then left out; (2) the third VM declines, being full; (3) the path to it is lost. The logs could tell 2 (`relay failed`, refused) and 3 (`relay failed`, not_connected), and had no line for 1. Added: `no vm to relay to`, with the numbers of known, asked and suspected VMs and the largest weight, and `is_blamed` in `relay broke off`.

Cause: hypothesis 1. `_record_broken_relay` charges each stream that breaks off to the VM that relays it, although an endpoint's break and its own look the same.

Change: a broken rest of an answer is no evidence against the VM, unless the VM is silent beyond the deadline; if it is lost, the next request that asks it shows that. A suspected VM comes last, and one request at a time waits for it; an answer ends the suspicion. If all VMs have declined, each is asked again after 0.1 s instead of 1 s.

Before the change, test_vm_that_passes_on_broken_streams_is_asked_again failed (503 instead of 200).

--- a/src/burdockspan/gateway/fleet/peers.py
+++ b/src/burdockspan/gateway/fleet/peers.py
@@ -13,8 +13,12 @@
 from burdockspan.values.address import parse_address
 from burdockspan.values.clock import Clock
 
-# A VM that declined a request for a service is not asked again for this time.
+# A VM that declined a request for a service is not asked again for this time
+# while there are others.
 _DECLINED_S = 1.0
+# If all VMs have declined, each is asked again after this time: what a VM lacks
+# may be there after milliseconds, such as a newer configuration.
+_ASK_AGAIN_S = 0.1
 # A VM that served a relayed request within this time is preferred once another
 # one has declined.
 _SERVED_S = 5.0
@@ -41,6 +45,22 @@
     zone: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class PeerState:
+    """What this VM believes of another one.
+
+    Attributes:
+      suspicion: present weight of the suspicion against it.
+      declined_age_s: time since it last declined a request for a service; None
+        if it has not.
+      asked: requests that wait for its answer.
+    """
+
+    suspicion: float
+    declined_age_s: float | None
+    asked: int
+
+
 class Peers:
     """The other VMs, with what this VM has learned of them by relaying."""
 
@@ -56,6 +76,7 @@
         self._seen_s_by_vm: dict[str, float] = {}
         self._suspicion_by_vm: dict[str, Suspicion] = {}
         self._in_flight_by_vm: Counter[str] = Counter()
+        self._asked_by_vm: Counter[str] = Counter()
         self._declined_s_by_key: dict[tuple[str, str], float] = {}
         self._served_s_by_vm: dict[str, float] = {}
 
@@ -88,44 +109,75 @@
             for vm in self._suspicion_by_vm.keys() - peers.keys():
                 del self._suspicion_by_vm[vm]
 
-    def choose(self, service: str, tried: Collection[str]) -> Peer | None:
+    def choose(
+        self, service: str, tried: Collection[str], asks_again: bool = False
+    ) -> Peer | None:
         """Returns the VM to ask next, the least loaded by this VM first.
 
+        A VM under suspicion comes last, and one request at a time waits for its
+        answer: it may be the only VM that reaches the service.
+
         Args:
           service: service of the request.
           tried: VMs that have been asked already.
+          asks_again: whether VMs that have declined are asked again if there
+            are no others.
         """
         now_s = self._clock()
         with self._lock:
-            peers = [
-                peer
-                for vm, peer in self._peer_by_vm.items()
-                if vm not in tried and self._may_serve(vm, service, now_s)
-            ]
+            state_by_vm = {
+                vm: self._describe(vm, service, now_s)
+                for vm in self._peer_by_vm
+                if vm not in tried
+            }
+            for pause_s in (_DECLINED_S, _ASK_AGAIN_S):
+                vms = [
+                    vm
+                    for vm, state in state_by_vm.items()
+                    if _may_be_asked(state, pause_s)
+                ]
+                if vms or not asks_again:
+                    break
+            peers = [self._peer_by_vm[vm] for vm in vms]
             return min(
                 peers,
-                key=lambda peer: self._rank(peer, bool(tried), now_s),
+                key=lambda peer: self._rank(
+                    peer, state_by_vm[peer.vm], bool(tried), now_s
+                ),
                 default=None,
             )
 
-    def _may_serve(self, vm: str, service: str, now_s: float) -> bool:
+    def describe(self, service: str) -> dict[str, PeerState]:
+        """Returns what this VM believes of the others, by VM."""
+        now_s = self._clock()
+        with self._lock:
+            return {
+                vm: self._describe(vm, service, now_s)
+                for vm in self._peer_by_vm
+            }
+
+    def _describe(self, vm: str, service: str, now_s: float) -> PeerState:
         declined_s = self._declined_s_by_key.get((vm, service))
-        if declined_s is not None and now_s - declined_s < _DECLINED_S:
-            return False
-        weight = passive_health.current_weight(
-            self._suspicion_by_vm.get(vm), now_s
+        return PeerState(
+            passive_health.current_weight(self._suspicion_by_vm.get(vm), now_s),
+            None if declined_s is None else now_s - declined_s,
+            self._asked_by_vm[vm],
         )
-        return weight < passive_health.SUSPECT_WEIGHT
 
     def _rank(
-        self, peer: Peer, prefers_proven: bool, now_s: float
-    ) -> tuple[bool, float, float]:
+        self, peer: Peer, state: PeerState, prefers_proven: bool, now_s: float
+    ) -> tuple[bool, bool, float, float]:
         served_s = self._served_s_by_vm.get(peer.vm)
         is_proven = served_s is not None and now_s - served_s < _SERVED_S
         load = float(self._in_flight_by_vm[peer.vm])
         if peer.zone != self._zone:
             load += _OTHER_ZONE_PENALTY
-        return prefers_proven and not is_proven, load, self._random_float()
+        return (
+            _is_suspect(state),
+            prefers_proven and not is_proven,
+            load,
+            self._random_float(),
+        )
 
     def begin_work(self, peer: Peer) -> Callable[[], None]:
         """Counts a request in flight at a VM.
@@ -133,24 +185,38 @@
         Returns:
           A function that records its end; only the first call has an effect.
         """
+        return self._count(self._in_flight_by_vm, peer)
+
+    def begin_ask(self, peer: Peer) -> Callable[[], None]:
+        """Counts a request that waits for the answer of a VM.
+
+        Returns:
+          A function that records the answer, or that there is none.
+        """
+        return self._count(self._asked_by_vm, peer)
+
+    def _count(
+        self, count_by_vm: Counter[str], peer: Peer
+    ) -> Callable[[], None]:
         with self._lock:
-            self._in_flight_by_vm[peer.vm] += 1
+            count_by_vm[peer.vm] += 1
         ended = threading.Lock()
 
         def end() -> None:
             if not ended.acquire(blocking=False):
                 return
             with self._lock:
-                self._in_flight_by_vm[peer.vm] -= 1
-                if self._in_flight_by_vm[peer.vm] <= 0:
-                    del self._in_flight_by_vm[peer.vm]
+                count_by_vm[peer.vm] -= 1
+                if count_by_vm[peer.vm] <= 0:
+                    del count_by_vm[peer.vm]
 
         return end
 
     def record_served(self, peer: Peer) -> None:
-        """Records that a VM took a request."""
+        """Records that a VM took a request, which ends the suspicion."""
         with self._lock:
             self._served_s_by_vm[peer.vm] = self._clock()
+            self._suspicion_by_vm.pop(peer.vm, None)
 
     def record_declined(self, peer: Peer, service: str) -> None:
         """Records that a VM cannot serve requests for a service either."""
@@ -166,4 +232,15 @@
             )
 
 
-__all__ = ["Peer", "Peers"]
+def _is_suspect(state: PeerState) -> bool:
+    return state.suspicion >= passive_health.SUSPECT_WEIGHT
+
+
+def _may_be_asked(state: PeerState, pause_s: float) -> bool:
+    """Returns whether a VM may be asked, given the pause after it declined."""
+    if state.declined_age_s is not None and state.declined_age_s < pause_s:
+        return False
+    return not (_is_suspect(state) and state.asked)
+
+
+__all__ = ["Peer", "PeerState", "Peers"]
--- a/src/burdockspan/gateway/requests/peer_relay.py
+++ b/src/burdockspan/gateway/requests/peer_relay.py
@@ -39,13 +39,23 @@
     that another VM has relayed goes back to that VM, unless it has reached an
     endpoint, and is never relayed twice.
     """
+    if not _may_hand_over(context, request, attempts):
+        return False
+    return (
+        request.relay is not None
+        or _choose_peer(context, request, attempts) is not None
+    )
+
+
+def _may_hand_over(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> bool:
+    """Returns whether a request goes to another VM if there is one."""
     if not context.reachability.is_out_of_reach(request.service):
         return False
     if request.relay is not None:
         return not attempts.has_called_here
-    if attempts.explain_no_run() is not None:
-        return False
-    return _choose_peer(context, request, attempts) is not None
+    return attempts.explain_no_run() is None
 
 
 def can_leave(
@@ -82,7 +92,7 @@
       The response of the other VM; None if the request stays here, because the
       service is in reach or no VM takes the request.
     """
-    if not can_hand_over(context, request, attempts):
+    if not _may_hand_over(context, request, attempts):
         return None
     if request.relay is not None:
         context.registry.count("relay", "declined_here")
@@ -93,22 +103,57 @@
             reason=OUT_OF_REACH,
         )
         return make_declined(OUT_OF_REACH, RETRY_AFTER_S)
-    while (peer := _choose_peer(context, request, attempts)) is not None:
+    while (peer := _choose_peer(context, request, attempts, True)) is not None:
         if attempts.explain_no_run() is not None:
             return None
         attempts.asked_peers.add(peer.vm)
         response = _ask(context, request, attempts, peer, after_event)
         if response is not None:
             return response
+    _log_no_peer(context, request, attempts)
     return None
 
 
 def _choose_peer(
-    context: Context, request: RoutedRequest, attempts: Attempts
+    context: Context,
+    request: RoutedRequest,
+    attempts: Attempts,
+    asks_again: bool = False,
 ) -> Peer | None:
+    """Returns the VM to ask next; see `Peers.choose`."""
     if len(attempts.asked_peers) >= _MAX_PEERS:
         return None
-    return context.peers.choose(request.service, attempts.asked_peers)
+    return context.peers.choose(
+        request.service, attempts.asked_peers, asks_again
+    )
+
+
+def _log_no_peer(
+    context: Context, request: RoutedRequest, attempts: Attempts
+) -> None:
+    """Says why no further VM is asked."""
+    state_by_vm = context.peers.describe(request.service)
+    declined_ages_s = [
+        state.declined_age_s
+        for state in state_by_vm.values()
+        if state.declined_age_s is not None
+    ]
+    suspicions = [state.suspicion for state in state_by_vm.values()]
+    context.registry.count("relay", "no_peer")
+    context.log(
+        "no vm to relay to",
+        request_id=request.call.request_id,
+        service=request.service,
+        known=len(state_by_vm),
+        asked=len(attempts.asked_peers),
+        suspects=sum(
+            weight >= passive_health.SUSPECT_WEIGHT for weight in suspicions
+        ),
+        max_suspicion=round(max(suspicions, default=0.0), 2),
+        min_declined_age_s=round(min(declined_ages_s), 3)
+        if declined_ages_s
+        else None,
+    )
 
 
 def _ask(
@@ -145,7 +190,11 @@
         resumed_request_id=_find_first_request(request, attempts, after_event),
     )
     end_work = context.peers.begin_work(peer)
-    outcome = context.platform.relay(peer, request.call, options)
+    end_ask = context.peers.begin_ask(peer)
+    try:
+        outcome = context.platform.relay(peer, request.call, options)
+    finally:
+        end_ask()
     if isinstance(outcome, Err):
         end_work()
         failure = outcome.err_value
@@ -255,8 +304,15 @@
 def _record_broken_relay(
     context: Context, request: RoutedRequest, peer: Peer, failure: Failure
 ) -> None:
+    """Records that the rest of an answer was lost.
+
+    The VM may have passed on what its endpoint broke off, which looks the same
+    here. Only silence beyond the deadline is its own: it ends each answer then.
+    If the VM is lost, the next request that asks it shows that.
+    """
     context.registry.count("relay", "broke_off")
-    if not request.caller.gone:
+    is_silent = failure.kind is FailureKind.UNRESPONSIVE
+    if is_silent and not request.caller.gone:
         weight = passive_health.failure_weight(failure.kind)
         context.peers.record_failure(peer, weight)
     context.log(
@@ -265,6 +321,7 @@
         peer=peer.vm,
         kind=failure.kind.value,
         detail=failure.detail,
+        is_blamed=is_silent,
         caller_gone=request.caller.gone,
     )
 
--- a/tests/gateway/fleet/test_peer_relay.py
+++ b/tests/gateway/fleet/test_peer_relay.py
@@ -436,6 +436,25 @@
         for number in range(7, 10):
             self.assertEqual(self.send(number, "/read/x").status, 200)
 
+    def test_vm_that_passes_on_broken_streams_is_asked_again(self) -> None:
+        """Guards against refusals for seconds after one engine has crashed."""
+        self.cut_off()
+        crashed = threading.Event()
+
+        def answer(received: Received) -> Iterable[Step]:
+            if received.target.startswith("/draft/") and not crashed.is_set():
+                return [*make_stream(1, 2)[:-1], Action.RESET]
+            return _OK
+
+        self.lose_engines()
+        self.replace_peers(ScriptedEndpoint("vm-3", answer))
+        for number in range(7, 15):
+            response = self.send(number, "/draft/x", **_SIZES)
+            self.assertFalse(response.status == 200 and response.complete)
+        crashed.set()
+        for number in range(20, 23):
+            self.assertEqual(self.send(number, "/pay/x").status, 200)
+
     def test_stream_of_a_lost_vm_goes_on_at_a_further_one(self) -> None:
         """Guards against streams that end with the VM that relays them."""
 
