Make the JSON decoder of read_json once

A datagram between VMs takes 9.8 us to read instead of 12.4 us (7.1 us with json.loads), best of 5 times 1,000 on a busy machine. 16 tests of the readers pass.

--- a/src/burdockspan/values/json_reader.py
+++ b/src/burdockspan/values/json_reader.py
@@ -48,15 +48,6 @@
     return Ok(_replace_surrogates(value))
 
 
-def _decode(text: str) -> Any:
-    return json.loads(
-        text,
-        parse_int=_parse_integer,
-        parse_float=_parse_float,
-        parse_constant=lambda _: None,
-    )
-
-
 def _parse_integer(text: str) -> int | None:
     if len(text) > _MAX_INTEGER_CHARACTERS:
         return None
@@ -69,6 +60,13 @@
     return value if math.isfinite(value) else None
 
 
+_decode = json.JSONDecoder(
+    parse_int=_parse_integer,
+    parse_float=_parse_float,
+    parse_constant=lambda _: None,
+).decode
+
+
 def _replace_surrogates(value: Any) -> Any:
     """Returns a value without surrogates that have no partner.
 
