Serve peers after a thread could not be started

Entry role: when no thread can be started for a connection of a peer, the thread that accepts connections ended, and the process lived on without being reached by its peers.

Change: the connection is closed and its place freed; the acceptor runs again after any other failure.

Before the change, test_server_goes_on_after_a_thread_could_not_start failed.

--- a/src/burdockspan/peering/server.py
+++ b/src/burdockspan/peering/server.py
@@ -15,6 +15,7 @@
 from burdockspan.gen.peer import Peer, ttypes
 from burdockspan.membership.transport import parse_address
 from burdockspan.membership.values import Versions
+from burdockspan.observe.threads import run_repeatedly
 from burdockspan.peering import snapshot as snapshots
 from burdockspan.peering.channel import DeadlineSocket, make_protocol
 from burdockspan.peering.snapshot import Snapshot
@@ -101,8 +102,9 @@
         return Err(f"cannot listen on TCP {address}: {error}")
     state = _State(handlers, request_timeout_s)
     acceptor = threading.Thread(
-        target=_accept_all,
-        args=(listener, state),
+        target=lambda: run_repeatedly(
+            lambda: _accept_all(listener, state), "peer-acceptor", state.closing
+        ),
         name="peer-acceptor",
         daemon=True,
     )
@@ -178,7 +180,19 @@
             state.counts.accepted += 1
             state.counts.open += 1
             state.connection_by_thread[thread] = connection
-        thread.start()
+        try:
+            thread.start()
+        except RuntimeError as error:
+            logging.error("no thread started for a peer: %s", error)
+            _forget_connection(state, thread)
+            connection.close()
+            state.slots.release()
+
+
+def _forget_connection(state: _State, thread: threading.Thread) -> None:
+    with state.lock:
+        state.counts.open -= 1
+        del state.connection_by_thread[thread]
 
 
 def _serve(connection: socket.socket, state: _State) -> None:
@@ -197,8 +211,7 @@
     finally:
         with state.lock:
             state.counts.failed += failed
-            state.counts.open -= 1
-            del state.connection_by_thread[threading.current_thread()]
+        _forget_connection(state, threading.current_thread())
         channel.close()
         state.slots.release()
 
--- a/tests/peering/test_peering.py
+++ b/tests/peering/test_peering.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from burdockspan.membership import shared
 from burdockspan.membership.merge import merge_members
@@ -165,6 +166,24 @@
             self.assertEqual(peer.recv(1), b"")
         self.assertEqual(server.counts.open, 0)
 
+    def test_server_goes_on_after_a_thread_could_not_start(self) -> None:
+        """Guards against a VM that no peer reaches for the rest of its life."""
+        server = self._serve(_fetch_from_table)
+        start = threading.Thread.start
+        refused = threading.Event()
+
+        def refuse_once(thread: threading.Thread) -> None:
+            if thread.name == "peer-connection" and not refused.is_set():
+                refused.set()
+                raise RuntimeError("can't start new thread")
+            start(thread)
+
+        with mock.patch.object(threading.Thread, "start", refuse_once):
+            client = make_peer_client(_LIMIT_S)
+            self.assertTrue(client.fetch(server.address, Versions()).is_err())
+            self.assertTrue(refused.is_set())
+            self.assertTrue(client.fetch(server.address, Versions()).is_ok())
+
     def _serve(
         self,
         fetch: object,
