--- a/src/burdockspan/gateway/explanation/explanation.py
+++ b/src/burdockspan/gateway/explanation/explanation.py
@@ -226,7 +226,7 @@
             )
         }
     if reach["out_of_reach"]:
-        peer = context.peers.choose(request.service, set(), True)
+        peer = context.peers.choose(request.service, set(), asks_again=True)
         explanation["relayed_to"] = None if peer is None else peer.vm
     is_unknown = resumption is not None and (
         resumption["known_from"] == _UNKNOWN_ORIGIN
--- a/src/burdockspan/gateway/fleet/peers.py
+++ b/src/burdockspan/gateway/fleet/peers.py
@@ -130,17 +130,11 @@
                 for vm in self._peer_by_vm
                 if vm not in tried
             }
-            for pause_s in (_DECLINED_S, _ASK_AGAIN_S):
-                vms = [
-                    vm
-                    for vm, state in state_by_vm.items()
-                    if _may_be_asked(state, pause_s)
-                ]
-                if vms or not asks_again:
-                    break
-            peers = [self._peer_by_vm[vm] for vm in vms]
+            vms = _list_askable(state_by_vm, _DECLINED_S)
+            if not vms and asks_again:
+                vms = _list_askable(state_by_vm, _ASK_AGAIN_S)
             return min(
-                peers,
+                (self._peer_by_vm[vm] for vm in vms),
                 key=lambda peer: self._rank(
                     peer, state_by_vm[peer.vm], bool(tried), now_s
                 ),
@@ -236,11 +230,21 @@
     return state.suspicion >= passive_health.SUSPECT_WEIGHT
 
 
-def _may_be_asked(state: PeerState, pause_s: float) -> bool:
-    """Returns whether a VM may be asked, given the pause after it declined."""
-    if state.declined_age_s is not None and state.declined_age_s < pause_s:
-        return False
-    return not (_is_suspect(state) and state.asked)
+def _list_askable(
+    state_by_vm: Mapping[str, PeerState], pause_s: float
+) -> list[str]:
+    """Returns the VMs that may be asked now.
+
+    Args:
+      state_by_vm: what this VM believes of them.
+      pause_s: how long a VM that has declined is not asked again.
+    """
+    return [
+        vm
+        for vm, state in state_by_vm.items()
+        if (state.declined_age_s is None or state.declined_age_s >= pause_s)
+        and not (_is_suspect(state) and state.asked)
+    ]
 
 
 __all__ = ["Peer", "PeerState", "Peers"]
--- a/src/burdockspan/gateway/requests/peer_relay.py
+++ b/src/burdockspan/gateway/requests/peer_relay.py
@@ -103,7 +103,7 @@
             reason=OUT_OF_REACH,
         )
         return make_declined(OUT_OF_REACH, RETRY_AFTER_S)
-    while (peer := _choose_peer(context, request, attempts, True)) is not None:
+    while peer := _choose_peer(context, request, attempts, asks_again=True):
         if attempts.explain_no_run() is not None:
             return None
         attempts.asked_peers.add(peer.vm)
