Show streams of two versions after a drill and a loss of power (review/10)

Cause: a process that starts while the store comes back from a copy takes the versions that the copy names for all that have served, and resumes streams there whose version and origin the copy lacks.

The copies of the store move from review/7 to the shared module, and the replicas' stand-in gets a software version.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import dataclasses
 import http.client
@@ -35,6 +36,7 @@
 HOLD_S = 2.0
 _READY_TIMEOUT_S = 20.0
 _START_TRIES = 3
+_COPY_INTERVAL_S = 0.5
 _SETTINGS = """\
 vm: "{vm}"
 availability_zone: "{zone}"
@@ -210,6 +212,50 @@
         self.store.close()
 
 
+class Copies:
+    """Copies of the store, to come back from one that is some seconds old."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._store = deployment.store
+        self._record = deployment.record
+        self._copies: collections.deque[tuple[float, Callable[[], None]]] = (
+            collections.deque(maxlen=40)
+        )
+        self.stopped = threading.Event()
+
+    def run(self) -> None:
+        """Copies the store at intervals."""
+        while not self.stopped.wait(_COPY_INTERVAL_S):
+            self._copies.append((self._record.now_s(), self._store.copy()))
+
+    def come_back(
+        self, away_s: float, min_age_s: float, write_again: Callable[[], None]
+    ) -> None:
+        """Lets the store be away and come back from a copy.
+
+        Args:
+          away_s: how long it is away.
+          min_age_s: least age of the copy.
+          write_again: writes again what is there once the store is back.
+        """
+        self._store.status = 503
+        self._record.add("the store is away")
+        time.sleep(away_s)
+        now_s = self._record.now_s()
+        age_s, restore = max(
+            (copied_s, restore)
+            for copied_s, restore in self._copies
+            if now_s - copied_s >= min_age_s
+        )
+        restore()
+        write_again()
+        self._store.status = None
+        self._record.add(
+            f"the store is back, era {self._store.era}, from a copy that is "
+            f"{now_s - age_s:.1f} s old"
+        )
+
+
 def _start_process(
     settings_path: pathlib.Path, log_path: pathlib.Path
 ) -> subprocess.Popen[bytes]:
--- a/review/engines.py
+++ b/review/engines.py
@@ -41,6 +41,7 @@
     Attributes:
       id: its id.
       stage: `prefill` or `decode`.
+      version: version of its software, which its events name.
       has_ended: set once the process has ended; its connections are reset.
       arrivals: times and ids of the requests that reached it, without those
         that it answered 421.
@@ -50,10 +51,16 @@
     """
 
     def __init__(
-        self, deployment: Deployment, id: str, stage: str, zone: str
+        self,
+        deployment: Deployment,
+        id: str,
+        stage: str,
+        zone: str,
+        version: str = "v1",
     ) -> None:
         self.id = id
         self.stage = stage
+        self.version = version
         self.has_ended = threading.Event()
         self.prompts: list[tuple[float, str]] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -88,6 +95,7 @@
             self._zone,
             stage=self.stage,
             state=self._state,
+            version=self.version,
             slots=64,
             seq=next(self._seq),
             born=_BORN_MS,
@@ -110,8 +118,10 @@
 
     def _send_heartbeats(self) -> None:
         while not self.has_ended.wait(_HEARTBEAT_S):
-            with self._lock:
-                self.write_entry()
+            # The write fails while the store is away.
+            if self._deployment.store.status is None:
+                with self._lock:
+                    self.write_entry()
 
     def sleep(self, duration_s: float) -> bool:
         """Waits; returns whether the process still runs."""
@@ -251,12 +261,14 @@
     ) -> Iterator[Step]:
         """Streams events until the end of the run or of the process."""
         output = int((received.header("Token-Count") or "0,68").split(",")[1])
+        first = int(received.header("Last-Event-Id") or "0") + 1
         yield self.make_head(request_id)
-        for number in range(1, output + 1):
+        for number in range(first, output + 1):
             if not self.sleep(_GAP_S):
                 self._record.add(f"{self.id} breaks {request_id} off")
                 yield Action.RESET
                 return
-            yield chunk(b"id: %d\ndata: token\n\n" % number)
+            event = f"id: {number}\ndata: {self.version}\n\n"
+            yield chunk(event.encode())
         self._record.add(f"{self.id} has run {request_id} to its end")
         yield LAST_CHUNK
